Add the thin whole path

Cause: the repository was empty; everything else hangs on its seams. Ruled out: AsyncDisposableStack (Node.js 20 lacks it); moleculer-web answers PUT with If-None-Match: * by 304, so the field is taken before it looks. Conclusion: a request is served end to end through separate processes; at most once across repeats, shifts, feeding leases and limits are not there yet.

--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,6 @@
+export default {
+  files: ['packages/*/dist/**/*_test.js'],
+  concurrency: 4,
+  timeout: '2m',
+  workerThreads: false
+}
--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,32 @@
+import neostandard, { plugins } from 'neostandard'
+
+const verbs = (await import('./scripts/verbs.mjs')).verbs
+
+/** Requires that the name of each function declaration begins with a verb of docs/STYLE.md. */
+const verbFirst = {
+  meta: { type: 'suggestion', schema: [], messages: { verb: 'Function "{{name}}" does not begin with a verb of docs/STYLE.md' } },
+  create (context) {
+    return {
+      FunctionDeclaration (node) {
+        const name = node.id?.name ?? ''
+        const first = /^[a-z]+/.exec(name)?.[0] ?? ''
+        if (!verbs.has(first)) context.report({ node, messageId: 'verb', data: { name } })
+      }
+    }
+  }
+}
+
+export default [
+  ...neostandard({ ts: true, ignores: ['**/dist/**', 'node_modules/**'] }),
+  {
+    files: ['packages/**/*.ts'],
+    plugins: { '@typescript-eslint': plugins['typescript-eslint'].plugin, bilberryworks: { rules: { 'verb-first': verbFirst } } },
+    rules: {
+      'bilberryworks/verb-first': 'error',
+      '@typescript-eslint/consistent-type-imports': ['error', { fixStyle: 'separate-type-imports' }],
+      'max-lines': ['error', { max: 400, skipBlankLines: true, skipComments: true }],
+      'max-lines-per-function': ['error', { max: 120, skipBlankLines: true, skipComments: true }],
+      'max-depth': ['error', 4]
+    }
+  }
+]
--- /dev/null
+++ b/packages/bilberryctl/src/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * The parts of `bilberryctl`.
+ *
+ * @module
+ */
+export {}
--- /dev/null
+++ b/packages/bilberryd/src/mod.ts
@@ -0,0 +1,11 @@
+/**
+ * The parts of `bilberryd`, for tests and stand-ins.
+ *
+ * ```ts
+ * import { parseSettings } from 'bilberryd'
+ * ```
+ *
+ * @module
+ */
+export * from './run_instance.ts'
+export * from './settings.ts'
--- /dev/null
+++ b/packages/bilberryd/src/run_instance.ts
@@ -0,0 +1,179 @@
+/**
+ * Composes an entry instance from its parts and runs it.
+ *
+ * @module
+ */
+import type { AddressInfo } from 'node:net'
+import type { RequestListener, Server } from 'node:http'
+import type { InstanceRecord } from '@bilberryworks/steering'
+import type Logger from 'bunyan'
+import type { ListenSettings, Settings } from './settings.ts'
+import type { Feed } from './feed.ts'
+import { randomUUID } from 'node:crypto'
+import { createServer } from 'node:http'
+import { createServiceHandler } from '@bilberryworks/callers'
+import { createHttpPeers, createPeerHandler } from '@bilberryworks/instances'
+import { createOperatorsService } from '@bilberryworks/operators'
+import { createHttpPlatform } from '@bilberryworks/platform'
+import { chooseFeeder, MachineState } from '@bilberryworks/steering'
+import { createHttpTargets } from '@bilberryworks/targets'
+import moleculer from 'moleculer'
+import { createCallersService } from './callers_service.ts'
+import { createFeed } from './feed.ts'
+import { createCallersGateway, createOperatorsGateway } from './gateways.ts'
+import { createMetrics } from './metrics.ts'
+import { createRouter, listUsableTargets } from './route.ts'
+import { createSync } from './sync.ts'
+import { createView } from './view.ts'
+
+const heartbeatsMissed = 4
+const leavingMarginMs = 1_000
+const maxHeaderBytes = 16 * 1024
+const headersTimeoutMs = 10_000
+
+/** A running instance. */
+export interface RunningInstance extends AsyncDisposable {
+  /** `host:port` of each listener. */
+  addresses: { callers: string, operators: string, peers: string }
+  /** Stops gracefully: announces it, serves on, lets requests in flight end. */
+  stop (): Promise<void>
+}
+
+/**
+ * Runs an entry instance until it is disposed.
+ *
+ * @param settings Its settings
+ * @param log Where changes of state are written
+ * @returns The running instance
+ */
+export async function runInstance (settings: Settings, log: Logger): Promise<RunningInstance> {
+  const getNowMs = (): number => performance.now()
+  const local = settings.localAddress === undefined ? {} : { localAddress: settings.localAddress }
+  const platform = createHttpPlatform(settings.platformUrl, local)
+  const targets = createHttpTargets(local)
+  const peers = createHttpPeers({ key: settings.peerKeys[0]!, ...local })
+  const view = createView({ instanceTimeoutMs: settings.heartbeatMs * heartbeatsMissed, getNowMs })
+  let state = MachineState.Live
+  let sequence = 0
+  const incarnation = randomUUID()
+  const addresses = { callers: '', operators: '', peers: '' }
+
+  const metrics = createMetrics({
+    countQueued: () => feed.countQueued(),
+    countInFlight: () => feed.countInFlight(),
+    getPlatformAgeMs: () => sync.getPlatformAgeMs(),
+    getRevisions: view.getRevisions
+  })
+  const feed: Feed = createFeed({
+    targets,
+    listFedTargets: service => listUsableTargets(view, service).filter(target => chooseFeeder(target, view.listInstances())?.instance === settings.instance),
+    markTargetLeaving: view.markTargetLeaving,
+    countRetry: metrics.countRetry,
+    getNowMs
+  })
+  const isReady = (): boolean => state === MachineState.Live && sync.isReady()
+  const handleRequest = createRouter({ instance: settings.instance, view, feed, peers, isReady: () => sync.isReady(), countRetry: metrics.countRetry, getNowMs })
+  const isStopping = (): boolean => state === MachineState.Leaving
+  const broker = new moleculer.ServiceBroker({ nodeID: settings.instance, logger: false, skipProcessEventRegistration: true })
+  broker.createService(createCallersService({ view, region: settings.region, ttlSeconds: settings.lookUpTtlSeconds, countLookUp: metrics.countLookUp }))
+  broker.createService(createOperatorsService({
+    platform,
+    listDocuments: view.listDocuments,
+    mergeDocument: view.mergeDocument,
+    getWallClockMs: () => Date.now(),
+    createStatus: () => ({ instance: settings.instance, incarnation, state, ready: isReady(), platformAgeMs: Math.round(sync.getPlatformAgeMs()), revisions: view.getRevisions(), instances: view.listInstances() })
+  }))
+  const lookUp = createCallersGateway(broker)
+  const serve = createServiceHandler({ fromPeer: false, handleRequest, recordEnd: metrics.recordEnd, isStopping })
+  const serveForwarded = createServiceHandler({ fromPeer: true, handleRequest, recordEnd: metrics.recordEnd, isStopping: () => false })
+  const operators = createOperatorsGateway(broker, { tokens: () => settings.tokens, countUnauthenticated: () => metrics.countUnauthenticated('operators'), registry: metrics.registry, isReady })
+  const peerHandler = createPeerHandler({
+    keys: settings.peerKeys,
+    methods: { exchange: params => sync.handleExchange(params) },
+    handleForward: serveForwarded,
+    countUnauthenticated: () => metrics.countUnauthenticated('peers')
+  })
+  await broker.start()
+  const servers = [
+    await openServer((request, response) => request.url?.startsWith('/v1/') === true ? lookUp(request, response) : serve(request, response), settings.listen.callers),
+    await openServer(operators, settings.listen.operators),
+    await openServer(peerHandler, settings.listen.peers)
+  ]
+  addresses.callers = settings.advertise?.callers ?? formatAddress(servers[0]!)
+  addresses.operators = formatAddress(servers[1]!)
+  addresses.peers = settings.advertise?.peers ?? formatAddress(servers[2]!)
+
+  function createAnnouncement (): InstanceRecord {
+    return {
+      instance: settings.instance,
+      incarnation,
+      failureDomain: settings.failureDomain,
+      region: settings.region,
+      callerAddress: addresses.callers,
+      peerAddress: addresses.peers,
+      state,
+      sequence: ++sequence,
+      pinEpoch: 0
+    }
+  }
+  const sync = createSync({
+    view,
+    platform,
+    peers,
+    createAnnouncement,
+    seedPeers: settings.seedPeers,
+    pollMs: settings.pollMs,
+    heartbeatMs: settings.heartbeatMs,
+    getRandom: Math.random,
+    getNowMs,
+    recordPlatform: reachable => log.info({ reachable }, reachable ? 'Platform answers' : 'Platform does not answer')
+  })
+  log.info({ addresses, incarnation }, 'Instance started')
+
+  const dispose = async (): Promise<void> => {
+    await sync[Symbol.asyncDispose]()
+    servers.forEach(server => server.closeAllConnections())
+    await Promise.all(servers.map(closeServer))
+    await broker.stop()
+    await feed[Symbol.asyncDispose]()
+    await Promise.all([platform, targets, peers].map(peer => peer[Symbol.asyncDispose]()))
+  }
+  return {
+    addresses,
+    async stop () {
+      state = MachineState.Leaving
+      log.info('Instance is leaving')
+      await sync.announce()
+      await waitMs(settings.lookUpTtlSeconds * 1000 + leavingMarginMs)
+      const closing = Promise.all(servers.map(closeServer))
+      servers.forEach(server => server.closeIdleConnections())
+      await Promise.race([closing, waitMs(settings.stopLimitMs)])
+      metrics.countCutOff(feed.countInFlight())
+      await dispose()
+      log.info('Instance stopped')
+    },
+    [Symbol.asyncDispose]: dispose
+  }
+}
+
+async function openServer (handler: RequestListener, listen: ListenSettings): Promise<Server> {
+  const server = createServer({ maxHeaderSize: maxHeaderBytes, headersTimeout: headersTimeoutMs, requestTimeout: 0 }, handler)
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(listen.port, listen.host, resolve)
+  })
+  return server
+}
+
+async function closeServer (server: Server): Promise<void> {
+  await new Promise<void>(resolve => server.close(() => resolve()))
+}
+
+function formatAddress (server: Server): string {
+  const { address, port } = server.address() as AddressInfo
+  return address.includes(':') ? `[${address}]:${port}` : `${address}:${port}`
+}
+
+async function waitMs (ms: number): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, ms).unref())
+}
--- /dev/null
+++ b/packages/callers/src/header_fields.ts
@@ -0,0 +1,28 @@
+/**
+ * Header fields that end at each hop, and those that the system sets itself.
+ *
+ * @module
+ */
+import type { HeaderFields } from '@bilberryworks/steering'
+
+/** Fields of RFC 9110 that concern one connection only. */
+const hopByHop = new Set(['connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect', 'host'])
+
+/** Fields that the system sets itself, so that what came with a message is dropped. */
+const ownFields = new Set(['bilberry-request-id', 'bilberry-caller', 'bilberry-hops', 'bilberry-deadline-ms', 'bilberry-pin', 'bilberry-outcome', 'bilberry-reason', 'bilberry-peer-key', 'bilberry-retry-after-ms', 'bilberry-target-state', 'idempotency-key'])
+
+/**
+ * Drops the header fields that end at this hop.
+ *
+ * @param headers Fields as received
+ * @returns The end-to-end fields
+ */
+export function dropHopHeaders (headers: Record<string, string | string[] | undefined>): HeaderFields {
+  const named = new Set(String(headers['connection'] ?? '').toLowerCase().split(',').map(name => name.trim()))
+  const fields: HeaderFields = {}
+  for (const [name, value] of Object.entries(headers)) {
+    if (value === undefined || hopByHop.has(name) || ownFields.has(name) || named.has(name)) continue
+    fields[name] = value
+  }
+  return fields
+}
--- /dev/null
+++ b/packages/callers/src/mod.ts
@@ -0,0 +1,13 @@
+/**
+ * The callers: checks their requests, streams their answers, and says truly what became of each.
+ *
+ * ```ts
+ * import { createServiceHandler } from '@bilberryworks/callers'
+ * ```
+ *
+ * @module
+ */
+export * from './header_fields.ts'
+export * from './parse_request.ts'
+export * from './service_handler.ts'
+export * from './write_answer.ts'
--- /dev/null
+++ b/packages/instances/src/http_peers.ts
@@ -0,0 +1,143 @@
+/**
+ * The other instances over HTTP: JSON-RPC 2.0 for control, streamed requests for callers.
+ *
+ * @module
+ */
+import type { HeaderFields, InstanceRecord, Refusal, ServiceAnswer, ServiceRequest } from '@bilberryworks/steering'
+import type { JSONRPCResponse } from 'json-rpc-2.0'
+import type { Result } from 'neverthrow'
+import type { ForwardFailure, PeerCallOptions, PeerClient, PeerFailure } from './peers.ts'
+import { createNotRun, createUnknown, Outcome, RefusalReason } from '@bilberryworks/steering'
+import { createJSONRPCRequest } from 'json-rpc-2.0'
+import { err, ok } from 'neverthrow'
+import { Agent } from 'undici'
+import { PeerFailureKind } from './peers.ts'
+
+const connectTimeoutMs = 1_000
+const defaultCallTimeoutMs = 1_000
+const keepAliveMs = 4_000
+const peerRetryAfterMs = 1_000
+
+/** Errors of undici that are raised before any byte of a request has been sent. */
+const unsentErrorCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
+
+/** Options of {@linkcode createHttpPeers}. */
+export interface CreateHttpPeersOptions {
+  /** Key sent with each call. */
+  key: string
+  /** Local address of outgoing connections; the system's choice where absent. */
+  localAddress?: string
+  /** Most connections to one peer; 64 by default. */
+  connectionsPerPeer?: number
+}
+
+/**
+ * Creates a client of the other instances.
+ *
+ * @param options The key and bounds on connections
+ * @returns The client; dispose it to close its connections
+ */
+export function createHttpPeers (options: CreateHttpPeersOptions): PeerClient {
+  const { key, connectionsPerPeer = 64, ...connect } = options
+  const agent = new Agent({
+    connections: connectionsPerPeer,
+    pipelining: 1,
+    keepAliveTimeout: keepAliveMs,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    connect: { timeout: connectTimeoutMs, ...connect }
+  })
+  const authorization = `Bearer ${key}`
+  let nextId = 1
+
+  return {
+    async call<T> (peerAddress: string, method: string, call: PeerCallOptions): Promise<Result<T, PeerFailure>> {
+      try {
+        const answer = await agent.request({
+          origin: `http://${peerAddress}`,
+          method: 'POST',
+          path: '/rpc',
+          headers: { authorization, 'content-type': 'application/json' },
+          body: JSON.stringify(createJSONRPCRequest(nextId++, method, call.params)),
+          signal: AbortSignal.timeout(call.timeoutMs ?? defaultCallTimeoutMs)
+        })
+        const text = await answer.body.text()
+        if (answer.statusCode !== 200) return err({ kind: PeerFailureKind.Refused, detail: `${method} ended with ${answer.statusCode}` })
+        const response = JSON.parse(text) as JSONRPCResponse
+        if (response.error !== undefined) return err({ kind: PeerFailureKind.Refused, detail: response.error.message })
+        return ok(response.result as T)
+      } catch (error) {
+        const kind = isUnsent(error) ? PeerFailureKind.ConnectFailed : PeerFailureKind.Lost
+        return err({ kind, detail: `${method} at ${peerAddress}: ${(error as Error).message}` })
+      }
+    },
+    async forward (peer: InstanceRecord, request: ServiceRequest, remainingMs: number): Promise<Result<ServiceAnswer, ForwardFailure>> {
+      const timeout = AbortSignal.timeout(Math.max(1, Math.ceil(remainingMs)))
+      try {
+        const answer = await agent.request({
+          origin: `http://${peer.peerAddress}`,
+          method: request.method as 'GET',
+          path: `/services/${request.service}${request.path}`,
+          headers: { ...request.headers, ...createForwardHeaders(request, remainingMs), 'bilberry-peer-key': authorization },
+          body: request.method === 'GET' || request.method === 'HEAD' ? null : request.body,
+          signal: AbortSignal.any([timeout, request.signal])
+        })
+        const headers = collectHeaders(answer.headers)
+        if (headers['bilberry-outcome'] === Outcome.Answered) {
+          return ok({ status: answer.statusCode, headers, body: answer.body })
+        }
+        await answer.body.dump()
+        return err({ unsent: false, refusal: parseRefusal(headers, peer) })
+      } catch (error) {
+        return err(describeForwardError(error, { peer, timedOut: timeout.aborted }))
+      }
+    },
+    async [Symbol.asyncDispose] () {
+      await agent.destroy()
+    }
+  }
+}
+
+function isUnsent (error: unknown): boolean {
+  return unsentErrorCodes.has((error as { code?: string }).code ?? '')
+}
+
+function createForwardHeaders (request: ServiceRequest, remainingMs: number): HeaderFields {
+  const fields: HeaderFields = {
+    'bilberry-request-id': request.requestId,
+    'bilberry-caller': request.callerKey,
+    'bilberry-hops': String(request.hops + 1),
+    'bilberry-deadline-ms': String(Math.floor(remainingMs))
+  }
+  if (request.idempotencyKey !== undefined) fields['idempotency-key'] = request.idempotencyKey
+  if (request.pin !== undefined) fields['bilberry-pin'] = request.pin
+  return fields
+}
+
+function collectHeaders (headers: Record<string, string | string[] | undefined>): HeaderFields {
+  const fields: HeaderFields = {}
+  for (const [name, value] of Object.entries(headers)) {
+    if (value !== undefined) fields[name] = value
+  }
+  return fields
+}
+
+function parseRefusal (headers: HeaderFields, peer: InstanceRecord): Refusal {
+  const reason = headers['bilberry-reason'] as RefusalReason
+  const known = Object.values(RefusalReason).includes(reason)
+  if (!known || headers['bilberry-outcome'] !== Outcome.NotRun) {
+    return createUnknown(known ? reason : RefusalReason.PeerLost, `Instance "${peer.instance}" can't tell whether the request ran`)
+  }
+  const retryAfterMs = Number(headers['bilberry-retry-after-ms'])
+  const detail = `Instance "${peer.instance}" refused the request`
+  return createNotRun(reason, detail, retryAfterMs > 0 ? retryAfterMs : undefined)
+}
+
+function describeForwardError (error: unknown, call: { peer: InstanceRecord, timedOut: boolean }): ForwardFailure {
+  const name = call.peer.instance
+  if (isUnsent(error)) {
+    return { unsent: true, refusal: createNotRun(RefusalReason.PeerUnreachable, `Instance "${name}" can't be reached`, peerRetryAfterMs) }
+  }
+  const reason = call.timedOut ? RefusalReason.TargetTimeout : RefusalReason.PeerLost
+  return { unsent: false, refusal: createUnknown(reason, `Instance "${name}" was lost: ${(error as Error).message}`) }
+}
--- /dev/null
+++ b/packages/instances/src/mod.ts
@@ -0,0 +1,15 @@
+/**
+ * The peer instances: JSON-RPC 2.0 for control and streamed requests for callers.
+ *
+ * ```ts
+ * import { createHttpPeers } from '@bilberryworks/instances'
+ *
+ * await using peers = createHttpPeers({ key: 'secret' })
+ * const reply = await peers.call('127.0.0.1:7001', 'inventory.exchange', { params: {} })
+ * ```
+ *
+ * @module
+ */
+export * from './http_peers.ts'
+export * from './peer_listener.ts'
+export * from './peers.ts'
--- /dev/null
+++ b/packages/instances/src/peer_listener.ts
@@ -0,0 +1,82 @@
+/**
+ * The listener on which an instance serves the other instances.
+ *
+ * @module
+ */
+import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http'
+import { createHash, timingSafeEqual } from 'node:crypto'
+import { createJSONRPCErrorResponse, JSONRPCServer } from 'json-rpc-2.0'
+
+const maxRpcBytes = 4 * 1024 * 1024
+
+/** A JSON-RPC method; what it throws is answered as an error. */
+export type PeerMethod = (params: unknown) => Promise<unknown> | unknown
+
+/** Options of {@linkcode createPeerHandler}. */
+export interface CreatePeerHandlerOptions {
+  /** Keys that are valid now; two while a key is being replaced. */
+  keys: string[]
+  /** JSON-RPC methods by name. */
+  methods: Record<string, PeerMethod>
+  /** Handles a request that a peer forwards. */
+  handleForward: (request: IncomingMessage, response: ServerResponse) => void
+  /** Called for each call without a valid key. */
+  countUnauthenticated: () => void
+}
+
+/**
+ * Creates the request handler of the listener for peers.
+ *
+ * @param options Keys, methods and the handler of forwarded requests
+ * @returns A handler for `node:http`
+ */
+export function createPeerHandler (options: CreatePeerHandlerOptions): RequestListener {
+  const server = new JSONRPCServer()
+  for (const [name, method] of Object.entries(options.methods)) server.addMethod(name, method)
+
+  return (request, response) => {
+    const forwarded = request.url?.startsWith('/services/') === true
+    const presented = forwarded ? request.headers['bilberry-peer-key'] : request.headers.authorization
+    if (!isAuthentic(String(presented ?? ''), options.keys)) {
+      options.countUnauthenticated()
+      response.writeHead(401, { connection: 'close', 'bilberry-outcome': 'not-run', 'bilberry-reason': 'bad_request' }).end()
+      return
+    }
+    if (forwarded) {
+      delete request.headers['bilberry-peer-key']
+      options.handleForward(request, response)
+      return
+    }
+    handleRpc(server, request, response)
+  }
+}
+
+function isAuthentic (presented: string, keys: string[]): boolean {
+  const digest = createHash('sha256').update(presented).digest()
+  let valid = false
+  for (const key of keys) {
+    const expected = createHash('sha256').update(`Bearer ${key}`).digest()
+    if (timingSafeEqual(digest, expected)) valid = true
+  }
+  return valid
+}
+
+function handleRpc (server: JSONRPCServer, request: IncomingMessage, response: ServerResponse): void {
+  readText(request).then(async text => {
+    const reply = text === undefined
+      ? createJSONRPCErrorResponse(null, -32600, `Call is larger than ${maxRpcBytes} bytes`)
+      : await server.receiveJSON(text)
+    response.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(reply))
+  }).catch(() => response.destroy())
+}
+
+async function readText (request: IncomingMessage): Promise<string | undefined> {
+  const chunks: Buffer[] = []
+  let length = 0
+  for await (const chunk of request) {
+    length += (chunk as Buffer).length
+    if (length > maxRpcBytes) return undefined
+    chunks.push(chunk as Buffer)
+  }
+  return Buffer.concat(chunks).toString('utf8')
+}
--- /dev/null
+++ b/packages/platform/src/mod.ts
@@ -0,0 +1,14 @@
+/**
+ * The platform peer: table service, object store and list of machines.
+ *
+ * ```ts
+ * import { createHttpPlatform } from '@bilberryworks/platform'
+ *
+ * await using platform = createHttpPlatform('http://127.0.0.1:8080')
+ * const row = await platform.readRow('documents', 'lunchbox-api')
+ * ```
+ *
+ * @module
+ */
+export * from './http_platform.ts'
+export * from './platform.ts'
--- /dev/null
+++ b/packages/standins/src/mod.ts
@@ -0,0 +1,11 @@
+/**
+ * Stand-ins of the platform and the targets, for tests and the demonstration.
+ *
+ * @module
+ */
+export * from './caller.ts'
+export * from './child.ts'
+export * from './cluster.ts'
+export * from './deployments.ts'
+export * from './platform_standin.ts'
+export * from './target_standin.ts'
--- /dev/null
+++ b/packages/steering/src/outcomes.ts
@@ -0,0 +1,101 @@
+/**
+ * The closed sets of outcomes and reasons that callers, operators and counters see.
+ *
+ * @module
+ */
+
+/** What became of a request, sent as `Bilberry-Outcome`. */
+export enum Outcome {
+  /** A target answered, and the body is its whole answer. */
+  Answered = 'answered',
+  /** The request did not run and will not. */
+  NotRun = 'not-run',
+  /** The request may have run once; it is not run again under its key. */
+  Unknown = 'unknown'
+}
+
+/** Why a request ended as it did, sent as `Bilberry-Reason` and used as a counter label. */
+export enum RefusalReason {
+  BadRequest = 'bad_request',
+  UnknownService = 'unknown_service',
+  BodyTooLarge = 'body_too_large',
+  HeadersTooLarge = 'headers_too_large',
+  BadIdempotencyKey = 'bad_idempotency_key',
+  KeyScopeMissing = 'key_scope_missing',
+  KeyReused = 'key_reused',
+  KeyMemoryFull = 'key_memory_full',
+  BadPin = 'bad_pin',
+  PinExpired = 'pin_expired',
+  PinnedInstanceGone = 'pinned_instance_gone',
+  ResultNotRetained = 'result_not_retained',
+  StoreUnavailable = 'store_unavailable',
+  NoDocument = 'no_document',
+  NoUsableTarget = 'no_usable_target',
+  Overloaded = 'overloaded',
+  ShiftCap = 'shift_cap',
+  LinkBudget = 'link_budget',
+  DeadlinePassed = 'deadline_passed',
+  RetryBudget = 'retry_budget',
+  LeaseLapsed = 'lease_lapsed',
+  ForwardLoop = 'forward_loop',
+  PeerUnreachable = 'peer_unreachable',
+  PeerLost = 'peer_lost',
+  TargetUnreachable = 'target_unreachable',
+  TargetRefused = 'target_refused',
+  TargetLost = 'target_lost',
+  TargetTimeout = 'target_timeout',
+  CallerGone = 'caller_gone',
+  Stopping = 'stopping'
+}
+
+/** Why the system sent a request again. */
+export enum RetryReason {
+  ConnectFailed = 'connect_failed',
+  TargetRefused = 'target_refused',
+  IdempotentLost = 'idempotent_lost',
+  PeerRefused = 'peer_refused',
+  PeerUnreachable = 'peer_unreachable'
+}
+
+/** The class of a request, which decides how it is queued, retried and remembered. */
+export enum RequestClass {
+  /** Idempotent; may be retried on another target. */
+  LookUp = 'look-up',
+  /** Runs at most once; never retried once a target may have read any of it. */
+  AtMostOnce = 'at-most-once',
+  /** A large streamed body, which can wait and can't be replayed by the system. */
+  Upload = 'upload'
+}
+
+/** What a service's document asks the choice of region and target to favour. */
+export enum Objective {
+  /** Keeps the fullest region lowest. */
+  Headroom = 'headroom',
+  /** Prefers the nearest target with the shortest expected wait. */
+  Latency = 'latency'
+}
+
+/** HTTP status codes for the reasons that are not a plain 503. */
+const statusByReason: Partial<Record<RefusalReason, number>> = {
+  [RefusalReason.BadRequest]: 400,
+  [RefusalReason.BadIdempotencyKey]: 400,
+  [RefusalReason.KeyScopeMissing]: 400,
+  [RefusalReason.BadPin]: 400,
+  [RefusalReason.UnknownService]: 404,
+  [RefusalReason.KeyReused]: 409,
+  [RefusalReason.BodyTooLarge]: 413,
+  [RefusalReason.HeadersTooLarge]: 431,
+  [RefusalReason.ForwardLoop]: 508
+}
+
+/**
+ * Returns the HTTP status of a refusal.
+ *
+ * @param outcome The outcome, `not-run` or `unknown`
+ * @param reason The reason for it
+ * @returns 502 or 504 for `unknown`; a 4xx or 503 for `not-run`
+ */
+export function getRefusalStatus (outcome: Outcome, reason: RefusalReason): number {
+  if (outcome === Outcome.Unknown) return reason === RefusalReason.TargetTimeout ? 504 : 502
+  return statusByReason[reason] ?? 503
+}
--- /dev/null
+++ b/packages/targets/src/http_targets.ts
@@ -0,0 +1,114 @@
+/**
+ * The targets over HTTP.
+ *
+ * @module
+ */
+import type { HeaderFields, TargetRecord } from '@bilberryworks/steering'
+import type { Result } from 'neverthrow'
+import type { TargetAnswer, TargetClient, TargetFailure, TargetLoad, TargetRequest } from './targets.ts'
+import { err, ok } from 'neverthrow'
+import { Agent } from 'undici'
+import { TargetFailureKind } from './targets.ts'
+
+const connectTimeoutMs = 1_000
+const controlTimeoutMs = 1_000
+const keepAliveMs = 4_000
+
+/** Errors of undici that are raised before any byte of a request has been sent. */
+const unsentErrorCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
+
+/** Header by which a target says what became of a request that it did not answer. */
+const outcomeHeader = 'bilberry-outcome'
+/** Header by which a target says that it is leaving. */
+const stateHeader = 'bilberry-target-state'
+
+/** Options of {@linkcode createHttpTargets}. */
+export interface CreateHttpTargetsOptions {
+  /** Most connections to one target; 8 by default. */
+  connectionsPerTarget?: number
+  /** Local address of outgoing connections; the system's choice where absent. */
+  localAddress?: string
+}
+
+/**
+ * Creates a client of the targets.
+ *
+ * @param options Bounds on connections
+ * @returns The client; dispose it to close its connections
+ */
+export function createHttpTargets (options: CreateHttpTargetsOptions = {}): TargetClient {
+  const { connectionsPerTarget = 8, ...connect } = options
+  const agent = new Agent({
+    connections: connectionsPerTarget,
+    pipelining: 1,
+    keepAliveTimeout: keepAliveMs,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    connect: { timeout: connectTimeoutMs, ...connect }
+  })
+
+  return {
+    async send (target: TargetRecord, request: TargetRequest): Promise<Result<TargetAnswer, TargetFailure>> {
+      const timeout = AbortSignal.timeout(Math.max(1, Math.ceil(request.deadlineMs)))
+      try {
+        const answer = await agent.request({
+          origin: `http://${target.address}`,
+          method: request.method,
+          path: request.path,
+          headers: { ...request.headers, 'bilberry-request-id': request.requestId, 'bilberry-deadline-ms': String(Math.floor(request.deadlineMs)) },
+          body: request.method === 'GET' || request.method === 'HEAD' ? null : request.body,
+          signal: AbortSignal.any([timeout, request.signal])
+        })
+        const headers = collectHeaders(answer.headers)
+        const leaving = headers[stateHeader] === 'leaving'
+        if (answer.statusCode === 503 && headers[outcomeHeader] === 'not-run') {
+          await answer.body.dump()
+          return err({ kind: TargetFailureKind.Refused, detail: `Target "${target.target}" refused the request`, leaving })
+        }
+        return ok({ status: answer.statusCode, headers, body: answer.body, leaving })
+      } catch (error) {
+        return err(describeError(error, target, timeout.aborted))
+      }
+    },
+    async cancel (target: TargetRecord, requestId: string): Promise<boolean> {
+      const path = `/bilberry/requests/${encodeURIComponent(requestId)}`
+      const reply = await readJson<{ done: boolean }>(agent, target, { method: 'DELETE', path })
+      return reply?.done ?? false
+    },
+    async readLoad (target: TargetRecord): Promise<TargetLoad | undefined> {
+      return readJson<TargetLoad>(agent, target, { method: 'GET', path: '/bilberry/load' })
+    },
+    async [Symbol.asyncDispose] () {
+      await agent.destroy()
+    }
+  }
+}
+
+async function readJson<T> (agent: Agent, target: TargetRecord, call: { method: 'GET' | 'DELETE', path: string }): Promise<T | undefined> {
+  try {
+    const answer = await agent.request({ origin: `http://${target.address}`, ...call, signal: AbortSignal.timeout(controlTimeoutMs) })
+    if (answer.statusCode !== 200) {
+      await answer.body.dump()
+      return undefined
+    }
+    return await answer.body.json() as T
+  } catch {
+    return undefined
+  }
+}
+
+function collectHeaders (headers: Record<string, string | string[] | undefined>): HeaderFields {
+  const fields: HeaderFields = {}
+  for (const [name, value] of Object.entries(headers)) {
+    if (value !== undefined) fields[name] = value
+  }
+  return fields
+}
+
+function describeError (error: unknown, target: TargetRecord, timedOut: boolean): TargetFailure {
+  const code = (error as { code?: string }).code ?? ''
+  const detail = `Target "${target.target}": ${(error as Error).message}`
+  if (unsentErrorCodes.has(code)) return { kind: TargetFailureKind.ConnectFailed, detail, leaving: false }
+  const kind = timedOut ? TargetFailureKind.TimedOut : TargetFailureKind.Lost
+  return { kind, detail, leaving: false }
+}
--- /dev/null
+++ b/packages/targets/src/mod.ts
@@ -0,0 +1,13 @@
+/**
+ * The target peer: requests, cancellation and load reports.
+ *
+ * ```ts
+ * import { createHttpTargets } from '@bilberryworks/targets'
+ *
+ * await using targets = createHttpTargets({ connectionsPerTarget: 8 })
+ * ```
+ *
+ * @module
+ */
+export * from './http_targets.ts'
+export * from './targets.ts'
