Separate slots, dispatch, regions and listeners of an instance

Cause: one file held queue, retries and cancellation, so that work on them could not go side by side. Change: feed grants slots, dispatch sends and retries, regions chooses by a capped walk of weights, platform/tables.ts names the tables and the polled index row.

--- a/packages/bilberryd/src/callers_service.ts
+++ b/packages/bilberryd/src/callers_service.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Context, ServiceSchema } from 'moleculer'
+import type { RegionChooser } from './regions.ts'
 import type { View } from './view.ts'
 import { randomUUID } from 'node:crypto'
 import { chooseEntries, formatPin } from '@bilberryworks/steering'
@@ -12,6 +13,8 @@
 export interface CreateCallersServiceOptions {
   /** What the instance knows. */
   view: View
+  /** Chooses regions for callers. */
+  regions: RegionChooser
   /** Region of the instance. */
   region: string
   /** Lifetime of an answer, in seconds. */
@@ -46,7 +49,7 @@
         const chosen = chooseEntries({
           callerKey: call.params.client ?? call.meta.remoteAddress,
           instances: options.view.listInstances(),
-          regionWeights: accepted.document.regionWeights,
+          regionWeights: options.regions.getWeights(call.params.service),
           localRegion: options.region
         })
         const [best] = chosen
--- a/packages/bilberryd/src/route.ts
+++ b/packages/bilberryd/src/route.ts
@@ -4,8 +4,11 @@
  * @module
  */
 import type { PeerClient } from '@bilberryworks/instances'
-import type { HandleRequest, InstanceRecord, RetryReason, ServiceDocument, ServiceRequest, TargetRecord } from '@bilberryworks/steering'
-import type { Feed, FeedRequest } from './feed.ts'
+import type { HandleRequest, InstanceRecord, Refusal, RetryReason, ServiceAnswer, ServiceRequest, TargetRecord } from '@bilberryworks/steering'
+import type { Result } from 'neverthrow'
+import type { Dispatch } from './dispatch.ts'
+import type { FeedRequest } from './feed.ts'
+import type { RegionChooser } from './regions.ts'
 import type { View } from './view.ts'
 import { chooseClassRule, chooseFeeder, createNotRun, MachineState, rankByRendezvous, RefusalReason, RetryReason as RetryReasons } from '@bilberryworks/steering'
 import { err, ok } from 'neverthrow'
@@ -19,8 +22,10 @@
   instance: string
   /** What this instance knows. */
   view: View
-  /** The targets that this instance feeds. */
-  feed: Feed
+  /** Sends a request to a target that this instance feeds. */
+  dispatch: Dispatch
+  /** Chooses the region of a caller. */
+  regions: RegionChooser
   /** The other instances. */
   peers: PeerClient
   /** Whether this instance has learnt the documents since its start. */
@@ -38,29 +43,27 @@
  * @returns The handler of requests
  */
 export function createRouter (options: CreateRouterOptions): HandleRequest {
-  const { view, feed, peers } = options
+  const { view, dispatch, regions, peers } = options
 
-  function listCandidates (request: ServiceRequest, document: ServiceDocument): InstanceRecord[] {
-    const targets = listUsableTargets(view, request.service)
-    const region = chooseRegion(document, targets, request.callerKey)
-    const slots = new Map<string, { record: InstanceRecord, slots: number }>()
-    for (const target of targets) {
-      if (target.region !== region) continue
-      const record = chooseFeeder(target, view.listInstances())
+  /** Lists the instances that feed targets of a service in a region, best first for the caller. */
+  function listFeeders (request: ServiceRequest, region: string): InstanceRecord[] {
+    const feeders = new Map<string, { record: InstanceRecord, slots: number }>()
+    for (const target of listUsableTargets(view, request.service)) {
+      const record = target.region === region ? chooseFeeder(target, view.listInstances()) : undefined
       if (record === undefined) continue
-      const entry = slots.get(record.instance) ?? { record, slots: 0 }
+      const entry = feeders.get(record.instance) ?? { record, slots: 0 }
       entry.slots += target.slots
-      slots.set(record.instance, entry)
+      feeders.set(record.instance, entry)
     }
-    const weights = Object.fromEntries([...slots].map(([name, entry]) => [name, entry.slots]))
-    return rankByRendezvous(request.callerKey, weights).map(name => slots.get(name)!.record)
+    const weights = Object.fromEntries([...feeders].map(([name, entry]) => [name, entry.slots]))
+    return rankByRendezvous(request.callerKey, weights).map(name => feeders.get(name)!.record)
   }
 
-  async function forwardToFeeder (feedRequest: FeedRequest, candidates: InstanceRecord[]): ReturnType<HandleRequest> {
+  async function forwardToFeeder (feedRequest: FeedRequest, candidates: InstanceRecord[]): Promise<Result<ServiceAnswer, Refusal>> {
     const { request, deadlineAtMs } = feedRequest
     let refusal = createNotRun(RefusalReason.NoUsableTarget, `Service "${request.service}" has no usable target`, retryAfterMs)
     for (const candidate of candidates) {
-      if (candidate.instance === options.instance) return feed.dispatch(feedRequest)
+      if (candidate.instance === options.instance) return dispatch(feedRequest)
       const result = await peers.forward(candidate, request, deadlineAtMs - options.getNowMs() - hopReserveMs)
       if (result.isOk()) return ok(result.value)
       refusal = result.error.refusal
@@ -81,8 +84,10 @@
     const rule = chooseClassRule(accepted.document, request.method, request.path)
     const deadlineAtMs = options.getNowMs() + Math.min(rule.deadlineMs, request.deadlineMs ?? Infinity)
     const feedRequest = { request, requestClass: rule.requestClass, priority: rule.priority, deadlineAtMs }
-    if (request.hops > 0) return feed.dispatch(feedRequest)
-    return forwardToFeeder(feedRequest, listCandidates(request, accepted.document))
+    if (request.hops > 0) return dispatch(feedRequest)
+    const region = regions.chooseRegion(request.service, request.callerKey)
+    if (region.isErr()) return err(region.error)
+    return forwardToFeeder(feedRequest, listFeeders(request, region.value))
   }
 }
 
@@ -96,8 +101,3 @@
 export function listUsableTargets (view: View, service: string): TargetRecord[] {
   return view.listTargets(service).filter(target => target.state === MachineState.Live)
 }
-
-function chooseRegion (document: ServiceDocument, targets: TargetRecord[], callerKey: string): string | undefined {
-  const regions = new Set(targets.map(target => target.region))
-  return rankByRendezvous(callerKey, document.regionWeights).find(region => regions.has(region))
-}
--- a/packages/bilberryd/src/run_instance.ts
+++ b/packages/bilberryd/src/run_instance.ts
@@ -3,14 +3,11 @@
  *
  * @module
  */
-import type { AddressInfo } from 'node:net'
-import type { RequestListener, Server } from 'node:http'
 import type { InstanceRecord } from '@bilberryworks/steering'
 import type Logger from 'bunyan'
-import type { ListenSettings, Settings } from './settings.ts'
+import type { Settings } from './settings.ts'
 import type { Feed } from './feed.ts'
 import { randomUUID } from 'node:crypto'
-import { createServer } from 'node:http'
 import { createServiceHandler } from '@bilberryworks/callers'
 import { createHttpPeers, createPeerHandler } from '@bilberryworks/instances'
 import { createOperatorsService } from '@bilberryworks/operators'
@@ -19,17 +16,18 @@
 import { createHttpTargets } from '@bilberryworks/targets'
 import moleculer from 'moleculer'
 import { createCallersService } from './callers_service.ts'
+import { createDispatcher } from './dispatch.ts'
 import { createFeed } from './feed.ts'
 import { createCallersGateway, createOperatorsGateway } from './gateways.ts'
 import { createMetrics } from './metrics.ts'
+import { openListener } from './open_listener.ts'
+import { createRegionChooser } from './regions.ts'
 import { createRouter, listUsableTargets } from './route.ts'
 import { createSync } from './sync.ts'
 import { createView } from './view.ts'
 
 const heartbeatsMissed = 4
 const leavingMarginMs = 1_000
-const maxHeaderBytes = 16 * 1024
-const headersTimeoutMs = 10_000
 
 /** A running instance. */
 export interface RunningInstance extends AsyncDisposable {
@@ -65,17 +63,16 @@
     getRevisions: view.getRevisions
   })
   const feed: Feed = createFeed({
-    targets,
     listFedTargets: service => listUsableTargets(view, service).filter(target => chooseFeeder(target, view.listInstances())?.instance === settings.instance),
-    markTargetLeaving: view.markTargetLeaving,
-    countRetry: metrics.countRetry,
     getNowMs
   })
+  const dispatch = createDispatcher({ feed, targets, markTargetLeaving: view.markTargetLeaving, countRetry: metrics.countRetry, getNowMs })
+  const regions = createRegionChooser({ view, getNowMs })
   const isReady = (): boolean => state === MachineState.Live && sync.isReady()
-  const handleRequest = createRouter({ instance: settings.instance, view, feed, peers, isReady: () => sync.isReady(), countRetry: metrics.countRetry, getNowMs })
+  const handleRequest = createRouter({ instance: settings.instance, view, dispatch, regions, peers, isReady: () => sync.isReady(), countRetry: metrics.countRetry, getNowMs })
   const isStopping = (): boolean => state === MachineState.Leaving
   const broker = new moleculer.ServiceBroker({ nodeID: settings.instance, logger: false, skipProcessEventRegistration: true })
-  broker.createService(createCallersService({ view, region: settings.region, ttlSeconds: settings.lookUpTtlSeconds, countLookUp: metrics.countLookUp }))
+  broker.createService(createCallersService({ view, regions, region: settings.region, ttlSeconds: settings.lookUpTtlSeconds, countLookUp: metrics.countLookUp }))
   broker.createService(createOperatorsService({
     platform,
     listDocuments: view.listDocuments,
@@ -94,14 +91,14 @@
     countUnauthenticated: () => metrics.countUnauthenticated('peers')
   })
   await broker.start()
-  const servers = [
-    await openServer((request, response) => request.url?.startsWith('/v1/') === true ? lookUp(request, response) : serve(request, response), settings.listen.callers),
-    await openServer(operators, settings.listen.operators),
-    await openServer(peerHandler, settings.listen.peers)
+  const listeners = [
+    await openListener((request, response) => request.url?.startsWith('/v1/') === true ? lookUp(request, response) : serve(request, response), settings.listen.callers),
+    await openListener(operators, settings.listen.operators),
+    await openListener(peerHandler, settings.listen.peers)
   ]
-  addresses.callers = settings.advertise?.callers ?? formatAddress(servers[0]!)
-  addresses.operators = formatAddress(servers[1]!)
-  addresses.peers = settings.advertise?.peers ?? formatAddress(servers[2]!)
+  addresses.callers = settings.advertise?.callers ?? listeners[0]!.address
+  addresses.operators = listeners[1]!.address
+  addresses.peers = settings.advertise?.peers ?? listeners[2]!.address
 
   function createAnnouncement (): InstanceRecord {
     return {
@@ -132,8 +129,7 @@
 
   const dispose = async (): Promise<void> => {
     await sync[Symbol.asyncDispose]()
-    servers.forEach(server => server.closeAllConnections())
-    await Promise.all(servers.map(closeServer))
+    await Promise.all(listeners.map(listener => listener[Symbol.asyncDispose]()))
     await broker.stop()
     await feed[Symbol.asyncDispose]()
     await Promise.all([platform, targets, peers].map(peer => peer[Symbol.asyncDispose]()))
@@ -145,9 +141,8 @@
       log.info('Instance is leaving')
       await sync.announce()
       await waitMs(settings.lookUpTtlSeconds * 1000 + leavingMarginMs)
-      const closing = Promise.all(servers.map(closeServer))
-      servers.forEach(server => server.closeIdleConnections())
-      await Promise.race([closing, waitMs(settings.stopLimitMs)])
+      const drained = Promise.all(listeners.map(listener => listener.drain()))
+      await Promise.race([drained, waitMs(settings.stopLimitMs)])
       metrics.countCutOff(feed.countInFlight())
       await dispose()
       log.info('Instance stopped')
@@ -156,24 +151,6 @@
   }
 }
 
-async function openServer (handler: RequestListener, listen: ListenSettings): Promise<Server> {
-  const server = createServer({ maxHeaderSize: maxHeaderBytes, headersTimeout: headersTimeoutMs, requestTimeout: 0 }, handler)
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(listen.port, listen.host, resolve)
-  })
-  return server
-}
-
-async function closeServer (server: Server): Promise<void> {
-  await new Promise<void>(resolve => server.close(() => resolve()))
-}
-
-function formatAddress (server: Server): string {
-  const { address, port } = server.address() as AddressInfo
-  return address.includes(':') ? `[${address}]:${port}` : `${address}:${port}`
-}
-
 async function waitMs (ms: number): Promise<void> {
   await new Promise(resolve => setTimeout(resolve, ms).unref())
 }
--- a/packages/bilberryd/src/sync.ts
+++ b/packages/bilberryd/src/sync.ts
@@ -8,25 +8,11 @@
 import type { AcceptedDocument, InstanceRecord, TargetRecord } from '@bilberryworks/steering'
 import type { View } from './view.ts'
 import { setTimeout } from 'node:timers/promises'
+import { readIndex, TableName } from '@bilberryworks/platform'
 
 const jitterShare = 0.2
 const peersPerRound = 2
 
-/** Name of the table of accepted documents. */
-export const documentsTable = 'documents'
-/** Name of the table with the one small row that is polled. */
-export const indexTable = 'index'
-/** Key of that row. */
-export const indexKey = 'revisions'
-/** Name of the table of heartbeats. */
-export const instancesTable = 'instances'
-
-/** The row that each instance polls. */
-export interface IndexRow {
-  /** Revision by service. */
-  revisions: Record<string, number>
-}
-
 /** What one instance tells another in an exchange. */
 export interface ExchangeMessage {
   /** Revisions in force at the sender. */
@@ -113,20 +99,20 @@
   }
 
   async function pollPlatform (): Promise<void> {
-    const index = await platform.readRow(indexTable, indexKey)
+    const index = await readIndex(platform)
     recordPlatform(index.isOk())
     if (index.isErr()) return
-    const { revisions } = (index.value?.value ?? { revisions: {} }) as IndexRow
+    const { revisions } = index.value.index
     const known = view.getRevisions()
     for (const [service, revision] of Object.entries(revisions)) {
       if (revision <= (known[service] ?? 0)) continue
-      const row = await platform.readRow(documentsTable, service)
+      const row = await platform.readRow(TableName.Documents, service)
       if (row.isErr()) return
       if (row.value !== undefined) view.mergeDocument(row.value.value as AcceptedDocument)
     }
     const machines = await platform.listMachines()
     if (machines.isOk()) view.mergeMachines(machines.value)
-    const rows = await platform.listRows(instancesTable, '')
+    const rows = await platform.listRows(TableName.Instances, '')
     if (rows.isOk()) rows.value.forEach(row => view.mergeInstance(row.value as InstanceRecord))
     ready ||= machines.isOk()
   }
@@ -155,7 +141,7 @@
   async function announce (): Promise<void> {
     const record = options.createAnnouncement()
     view.mergeInstance(record)
-    await platform.writeRows([{ table: instancesTable, key: record.instance, value: record }])
+    await platform.writeRows([{ table: TableName.Instances, key: record.instance, value: record }])
   }
 
   return {
--- a/packages/operators/src/submit_document.ts
+++ b/packages/operators/src/submit_document.ts
@@ -6,10 +6,10 @@
 import type { Platform, PlatformFailure } from '@bilberryworks/platform'
 import type { AcceptedDocument, ServiceDocument } from '@bilberryworks/steering'
 import type { Result } from 'neverthrow'
-import { PlatformFailureKind } from '@bilberryworks/platform'
+import { PlatformFailureKind, TableName, writeWithIndex } from '@bilberryworks/platform'
 import { err, ok } from 'neverthrow'
 
-const maxIndexRaces = 5
+const maxRaces = 5
 
 /** What became of a submission. */
 export enum SubmissionState {
@@ -76,19 +76,18 @@
   const earlier = await readSubmission(platform, submission)
   if (earlier.isErr()) return fail(SubmissionFailureKind.NotRun, `Platform can't be asked: ${earlier.error.detail}`)
   if (earlier.value !== undefined) return describeSubmission(platform, earlier.value, submission)
-  for (let race = 0; race < maxIndexRaces; race++) {
+  for (let race = 0; race < maxRaces; race++) {
     const attempt = await writeDocument(platform, submission)
     if (attempt.isErr() || attempt.value !== undefined) return attempt as Result<AcceptedDocument, SubmissionFailure>
   }
   return fail(SubmissionFailureKind.NotRun, 'Too many documents are being submitted at once')
 }
 
-/** Tries once; resolves to `undefined` where only another service's edit came between. */
+/** Tries once; resolves to `undefined` where another edit came between. */
 async function writeDocument (platform: Platform, submission: Submission): Promise<Result<AcceptedDocument | undefined, SubmissionFailure>> {
   const { service } = submission.document
-  const [row, index] = await Promise.all([platform.readRow('documents', service), platform.readRow('index', 'revisions')])
+  const row = await platform.readRow(TableName.Documents, service)
   if (row.isErr()) return fail(SubmissionFailureKind.NotRun, row.error.detail)
-  if (index.isErr()) return fail(SubmissionFailureKind.NotRun, index.error.detail)
   const current = row.value?.value as AcceptedDocument | undefined
   const currentRevision = current?.revision ?? 0
   if (currentRevision !== submission.baseRevision) {
@@ -101,14 +100,12 @@
   const accepted: AcceptedDocument = {
     revision, document: submission.document, acceptedAtMs: submission.nowMs, author: submission.author, submissionId: submission.submissionId
   }
-  const { revisions } = (index.value?.value ?? { revisions: {} }) as { revisions: Record<string, number> }
   const remembered: SubmissionRow = { state: SubmissionState.Accepted, service, revision }
-  const written = await platform.writeRows([
-    { table: 'documents', key: service, ifVersion: row.value?.version ?? 0, value: accepted },
-    { table: 'submissions', key: submission.submissionId, ifVersion: 0, value: remembered },
-    { table: 'history', key: formatHistoryKey(service, revision), ifVersion: 0, value: accepted },
-    { table: 'index', key: 'revisions', ifVersion: index.value?.version ?? 0, value: { ...(index.value?.value as object), revisions: { ...revisions, [service]: revision } } }
-  ])
+  const written = await writeWithIndex(platform, [
+    { table: TableName.Documents, key: service, ifVersion: row.value?.version ?? 0, value: accepted },
+    { table: TableName.Submissions, key: submission.submissionId, ifVersion: 0, value: remembered },
+    { table: TableName.History, key: formatHistoryKey(service, revision), ifVersion: 0, value: accepted }
+  ], index => ({ ...index, revisions: { ...index.revisions, [service]: revision } }))
   if (written.isOk()) return ok(accepted)
   if (written.error.kind === PlatformFailureKind.Conflict) return ok(undefined)
   if (written.error.kind === PlatformFailureKind.Unavailable) return fail(SubmissionFailureKind.NotRun, written.error.detail)
@@ -118,7 +115,7 @@
 /** Finds out what became of a write whose answer was lost, and fences it off where it has not happened. */
 async function resolveLostAnswer (platform: Platform, submission: Submission): Promise<Result<AcceptedDocument, SubmissionFailure>> {
   const abandoned: SubmissionRow = { state: SubmissionState.Abandoned, service: submission.document.service, revision: 0 }
-  const fenced = await platform.writeRows([{ table: 'submissions', key: submission.submissionId, ifVersion: 0, value: abandoned }])
+  const fenced = await platform.writeRows([{ table: TableName.Submissions, key: submission.submissionId, ifVersion: 0, value: abandoned }])
   if (fenced.isOk()) return fail(SubmissionFailureKind.NotRun, 'Platform did not take the document')
   const settled = await readSubmission(platform, submission)
   if (settled.isErr() || settled.value === undefined) {
@@ -128,14 +125,14 @@
 }
 
 async function readSubmission (platform: Platform, submission: Submission): Promise<Result<SubmissionRow | undefined, PlatformFailure>> {
-  const row = await platform.readRow('submissions', submission.submissionId)
+  const row = await platform.readRow(TableName.Submissions, submission.submissionId)
   return row.map(found => found?.value as SubmissionRow | undefined)
 }
 
 async function describeSubmission (platform: Platform, row: SubmissionRow, submission: Submission): Promise<Result<AcceptedDocument, SubmissionFailure>> {
   if (row.service !== submission.document.service) return fail(SubmissionFailureKind.NotRun, `Submission-Id was used for service "${row.service}"`)
   if (row.state === SubmissionState.Abandoned) return fail(SubmissionFailureKind.NotRun, 'Submission was given up on; use a new Submission-Id')
-  const history = await platform.readRow('history', formatHistoryKey(row.service, row.revision))
+  const history = await platform.readRow(TableName.History, formatHistoryKey(row.service, row.revision))
   if (history.isErr() || history.value === undefined) return fail(SubmissionFailureKind.Unknown, `Submission became revision ${row.revision}, which can't be read now`)
   return ok(history.value.value as AcceptedDocument)
 }
--- a/packages/platform/src/http_platform.ts
+++ b/packages/platform/src/http_platform.ts
@@ -70,9 +70,7 @@
     },
     async writeRows (writes: TableWrite[], call = {}) {
       const reply = await send('POST', '/transactions', { ...call, body: JSON.stringify({ writes }) })
-      return reply.andThen(({ status }) => status === 409
-        ? fail<void>(PlatformFailureKind.Conflict, 'A condition of the transaction did not hold')
-        : ok(undefined))
+      return reply.andThen(({ status, body }) => status === 409 ? err(parseConflict(body)) : ok(undefined))
     },
     async readObject (name, call = {}) {
       const reply = await send('GET', `/objects/${encodeURIComponent(name)}`, call)
@@ -100,6 +98,11 @@
   return JSON.parse(body.toString('utf8')) as T
 }
 
+function parseConflict (body: Buffer): PlatformFailure {
+  const { conflicts } = parseJson<{ conflicts: Array<{ table: string, key: string }> }>(body)
+  return { kind: PlatformFailureKind.Conflict, detail: 'A condition of the transaction did not hold', conflicts }
+}
+
 function describeError (error: unknown, call: string): PlatformFailure {
   const code = (error as { code?: string }).code ?? ''
   const kind = unsentErrorCodes.has(code) ? PlatformFailureKind.Unavailable : PlatformFailureKind.Unknown
--- a/packages/platform/src/mod.ts
+++ b/packages/platform/src/mod.ts
@@ -12,3 +12,4 @@
  */
 export * from './http_platform.ts'
 export * from './platform.ts'
+export * from './tables.ts'
--- a/packages/platform/src/platform.ts
+++ b/packages/platform/src/platform.ts
@@ -22,6 +22,8 @@
   kind: PlatformFailureKind
   /** One sentence with the cause. */
   detail: string
+  /** Rows whose condition did not hold, where `kind` is `Conflict`. */
+  conflicts?: Array<{ table: string, key: string }>
 }
 
 /** A row of a table. */
--- /dev/null
+++ b/packages/platform/src/tables.ts
@@ -0,0 +1,89 @@
+/**
+ * The tables that the system keeps on the platform, and the one small row that every instance polls.
+ *
+ * @module
+ */
+import type { Result } from 'neverthrow'
+import type { Platform, PlatformFailure, TableWrite } from './platform.ts'
+import { err, ok } from 'neverthrow'
+import { PlatformFailureKind } from './platform.ts'
+
+/** Names of the tables. */
+export enum TableName {
+  /** `AcceptedDocument` by service. */
+  Documents = 'documents',
+  /** `SubmissionRow` by `Submission-Id`. */
+  Submissions = 'submissions',
+  /** `AcceptedDocument` by service and revision. */
+  History = 'history',
+  /** `ShiftRow` by service. */
+  Shifts = 'shifts',
+  /** `InstanceRecord` by instance: the heartbeats. */
+  Instances = 'instances',
+  /** `FeedRow` by failure domain: which instances feed its targets. */
+  Feeds = 'feeds',
+  /** Pins of idempotency keys that came without one, by scope and key. */
+  Keys = 'keys',
+  /** The index row. */
+  Index = 'index'
+}
+
+/** Key of the index row. */
+export const indexKey = 'index'
+
+/** The row that every instance polls; what changed is fetched after it. */
+export interface IndexRow {
+  /** Revision of the document, by service. */
+  revisions: Record<string, number>
+  /** Step of the shift row, by service. */
+  shifts: Record<string, number>
+  /** Epoch of the feed row, by failure domain. */
+  feeds: Record<string, number>
+  /** Revision of the map of client blocks; 0 where there is none. */
+  clientBlocks: number
+}
+
+const emptyIndex: IndexRow = { revisions: {}, shifts: {}, feeds: {}, clientBlocks: 0 }
+const maxIndexRaces = 8
+
+/** The index row with its version. */
+export interface VersionedIndex {
+  /** Version to compare with; 0 where the row is absent. */
+  version: number
+  /** The row. */
+  index: IndexRow
+}
+
+/**
+ * Reads the index row.
+ *
+ * @param platform The platform
+ * @returns The row with its version; an empty one where it is absent
+ */
+export async function readIndex (platform: Platform): Promise<Result<VersionedIndex, PlatformFailure>> {
+  const row = await platform.readRow(TableName.Index, indexKey)
+  return row.map(found => ({ version: found?.version ?? 0, index: { ...emptyIndex, ...found?.value as Partial<IndexRow> | undefined } }))
+}
+
+/**
+ * Carries out writes and a change of the index row in one transaction.
+ *
+ * Tries again where only the index row was changed by somebody else meanwhile.
+ *
+ * @param platform The platform
+ * @param writes Writes with their conditions
+ * @param changeIndex Returns the changed index row
+ * @returns Nothing, or the failure; `Conflict` means that a condition of `writes` did not hold
+ */
+export async function writeWithIndex (platform: Platform, writes: TableWrite[], changeIndex: (index: IndexRow) => IndexRow): Promise<Result<void, PlatformFailure>> {
+  for (let race = 0; race < maxIndexRaces; race++) {
+    const current = await readIndex(platform)
+    if (current.isErr()) return err({ ...current.error, kind: PlatformFailureKind.Unavailable })
+    const indexWrite = { table: TableName.Index, key: indexKey, ifVersion: current.value.version, value: changeIndex(current.value.index) }
+    const written = await platform.writeRows([...writes, indexWrite])
+    if (written.isOk()) return ok(undefined)
+    const onlyIndex = written.error.conflicts?.every(conflict => conflict.table === TableName.Index) === true
+    if (!onlyIndex) return err(written.error)
+  }
+  return err({ kind: PlatformFailureKind.Unavailable, detail: `Index row was changed by others ${maxIndexRaces} times in a row` })
+}
--- a/packages/standins/src/platform_standin.ts
+++ b/packages/standins/src/platform_standin.ts
@@ -71,14 +71,14 @@
     return table
   }
 
-  function applyWrites (writes: TableWrite[]): boolean {
-    const holds = writes.every(write => write.ifVersion === undefined || (getTable(write.table).get(write.key)?.version ?? 0) === write.ifVersion)
-    if (!holds) return false
+  function applyWrites (writes: TableWrite[]): Reply {
+    const conflicts = writes.filter(write => write.ifVersion !== undefined && (getTable(write.table).get(write.key)?.version ?? 0) !== write.ifVersion)
+    if (conflicts.length > 0) return { status: 409, body: { conflicts: conflicts.map(({ table, key }) => ({ table, key })) } }
     for (const write of writes) {
       if (write.value === undefined) getTable(write.table).delete(write.key)
       else getTable(write.table).set(write.key, { key: write.key, version: nextVersion++, value: write.value })
     }
-    return true
+    return { status: 200, body: {} }
   }
 
   function handleCall (method: string, url: URL, body: Buffer): Reply {
@@ -91,7 +91,7 @@
     else counts.writes++
     if (kind === 'transactions') {
       const { writes } = JSON.parse(body.toString('utf8')) as { writes: TableWrite[] }
-      return { status: applyWrites(writes) ? 200 : 409, body: {} }
+      return applyWrites(writes)
     }
     if (kind === 'objects' && method === 'PUT') {
       objects.set(first, new Uint8Array(body))
