Add the compact map of client blocks

Cause: look-ups have to find the sites of a client among some millions of blocks within the control memory of a small instance. Ruled out: a radix tree of objects (tens of bytes a node) and bigint keys at look-up time; both families share one step-function table. Tests: npx ava packages/steering/dist/client_blocks_test.js: 34 passed; property test against ipaddr.js matching.

--- /dev/null
+++ b/packages/steering/src/client_blocks_test.ts
@@ -0,0 +1,118 @@
+import type { ClientBlockEntry } from './client_blocks_build.ts'
+import type { ClientBlocks } from './client_blocks.ts'
+import { createHash } from 'node:crypto'
+import test from 'ava'
+import fc from 'fast-check'
+import ipaddr from 'ipaddr.js'
+import { parseClientAddress, parseClientBlock } from './client_address.ts'
+import { findSites } from './client_blocks.ts'
+import { buildClientBlocks } from './client_blocks_build.ts'
+import { decodeDifference, decodeSnapshot, encodeDifference, encodeSnapshot } from './client_blocks_codec.ts'
+import { applyClientBlocksDifference, diffClientBlocks, finishWork } from './client_blocks_merge.ts'
+
+const seed = 20_260_712
+
+const siteLists: fc.Arbitrary<string[]> = fc.constantFrom<string[][]>(['sofia'], ['varna', 'sofia'], ['plovdiv-a', 'plovdiv-b', 'varna'])
+const v4Blocks = fc.tuple(fc.nat(3), fc.nat(3), fc.oneof(fc.integer({ min: 22, max: 26 }), fc.integer({ min: 0, max: 32 }))).map(([c, d, bits]) => formatBlock(`10.0.${c}.${d * 64}`, bits))
+const v6Blocks = fc.tuple(fc.nat(3), fc.nat(3), fc.oneof(fc.integer({ min: 46, max: 52 }), fc.integer({ min: 0, max: 64 }))).map(([c, d, bits]) => formatBlock(`2001:db8:${c}:${d}000::`, bits))
+const entryLists = fc.uniqueArray(fc.record({ block: fc.oneof(v4Blocks, v6Blocks), sites: siteLists }), { selector: entry => entry.block, maxLength: 30 })
+const addresses = fc.oneof(
+  fc.tuple(fc.nat(4), fc.nat(255)).map(([c, d]) => `10.0.${c}.${d}`),
+  fc.tuple(fc.nat(4), fc.nat(255)).map(([c, d]) => `::ffff:10.0.${c}.${d}`),
+  fc.tuple(fc.nat(3), fc.nat(0xffff)).map(([c, d]) => `2001:db8:${c}:${d.toString(16)}::1`),
+  fc.constantFrom('0.0.0.0', '255.255.255.255', '::', 'ffff::')
+)
+
+function formatBlock (address: string, bits: number): string {
+  const network = address.includes(':') ? ipaddr.IPv6.networkAddressFromCIDR(`${address}/${bits}`) : ipaddr.IPv4.networkAddressFromCIDR(`${address}/${bits}`)
+  return `${network.toString()}/${bits}`
+}
+
+function findSitesSlowly (entries: ClientBlockEntry[], text: string): string[] {
+  const address = ipaddr.process(text)
+  const matches = entries.map(entry => ({ ...entry, cidr: ipaddr.parseCIDR(entry.block) }))
+    .filter(({ cidr }) => cidr[0].kind() === address.kind() && (address as ipaddr.IPv4).match(cidr as [ipaddr.IPv4, number]))
+    .sort((a, b) => b.cidr[1] - a.cidr[1])
+  return matches[0]?.sites ?? []
+}
+
+function build (entries: ClientBlockEntry[], options: { revision: number, knownOrders?: string[][] }): ClientBlocks {
+  return buildClientBlocks(entries, options)._unsafeUnwrap()
+}
+
+function find (blocks: ClientBlocks, text: string): readonly string[] {
+  return findSites(blocks, parseClientAddress(text)._unsafeUnwrap())
+}
+
+test('longest prefix holds', t => {
+  fc.assert(fc.property(entryLists, fc.array(addresses, { minLength: 1, maxLength: 20 }), (entries, clients) => {
+    const blocks = build(entries, { revision: 1 })
+    for (const client of clients) t.deepEqual(find(blocks, client), findSitesSlowly(entries, client))
+  }), { seed })
+})
+
+test('snapshot and difference give the map that was encoded', t => {
+  fc.assert(fc.property(entryLists, entryLists, (before, after) => {
+    const base = build(before, { revision: 4 })
+    const next = build(after, { revision: 5, knownOrders: base.orders })
+    const snapshot = finishWork(decodeSnapshot(encodeSnapshot(next)))._unsafeUnwrap()
+    const difference = finishWork(decodeDifference(encodeDifference(diffClientBlocks(base, next))))._unsafeUnwrap()
+    t.deepEqual(snapshot, next)
+    t.deepEqual(finishWork(applyClientBlocksDifference(base, difference)), next)
+  }), { seed })
+})
+
+for (const text of ['', '1.2.3', '1.2.3.256', '01.2.3.4', '0x1.2.3.4', '1.2.3.4 ', 'fe80::1%eth0', '::g', '1.2.3.4/8', '1:2:3', 'x'.repeat(100)]) {
+  test(`refuses address "${text.slice(0, 20)}"`, t => t.true(parseClientAddress(text).isErr()))
+}
+
+for (const text of ['10.0.0.0', '10.0.0.1/24', '10.0.0.0/33', '2001:db8::/65', '2001:db8::1/48', '::ffff:10.0.0.0/95', '10.0.0.0/-1']) {
+  test(`refuses block "${text}"`, t => t.true(parseClientBlock(text).isErr()))
+}
+
+test('finds every fault of a list at once', t => {
+  const findings = buildClientBlocks([
+    { block: '10.0.0.0/8', sites: [] }, { block: '10.0.0.0/8', sites: ['Sofia'] }, { block: '10.0.0.0/8', sites: ['sofia'] }, { block: '10/8', sites: ['sofia', 'sofia'] }
+  ], { revision: 1 })._unsafeUnwrapErr()
+  t.deepEqual(findings.map(finding => finding.pointer), ['/0/sites', '/1/sites', '/3/sites', '/3/block', '/1/block', '/2/block'])
+})
+
+const whole = encodeSnapshot(build([
+  { block: '10.0.0.0/8', sites: ['sofia'] }, { block: '10.1.0.0/16', sites: ['varna'] }, { block: '2001:db8::/32', sites: ['sofia'] }
+], { revision: 7 }))
+
+function sign (bytes: Uint8Array): Uint8Array {
+  const body = bytes.subarray(0, -32)
+  return Buffer.concat([body, createHash('sha256').update(body).digest()])
+}
+
+function applyDamage (offset: number, options: { signed: boolean }): Uint8Array {
+  const bytes = Buffer.from(whole)
+  const at = offset < 0 ? bytes.length + offset : offset
+  bytes[at] = bytes[at]! ^ 0xff
+  return options.signed ? sign(bytes) : bytes
+}
+
+const damages: Array<[name: string, bytes: () => Uint8Array]> = [
+  ['nothing', () => new Uint8Array()],
+  ['another magic', () => applyDamage(0, { signed: true })],
+  ['a header longer than the content', () => applyDamage(7, { signed: true })],
+  ['a header that is not JSON', () => applyDamage(8, { signed: true })],
+  ['half of the content', () => sign(whole.subarray(0, whole.length >> 1))],
+  ['one byte less', () => whole.subarray(0, -1)],
+  ['one byte more', () => Buffer.concat([whole, Buffer.of(0)])],
+  ['a changed start', () => applyDamage(-60, { signed: false })],
+  ['a changed digest', () => applyDamage(-1, { signed: false })],
+  ['an order out of range', () => applyDamage(-33, { signed: true })],
+  ['starts out of order', () => {
+    const bytes = Buffer.from(whole)
+    const at = bytes.readUInt32LE(4) + 8
+    bytes.writeUInt32LE(0xffffffff, at)
+    return sign(bytes)
+  }],
+  ['another format', () => sign(Buffer.from(Buffer.from(whole).toString('latin1').replace('"format":1', '"format":2'), 'latin1'))],
+  ['a difference', () => encodeDifference(diffClientBlocks(build([], { revision: 1 }), build([], { revision: 2 })))]
+]
+for (const [name, bytes] of damages) {
+  test(`refuses a snapshot that is ${name}`, t => t.true(finishWork(decodeSnapshot(bytes())).isErr()))
+}
--- a/packages/steering/src/mod.ts
+++ b/packages/steering/src/mod.ts
@@ -12,6 +12,11 @@
  * @module
  */
 export * from './admission.ts'
+export * from './client_address.ts'
+export * from './client_blocks.ts'
+export * from './client_blocks_build.ts'
+export * from './client_blocks_codec.ts'
+export * from './client_blocks_merge.ts'
 export * from './document.ts'
 export * from './entries.ts'
 export * from './inventory.ts'
