Look up entry instances by client block

Cause: the look-up took no notice of where a client is, sorted all instances with a hash in each comparison, and took any text as a client.

--- a/packages/bilberryd/src/callers_service.ts
+++ b/packages/bilberryd/src/callers_service.ts
@@ -3,32 +3,74 @@
  *
  * @module
  */
+import type { ClientBlocks, EntryDirectory, InstanceRecord, Refusal } from '@bilberryworks/steering'
 import type { Context, ServiceSchema } from 'moleculer'
 import type { RegionChooser } from './regions.ts'
 import type { View } from './view.ts'
 import { randomUUID } from 'node:crypto'
-import { chooseEntries, formatPin } from '@bilberryworks/steering'
+import { chooseEntries, createEntryDirectory, createNotRun, findSites, formatPin, parseClientAddress, RefusalReason } from '@bilberryworks/steering'
 
 /** Options of {@linkcode createCallersService}. */
 export interface CreateCallersServiceOptions {
   /** What the instance knows. */
-  view: View
+  view: Pick<View, 'getDocument' | 'listInstances'>
   /** Chooses regions for callers. */
-  regions: RegionChooser
+  regions: Pick<RegionChooser, 'getWeights'>
+  /** Returns the map of client blocks in force. */
+  getBlocks: () => ClientBlocks
   /** Region of the instance. */
   region: string
-  /** Lifetime of an answer, in seconds. */
+  /** Longest lifetime of an answer, in seconds. */
   ttlSeconds: number
   /** Counts a look-up. */
   countLookUp: () => void
+  /** Returns a random number from 0 to 1. */
+  getRandom: () => number
+  /** Returns the monotonic time, in milliseconds. */
+  getNowMs: () => number
 }
 
-interface Meta {
-  remoteAddress: string
-  $statusCode: number
-  $responseHeaders: Record<string, string>
+/** A look-up. */
+export interface LookUpParams {
+  /** Name of the service. */
+  service: string
+  /** Address of the client, as text. */
+  client: string
 }
 
+/** An entry instance as callers see it. */
+export interface LookUpEntry {
+  /** Name of the instance. */
+  instance: string
+  /** `host:port` of its listener for callers. */
+  address: string
+  /** Failure domain that it is in. */
+  failureDomain: string
+  /** Region that it is in. */
+  region: string
+}
+
+/** The answer to a look-up. */
+export interface LookUpAnswer {
+  /** Name of the service. */
+  service: string
+  /** Revision of its document. */
+  revision: number
+  /** Lifetime of the answer, in seconds. */
+  ttlSeconds: number
+  /** Pin for idempotency keys. */
+  pin: string
+  /** Entry instances, best first. */
+  entries: LookUpEntry[]
+}
+
+/** What becomes of a look-up. */
+export type LookUpReply = { answer: LookUpAnswer, refusal?: never } | { refusal: Refusal, answer?: never }
+
+const directoryLifetimeMs = 20
+const ttlJitterShare = 0.3
+const retryAfterMs = 1_000
+
 /**
  * Creates the service.
  *
@@ -36,38 +78,54 @@
  * @returns A moleculer service schema
  */
 export function createCallersService (options: CreateCallersServiceOptions): ServiceSchema {
+  let directory: EntryDirectory = { domains: [] }
+  let directoryUntilMs = -Infinity
+
+  function getDirectory (): EntryDirectory {
+    const nowMs = options.getNowMs()
+    if (nowMs < directoryUntilMs) return directory
+    directory = createEntryDirectory(options.view.listInstances())
+    directoryUntilMs = nowMs + directoryLifetimeMs
+    return directory
+  }
+
+  function chooseTtlSeconds (): number {
+    return Math.max(1, Math.round(options.ttlSeconds * (1 - ttlJitterShare * options.getRandom())))
+  }
+
   return {
     name: 'callers',
     actions: {
-      listEntries (call: Context<{ service: string, client?: string }, Meta>) {
+      listEntries (call: Context<LookUpParams>): LookUpReply {
         options.countLookUp()
-        const accepted = options.view.getDocument(call.params.service)
-        if (accepted === undefined) {
-          call.meta.$statusCode = 404
-          return { title: 'unknown_service', detail: `Service "${call.params.service}" has no document` }
-        }
+        const { service, client } = call.params
+        const accepted = options.view.getDocument(service)
+        if (accepted === undefined) return { refusal: createNotRun(RefusalReason.UnknownService, `Service "${service}" has no document`) }
+        const address = parseClientAddress(client)
+        if (address.isErr()) return { refusal: createNotRun(RefusalReason.BadRequest, address.error) }
         const chosen = chooseEntries({
-          callerKey: call.params.client ?? call.meta.remoteAddress,
-          instances: options.view.listInstances(),
-          regionWeights: options.regions.getWeights(call.params.service),
-          localRegion: options.region
+          callerKey: client,
+          directory: getDirectory(),
+          regionWeights: options.regions.getWeights(service),
+          localRegion: options.region,
+          sites: findSites(options.getBlocks(), address.value)
         })
         const [best] = chosen
-        if (best === undefined) {
-          call.meta.$statusCode = 503
-          return { title: 'no_usable_instance' }
-        }
-        call.meta.$responseHeaders = { 'Cache-Control': `private, max-age=${options.ttlSeconds}` }
+        if (best === undefined) return { refusal: createNotRun(RefusalReason.Stopping, 'No entry instance is usable now', retryAfterMs) }
         return {
-          service: call.params.service,
-          revision: accepted.revision,
-          ttlSeconds: options.ttlSeconds,
-          pin: formatPin({ instance: best.instance, incarnation: best.incarnation, epoch: best.pinEpoch, nonce: randomUUID() }),
-          entries: chosen.map(record => ({
-            instance: record.instance, address: record.callerAddress, failureDomain: record.failureDomain, region: record.region
-          }))
+          answer: {
+            service,
+            revision: accepted.revision,
+            ttlSeconds: chooseTtlSeconds(),
+            pin: formatPin({ instance: best.instance, incarnation: best.incarnation, epoch: best.pinEpoch, nonce: randomUUID() }),
+            entries: chosen.map(describeEntry)
+          }
         }
       }
     }
   }
 }
+
+function describeEntry (record: InstanceRecord): LookUpEntry {
+  return { instance: record.instance, address: record.callerAddress, failureDomain: record.failureDomain, region: record.region }
+}
--- /dev/null
+++ b/packages/bilberryd/src/client_blocks.ts
@@ -0,0 +1,94 @@
+/**
+ * Keeps the map of client blocks of an instance current: differences by revision, else a snapshot.
+ *
+ * Decoding runs in slices between which requests are served. A map that is damaged is refused whole,
+ * and the last good one stays in use.
+ *
+ * @module
+ */
+import type { ClientBlocksLoad, Platform } from '@bilberryworks/platform'
+import type { ClientBlocks } from '@bilberryworks/steering'
+import { setTimeout } from 'node:timers/promises'
+import { loadClientBlocks } from '@bilberryworks/platform'
+import { createEmptyBlocks } from '@bilberryworks/steering'
+
+/** Options of {@linkcode createClientBlocksLoader}. */
+export interface CreateClientBlocksLoaderOptions {
+  /** The platform. */
+  platform: Platform
+  /** Returns a random number from 0 to 1. */
+  getRandom: () => number
+  /** Counts an attempt. */
+  countLoad: (load: ClientBlocksLoad) => void
+  /** Called when a map comes into force or an attempt fails. */
+  recordLoad: (load: ClientBlocksLoad, detail: string) => void
+  /** Longest wait before a failed attempt is repeated, in milliseconds; 60 s by default. */
+  maxRetryMs?: number
+}
+
+/** The map of an instance. */
+export interface ClientBlocksLoader extends AsyncDisposable {
+  /** Returns the map in force. */
+  getBlocks (): ClientBlocks
+  /** Takes note of the revision that the index row names; returns at once. */
+  observeRevision (revision: number): void
+  /** Waits until no attempt is under way. */
+  wait (): Promise<void>
+}
+
+const firstRetryMs = 1_000
+const defaultMaxRetryMs = 60_000
+
+/**
+ * Creates a loader with an empty map.
+ *
+ * @param options Where to load from
+ * @returns The loader; dispose it to stop loading
+ */
+export function createClientBlocksLoader (options: CreateClientBlocksLoaderOptions): ClientBlocksLoader {
+  const { platform, maxRetryMs = defaultMaxRetryMs } = options
+  const stopped = new AbortController()
+  let blocks = createEmptyBlocks()
+  let wanted = 0
+  let loading: Promise<void> | undefined
+  let newerWanted = new AbortController()
+
+  async function loadUntilCurrent (): Promise<void> {
+    for (let failures = 0; wanted > blocks.revision && !stopped.signal.aborted;) {
+      const loaded = await loadClientBlocks(platform, { base: blocks, wanted })
+      if (stopped.signal.aborted) return
+      if (loaded.isOk()) {
+        blocks = loaded.value.blocks
+        failures = 0
+        recordLoad(loaded.value.load, `Client blocks of revision ${blocks.revision} are in force`)
+        continue
+      }
+      recordLoad(loaded.error.load, loaded.error.detail)
+      const retryMs = Math.min(maxRetryMs, firstRetryMs * 2 ** failures++) * (0.5 + options.getRandom() / 2)
+      newerWanted = new AbortController()
+      await setTimeout(retryMs, undefined, { signal: AbortSignal.any([stopped.signal, newerWanted.signal]) }).catch(() => {})
+    }
+  }
+
+  function recordLoad (load: ClientBlocksLoad, detail: string): void {
+    options.countLoad(load)
+    options.recordLoad(load, detail)
+  }
+
+  return {
+    getBlocks: () => blocks,
+    observeRevision (revision) {
+      if (revision > wanted) newerWanted.abort()
+      wanted = Math.max(wanted, revision)
+      if (wanted <= blocks.revision || loading !== undefined) return
+      loading = loadUntilCurrent().finally(() => { loading = undefined })
+    },
+    async wait () {
+      await loading
+    },
+    async [Symbol.asyncDispose] () {
+      stopped.abort()
+      await loading
+    }
+  }
+}
--- a/packages/bilberryd/src/gateways.ts
+++ b/packages/bilberryd/src/gateways.ts
@@ -1,5 +1,5 @@
 /**
- * The JSON interfaces of an instance, served by moleculer-web on listeners of our own.
+ * The operators' JSON interface, served by moleculer-web on a listener of our own.
  *
  * @module
  */
@@ -19,30 +19,6 @@
 
 const maxDocumentSize = '1MB'
 
-/**
- * Creates the handler of the callers' `/v1` interface.
- *
- * @param broker The broker that holds the `callers` service
- * @returns A handler for `node:http`
- */
-export function createCallersGateway (broker: ServiceBroker): RequestListener {
-  return createGateway(broker, {
-    name: 'callers-gateway',
-    mixins: [moleculerWeb as unknown as ServiceSchema],
-    settings: {
-      server: false,
-      routes: [{
-        path: '/v1',
-        mappingPolicy: 'restrict',
-        aliases: { 'GET services/:service/entries': 'callers.listEntries' },
-        onBeforeCall (ctx: { meta: Record<string, unknown> }, _route: unknown, request: IncomingMessage) {
-          ctx.meta['remoteAddress'] = request.socket.remoteAddress
-        }
-      }]
-    }
-  })
-}
-
 /** Options of {@linkcode createOperatorsGateway}. */
 export interface CreateOperatorsGatewayOptions {
   /** Tokens that are valid. */
--- /dev/null
+++ b/packages/bilberryd/src/look_up_handler.ts
@@ -0,0 +1,67 @@
+/**
+ * Serves the callers' look-up on a `node:http` server.
+ *
+ * Calls the moleculer action itself: a look-up is the most frequent call of all, and the routing of
+ * moleculer-web costs more than the look-up.
+ *
+ * @module
+ */
+import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http'
+import type { ServiceBroker } from 'moleculer'
+import type { LookUpParams, LookUpReply } from './callers_service.ts'
+import { createNotRun, RefusalReason } from '@bilberryworks/steering'
+import { writeRefusal } from '@bilberryworks/callers'
+
+/** Options of {@linkcode createLookUpHandler}. */
+export interface CreateLookUpHandlerOptions {
+  /** Counts a look-up that was refused. */
+  recordRefusal: (reason: RefusalReason) => void
+}
+
+const pathPattern = /^\/v1\/services\/([a-z0-9][a-z0-9-]{0,62})\/entries$/
+
+/**
+ * Creates the handler of the callers' `/v1` interface.
+ *
+ * @param broker The broker that holds the `callers` service
+ * @param options What to count
+ * @returns A handler for `node:http`
+ */
+export function createLookUpHandler (broker: ServiceBroker, options: CreateLookUpHandlerOptions): RequestListener {
+  function writeReply (response: ServerResponse, reply: LookUpReply): void {
+    if (reply.refusal !== undefined) {
+      options.recordRefusal(reply.refusal.reason)
+      writeRefusal(response, reply.refusal)
+      return
+    }
+    const text = JSON.stringify(reply.answer)
+    response.writeHead(200, {
+      'content-type': 'application/json; charset=utf-8',
+      'content-length': Buffer.byteLength(text),
+      'cache-control': `private, max-age=${reply.answer.ttlSeconds}`
+    }).end(text)
+  }
+
+  return (request, response) => {
+    if (request.method !== 'GET' && request.method !== 'HEAD') {
+      response.writeHead(405, { allow: 'GET, HEAD', 'content-length': 0 }).end()
+      return
+    }
+    const params = parseLookUp(request)
+    if (params === undefined) {
+      writeReply(response, { refusal: createNotRun(RefusalReason.BadRequest, 'URL is not of the form /v1/services/{service}/entries?client={ip}') })
+      return
+    }
+    broker.call<LookUpReply, LookUpParams>('callers.listEntries', params)
+      .then(reply => writeReply(response, reply))
+      .catch(() => response.destroy())
+  }
+}
+
+function parseLookUp (request: IncomingMessage): LookUpParams | undefined {
+  const [path = '', ...queries] = (request.url ?? '').split('?')
+  const service = pathPattern.exec(path)?.[1]
+  const clients = queries.length === 0 ? [] : new URLSearchParams(queries.join('?')).getAll('client')
+  if (service === undefined || clients.length > 1) return undefined
+  return { service, client: clients[0] ?? request.socket.remoteAddress ?? '' }
+}
--- a/packages/bilberryd/src/metrics.ts
+++ b/packages/bilberryd/src/metrics.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { RequestEnd } from '@bilberryworks/callers'
+import { ClientBlocksLoad } from '@bilberryworks/platform'
 import { Outcome, RefusalReason, RetryReason } from '@bilberryworks/steering'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 
@@ -17,6 +18,8 @@
   countInFlight: () => number
   /** Milliseconds since the platform last answered. */
   getPlatformAgeMs: () => number
+  /** Revision of the map of client blocks in force. */
+  getClientBlocksRevision: () => number
   /** Revision in force by service. */
   getRevisions: () => Record<string, number>
 }
@@ -33,6 +36,8 @@
   countUnauthenticated: (listener: string) => void
   /** Counts a look-up. */
   countLookUp: () => void
+  /** Counts an attempt to load the map of client blocks. */
+  countClientBlocksLoad: (load: ClientBlocksLoad) => void
   /** Counts the requests that a stop cut off. */
   countCutOff: (requests: number) => void
 }
@@ -55,10 +60,12 @@
   const cutOff = new Counter({ name: 'bilberry_stop_cut_off_total', help: 'Requests cut off by the end of a stop', registers })
   const lookUps = new Counter({ name: 'bilberry_look_ups_total', help: 'Look-ups of entry instances', registers })
   const unauthenticated = new Counter({ name: 'bilberry_unauthenticated_total', help: 'Calls without a valid key or token, by listener', labelNames: ['listener'], registers })
+  const blockLoads = new Counter({ name: 'bilberry_client_blocks_loads_total', help: 'Attempts to load the map of client blocks, by end', labelNames: ['end'], registers })
   const latency = new Histogram({ name: 'bilberry_request_seconds', help: 'Time from first byte to end', labelNames: ['service', 'outcome'], buckets: latencyBucketsSeconds, registers })
   for (const reason of Object.values(RefusalReason)) refusals.inc({ reason }, 0)
   for (const reason of Object.values(RetryReason)) retries.inc({ reason }, 0)
   for (const listener of ['operators', 'peers']) unauthenticated.inc({ listener }, 0)
+  for (const end of Object.values(ClientBlocksLoad)) blockLoads.inc({ end }, 0)
   registerGauges(registry, sources)
   return {
     registry,
@@ -71,6 +78,7 @@
     countRetry: reason => retries.inc({ reason }),
     countUnauthenticated: listener => unauthenticated.inc({ listener }),
     countLookUp: () => lookUps.inc(),
+    countClientBlocksLoad: end => blockLoads.inc({ end }),
     countCutOff: count => cutOff.inc(count)
   }
 }
@@ -84,6 +92,7 @@
   add('bilberry_queued_requests', 'Requests that wait for a slot', sources.countQueued)
   add('bilberry_in_flight_requests', 'Requests that hold a slot', sources.countInFlight)
   add('bilberry_platform_age_seconds', 'Time since the platform last answered', () => sources.getPlatformAgeMs() / 1000)
+  add('bilberry_client_blocks_revision', 'Revision of the map of client blocks in force', sources.getClientBlocksRevision)
   const revisions = new Gauge({
     name: 'bilberry_document_revision',
     help: 'Revision in force, by service',
--- a/packages/bilberryd/src/mod.ts
+++ b/packages/bilberryd/src/mod.ts
@@ -7,5 +7,6 @@
  *
  * @module
  */
+export * from './client_blocks.ts'
 export * from './run_instance.ts'
 export * from './settings.ts'
--- a/packages/bilberryd/src/run_instance.ts
+++ b/packages/bilberryd/src/run_instance.ts
@@ -12,13 +12,15 @@
 import { createHttpPeers, createPeerHandler } from '@bilberryworks/instances'
 import { createOperatorsService } from '@bilberryworks/operators'
 import { createHttpPlatform } from '@bilberryworks/platform'
-import { chooseFeeder, MachineState } from '@bilberryworks/steering'
+import { chooseFeeder, MachineState, Outcome } from '@bilberryworks/steering'
 import { createHttpTargets } from '@bilberryworks/targets'
 import moleculer from 'moleculer'
 import { createCallersService } from './callers_service.ts'
+import { createClientBlocksLoader } from './client_blocks.ts'
 import { createDispatcher } from './dispatch.ts'
 import { createFeed } from './feed.ts'
-import { createCallersGateway, createOperatorsGateway } from './gateways.ts'
+import { createOperatorsGateway } from './gateways.ts'
+import { createLookUpHandler } from './look_up_handler.ts'
 import { createMetrics } from './metrics.ts'
 import { openListener } from './open_listener.ts'
 import { createRegionChooser } from './regions.ts'
@@ -60,8 +62,15 @@
     countQueued: () => feed.countQueued(),
     countInFlight: () => feed.countInFlight(),
     getPlatformAgeMs: () => sync.getPlatformAgeMs(),
+    getClientBlocksRevision: () => clientBlocks.getBlocks().revision,
     getRevisions: view.getRevisions
   })
+  const clientBlocks = createClientBlocksLoader({
+    platform,
+    getRandom: Math.random,
+    countLoad: metrics.countClientBlocksLoad,
+    recordLoad: (load, detail) => log.info({ load }, detail)
+  })
   const feed: Feed = createFeed({
     listFedTargets: service => listUsableTargets(view, service).filter(target => chooseFeeder(target, view.listInstances())?.instance === settings.instance),
     getNowMs
@@ -72,7 +81,7 @@
   const handleRequest = createRouter({ instance: settings.instance, view, dispatch, regions, peers, isReady: () => sync.isReady(), countRetry: metrics.countRetry, getNowMs })
   const isStopping = (): boolean => state === MachineState.Leaving
   const broker = new moleculer.ServiceBroker({ nodeID: settings.instance, logger: false, skipProcessEventRegistration: true })
-  broker.createService(createCallersService({ view, regions, region: settings.region, ttlSeconds: settings.lookUpTtlSeconds, countLookUp: metrics.countLookUp }))
+  broker.createService(createCallersService({ view, regions, getBlocks: clientBlocks.getBlocks, region: settings.region, ttlSeconds: settings.lookUpTtlSeconds, countLookUp: metrics.countLookUp, getRandom: Math.random, getNowMs }))
   broker.createService(createOperatorsService({
     platform,
     listDocuments: view.listDocuments,
@@ -80,7 +89,7 @@
     getWallClockMs: () => Date.now(),
     createStatus: () => ({ instance: settings.instance, incarnation, state, ready: isReady(), platformAgeMs: Math.round(sync.getPlatformAgeMs()), revisions: view.getRevisions(), instances: view.listInstances() })
   }))
-  const lookUp = createCallersGateway(broker)
+  const lookUp = createLookUpHandler(broker, { recordRefusal: reason => metrics.recordEnd({ service: '', outcome: Outcome.NotRun, reason, whole: true, elapsedMs: 0 }) })
   const serve = createServiceHandler({ fromPeer: false, handleRequest, recordEnd: metrics.recordEnd, isStopping })
   const serveForwarded = createServiceHandler({ fromPeer: true, handleRequest, recordEnd: metrics.recordEnd, isStopping: () => false })
   const operators = createOperatorsGateway(broker, { tokens: () => settings.tokens, countUnauthenticated: () => metrics.countUnauthenticated('operators'), registry: metrics.registry, isReady })
@@ -123,12 +132,14 @@
     heartbeatMs: settings.heartbeatMs,
     getRandom: Math.random,
     getNowMs,
+    observeIndex: index => clientBlocks.observeRevision(index.clientBlocks),
     recordPlatform: reachable => log.info({ reachable }, reachable ? 'Platform answers' : 'Platform does not answer')
   })
   log.info({ addresses, incarnation }, 'Instance started')
 
   const dispose = async (): Promise<void> => {
     await sync[Symbol.asyncDispose]()
+    await clientBlocks[Symbol.asyncDispose]()
     await Promise.all(listeners.map(listener => listener[Symbol.asyncDispose]()))
     await broker.stop()
     await feed[Symbol.asyncDispose]()
--- a/packages/bilberryd/src/sync.ts
+++ b/packages/bilberryd/src/sync.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { PeerClient, PeerMethod } from '@bilberryworks/instances'
-import type { Platform } from '@bilberryworks/platform'
+import type { IndexRow, Platform } from '@bilberryworks/platform'
 import type { AcceptedDocument, InstanceRecord, TargetRecord } from '@bilberryworks/steering'
 import type { View } from './view.ts'
 import { setTimeout } from 'node:timers/promises'
@@ -49,6 +49,8 @@
   getRandom: () => number
   /** Returns the monotonic time, in milliseconds. */
   getNowMs: () => number
+  /** Called with each index row that is read. */
+  observeIndex: (index: IndexRow) => void
   /** Called when the platform starts or stops answering. */
   recordPlatform: (reachable: boolean) => void
 }
@@ -102,6 +104,7 @@
     const index = await readIndex(platform)
     recordPlatform(index.isOk())
     if (index.isErr()) return
+    options.observeIndex(index.value.index)
     const { revisions } = index.value.index
     const known = view.getRevisions()
     for (const [service, revision] of Object.entries(revisions)) {
--- a/packages/operators/src/mod.ts
+++ b/packages/operators/src/mod.ts
@@ -10,3 +10,4 @@
 export * from './operators_service.ts'
 export * from './submit_document.ts'
 export * from './tokens.ts'
+export * from './publish_client_blocks.ts'
--- /dev/null
+++ b/packages/platform/src/load_client_blocks.ts
@@ -0,0 +1,143 @@
+/**
+ * Loads a revision of the map of client blocks, in slices between which other events are served.
+ *
+ * @module
+ */
+import type { ClientBlocks, ClientBlocksDifference } from '@bilberryworks/steering'
+import type { Result } from 'neverthrow'
+import type { Platform } from './platform.ts'
+import type { ClientBlocksRow, ObjectReference } from './tables.ts'
+import { setImmediate } from 'node:timers/promises'
+import { applyClientBlocksDifference, decodeDifference, decodeSnapshot, readDigest } from '@bilberryworks/steering'
+import { err, ok } from 'neverthrow'
+import { formatClientBlocksKey, TableName } from './tables.ts'
+
+/** How an attempt to load the map ended. */
+export enum ClientBlocksLoad {
+  /** The map was brought up to the revision wanted by differences. */
+  Differences = 'differences',
+  /** The map was loaded from a snapshot. */
+  Snapshot = 'snapshot',
+  /** The platform did not give what was needed. */
+  Unavailable = 'unavailable',
+  /** What the platform gave was damaged or did not fit. */
+  Damaged = 'damaged'
+}
+
+/** Options of {@linkcode loadClientBlocks}. */
+export interface LoadClientBlocksOptions {
+  /** The map in force; an empty one where there is none. */
+  base: ClientBlocks
+  /** Revision to load. */
+  wanted: number
+}
+
+/** A map that was loaded. */
+export interface LoadedClientBlocks {
+  /** The map. */
+  blocks: ClientBlocks
+  /** Row of its revision. */
+  row: ClientBlocksRow
+  /** How it was loaded. */
+  load: ClientBlocksLoad
+}
+
+/** A map that could not be loaded. */
+export interface ClientBlocksFailure {
+  /** How the attempt ended. */
+  load: ClientBlocksLoad.Unavailable | ClientBlocksLoad.Damaged
+  /** One sentence with the cause. */
+  detail: string
+}
+
+const maxDifferences = 8
+const objectTimeoutMs = 60_000
+
+/**
+ * Loads a revision of the map once, from differences where the one in force is near, else from a snapshot.
+ *
+ * @param platform The platform
+ * @param options The map in force and the revision wanted
+ * @returns The map of that revision, or why it can't be had
+ */
+export async function loadClientBlocks (platform: Platform, options: LoadClientBlocksOptions): Promise<Result<LoadedClientBlocks, ClientBlocksFailure>> {
+  const { base, wanted } = options
+  const newest = await readBlocksRow(platform, wanted)
+  if (newest.isErr()) return err(newest.error)
+  const steps = wanted - base.revision
+  const followable = base.revision > 0 && steps <= maxDifferences
+  if (followable) {
+    const followed = await applyDifferences(platform, { base, newest: newest.value })
+    if (followed.isOk()) return ok({ blocks: followed.value, row: newest.value, load: ClientBlocksLoad.Differences })
+    if (followed.error.load === ClientBlocksLoad.Unavailable) return err(followed.error)
+  }
+  const snapshot = await loadSnapshot(platform, newest.value)
+  if (snapshot.isErr()) return err(snapshot.error)
+  const current = await applyDifferences(platform, { base: snapshot.value, newest: newest.value })
+  return current.map(blocks => ({ blocks, row: newest.value, load: ClientBlocksLoad.Snapshot }))
+}
+
+async function loadSnapshot (platform: Platform, newest: ClientBlocksRow): Promise<Result<ClientBlocks, ClientBlocksFailure>> {
+  const row = newest.snapshotRevision === newest.revision ? ok<ClientBlocksRow, ClientBlocksFailure>(newest) : await readBlocksRow(platform, newest.snapshotRevision)
+  if (row.isErr()) return err(row.error)
+  const bytes = await readContent(platform, row.value.snapshot)
+  if (bytes.isErr()) return err(bytes.error)
+  const decoded = await runSliced(decodeSnapshot(bytes.value))
+  if (decoded.isErr()) return fail(ClientBlocksLoad.Damaged, decoded.error)
+  if (decoded.value.revision !== row.value.revision) return fail(ClientBlocksLoad.Damaged, `Snapshot is of revision ${decoded.value.revision}, expected ${row.value.revision}`)
+  return ok(decoded.value)
+}
+
+async function applyDifferences (platform: Platform, state: { base: ClientBlocks, newest: ClientBlocksRow }): Promise<Result<ClientBlocks, ClientBlocksFailure>> {
+  let blocks = state.base
+  while (blocks.revision < state.newest.revision) {
+    const revision = blocks.revision + 1
+    const row = revision === state.newest.revision ? ok<ClientBlocksRow, ClientBlocksFailure>(state.newest) : await readBlocksRow(platform, revision)
+    if (row.isErr()) return err(row.error)
+    const bytes = await readContent(platform, row.value.difference)
+    if (bytes.isErr()) return err(bytes.error)
+    const decoded = await runSliced(decodeDifference(bytes.value))
+    if (decoded.isErr()) return fail(ClientBlocksLoad.Damaged, decoded.error)
+    if (!isSuccessor(decoded.value, blocks)) return fail(ClientBlocksLoad.Damaged, `Difference to revision ${decoded.value.revision} does not apply to revision ${blocks.revision}`)
+    blocks = await runSliced(applyClientBlocksDifference(blocks, decoded.value))
+  }
+  return ok(blocks)
+}
+
+function isSuccessor (difference: ClientBlocksDifference, base: ClientBlocks): boolean {
+  return difference.baseRevision === base.revision && difference.revision === base.revision + 1 && difference.baseOrders === base.orders.length
+}
+
+async function readBlocksRow (platform: Platform, revision: number): Promise<Result<ClientBlocksRow, ClientBlocksFailure>> {
+  const row = await platform.readRow(TableName.ClientBlocks, formatClientBlocksKey(revision))
+  if (row.isErr()) return fail(ClientBlocksLoad.Unavailable, row.error.detail)
+  if (row.value === undefined) return fail(ClientBlocksLoad.Damaged, `Client blocks have no row of revision ${revision}`)
+  return ok(row.value.value as ClientBlocksRow)
+}
+
+async function readContent (platform: Platform, reference: ObjectReference | undefined): Promise<Result<Uint8Array, ClientBlocksFailure>> {
+  if (reference === undefined) return fail(ClientBlocksLoad.Damaged, 'Row names no such object')
+  const bytes = await platform.readObject(reference.object, { timeoutMs: objectTimeoutMs })
+  if (bytes.isErr()) return fail(ClientBlocksLoad.Unavailable, bytes.error.detail)
+  if (bytes.value === undefined) return fail(ClientBlocksLoad.Damaged, `Object "${reference.object}" is missing`)
+  if (bytes.value.length !== reference.bytes || readDigest(bytes.value) !== reference.sha256) return fail(ClientBlocksLoad.Damaged, `Object "${reference.object}" is not the one that its row names`)
+  return ok(bytes.value)
+}
+
+function fail<T> (load: ClientBlocksFailure['load'], detail: string): Result<T, ClientBlocksFailure> {
+  return err({ load, detail })
+}
+
+/**
+ * Runs a generator of slices to its end, serving other events between two slices.
+ *
+ * @param work The generator
+ * @returns Its result
+ */
+export async function runSliced<T> (work: Generator<void, T>): Promise<T> {
+  for (;;) {
+    const step = work.next()
+    if (step.done === true) return step.value
+    await setImmediate()
+  }
+}
--- a/packages/platform/src/mod.ts
+++ b/packages/platform/src/mod.ts
@@ -11,5 +11,6 @@
  * @module
  */
 export * from './http_platform.ts'
+export * from './load_client_blocks.ts'
 export * from './platform.ts'
 export * from './tables.ts'
--- a/packages/platform/src/tables.ts
+++ b/packages/platform/src/tables.ts
@@ -24,10 +24,44 @@
   Feeds = 'feeds',
   /** Pins of idempotency keys that came without one, by scope and key. */
   Keys = 'keys',
+  /** `ClientBlocksRow` by revision of the map of client blocks. */
+  ClientBlocks = 'client_blocks',
   /** The index row. */
   Index = 'index'
 }
 
+/** An object of the object store that must not have changed. */
+export interface ObjectReference {
+  /** Name of the object. */
+  object: string
+  /** Size, in bytes. */
+  bytes: number
+  /** SHA-256 that the content ends with, in hexadecimal. */
+  sha256: string
+}
+
+/** One revision of the map of client blocks, whose content is in the object store. */
+export interface ClientBlocksRow {
+  /** Revision, 1 for the first. */
+  revision: number
+  /** Newest revision up to this one that has a snapshot. */
+  snapshotRevision: number
+  /** The map whole, at revisions that have a snapshot. */
+  snapshot?: ObjectReference
+  /** What leads here from the revision before; absent where only the snapshot does. */
+  difference?: ObjectReference
+}
+
+/**
+ * Formats the key of a revision of the map of client blocks, so that keys sort by revision.
+ *
+ * @param revision Revision
+ * @returns The key
+ */
+export function formatClientBlocksKey (revision: number): string {
+  return String(revision).padStart(9, '0')
+}
+
 /** Key of the index row. */
 export const indexKey = 'index'
 
