Measure the map of client blocks and look-ups at the plan's sizes

Cause: docs/CAPACITY.md needs slopes that a command prints. Change: bench modules for the map (bytes, ns, build, decode, difference, event loop delay) and for an instance under look-ups (CPU, latency, RSS, load while serving); an IPv4 address is parsed once instead of three times. Ruled out: one process for client and instance, since its processor time could not be told apart.

--- /dev/null
+++ b/packages/standins/src/bench_capacity_look_up.ts
@@ -0,0 +1,240 @@
+/**
+ * Measures an instance that serves look-ups with a map of client blocks: processor time, memory, latency.
+ *
+ * @module
+ */
+import type { InstanceRecord } from '@bilberryworks/steering'
+import type { Settings } from 'bilberryd'
+import type { InstanceAddresses } from './cluster.ts'
+import type { CleanUp } from './clean_up.ts'
+import { createHash } from 'node:crypto'
+import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { submitDocument } from '@bilberryworks/operators'
+import { createHttpPlatform, TableName } from '@bilberryworks/platform'
+import { MachineState } from '@bilberryworks/steering'
+import { Pool, request } from 'undici'
+import { createClient, publishBlocks } from './bench_capacity_map.ts'
+import { startChild } from './child.ts'
+import { createCleanUp } from './clean_up.ts'
+import { locateDaemon, locateScript } from './cluster.ts'
+import { createDocument, deployments } from './deployments.ts'
+
+const nodeCount = 550
+const domainCount = 10
+const regionNames = ['sofia', 'plovdiv', 'varna']
+const offeredPerSecond = 870
+const offeredSeconds = 8
+const burstLookUps = 20_000
+const connections = 16
+const settleMs = 6_000
+const loadLimitMs = 120_000
+const ticksPerSecond = 100
+const token = 'capacity'
+
+/** What was measured of one instance. */
+export interface LookUpFigures {
+  nodes: number
+  blocks: number
+  idleCorePercent: number
+  microsecondsPerLookUp: number
+  offeredPerSecond: number
+  corePercent: number
+  p50Ms: number
+  p99Ms: number
+  rssMegabytes: number
+}
+
+/** An instance under measurement. */
+interface MeasuredInstance {
+  pid: number
+  addresses: InstanceAddresses
+}
+
+/**
+ * Measures look-ups at several sizes of fleet and map, and the load of a map while look-ups are served.
+ *
+ * @param blockCounts Sizes of the map, ascending; 0 for none
+ * @returns The figures by size
+ */
+export async function measureLookUps (blockCounts: number[]): Promise<LookUpFigures[]> {
+  await using stack = createCleanUp()
+  const figures: LookUpFigures[] = []
+  for (const nodes of [7, nodeCount]) {
+    const { instance, platformUrl } = await startMeasured(stack, nodes)
+    for (const [index, blocks] of blockCounts.entries()) {
+      await announceOthers(platformUrl, { nodes, sequence: index + 2 })
+      if (blocks > 0) await loadWhileServing(instance, { platformUrl, blocks })
+      figures.push(await measureInstance(instance, { nodes, blocks }))
+    }
+  }
+  console.table(figures)
+  return figures
+}
+
+async function startMeasured (stack: CleanUp, nodes: number): Promise<{ instance: MeasuredInstance, platformUrl: string }> {
+  const { ready: { url } } = stack.add(await startChild<{ url: string }>(locateScript('main_platform.js'), []))
+  const folder = await mkdtemp(join(tmpdir(), 'bilberryworks-'))
+  stack.add({ [Symbol.asyncDispose]: () => rm(folder, { recursive: true }) })
+  await using platform = createHttpPlatform(url)
+  const document = { ...createDocument(deployments.kutiyka, deployments.kutiyka.services[0]), leavingTargets: [] }
+  await submitDocument(platform, { document, baseRevision: 0, submissionId: 'capacity', author: 'bench', nowMs: 0 })
+  await announceOthers(url, { nodes, sequence: 1 })
+  const file = join(folder, 'settings.json')
+  await writeFile(file, JSON.stringify(createSettings(url)))
+  const child = stack.add(await startChild<InstanceAddresses>(locateDaemon(), ['--settings', file]))
+  while ((await request(`http://${child.ready.operators}/readyz`)).statusCode !== 200) await waitMs(50)
+  return { instance: { pid: child.process.pid!, addresses: child.ready }, platformUrl: url }
+}
+
+/** Writes the heartbeats of all instances but the measured one. */
+async function announceOthers (platformUrl: string, options: { nodes: number, sequence: number }): Promise<void> {
+  await using platform = createHttpPlatform(platformUrl)
+  const others = Array.from({ length: options.nodes - 1 }, (_, index) => createRecord(index, options.sequence))
+  await platform.writeRows(others.map(value => ({ table: TableName.Instances, key: value.instance, value })))
+}
+
+function createRecord (index: number, sequence: number): InstanceRecord {
+  const domain = index % domainCount
+  return {
+    instance: `node-${index}`,
+    incarnation: `8d4f0c1e-3f0a-4f0e-9c56-${String(index).padStart(12, '0')}`,
+    failureDomain: `site-${domain}`,
+    region: regionNames[domain % regionNames.length]!,
+    callerAddress: `10.${domain}.0.${index}:8080`,
+    peerAddress: '127.0.0.1:9',
+    state: MachineState.Live,
+    sequence,
+    pinEpoch: 0
+  }
+}
+
+function createSettings (platformUrl: string): Settings {
+  const listen = { host: '127.0.0.1', port: 0 }
+  return {
+    instance: 'measured',
+    failureDomain: 'site-0',
+    region: 'sofia',
+    platformUrl,
+    listen: { callers: listen, operators: listen, peers: listen },
+    peerKeys: ['capacity-measurement'],
+    seedPeers: [],
+    tokens: [{ name: 'bench', team: 'operations', sha256: createHash('sha256').update(token).digest('hex') }],
+    lookUpTtlSeconds: 30,
+    pollMs: 5_000,
+    heartbeatMs: 60_000,
+    stopLimitMs: 1_000
+  }
+}
+
+async function measureInstance (instance: MeasuredInstance, size: { nodes: number, blocks: number }): Promise<LookUpFigures> {
+  await using pool = createPool(instance)
+  await runBurst(pool, burstLookUps / 4)
+  await waitMs(settleMs)
+  const idleStart = await readCpuSeconds(instance.pid)
+  await waitMs(settleMs)
+  const idle = (await readCpuSeconds(instance.pid) - idleStart) / (settleMs / 1000)
+  const burstStart = await readCpuSeconds(instance.pid)
+  await runBurst(pool, burstLookUps)
+  const burst = await readCpuSeconds(instance.pid) - burstStart
+  const offeredStart = await readCpuSeconds(instance.pid)
+  const latencies = await runOffered(pool, offeredSeconds)
+  const offered = (await readCpuSeconds(instance.pid) - offeredStart) / offeredSeconds
+  return {
+    ...size,
+    idleCorePercent: computeTenths(idle * 100),
+    microsecondsPerLookUp: computeTenths(burst * 1e6 / burstLookUps),
+    offeredPerSecond,
+    corePercent: computeTenths(offered * 100),
+    p50Ms: computeTenths(latencies[latencies.length >> 1]!),
+    p99Ms: computeTenths(latencies[Math.floor(latencies.length * 0.99)]!),
+    rssMegabytes: await readRssMegabytes(instance.pid)
+  }
+}
+
+async function loadWhileServing (instance: MeasuredInstance, options: { platformUrl: string, blocks: number }): Promise<void> {
+  await using pool = createPool(instance)
+  const revision = await readMetric(instance, 'bilberry_client_blocks_revision')
+  await publishBlocks(options.platformUrl, { blocks: options.blocks })
+  const startMs = performance.now()
+  const cpuStart = await readCpuSeconds(instance.pid)
+  const latencies: number[] = []
+  while (await readMetric(instance, 'bilberry_client_blocks_revision') === revision) {
+    if (performance.now() - startMs > loadLimitMs) throw new Error('Map was not loaded')
+    latencies.push(...await runOffered(pool, 0.5))
+  }
+  latencies.sort((a, b) => a - b)
+  console.table([{
+    loadedBlocks: options.blocks,
+    inForceAfterMs: Math.round(performance.now() - startMs),
+    cpuSeconds: computeTenths(await readCpuSeconds(instance.pid) - cpuStart),
+    p99Ms: computeTenths(latencies[Math.floor(latencies.length * 0.99)]!),
+    longestMs: computeTenths(latencies.at(-1)!),
+    rssMegabytes: await readRssMegabytes(instance.pid),
+    rssPeakMegabytes: await readRssMegabytes(instance.pid, 'VmHWM')
+  }])
+}
+
+function createPool (instance: MeasuredInstance): Pool & AsyncDisposable {
+  const pool = new Pool(`http://${instance.addresses.callers}`, { connections, pipelining: 1 })
+  return Object.assign(pool, { [Symbol.asyncDispose]: () => pool.close() })
+}
+
+async function askLookUp (pool: Pool, index: number): Promise<void> {
+  const answer = await pool.request({ method: 'GET', path: `/v1/services/lunchbox-api/entries?client=${createClient(index * 104_729)}` })
+  await answer.body.dump()
+  if (answer.statusCode !== 200) throw new Error(`Look-up ended with ${answer.statusCode}`)
+}
+
+/** Sends look-ups as fast as the connections allow. */
+async function runBurst (pool: Pool, count: number): Promise<void> {
+  let next = 0
+  const runConnection = async (): Promise<void> => {
+    while (next < count) await askLookUp(pool, next++)
+  }
+  await Promise.all(Array.from({ length: connections }, runConnection))
+}
+
+/** Sends look-ups at the offered rate and returns their latencies from the time that each was due, sorted. */
+async function runOffered (pool: Pool, seconds: number): Promise<number[]> {
+  const total = Math.floor(offeredPerSecond * seconds)
+  const startMs = performance.now()
+  const latencies: number[] = []
+  const pending: Array<Promise<void>> = []
+  for (let sent = 0; sent < total;) {
+    const due = Math.min(total, Math.floor((performance.now() - startMs) * offeredPerSecond / 1000))
+    for (; sent < due; sent++) {
+      const dueMs = startMs + sent * 1000 / offeredPerSecond
+      pending.push(askLookUp(pool, sent).then(() => { latencies.push(performance.now() - dueMs) }))
+    }
+    await waitMs(1)
+  }
+  await Promise.all(pending)
+  return latencies.sort((a, b) => a - b)
+}
+
+async function readMetric (instance: MeasuredInstance, name: string): Promise<number> {
+  const answer = await request(`http://${instance.addresses.operators}/metrics`)
+  return Number(new RegExp(`^${name} (.*)$`, 'm').exec(await answer.body.text())?.[1])
+}
+
+/** Reads the processor time that a process has used, in seconds. */
+export async function readCpuSeconds (pid: number): Promise<number> {
+  const text = await readFile(`/proc/${pid}/stat`, 'utf8')
+  const fields = text.slice(text.lastIndexOf(')') + 2).split(' ')
+  return (Number(fields[11]) + Number(fields[12])) / ticksPerSecond
+}
+
+async function readRssMegabytes (pid: number, field = 'VmRSS'): Promise<number> {
+  const text = await readFile(`/proc/${pid}/status`, 'utf8')
+  return Math.round(Number(new RegExp(`^${field}:\\s+(\\d+) kB`, 'm').exec(text)?.[1]) / 1024)
+}
+
+async function waitMs (ms: number): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, ms))
+}
+
+function computeTenths (value: number): number {
+  return Math.round(value * 10) / 10
+}
--- /dev/null
+++ b/packages/standins/src/bench_capacity_map.ts
@@ -0,0 +1,147 @@
+/**
+ * Measures the map of client blocks at several sizes: memory, look-ups, loading and differences.
+ *
+ * @module
+ */
+import type { ClientAddress, ClientBlockEntry, ClientBlocks } from '@bilberryworks/steering'
+import { monitorEventLoopDelay } from 'node:perf_hooks'
+import { createHttpPlatform, runSliced } from '@bilberryworks/platform'
+import { publishClientBlocks } from '@bilberryworks/operators'
+import { applyClientBlocksDifference, buildClientBlocks, countTableBytes, decodeDifference, decodeSnapshot, diffClientBlocks, encodeDifference, encodeSnapshot, findSites, parseClientAddress } from '@bilberryworks/steering'
+
+/** Sizes measured, up to that of the plan, in blocks. */
+export const blockCounts = [100_000, 400_000, 1_000_000, 2_200_000]
+
+/** Sites of the plan. */
+export const siteCount = 88
+
+const orderCount = 1_000
+const sitesPerOrder = 4
+const lookUpCount = 1_000_000
+const parseCount = 200_000
+const changedBlocks = 1_000
+const v6Share = 10
+
+/** What was measured at one size. */
+export interface MapFigures {
+  blocks: number
+  bytesPerBlock: number
+  snapshotBytes: number
+  buildMs: number
+  findNs: number
+  parseAndFindNs: number
+  decodeMs: number
+  longestDelayMs: number
+  differenceBytes: number
+  applyMs: number
+}
+
+/**
+ * Creates blocks whose neighbours differ in their sites, one in ten of them IPv6.
+ *
+ * @param count Number of blocks
+ * @param options The first of the numbers that stand for orders of sites
+ * @returns The blocks
+ */
+export function createBlockEntries (count: number, options: { shift?: number } = {}): ClientBlockEntry[] {
+  const orders = Array.from({ length: orderCount }, (_, index) => Array.from({ length: sitesPerOrder }, (_, place) => `site-${(index * 7 + place * 13 + Math.floor(index / siteCount)) % siteCount}`))
+  const shift = options.shift ?? 0
+  return Array.from({ length: count }, (_, index) => {
+    const sites = orders[(index * 31 + (index < changedBlocks ? shift : 0)) % orderCount]!
+    if (index % v6Share === 0) return { block: `2${(index >> 16 & 0xfff).toString(16).padStart(3, '0')}:${(index & 0xffff).toString(16)}::/32`, sites }
+    return { block: `${1 + (index >> 16)}.${index >> 8 & 255}.${index & 255}.0/24`, sites }
+  })
+}
+
+/**
+ * Measures the map at each size and prints a line for each.
+ *
+ * @returns The figures by size
+ */
+export async function measureMaps (): Promise<MapFigures[]> {
+  const figures: MapFigures[] = []
+  for (const count of blockCounts) figures.push(await measureMap(count))
+  console.table(figures)
+  return figures
+}
+
+async function measureMap (count: number): Promise<MapFigures> {
+  const entries = createBlockEntries(count)
+  const buildStartMs = performance.now()
+  const map = buildClientBlocks(entries, { revision: 1 })._unsafeUnwrap()
+  const buildMs = performance.now() - buildStartMs
+  const next = buildClientBlocks(createBlockEntries(count, { shift: 1 }), { revision: 2, knownOrders: map.orders })._unsafeUnwrap()
+  const snapshot = encodeSnapshot(map)
+  const difference = encodeDifference(diffClientBlocks(map, next))
+  const delay = monitorEventLoopDelay({ resolution: 1 })
+  delay.enable()
+  const decodeStartMs = performance.now()
+  const decoded = (await runSliced(decodeSnapshot(snapshot)))._unsafeUnwrap()
+  const decodeMs = performance.now() - decodeStartMs
+  const applyStartMs = performance.now()
+  const change = (await runSliced(decodeDifference(difference)))._unsafeUnwrap()
+  const applied = await runSliced(applyClientBlocksDifference(decoded, change))
+  const applyMs = performance.now() - applyStartMs
+  delay.disable()
+  if (countTableBytes(applied) !== countTableBytes(next)) throw new Error('Difference did not lead to the next map')
+  return {
+    blocks: count,
+    bytesPerBlock: countTableBytes(map) / count,
+    snapshotBytes: snapshot.length,
+    buildMs: Math.round(buildMs),
+    findNs: measureFind(map),
+    parseAndFindNs: measureParseAndFind(map),
+    decodeMs: computeTenths(decodeMs),
+    longestDelayMs: computeTenths(delay.max / 1e6),
+    differenceBytes: difference.length,
+    applyMs: computeTenths(applyMs)
+  }
+}
+
+function measureFind (map: ClientBlocks): number {
+  const addresses: ClientAddress[] = Array.from({ length: 4_096 }, (_, index) => parseClientAddress(createClient(index * 104_729))._unsafeUnwrap())
+  let found = 0
+  const startMs = performance.now()
+  for (let index = 0; index < lookUpCount; index++) found += findSites(map, addresses[(index * 2_654_435) & 4_095]!).length
+  const ns = (performance.now() - startMs) * 1e6 / lookUpCount
+  if (found === 0) throw new Error('No client was found')
+  return Math.round(ns)
+}
+
+function measureParseAndFind (map: ClientBlocks): number {
+  const texts = Array.from({ length: 4_096 }, (_, index) => createClient(index * 104_729))
+  const startMs = performance.now()
+  for (let index = 0; index < parseCount; index++) findSites(map, parseClientAddress(texts[index & 4_095]!)._unsafeUnwrap())
+  return Math.round((performance.now() - startMs) * 1e6 / parseCount)
+}
+
+/**
+ * Creates the address of a client, one in ten of them IPv6.
+ *
+ * @param index Number of the client
+ * @returns The address
+ */
+export function createClient (index: number): string {
+  const block = index % 2_200_000
+  if (block % v6Share === 0) return `2${(block >> 16 & 0xfff).toString(16).padStart(3, '0')}:${(block & 0xffff).toString(16)}::1`
+  return `${1 + (block >> 16)}.${block >> 8 & 255}.${block & 255}.9`
+}
+
+/**
+ * Publishes a map of the plan's size on a platform.
+ *
+ * @param platformUrl `http://host:port` of the platform
+ * @param options Number of blocks, and what to change in them
+ * @returns Milliseconds that it took
+ */
+export async function publishBlocks (platformUrl: string, options: { blocks: number, shift?: number }): Promise<number> {
+  await using platform = createHttpPlatform(platformUrl)
+  const startMs = performance.now()
+  const published = await publishClientBlocks(platform, createBlockEntries(options.blocks, options))
+  if (published.isErr()) throw new Error(published.error.detail)
+  return performance.now() - startMs
+}
+
+function computeTenths (value: number): number {
+  return Math.round(value * 10) / 10
+}
--- a/packages/standins/src/cluster.ts
+++ b/packages/standins/src/cluster.ts
@@ -189,10 +189,21 @@
   })
 }
 
-function locateScript (name: string): string {
+/**
+ * Locates a compiled script of this package.
+ *
+ * @param name Name of its file
+ * @returns Its path
+ */
+export function locateScript (name: string): string {
   return fileURLToPath(new URL(name, import.meta.url))
 }
 
-function locateDaemon (): string {
+/**
+ * Locates the compiled daemon.
+ *
+ * @returns Its path
+ */
+export function locateDaemon (): string {
   return join(createRequire(import.meta.url).resolve('bilberryd'), '..', 'main.js')
 }
--- a/packages/steering/src/client_address.ts
+++ b/packages/steering/src/client_address.ts
@@ -38,6 +38,7 @@
 export const maxPrefixBits: Record<AddressFamily, number> = { [AddressFamily.V4]: 32, [AddressFamily.V6]: 64 }
 
 const addressBits = { [AddressFamily.V4]: 32, [AddressFamily.V6]: 128 }
+const dottedDecimals = /^(0|[1-9]\d{0,2})(\.(0|[1-9]\d{0,2})){3}$/
 const mappedPrefixBits = 96
 const maxAddressLength = 45
 
@@ -49,7 +50,7 @@
  */
 export function parseClientAddress (text: string): Result<ClientAddress, string> {
   if (text.length > maxAddressLength || text.includes('%')) return fail(text)
-  if (ipaddr.IPv4.isValidFourPartDecimal(text)) return ok(readV4(ipaddr.IPv4.parse(text)))
+  if (!text.includes(':')) return parseV4(text)
   if (!ipaddr.IPv6.isValid(text)) return fail(text)
   const address = ipaddr.IPv6.parse(text)
   if (address.isIPv4MappedAddress()) return ok(readV4(address.toIPv4Address()))
@@ -78,6 +79,15 @@
   })
 }
 
+function parseV4 (text: string): Result<ClientAddress, string> {
+  if (!dottedDecimals.test(text)) return fail(text)
+  try {
+    return ok(readV4(ipaddr.IPv4.parse(text)))
+  } catch {
+    return fail(text)
+  }
+}
+
 function fail<T> (text: string): Result<T, string> {
   return err(`Address "${text.slice(0, maxAddressLength)}" is neither IPv4 in dotted decimals nor IPv6`)
 }
