Feed each target by one instance, agreed through feed rows

Cause: every instance chose feeders from its own list of live instances, so two could feed one target at once. Ruled out: leases alone (a platform outage would stop all dispatch, since nobody can renew); shares of slots (3 slots do not divide by 7); handing over at once (the old feeder's requests still run). Change: one row per failure domain names feeders and candidates; a hold is valid by a heartbeat that the platform acknowledged or by all candidates having heard; a cut-off feeder keeps the larger half, its successor the rest; a takeover is conditional on the silent one's heartbeat row; lost answers act on the stricter of both rows and are fenced. Conclusion: slots hold in the sum; where two may believe, the halves bound it. Orphans of a killed process are bounded by the smaller half for one longest dispatch.

--- /dev/null
+++ b/packages/bilberryd/src/_feeding_harness.ts
@@ -0,0 +1,204 @@
+/**
+ * Several keepers of feed rows with an in-memory platform and scripted faults, on a virtual clock; for tests.
+ *
+ * @module
+ */
+import type { PeerClient } from '@bilberryworks/instances'
+import type { Platform, PlatformFailure, TableRow, TableWrite } from '@bilberryworks/platform'
+import type { InstanceRecord, TargetRecord } from '@bilberryworks/steering'
+import type { Result } from 'neverthrow'
+import type { Feeding } from './feeding.ts'
+import { PlatformFailureKind, readIndex, TableName } from '@bilberryworks/platform'
+import { MachineState } from '@bilberryworks/steering'
+import { err, ok } from 'neverthrow'
+import { createFeeding } from './feeding.ts'
+import { createView } from './view.ts'
+
+const leaseMs = 4_000
+const longestDispatchMs = 2_000
+
+/** A fault that one call to the platform meets. */
+export enum CallFault {
+  None = 'none',
+  Refused = 'refused',
+  AnswerLost = 'answer_lost',
+  Delayed = 'delayed'
+}
+
+/** One instance of the harness. */
+export interface HarnessNode {
+  name: string
+  paused: boolean
+  feeding: Feeding
+  /** Requests in flight: target and virtual end. */
+  inFlight: Array<{ target: string, endMs: number }>
+  step: () => Promise<void>
+}
+
+/** The harness. */
+export interface Harness {
+  nodes: HarnessNode[]
+  targets: TargetRecord[]
+  /** Instances that can't reach each other, as `a|b`. */
+  cuts: Set<string>
+  /** Instances that can't reach the platform. */
+  noPlatform: Set<string>
+  /** Chooses the fault of a write. */
+  chooseFault: (writes: TableWrite[]) => CallFault
+  /** Advances the clock, ends requests and lets every instance that is not paused do a round. */
+  advance (ms: number): Promise<void>
+  /** Carries out the writes that were delayed. */
+  landDelayed (): void
+  /** Replaces an instance's process; its requests end with its connections. */
+  restart (index: number): void
+  /** Returns the largest number of slots in use above those of any target. */
+  findExcess (): number
+  /** Sums the slots of a target that instances may use. */
+  sumLimits (target: TargetRecord): number
+}
+
+/** The tables of the platform, with transactions. */
+function createStore (): { rows: Map<string, TableRow>, applyWrites: (writes: TableWrite[]) => Result<void, PlatformFailure> } {
+  const rows = new Map<string, TableRow>()
+  let version = 0
+
+  function applyWrites (writes: TableWrite[]): Result<void, PlatformFailure> {
+    const conflicts = writes.filter(write => write.ifVersion !== undefined && (rows.get(`${write.table}/${write.key}`)?.version ?? 0) !== write.ifVersion)
+    if (conflicts.length > 0) return err({ kind: PlatformFailureKind.Conflict, detail: '', conflicts })
+    for (const { table, key, value, checkOnly } of writes) {
+      if (checkOnly !== true) rows.set(`${table}/${key}`, { key, version: ++version, value: structuredClone(value) })
+    }
+    return ok(undefined)
+  }
+
+  return { rows, applyWrites }
+}
+
+/**
+ * Creates a harness with three instances in two failure domains of one region.
+ *
+ * @returns The harness
+ */
+export function createHarness (): Harness {
+  let nowMs = 1_000_000
+  const { rows, applyWrites } = createStore()
+  const delayed: TableWrite[][] = []
+  const places = [['n0', 'd0'], ['n1', 'd0'], ['n2', 'd1']] as const
+  const targets = ['d0', 'd0', 'd0', 'd1', 'd1'].map((failureDomain, index): TargetRecord => ({
+    target: `t${index}`, service: 's', address: '', failureDomain, region: 'r', slots: index % 2 === 0 ? 3 : 5, maxConnections: 330, state: MachineState.Live
+  }))
+  const harness: Harness = {
+    nodes: [],
+    targets,
+    cuts: new Set(),
+    noPlatform: new Set(),
+    chooseFault: () => CallFault.None,
+    async advance (ms) {
+      nowMs += ms
+      for (const node of harness.nodes) node.inFlight = node.inFlight.filter(request => request.endMs > nowMs)
+      await Promise.all(harness.nodes.map(async node => node.paused ? undefined : node.step()))
+    },
+    landDelayed () {
+      for (const writes of delayed.splice(0)) applyWrites(writes)
+    },
+    restart (index) {
+      harness.nodes[index] = createNode(places[index]!)
+    },
+    findExcess () {
+      const excess = targets.map(target => {
+        const busy = harness.nodes.flatMap(node => node.inFlight).filter(request => request.target === target.target).length
+        return busy - target.slots
+      })
+      return Math.max(...excess)
+    },
+    sumLimits: target => harness.nodes.reduce((sum, node) => sum + node.feeding.getSlotLimit(target), 0)
+  }
+
+  function createPlatform (name: string): Platform {
+    const unavailable = err({ kind: PlatformFailureKind.Unavailable, detail: '' })
+    const unsupported = async (): Promise<never> => { throw new Error('Not used') }
+    return {
+      readRow: async (table, key) => harness.noPlatform.has(name) ? unavailable : ok(structuredClone(rows.get(`${table}/${key}`))),
+      listRows: async table => harness.noPlatform.has(name) ? unavailable : ok([...rows].filter(([key]) => key.startsWith(`${table}/`)).map(([, row]) => structuredClone(row))),
+      async writeRows (writes) {
+        const fault = harness.noPlatform.has(name) ? CallFault.Refused : harness.chooseFault(writes)
+        if (fault === CallFault.Refused) return unavailable
+        if (fault === CallFault.None) return applyWrites(writes)
+        if (fault === CallFault.AnswerLost) applyWrites(writes)
+        else delayed.push(writes)
+        return err({ kind: PlatformFailureKind.Unknown, detail: '' })
+      },
+      readObject: unsupported,
+      writeObject: unsupported,
+      listMachines: unsupported
+    }
+  }
+
+  function createPeers (name: string): PeerClient {
+    return {
+      async call (address, _method, call) {
+        const node = harness.nodes.find(other => other.name === address)
+        const isCut = harness.cuts.has(`${name}|${address}`) || harness.cuts.has(`${address}|${name}`)
+        if (node === undefined || node.paused || isCut) return err({ kind: 'lost' as never, detail: '' })
+        return ok(structuredClone(node.feeding.handleExchange(structuredClone(call.params))) as never)
+      },
+      forward: async () => { throw new Error('Not used') },
+      async [Symbol.asyncDispose] () {}
+    }
+  }
+
+  function createNode ([name, failureDomain]: readonly [string, string]): HarnessNode {
+    const getNowMs = (): number => nowMs
+    const view = createView({ instanceTimeoutMs: leaseMs, getNowMs })
+    const platform = createPlatform(name)
+    let record: InstanceRecord = {
+      instance: name, incarnation: `${name}-${nowMs}`, failureDomain, region: 'r', callerAddress: name, peerAddress: name, state: MachineState.Live, sequence: 0, pinEpoch: 0
+    }
+    const feeding = createFeeding({
+      leaseMs,
+      longestDispatchMs,
+      platform,
+      peers: createPeers(name),
+      getSelf: () => record,
+      listInstances: view.listInstances,
+      findInstance: view.findInstance,
+      getSilenceMs: view.getSilenceMs,
+      listTargets: () => targets,
+      getBusy: target => node.inFlight.filter(request => request.target === target).length,
+      getNowMs,
+      recordLease: () => {},
+      recordTakeover: () => {}
+    })
+    function dispatchAll (): void {
+      for (const target of targets) {
+        while (node.inFlight.filter(request => request.target === target.target).length < feeding.getSlotLimit(target)) {
+          node.inFlight.push({ target: target.target, endMs: nowMs + 100 + (node.inFlight.length * 397) % (longestDispatchMs - 100) })
+        }
+      }
+    }
+    const node: HarnessNode = {
+      name,
+      paused: false,
+      feeding,
+      inFlight: [],
+      async step () {
+        dispatchAll()
+        record = { ...record, sequence: record.sequence + 1 }
+        view.mergeInstance(record)
+        const sentAtMs = nowMs
+        const written = await platform.writeRows([{ table: TableName.Instances, key: name, value: record }])
+        if (written.isOk()) feeding.recordHeartbeat(sentAtMs)
+        const heard = await platform.listRows(TableName.Instances, '')
+        if (heard.isOk()) heard.value.forEach(row => view.mergeInstance(row.value as InstanceRecord))
+        const index = await readIndex(platform)
+        if (index.isOk()) await feeding.refresh(index.value.index)
+        await feeding.advance()
+        dispatchAll()
+      }
+    }
+    return node
+  }
+
+  harness.nodes = places.map(createNode)
+  return harness
+}
--- a/packages/bilberryd/src/feed.ts
+++ b/packages/bilberryd/src/feed.ts
@@ -46,6 +46,8 @@
 export interface Feed extends AsyncDisposable {
   /** Waits for a slot, or refuses at once what can't be served in time. */
   reserveSlot (feedRequest: FeedRequest): Promise<Result<Slot, Refusal>>
+  /** Returns the slots held at a target. */
+  getBusy (target: string): number
   /** Counts the requests that wait. */
   countQueued (): number
   /** Counts the requests that hold a slot. */
@@ -134,6 +136,7 @@
         drainQueue(request.service)
       })
     },
+    getBusy: ledger.getBusy,
     countQueued: () => [...services.values()].reduce((sum, entry) => sum + entry.queue.count(), 0),
     countInFlight: () => inFlight,
     async [Symbol.asyncDispose] () {
--- /dev/null
+++ b/packages/bilberryd/src/feed_exchange.ts
@@ -0,0 +1,93 @@
+/**
+ * The exchange between feeders: renews holds without the platform and spreads changed rows at once.
+ *
+ * @module
+ */
+import type { PeerClient } from '@bilberryworks/instances'
+import type { FeedRow, InstanceRecord } from '@bilberryworks/steering'
+
+/** Name of the JSON-RPC method. */
+export const feedsMethod = 'feeds.exchange'
+
+const exchangeTimeoutMs = 500
+
+/** What one feeder tells another. */
+export interface FeedsMessage {
+  /** Sender. */
+  instance: string
+  /** Feed rows that the sender knows. */
+  rows: FeedRow[]
+}
+
+/** The answer to it. */
+export interface FeedsReply {
+  /** Whether the answerer will not declare the sender silent for a whole takeover time. */
+  heard: boolean
+  /** Feed rows that are newer than the sender's. */
+  rows: FeedRow[]
+}
+
+/** Options of {@linkcode createFeedExchange}. */
+export interface CreateFeedExchangeOptions {
+  /** Returns the name of this instance. */
+  getInstance: () => string
+  /** Finds the last record of an instance, also where it has not been heard of lately. */
+  findInstance: (instance: string) => InstanceRecord | undefined
+  /** The other instances. */
+  peers: PeerClient
+  /** Returns the monotonic time, in milliseconds. */
+  getNowMs: () => number
+  /** Lists the rows known. */
+  listRows: () => FeedRow[]
+  /** Takes a row over unless a newer one is known. */
+  mergeRow: (row: FeedRow) => void
+  /** Takes note that an instance spoke; returns whether it may count on not being declared silent. */
+  recordHeard: (instance: string) => boolean
+  /** Takes note that an instance has heard of this one, by the time at which it was told. */
+  recordHeardBy: (instance: string, sentAtMs: number) => void
+}
+
+/** The exchange. */
+export interface FeedExchange {
+  /** Exchanges rows with an instance. */
+  exchangeWith (instance: string): Promise<void>
+  /** Tells the instances that a row concerns, so that a hand-over need not wait for their next poll. */
+  spreadRow (row: FeedRow): Promise<void>
+  /** Answers another feeder. */
+  handleExchange (params: unknown): FeedsReply
+}
+
+/**
+ * Creates the exchange of an instance.
+ *
+ * @param options What it reads and calls
+ * @returns The exchange
+ */
+export function createFeedExchange (options: CreateFeedExchangeOptions): FeedExchange {
+  async function exchangeWith (instance: string): Promise<void> {
+    const record = options.findInstance(instance)
+    if (record === undefined) return
+    const sentAtMs = options.getNowMs()
+    const params: FeedsMessage = { instance: options.getInstance(), rows: options.listRows() }
+    const reply = await options.peers.call<FeedsReply>(record.peerAddress, feedsMethod, { params, timeoutMs: exchangeTimeoutMs })
+    if (reply.isErr()) return
+    reply.value.rows.forEach(options.mergeRow)
+    if (reply.value.heard) options.recordHeardBy(instance, sentAtMs)
+  }
+
+  return {
+    exchangeWith,
+    async spreadRow (row) {
+      const names = new Set([...row.assignment.feeders, ...Object.keys(row.parties)])
+      names.delete(options.getInstance())
+      await Promise.all([...names].map(exchangeWith))
+    },
+    handleExchange (params) {
+      const message = params as FeedsMessage
+      const revisions = new Map(message.rows.map(row => [row.failureDomain, row.revision]))
+      const heard = options.recordHeard(message.instance)
+      message.rows.forEach(options.mergeRow)
+      return { heard, rows: options.listRows().filter(row => row.revision > (revisions.get(row.failureDomain) ?? 0)) }
+    }
+  }
+}
--- /dev/null
+++ b/packages/bilberryd/src/feed_store.ts
@@ -0,0 +1,66 @@
+/**
+ * Reads and writes feed rows on the platform.
+ *
+ * @module
+ */
+import type { Platform, PlatformFailure, TableWrite } from '@bilberryworks/platform'
+import type { FeedRow } from '@bilberryworks/steering'
+import type { Result } from 'neverthrow'
+import { TableName, writeWithIndex } from '@bilberryworks/platform'
+
+/** A feed row with its version on the platform. */
+export interface StoredFeedRow {
+  /** Version to compare with; 0 where the row is absent. */
+  version: number
+  /** The row. */
+  row: FeedRow | undefined
+}
+
+/**
+ * Reads a feed row.
+ *
+ * @param platform The platform
+ * @param failureDomain The failure domain
+ * @returns The row with its version
+ */
+export async function readFeedRow (platform: Platform, failureDomain: string): Promise<Result<StoredFeedRow, PlatformFailure>> {
+  const stored = await platform.readRow(TableName.Feeds, failureDomain)
+  return stored.map(found => ({ version: found?.version ?? 0, row: found?.value as FeedRow | undefined }))
+}
+
+/** Conditions of {@linkcode writeFeedRow}. */
+export interface WriteFeedRowOptions {
+  /** Version that the row must have; 0 where it must be absent. */
+  version: number
+  /** Further conditions. */
+  guards: TableWrite[]
+}
+
+/**
+ * Writes a feed row and its revision in the index row, in one transaction.
+ *
+ * @param platform The platform
+ * @param row The row
+ * @param options Conditions
+ * @returns Nothing, or the failure
+ */
+export async function writeFeedRow (platform: Platform, row: FeedRow, options: WriteFeedRowOptions): Promise<Result<void, PlatformFailure>> {
+  const { failureDomain, revision } = row
+  const write = { table: TableName.Feeds, key: failureDomain, ifVersion: options.version, value: row }
+  return writeWithIndex(platform, [write, ...options.guards], index => ({ ...index, feeds: { ...index.feeds, [failureDomain]: revision } }))
+}
+
+/**
+ * Reads all feed rows and checks by a transaction that they are the newest.
+ *
+ * @param platform The platform
+ * @param mergeRow Takes a row over
+ * @returns Whether the rows were the newest when the transaction was carried out
+ */
+export async function confirmFeedRows (platform: Platform, mergeRow: (row: FeedRow) => void): Promise<boolean> {
+  const stored = await platform.listRows(TableName.Feeds, '')
+  if (stored.isErr()) return false
+  stored.value.forEach(row => mergeRow(row.value as FeedRow))
+  const checks = stored.value.map(row => ({ table: TableName.Feeds, key: row.key, ifVersion: row.version, checkOnly: true }))
+  return (await platform.writeRows(checks)).isOk()
+}
--- /dev/null
+++ b/packages/bilberryd/src/feeding_test.ts
@@ -0,0 +1,193 @@
+import type { TableWrite } from '@bilberryworks/platform'
+import type { FeedRow } from '@bilberryworks/steering'
+import test from 'ava'
+import fc from 'fast-check'
+import { TableName } from '@bilberryworks/platform'
+import { LeaseState } from '@bilberryworks/steering'
+import { CallFault, createHarness } from './_feeding_harness.ts'
+
+const seed = Number(process.env['SEED'] ?? 20261203)
+
+async function settle (harness: ReturnType<typeof createHarness>, rounds: number): Promise<void> {
+  for (let round = 0; round < rounds; round++) await harness.advance(500)
+}
+
+const action = fc.oneof(
+  { weight: 6, arbitrary: fc.record({ kind: fc.constant('advance' as const), ms: fc.integer({ min: 50, max: 3_000 }) }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('pause' as const), node: fc.nat(2) }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('resume' as const), node: fc.nat(2) }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('cutPlatform' as const), node: fc.nat(2) }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('healPlatform' as const), node: fc.nat(2) }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('cut' as const), node: fc.nat(2), other: fc.nat(2) }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('heal' as const) }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('restart' as const), node: fc.nat(2) }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('land' as const) }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('faults' as const), pattern: fc.array(fc.constantFrom(...Object.values(CallFault)), { maxLength: 6 }) }) }
+)
+
+test('slots stay within the targets under faults', async t => {
+  await fc.assert(fc.asyncProperty(fc.array(action, { minLength: 10, maxLength: 60 }), async actions => {
+    const harness = createHarness()
+    await settle(harness, 12)
+    let faults: CallFault[] = []
+    harness.chooseFault = () => faults.shift() ?? CallFault.None
+    for (const step of actions) {
+      switch (step.kind) {
+        case 'advance': await harness.advance(step.ms); break
+        case 'pause': harness.nodes[step.node]!.paused = true; break
+        case 'resume': harness.nodes[step.node]!.paused = false; break
+        case 'cutPlatform': harness.noPlatform.add(`n${step.node}`); break
+        case 'healPlatform': harness.noPlatform.delete(`n${step.node}`); break
+        case 'cut': harness.cuts.add(`n${step.node}|n${step.other}`); break
+        case 'heal': harness.cuts.clear(); break
+        case 'restart': harness.restart(step.node); break
+        case 'land': harness.landDelayed(); break
+        case 'faults': faults = [...step.pattern]; break
+      }
+      if (harness.findExcess() > 0) throw new Error(`${harness.findExcess()} slots above the target's`)
+    }
+  }), { seed, numRuns: 400 })
+  t.log(`seed ${seed}`)
+  t.pass()
+})
+
+test('feeds every slot after healing', async t => {
+  await fc.assert(fc.asyncProperty(fc.array(action, { maxLength: 40 }), async actions => {
+    const harness = createHarness()
+    await settle(harness, 12)
+    let faults: CallFault[] = []
+    harness.chooseFault = () => faults.shift() ?? CallFault.None
+    for (const step of actions) {
+      if (step.kind === 'advance') await harness.advance(step.ms)
+      else if (step.kind === 'pause') harness.nodes[step.node]!.paused = true
+      else if (step.kind === 'cutPlatform') harness.noPlatform.add(`n${step.node}`)
+      else if (step.kind === 'restart') harness.restart(step.node)
+      else if (step.kind === 'faults') faults = [...step.pattern]
+    }
+    harness.nodes.forEach(node => { node.paused = false })
+    harness.noPlatform.clear()
+    harness.landDelayed()
+    faults = []
+    await settle(harness, 120)
+    for (const target of harness.targets) {
+      if (harness.sumLimits(target) !== target.slots) throw new Error(`${target.target} is fed ${harness.sumLimits(target)} of ${target.slots} slots`)
+    }
+  }), { seed, numRuns: 100 })
+  t.log(`seed ${seed}`)
+  t.pass()
+})
+
+test('keeps feeding whole through a platform outage', async t => {
+  const harness = createHarness()
+  await settle(harness, 12)
+  harness.nodes.forEach(node => harness.noPlatform.add(node.name))
+  await settle(harness, 200)
+  t.true(harness.targets.every(target => harness.sumLimits(target) === target.slots))
+})
+
+test('a domain cut off from all keeps the larger half', async t => {
+  const harness = createHarness()
+  await settle(harness, 12)
+  harness.noPlatform.add('n2')
+  harness.cuts.add('n0|n2').add('n1|n2')
+  await settle(harness, 100)
+  t.is(harness.nodes[2]!.feeding.getLeaseState(), LeaseState.CutOff)
+  for (const target of harness.targets.filter(other => other.failureDomain === 'd1')) {
+    t.is(harness.nodes[2]!.feeding.getSlotLimit(target), Math.ceil(target.slots / 2))
+    t.is(harness.sumLimits(target), target.slots)
+  }
+})
+
+test('a paused feeder sends nothing when it wakes', async t => {
+  const harness = createHarness()
+  await settle(harness, 12)
+  harness.nodes[2]!.paused = true
+  await settle(harness, 100)
+  harness.nodes[2]!.paused = false
+  t.true(harness.targets.every(target => harness.nodes[2]!.feeding.getSlotLimit(target) === 0))
+  await settle(harness, 20)
+  t.true(harness.targets.every(target => harness.sumLimits(target) === target.slots))
+})
+
+test('hands over before a release', async t => {
+  const harness = createHarness()
+  await settle(harness, 12)
+  await harness.nodes[0]!.feeding.release()
+  t.true(harness.targets.every(target => harness.nodes[0]!.feeding.getSlotLimit(target) === 0))
+  await settle(harness, 10)
+  t.true(harness.targets.every(target => harness.sumLimits(target) === target.slots))
+})
+
+const cutTwo = ['n0|n2', 'n1|n2']
+
+function isTakeover (writes: TableWrite[]): boolean {
+  const rows = writes.filter(write => write.table === TableName.Feeds && write.value !== undefined).map(write => write.value as FeedRow)
+  return rows.some(row => Object.values(row.parties).some(party => party.silent))
+}
+
+/** Cuts n2 off and delays the write by which another instance declares it silent. */
+async function createDelayedTakeover (): Promise<ReturnType<typeof createHarness>> {
+  const harness = createHarness()
+  await settle(harness, 12)
+  harness.noPlatform.add('n2')
+  cutTwo.forEach(cut => harness.cuts.add(cut))
+  const delayed: TableWrite[][] = []
+  harness.chooseFault = writes => {
+    if (!isTakeover(writes)) return CallFault.None
+    delayed.push(writes)
+    return CallFault.Delayed
+  }
+  for (let round = 0; delayed.length === 0 && round < 100; round++) await harness.advance(500)
+  return harness
+}
+
+function isWithinSlots (harness: ReturnType<typeof createHarness>): boolean {
+  return harness.targets.every(target => harness.sumLimits(target) <= target.slots)
+}
+
+test('a takeover that lands late fails after a heartbeat', async t => {
+  const harness = await createDelayedTakeover()
+  harness.noPlatform.clear()
+  harness.chooseFault = writes => writes.some(write => write.table === TableName.Feeds && write.value !== undefined) ? CallFault.Refused : CallFault.None
+  harness.nodes[0]!.paused = harness.nodes[1]!.paused = true
+  await harness.advance(100)
+  await harness.advance(100)
+  t.is(harness.nodes[2]!.feeding.getLeaseState(), LeaseState.Valid)
+  harness.landDelayed()
+  harness.nodes.forEach(node => { node.paused = node.name === 'n2' })
+  await harness.advance(100)
+  t.true(isWithinSlots(harness))
+})
+
+test('whoever is taking over vouches for nobody', async t => {
+  const harness = await createDelayedTakeover()
+  harness.cuts.clear()
+  harness.nodes[0]!.paused = harness.nodes[1]!.paused = false
+  const reply = harness.nodes.slice(0, 2).map(node => node.feeding.handleExchange({ instance: 'n2', rows: [] }).heard)
+  t.true(reply.includes(false))
+})
+
+test('a release whose answer is lost stops dispatch at once', async t => {
+  const harness = createHarness()
+  await settle(harness, 12)
+  harness.nodes[0]!.inFlight = []
+  harness.chooseFault = () => CallFault.AnswerLost
+  await harness.nodes[0]!.feeding.release()
+  harness.chooseFault = () => CallFault.None
+  harness.nodes[0]!.paused = true
+  await harness.advance(100)
+  t.true(isWithinSlots(harness))
+})
+
+test('a change that never lands is fenced off', async t => {
+  const harness = createHarness()
+  await settle(harness, 12)
+  harness.chooseFault = () => CallFault.Delayed
+  await harness.nodes[0]!.feeding.release()
+  harness.chooseFault = () => CallFault.None
+  await settle(harness, 10)
+  t.true(harness.targets.every(target => harness.sumLimits(target) === target.slots))
+  harness.landDelayed()
+  await settle(harness, 10)
+  t.true(harness.targets.every(target => harness.sumLimits(target) === target.slots))
+})
--- a/packages/bilberryd/src/route.ts
+++ b/packages/bilberryd/src/route.ts
@@ -10,18 +10,23 @@
 import type { FeedRequest } from './feed.ts'
 import type { RegionChooser } from './regions.ts'
 import type { View } from './view.ts'
-import { chooseClassRule, chooseFeeder, createNotRun, MachineState, rankByRendezvous, RefusalReason, RetryReason as RetryReasons } from '@bilberryworks/steering'
+import { chooseClassRule, chooseOwner, createNotRun, MachineState, Outcome, rankByRendezvous, RefusalReason, RetryReason as RetryReasons } from '@bilberryworks/steering'
 import { err, ok } from 'neverthrow'
 
 const retryAfterMs = 1_000
 const hopReserveMs = 5
 
+/** Refusals of one feeder after which another one may do better. */
+const mayAskAnother = new Set([RefusalReason.NoUsableTarget, RefusalReason.LeaseLapsed, RefusalReason.Stopping])
+
 /** Options of {@linkcode createRouter}. */
 export interface CreateRouterOptions {
   /** Name of this instance. */
   instance: string
   /** What this instance knows. */
   view: View
+  /** Lists the feeders of a failure domain. */
+  listFeeders: (failureDomain: string) => string[]
   /** Sends a request to a target that this instance feeds. */
   dispatch: Dispatch
   /** Chooses the region of a caller. */
@@ -45,11 +50,13 @@
 export function createRouter (options: CreateRouterOptions): HandleRequest {
   const { view, dispatch, regions, peers } = options
 
-  /** Lists the instances that feed targets of a service in a region, best first for the caller. */
-  function listFeeders (request: ServiceRequest, region: string): InstanceRecord[] {
+  /** Ranks the instances that feed targets of a service in a region, best first for the caller. */
+  function rankFeeders (request: ServiceRequest, region: string): InstanceRecord[] {
     const feeders = new Map<string, { record: InstanceRecord, slots: number }>()
+    const records = new Map(view.listInstances().map(record => [record.instance, record]))
     for (const target of listUsableTargets(view, request.service)) {
-      const record = target.region === region ? chooseFeeder(target, view.listInstances()) : undefined
+      const owner = target.region === region ? chooseOwner(target.target, options.listFeeders(target.failureDomain)) : undefined
+      const record = records.get(owner ?? '')
       if (record === undefined) continue
       const entry = feeders.get(record.instance) ?? { record, slots: 0 }
       entry.slots += target.slots
@@ -67,9 +74,14 @@
       const result = await peers.forward(candidate, request, deadlineAtMs - options.getNowMs() - hopReserveMs)
       if (result.isOk()) return ok(result.value)
       refusal = result.error.refusal
-      if (!result.error.unsent) return err(refusal)
-      view.dropInstance(candidate.instance)
-      options.countRetry(RetryReasons.PeerUnreachable)
+      if (result.error.unsent) {
+        view.dropInstance(candidate.instance)
+        options.countRetry(RetryReasons.PeerUnreachable)
+      } else if (refusal.outcome === Outcome.NotRun && mayAskAnother.has(refusal.reason) && !request.body.readableDidRead) {
+        options.countRetry(RetryReasons.PeerRefused)
+      } else {
+        return err(refusal)
+      }
     }
     return err(refusal)
   }
@@ -87,7 +99,7 @@
     if (request.hops > 0) return dispatch(feedRequest)
     const region = regions.chooseRegion(request.service, request.callerKey)
     if (region.isErr()) return err(region.error)
-    return forwardToFeeder(feedRequest, listFeeders(request, region.value))
+    return forwardToFeeder(feedRequest, rankFeeders(request, region.value))
   }
 }
 
--- a/packages/bilberryd/src/run_instance.ts
+++ b/packages/bilberryd/src/run_instance.ts
@@ -3,22 +3,23 @@
  *
  * @module
  */
-import type { InstanceRecord } from '@bilberryworks/steering'
 import type Logger from 'bunyan'
 import type { Settings } from './settings.ts'
 import type { Feed } from './feed.ts'
-import { randomUUID } from 'node:crypto'
 import { createServiceHandler } from '@bilberryworks/callers'
 import { createHttpPeers, createPeerHandler } from '@bilberryworks/instances'
 import { createOperatorsService } from '@bilberryworks/operators'
 import { createHttpPlatform } from '@bilberryworks/platform'
-import { chooseFeeder, MachineState } from '@bilberryworks/steering'
 import { createHttpTargets } from '@bilberryworks/targets'
 import moleculer from 'moleculer'
 import { createCallersService } from './callers_service.ts'
 import { createDispatcher } from './dispatch.ts'
 import { createFeed } from './feed.ts'
 import { createCallersGateway, createOperatorsGateway } from './gateways.ts'
+import { feedsMethod } from './feed_exchange.ts'
+import { createFeeding } from './feeding.ts'
+import { startLoop } from './loop.ts'
+import { createIdentity } from './identity.ts'
 import { createMetrics } from './metrics.ts'
 import { openListener } from './open_listener.ts'
 import { createRegionChooser } from './regions.ts'
@@ -51,10 +52,7 @@
   const targets = createHttpTargets(local)
   const peers = createHttpPeers({ key: settings.peerKeys[0]!, ...local })
   const view = createView({ instanceTimeoutMs: settings.heartbeatMs * heartbeatsMissed, getNowMs })
-  let state = MachineState.Live
-  let sequence = 0
-  const incarnation = randomUUID()
-  const addresses = { callers: '', operators: '', peers: '' }
+  const identity = createIdentity(settings)
 
   const metrics = createMetrics({
     countQueued: () => feed.countQueued(),
@@ -63,14 +61,16 @@
     getRevisions: view.getRevisions
   })
   const feed: Feed = createFeed({
-    listFedTargets: service => listUsableTargets(view, service).filter(target => chooseFeeder(target, view.listInstances())?.instance === settings.instance),
+    listFedTargets: service => listUsableTargets(view, service).flatMap(target => {
+      const slots = feeding.getSlotLimit(target)
+      return slots > 0 ? [{ ...target, slots }] : []
+    }),
     getNowMs
   })
   const dispatch = createDispatcher({ feed, targets, markTargetLeaving: view.markTargetLeaving, countRetry: metrics.countRetry, getNowMs })
   const regions = createRegionChooser({ view, getNowMs })
-  const isReady = (): boolean => state === MachineState.Live && sync.isReady()
-  const handleRequest = createRouter({ instance: settings.instance, view, dispatch, regions, peers, isReady: () => sync.isReady(), countRetry: metrics.countRetry, getNowMs })
-  const isStopping = (): boolean => state === MachineState.Leaving
+  const isReady = (): boolean => !identity.isLeaving() && sync.isReady()
+  const handleRequest = createRouter({ instance: settings.instance, view, listFeeders: failureDomain => feeding.listFeeders(failureDomain), dispatch, regions, peers, isReady: () => sync.isReady(), countRetry: metrics.countRetry, getNowMs })
   const broker = new moleculer.ServiceBroker({ nodeID: settings.instance, logger: false, skipProcessEventRegistration: true })
   broker.createService(createCallersService({ view, regions, region: settings.region, ttlSeconds: settings.lookUpTtlSeconds, countLookUp: metrics.countLookUp }))
   broker.createService(createOperatorsService({
@@ -78,15 +78,15 @@
     listDocuments: view.listDocuments,
     mergeDocument: view.mergeDocument,
     getWallClockMs: () => Date.now(),
-    createStatus: () => ({ instance: settings.instance, incarnation, state, ready: isReady(), platformAgeMs: Math.round(sync.getPlatformAgeMs()), revisions: view.getRevisions(), instances: view.listInstances() })
+    createStatus: () => ({ ...identity.getRecord(), ready: isReady(), platformAgeMs: Math.round(sync.getPlatformAgeMs()), revisions: view.getRevisions(), instances: view.listInstances() })
   }))
   const lookUp = createCallersGateway(broker)
-  const serve = createServiceHandler({ fromPeer: false, handleRequest, recordEnd: metrics.recordEnd, isStopping })
+  const serve = createServiceHandler({ fromPeer: false, handleRequest, recordEnd: metrics.recordEnd, isStopping: identity.isLeaving })
   const serveForwarded = createServiceHandler({ fromPeer: true, handleRequest, recordEnd: metrics.recordEnd, isStopping: () => false })
   const operators = createOperatorsGateway(broker, { tokens: () => settings.tokens, countUnauthenticated: () => metrics.countUnauthenticated('operators'), registry: metrics.registry, isReady })
   const peerHandler = createPeerHandler({
     keys: settings.peerKeys,
-    methods: { exchange: params => sync.handleExchange(params) },
+    methods: { exchange: params => sync.handleExchange(params), [feedsMethod]: params => feeding.handleExchange(params) },
     handleForward: serveForwarded,
     countUnauthenticated: () => metrics.countUnauthenticated('peers')
   })
@@ -96,39 +96,49 @@
     await openListener(operators, settings.listen.operators),
     await openListener(peerHandler, settings.listen.peers)
   ]
-  addresses.callers = settings.advertise?.callers ?? listeners[0]!.address
-  addresses.operators = listeners[1]!.address
-  addresses.peers = settings.advertise?.peers ?? listeners[2]!.address
-
-  function createAnnouncement (): InstanceRecord {
-    return {
-      instance: settings.instance,
-      incarnation,
-      failureDomain: settings.failureDomain,
-      region: settings.region,
-      callerAddress: addresses.callers,
-      peerAddress: addresses.peers,
-      state,
-      sequence: ++sequence,
-      pinEpoch: 0
-    }
+  const [callersListener, operatorsListener, peersListener] = listeners
+  const addresses = {
+    callers: settings.advertise?.callers ?? callersListener!.address,
+    operators: operatorsListener!.address,
+    peers: settings.advertise?.peers ?? peersListener!.address
   }
+  identity.updateAddresses(addresses)
+
+  const feeding = createFeeding({
+    leaseMs: settings.heartbeatMs * heartbeatsMissed,
+    longestDispatchMs: settings.longestDispatchMs,
+    platform,
+    peers,
+    getSelf: identity.getRecord,
+    listInstances: view.listInstances,
+    findInstance: view.findInstance,
+    getSilenceMs: view.getSilenceMs,
+    listTargets: view.listAllTargets,
+    getBusy: target => feed.getBusy(target),
+    getNowMs,
+    recordLease: lease => log.info({ lease }, 'Hold on targets changed'),
+    recordTakeover: (instance, failureDomain) => log.warn({ silent: instance, failureDomain }, 'Instance was declared silent')
+  })
+  const feedLoop = startLoop(feeding.advance, { intervalMs: settings.pollMs, getRandom: Math.random })
   const sync = createSync({
     view,
     platform,
     peers,
-    createAnnouncement,
+    createAnnouncement: identity.createAnnouncement,
     seedPeers: settings.seedPeers,
     pollMs: settings.pollMs,
     heartbeatMs: settings.heartbeatMs,
     getRandom: Math.random,
     getNowMs,
+    recordHeartbeat: feeding.recordHeartbeat,
+    recordMachines: feeding.recordMachines,
+    refreshFeeds: feeding.refresh,
     recordPlatform: reachable => log.info({ reachable }, reachable ? 'Platform answers' : 'Platform does not answer')
   })
-  log.info({ addresses, incarnation }, 'Instance started')
+  log.info({ addresses, incarnation: identity.getRecord().incarnation }, 'Instance started')
 
   const dispose = async (): Promise<void> => {
-    await sync[Symbol.asyncDispose]()
+    await Promise.all([sync, feedLoop].map(loop => loop[Symbol.asyncDispose]()))
     await Promise.all(listeners.map(listener => listener[Symbol.asyncDispose]()))
     await broker.stop()
     await feed[Symbol.asyncDispose]()
@@ -137,10 +147,11 @@
   return {
     addresses,
     async stop () {
-      state = MachineState.Leaving
+      identity.markLeaving()
       log.info('Instance is leaving')
       await sync.announce()
       await waitMs(settings.lookUpTtlSeconds * 1000 + leavingMarginMs)
+      await feeding.release()
       const drained = Promise.all(listeners.map(listener => listener.drain()))
       await Promise.race([drained, waitMs(settings.stopLimitMs)])
       metrics.countCutOff(feed.countInFlight())
--- a/packages/bilberryd/src/sync.ts
+++ b/packages/bilberryd/src/sync.ts
@@ -4,13 +4,12 @@
  * @module
  */
 import type { PeerClient, PeerMethod } from '@bilberryworks/instances'
-import type { Platform } from '@bilberryworks/platform'
+import type { IndexRow, MachineList, Platform } from '@bilberryworks/platform'
 import type { AcceptedDocument, InstanceRecord, TargetRecord } from '@bilberryworks/steering'
 import type { View } from './view.ts'
-import { setTimeout } from 'node:timers/promises'
 import { readIndex, TableName } from '@bilberryworks/platform'
+import { startLoop } from './loop.ts'
 
-const jitterShare = 0.2
 const peersPerRound = 2
 
 /** What one instance tells another in an exchange. */
@@ -49,6 +48,12 @@
   getRandom: () => number
   /** Returns the monotonic time, in milliseconds. */
   getNowMs: () => number
+  /** Called with the time at which a heartbeat was sent that the platform acknowledged. */
+  recordHeartbeat: (sentAtMs: number) => void
+  /** Called with each list of machines. */
+  recordMachines: (list: MachineList) => void
+  /** Called with each index row, to fetch the feed rows that changed. */
+  refreshFeeds: (index: IndexRow) => Promise<void>
   /** Called when the platform starts or stops answering. */
   recordPlatform: (reachable: boolean) => void
 }
@@ -75,23 +80,15 @@
  */
 export function createSync (options: CreateSyncOptions): Sync {
   const { view, platform, peers } = options
-  const stopped = new AbortController()
   let ready = false
   let reachable = false
   let lastPlatformMs = options.getNowMs()
   const loops = [
-    runLoop(pollPlatform, options.pollMs),
-    runLoop(askPeers, options.pollMs),
-    runLoop(announce, options.heartbeatMs)
+    startLoop(pollPlatform, { intervalMs: options.pollMs, getRandom: options.getRandom }),
+    startLoop(askPeers, { intervalMs: options.pollMs, getRandom: options.getRandom }),
+    startLoop(announce, { intervalMs: options.heartbeatMs, getRandom: options.getRandom })
   ]
 
-  async function runLoop (step: () => Promise<void>, intervalMs: number): Promise<void> {
-    while (!stopped.signal.aborted) {
-      await step()
-      await waitFor(intervalMs * (1 - jitterShare * options.getRandom()), stopped.signal)
-    }
-  }
-
   function recordPlatform (answered: boolean): void {
     if (answered) lastPlatformMs = options.getNowMs()
     if (answered !== reachable) options.recordPlatform(answered)
@@ -103,6 +100,7 @@
     recordPlatform(index.isOk())
     if (index.isErr()) return
     const { revisions } = index.value.index
+    await options.refreshFeeds(index.value.index)
     const known = view.getRevisions()
     for (const [service, revision] of Object.entries(revisions)) {
       if (revision <= (known[service] ?? 0)) continue
@@ -111,7 +109,10 @@
       if (row.value !== undefined) view.mergeDocument(row.value.value as AcceptedDocument)
     }
     const machines = await platform.listMachines()
-    if (machines.isOk()) view.mergeMachines(machines.value)
+    if (machines.isOk()) {
+      view.mergeMachines(machines.value)
+      options.recordMachines(machines.value)
+    }
     const rows = await platform.listRows(TableName.Instances, '')
     if (rows.isOk()) rows.value.forEach(row => view.mergeInstance(row.value as InstanceRecord))
     ready ||= machines.isOk()
@@ -141,7 +142,9 @@
   async function announce (): Promise<void> {
     const record = options.createAnnouncement()
     view.mergeInstance(record)
-    await platform.writeRows([{ table: TableName.Instances, key: record.instance, value: record }])
+    const sentAtMs = options.getNowMs()
+    const written = await platform.writeRows([{ table: TableName.Instances, key: record.instance, value: record }])
+    if (written.isOk()) options.recordHeartbeat(sentAtMs)
   }
 
   return {
@@ -158,12 +161,7 @@
       return { revisions: view.getRevisions(), instances: view.listInstances(), documents, targets: view.listAllTargets() }
     },
     async [Symbol.asyncDispose] () {
-      stopped.abort()
-      await Promise.all(loops)
+      await Promise.all(loops.map(loop => loop[Symbol.asyncDispose]()))
     }
   }
 }
-
-async function waitFor (ms: number, signal: AbortSignal): Promise<void> {
-  await setTimeout(ms, undefined, { signal }).catch(() => {})
-}
--- a/packages/bilberryd/src/view.ts
+++ b/packages/bilberryd/src/view.ts
@@ -37,6 +37,10 @@
   mergeMachines (list: MachineList): void
   /** Marks an instance as not reachable until it is heard of again. */
   dropInstance (instance: string): void
+  /** Finds the last record of an instance, also where it has not been heard of lately. */
+  findInstance (instance: string): InstanceRecord | undefined
+  /** Returns the time since an instance was last heard of, in milliseconds; infinite where it never was. */
+  getSilenceMs (instance: string): number
   /** Lists the instances heard of lately. */
   listInstances (): InstanceRecord[]
   /** Lists the targets of a service, leaving ones among them. */
@@ -88,6 +92,8 @@
       const known = instances.get(instance)
       if (known !== undefined) known.heardAtMs = -Infinity
     },
+    findInstance: instance => instances.get(instance)?.record,
+    getSilenceMs: instance => options.getNowMs() - (instances.get(instance)?.heardAtMs ?? -Infinity),
     listInstances () {
       const oldest = options.getNowMs() - options.instanceTimeoutMs
       return [...instances.values()].filter(heard => heard.heardAtMs >= oldest).map(heard => heard.record)
--- a/packages/platform/src/platform.ts
+++ b/packages/platform/src/platform.ts
@@ -46,6 +46,8 @@
   ifVersion?: number
   /** New value; absent to delete the row. */
   value?: unknown
+  /** Whether only the condition is checked and the row is left as it is. */
+  checkOnly?: boolean
 }
 
 /** The platform's list of machines, which lags. */
--- a/packages/standins/src/cluster.ts
+++ b/packages/standins/src/cluster.ts
@@ -184,6 +184,7 @@
       lookUpTtlSeconds: 2,
       pollMs: 500,
       heartbeatMs: 1_000,
+      longestDispatchMs: 5_000,
       stopLimitMs: 60_000
     }
   })
--- a/packages/standins/src/platform_standin.ts
+++ b/packages/standins/src/platform_standin.ts
@@ -75,6 +75,7 @@
     const conflicts = writes.filter(write => write.ifVersion !== undefined && (getTable(write.table).get(write.key)?.version ?? 0) !== write.ifVersion)
     if (conflicts.length > 0) return { status: 409, body: { conflicts: conflicts.map(({ table, key }) => ({ table, key })) } }
     for (const write of writes) {
+      if (write.checkOnly === true) continue
       if (write.value === undefined) getTable(write.table).delete(write.key)
       else getTable(write.table).set(write.key, { key: write.key, version: nextVersion++, value: write.value })
     }
