--- a/packages/standins/src/bench_capacity_look_up.ts
+++ b/packages/standins/src/bench_capacity_look_up.ts
@@ -124,7 +124,8 @@
     lookUpTtlSeconds: 30,
     pollMs: 5_000,
     heartbeatMs: 60_000,
-    stopLimitMs: 1_000
+    stopLimitMs: 1_000,
+    longestDispatchMs: 10_000
   }
 }
 
