Let the view keep shift rows and the regions chooser follow them

Cause: the weights in force are a row of the platform, and nothing read it. Change: the view keeps the row of the highest step, the poll fetches rows that the index names, and the chooser walks to their weights; document weights stand in while no row exists. Ruled out: a second walk inside the view. Conclusion: rows are read; nothing writes them yet.

--- a/packages/bilberryd/src/regions.ts
+++ b/packages/bilberryd/src/regions.ts
@@ -39,7 +39,7 @@
   function getWeights (service: string): RegionWeights {
     const document = options.view.getDocument(service)?.document
     if (document === undefined) return {}
-    const desired = computeShares(document.regionWeights)
+    const desired = options.view.getShift(service)?.weights ?? computeShares(document.regionWeights)
     const limits = { cap: document.shiftCap, stepMs: document.shiftStepMs, nowMs: options.getNowMs() }
     const walk = walkWeights(walks.get(service) ?? { applied: desired, moves: [] }, desired, limits)
     walks.set(service, walk)
--- a/packages/bilberryd/src/sync.ts
+++ b/packages/bilberryd/src/sync.ts
@@ -5,7 +5,7 @@
  */
 import type { PeerClient, PeerMethod } from '@bilberryworks/instances'
 import type { Platform } from '@bilberryworks/platform'
-import type { AcceptedDocument, InstanceRecord, TargetRecord } from '@bilberryworks/steering'
+import type { AcceptedDocument, InstanceRecord, ShiftRow, TargetRecord } from '@bilberryworks/steering'
 import type { View } from './view.ts'
 import { setTimeout } from 'node:timers/promises'
 import { readIndex, TableName } from '@bilberryworks/platform'
@@ -110,6 +110,12 @@
       if (row.isErr()) return
       if (row.value !== undefined) view.mergeDocument(row.value.value as AcceptedDocument)
     }
+    for (const [service, step] of Object.entries(index.value.index.shifts)) {
+      if (step <= (view.getShift(service)?.step ?? 0)) continue
+      const row = await platform.readRow(TableName.Shifts, service)
+      if (row.isErr()) return
+      if (row.value !== undefined) view.mergeShift(row.value.value as ShiftRow)
+    }
     const machines = await platform.listMachines()
     if (machines.isOk()) view.mergeMachines(machines.value)
     const rows = await platform.listRows(TableName.Instances, '')
--- a/packages/bilberryd/src/view.ts
+++ b/packages/bilberryd/src/view.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { MachineList } from '@bilberryworks/platform'
-import type { AcceptedDocument, InstanceRecord, TargetRecord } from '@bilberryworks/steering'
+import type { AcceptedDocument, InstanceRecord, ShiftRow, TargetRecord } from '@bilberryworks/steering'
 import { MachineState } from '@bilberryworks/steering'
 
 /** An instance with the time at which it was last heard of. */
@@ -31,6 +31,12 @@
   getRevisions (): Record<string, number>
   /** Takes a document over unless a newer one is in force; returns whether it was taken. */
   mergeDocument (accepted: AcceptedDocument): boolean
+  /** Returns the newest shift row known for a service, whose weights are in force. */
+  getShift (service: string): ShiftRow | undefined
+  /** Lists the newest shift rows known. */
+  listShifts (): ShiftRow[]
+  /** Takes a shift row over unless one of the same or a later step is known; returns whether it was taken. */
+  mergeShift (row: ShiftRow): boolean
   /** Takes an instance's announcement over unless a newer one is known. */
   mergeInstance (record: InstanceRecord): boolean
   /** Takes the platform's list of machines over. */
@@ -55,6 +61,7 @@
  */
 export function createView (options: CreateViewOptions): View {
   const documents = new Map<string, AcceptedDocument>()
+  const shifts = new Map<string, ShiftRow>()
   const instances = new Map<string, HeardInstance>()
   const targets = new Map<string, TargetRecord>()
   const selfLeaving = new Set<string>()
@@ -74,6 +81,13 @@
       documents.set(service, accepted)
       return true
     },
+    getShift: service => shifts.get(service),
+    listShifts: () => [...shifts.values()],
+    mergeShift (row) {
+      if (row.step <= (shifts.get(row.service)?.step ?? 0)) return false
+      shifts.set(row.service, row)
+      return true
+    },
     mergeInstance (record) {
       const known = instances.get(record.instance)
       if (known !== undefined && known.record.incarnation === record.incarnation && record.sequence <= known.record.sequence) return false
