Accept documents by checked, owned and fenced submissions

Cause: submissions were neither checked nor fenced against every lost answer, a repeat whose fence landed late looped until 'too many documents', and ownership was read from the local view, which may lack the document. Ruled out: a fence on each refusal (a write for each 422); an owner change by one team alone, which would give a service away unseen. Change: schema and findings by JSON pointer, difference and winner's revision in a 412, ownership checked against the table row, hand-over by consent of both teams, history, first shift row written with the first document, and a platform in memory with faults. Conclusion: a repeat never makes a second revision under any fault of the table.

--- a/packages/bilberryd/src/gateways.ts
+++ b/packages/bilberryd/src/gateways.ts
@@ -10,7 +10,7 @@
 import { findToken } from '@bilberryworks/operators'
 import moleculerWeb from 'moleculer-web'
 
-type GatewayRequest = IncomingMessage & { $ctx: { meta: Record<string, unknown> } }
+type GatewayRequest = IncomingMessage & { $ctx: { meta: Record<string, unknown> }, body?: unknown }
 
 /** A moleculer-web service that has no listener of its own. */
 interface Gateway {
@@ -76,10 +76,13 @@
           'GET documents': 'operators.listDocuments',
           'GET documents/:service': 'operators.getDocument',
           'PUT documents/:service': 'operators.putDocument',
-          'GET status': 'operators.getStatus'
+          'GET documents/:service/history': 'operators.getHistory',
+          'GET status': 'operators.getStatus',
+          'GET status/:service': 'operators.getServiceStatus'
         },
         onBeforeCall (ctx: { meta: Record<string, unknown> }, _route: unknown, request: GatewayRequest) {
           ctx.meta['token'] = findToken(request.headers.authorization, options.tokens())
+          ctx.meta['body'] = request.body
           ctx.meta['ifMatch'] = request.headers['if-match']
           ctx.meta['ifNoneMatch'] = request.headers['if-none-match']
           // moleculer-web would answer a PUT with `If-None-Match: *` by 304.
--- a/packages/operators/src/mod.ts
+++ b/packages/operators/src/mod.ts
@@ -8,5 +8,6 @@
  * @module
  */
 export * from './operators_service.ts'
+export * from './read_history.ts'
 export * from './submit_document.ts'
 export * from './tokens.ts'
--- a/packages/operators/src/submit_document.ts
+++ b/packages/operators/src/submit_document.ts
@@ -4,9 +4,10 @@
  * @module
  */
 import type { Platform, PlatformFailure } from '@bilberryworks/platform'
-import type { AcceptedDocument, ServiceDocument } from '@bilberryworks/steering'
+import type { AcceptedDocument, Difference, DocumentFinding, ServiceDocument } from '@bilberryworks/steering'
 import type { Result } from 'neverthrow'
 import { PlatformFailureKind, TableName, writeWithIndex } from '@bilberryworks/platform'
+import { checkDocumentAccess, createShiftRow, diffDocuments, DocumentAccess } from '@bilberryworks/steering'
 import { err, ok } from 'neverthrow'
 
 const maxRaces = 5
@@ -33,6 +34,10 @@
 export enum SubmissionFailureKind {
   /** Another edit came first. */
   RevisionConflict = 'revision_conflict',
+  /** The service belongs to another team. */
+  OtherTeam = 'other_team',
+  /** The document is at fault. */
+  Findings = 'findings',
   /** Nothing was written, and nothing will be. */
   NotRun = 'not_run',
   /** It can't yet be told. */
@@ -47,11 +52,15 @@
   detail: string
   /** The document in force, where another edit came first. */
   current?: AcceptedDocument
+  /** What the submitted document changes against the one in force, where another edit came first. */
+  difference?: Difference[]
+  /** What is wrong with the document. */
+  findings?: DocumentFinding[]
 }
 
 /** A document that an operator submits. */
 export interface Submission {
-  /** The document, checked. */
+  /** The document, checked against its schema. */
   document: ServiceDocument
   /** Revision that the operator edited; 0 for a new document. */
   baseRevision: number
@@ -59,10 +68,18 @@
   submissionId: string
   /** Name of the token. */
   author: string
+  /** Team of the token. */
+  team: string
   /** Wall-clock time, in milliseconds since the epoch. */
   nowMs: number
+  /** Whether an earlier call with this identifier is known of which it can't be told what became of it. */
+  isRepeat: boolean
+  /** Checks the document against the one that it replaces, as read from the platform. */
+  checkChange: (current: ServiceDocument | undefined) => DocumentFinding[]
 }
 
+type Attempt = Result<AcceptedDocument | undefined, SubmissionFailure>
+
 /**
  * Submits a document.
  *
@@ -74,52 +91,92 @@
  */
 export async function submitDocument (platform: Platform, submission: Submission): Promise<Result<AcceptedDocument, SubmissionFailure>> {
   const earlier = await readSubmission(platform, submission)
-  if (earlier.isErr()) return fail(SubmissionFailureKind.NotRun, `Platform can't be asked: ${earlier.error.detail}`)
+  if (earlier.isErr()) return failUnwritten(submission, `Platform can't be asked: ${earlier.error.detail}`)
   if (earlier.value !== undefined) return describeSubmission(platform, earlier.value, submission)
+  let submissionTaken = false
   for (let race = 0; race < maxRaces; race++) {
-    const attempt = await writeDocument(platform, submission)
-    if (attempt.isErr() || attempt.value !== undefined) return attempt as Result<AcceptedDocument, SubmissionFailure>
+    const attempt = await writeDocument(platform, submission, { noteTaken: () => { submissionTaken = true } })
+    if (attempt.isErr()) return err(attempt.error)
+    if (attempt.value !== undefined) return ok(attempt.value)
   }
-  return fail(SubmissionFailureKind.NotRun, 'Too many documents are being submitted at once')
+  return submissionTaken
+    ? fail(SubmissionFailureKind.Unknown, 'Submission was taken, but what became of it can\'t be read now; repeat with the same Submission-Id')
+    : fail(SubmissionFailureKind.NotRun, 'Too many documents are being submitted at once')
 }
 
-/** Tries once; resolves to `undefined` where another edit came between. */
-async function writeDocument (platform: Platform, submission: Submission): Promise<Result<AcceptedDocument | undefined, SubmissionFailure>> {
+/** Tries once; resolves to `undefined` where another write came between. */
+async function writeDocument (platform: Platform, submission: Submission, { noteTaken }: { noteTaken: () => void }): Promise<Attempt> {
   const { service } = submission.document
   const row = await platform.readRow(TableName.Documents, service)
-  if (row.isErr()) return fail(SubmissionFailureKind.NotRun, row.error.detail)
+  if (row.isErr()) return failUnwritten(submission, row.error.detail)
   const current = row.value?.value as AcceptedDocument | undefined
-  const currentRevision = current?.revision ?? 0
-  if (currentRevision !== submission.baseRevision) {
-    const conflict: SubmissionFailure = { kind: SubmissionFailureKind.RevisionConflict, detail: `Revision is ${currentRevision}, not ${submission.baseRevision}` }
-    if (current !== undefined) conflict.current = current
-    const settled = await readSubmission(platform, submission)
-    return settled.isOk() && settled.value !== undefined ? describeSubmission(platform, settled.value, submission) : err(conflict)
-  }
-  const revision = currentRevision + 1
+  const refused = checkSubmission(submission, current)
+  if (refused !== undefined) return settleRefusal(platform, submission, refused)
   const accepted: AcceptedDocument = {
-    revision, document: submission.document, acceptedAtMs: submission.nowMs, author: submission.author, submissionId: submission.submissionId
+    revision: submission.baseRevision + 1, document: submission.document, acceptedAtMs: submission.nowMs, author: submission.author, submissionId: submission.submissionId
   }
-  const remembered: SubmissionRow = { state: SubmissionState.Accepted, service, revision }
-  const written = await writeWithIndex(platform, [
-    { table: TableName.Documents, key: service, ifVersion: row.value?.version ?? 0, value: accepted },
-    { table: TableName.Submissions, key: submission.submissionId, ifVersion: 0, value: remembered },
-    { table: TableName.History, key: formatHistoryKey(service, revision), ifVersion: 0, value: accepted }
-  ], index => ({ ...index, revisions: { ...index.revisions, [service]: revision } }))
+  const written = await writeAccepted(platform, accepted, row.value?.version ?? 0)
   if (written.isOk()) return ok(accepted)
-  if (written.error.kind === PlatformFailureKind.Conflict) return ok(undefined)
-  if (written.error.kind === PlatformFailureKind.Unavailable) return fail(SubmissionFailureKind.NotRun, written.error.detail)
-  return resolveLostAnswer(platform, submission)
+  switch (written.error.kind) {
+    case PlatformFailureKind.Unavailable: return failUnwritten(submission, written.error.detail)
+    case PlatformFailureKind.Unknown: return resolveLostAnswer(platform, submission)
+    case PlatformFailureKind.Conflict: {
+      if (written.error.conflicts?.some(conflict => conflict.table === TableName.Submissions) !== true) return ok(undefined)
+      noteTaken()
+      const taken = await readSubmission(platform, submission)
+      return taken.isOk() && taken.value !== undefined ? describeSubmission(platform, taken.value, submission) : ok(undefined)
+    }
+  }
+}
+
+/** Writes a document and all that belongs to it, or nothing. */
+async function writeAccepted (platform: Platform, accepted: AcceptedDocument, version: number): Promise<Result<void, PlatformFailure>> {
+  const { revision, document: { service }, submissionId } = accepted
+  const isFirst = revision === 1
+  const shift = createShiftRow(accepted)
+  const remembered: SubmissionRow = { state: SubmissionState.Accepted, service, revision }
+  return writeWithIndex(platform, [
+    { table: TableName.Documents, key: service, ifVersion: version, value: accepted },
+    { table: TableName.Submissions, key: submissionId, ifVersion: 0, value: remembered },
+    { table: TableName.History, key: formatHistoryKey(service, revision), ifVersion: 0, value: accepted },
+    ...isFirst ? [{ table: TableName.Shifts, key: service, ifVersion: 0, value: shift }] : []
+  ], index => ({
+    ...index,
+    revisions: { ...index.revisions, [service]: revision },
+    shifts: isFirst ? { ...index.shifts, [service]: shift.step } : index.shifts
+  }))
+}
+
+function checkSubmission (submission: Submission, current: AcceptedDocument | undefined): SubmissionFailure | undefined {
+  const { document, team, baseRevision } = submission
+  const access = checkDocumentAccess(document, current?.document, { team })
+  if (access === DocumentAccess.OtherTeam) return { kind: SubmissionFailureKind.OtherTeam, detail: `Service "${document.service}" belongs to another team` }
+  const currentRevision = current?.revision ?? 0
+  if (currentRevision !== baseRevision) {
+    const conflict: SubmissionFailure = { kind: SubmissionFailureKind.RevisionConflict, detail: `Revision is ${currentRevision}, not ${baseRevision}` }
+    return current === undefined ? conflict : { ...conflict, current, difference: diffDocuments(current.document, document) }
+  }
+  const findings = submission.checkChange(current?.document)
+  if (access === DocumentAccess.OwnerChanged) findings.push({ pointer: '/ownerTeam', message: `must be "${team}", the team that submits; use "handOverTo" to hand the service over` })
+  return findings.length > 0 ? { kind: SubmissionFailureKind.Findings, detail: 'Document has findings', findings } : undefined
+}
+
+/** Gives a refusal out, unless an earlier call with the same identifier was accepted meanwhile. */
+async function settleRefusal (platform: Platform, submission: Submission, refusal: SubmissionFailure): Promise<Attempt> {
+  if (refusal.kind !== SubmissionFailureKind.RevisionConflict) return err(refusal)
+  const settled = await readSubmission(platform, submission)
+  if (settled.isErr()) return fail(SubmissionFailureKind.Unknown, `Platform can't be asked what became of the submission: ${settled.error.detail}`)
+  return settled.value === undefined ? err(refusal) : describeSubmission(platform, settled.value, submission)
 }
 
 /** Finds out what became of a write whose answer was lost, and fences it off where it has not happened. */
 async function resolveLostAnswer (platform: Platform, submission: Submission): Promise<Result<AcceptedDocument, SubmissionFailure>> {
   const abandoned: SubmissionRow = { state: SubmissionState.Abandoned, service: submission.document.service, revision: 0 }
   const fenced = await platform.writeRows([{ table: TableName.Submissions, key: submission.submissionId, ifVersion: 0, value: abandoned }])
-  if (fenced.isOk()) return fail(SubmissionFailureKind.NotRun, 'Platform did not take the document')
+  if (fenced.isOk()) return fail(SubmissionFailureKind.NotRun, 'Platform did not take the document; use a new Submission-Id')
   const settled = await readSubmission(platform, submission)
   if (settled.isErr() || settled.value === undefined) {
-    return fail(SubmissionFailureKind.Unknown, 'Platform took the document, but its answer was lost; repeat with the same Submission-Id')
+    return fail(SubmissionFailureKind.Unknown, 'Answer of the platform was lost; repeat with the same Submission-Id')
   }
   return describeSubmission(platform, settled.value, submission)
 }
@@ -134,7 +191,11 @@
   if (row.state === SubmissionState.Abandoned) return fail(SubmissionFailureKind.NotRun, 'Submission was given up on; use a new Submission-Id')
   const history = await platform.readRow(TableName.History, formatHistoryKey(row.service, row.revision))
   if (history.isErr() || history.value === undefined) return fail(SubmissionFailureKind.Unknown, `Submission became revision ${row.revision}, which can't be read now`)
-  return ok(history.value.value as AcceptedDocument)
+  const accepted = history.value.value as AcceptedDocument
+  if (diffDocuments(accepted.document, submission.document).length > 0) {
+    return fail(SubmissionFailureKind.NotRun, `Submission-Id was used for another document, which became revision ${row.revision}`)
+  }
+  return ok(accepted)
 }
 
 /**
@@ -148,6 +209,11 @@
   return `${service}/${String(revision).padStart(9, '0')}`
 }
 
+/** Fails a call that wrote nothing; an earlier call with the same identifier may have. */
+function failUnwritten<T> (submission: Submission, detail: string): Result<T, SubmissionFailure> {
+  return fail(submission.isRepeat ? SubmissionFailureKind.Unknown : SubmissionFailureKind.NotRun, detail)
+}
+
 function fail<T> (kind: SubmissionFailureKind, detail: string): Result<T, SubmissionFailure> {
   return err({ kind, detail })
 }
--- /dev/null
+++ b/packages/operators/src/submit_document_test.ts
@@ -0,0 +1,162 @@
+import type { MemoryCall, MemoryPlatform } from '@bilberryworks/platform'
+import type { AcceptedDocument, ServiceDocument, ShiftRow } from '@bilberryworks/steering'
+import type { Submission } from './submit_document.ts'
+import { createMemoryPlatform, indexKey, MemoryFault, TableName } from '@bilberryworks/platform'
+import { Objective } from '@bilberryworks/steering'
+import test from 'ava'
+import fc from 'fast-check'
+import { readHistory } from './read_history.ts'
+import { SubmissionFailureKind, submitDocument } from './submit_document.ts'
+
+const seed = Number(process.env['FC_SEED'] ?? 4)
+
+function createDocument (cap: number, ownerTeam = 'a'): ServiceDocument {
+  const limits = { maxBodyBytes: 1, maxUploadBytes: 1, maxQueued: 1 }
+  return { service: 'api', ownerTeam, regionWeights: { r: 1 }, shiftCap: cap, shiftStepMs: 1_000, leavingTargets: [], classes: [], objective: Objective.Headroom, limits }
+}
+
+function createSubmission (id: string, change: Partial<Submission> = {}): Submission {
+  return { document: createDocument(0.1), baseRevision: 0, submissionId: id, author: 'n', team: 'a', nowMs: 0, isRepeat: false, checkChange: () => [], ...change }
+}
+
+async function submit (platform: MemoryPlatform, submission: Submission): Promise<string> {
+  const result = await submitDocument(platform, submission)
+  return result.match(accepted => `accepted ${accepted.revision}`, failure => failure.kind)
+}
+
+function countRevisions (platform: MemoryPlatform): number {
+  return platform.listValues(TableName.History).length
+}
+
+/** Hits the calls with the given numbers, counted from 1, of those that `select` admits. */
+function applyFaults (platform: MemoryPlatform, faults: Record<number, MemoryFault>, select: (call: MemoryCall) => boolean): void {
+  let count = 0
+  platform.chooseFault = call => select(call) ? faults[++count] : undefined
+}
+
+const { Outage, LostAnswer, LostRequest, Delayed } = MemoryFault
+const isWrite = (call: MemoryCall): boolean => call.writes
+const isAny = (): boolean => true
+
+/** Faults of the first call; its answer; the answer to a repeat after held back writes have landed; revisions in the end. */
+const cases: Array<[name: string, faults: Record<number, MemoryFault>, select: (call: MemoryCall) => boolean, first: string, repeat: string, revisions: number]> = [
+  ['no fault', {}, isAny, 'accepted 1', 'accepted 1', 1],
+  ['outage of the first read', { 1: Outage }, isAny, 'not_run', 'accepted 1', 1],
+  ['outage of the second read', { 2: Outage }, isAny, 'not_run', 'accepted 1', 1],
+  ['outage of the index read', { 3: Outage }, isAny, 'not_run', 'accepted 1', 1],
+  ['outage of the write', { 1: Outage }, isWrite, 'not_run', 'accepted 1', 1],
+  ['lost answer of a read', { 2: LostAnswer }, isAny, 'not_run', 'accepted 1', 1],
+  ['lost answer of the write', { 1: LostAnswer }, isWrite, 'accepted 1', 'accepted 1', 1],
+  ['lost request of the write', { 1: LostRequest }, isWrite, 'not_run', 'not_run', 0],
+  ['write lands after the fence', { 1: Delayed }, isWrite, 'not_run', 'not_run', 0],
+  ['lost answer of write and fence', { 1: LostAnswer, 2: LostAnswer }, isWrite, 'accepted 1', 'accepted 1', 1],
+  ['lost request of write, lost answer of fence', { 1: LostRequest, 2: LostAnswer }, isWrite, 'not_run', 'not_run', 0],
+  ['write and fence both land late, the write first', { 1: Delayed, 2: Delayed }, isWrite, 'unknown', 'accepted 1', 1],
+  ['lost write, fence lands late', { 1: LostRequest, 2: Delayed }, isWrite, 'unknown', 'not_run', 0],
+  ['lost write and fence', { 1: LostRequest, 2: LostRequest }, isWrite, 'unknown', 'accepted 1', 1],
+  ['write lands late, outage of the fence', { 1: Delayed, 2: Outage }, isWrite, 'unknown', 'accepted 1', 1],
+  ['lost answer of the write, then outage', { 4: LostAnswer, 5: Outage, 6: Outage }, isAny, 'unknown', 'accepted 1', 1]
+]
+
+for (const [name, faults, select, first, repeat, revisions] of cases) {
+  test(`submission: ${name}`, async t => {
+    const platform = createMemoryPlatform()
+    applyFaults(platform, faults, select)
+    t.is(await submit(platform, createSubmission('s')), first)
+    platform.chooseFault = () => undefined
+    platform.landDelayed()
+    t.is(await submit(platform, createSubmission('s')), repeat)
+    t.is(countRevisions(platform), revisions)
+  })
+}
+
+test('one of two operators wins, the other gets the difference', async t => {
+  const platform = createMemoryPlatform()
+  const results = await Promise.all([0.2, 0.3].map(cap => submitDocument(platform, createSubmission(`s${cap}`, { document: createDocument(cap) }))))
+  t.is(countRevisions(platform), 1)
+  const failure = results.find(result => result.isErr())!._unsafeUnwrapErr()
+  t.is(failure.kind, SubmissionFailureKind.RevisionConflict)
+  t.is(failure.current?.revision, 1)
+  t.deepEqual(failure.difference?.map(entry => entry.pointer), ['/shiftCap'])
+})
+
+test('a repeat that runs beside its first call makes one revision', async t => {
+  const platform = createMemoryPlatform()
+  t.deepEqual(await Promise.all([1, 2, 3].map(() => submit(platform, createSubmission('s')))), ['accepted 1', 'accepted 1', 'accepted 1'])
+  t.is(countRevisions(platform), 1)
+})
+
+test('a fence that lands in the middle of a repeat settles it', async t => {
+  const platform = createMemoryPlatform()
+  applyFaults(platform, { 1: LostRequest, 2: Delayed }, isWrite)
+  t.is(await submit(platform, createSubmission('s')), 'unknown')
+  platform.chooseFault = call => {
+    if (call.writes) platform.landDelayed()
+    return undefined
+  }
+  t.is(await submit(platform, createSubmission('s')), 'not_run')
+  t.is(countRevisions(platform), 0)
+})
+
+test('an identifier stands for one document', async t => {
+  const platform = createMemoryPlatform()
+  await submit(platform, createSubmission('s'))
+  t.is(await submit(platform, createSubmission('s', { document: createDocument(0.5) })), 'not_run')
+})
+
+test('ownership is checked against the table', async t => {
+  const platform = createMemoryPlatform()
+  await submit(platform, createSubmission('s'))
+  t.is(await submit(platform, createSubmission('x', { baseRevision: 1, team: 'b', document: createDocument(0.1, 'b') })), 'other_team')
+  t.is(await submit(platform, createSubmission('y', { baseRevision: 1, document: createDocument(0.1, 'b') })), 'findings')
+})
+
+test('a call that knows of an unresolved one claims nothing in an outage', async t => {
+  const platform = createMemoryPlatform()
+  platform.chooseFault = () => Outage
+  t.is(await submit(platform, createSubmission('s', { isRepeat: true })), 'unknown')
+})
+
+test('the first document puts its weights in force, later ones do not', async t => {
+  const platform = createMemoryPlatform()
+  await submit(platform, createSubmission('s'))
+  const moved = { ...createDocument(0.1), regionWeights: { q: 1 } }
+  t.is(await submit(platform, createSubmission('u', { baseRevision: 1, document: moved })), 'accepted 2')
+  t.deepEqual(platform.getValue(TableName.Shifts, 'api'), { service: 'api', documentRevision: 1, step: 1, weights: { r: 1 } } satisfies ShiftRow)
+  const history = (await readHistory(platform, 'api'))._unsafeUnwrap()
+  t.deepEqual(history[1]?.changes.map(change => change.pointer), ['/regionWeights/q', '/regionWeights/r'])
+})
+
+test('random faults never make an untrue answer', async t => {
+  const fault = fc.option(fc.constantFrom(Outage, LostAnswer, LostRequest, Delayed, MemoryFault.Stale), { nil: undefined, freq: 2 })
+  const edit = fc.record({ cap: fc.integer({ min: 1, max: 9 }), repeats: fc.integer({ min: 1, max: 3 }), faults: fc.array(fault, { maxLength: 16 }), land: fc.boolean() })
+  await fc.assert(fc.asyncProperty(fc.array(edit, { minLength: 1, maxLength: 4 }), async edits => {
+    const platform = createMemoryPlatform()
+    const answers = new Map<string, Set<string>>()
+    for (const [index, { cap, repeats, faults, land }] of edits.entries()) {
+      const queue = [...faults]
+      platform.chooseFault = call => {
+        const chosen = queue.shift()
+        return call.writes && chosen === MemoryFault.Stale ? undefined : chosen
+      }
+      const id = `s${index}`
+      const base = (platform.getValue(TableName.Documents, 'api') as AcceptedDocument | undefined)?.revision ?? 0
+      const submission = createSubmission(id, { document: createDocument(cap / 10), baseRevision: base })
+      const given = await Promise.all(Array.from({ length: repeats }, () => submit(platform, submission)))
+      answers.set(id, new Set(given))
+      if (land) platform.landDelayed()
+    }
+    platform.landDelayed()
+    const history = platform.listValues(TableName.History) as AcceptedDocument[]
+    const index = platform.getValue(TableName.Index, indexKey) as { revisions: Record<string, number> } | undefined
+    t.is(index?.revisions['api'] ?? 0, history.length)
+    for (const [id, given] of answers) {
+      const written = history.filter(accepted => accepted.submissionId === id)
+      t.true(written.length <= 1)
+      if (edits[Number(id.slice(1))]?.repeats === 1 && given.has('not_run')) t.is(written.length, 0)
+      const claims = [...given].filter(answer => answer.startsWith('accepted'))
+      t.true(claims.every(claim => claim === `accepted ${written[0]?.revision}`))
+    }
+  }), { seed, numRuns: 500 })
+  t.log(`seed ${seed}`)
+})
--- a/packages/platform/src/mod.ts
+++ b/packages/platform/src/mod.ts
@@ -11,5 +11,6 @@
  * @module
  */
 export * from './http_platform.ts'
+export * from './memory_platform.ts'
 export * from './platform.ts'
 export * from './tables.ts'
--- a/packages/platform/src/tables.ts
+++ b/packages/platform/src/tables.ts
@@ -18,7 +18,7 @@
   History = 'history',
   /** `ShiftRow` by service. */
   Shifts = 'shifts',
-  /** `InstanceRecord` by instance: the heartbeats. */
+  /** `InstanceRecord` by instance and incarnation, joined by a slash: the heartbeats. */
   Instances = 'instances',
   /** `FeedRow` by failure domain: which instances feed its targets. */
   Feeds = 'feeds',
@@ -39,11 +39,13 @@
   shifts: Record<string, number>
   /** Epoch of the feed row, by failure domain. */
   feeds: Record<string, number>
+  /** Counts the instances that joined or left; instances are listed anew where it changes. */
+  members: number
   /** Revision of the map of client blocks; 0 where there is none. */
   clientBlocks: number
 }
 
-const emptyIndex: IndexRow = { revisions: {}, shifts: {}, feeds: {}, clientBlocks: 0 }
+const emptyIndex: IndexRow = { revisions: {}, shifts: {}, feeds: {}, members: 0, clientBlocks: 0 }
 const maxIndexRaces = 8
 
 /** The index row with its version. */
@@ -72,14 +74,16 @@
  *
  * @param platform The platform
  * @param writes Writes with their conditions
- * @param changeIndex Returns the changed index row
- * @returns Nothing, or the failure; `Conflict` means that a condition of `writes` did not hold
+ * @param changeIndex Returns the changed index row; `undefined` where the row does not allow the writes
+ * @returns Nothing, or the failure; `Conflict` means that nothing was written, since a condition of `writes` did not hold or `changeIndex` did not allow it
  */
-export async function writeWithIndex (platform: Platform, writes: TableWrite[], changeIndex: (index: IndexRow) => IndexRow): Promise<Result<void, PlatformFailure>> {
+export async function writeWithIndex (platform: Platform, writes: TableWrite[], changeIndex: (index: IndexRow) => IndexRow | undefined): Promise<Result<void, PlatformFailure>> {
   for (let race = 0; race < maxIndexRaces; race++) {
     const current = await readIndex(platform)
     if (current.isErr()) return err({ ...current.error, kind: PlatformFailureKind.Unavailable })
-    const indexWrite = { table: TableName.Index, key: indexKey, ifVersion: current.value.version, value: changeIndex(current.value.index) }
+    const value = changeIndex(current.value.index)
+    if (value === undefined) return err({ kind: PlatformFailureKind.Conflict, detail: 'Index row does not allow the writes', conflicts: [{ table: TableName.Index, key: indexKey }] })
+    const indexWrite = { table: TableName.Index, key: indexKey, ifVersion: current.value.version, value }
     const written = await platform.writeRows([...writes, indexWrite])
     if (written.isOk()) return ok(undefined)
     const onlyIndex = written.error.conflicts?.every(conflict => conflict.table === TableName.Index) === true
--- a/packages/steering/src/document.ts
+++ b/packages/steering/src/document.ts
@@ -35,6 +35,8 @@
   service: string
   /** Team whose tokens open this document. */
   ownerTeam: string
+  /** Team that may take the document over by submitting it with itself as the owner; nobody where absent. */
+  handOverTo?: string
   /** Share of the service's traffic for each region; any positive scale. */
   regionWeights: Record<string, number>
   /** Largest share of the service's traffic that may move in one step, 0 to 1. */
--- a/packages/steering/src/inventory.ts
+++ b/packages/steering/src/inventory.ts
@@ -16,6 +16,8 @@
   instance: string
   /** Identifier of this run of its process; a restart has a new one. */
   incarnation: string
+  /** Counts the starts under this name; the incarnation with the highest is the present one. Absent counts as 0. */
+  start?: number
   /** Failure domain that it is in. */
   failureDomain: string
   /** Region that it is in. */
--- a/packages/steering/src/weight_walk.ts
+++ b/packages/steering/src/weight_walk.ts
@@ -23,16 +23,20 @@
   moves: Array<{ atMs: number, share: number }>
 }
 
+/** Share below which two sets of weights count as equal, so that rounding never makes a step. */
+export const minMovedShare = 1e-9
+
 /**
  * Scales weights so that they add up to 1.
  *
- * @param weights Weights on any scale; negative ones count as 0
+ * @param weights Weights on any scale; those that are negative or not finite count as 0
  * @returns The shares; empty where no weight is positive
  */
 export function computeShares (weights: Record<string, number>): RegionWeights {
-  const positive = Object.entries(weights).filter(([, weight]) => weight > 0)
-  const total = positive.reduce((sum, [, weight]) => sum + weight, 0)
-  return Object.fromEntries(positive.map(([region, weight]) => [region, weight / total]))
+  const positive = Object.entries(weights).filter(([, weight]) => weight > 0 && Number.isFinite(weight))
+  const largest = positive.reduce((most, [, weight]) => Math.max(most, weight), 0)
+  const total = positive.reduce((sum, [, weight]) => sum + weight / largest, 0)
+  return Object.fromEntries(positive.map(([region, weight]) => [region, weight / largest / total]))
 }
 
 /**
@@ -49,26 +53,44 @@
   return difference / 2
 }
 
+/**
+ * Moves weights towards desired ones.
+ *
+ * @param from Weights adding up to 1
+ * @param desired Weights to reach, adding up to 1
+ * @param maxShare Largest share that may move, 0 to 1
+ * @returns The weights after the move: the desired ones where the whole distance may be moved
+ */
+export function moveWeights (from: RegionWeights, desired: RegionWeights, { maxShare }: { maxShare: number }): RegionWeights {
+  const distance = computeMovedShare(from, desired)
+  if (distance <= maxShare) return desired
+  const fraction = maxShare / distance
+  const moved: RegionWeights = {}
+  for (const region of new Set([...Object.keys(from), ...Object.keys(desired)])) {
+    const weight = from[region] ?? 0
+    const next = weight + ((desired[region] ?? 0) - weight) * fraction
+    if (next > 0) moved[region] = next
+  }
+  return moved
+}
+
 /**
  * Walks towards the desired weights as far as the cap allows now.
  *
+ * Stands still where no weights are desired. Takes the desired weights over at once where none are applied.
+ *
  * @param walk The weights applied and the moves of the last step
  * @param desired Weights to reach, adding up to 1
  * @param options The limits and the monotonic time, in milliseconds
  * @returns The walk after the move; the same object where nothing may move
  */
 export function walkWeights (walk: WeightWalk, desired: RegionWeights, options: WalkLimits & { nowMs: number }): WeightWalk {
+  if (Object.keys(desired).length === 0) return walk
+  if (Object.keys(walk.applied).length === 0) return { applied: desired, moves: [] }
   const moves = walk.moves.filter(move => move.atMs > options.nowMs - options.stepMs)
   const left = options.cap - moves.reduce((sum, move) => sum + move.share, 0)
-  const distance = computeMovedShare(walk.applied, desired)
-  const share = Math.min(left, distance)
-  if (share <= 0) return walk
-  const fraction = share / distance
-  const applied: RegionWeights = {}
-  for (const region of new Set([...Object.keys(walk.applied), ...Object.keys(desired)])) {
-    const from = walk.applied[region] ?? 0
-    const weight = from + ((desired[region] ?? 0) - from) * fraction
-    if (weight > 0) applied[region] = weight
-  }
+  const share = Math.min(left, computeMovedShare(walk.applied, desired))
+  if (!(share >= minMovedShare)) return walk
+  const applied = moveWeights(walk.applied, desired, { maxShare: share })
   return { applied, moves: [...moves, { atMs: options.nowMs, share }] }
 }
