Spread documents, shifts, targets and instances by digests and by the platform

Cause: an exchange sent all revisions and full announcements, one peer's word made an instance ready, a start with the platform out learnt no shift rows, an earlier incarnation could overwrite a later one's row, and nothing advanced a shift. Ruled out: push of full documents (bytes grow with the services), revisions in each heartbeat (bytes again; the status asks the instances instead), one row per instance (overwritten by a paused one). Change: polls follow the index row, exchanges carry digests and bounded lists and fetch the rest, a follow-up call lets news travel both ways, readiness asks peers even with the platform up, start counts order incarnations, targets' own words are counted and merged, shift rows advance by compare-and-set, status asks each live instance.

--- /dev/null
+++ b/packages/bilberryd/src/exchange.ts
@@ -0,0 +1,188 @@
+/**
+ * The exchange of knowledge between instances.
+ *
+ * @module
+ */
+import type { PeerClient, PeerMethod } from '@bilberryworks/instances'
+import type { InstanceRecord } from '@bilberryworks/steering'
+import type { ExchangeMessage, ExchangeReply, FetchMessage, FetchReply, HeartbeatNote, KnowledgeDigests } from './exchange_messages.ts'
+import type { View } from './view.ts'
+import { createHash } from 'node:crypto'
+import { compareAnnouncements } from '@bilberryworks/steering'
+import { PeerMethodName } from './exchange_messages.ts'
+
+const maxHeartbeats = 32
+const maxWords = 64
+const maxDocuments = 16
+const maxShifts = 64
+const maxInstances = 32
+const digestLength = 16
+
+/** Options of {@linkcode createExchange}. */
+export interface CreateExchangeOptions {
+  /** What the instance knows. */
+  view: View
+  /** The other instances. */
+  peers: PeerClient
+  /** Returns this instance's announcement, with its next sequence number. */
+  createAnnouncement: () => InstanceRecord
+  /** Takes an instance's announcement over. */
+  mergeInstance: (record: InstanceRecord, ageMs: number) => void
+  /** Whether this instance has learnt the documents since its start. */
+  isReady: () => boolean
+  /** Milliseconds by which a peer's list of targets must be later than the own one to be fetched. */
+  targetsSlackMs: number
+}
+
+/** How an exchange ended. */
+export interface ExchangeResult {
+  /** Whether the peer answered. */
+  answered: boolean
+  /** Whether the peer is ready, and all that it knows is known here now. */
+  complete: boolean
+}
+
+/** The exchange of an instance. */
+export interface Exchange {
+  /** Exchanges with a peer and fetches what it knows better. */
+  exchangeWith (address: string, options?: { isFollowUp?: boolean }): Promise<ExchangeResult>
+  /** Answers a peer's exchange. */
+  handleExchange: PeerMethod
+  /** Answers a peer's fetch. */
+  handleFetch: PeerMethod
+}
+
+const failed: ExchangeResult = { answered: false, complete: false }
+
+/**
+ * Creates the exchange of an instance.
+ *
+ * @param options What it knows and whom it asks
+ * @returns The exchange
+ */
+export function createExchange (options: CreateExchangeOptions): Exchange {
+  const { view, peers } = options
+
+  function createMessage (): ExchangeMessage {
+    const self = options.createAnnouncement()
+    view.mergeInstance(self)
+    const heard = view.listHeardInstances().filter(({ record }) => record.instance !== self.instance)
+    const targetsAgeMs = view.getTargetsAgeMs()
+    return {
+      self,
+      ready: options.isReady(),
+      digests: computeDigests(view),
+      heartbeats: heard.slice(0, maxHeartbeats).map(({ record, ageMs }) => createNote(record, ageMs)),
+      words: view.listTargetWords().slice(0, maxWords),
+      ...Number.isFinite(targetsAgeMs) ? { targetsAgeMs: Math.round(targetsAgeMs) } : {}
+    }
+  }
+
+  /** Takes over what a message carries; returns the instances whose announcement is missing. */
+  function applyMessage (message: ExchangeMessage): string[] {
+    options.mergeInstance(message.self, 0)
+    message.words.forEach(view.mergeTargetWord)
+    const missing: string[] = []
+    for (const { ageMs, ...note } of message.heartbeats) {
+      const known = view.getInstance(note.instance)
+      if (known?.incarnation === note.incarnation) options.mergeInstance({ ...known, ...note }, ageMs)
+      else if (known === undefined || compareAnnouncements(note, known) > 0) missing.push(note.instance)
+    }
+    return missing
+  }
+
+  function createFetch (reply: ExchangeReply, missing: string[]): FetchMessage {
+    const listNewer = (theirs: Record<string, number> = {}, ours: Record<string, number>): string[] => {
+      return Object.keys(theirs).filter(service => (theirs[service] ?? 0) > (ours[service] ?? 0))
+    }
+    const { targetsAgeMs = Infinity } = reply
+    const isLater = targetsAgeMs + options.targetsSlackMs < view.getTargetsAgeMs()
+    const differs = reply.digests.targets !== computeDigests(view).targets
+    if (isLater && !differs) view.mergeTargets(view.listListedTargets(), targetsAgeMs)
+    return {
+      documents: listNewer(reply.revisions, view.getRevisions()),
+      shifts: listNewer(reply.steps, view.getSteps()),
+      instances: missing,
+      targets: isLater && differs
+    }
+  }
+
+  /** Fetches in bounded parts; resolves to whether all was fetched. */
+  async function readMissing (address: string, wanted: FetchMessage): Promise<boolean> {
+    const part = {
+      documents: wanted.documents.slice(0, maxDocuments),
+      shifts: wanted.shifts.slice(0, maxShifts),
+      instances: wanted.instances.slice(0, maxInstances),
+      targets: wanted.targets
+    }
+    if (countWanted(part) === 0) return true
+    const reply = await peers.call<FetchReply>(address, PeerMethodName.Fetch, { params: part })
+    if (reply.isErr()) return false
+    reply.value.documents.forEach(view.mergeDocument)
+    reply.value.shifts.forEach(view.mergeShift)
+    reply.value.instances.forEach(({ record, ageMs }) => options.mergeInstance(record, ageMs))
+    const { targets } = reply.value
+    if (targets !== undefined) view.mergeTargets(targets.records, targets.ageMs)
+    return readMissing(address, {
+      documents: wanted.documents.slice(maxDocuments),
+      shifts: wanted.shifts.slice(maxShifts),
+      instances: wanted.instances.slice(maxInstances),
+      targets: false
+    })
+  }
+
+  async function exchangeWith (address: string, { isFollowUp = false } = {}): Promise<ExchangeResult> {
+    const params: ExchangeMessage = isFollowUp ? { ...createMessage(), isFollowUp } : createMessage()
+    const reply = await peers.call<ExchangeReply>(address, PeerMethodName.Exchange, { params })
+    if (reply.isErr()) return failed
+    const missing = applyMessage(reply.value)
+    const fetched = await readMissing(address, createFetch(reply.value, missing))
+    return { answered: true, complete: fetched && reply.value.ready }
+  }
+
+  return {
+    exchangeWith,
+    handleExchange (params) {
+      const message = params as ExchangeMessage
+      applyMessage(message)
+      const reply: ExchangeReply = createMessage()
+      const { documents, shifts } = reply.digests
+      const differs = documents !== message.digests.documents || shifts !== message.digests.shifts
+      if (documents !== message.digests.documents) reply.revisions = view.getRevisions()
+      if (shifts !== message.digests.shifts) reply.steps = view.getSteps()
+      if (differs && message.isFollowUp !== true) exchangeWith(message.self.peerAddress, { isFollowUp: true }).catch(() => {})
+      return reply
+    },
+    handleFetch (params): FetchReply {
+      const wanted = params as FetchMessage
+      const heard = new Map(view.listHeardInstances().map(entry => [entry.record.instance, entry]))
+      const reply: FetchReply = {
+        documents: wanted.documents.flatMap(service => view.getDocument(service) ?? []),
+        shifts: wanted.shifts.flatMap(service => view.getShift(service) ?? []),
+        instances: wanted.instances.flatMap(instance => heard.get(instance) ?? [])
+      }
+      if (wanted.targets) reply.targets = { records: view.listListedTargets(), ageMs: view.getTargetsAgeMs() }
+      return reply
+    }
+  }
+}
+
+function countWanted (wanted: FetchMessage): number {
+  return wanted.documents.length + wanted.shifts.length + wanted.instances.length + Number(wanted.targets)
+}
+
+function createNote ({ instance, incarnation, start, sequence, state, pinEpoch }: InstanceRecord, ageMs: number): HeartbeatNote {
+  return { instance, incarnation, start: start ?? 0, sequence, state, pinEpoch, ageMs: Math.round(ageMs) }
+}
+
+function computeDigests (view: View): KnowledgeDigests {
+  return {
+    documents: computeDigest(Object.entries(view.getRevisions()).map(([service, revision]) => `${service} ${revision}`)),
+    shifts: computeDigest(Object.entries(view.getSteps()).map(([service, step]) => `${service} ${step}`)),
+    targets: computeDigest(view.listListedTargets().map(record => `${record.target} ${record.address} ${record.state}`))
+  }
+}
+
+function computeDigest (lines: string[]): string {
+  return createHash('sha256').update(lines.sort().join('\n')).digest('base64url').slice(0, digestLength)
+}
--- a/packages/bilberryd/src/run_instance.ts
+++ b/packages/bilberryd/src/run_instance.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { InstanceRecord } from '@bilberryworks/steering'
+import type { InstanceRecord, WeightChange } from '@bilberryworks/steering'
 import type Logger from 'bunyan'
 import type { Settings } from './settings.ts'
 import type { Feed } from './feed.ts'
@@ -17,12 +17,15 @@
 import moleculer from 'moleculer'
 import { createCallersService } from './callers_service.ts'
 import { createDispatcher } from './dispatch.ts'
+import { PeerMethodName } from './exchange_messages.ts'
 import { createFeed } from './feed.ts'
 import { createCallersGateway, createOperatorsGateway } from './gateways.ts'
 import { createMetrics } from './metrics.ts'
 import { openListener } from './open_listener.ts'
 import { createRegionChooser } from './regions.ts'
 import { createRouter, listUsableTargets } from './route.ts'
+import { createShiftLoop, hasLiveTargets } from './shift_loop.ts'
+import { createStatusReader } from './status.ts'
 import { createSync } from './sync.ts'
 import { createView } from './view.ts'
 
@@ -76,9 +79,13 @@
   broker.createService(createOperatorsService({
     platform,
     listDocuments: view.listDocuments,
-    mergeDocument: view.mergeDocument,
+    listTargets: view.listAllTargets,
+    mergeDocument (accepted) {
+      if (view.mergeDocument(accepted)) sync.spread().catch(() => {})
+    },
     getWallClockMs: () => Date.now(),
-    createStatus: () => ({ instance: settings.instance, incarnation, state, ready: isReady(), platformAgeMs: Math.round(sync.getPlatformAgeMs()), revisions: view.getRevisions(), instances: view.listInstances() })
+    createStatus: async () => ({ ...sync.createVersions(), state, ready: isReady(), ...await status.readInstances() }),
+    createServiceStatus: async service => await status.readService(service) ?? {}
   }))
   const lookUp = createCallersGateway(broker)
   const serve = createServiceHandler({ fromPeer: false, handleRequest, recordEnd: metrics.recordEnd, isStopping })
@@ -86,7 +93,7 @@
   const operators = createOperatorsGateway(broker, { tokens: () => settings.tokens, countUnauthenticated: () => metrics.countUnauthenticated('operators'), registry: metrics.registry, isReady })
   const peerHandler = createPeerHandler({
     keys: settings.peerKeys,
-    methods: { exchange: params => sync.handleExchange(params) },
+    methods: Object.fromEntries(Object.values(PeerMethodName).map(name => [name, (params: unknown) => sync.methods[name]?.(params)])),
     handleForward: serveForwarded,
     countUnauthenticated: () => metrics.countUnauthenticated('peers')
   })
@@ -113,6 +120,10 @@
       pinEpoch: 0
     }
   }
+  const isPlatformReachable = (): boolean => sync.isPlatformReachable()
+  const hasCapacity = (service: string, change: WeightChange): boolean => hasLiveTargets(view, service, { change })
+  const shifts = createShiftLoop({ instance: settings.instance, view, platform, hasCapacity, isPlatformReachable, rankDelayMs: settings.pollMs, getNowMs })
+  const status = createStatusReader({ view, peers, createVersions: () => sync.createVersions(), getWeights: regions.getWeights, getShiftState: shifts.getState })
   const sync = createSync({
     view,
     platform,
@@ -123,6 +134,8 @@
     heartbeatMs: settings.heartbeatMs,
     getRandom: Math.random,
     getNowMs,
+    afterPoll: () => shifts.advanceShifts(),
+    recordSuperseded: () => log.warn('A later incarnation runs under the name of this instance'),
     recordPlatform: reachable => log.info({ reachable }, reachable ? 'Platform answers' : 'Platform does not answer')
   })
   log.info({ addresses, incarnation }, 'Instance started')
--- a/packages/bilberryd/src/sync.ts
+++ b/packages/bilberryd/src/sync.ts
@@ -4,30 +4,22 @@
  * @module
  */
 import type { PeerClient, PeerMethod } from '@bilberryworks/instances'
-import type { Platform } from '@bilberryworks/platform'
-import type { AcceptedDocument, InstanceRecord, ShiftRow, TargetRecord } from '@bilberryworks/steering'
+import type { IndexRow, Platform } from '@bilberryworks/platform'
+import type { InstanceRecord } from '@bilberryworks/steering'
+import type { InstanceVersions } from './exchange_messages.ts'
+import type { ExchangeResult } from './exchange.ts'
 import type { View } from './view.ts'
 import { setTimeout } from 'node:timers/promises'
-import { readIndex, TableName } from '@bilberryworks/platform'
+import { createAnnouncer } from './announcer.ts'
+import { createExchange } from './exchange.ts'
+import { PeerMethodName } from './exchange_messages.ts'
+import { createPoller } from './poll_platform.ts'
 
 const jitterShare = 0.2
 const peersPerRound = 2
-
-/** What one instance tells another in an exchange. */
-export interface ExchangeMessage {
-  /** Revisions in force at the sender. */
-  revisions: Record<string, number>
-  /** Instances that the sender has heard of. */
-  instances: InstanceRecord[]
-}
-
-/** The answer to an exchange. */
-export interface ExchangeReply extends ExchangeMessage {
-  /** Documents that are newer than the asker's. */
-  documents: AcceptedDocument[]
-  /** Targets that the answerer knows. */
-  targets: TargetRecord[]
-}
+const peersAtOnce = 8
+const pollsPerExchange = 4
+const targetsSlackPolls = 3
 
 /** Options of {@linkcode createSync}. */
 export interface CreateSyncOptions {
@@ -51,20 +43,34 @@
   getNowMs: () => number
   /** Called when the platform starts or stops answering. */
   recordPlatform: (reachable: boolean) => void
+  /** Called once where a later incarnation runs under this instance's name. */
+  recordSuperseded?: () => void
+  /** Reads what else the index row names. */
+  followIndex?: (index: IndexRow) => Promise<void>
+  /** Called after each poll, answered or not. */
+  afterPoll?: () => Promise<void>
 }
 
 /** The loops that keep a view current. */
 export interface Sync extends AsyncDisposable {
   /** Whether the documents have been learnt since the start, from the platform or a peer. */
   isReady (): boolean
+  /** Whether the platform answered the last poll. */
+  isPlatformReachable (): boolean
   /** Milliseconds since the platform last answered. */
   getPlatformAgeMs (): number
   /** Announces the instance at once, for instance that it is leaving. */
   announce (): Promise<void>
+  /** Exchanges with several peers at once, where something was learnt that they should know. */
+  spread (): Promise<void>
   /** Polls the platform at once. */
   refresh (): Promise<void>
+  /** Describes what this instance has in force. */
+  createVersions (): InstanceVersions
   /** Answers a peer's exchange. */
   handleExchange: PeerMethod
+  /** The JSON-RPC methods by which peers ask, by name. */
+  methods: Record<string, PeerMethod>
 }
 
 /**
@@ -78,17 +84,45 @@
   const stopped = new AbortController()
   let ready = false
   let reachable = false
+  let peersAsked = false
   let lastPlatformMs = options.getNowMs()
-  const loops = [
-    runLoop(pollPlatform, options.pollMs),
-    runLoop(askPeers, options.pollMs),
-    runLoop(announce, options.heartbeatMs)
-  ]
+  const announcer = createAnnouncer({ view, platform, createAnnouncement: options.createAnnouncement, recordSuperseded: options.recordSuperseded ?? (() => {}), getNowMs: options.getNowMs })
+  const exchange = createExchange({
+    view,
+    peers,
+    createAnnouncement: announcer.createRecord,
+    mergeInstance: announcer.mergeInstance,
+    isReady: () => ready,
+    targetsSlackMs: options.pollMs * targetsSlackPolls
+  })
+  const poll = createPoller({
+    view,
+    platform,
+    readInstances: announcer.readInstances,
+    instancesEveryMs: options.heartbeatMs,
+    getNowMs: options.getNowMs,
+    ...options.followIndex === undefined ? {} : { followIndex: options.followIndex }
+  })
+  view.watchNews(() => { spread().catch(() => {}) })
+  const loops = runLoops()
 
-  async function runLoop (step: () => Promise<void>, intervalMs: number): Promise<void> {
+  async function runLoops (): Promise<void> {
+    await pollPlatform()
+    await announcer.writeHeartbeat()
+    recordAsked(await askPeers(peersAtOnce))
+    peersAsked = true
+    await pollPlatform()
+    await Promise.all([
+      runLoop(pollPlatform, () => options.pollMs),
+      runLoop(async () => recordAsked(await askPeers(ready ? peersPerRound : peersAtOnce)), () => options.pollMs * (reachable ? pollsPerExchange : 1)),
+      runLoop(async () => { await announcer.writeHeartbeat() }, () => options.heartbeatMs)
+    ])
+  }
+
+  async function runLoop (step: () => Promise<void>, getIntervalMs: () => number): Promise<void> {
     while (!stopped.signal.aborted) {
-      await step()
-      await waitFor(intervalMs * (1 - jitterShare * options.getRandom()), stopped.signal)
+      await waitFor(getIntervalMs() * (1 - jitterShare * options.getRandom()), stopped.signal)
+      if (!stopped.signal.aborted) await step()
     }
   }
 
@@ -99,73 +133,56 @@
   }
 
   async function pollPlatform (): Promise<void> {
-    const index = await readIndex(platform)
-    recordPlatform(index.isOk())
-    if (index.isErr()) return
-    const { revisions } = index.value.index
-    const known = view.getRevisions()
-    for (const [service, revision] of Object.entries(revisions)) {
-      if (revision <= (known[service] ?? 0)) continue
-      const row = await platform.readRow(TableName.Documents, service)
-      if (row.isErr()) return
-      if (row.value !== undefined) view.mergeDocument(row.value.value as AcceptedDocument)
-    }
-    for (const [service, step] of Object.entries(index.value.index.shifts)) {
-      if (step <= (view.getShift(service)?.step ?? 0)) continue
-      const row = await platform.readRow(TableName.Shifts, service)
-      if (row.isErr()) return
-      if (row.value !== undefined) view.mergeShift(row.value.value as ShiftRow)
-    }
-    const machines = await platform.listMachines()
-    if (machines.isOk()) view.mergeMachines(machines.value)
-    const rows = await platform.listRows(TableName.Instances, '')
-    if (rows.isOk()) rows.value.forEach(row => view.mergeInstance(row.value as InstanceRecord))
-    ready ||= machines.isOk()
+    const { answered, complete } = await poll()
+    recordPlatform(answered)
+    ready ||= peersAsked && complete
+    await options.afterPoll?.()
+  }
+
+  function recordAsked (results: ExchangeResult[]): void {
+    ready ||= results.some(result => result.complete)
   }
 
-  async function askPeers (): Promise<void> {
-    const self = options.createAnnouncement()
+  /** Asks peers chosen at random, all at once. */
+  async function askPeers (count: number): Promise<ExchangeResult[]> {
+    const self = announcer.createRecord()
     const known = view.listInstances().filter(record => record.instance !== self.instance).map(record => record.peerAddress)
     const addresses = [...new Set([...known, ...options.seedPeers])].filter(address => address !== self.peerAddress)
-    for (let count = 0; count < peersPerRound && addresses.length > 0; count++) {
-      const index = Math.floor(options.getRandom() * addresses.length)
-      const [address = ''] = addresses.splice(index, 1)
-      await exchangeWith(address, self)
+    const chosen: string[] = []
+    while (chosen.length < count && addresses.length > 0) {
+      chosen.push(...addresses.splice(Math.floor(options.getRandom() * addresses.length), 1))
     }
+    return Promise.all(chosen.map(address => exchange.exchangeWith(address)))
   }
 
-  async function exchangeWith (address: string, self: InstanceRecord): Promise<void> {
-    const message: ExchangeMessage = { revisions: view.getRevisions(), instances: [self, ...view.listInstances()] }
-    const reply = await peers.call<ExchangeReply>(address, 'exchange', { params: message })
-    if (reply.isErr()) return
-    reply.value.documents.forEach(accepted => view.mergeDocument(accepted))
-    reply.value.instances.forEach(record => view.mergeInstance(record))
-    if (view.listAllTargets().length === 0) view.mergeMachines({ instances: [], targets: reply.value.targets })
-    ready ||= reply.value.documents.length > 0
+  async function spread (): Promise<void> {
+    recordAsked(await askPeers(peersAtOnce))
   }
 
-  async function announce (): Promise<void> {
-    const record = options.createAnnouncement()
-    view.mergeInstance(record)
-    await platform.writeRows([{ table: TableName.Instances, key: record.instance, value: record }])
+  function createVersions (): InstanceVersions {
+    const { instance, incarnation } = options.createAnnouncement()
+    return { instance, incarnation, ready, revisions: view.getRevisions(), steps: view.getSteps(), platformAgeMs: Math.round(options.getNowMs() - lastPlatformMs) }
   }
 
   return {
     isReady: () => ready,
+    isPlatformReachable: () => reachable,
     getPlatformAgeMs: () => options.getNowMs() - lastPlatformMs,
     async announce () {
-      await Promise.all([announce(), askPeers()])
+      await Promise.all([announcer.writeHeartbeat(), spread()])
     },
+    spread,
     refresh: pollPlatform,
-    handleExchange (params) {
-      const message = params as ExchangeMessage
-      message.instances.forEach(record => view.mergeInstance(record))
-      const documents = view.listDocuments().filter(accepted => accepted.revision > (message.revisions[accepted.document.service] ?? 0))
-      return { revisions: view.getRevisions(), instances: view.listInstances(), documents, targets: view.listAllTargets() }
+    createVersions,
+    handleExchange: exchange.handleExchange,
+    methods: {
+      [PeerMethodName.Exchange]: exchange.handleExchange,
+      [PeerMethodName.Fetch]: exchange.handleFetch,
+      [PeerMethodName.Versions]: createVersions
     },
     async [Symbol.asyncDispose] () {
       stopped.abort()
-      await Promise.all(loops)
+      await loops
     }
   }
 }
--- a/packages/bilberryd/src/view.ts
+++ b/packages/bilberryd/src/view.ts
@@ -1,25 +1,17 @@
 /**
- * What an instance knows: documents, instances and targets, merged so that nothing goes back.
+ * What an instance knows: documents, shifts, instances and targets, merged so that nothing goes back.
  *
  * @module
  */
 import type { MachineList } from '@bilberryworks/platform'
-import type { AcceptedDocument, InstanceRecord, ShiftRow, TargetRecord } from '@bilberryworks/steering'
+import type { AcceptedDocument, InstanceRecord, ShiftRow, TargetRecord, TargetWord } from '@bilberryworks/steering'
+import type { CreateInstanceTableOptions, HeardInstance } from './instance_table.ts'
 import { MachineState } from '@bilberryworks/steering'
-
-/** An instance with the time at which it was last heard of. */
-interface HeardInstance {
-  record: InstanceRecord
-  heardAtMs: number
-}
+import { createInstanceTable } from './instance_table.ts'
+import { createTargetTable } from './target_table.ts'
 
 /** Options of {@linkcode createView}. */
-export interface CreateViewOptions {
-  /** Milliseconds of silence after which an instance counts as gone. */
-  instanceTimeoutMs: number
-  /** Returns the monotonic time, in milliseconds. */
-  getNowMs: () => number
-}
+export interface CreateViewOptions extends CreateInstanceTableOptions {}
 
 /** The knowledge of an instance. */
 export interface View {
@@ -35,40 +27,64 @@
   getShift (service: string): ShiftRow | undefined
   /** Lists the newest shift rows known. */
   listShifts (): ShiftRow[]
+  /** Returns the step of the newest shift row known, by service. */
+  getSteps (): Record<string, number>
   /** Takes a shift row over unless one of the same or a later step is known; returns whether it was taken. */
   mergeShift (row: ShiftRow): boolean
-  /** Takes an instance's announcement over unless a newer one is known. */
-  mergeInstance (record: InstanceRecord): boolean
-  /** Takes the platform's list of machines over. */
-  mergeMachines (list: MachineList): void
+  /** Takes an instance's announcement over unless a later one is known; its age is 0 milliseconds by default. */
+  mergeInstance (record: InstanceRecord, ageMs?: number): boolean
+  /** Returns the last announcement of an instance, however old. */
+  getInstance (instance: string): InstanceRecord | undefined
+  /** Takes the platform's list of machines over, unless a later one is known; its age is 0 milliseconds by default. */
+  mergeMachines (list: MachineList, ageMs?: number): void
+  /** Takes a list of targets over, unless a later one is known; its age is in milliseconds. */
+  mergeTargets (records: TargetRecord[], ageMs: number): void
   /** Marks an instance as not reachable until it is heard of again. */
   dropInstance (instance: string): void
-  /** Lists the instances heard of lately. */
+  /** Lists the instances heard of lately, leaving ones among them. */
   listInstances (): InstanceRecord[]
+  /** Lists the instances heard of lately with the age of that, latest first. */
+  listHeardInstances (): HeardInstance[]
+  /** Lists the names of instances that were live and can't be reached now. */
+  listUnreachable (): string[]
   /** Lists the targets of a service, leaving ones among them. */
   listTargets (service: string): TargetRecord[]
   /** Lists all targets. */
   listAllTargets (): TargetRecord[]
+  /** Lists the targets as the platform listed them, without what is known beside. */
+  listListedTargets (): TargetRecord[]
+  /** Milliseconds since the list of targets was asked for at the platform; infinite where there is none. */
+  getTargetsAgeMs (): number
   /** Marks a target as leaving, by its own word. */
   markTargetLeaving (target: string): void
+  /** Marks a target as live again, by its own word. */
+  markTargetLive (target: string): void
+  /** Merges a target's own word that a peer knows. */
+  mergeTargetWord (word: TargetWord): void
+  /** Lists the targets' own words, latest first. */
+  listTargetWords (): TargetWord[]
+  /** Calls a function whenever something was learnt here that peers should know at once. */
+  watchNews (listener: () => void): void
 }
 
 /**
  * Creates an empty view.
  *
- * @param options Time-outs and the clock
+ * @param options The timeout of instances and the clock
  * @returns The view
  */
 export function createView (options: CreateViewOptions): View {
   const documents = new Map<string, AcceptedDocument>()
   const shifts = new Map<string, ShiftRow>()
-  const instances = new Map<string, HeardInstance>()
-  const targets = new Map<string, TargetRecord>()
-  const selfLeaving = new Set<string>()
+  const instances = createInstanceTable(options)
+  const targets = createTargetTable({
+    isLeavingByDocument: (service, target) => documents.get(service)?.document.leavingTargets.includes(target) === true,
+    getNowMs: options.getNowMs
+  })
+  const listeners: Array<() => void> = []
 
-  const isUsable = (target: TargetRecord): TargetRecord => {
-    const leaving = selfLeaving.has(target.target) || documents.get(target.service)?.document.leavingTargets.includes(target.target) === true
-    return leaving ? { ...target, state: MachineState.Leaving } : target
+  function recordWord (target: string, leaving: boolean): void {
+    if (targets.recordWord(target, leaving)) listeners.forEach(listener => listener())
   }
 
   return {
@@ -83,33 +99,34 @@
     },
     getShift: service => shifts.get(service),
     listShifts: () => [...shifts.values()],
+    getSteps: () => Object.fromEntries([...shifts].map(([service, row]) => [service, row.step])),
     mergeShift (row) {
       if (row.step <= (shifts.get(row.service)?.step ?? 0)) return false
       shifts.set(row.service, row)
       return true
     },
-    mergeInstance (record) {
-      const known = instances.get(record.instance)
-      if (known !== undefined && known.record.incarnation === record.incarnation && record.sequence <= known.record.sequence) return false
-      instances.set(record.instance, { record, heardAtMs: options.getNowMs() })
-      return true
-    },
-    mergeMachines (list) {
-      targets.clear()
-      for (const target of list.targets) targets.set(target.target, target)
-    },
-    dropInstance (instance) {
-      const known = instances.get(instance)
-      if (known !== undefined) known.heardAtMs = -Infinity
-    },
-    listInstances () {
-      const oldest = options.getNowMs() - options.instanceTimeoutMs
-      return [...instances.values()].filter(heard => heard.heardAtMs >= oldest).map(heard => heard.record)
+    mergeInstance: (record, ageMs = 0) => instances.merge({ record, ageMs }),
+    getInstance: instances.get,
+    mergeMachines (list, ageMs = 0) {
+      targets.mergeList(list.targets, ageMs)
+      const leaving = list.instances.filter(record => record.state === MachineState.Leaving)
+      instances.setListedLeaving(new Set(leaving.map(record => record.incarnation)))
     },
-    listTargets: service => [...targets.values()].filter(target => target.service === service).map(isUsable),
-    listAllTargets: () => [...targets.values()].map(isUsable),
-    markTargetLeaving (target) {
-      selfLeaving.add(target)
+    mergeTargets: targets.mergeList,
+    dropInstance: instances.drop,
+    listInstances: () => instances.listHeard().map(heard => heard.record),
+    listHeardInstances: instances.listHeard,
+    listUnreachable: instances.listUnreachable,
+    listTargets: targets.list,
+    listAllTargets: () => targets.list(),
+    listListedTargets: targets.listListed,
+    getTargetsAgeMs: targets.getAgeMs,
+    markTargetLeaving: target => recordWord(target, true),
+    markTargetLive: target => recordWord(target, false),
+    mergeTargetWord: targets.mergeWord,
+    listTargetWords: targets.listWords,
+    watchNews (listener) {
+      listeners.push(listener)
     }
   }
 }
