Show distribution and membership under faults

Cause: nothing tested that knowledge never goes back or that a start is safe; the first tests also found that a document row older than the index row made an instance ready. Ruled out: HTTP in these tests, since the faults lie between calls. Change: a network of function calls over one platform in memory with faults for each client; a poll counts as complete only with the revisions and steps that the index row names. The requirement that peers were asked before readiness is covered only through the stale platform case, which does not fail without it, since the start order asks them anyway.

--- a/packages/bilberryd/src/poll_platform.ts
+++ b/packages/bilberryd/src/poll_platform.ts
@@ -43,16 +43,18 @@
   let membersRead = -1
   let instancesReadAtMs = -Infinity
 
-  async function readDocument (service: string): Promise<boolean> {
+  /** Resolves to whether the revision that the index row names, or a later one, is known. */
+  async function readDocument (service: string, revision: number): Promise<boolean> {
     const row = await platform.readRow(TableName.Documents, service)
     if (row.isOk() && row.value !== undefined) view.mergeDocument(row.value.value as AcceptedDocument)
-    return row.isOk()
+    return (view.getDocument(service)?.revision ?? 0) >= revision
   }
 
-  async function readShift (service: string): Promise<boolean> {
+  /** Resolves to whether the step that the index row names, or a later one, is known. */
+  async function readShift (service: string, step: number): Promise<boolean> {
     const row = await platform.readRow(TableName.Shifts, service)
     if (row.isOk() && row.value !== undefined) view.mergeShift(row.value.value as ShiftRow)
-    return row.isOk()
+    return (view.getShift(service)?.step ?? 0) >= step
   }
 
   async function readMachines (): Promise<boolean> {
@@ -82,8 +84,8 @@
     const [machinesRead, ...fetched] = await Promise.all([
       readMachines(),
       readInstances(index.members),
-      ...listNewer(index.revisions, revisions).map(readDocument),
-      ...listNewer(index.shifts, steps).map(readShift)
+      ...listNewer(index.revisions, revisions).map(service => readDocument(service, index.revisions[service] ?? 0)),
+      ...listNewer(index.shifts, steps).map(service => readShift(service, index.shifts[service] ?? 0))
     ])
     await options.followIndex?.(index)
     return { answered: true, complete: machinesRead && fetched.every(Boolean) }
--- a/packages/platform/src/memory_platform.ts
+++ b/packages/platform/src/memory_platform.ts
@@ -34,6 +34,8 @@
 export interface MemoryPlatform extends Platform {
   /** Chooses the fault of each call; none by default. */
   chooseFault: (call: MemoryCall) => MemoryFault | undefined
+  /** What the platform holds. */
+  state: MemoryState
   /** Calls carried out. */
   counts: { reads: number, writes: number }
   /** The list of machines. */
@@ -48,48 +50,57 @@
 
 type Tables = Map<string, TableRow>
 
+/** What a platform holds; several clients with faults of their own may share it. */
+export interface MemoryState {
+  /** Rows by table and key. */
+  rows: Tables
+  /** Rows before the last write. */
+  previous: Tables
+  /** Version of the next row written. */
+  nextVersion: number
+}
+
 /**
- * Creates an empty platform.
+ * Creates a client of a platform in memory.
  *
+ * @param state What the platform holds; a new one by default
  * @returns The platform
  */
-export function createMemoryPlatform (): MemoryPlatform {
-  let rows: Tables = new Map()
-  let previous: Tables = rows
-  let nextVersion = 1
+export function createMemoryPlatform (state: MemoryState = { rows: new Map(), previous: new Map(), nextVersion: 1 }): MemoryPlatform {
   const delayed: TableWrite[][] = []
   const formatKey = (table: string, key: string): string => `${table}\u0000${key}`
 
   function applyWrites (writes: TableWrite[]): Result<void, PlatformFailure> {
-    const conflicts = writes.filter(write => write.ifVersion !== undefined && (rows.get(formatKey(write.table, write.key))?.version ?? 0) !== write.ifVersion)
+    const conflicts = writes.filter(write => write.ifVersion !== undefined && (state.rows.get(formatKey(write.table, write.key))?.version ?? 0) !== write.ifVersion)
     if (conflicts.length > 0) {
       return err({ kind: PlatformFailureKind.Conflict, detail: 'Condition did not hold', conflicts: conflicts.map(({ table, key }) => ({ table, key })) })
     }
-    previous = rows
-    rows = new Map(rows)
+    state.previous = state.rows
+    state.rows = new Map(state.rows)
     for (const write of writes) {
       const key = formatKey(write.table, write.key)
-      if (write.value === undefined) rows.delete(key)
-      else rows.set(key, { key: write.key, version: nextVersion++, value: structuredClone(write.value) })
+      if (write.value === undefined) state.rows.delete(key)
+      else state.rows.set(key, { key: write.key, version: state.nextVersion++, value: structuredClone(write.value) })
     }
     return ok(undefined)
   }
 
-  function read<T> (table: string, select: (state: Tables) => T): Promise<Result<T, PlatformFailure>> {
+  function read<T> (table: string, select: (rows: Tables) => T): Promise<Result<T, PlatformFailure>> {
     const fault = platform.chooseFault({ writes: false, tables: [table] })
     if (fault === undefined || fault === MemoryFault.Stale) {
       platform.counts.reads++
-      return Promise.resolve(ok(structuredClone(select(fault === undefined ? rows : previous))))
+      return Promise.resolve(ok(structuredClone(select(fault === undefined ? state.rows : state.previous))))
     }
     return Promise.resolve(fail(fault))
   }
 
   const platform: MemoryPlatform = {
+    state,
     chooseFault: () => undefined,
     counts: { reads: 0, writes: 0 },
     machines: { instances: [], targets: [] },
-    readRow: (table, key) => read(table, state => state.get(formatKey(table, key))),
-    listRows: (table, prefix) => read(table, state => [...state].filter(([key]) => key.startsWith(formatKey(table, prefix))).map(([, row]) => row).sort(compareKeys)),
+    readRow: (table, key) => read(table, rows => rows.get(formatKey(table, key))),
+    listRows: (table, prefix) => read(table, rows => [...rows].filter(([key]) => key.startsWith(formatKey(table, prefix))).map(([, row]) => row).sort(compareKeys)),
     async writeRows (writes) {
       const copy = structuredClone(writes)
       const fault = platform.chooseFault({ writes: true, tables: writes.map(write => write.table) })
@@ -105,8 +116,8 @@
     landDelayed () {
       for (const writes of delayed.splice(0)) applyWrites(writes)
     },
-    getValue: (table, key) => rows.get(formatKey(table, key))?.value,
-    listValues: table => [...rows].filter(([key]) => key.startsWith(formatKey(table, ''))).map(([, row]) => row.value)
+    getValue: (table, key) => state.rows.get(formatKey(table, key))?.value,
+    listValues: table => [...state.rows].filter(([key]) => key.startsWith(formatKey(table, ''))).map(([, row]) => row.value)
   }
   return platform
 }
--- /dev/null
+++ b/packages/steering/src/membership_test.ts
@@ -0,0 +1,42 @@
+import type { TargetWord } from './target_words.ts'
+import test from 'ava'
+import fc from 'fast-check'
+import { checkOwnName, compareAnnouncements, OwnNameDecision } from './membership.ts'
+import { mergeTargetWords, recordTargetWord } from './target_words.ts'
+
+const seed = Number(process.env['FC_SEED'] ?? 4)
+const announcement = fc.record({ incarnation: fc.constantFrom('x', 'y', 'z'), start: fc.nat(2), sequence: fc.nat(2) })
+
+test('announcements are totally ordered', t => {
+  fc.assert(fc.property(announcement, announcement, announcement, (a, b, c) => {
+    t.is(Math.sign(compareAnnouncements(a, b)) + Math.sign(compareAnnouncements(b, a)), 0)
+    if (compareAnnouncements(a, b) > 0 && compareAnnouncements(b, c) > 0) t.true(compareAnnouncements(a, c) > 0)
+  }), { seed })
+})
+
+test('an own name seen elsewhere is raised above or yielded to', t => {
+  const own = { incarnation: 'x', start: 2, sequence: 1 }
+  const cases: Array<[seen: { incarnation: string, start: number, sequence: number }, confirmed: boolean, decision: OwnNameDecision]> = [
+    [{ ...own, start: 9 }, true, OwnNameDecision.Ignore],
+    [{ incarnation: 'y', start: 1, sequence: 9 }, true, OwnNameDecision.Ignore],
+    [{ incarnation: 'y', start: 3, sequence: 0 }, false, OwnNameDecision.RaiseStart],
+    [{ incarnation: 'y', start: 3, sequence: 0 }, true, OwnNameDecision.Superseded]
+  ]
+  for (const [seen, confirmed, decision] of cases) t.is(checkOwnName({ ...own, confirmed }, seen), decision)
+})
+
+test('merging words is the same in any order and grouping', t => {
+  const word: fc.Arbitrary<TargetWord> = fc.record({ target: fc.constant('t'), address: fc.constant('a'), count: fc.nat(3), leaving: fc.boolean() })
+  fc.assert(fc.property(fc.array(word, { minLength: 1 }), words => {
+    const merge = (list: TargetWord[]): TargetWord | undefined => list.reduce<TargetWord | undefined>(mergeTargetWords, undefined)
+    t.deepEqual(merge(words), merge([...words].reverse()))
+  }), { seed })
+})
+
+test('a word counts changes only, and one of another address says nothing of life', t => {
+  const leaving = recordTargetWord(undefined, { target: 't', address: 'a', leaving: true })
+  t.deepEqual(leaving, { target: 't', address: 'a', leaving: true, count: 1 })
+  t.is(recordTargetWord(leaving, { target: 't', address: 'a', leaving: true }), leaving)
+  t.is(recordTargetWord(leaving, { target: 't', address: 'b', leaving: false }), leaving)
+  t.is(recordTargetWord(leaving, { target: 't', address: 'a', leaving: false })?.count, 2)
+})
