--- a/packages/steering/src/pin.ts
+++ b/packages/steering/src/pin.ts
@@ -48,3 +48,60 @@
   if (!/^\d{1,9}$/.test(epochText)) return err(`Pin has a malformed epoch "${epochText}"`)
   return ok({ instance, incarnation, epoch: Number(epochText), nonce })
 }
+
+/** How a pin stands towards the instance that judges it. */
+export enum PinStanding {
+  /** Given out for this incarnation, in an epoch in which new keys may still be used. */
+  Current = 'current',
+  /** Given out for this incarnation, in an epoch in which no new key may be used. */
+  Expired = 'expired',
+  /** Names an epoch of this incarnation that has not begun. */
+  Future = 'future',
+  /** Names this instance, but not this incarnation. */
+  OtherIncarnation = 'other_incarnation',
+  /** Names another instance. */
+  OtherInstance = 'other_instance'
+}
+
+/** Length of an epoch, in milliseconds of the incarnation's own monotonic clock. */
+export const pinEpochMs = 300_000
+
+/** Epochs after its own in which a pin may bring new keys. */
+export const pinUsableEpochs = 2
+
+/** Epochs after its own in which the keys of a pin are remembered; one more than new keys may be used. */
+export const pinRememberedEpochs = pinUsableEpochs + 1
+
+/**
+ * Computes the epoch of an incarnation.
+ *
+ * @param uptimeMs Time since the incarnation began, by its monotonic clock
+ * @returns The epoch, 0 at first
+ */
+export function computePinEpoch (uptimeMs: number): number {
+  return Math.floor(uptimeMs / pinEpochMs)
+}
+
+/** Who judges a pin. */
+export interface CheckPinOptions {
+  /** Name of the instance. */
+  instance: string
+  /** Its incarnation. */
+  incarnation: string
+  /** Its epoch now. */
+  epoch: number
+}
+
+/**
+ * Checks how a pin stands towards an instance.
+ *
+ * @param pin The pin
+ * @param options Who judges
+ * @returns The standing; only `Current` lets a new key run
+ */
+export function checkPin (pin: Pin, options: CheckPinOptions): PinStanding {
+  if (pin.instance !== options.instance) return PinStanding.OtherInstance
+  if (pin.incarnation !== options.incarnation) return PinStanding.OtherIncarnation
+  if (pin.epoch > options.epoch) return PinStanding.Future
+  return options.epoch - pin.epoch > pinUsableEpochs ? PinStanding.Expired : PinStanding.Current
+}
