Run each keyed request at most once and answer its repeats from memory

Cause: Idempotency-Key was accepted and not looked at; a failed exchange destroyed the caller's own connection, since undici destroys the body that it was given; a lost look-up whose retry found no slot was reported as not-run although it may have run. Change: a wrapper before the router keeps keys under their pins, streams the first answer and keeps a bounded copy; keys without a pin get one from a row inserted if absent. Dispatch checks deadline, caller and feeding right before each send, frees a slot only when the target is done or its deadline has passed, and never reports not-run after a try that may have run. Bodies are handed on detached. A target's answer without a length or with another request's tag is lost, not whole. The planned stop moves to stop.ts; listeners close connections that become idle after they were closed. Ruled out: not-run when the table of keys is out, since an earlier try under the key may have run: it is unknown.

--- a/packages/bilberryd/src/dispatch.ts
+++ b/packages/bilberryd/src/dispatch.ts
@@ -3,16 +3,18 @@
  *
  * @module
  */
-import type { Refusal, RetryReason, ServiceAnswer, ServiceRequest } from '@bilberryworks/steering'
+import type { Refusal, RetryReason, ServiceAnswer, ServiceRequest, TargetRecord } from '@bilberryworks/steering'
 import type { TargetClient, TargetFailure } from '@bilberryworks/targets'
 import type { Result } from 'neverthrow'
 import type { Feed, FeedRequest, Slot } from './feed.ts'
-import { createNotRun, createUnknown, RefusalReason, RequestClass, RetryReason as RetryReasons } from '@bilberryworks/steering'
+import { finished } from 'node:stream'
+import { createNotRun, createRetryBudget, createUnknown, Outcome, RefusalReason, RequestClass, RetryReason as RetryReasons } from '@bilberryworks/steering'
 import { TargetFailureKind } from '@bilberryworks/targets'
 import { err, ok } from 'neverthrow'
 
 const retryAfterMs = 1_000
 const maxAttempts = 3
+const neverAborted = new AbortController().signal
 
 /** Options of {@linkcode createDispatcher}. */
 export interface CreateDispatcherOptions {
@@ -22,6 +24,10 @@
   targets: TargetClient
   /** Takes note that a target said that it is leaving. */
   markTargetLeaving: (target: string) => void
+  /** Takes note that a target took no connection. */
+  markTargetUnreachable?: (target: string) => void
+  /** Checks right before each dispatch that this instance still feeds a target; always true by default. */
+  checkDispatch?: (target: TargetRecord) => boolean
   /** Counts a retry. */
   countRetry: (reason: RetryReason) => void
   /** Returns the monotonic time, in milliseconds. */
@@ -38,50 +44,90 @@
  * @returns The function that dispatches a request
  */
 export function createDispatcher (options: CreateDispatcherOptions): Dispatch {
+  const { feed, targets, checkDispatch = () => true, getNowMs } = options
+  const budget = createRetryBudget()
+
+  /** Returns why a request may not be sent now, right before it would be. */
+  function findObstacle (feedRequest: FeedRequest, slot: Slot): Refusal | undefined {
+    if (feedRequest.deadlineAtMs <= getNowMs()) return createNotRun(RefusalReason.DeadlinePassed, 'Deadline passed before the request was sent')
+    if (feedRequest.request.signal.aborted) return createNotRun(RefusalReason.CallerGone, 'Caller closed the connection')
+    if (!checkDispatch(slot.target)) return createNotRun(RefusalReason.LeaseLapsed, 'Lease on the target has lapsed', retryAfterMs)
+    return undefined
+  }
+
   async function sendOnce (feedRequest: FeedRequest, slot: Slot): Promise<Result<ServiceAnswer, TargetFailure>> {
     const { request, deadlineAtMs } = feedRequest
-    const result = await options.targets.send(slot.target, { ...request, deadlineMs: deadlineAtMs - options.getNowMs() })
+    const result = await targets.send(slot.target, { ...request, signal: chooseSignal(request), deadlineMs: deadlineAtMs - getNowMs() })
+    const leaving = result.isOk() ? result.value.leaving : result.error.leaving
+    if (leaving) options.markTargetLeaving(slot.target.target)
     if (result.isErr()) {
-      const { kind, leaving } = result.error
-      if (leaving) options.markTargetLeaving(slot.target.target)
-      if (kind === TargetFailureKind.ConnectFailed || kind === TargetFailureKind.Refused) slot.release()
-      else await cancelRun(feedRequest, slot)
+      if (result.error.kind === TargetFailureKind.ConnectFailed) options.markTargetUnreachable?.(slot.target.target)
+      if (isUnread(result.error)) slot.release()
+      else startCancel(feedRequest, slot)
       return err(result.error)
     }
-    if (result.value.leaving) options.markTargetLeaving(slot.target.target)
-    result.value.body.once('end', slot.release)
-    result.value.body.once('error', () => { cancelRun(feedRequest, slot).catch(slot.release) })
+    finished(result.value.body, { writable: false }, error => {
+      if (error) startCancel(feedRequest, slot)
+      else slot.release()
+    })
     return ok(result.value)
   }
 
-  async function cancelRun (feedRequest: FeedRequest, slot: Slot): Promise<void> {
-    const done = await options.targets.cancel(slot.target, feedRequest.request.requestId)
-    const leftMs = feedRequest.deadlineAtMs - options.getNowMs()
-    if (done || leftMs <= 0) slot.release()
-    else setTimeout(slot.release, leftMs).unref()
+  /** Cancels a run, and releases its slot once the target is known to be done or the deadline has passed. */
+  function startCancel (feedRequest: FeedRequest, slot: Slot): void {
+    const timer = setTimeout(slot.release, Math.max(0, feedRequest.deadlineAtMs - getNowMs()))
+    timer.unref()
+    targets.cancel(slot.target, feedRequest.request.requestId).then(done => {
+      if (!done) return
+      clearTimeout(timer)
+      slot.release()
+    }, () => {})
   }
 
   return async feedRequest => {
+    let mayHaveRun: Refusal | undefined
+    budget.recordAttempt()
     for (let attempt = 1; ; attempt++) {
-      const slot = await options.feed.reserveSlot(feedRequest)
-      if (slot.isErr()) return err(slot.error)
+      const slot = await feed.reserveSlot(feedRequest)
+      if (slot.isErr()) return err(mayHaveRun ?? slot.error)
+      const obstacle = findObstacle(feedRequest, slot.value)
+      if (obstacle !== undefined) {
+        slot.value.release()
+        if (obstacle.reason === RefusalReason.LeaseLapsed && attempt < maxAttempts) continue
+        return err(mayHaveRun ?? obstacle)
+      }
       const result = await sendOnce(feedRequest, slot.value)
       if (result.isOk()) return ok(result.value)
+      const refusal = describeFailure(result.error)
+      if (refusal.outcome === Outcome.Unknown) mayHaveRun = refusal
       const retry = chooseRetry(feedRequest, result.error)
-      if (retry === undefined || attempt === maxAttempts) return err(describeFailure(result.error))
+      if (retry === undefined || attempt === maxAttempts) return err(mayHaveRun ?? refusal)
+      // A failed connection puts no load on a target.
+      if (retry !== RetryReasons.ConnectFailed && !budget.take()) {
+        return err(mayHaveRun ?? createNotRun(RefusalReason.RetryBudget, `${result.error.detail}; the budget of retries is spent`, retryAfterMs))
+      }
       options.countRetry(retry)
     }
   }
 }
 
+/** Lets a run under a key go on when its caller is gone, so that its answer is there for a repeat. */
+function chooseSignal (request: ServiceRequest): AbortSignal {
+  return request.idempotencyKey === undefined ? request.signal : neverAborted
+}
+
+function isUnread (failure: TargetFailure): boolean {
+  return failure.kind === TargetFailureKind.ConnectFailed || failure.kind === TargetFailureKind.Refused
+}
+
 function chooseRetry (feedRequest: FeedRequest, failure: TargetFailure): RetryReason | undefined {
-  const { body, signal } = feedRequest.request
-  const replayable = !body.readableDidRead || feedRequest.request.contentLength === 0 || isBodiless(feedRequest.request)
-  if (signal.aborted || !replayable) return undefined
+  const { request, requestClass } = feedRequest
+  const replayable = !request.body.readableDidRead || request.contentLength === 0 || isBodiless(request)
+  if (request.signal.aborted || !replayable) return undefined
   switch (failure.kind) {
     case TargetFailureKind.ConnectFailed: return RetryReasons.ConnectFailed
     case TargetFailureKind.Refused: return RetryReasons.TargetRefused
-    case TargetFailureKind.Lost: return feedRequest.requestClass === RequestClass.LookUp ? RetryReasons.IdempotentLost : undefined
+    case TargetFailureKind.Lost: return requestClass === RequestClass.LookUp && request.idempotencyKey === undefined ? RetryReasons.IdempotentLost : undefined
     case TargetFailureKind.TimedOut: return undefined
   }
 }
--- /dev/null
+++ b/packages/bilberryd/src/keyed_requests.ts
@@ -0,0 +1,207 @@
+/**
+ * Runs each request with an `Idempotency-Key` at most once and answers its repeats from memory.
+ *
+ * @module
+ */
+import type { PeerClient } from '@bilberryworks/instances'
+import type { HandleRequest, InstanceRecord, KeyMemory, Pin, Refusal, ScopedKey, ServiceAnswer, ServiceRequest } from '@bilberryworks/steering'
+import type { Result } from 'neverthrow'
+import type { KeyRows } from './key_rows.ts'
+import type { RetainedAnswer } from './retain_answer.ts'
+import { createHash } from 'node:crypto'
+import { checkPin, createNotRun, createUnknown, formatPin, Outcome, parsePin, PinStanding, RefusalReason } from '@bilberryworks/steering'
+import { err, ok } from 'neverthrow'
+import { createDigestedBody, readBodyDigest } from './body_digest.ts'
+import { createRetainedAnswer, retainAnswer, RetentionEnd } from './retain_answer.ts'
+
+const retryAfterMs = 1_000
+const maxResultBytes = 64 * 1024
+/** Digest that stands for the body of a method whose body is not forwarded. */
+const noBodyDigest = 'none'
+
+/** What is remembered of a key. */
+export interface KeyedRun {
+  /** Digest of service, method and path. */
+  targetDigest: string
+  /** Returns the digest of the body, once it has arrived whole. */
+  getBodyDigest: () => string | undefined
+  /** Resolves when the first run has ended, to what a repeat gets; never rejects. */
+  ended: Promise<Result<RetainedAnswer, Refusal>>
+}
+
+/** Options of {@linkcode createKeyedRequests}. */
+export interface CreateKeyedRequestsOptions {
+  /** Name of this instance. */
+  instance: string
+  /** Its incarnation. */
+  incarnation: string
+  /** Returns its epoch of pins. */
+  getPinEpoch: () => number
+  /** The keys that this incarnation remembers. */
+  memory: KeyMemory<KeyedRun>
+  /** Pins of keys that came without one. */
+  keyRows: KeyRows
+  /** Handles a request that is to run now. */
+  handleRequest: HandleRequest
+  /** The other instances. */
+  peers: PeerClient
+  /** Lists the instances heard of lately. */
+  listInstances: () => InstanceRecord[]
+  /** Chooses how long a request may take, in milliseconds. */
+  chooseDeadlineMs: (request: ServiceRequest) => number
+  /** Returns the monotonic time, in milliseconds. */
+  getNowMs: () => number
+}
+
+/** A keyed request with what was decided about it. */
+interface KeyedRequest extends ScopedKey {
+  request: ServiceRequest
+  deadlineAtMs: number
+}
+
+/**
+ * Creates a handler that puts the memory of keys before another handler.
+ *
+ * A request without a key passes through, and so does one that the remembering instance sent here to run:
+ * it carries the key without a pin.
+ *
+ * @param options The memory and what runs a request
+ * @returns The handler
+ */
+export function createKeyedRequests (options: CreateKeyedRequestsOptions): HandleRequest {
+  const { memory, handleRequest, getNowMs } = options
+
+  async function findPin (request: ServiceRequest, key: { key: string, deadlineAtMs: number }): Promise<Result<Pin, Refusal>> {
+    if (request.pin !== undefined) return parsePin(request.pin).mapErr(message => createNotRun(RefusalReason.BadPin, message))
+    const authorization = request.headers['authorization']
+    if (typeof authorization !== 'string') {
+      return err(createNotRun(RefusalReason.KeyScopeMissing, 'Idempotency-Key needs a Bilberry-Pin or an Authorization as its scope'))
+    }
+    return options.keyRows.claimPin({ authorization, ...key })
+  }
+
+  function checkStanding (pin: Pin): PinStanding {
+    return checkPin(pin, { instance: options.instance, incarnation: options.incarnation, epoch: options.getPinEpoch() })
+  }
+
+  async function forwardToPinned (keyed: KeyedRequest): Promise<Result<ServiceAnswer, Refusal>> {
+    const { request, pin } = keyed
+    const gone = createUnknown(RefusalReason.PinnedInstanceGone, `Instance "${pin.instance}", which remembers the key, can't be reached`)
+    const peer = options.listInstances().find(record => record.instance === pin.instance)
+    const leftMs = keyed.deadlineAtMs - getNowMs()
+    if (peer === undefined || request.hops > 0) return err(gone)
+    if (leftMs <= 0) return err(createUnknown(RefusalReason.TargetTimeout, 'Deadline passed before the remembering instance was asked'))
+    const result = await options.peers.forward(peer, { ...request, pin: formatPin(pin) }, leftMs)
+    if (result.isOk()) return ok(result.value)
+    const { unsent, refusal } = result.error
+    // A refusal that precedes the memory says nothing about an earlier try.
+    const undecided = unsent || (refusal.outcome === Outcome.NotRun && refusal.reason === RefusalReason.BadRequest)
+    return err(undecided ? gone : refusal)
+  }
+
+  async function runFirst (keyed: KeyedRequest): Promise<Result<ServiceAnswer, Refusal>> {
+    const { request } = keyed
+    const { body, getDigest } = createDigestedBody(request.body)
+    let settle: (end: Result<RetainedAnswer, Refusal>) => void = () => {}
+    const ended = new Promise<Result<RetainedAnswer, Refusal>>(resolve => { settle = resolve })
+    const getBodyDigest = isBodiless(request) ? () => noBodyDigest : getDigest
+    if (!memory.remember(keyed, { targetDigest: computeTargetDigest(request), getBodyDigest, ended })) {
+      return err(createNotRun(RefusalReason.KeyMemoryFull, 'Memory of keys is full', retryAfterMs))
+    }
+    const result = await runSafely(handleRequest, { ...request, body, pin: undefined, deadlineMs: Math.max(0, keyed.deadlineAtMs - getNowMs()) })
+    if (result.isErr()) {
+      if (result.error.outcome === Outcome.NotRun) memory.remove(keyed)
+      settle(err(result.error))
+      return err(result.error)
+    }
+    const copied = retainAnswer(result.value, { maxBytes: maxResultBytes, reserveBytes: bytes => memory.reserveBytes(keyed, bytes) })
+    copied.ended.then(end => settle(describeEnd(end, copied.copy)), () => settle(describeEnd(RetentionEnd.Cut, copied.copy)))
+    return ok(copied.answer)
+  }
+
+  async function replyToRepeat (keyed: KeyedRequest, run: KeyedRun): Promise<Result<ServiceAnswer, Refusal>> {
+    const { request } = keyed
+    const reused = createNotRun(RefusalReason.KeyReused, 'Idempotency-Key is in use with another request')
+    if (run.targetDigest !== computeTargetDigest(request)) return err(reused)
+    const late = createUnknown(RefusalReason.TargetTimeout, 'First run under this key has not ended within the deadline')
+    const end = await waitUntil(run.ended, keyed.deadlineAtMs - getNowMs())
+    if (end === undefined) return err(late)
+    // Nothing ran, and the body of the repeat is still unread.
+    if (end.isErr() && end.error.reason === RefusalReason.CallerGone) return handleOwn(keyed)
+    const read = await waitUntil(readDigest(request), keyed.deadlineAtMs - getNowMs())
+    if (read === undefined) return err(late)
+    const { digest } = read
+    const firstDigest = run.getBodyDigest()
+    if (digest !== undefined && firstDigest !== undefined && digest !== firstDigest) return err(reused)
+    if (end.isErr()) return err(end.error)
+    if (digest === undefined || firstDigest === undefined) return err(describeNotRetained('Body of the request can\'t be compared with the first'))
+    return ok(createRetainedAnswer(end.value))
+  }
+
+  async function handleOwn (keyed: KeyedRequest): Promise<Result<ServiceAnswer, Refusal>> {
+    const standing = checkStanding(keyed.pin)
+    memory.expire(options.getPinEpoch())
+    const run = memory.find(keyed)
+    if (run !== undefined) return replyToRepeat(keyed, run)
+    if (standing === PinStanding.Expired) return err(createUnknown(RefusalReason.PinExpired, 'Pin has expired; an earlier try under this key may have run'))
+    return runFirst(keyed)
+  }
+
+  return async request => {
+    const key = request.idempotencyKey
+    if (key === undefined || (request.hops > 0 && request.pin === undefined)) return handleRequest(request)
+    const deadlineAtMs = getNowMs() + options.chooseDeadlineMs(request)
+    const pin = await findPin(request, { key, deadlineAtMs })
+    if (pin.isErr()) return err(pin.error)
+    const keyed = { request, key, pin: pin.value, deadlineAtMs }
+    switch (checkStanding(pin.value)) {
+      case PinStanding.Future: return err(createNotRun(RefusalReason.BadPin, 'Pin names an epoch that has not begun'))
+      case PinStanding.OtherIncarnation: return err(createUnknown(RefusalReason.PinnedInstanceGone, 'Incarnation that remembers the key is gone'))
+      case PinStanding.OtherInstance: return forwardToPinned(keyed)
+      case PinStanding.Current:
+      case PinStanding.Expired: return handleOwn(keyed)
+    }
+  }
+}
+
+async function runSafely (handleRequest: HandleRequest, request: ServiceRequest): Promise<Result<ServiceAnswer, Refusal>> {
+  try {
+    return await handleRequest(request)
+  } catch (error) {
+    return err(createUnknown(RefusalReason.TargetLost, `Request failed: ${(error as Error).message}`))
+  }
+}
+
+function describeEnd (end: RetentionEnd, copy: RetainedAnswer): Result<RetainedAnswer, Refusal> {
+  switch (end) {
+    case RetentionEnd.Whole: return ok(copy)
+    case RetentionEnd.TooLarge: return err(describeNotRetained(`Answer is too large to be kept, allowed are ${maxResultBytes} bytes`))
+    case RetentionEnd.Cut: return err(createUnknown(RefusalReason.TargetLost, 'Answer of the target was cut off'))
+  }
+}
+
+function describeNotRetained (detail: string): Refusal {
+  return createUnknown(RefusalReason.ResultNotRetained, detail)
+}
+
+async function readDigest (request: ServiceRequest): Promise<{ digest: string | undefined }> {
+  return { digest: isBodiless(request) ? noBodyDigest : await readBodyDigest(request.body) }
+}
+
+function isBodiless (request: ServiceRequest): boolean {
+  return request.method === 'GET' || request.method === 'HEAD'
+}
+
+function computeTargetDigest (request: ServiceRequest): string {
+  return createHash('sha256').update(`${request.service}\u0000${request.method}\u0000${request.path}`).digest('base64')
+}
+
+async function waitUntil<T> (promise: Promise<T>, timeoutMs: number): Promise<T | undefined> {
+  let timer: NodeJS.Timeout | undefined
+  const timeout = new Promise<undefined>(resolve => { timer = setTimeout(resolve, Math.max(0, timeoutMs), undefined) })
+  try {
+    return await Promise.race([promise, timeout])
+  } finally {
+    clearTimeout(timer)
+  }
+}
--- a/packages/bilberryd/src/open_listener.ts
+++ b/packages/bilberryd/src/open_listener.ts
@@ -10,11 +10,14 @@
 
 const maxHeaderBytes = 16 * 1024
 const headersTimeoutMs = 10_000
+const idleCheckMs = 50
 
 /** An open listener. */
 export interface OpenListener extends AsyncDisposable {
   /** `host:port` that it listens on. */
   address: string
+  /** Counts the requests that have not ended. */
+  countOpen (): number
   /** Takes no new connections, closes idle ones and waits until the others have ended. */
   drain (): Promise<void>
 }
@@ -29,16 +32,23 @@
  */
 export async function openListener (handler: RequestListener, listen: ListenSettings): Promise<OpenListener> {
   const server = createServer({ maxHeaderSize: maxHeaderBytes, headersTimeout: headersTimeoutMs, requestTimeout: 0 }, handler)
+  let open = 0
+  server.on('request', (_, response) => {
+    open++
+    response.once('close', () => open--)
+  })
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
     server.listen(listen.port, listen.host, resolve)
   })
   return {
     address: formatAddress(server),
+    countOpen: () => open,
     async drain () {
-      const closed = closeServer(server)
-      server.closeIdleConnections()
-      await closed
+      // A connection that was busy when the listener closed becomes idle later.
+      const timer = setInterval(() => server.closeIdleConnections(), idleCheckMs)
+      await closeServer(server)
+      clearInterval(timer)
     },
     async [Symbol.asyncDispose] () {
       server.closeAllConnections()
--- /dev/null
+++ b/packages/bilberryd/src/retain_answer.ts
@@ -0,0 +1,110 @@
+/**
+ * Keeps a copy of an answer while it is streamed to the caller.
+ *
+ * @module
+ */
+import type { HeaderFields, ServiceAnswer } from '@bilberryworks/steering'
+import { PassThrough, Readable } from 'node:stream'
+
+/** A whole answer in memory. */
+export interface RetainedAnswer {
+  /** HTTP status of the target. */
+  status: number
+  /** End-to-end header fields. */
+  headers: HeaderFields
+  /** The whole body. */
+  chunks: Buffer[]
+}
+
+/** How the streaming of an answer ended. */
+export enum RetentionEnd {
+  /** The copy is whole. */
+  Whole = 'whole',
+  /** The answer is too large to keep. */
+  TooLarge = 'too_large',
+  /** The answer was cut off by the target. */
+  Cut = 'cut'
+}
+
+/** Options of {@linkcode retainAnswer}. */
+export interface RetainAnswerOptions {
+  /** Largest body to keep, in bytes. */
+  maxBytes: number
+  /** Reserves memory for the copy; returns whether there is room. */
+  reserveBytes: (bytes: number) => boolean
+}
+
+/** An answer that is copied while it is read. */
+export interface CopiedAnswer {
+  /** The answer for the caller; it may be destroyed without an effect on the copy. */
+  answer: ServiceAnswer
+  /** The copy, filled by the time that `ended` resolves to `Whole`. */
+  copy: RetainedAnswer
+  /** Resolves when the target has sent all, or can't. */
+  ended: Promise<RetentionEnd>
+}
+
+/**
+ * Copies an answer while it is passed on.
+ *
+ * As long as the copy is within its bound, the target is read without waiting for the caller.
+ *
+ * @param answer The target's answer
+ * @param options Bounds
+ * @returns The answer to pass on and its copy
+ */
+export function retainAnswer (answer: ServiceAnswer, options: RetainAnswerOptions): CopiedAnswer {
+  const copy: RetainedAnswer = { status: answer.status, headers: answer.headers, chunks: [] }
+  const output = new PassThrough()
+  output.on('error', () => {})
+  let fits = options.reserveBytes(sumHeaderBytes(answer.headers))
+  let bytes = 0
+
+  function copyChunk (chunk: Buffer): void {
+    bytes += chunk.length
+    fits &&= bytes <= options.maxBytes && options.reserveBytes(chunk.length)
+    if (fits) copy.chunks.push(chunk)
+    else copy.chunks.length = 0
+  }
+
+  async function copyBody (): Promise<RetentionEnd> {
+    try {
+      for await (const chunk of answer.body) {
+        copyChunk(chunk as Buffer)
+        if (output.destroyed && !fits) break
+        if (!output.destroyed && !output.write(chunk) && !fits) await waitForDrain(output)
+      }
+    } catch (error) {
+      output.destroy(error as Error)
+      return RetentionEnd.Cut
+    }
+    output.end()
+    return fits ? RetentionEnd.Whole : RetentionEnd.TooLarge
+  }
+
+  return { answer: { ...answer, body: output }, copy, ended: copyBody() }
+}
+
+/**
+ * Creates an answer from a copy.
+ *
+ * @param copy A whole copy
+ * @returns The answer
+ */
+export function createRetainedAnswer (copy: RetainedAnswer): ServiceAnswer {
+  return { status: copy.status, headers: copy.headers, body: Readable.from(copy.chunks, { objectMode: false }) }
+}
+
+async function waitForDrain (output: PassThrough): Promise<void> {
+  await new Promise<void>(resolve => {
+    const settle = (): void => {
+      output.off('drain', settle).off('close', settle)
+      resolve()
+    }
+    output.once('drain', settle).once('close', settle)
+  })
+}
+
+function sumHeaderBytes (headers: HeaderFields): number {
+  return Object.entries(headers).reduce((sum, [name, value]) => sum + name.length + String(value).length, 0)
+}
--- a/packages/bilberryd/src/run_instance.ts
+++ b/packages/bilberryd/src/run_instance.ts
@@ -19,15 +19,17 @@
 import { createDispatcher } from './dispatch.ts'
 import { createFeed } from './feed.ts'
 import { createCallersGateway, createOperatorsGateway } from './gateways.ts'
+import { createKeyKeeper } from './key_keeper.ts'
 import { createMetrics } from './metrics.ts'
 import { openListener } from './open_listener.ts'
 import { createRegionChooser } from './regions.ts'
 import { createRouter, listUsableTargets } from './route.ts'
+import { drainInstance } from './stop.ts'
+import { createSuspects } from './suspects.ts'
 import { createSync } from './sync.ts'
 import { createView } from './view.ts'
 
 const heartbeatsMissed = 4
-const leavingMarginMs = 1_000
 
 /** A running instance. */
 export interface RunningInstance extends AsyncDisposable {
@@ -54,6 +56,7 @@
   let state = MachineState.Live
   let sequence = 0
   const incarnation = randomUUID()
+  const suspects = createSuspects(getNowMs)
   const addresses = { callers: '', operators: '', peers: '' }
 
   const metrics = createMetrics({
@@ -63,13 +66,15 @@
     getRevisions: view.getRevisions
   })
   const feed: Feed = createFeed({
-    listFedTargets: service => listUsableTargets(view, service).filter(target => chooseFeeder(target, view.listInstances())?.instance === settings.instance),
+    listFedTargets: service => suspects.select(listUsableTargets(view, service).filter(target => chooseFeeder(target, view.listInstances())?.instance === settings.instance)),
     getNowMs
   })
-  const dispatch = createDispatcher({ feed, targets, markTargetLeaving: view.markTargetLeaving, countRetry: metrics.countRetry, getNowMs })
+  const dispatch = createDispatcher({ feed, targets, markTargetLeaving: view.markTargetLeaving, markTargetUnreachable: suspects.mark, checkDispatch: () => true, countRetry: metrics.countRetry, getNowMs })
   const regions = createRegionChooser({ view, getNowMs })
   const isReady = (): boolean => state === MachineState.Live && sync.isReady()
-  const handleRequest = createRouter({ instance: settings.instance, view, dispatch, regions, peers, isReady: () => sync.isReady(), countRetry: metrics.countRetry, getNowMs })
+  const route = createRouter({ instance: settings.instance, view, dispatch, regions, peers, isReady: () => sync.isReady(), countRetry: metrics.countRetry, getNowMs })
+  const keeper = createKeyKeeper({ instance: settings.instance, incarnation, platform, peers, view, handleRequest: route, getNowMs })
+  const { handleRequest } = keeper
   const isStopping = (): boolean => state === MachineState.Leaving
   const broker = new moleculer.ServiceBroker({ nodeID: settings.instance, logger: false, skipProcessEventRegistration: true })
   broker.createService(createCallersService({ view, regions, region: settings.region, ttlSeconds: settings.lookUpTtlSeconds, countLookUp: metrics.countLookUp }))
@@ -92,7 +97,11 @@
   })
   await broker.start()
   const listeners = [
-    await openListener((request, response) => request.url?.startsWith('/v1/') === true ? lookUp(request, response) : serve(request, response), settings.listen.callers),
+    await openListener((request, response) => {
+      if (request.url?.startsWith('/v1/') !== true) return serve(request, response)
+      if (isStopping()) response.setHeader('connection', 'close')
+      return lookUp(request, response)
+    }, settings.listen.callers),
     await openListener(operators, settings.listen.operators),
     await openListener(peerHandler, settings.listen.peers)
   ]
@@ -110,7 +119,7 @@
       peerAddress: addresses.peers,
       state,
       sequence: ++sequence,
-      pinEpoch: 0
+      pinEpoch: keeper.getPinEpoch()
     }
   }
   const sync = createSync({
@@ -139,18 +148,17 @@
     async stop () {
       state = MachineState.Leaving
       log.info('Instance is leaving')
-      await sync.announce()
-      await waitMs(settings.lookUpTtlSeconds * 1000 + leavingMarginMs)
-      const drained = Promise.all(listeners.map(listener => listener.drain()))
-      await Promise.race([drained, waitMs(settings.stopLimitMs)])
-      metrics.countCutOff(feed.countInFlight())
+      const cutOff = await drainInstance({
+        announce: () => sync.announce(),
+        lookUpTtlMs: settings.lookUpTtlSeconds * 1000,
+        listeners,
+        countInFlight: () => feed.countInFlight(),
+        limitMs: settings.stopLimitMs
+      })
+      metrics.countCutOff(cutOff)
       await dispose()
-      log.info('Instance stopped')
+      log.info({ cutOff }, 'Instance stopped')
     },
     [Symbol.asyncDispose]: dispose
   }
 }
-
-async function waitMs (ms: number): Promise<void> {
-  await new Promise(resolve => setTimeout(resolve, ms).unref())
-}
--- a/packages/callers/src/write_answer.ts
+++ b/packages/callers/src/write_answer.ts
@@ -9,6 +9,8 @@
 import { getRefusalStatus, Outcome } from '@bilberryworks/steering'
 import { dropHopHeaders } from './header_fields.ts'
 
+const lingerMs = 5_000
+
 /**
  * Writes a target's answer, streamed with back-pressure.
  *
@@ -19,10 +21,15 @@
  * @returns Whether the whole answer was written
  */
 export async function writeAnswer (response: ServerResponse, answer: ServiceAnswer): Promise<boolean> {
+  if (response.destroyed) {
+    answer.body.on('error', () => {}).destroy()
+    return false
+  }
   const headers = dropHopHeaders(answer.headers)
   response.writeHead(answer.status, { ...headers, 'bilberry-outcome': Outcome.Answered })
   try {
     await pipeline(answer.body, response)
+    drainBody(response)
     return true
   } catch {
     response.destroy()
@@ -51,5 +58,18 @@
     response.setHeader('retry-after', Math.max(1, Math.ceil(refusal.retryAfterMs / 1000)))
     response.setHeader('bilberry-retry-after-ms', Math.ceil(refusal.retryAfterMs))
   }
+  // Closing a connection with unread bytes resets it, and the caller may lose the refusal.
+  if (!response.req.complete) response.removeHeader('connection')
   response.writeHead(status).end(body)
+  drainBody(response)
+}
+
+/** Reads and drops what is left of a request, for a bounded time, so that its caller reads the answer. */
+function drainBody (response: ServerResponse): void {
+  const { req } = response
+  if (req.complete || req.destroyed) return
+  const timer = setTimeout(() => req.socket.destroy(), lingerMs)
+  timer.unref()
+  req.once('close', () => clearTimeout(timer))
+  req.removeAllListeners('readable').resume()
 }
--- a/packages/instances/src/http_peers.ts
+++ b/packages/instances/src/http_peers.ts
@@ -7,7 +7,7 @@
 import type { JSONRPCResponse } from 'json-rpc-2.0'
 import type { Result } from 'neverthrow'
 import type { ForwardFailure, PeerCallOptions, PeerClient, PeerFailure } from './peers.ts'
-import { createNotRun, createUnknown, Outcome, RefusalReason } from '@bilberryworks/steering'
+import { createNotRun, createUnknown, detachBody, Outcome, RefusalReason } from '@bilberryworks/steering'
 import { createJSONRPCRequest } from 'json-rpc-2.0'
 import { err, ok } from 'neverthrow'
 import { Agent } from 'undici'
@@ -79,14 +79,15 @@
           method: request.method as 'GET',
           path: `/services/${request.service}${request.path}`,
           headers: { ...request.headers, ...createForwardHeaders(request, remainingMs), 'bilberry-peer-key': authorization },
-          body: request.method === 'GET' || request.method === 'HEAD' ? null : request.body,
-          signal: AbortSignal.any([timeout, request.signal])
+          body: request.method === 'GET' || request.method === 'HEAD' ? null : detachBody(request.body),
+          // A run under a key goes on when its caller is gone, so that its answer is there for a repeat.
+          signal: request.idempotencyKey === undefined ? AbortSignal.any([timeout, request.signal]) : timeout
         })
         const headers = collectHeaders(answer.headers)
         if (headers['bilberry-outcome'] === Outcome.Answered) {
           return ok({ status: answer.statusCode, headers, body: answer.body })
         }
-        await answer.body.dump()
+        answer.body.dump().catch(() => {})
         return err({ unsent: false, refusal: parseRefusal(headers, peer) })
       } catch (error) {
         return err(describeForwardError(error, { peer, timedOut: timeout.aborted }))
--- a/packages/standins/src/cluster.ts
+++ b/packages/standins/src/cluster.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { ChildProcess } from 'node:child_process'
 import type { TargetRecord } from '@bilberryworks/steering'
 import type { Settings } from 'bilberryd'
 import type { Child } from './child.ts'
@@ -47,6 +48,10 @@
   targets: TargetRecord[]
   /** Token of the operators' team. */
   token: string
+  /** Processes of the targets. */
+  targetProcesses: ChildProcess[]
+  /** Starts a new incarnation of an instance whose process has ended, and waits until it is ready. */
+  restartInstance (index: number): Promise<void>
   /** Changes how a target behaves. */
   setBehaviour (target: string, behaviour: Partial<TargetBehaviour>): void
   /** Collects what all targets recorded. */
@@ -105,6 +110,12 @@
     instances,
     targets,
     token,
+    targetProcesses: targetChildren.map(child => child.process),
+    async restartInstance (index) {
+      const file = join(folder, `${instances[index]!.settings.instance}.json`)
+      instances[index]!.child = stack.add(await startChild<InstanceAddresses>(locateDaemon(), ['--settings', file]))
+      await waitUntilReady(cluster, deployment)
+    },
     setBehaviour (target, behaviour) {
       const index = targetChildren.findIndex(child => child.ready.targets.some(record => record.target === target))
       targetChildren[index]?.process.send({ kind: 'behave', target, behaviour })
--- a/packages/steering/src/mod.ts
+++ b/packages/steering/src/mod.ts
@@ -12,6 +12,7 @@
  * @module
  */
 export * from './admission.ts'
+export * from './detach_body.ts'
 export * from './document.ts'
 export * from './entries.ts'
 export * from './inventory.ts'
--- a/packages/targets/src/http_targets.ts
+++ b/packages/targets/src/http_targets.ts
@@ -6,6 +6,7 @@
 import type { HeaderFields, TargetRecord } from '@bilberryworks/steering'
 import type { Result } from 'neverthrow'
 import type { TargetAnswer, TargetClient, TargetFailure, TargetLoad, TargetRequest } from './targets.ts'
+import { detachBody } from '@bilberryworks/steering'
 import { err, ok } from 'neverthrow'
 import { Agent } from 'undici'
 import { TargetFailureKind } from './targets.ts'
@@ -19,6 +20,8 @@
 
 /** Header by which a target says what became of a request that it did not answer. */
 const outcomeHeader = 'bilberry-outcome'
+/** Header that tags a request; a target may give it back with the answer. */
+const requestIdHeader = 'bilberry-request-id'
 /** Header by which a target says that it is leaving. */
 const stateHeader = 'bilberry-target-state'
 
@@ -55,16 +58,21 @@
           origin: `http://${target.address}`,
           method: request.method,
           path: request.path,
-          headers: { ...request.headers, 'bilberry-request-id': request.requestId, 'bilberry-deadline-ms': String(Math.floor(request.deadlineMs)) },
-          body: request.method === 'GET' || request.method === 'HEAD' ? null : request.body,
+          headers: { ...request.headers, [requestIdHeader]: request.requestId, 'bilberry-deadline-ms': String(Math.floor(request.deadlineMs)) },
+          body: request.method === 'GET' || request.method === 'HEAD' ? null : detachBody(request.body),
           signal: AbortSignal.any([timeout, request.signal])
         })
         const headers = collectHeaders(answer.headers)
         const leaving = headers[stateHeader] === 'leaving'
         if (answer.statusCode === 503 && headers[outcomeHeader] === 'not-run') {
-          await answer.body.dump()
+          answer.body.dump().catch(() => {})
           return err({ kind: TargetFailureKind.Refused, detail: `Target "${target.target}" refused the request`, leaving })
         }
+        const fault = findFault(request, answer.statusCode, headers)
+        if (fault !== undefined) {
+          answer.body.on('error', () => {}).destroy()
+          return err({ kind: TargetFailureKind.Lost, detail: `Target "${target.target}": ${fault}`, leaving })
+        }
         return ok({ status: answer.statusCode, headers, body: answer.body, leaving })
       } catch (error) {
         return err(describeError(error, target, timeout.aborted))
@@ -84,6 +92,15 @@
   }
 }
 
+/** Returns why an answer can't be passed on as the whole answer to a request. */
+function findFault (request: TargetRequest, status: number, headers: HeaderFields): string | undefined {
+  const tag = headers[requestIdHeader]
+  if (tag !== undefined && tag !== request.requestId) return `Answer carries the tag "${String(tag)}" of another request`
+  const bodiless = request.method === 'HEAD' || status === 204 || status === 304
+  const framed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+  return bodiless || framed ? undefined : 'Answer ends with its connection, so that a cut can\'t be told from its end'
+}
+
 async function readJson<T> (agent: Agent, target: TargetRecord, call: { method: 'GET' | 'DELETE', path: string }): Promise<T | undefined> {
   try {
     const answer = await agent.request({ origin: `http://${target.address}`, ...call, signal: AbortSignal.timeout(controlTimeoutMs) })
