Test the memory of keys against repeats, restarts, expiry and a failing store

Cause: the wrapper had no tests of its own. Change: a table of refusals and faults over two instances that share a table; the target counts its runs.

--- /dev/null
+++ b/packages/bilberryd/src/keyed_requests_test.ts
@@ -0,0 +1,211 @@
+import type { PeerClient } from '@bilberryworks/instances'
+import type { Platform, PlatformFailureKind } from '@bilberryworks/platform'
+import type { HandleRequest, InstanceRecord, Refusal, ServiceAnswer, ServiceRequest } from '@bilberryworks/steering'
+import type { Result } from 'neverthrow'
+import type { KeyedRun } from './keyed_requests.ts'
+import test from 'ava'
+import { text } from 'node:stream/consumers'
+import { Readable } from 'node:stream'
+import { PlatformFailureKind as FailureKind } from '@bilberryworks/platform'
+import { createKeyMemory, createNotRun, createUnknown, pinEpochMs, RefusalReason } from '@bilberryworks/steering'
+import { err, ok } from 'neverthrow'
+import { createKeyRows } from './key_rows.ts'
+import { createKeyedRequests } from './keyed_requests.ts'
+
+/** Instances that share a table and reach each other, each with a target that counts its runs. */
+function createWorld (options: { maxKeys?: number, answerBytes?: number } = {}) {
+  const rows = new Map<string, unknown>()
+  const world = { runs: 0, nowMs: 0, epoch: 0, store: undefined as PlatformFailureKind | undefined, loseInserts: 0, cut: false, refusal: undefined as Refusal | undefined, hold: Promise.resolve() }
+  const handlers = new Map<string, HandleRequest>()
+  const platform = {
+    async writeRows ([write]: Array<{ key: string, value: unknown }>) {
+      if (world.store !== undefined) return err({ kind: world.store, detail: '' })
+      if (rows.has(write!.key)) return err({ kind: FailureKind.Conflict, detail: '' })
+      rows.set(write!.key, write!.value)
+      return world.loseInserts-- > 0 ? err({ kind: FailureKind.Unknown, detail: '' }) : ok(undefined)
+    },
+    async readRow (_: string, key: string) {
+      if (world.store !== undefined) return err({ kind: world.store, detail: '' })
+      return ok(rows.has(key) ? { key, version: 1, value: rows.get(key) } : undefined)
+    }
+  } as unknown as Platform
+  const peers = {
+    async forward (peer: InstanceRecord, request: ServiceRequest) {
+      const handler = handlers.get(peer.instance)
+      if (handler === undefined) return err({ unsent: true, refusal: createNotRun(RefusalReason.PeerUnreachable, '') })
+      return (await handler({ ...request, hops: 1 })).mapErr(refusal => ({ unsent: false, refusal }))
+    }
+  } as unknown as PeerClient
+
+  async function runOnTarget (request: ServiceRequest): Promise<Result<ServiceAnswer, Refusal>> {
+    if (world.refusal !== undefined) return err(world.refusal)
+    const run = ++world.runs
+    const received = await text(request.body)
+    await world.hold
+    const body = Readable.from((async function * () {
+      yield Buffer.from(`run ${run} of ${received}${'x'.repeat(options.answerBytes ?? 0)}`)
+      if (world.cut) throw new Error('Cut off')
+    })())
+    return ok({ status: 200, headers: {}, body })
+  }
+
+  function startInstance (instance: string, incarnation = 'first'): void {
+    const getNowMs = (): number => world.nowMs
+    handlers.set(instance, createKeyedRequests({
+      instance,
+      incarnation,
+      getPinEpoch: () => world.epoch,
+      memory: createKeyMemory<KeyedRun>({ maxKeys: options.maxKeys ?? 100, maxResultBytes: 1_000_000 }),
+      keyRows: createKeyRows({ platform, createPin: () => ({ instance, incarnation, epoch: world.epoch, nonce: `nonce-${rows.size}` }), getNowMs }),
+      handleRequest: runOnTarget,
+      peers,
+      listInstances: () => ['a', 'b'].map(name => ({ instance: name }) as InstanceRecord),
+      chooseDeadlineMs: request => request.deadlineMs ?? 1_000,
+      getNowMs
+    }))
+  }
+
+  /** Sends a request and describes its end in a few words. */
+  async function send (instance: string, change: Partial<ServiceRequest> = {}, body = 'order'): Promise<string> {
+    const request: ServiceRequest = {
+      requestId: 'r', service: 's', method: 'POST', path: '/orders', headers: {}, body: Readable.from([Buffer.from(body)]), contentLength: body.length, callerKey: 'c', idempotencyKey: 'k', pin: 'a.first.0.n', deadlineMs: undefined, hops: 0, signal: new AbortController().signal, ...change
+    }
+    const result = await handlers.get(instance)!(request)
+    if (result.isErr()) return `${result.error.outcome} ${result.error.reason}`
+    return text(result.value.body).catch(() => 'cut')
+  }
+  startInstance('a')
+  startInstance('b')
+  return { world, handlers, startInstance, send }
+}
+
+const authorized = { pin: undefined, headers: { authorization: 'Bearer one' } }
+const first = 'run 1 of order'
+
+test('gives a repeat the same whole answer at any instance', async t => {
+  const { world, send } = createWorld()
+  t.deepEqual([await send('a'), await send('a'), await send('b')], [first, first, first])
+  t.is(world.runs, 1)
+})
+
+test('lets repeats wait for the first run', async t => {
+  const { world, send } = createWorld()
+  let go = (): void => {}
+  world.hold = new Promise(resolve => { go = resolve })
+  const sent = [send('a'), send('a'), send('b')]
+  t.is(await send('a', { deadlineMs: 20 }), 'unknown target_timeout')
+  go()
+  t.deepEqual(await Promise.all(sent), [first, first, first])
+  t.is(world.runs, 1)
+})
+
+test('keeps the scopes of keys apart', async t => {
+  const { send } = createWorld()
+  const ends = [await send('a'), await send('a', { pin: 'a.first.0.m' }), await send('a', authorized), await send('b', { ...authorized, headers: { authorization: 'Bearer two' } })]
+  t.deepEqual(ends, [1, 2, 3, 4].map(run => `run ${run} of order`))
+})
+
+const refusals: Array<[string, Partial<ServiceRequest>, string, string?]> = [
+  ['other path', { path: '/other' }, 'not-run key_reused'],
+  ['other method', { method: 'PUT' }, 'not-run key_reused'],
+  ['other service', { service: 't' }, 'not-run key_reused'],
+  ['other body', {}, 'not-run key_reused', 'Order'],
+  ['no scope', { pin: undefined }, 'not-run key_scope_missing'],
+  ['malformed pin', { pin: 'a.first.0' }, 'not-run bad_pin'],
+  ['future pin', { pin: 'a.first.9.n' }, 'not-run bad_pin'],
+  ['earlier incarnation', { pin: 'a.zeroth.0.n' }, 'unknown pinned_instance_gone'],
+  ['instance never heard of', { pin: 'z.first.0.n' }, 'unknown pinned_instance_gone'],
+  ['pin of another instance after a hop', { pin: 'b.first.0.n', hops: 1 }, 'unknown pinned_instance_gone']
+]
+for (const [title, change, end, body] of refusals) {
+  test(`refuses after a first run: ${title}`, async t => {
+    const { world, send } = createWorld()
+    await send('a')
+    t.is(await send('a', change, body), end)
+    t.is(world.runs, 1)
+  })
+}
+
+test('never runs a key again after its incarnation is gone', async t => {
+  const { world, handlers, startInstance, send } = createWorld()
+  await send('a')
+  await send('b', { ...authorized, idempotencyKey: 'row' })
+  startInstance('a', 'second')
+  t.is(await send('a'), 'unknown pinned_instance_gone')
+  t.is(await send('b'), 'unknown pinned_instance_gone')
+  handlers.delete('a')
+  t.is(await send('b'), 'unknown pinned_instance_gone')
+  startInstance('b', 'second')
+  t.is(await send('b', { ...authorized, idempotencyKey: 'row' }), 'unknown pinned_instance_gone')
+  t.is(world.runs, 2)
+})
+
+test('never runs a key under an expired pin', async t => {
+  const { world, send } = createWorld()
+  await send('a')
+  world.epoch = 3
+  t.is(await send('a'), first)
+  t.is(await send('a', { idempotencyKey: 'new' }), 'unknown pin_expired')
+  world.epoch = 4
+  t.is(await send('a'), 'unknown pin_expired')
+  t.is(world.runs, 1)
+  t.true(pinEpochMs > 0)
+})
+
+const stores: Array<[string, Partial<{ store: PlatformFailureKind, loseInserts: number }>, string, number]> = [
+  ['out', { store: FailureKind.Unavailable }, 'unknown store_unavailable', 0],
+  ['silent', { store: FailureKind.Unknown }, 'unknown store_unavailable', 0],
+  ['losing one answer', { loseInserts: 1 }, first, 1]
+]
+for (const [title, fault, end, runs] of stores) {
+  test(`claims a row of a store that is ${title}`, async t => {
+    const { world, send } = createWorld()
+    Object.assign(world, fault)
+    t.is(await send('a', authorized), end)
+    t.is(world.runs, runs)
+    Object.assign(world, { store: undefined, loseInserts: 0 })
+    t.is(await send('b', authorized), first)
+    world.store = FailureKind.Unavailable
+    t.is(await send(runs === 1 ? 'a' : 'b', authorized), first)
+    t.is(world.runs, 1)
+  })
+}
+
+test('frees a key that did not run, and keeps one that may have', async t => {
+  const { world, send } = createWorld()
+  world.refusal = createNotRun(RefusalReason.Overloaded, '')
+  t.is(await send('a'), 'not-run overloaded')
+  world.refusal = createUnknown(RefusalReason.TargetLost, '')
+  t.is(await send('a'), 'unknown target_lost')
+  world.refusal = undefined
+  t.is(await send('a'), 'unknown target_lost')
+  t.is(world.runs, 0)
+})
+
+test('refuses new keys where the memory is full', async t => {
+  const { world, send } = createWorld({ maxKeys: 1 })
+  t.deepEqual([await send('a'), await send('a', { idempotencyKey: 'l' }), await send('a')], [first, 'not-run key_memory_full', first])
+  t.is(world.runs, 1)
+})
+
+test('says unknown where the answer was cut off or is too large to keep', async t => {
+  const large = createWorld({ answerBytes: 70_000 })
+  t.is((await large.send('a')).length, first.length + 70_000)
+  t.is(await large.send('a'), 'unknown result_not_retained')
+  const cut = createWorld()
+  cut.world.cut = true
+  t.is(await cut.send('a'), 'cut')
+  t.is(await cut.send('a'), 'unknown target_lost')
+  t.is(large.world.runs + cut.world.runs, 2)
+})
+
+test('keeps the answer of a caller that is gone', async t => {
+  const { handlers, send } = createWorld()
+  const result = await handlers.get('a')!({ ...createRequest(), body: Readable.from([Buffer.from('order')]) })
+  result._unsafeUnwrap().body.destroy()
+  t.is(await send('a'), first)
+})
+
+function createRequest (): Omit<ServiceRequest, 'body'> {
+  return { requestId: 'r', service: 's', method: 'POST', path: '/orders', headers: {}, contentLength: 5, callerKey: 'c', idempotencyKey: 'k', pin: 'a.first.0.n', deadlineMs: undefined, hops: 0, signal: new AbortController().signal }
+}
