Test dispatch and the reading of answers against faults

Change: two tables: dispatch over a target with listed behaviours that counts what it was sent and ran; answers from a raw listener that cuts, resets, stays silent, answers early, late or with another request's tag. Ruled out: a check of our own for cut chunks: undici 7.30 reports them, also where the connection closes; only an answer with neither length nor chunks ends cleanly when cut, so that such an answer is refused.

--- /dev/null
+++ b/packages/bilberryd/src/dispatch_test.ts
@@ -0,0 +1,107 @@
+import type { ServiceRequest, TargetRecord } from '@bilberryworks/steering'
+import type { TargetClient, TargetRequest } from '@bilberryworks/targets'
+import type { CreateDispatcherOptions } from './dispatch.ts'
+import type { FeedRequest } from './feed.ts'
+import test from 'ava'
+import { Readable } from 'node:stream'
+import { text } from 'node:stream/consumers'
+import { RequestClass } from '@bilberryworks/steering'
+import { TargetFailureKind } from '@bilberryworks/targets'
+import { err, ok } from 'neverthrow'
+import { createDispatcher } from './dispatch.ts'
+import { createFeed } from './feed.ts'
+
+const { ConnectFailed, Lost, Refused, TimedOut } = TargetFailureKind
+/** What a target does with one attempt. */
+type Behaviour = TargetFailureKind | 'answer' | 'cut' | 'read, then refuse'
+
+/** A dispatcher over one target of two slots that behaves as listed, and then answers. */
+function createWorld (behaviours: Behaviour[], options: Partial<CreateDispatcherOptions> = {}) {
+  const record = { target: 't', service: 's', slots: 2 } as TargetRecord
+  const world = { sent: 0, runs: 0, cancelled: 0, done: true, targets: [record] }
+  const feed = createFeed({ listFedTargets: () => world.targets, getNowMs: () => performance.now() })
+
+  async function runAttempt (request: TargetRequest) {
+    world.sent++
+    const behaviour = behaviours.shift() ?? 'answer'
+    if (behaviour === 'read, then refuse') await text(request.body)
+    if (behaviour === 'answer' || behaviour === 'cut' || behaviour === Lost || behaviour === TimedOut) world.runs++
+    if (behaviour !== 'answer' && behaviour !== 'cut') return err({ kind: behaviour === 'read, then refuse' ? Refused : behaviour, detail: '', leaving: false })
+    const body = Readable.from((async function * () {
+      yield Buffer.from('answer')
+      if (behaviour === 'cut') throw new Error('Cut off')
+    })())
+    return ok({ status: 200, headers: {}, body, leaving: false })
+  }
+  const targets = {
+    send: (_: TargetRecord, request: TargetRequest) => runAttempt(request),
+    async cancel () {
+      world.cancelled++
+      return world.done
+    }
+  } as unknown as TargetClient
+  const dispatch = createDispatcher({ feed, targets, markTargetLeaving: () => {}, countRetry: () => {}, getNowMs: () => performance.now(), ...options })
+
+  async function send (change: Partial<FeedRequest> = {}, requestChange: Partial<ServiceRequest> = {}): Promise<string> {
+    const request = { requestId: String(Math.random()), service: 's', method: 'POST', body: Readable.from([Buffer.from('order')]), contentLength: 5, signal: new AbortController().signal, ...requestChange } as ServiceRequest
+    const result = await dispatch({ request, requestClass: RequestClass.AtMostOnce, priority: 0, deadlineAtMs: performance.now() + 200, ...change })
+    if (result.isErr()) return `${result.error.outcome} ${result.error.reason}`
+    return text(result.value.body).catch(() => 'cut')
+  }
+  return { world, feed, send, [Symbol.asyncDispose]: () => feed[Symbol.asyncDispose]() }
+}
+
+const lookUp = { requestClass: RequestClass.LookUp }
+const get = { method: 'GET' }
+const gone = AbortSignal.abort()
+const cases: Array<[string, Behaviour[], { change?: () => Partial<FeedRequest>, request?: Partial<ServiceRequest>, options?: Partial<CreateDispatcherOptions> }, string, number, number]> = [
+  ['an order is sent once more after a failed connection', [ConnectFailed], {}, 'answer', 2, 1],
+  ['an order is sent once more after an explicit refusal', [Refused], {}, 'answer', 2, 1],
+  ['an order whose body was read is not', ['read, then refuse'], {}, 'not-run target_refused', 1, 0],
+  ['an order that was lost is not', [Lost], {}, 'unknown target_lost', 1, 1],
+  ['an order that timed out is not', [TimedOut], {}, 'unknown target_timeout', 1, 1],
+  ['a lost look-up is sent again', [Lost], { change: () => lookUp, request: get }, 'answer', 2, 2],
+  ['a lost look-up with a key is not', [Lost], { change: () => lookUp, request: { ...get, idempotencyKey: 'k' } }, 'unknown target_lost', 1, 1],
+  ['a look-up that may have run is never not-run', [Lost, Refused, Refused], { change: () => lookUp, request: get }, 'unknown target_lost', 3, 1],
+  ['no target takes a connection', [ConnectFailed, ConnectFailed, ConnectFailed], {}, 'not-run target_unreachable', 3, 0],
+  ['all targets refuse', [Refused, Refused, Refused], {}, 'not-run target_refused', 3, 0],
+  ['deadline passed while the process was paused', [], { options: { getNowMs: () => performance.now() + 1_000 } }, 'not-run deadline_passed', 0, 0],
+  ['caller is gone', [], { request: { signal: gone } }, 'not-run caller_gone', 0, 0],
+  ['lease has lapsed', [], { options: { checkDispatch: () => false } }, 'not-run lease_lapsed', 0, 0],
+  ['answer is cut off', ['cut'], {}, 'cut', 1, 1]
+]
+for (const [title, behaviours, { change, request, options }, end, sent, runs] of cases) {
+  test(`dispatches: ${title}`, async t => {
+    await using created = createWorld(behaviours, options)
+    t.is(await created.send(change?.(), request), end)
+    t.deepEqual([created.world.sent, created.world.runs], [sent, runs])
+    await new Promise(resolve => setTimeout(resolve, 10))
+    t.is(created.feed.countInFlight(), 0)
+  })
+}
+
+test('refuses where no target is usable', async t => {
+  await using created = createWorld([])
+  created.world.targets = []
+  t.is(await created.send(), 'not-run no_usable_target')
+  t.is(created.world.sent, 0)
+})
+
+test('spends no more retries than the budget allows', async t => {
+  await using created = createWorld(Array.from({ length: 200 }, () => Refused))
+  let ends: string[] = []
+  for (let index = 0; index < 50; index++) ends = [...ends, await created.send()]
+  t.is(ends.at(-1), 'not-run retry_budget')
+  t.true(created.world.sent <= 50 + 10 + 5, String(created.world.sent))
+  t.is(created.world.runs, 0)
+})
+
+test('holds the slot of a lost run until the target is done or the deadline has passed', async t => {
+  await using created = createWorld([Lost])
+  created.world.done = false
+  t.is(await created.send(), 'unknown target_lost')
+  t.is(created.feed.countInFlight(), 1)
+  await new Promise(resolve => setTimeout(resolve, 260))
+  t.is(created.feed.countInFlight(), 0)
+  t.is(created.world.cancelled, 1)
+})
--- /dev/null
+++ b/packages/targets/src/http_targets_test.ts
@@ -0,0 +1,98 @@
+import type { Socket } from 'node:net'
+import type { TargetRecord } from '@bilberryworks/steering'
+import type { TargetRequest } from './targets.ts'
+import test from 'ava'
+import { once } from 'node:events'
+import { createServer } from 'node:net'
+import { Readable } from 'node:stream'
+import { text } from 'node:stream/consumers'
+import { createHttpTargets } from './http_targets.ts'
+import { TargetFailureKind } from './targets.ts'
+
+/** Listens as a target that does as a function says on each connection. */
+async function startTarget (handle: (socket: Socket) => void) {
+  const server = createServer(socket => {
+    socket.on('error', () => {})
+    handle(socket)
+  }).listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const { port } = server.address() as { port: number }
+  return { record: { target: 't', address: `127.0.0.1:${port}` } as TargetRecord, async [Symbol.asyncDispose] () { server.close() } }
+}
+
+function createRequest (change: Partial<TargetRequest> = {}): TargetRequest {
+  return { requestId: 'own', method: 'GET', path: '/', headers: {}, body: Readable.from([]), deadlineMs: 400, signal: new AbortController().signal, ...change }
+}
+
+function replyWith (reply: string, end: 'fin' | 'reset' | 'stay' = 'stay'): (socket: Socket) => void {
+  return socket => socket.once('data', () => {
+    socket.write(reply, () => setTimeout(() => {
+      if (end === 'fin') socket.end()
+      if (end === 'reset') socket.resetAndDestroy()
+    }, 20))
+  })
+}
+
+async function describeExchange (handle: (socket: Socket) => void, change: Partial<TargetRequest> = {}): Promise<string> {
+  await using target = await startTarget(handle)
+  await using client = createHttpTargets()
+  const result = await client.send(target.record, createRequest(change))
+  if (result.isErr()) return result.error.kind
+  return text(result.value.body).catch(() => 'cut')
+}
+
+const status = 'HTTP/1.1 200 OK\r\n'
+const cases: Array<[string, (socket: Socket) => void, string]> = [
+  ['whole by length', replyWith(`${status}content-length: 5\r\n\r\nhello`), 'hello'],
+  ['whole by chunks', replyWith(`${status}transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n`), 'hello'],
+  ['whole with own tag', replyWith(`${status}bilberry-request-id: own\r\ncontent-length: 5\r\n\r\nhello`), 'hello'],
+  ['tag of another request', replyWith(`${status}bilberry-request-id: other\r\ncontent-length: 5\r\n\r\nhello`), TargetFailureKind.Lost],
+  ['no length', replyWith(`${status}\r\nhello`, 'fin'), TargetFailureKind.Lost],
+  ['short of its length', replyWith(`${status}content-length: 9\r\n\r\nhello`, 'fin'), 'cut'],
+  ['short of its length, closing', replyWith(`${status}connection: close\r\ncontent-length: 9\r\n\r\nhello`, 'fin'), 'cut'],
+  ['short of its length, reset', replyWith(`${status}connection: close\r\ncontent-length: 9\r\n\r\nhello`, 'reset'), 'cut'],
+  ['no last chunk', replyWith(`${status}transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n`, 'fin'), 'cut'],
+  ['no last chunk, closing', replyWith(`${status}connection: close\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n`, 'fin'), 'cut'],
+  ['half a head', replyWith('HTTP/1.1 200', 'fin'), TargetFailureKind.Lost],
+  ['not HTTP', replyWith('hello\r\n\r\n', 'fin'), TargetFailureKind.Lost],
+  ['silence', () => {}, TargetFailureKind.TimedOut],
+  ['silence in the body', replyWith(`${status}content-length: 9\r\n\r\nhello`), 'cut'],
+  ['reset at once', socket => { socket.once('data', () => socket.resetAndDestroy()) }, TargetFailureKind.Lost],
+  ['explicit refusal', replyWith('HTTP/1.1 503 Busy\r\nbilberry-outcome: not-run\r\ncontent-length: 0\r\n\r\n'), TargetFailureKind.Refused],
+  ['503 without a word on the run', replyWith('HTTP/1.1 503 Busy\r\ncontent-length: 4\r\n\r\nbusy'), 'busy']
+]
+for (const [title, handle, end] of cases) {
+  test(`reads an answer: ${title}`, async t => {
+    t.is(await describeExchange(handle), end)
+  })
+}
+
+test('never reads a late answer as that of the next request', async t => {
+  const replies = new Map([['/first', 150], ['/second', 0]])
+  await using target = await startTarget(socket => socket.on('data', data => {
+    const path = /^GET (\S+)/.exec(String(data))![1]!
+    setTimeout(() => socket.write(`${status}content-length: ${path.length}\r\n\r\n${path}`), replies.get(path))
+  }))
+  await using client = createHttpTargets({ connectionsPerTarget: 1 })
+  const gone = new AbortController()
+  const first = client.send(target.record, createRequest({ path: '/first', signal: gone.signal }))
+  setTimeout(() => gone.abort(), 50)
+  t.is((await first)._unsafeUnwrapErr().kind, TargetFailureKind.Lost)
+  const second = await client.send(target.record, createRequest({ path: '/second', deadlineMs: 2_000 }))
+  t.is(await text(second._unsafeUnwrap().body), '/second')
+})
+
+test('leaves the body open where a target can\'t be reached or answers early', async t => {
+  await using client = createHttpTargets()
+  const body = new Readable({ read () {} })
+  const closed = await startTarget(() => {})
+  await closed[Symbol.asyncDispose]()
+  const unreachable = await client.send(closed.record, createRequest({ method: 'POST', body }))
+  t.is(unreachable._unsafeUnwrapErr().kind, TargetFailureKind.ConnectFailed)
+  t.false(body.readableDidRead || body.destroyed)
+  body.push('half')
+  await using early = await startTarget(replyWith('HTTP/1.1 413 Too large\r\ncontent-length: 3\r\n\r\nbig'))
+  const answer = await client.send(early.record, createRequest({ method: 'POST', body }))
+  t.is(await text(answer._unsafeUnwrap().body), 'big')
+  t.false(body.destroyed)
+})
