Prove at most once and stops with real processes under kills, freezes and an outage

Cause: the promises were held by tests with fakes only; and a caller that found its pinned instance dead could get no other pin, since a look-up named one pin, that of its best entry. Change: each entry of a look-up carries its own pin; the caller stand-in keeps a pin only once an attempt may have run and gives an attempt up after its deadline; an instance that takes no connection is dropped from look-ups at once. A load with reports from the records of callers and targets, and five fault runs of a whole deployment. Ruled out: running an unseen key elsewhere when its pinned instance is gone: an earlier try may have run there.

--- a/packages/bilberryd/src/callers_service.ts
+++ b/packages/bilberryd/src/callers_service.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Context, ServiceSchema } from 'moleculer'
+import type { InstanceRecord } from '@bilberryworks/steering'
 import type { RegionChooser } from './regions.ts'
 import type { View } from './view.ts'
 import { randomUUID } from 'node:crypto'
@@ -52,22 +53,27 @@
           regionWeights: options.regions.getWeights(call.params.service),
           localRegion: options.region
         })
-        const [best] = chosen
-        if (best === undefined) {
+        if (chosen.length === 0) {
           call.meta.$statusCode = 503
           return { title: 'no_usable_instance' }
         }
         call.meta.$responseHeaders = { 'Cache-Control': `private, max-age=${options.ttlSeconds}` }
+        const pins = chosen.map(createPin)
         return {
           service: call.params.service,
           revision: accepted.revision,
           ttlSeconds: options.ttlSeconds,
-          pin: formatPin({ instance: best.instance, incarnation: best.incarnation, epoch: best.pinEpoch, nonce: randomUUID() }),
-          entries: chosen.map(record => ({
-            instance: record.instance, address: record.callerAddress, failureDomain: record.failureDomain, region: record.region
+          pin: pins[0],
+          entries: chosen.map((record, index) => ({
+            instance: record.instance, address: record.callerAddress, failureDomain: record.failureDomain, region: record.region, pin: pins[index]
           }))
         }
       }
     }
   }
 }
+
+/** Creates a pin under which an instance remembers the keys of one caller. */
+function createPin (record: InstanceRecord): string {
+  return formatPin({ instance: record.instance, incarnation: record.incarnation, epoch: record.pinEpoch, nonce: randomUUID() })
+}
--- a/packages/bilberryd/src/key_keeper.ts
+++ b/packages/bilberryd/src/key_keeper.ts
@@ -73,6 +73,7 @@
     handleRequest: options.handleRequest,
     peers: options.peers,
     listInstances: view.listInstances,
+    dropInstance: view.dropInstance,
     chooseDeadlineMs,
     getNowMs
   })
--- a/packages/bilberryd/src/keyed_requests.ts
+++ b/packages/bilberryd/src/keyed_requests.ts
@@ -47,6 +47,8 @@
   peers: PeerClient
   /** Lists the instances heard of lately. */
   listInstances: () => InstanceRecord[]
+  /** Takes note that an instance took no connection. */
+  dropInstance: (instance: string) => void
   /** Chooses how long a request may take, in milliseconds. */
   chooseDeadlineMs: (request: ServiceRequest) => number
   /** Returns the monotonic time, in milliseconds. */
@@ -94,6 +96,7 @@
     const result = await options.peers.forward(peer, { ...request, pin: formatPin(pin) }, leftMs)
     if (result.isOk()) return ok(result.value)
     const { unsent, refusal } = result.error
+    if (unsent) options.dropInstance(pin.instance)
     // A refusal that precedes the memory says nothing about an earlier try.
     const undecided = unsent || (refusal.outcome === Outcome.NotRun && refusal.reason === RefusalReason.BadRequest)
     return err(undecided ? gone : refusal)
--- a/packages/bilberryd/src/keyed_requests_test.ts
+++ b/packages/bilberryd/src/keyed_requests_test.ts
@@ -60,6 +60,7 @@
       handleRequest: runOnTarget,
       peers,
       listInstances: () => ['a', 'b'].map(name => ({ instance: name }) as InstanceRecord),
+      dropInstance: () => {},
       chooseDeadlineMs: request => request.deadlineMs ?? 1_000,
       getNowMs
     }))
--- a/packages/standins/src/caller.ts
+++ b/packages/standins/src/caller.ts
@@ -8,12 +8,19 @@
 
 const maxAttempts = 4
 const fallbackRetryMs = 300
+const defaultAttemptMs = 10_000
+const lookUpTimeoutMs = 1_000
+
+type Reply = Omit<CallerResult, 'elapsedMs'> & {
+  /** Whether the request can't have run in this attempt. */
+  safe: boolean
+}
 
 /** The answer to a look-up. */
 export interface LookUpAnswer {
   ttlSeconds: number
   pin: string
-  entries: Array<{ instance: string, address: string }>
+  entries: Array<{ instance: string, address: string, pin: string }>
 }
 
 /** A request that a caller makes. */
@@ -36,8 +43,12 @@
 export interface CallerResult {
   /** The last outcome. */
   outcome: 'answered' | 'not-run' | 'unknown'
-  /** Whether the answer was cut off, or not the caller's own. */
+  /** Whether an answer was cut off, or not the caller's own. */
   broken: boolean
+  /** Whether an answer that ended cleanly was not the caller's own whole answer. */
+  wrong: boolean
+  /** The reason of the last refusal. */
+  reason: string | undefined
   /** Milliseconds from the first attempt to the end. */
   elapsedMs: number
 }
@@ -50,36 +61,46 @@
   instances: string[]
   /** IP number of the caller. */
   client: string
+  /** Most attempts; 4 by default. */
+  attempts?: number
+  /** Milliseconds after which an attempt is given up on; 10 s by default. */
+  attemptMs?: number
 }
 
 /**
  * Sends a request as a caller does: by way of the look-up, again under the same key where that is safe.
  *
+ * The pin of the first attempt is kept once an attempt may have run; until then each look-up gives a new one.
+ *
  * @param request The request
  * @param options The caller
  * @returns How it ended
  */
 export async function sendAsCaller (request: CallerRequest, options: SendAsCallerOptions): Promise<CallerResult> {
   const startedMs = performance.now()
-  let result: CallerResult = { outcome: 'not-run', broken: false, elapsedMs: 0 }
+  let result: CallerResult = { outcome: 'not-run', broken: false, wrong: false, reason: undefined, elapsedMs: 0 }
   let lookUp: LookUpAnswer | undefined
-  for (let attempt = 0; attempt < maxAttempts; attempt++) {
-    const fresh = await askLookUp(request.service, options, attempt)
-    lookUp = request.key === undefined || lookUp === undefined ? fresh : { ...fresh ?? lookUp, pin: lookUp.pin }
+  let pin: string | undefined
+  for (let attempt = 0; attempt < (options.attempts ?? maxAttempts); attempt++) {
+    lookUp = await askLookUp(request.service, options, attempt + startedMs) ?? lookUp
     const entry = lookUp?.entries[attempt % lookUp.entries.length]
     if (lookUp === undefined || entry === undefined) continue
-    const reply = await sendOnce(request, { ...options, address: entry.address, pin: lookUp.pin })
-    result = { ...reply, elapsedMs: performance.now() - startedMs }
-    if (reply.outcome === 'answered' || (reply.outcome === 'unknown' && request.method !== 'GET')) return result
+    const usedPin = pin ?? entry.pin
+    const { safe, ...reply } = await sendOnce(request, { ...options, address: entry.address, pin: usedPin })
+    if (!safe) pin = usedPin
+    result = { ...reply, broken: reply.broken || result.broken, wrong: reply.wrong || result.wrong, elapsedMs: performance.now() - startedMs }
+    if (pin !== undefined && result.outcome === 'not-run') result.outcome = 'unknown'
+    if (reply.outcome === 'answered' && !reply.broken) return result
+    if (reply.outcome === 'unknown' && reply.reason !== undefined && request.method !== 'GET') return result
     await new Promise(resolve => setTimeout(resolve, fallbackRetryMs))
   }
   return result
 }
 
 async function askLookUp (service: string, options: SendAsCallerOptions, attempt: number): Promise<LookUpAnswer | undefined> {
-  const address = options.instances[attempt % options.instances.length]
+  const address = options.instances[Math.floor(attempt) % options.instances.length]
   try {
-    const answer = await options.agent.request({ origin: `http://${address}`, method: 'GET', path: `/v1/services/${service}/entries?client=${options.client}` })
+    const answer = await options.agent.request({ origin: `http://${address}`, method: 'GET', path: `/v1/services/${service}/entries?client=${options.client}`, signal: AbortSignal.timeout(lookUpTimeoutMs) })
     const body = await answer.body.json()
     return answer.statusCode === 200 ? body as LookUpAnswer : undefined
   } catch {
@@ -87,26 +108,33 @@
   }
 }
 
-async function sendOnce (request: CallerRequest, call: { agent: Agent, address: string, pin: string }): Promise<Omit<CallerResult, 'elapsedMs'>> {
-  const headers: Record<string, string> = { 'x-order': request.order }
+async function sendOnce (request: CallerRequest, call: SendAsCallerOptions & { address: string, pin: string }): Promise<Reply> {
+  const attemptMs = call.attemptMs ?? defaultAttemptMs
+  const headers: Record<string, string> = { 'x-order': request.order, 'bilberry-deadline-ms': String(attemptMs) }
   if (request.key !== undefined) Object.assign(headers, { 'idempotency-key': request.key, 'bilberry-pin': call.pin })
   let answered = false
   try {
     const answer = await call.agent.request({
-      origin: `http://${call.address}`, method: request.method, path: `/services/${request.service}${request.path}`, headers, body: request.body ?? null
+      origin: `http://${call.address}`, method: request.method, path: `/services/${request.service}${request.path}`, headers, body: request.body ?? null, signal: AbortSignal.timeout(attemptMs)
     })
     const outcome = String(answer.headers['bilberry-outcome']) as CallerResult['outcome']
     answered = outcome === 'answered'
     const text = await answer.body.text()
-    return { outcome, broken: answered && !isOwnAnswer(request, text) }
+    const wrong = answered && !isOwnAnswer(request, text)
+    const reason = answer.headers['bilberry-reason']
+    return { outcome, broken: wrong, wrong, reason: reason === undefined ? undefined : String(reason), safe: outcome === 'not-run' }
   } catch (error) {
     const refused = (error as { code?: string }).code === 'ECONNREFUSED'
-    return { outcome: refused ? 'not-run' : 'unknown', broken: answered }
+    return { outcome: refused ? 'not-run' : 'unknown', broken: answered, wrong: false, reason: undefined, safe: refused }
   }
 }
 
 function isOwnAnswer (request: CallerRequest, text: string): boolean {
-  const answer = JSON.parse(text) as { order: string, bytes: number, sha256: string }
-  const digest = createHash('sha256').update(request.body ?? '').digest('hex')
-  return answer.order === request.order && answer.bytes === (request.body?.length ?? 0) && answer.sha256 === digest
+  try {
+    const answer = JSON.parse(text) as { order: string, bytes: number, sha256: string }
+    const digest = createHash('sha256').update(request.body ?? '').digest('hex')
+    return answer.order === request.order && answer.bytes === (request.body?.length ?? 0) && answer.sha256 === digest
+  } catch {
+    return false
+  }
 }
--- /dev/null
+++ b/packages/standins/src/load.ts
@@ -0,0 +1,113 @@
+/**
+ * A small load on a running deployment, and what came of it by the records of callers and targets.
+ *
+ * @module
+ */
+import type { CallerRequest, CallerResult } from './caller.ts'
+import type { Cluster } from './cluster.ts'
+import type { Deployment } from './deployments.ts'
+import { randomBytes, randomUUID } from 'node:crypto'
+import { Agent } from 'undici'
+import { sendAsCaller } from './caller.ts'
+
+const uploadBytes = 64 * 1024
+const orderBytes = 200
+
+/** Options of {@linkcode runLoad}. */
+export interface RunLoadOptions {
+  /** The deployment that runs. */
+  deployment: Deployment
+  /** Resolves when no further request is to be sent. */
+  until: Promise<unknown>
+  /** Callers that send at once, each one request after another; 8 by default. */
+  callers?: number
+  /** Milliseconds after which a caller gives an attempt up; 3 s by default. */
+  attemptMs?: number
+}
+
+/** What came of a load. */
+export interface LoadReport {
+  /** Requests sent. */
+  requests: number
+  /** Requests answered. */
+  answered: number
+  /** Requests refused as not run, for good. */
+  notRun: number
+  /** Requests of which the caller can't tell. */
+  unknown: number
+  /** Answers cut off. */
+  broken: number
+  /** Answers that ended cleanly and were not the caller's own whole answer. */
+  wrong: number
+  /** Keyed requests that targets ran more than once. */
+  ranTwice: number
+  /** Keyed requests that were refused as not run and ran. */
+  untrueRefusals: number
+  /** Refusals by reason. */
+  reasons: Record<string, number>
+}
+
+/**
+ * Sends mixed requests until told to stop: look-ups, orders and uploads, the latter two under keys.
+ *
+ * @param cluster The running deployment
+ * @param options How much and how long
+ * @returns What callers and targets recorded
+ */
+export async function runLoad (cluster: Cluster, options: RunLoadOptions): Promise<LoadReport> {
+  const agent = new Agent({ connections: 32 })
+  const sent: Array<{ request: CallerRequest, result: CallerResult }> = []
+  let next = 0
+  const stopped = new AbortController()
+  const stop = (): void => stopped.abort()
+  options.until.then(stop, stop)
+
+  async function sendRequests (): Promise<void> {
+    while (!stopped.signal.aborted) {
+      const index = next++
+      const request = createRequest(options.deployment, index)
+      const instances = cluster.instances.map(instance => instance.child.ready.callers)
+      const result = await sendAsCaller(request, { agent, instances, client: `192.0.2.${index % 250}`, attemptMs: options.attemptMs ?? 3_000, attempts: 6 })
+      sent.push({ request, result })
+    }
+  }
+  await Promise.all(Array.from({ length: options.callers ?? 8 }, sendRequests))
+  await agent.destroy()
+  return createReport(sent, await countRuns(cluster))
+}
+
+function createRequest (deployment: Deployment, index: number): CallerRequest {
+  const [main, store] = deployment.services
+  const order = randomUUID()
+  switch (index % 4) {
+    case 0: return { service: main.name, method: 'GET', path: `/menus/${index}`, order, body: undefined, key: undefined }
+    case 1: return { service: store.name, method: 'PUT', path: `/uploads/${index}`, order, body: randomBytes(uploadBytes), key: order }
+    default: return { service: main.name, method: 'POST', path: '/orders', order, body: randomBytes(orderBytes), key: order }
+  }
+}
+
+async function countRuns (cluster: Cluster): Promise<Map<string, number>> {
+  const counts = new Map<string, number>()
+  for (const run of await cluster.collectRuns()) counts.set(run.order, (counts.get(run.order) ?? 0) + 1)
+  return counts
+}
+
+function createReport (sent: Array<{ request: CallerRequest, result: CallerResult }>, runs: Map<string, number>): LoadReport {
+  const count = (isCounted: (result: CallerResult) => boolean): number => sent.filter(({ result }) => isCounted(result)).length
+  const keyed = sent.filter(({ request }) => request.key !== undefined)
+  const reasons: Record<string, number> = {}
+  for (const { result: { outcome, reason = 'no answer' } } of sent) {
+    if (outcome !== 'answered') reasons[`${outcome} ${reason}`] = (reasons[`${outcome} ${reason}`] ?? 0) + 1
+  }
+  return {
+    requests: sent.length,
+    answered: count(result => result.outcome === 'answered'),
+    notRun: count(result => result.outcome === 'not-run'),
+    unknown: count(result => result.outcome === 'unknown'),
+    broken: count(result => result.broken),
+    wrong: count(result => result.wrong),
+    ranTwice: keyed.filter(({ request }) => (runs.get(request.order) ?? 0) > 1).length,
+    untrueRefusals: keyed.filter(({ request, result }) => result.outcome === 'not-run' && runs.has(request.order)).length,
+    reasons
+  }
+}
--- /dev/null
+++ b/packages/standins/src/survival_test.ts
@@ -0,0 +1,97 @@
+import type { Cluster } from './cluster.ts'
+import type { LoadReport } from './load.ts'
+import type { ExecutionContext } from 'ava'
+import test from 'ava'
+import { createHash, randomBytes } from 'node:crypto'
+import { Readable } from 'node:stream'
+import { request } from 'undici'
+import { startCluster } from './cluster.ts'
+import { DeploymentName, deployments } from './deployments.ts'
+import { runLoad } from './load.ts'
+
+const seed = Number(process.env['BILBERRY_SEED'] ?? 5)
+const deployment = deployments[DeploymentName.Trwsio]
+
+async function waitMs (ms: number): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, ms))
+}
+
+/** Runs a load during a fault and checks what holds under every fault. */
+async function runFault (t: ExecutionContext, cluster: Cluster, fault: () => Promise<void>): Promise<LoadReport> {
+  const report = await runLoad(cluster, { deployment, until: waitMs(500).then(fault).then(() => waitMs(500)) })
+  t.log(`seed ${seed}: ${JSON.stringify(report)}`)
+  t.deepEqual({ ranTwice: report.ranTwice, wrong: report.wrong, untrueRefusals: report.untrueRefusals }, { ranTwice: 0, wrong: 0, untrueRefusals: 0 })
+  t.true(report.answered > report.requests / 2)
+  return report
+}
+
+async function sendSlowUpload (address: string, durationMs: number): Promise<{ whole: boolean, outcome: unknown }> {
+  const chunks = Array.from({ length: 20 }, () => randomBytes(8 * 1024))
+  const body = Readable.from((async function * () {
+    for (const chunk of chunks) {
+      yield chunk
+      await waitMs(durationMs / chunks.length)
+    }
+  })())
+  const answer = await request(`http://${address}/services/storfa-lluniau/uploads/slow`, { method: 'PUT', headers: { 'x-order': 'slow' }, body })
+  const text = await answer.body.text()
+  return { whole: text.includes(createHash('sha256').update(Buffer.concat(chunks)).digest('hex')), outcome: answer.headers['bilberry-outcome'] }
+}
+
+test.serial('restarts all instances under load without a broken or refused request', async t => {
+  await using cluster = await startCluster(deployment)
+  const order = [0, 1, 2, 3, 4, 5, 6].map(index => (index * 3 + seed) % 7)
+  const groups = [order.slice(0, 1), order.slice(1, 2), order.slice(2, 3), order.slice(3, 5), order.slice(5, 7)]
+  const report = await runFault(t, cluster, async () => {
+    for (const group of groups) {
+      const uploads = group.map(index => sendSlowUpload(cluster.instances[index]!.child.ready.callers, 5_000))
+      await waitMs(200)
+      const codes = await Promise.all(group.map(index => cluster.instances[index]!.child.stop('SIGTERM')))
+      t.deepEqual(codes, group.map(() => 0))
+      for (const upload of await Promise.all(uploads)) t.deepEqual(upload, { whole: true, outcome: 'answered' })
+      for (const index of group) await cluster.restartInstance(index)
+    }
+  })
+  t.deepEqual({ broken: report.broken, notRun: report.notRun, unknown: report.unknown }, { broken: 0, notRun: 0, unknown: 0 })
+})
+
+test.serial('runs nothing twice when an instance is killed', async t => {
+  await using cluster = await startCluster(deployment)
+  await runFault(t, cluster, async () => {
+    await cluster.instances[seed % 7]!.child.stop('SIGKILL')
+    await waitMs(5_000)
+  })
+})
+
+test.serial('runs nothing twice when an instance is frozen and wakes up', async t => {
+  await using cluster = await startCluster(deployment)
+  await runFault(t, cluster, async () => {
+    const { process: frozen } = cluster.instances[seed % 7]!.child
+    frozen.kill('SIGSTOP')
+    await waitMs(6_000)
+    frozen.kill('SIGCONT')
+    await waitMs(2_000)
+  })
+})
+
+test.serial('runs nothing twice when targets are frozen and wake up', async t => {
+  await using cluster = await startCluster(deployment)
+  await runFault(t, cluster, async () => {
+    const frozen = cluster.targetProcesses[seed % cluster.targetProcesses.length]!
+    frozen.kill('SIGSTOP')
+    await waitMs(4_000)
+    frozen.kill('SIGCONT')
+    await waitMs(1_000)
+  })
+})
+
+test.serial('serves pinned requests on while the platform is out', async t => {
+  await using cluster = await startCluster(deployment)
+  const platform = cluster.instances[0]!.settings.platformUrl
+  const report = await runFault(t, cluster, async () => {
+    await request(`${platform}/faults`, { method: 'PUT', body: JSON.stringify({ outage: true }) })
+    await waitMs(5_000)
+    await request(`${platform}/faults`, { method: 'PUT', body: JSON.stringify({ outage: false }) })
+  })
+  t.is(report.answered, report.requests)
+})
