--- a/packages/bilberryd/src/identity.ts
+++ b/packages/bilberryd/src/identity.ts
@@ -16,6 +16,8 @@
   createAnnouncement (): InstanceRecord
   /** Sets the addresses, once the listeners are open. */
   updateAddresses (addresses: { callers: string, peers: string }): void
+  /** Sets the function that returns the epoch of pins, in place of epoch 0. */
+  setPinEpochSource (getPinEpoch: () => number): void
   /** Marks the instance as leaving. */
   markLeaving (): void
   /** Whether the instance is leaving. */
@@ -40,15 +42,19 @@
     sequence: 0,
     pinEpoch: 0
   }
+  let getPinEpoch = (): number => 0
   return {
     getRecord: () => record,
     createAnnouncement () {
-      record = { ...record, sequence: record.sequence + 1 }
+      record = { ...record, sequence: record.sequence + 1, pinEpoch: getPinEpoch() }
       return record
     },
     updateAddresses (addresses) {
       record = { ...record, callerAddress: addresses.callers, peerAddress: addresses.peers }
     },
+    setPinEpochSource (source) {
+      getPinEpoch = source
+    },
     markLeaving () {
       record = { ...record, state: MachineState.Leaving }
     },
--- a/packages/bilberryd/src/instance_handlers.ts
+++ b/packages/bilberryd/src/instance_handlers.ts
@@ -48,8 +48,9 @@
   await broker.start()
   return {
     callers (request, response) {
-      if (request.url?.startsWith('/v1/') === true) lookUp(request, response)
-      else serve(request, response)
+      if (request.url?.startsWith('/v1/') !== true) return serve(request, response)
+      if (identity.isLeaving()) response.setHeader('connection', 'close')
+      return lookUp(request, response)
     },
     operators,
     peers,
--- a/packages/bilberryd/src/instance_parts.ts
+++ b/packages/bilberryd/src/instance_parts.ts
@@ -24,12 +24,14 @@
 import { createFeed } from './feed.ts'
 import { createFeeding } from './feeding.ts'
 import { createIdentity } from './identity.ts'
+import { createKeyKeeper } from './key_keeper.ts'
 import { startLoop } from './loop.ts'
 import { createMetrics } from './metrics.ts'
 import { createRegionChooser } from './regions.ts'
 import { createRouter, listUsableTargets } from './route.ts'
 import { createShiftLoop, hasLiveTargets } from './shift_loop.ts'
 import { createStatusReader } from './status.ts'
+import { createSuspects } from './suspects.ts'
 import { createSync } from './sync.ts'
 import { createView } from './view.ts'
 
@@ -83,11 +85,12 @@
     getPlatformAgeMs: () => sync.getPlatformAgeMs(),
     getRevisions: view.getRevisions
   })
+  const suspects = createSuspects(getNowMs)
   const feed: Feed = createFeed({
-    listFedTargets: service => listUsableTargets(view, service).flatMap(target => {
+    listFedTargets: service => suspects.select(listUsableTargets(view, service).flatMap(target => {
       const slots = feeding.getSlotLimit(target)
       return slots > 0 ? [{ ...target, slots }] : []
-    }),
+    })),
     getNowMs
   })
   const feeding = createFeeding({
@@ -105,7 +108,18 @@
     recordLease: lease => log.info({ lease }, 'Hold on targets changed'),
     recordTakeover: (instance, failureDomain) => log.warn({ silent: instance, failureDomain }, 'Instance was declared silent')
   })
-  const dispatch = createDispatcher({ feed, targets, markTargetLeaving: view.markTargetLeaving, countRetry: metrics.countRetry, getNowMs })
+  const dispatch = createDispatcher({
+    feed,
+    targets,
+    markTargetLeaving: view.markTargetLeaving,
+    markTargetUnreachable: suspects.mark,
+    checkDispatch ({ service, target }) {
+      const record = view.listTargets(service).find(other => other.target === target)
+      return record !== undefined && feed.getBusy(target) <= feeding.getSlotLimit(record)
+    },
+    countRetry: metrics.countRetry,
+    getNowMs
+  })
   const regions = createRegionChooser({ view, getNowMs })
   const hasCapacity = (service: string, change: WeightChange): boolean => hasLiveTargets(view, service, { change })
   const shifts = createShiftLoop({
@@ -130,9 +144,13 @@
   })
   const feedLoop = startLoop(feeding.advance, { intervalMs: settings.pollMs, getRandom: Math.random })
   const status = createStatusReader({ view, peers, createVersions: sync.createVersions, getWeights: regions.getWeights, getShiftState: shifts.getState })
-  const handleRequest = createRouter({
+  const route = createRouter({
     instance: settings.instance, view, listFeeders: feeding.listFeeders, dispatch, regions, peers, isReady: sync.isReady, countRetry: metrics.countRetry, getNowMs
   })
+  const keeper = createKeyKeeper({
+    instance: settings.instance, incarnation: identity.getRecord().incarnation, platform, peers, view, handleRequest: route, getNowMs
+  })
+  identity.setPinEpochSource(keeper.getPinEpoch)
   return {
     settings,
     platform,
@@ -145,7 +163,7 @@
     regions,
     status,
     sync,
-    handleRequest,
+    handleRequest: keeper.handleRequest,
     isReady: () => !identity.isLeaving() && sync.isReady(),
     async [Symbol.asyncDispose] () {
       await Promise.all([sync, feedLoop].map(loop => loop[Symbol.asyncDispose]()))
--- a/packages/bilberryd/src/run_instance.ts
+++ b/packages/bilberryd/src/run_instance.ts
@@ -9,8 +9,7 @@
 import { createInstanceParts } from './instance_parts.ts'
 import { createLateHandler } from './late_handler.ts'
 import { openListener } from './open_listener.ts'
-
-const leavingMarginMs = 1_000
+import { drainInstance } from './stop.ts'
 
 /** A running instance. */
 export interface RunningInstance extends AsyncDisposable {
@@ -56,19 +55,18 @@
     async stop () {
       parts.identity.markLeaving()
       log.info('Instance is leaving')
-      await parts.sync.announce()
-      await waitMs(settings.lookUpTtlSeconds * 1000 + leavingMarginMs)
-      await parts.feeding.release()
-      const drained = Promise.all(Object.values(listeners).map(listener => listener.drain()))
-      await Promise.race([drained, waitMs(settings.stopLimitMs)])
-      parts.metrics.countCutOff(parts.feed.countInFlight())
+      const cutOff = await drainInstance({
+        announce: parts.sync.announce,
+        lookUpTtlMs: settings.lookUpTtlSeconds * 1000,
+        release: parts.feeding.release,
+        listeners: Object.values(listeners),
+        countInFlight: parts.feed.countInFlight,
+        limitMs: settings.stopLimitMs
+      })
+      parts.metrics.countCutOff(cutOff)
       await dispose()
-      log.info('Instance stopped')
+      log.info({ cutOff }, 'Instance stopped')
     },
     [Symbol.asyncDispose]: dispose
   }
 }
-
-async function waitMs (ms: number): Promise<void> {
-  await new Promise(resolve => setTimeout(resolve, ms).unref())
-}
