--- a/packages/bilberryd/src/callers_service.ts
+++ b/packages/bilberryd/src/callers_service.ts
@@ -48,6 +48,8 @@
   failureDomain: string
   /** Region that it is in. */
   region: string
+  /** Pin under which this instance remembers idempotency keys. */
+  pin: string
 }
 
 /** The answer to a look-up. */
@@ -58,7 +60,7 @@
   revision: number
   /** Lifetime of the answer, in seconds. */
   ttlSeconds: number
-  /** Pin for idempotency keys. */
+  /** Pin of the best entry. */
   pin: string
   /** Entry instances, best first. */
   entries: LookUpEntry[]
@@ -110,15 +112,15 @@
           localRegion: options.region,
           sites: findSites(options.getBlocks(), address.value)
         })
-        const [best] = chosen
-        if (best === undefined) return { refusal: createNotRun(RefusalReason.Stopping, 'No entry instance is usable now', retryAfterMs) }
+        if (chosen.length === 0) return { refusal: createNotRun(RefusalReason.Stopping, 'No entry instance is usable now', retryAfterMs) }
+        const entries = chosen.map(describeEntry)
         return {
           answer: {
             service,
             revision: accepted.revision,
             ttlSeconds: chooseTtlSeconds(),
-            pin: formatPin({ instance: best.instance, incarnation: best.incarnation, epoch: best.pinEpoch, nonce: randomUUID() }),
-            entries: chosen.map(describeEntry)
+            pin: entries[0]!.pin,
+            entries
           }
         }
       }
@@ -127,5 +129,6 @@
 }
 
 function describeEntry (record: InstanceRecord): LookUpEntry {
-  return { instance: record.instance, address: record.callerAddress, failureDomain: record.failureDomain, region: record.region }
+  const pin = formatPin({ instance: record.instance, incarnation: record.incarnation, epoch: record.pinEpoch, nonce: randomUUID() })
+  return { instance: record.instance, address: record.callerAddress, failureDomain: record.failureDomain, region: record.region, pin }
 }
--- a/packages/operators/src/mod.ts
+++ b/packages/operators/src/mod.ts
@@ -8,6 +8,7 @@
  * @module
  */
 export * from './operators_service.ts'
+export * from './read_history.ts'
 export * from './submit_document.ts'
 export * from './tokens.ts'
 export * from './publish_client_blocks.ts'
--- a/packages/platform/src/mod.ts
+++ b/packages/platform/src/mod.ts
@@ -12,5 +12,6 @@
  */
 export * from './http_platform.ts'
 export * from './load_client_blocks.ts'
+export * from './memory_platform.ts'
 export * from './platform.ts'
 export * from './tables.ts'
--- a/packages/standins/src/bench_capacity_look_up.ts
+++ b/packages/standins/src/bench_capacity_look_up.ts
@@ -11,10 +11,10 @@
 import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { submitDocument } from '@bilberryworks/operators'
 import { createHttpPlatform, TableName } from '@bilberryworks/platform'
 import { MachineState } from '@bilberryworks/steering'
 import { Pool, request } from 'undici'
+import { writeAcceptedDocument } from './accept_document.ts'
 import { createClient, publishBlocks } from './bench_capacity_map.ts'
 import { startChild } from './child.ts'
 import { createCleanUp } from './clean_up.ts'
@@ -78,8 +78,7 @@
   const folder = await mkdtemp(join(tmpdir(), 'bilberryworks-'))
   stack.add({ [Symbol.asyncDispose]: () => rm(folder, { recursive: true }) })
   await using platform = createHttpPlatform(url)
-  const document = { ...createDocument(deployments.kutiyka, deployments.kutiyka.services[0]), leavingTargets: [] }
-  await submitDocument(platform, { document, baseRevision: 0, submissionId: 'capacity', author: 'bench', nowMs: 0 })
+  await writeAcceptedDocument(platform, createDocument(deployments.kutiyka, deployments.kutiyka.services[0]))
   await announceOthers(url, { nodes, sequence: 1 })
   const file = join(folder, 'settings.json')
   await writeFile(file, JSON.stringify(createSettings(url)))
@@ -92,7 +91,7 @@
 async function announceOthers (platformUrl: string, options: { nodes: number, sequence: number }): Promise<void> {
   await using platform = createHttpPlatform(platformUrl)
   const others = Array.from({ length: options.nodes - 1 }, (_, index) => createRecord(index, options.sequence))
-  await platform.writeRows(others.map(value => ({ table: TableName.Instances, key: value.instance, value })))
+  await platform.writeRows(others.map(value => ({ table: TableName.Instances, key: `${value.instance}/${value.incarnation}`, value })))
 }
 
 function createRecord (index: number, sequence: number): InstanceRecord {
--- a/packages/standins/src/client_blocks_test.ts
+++ b/packages/standins/src/client_blocks_test.ts
@@ -1,12 +1,13 @@
 import type { ClientBlocksRow, Platform } from '@bilberryworks/platform'
 import type { ClientBlockEntry } from '@bilberryworks/steering'
 import type { ClientBlocksLoader, Settings } from 'bilberryd'
-import { PublishFailureKind, publishClientBlocks, submitDocument } from '@bilberryworks/operators'
+import { PublishFailureKind, publishClientBlocks } from '@bilberryworks/operators'
 import { ClientBlocksLoad, createHttpPlatform, formatClientBlocksKey, runSliced, TableName } from '@bilberryworks/platform'
 import { buildClientBlocks, decodeSnapshot, diffClientBlocks, encodeDifference, encodeSnapshot, findSites, parseClientAddress, readDigest } from '@bilberryworks/steering'
 import test from 'ava'
 import { createClientBlocksLoader, runInstance } from 'bilberryd'
 import { request } from 'undici'
+import { writeAcceptedDocument } from './accept_document.ts'
 import { createDocument, deployments } from './deployments.ts'
 import { startPlatformStandin } from './platform_standin.ts'
 
@@ -170,12 +171,12 @@
   await using platform = createHttpPlatform(standin.url)
   const deployment = deployments.kutiyka
   const document = { ...createDocument(deployment, deployment.services[0]), regionWeights: { sofia: 1 } }
-  await submitDocument(platform, { document, baseRevision: 0, submissionId: 'first', author: 'test', nowMs: 0 })
+  await writeAcceptedDocument(platform, document)
   await publish(platform, createEntries(['sofia-b'], ['10.0.0.0/8']))
   const others = ['sofia-b', 'sofia-b', 'sofia-c'].map((failureDomain, index) => {
     return { instance: `other-${index}`, incarnation: 'x', failureDomain, region: 'sofia', callerAddress: 'a:1', peerAddress: '127.0.0.1:1', state: 'live', sequence: 1, pinEpoch: 0 }
   })
-  await platform.writeRows(others.map(value => ({ table: TableName.Instances, key: value.instance, value })))
+  await platform.writeRows(others.map(value => ({ table: TableName.Instances, key: `${value.instance}/x`, value })))
   await using instance = await runInstance(createSettings(standin.url), silentLog)
   const ask = async (query: string, method: 'GET' | 'POST' = 'GET'): Promise<{ status: number, text: string, ttl: string }> => {
     const answer = await request(`http://${instance.addresses.callers}/v1/services/lunchbox-api/entries${query}`, { method })
