Bound the bytes of the exchange with peers by a budget

Cause: the control budget of a node was kept by intervals alone, and nothing counted when it was overrun. Ruled out: refusing fetches that an exchange began, which would leave an instance behind; holding back before an instance is ready. Change: a token budget of bytes in steering, charged with the bodies of requests and answers, holds back exchanges while it is spent; counters of bytes and of exchanges held back; setting controlBytesPerSecond, 16384 by default. Conclusion: the exchange keeps to its rate in the long run; polls of the platform are bounded by their interval only.

--- /dev/null
+++ b/packages/bilberryd/src/budgeted_peers_test.ts
@@ -0,0 +1,36 @@
+import type { PeerClient } from '@bilberryworks/instances'
+import test from 'ava'
+import { ok } from 'neverthrow'
+import { createBudgetedPeers } from './budgeted_peers.ts'
+import { PeerMethodName } from './exchange_messages.ts'
+
+const messageBytes = 1_000
+const bytesPerSecond = 100
+
+async function simulateExchanges (ready: boolean, method: PeerMethodName): Promise<{ sent: number, heldBack: number, bytes: number }> {
+  const seen = { sent: 0, heldBack: 0, bytes: 0 }
+  let nowMs = 0
+  const carrier = {
+    async call (_address: string, _method: string, call: { recordBytes?: (bytes: number) => void }) {
+      seen.sent++
+      call.recordBytes?.(messageBytes)
+      return ok({})
+    }
+  } as unknown as PeerClient
+  const peers = createBudgetedPeers(carrier, {
+    bytesPerSecond, isReady: () => ready, countBytes: bytes => { seen.bytes += bytes }, countHeldBack: () => { seen.heldBack++ }, getNowMs: () => nowMs
+  })
+  for (; nowMs < 100_000; nowMs += 1_000) await peers.call('a:1', method, { params: {} })
+  return seen
+}
+
+test('holds exchanges back to the budget and counts them', async t => {
+  const { sent, heldBack, bytes } = await simulateExchanges(true, PeerMethodName.Exchange)
+  t.true(bytes <= 132 * bytesPerSecond + messageBytes && bytes >= 120 * bytesPerSecond, `${bytes} bytes`)
+  t.deepEqual([sent + heldBack, bytes], [100, sent * messageBytes])
+})
+
+test('holds nothing back before the instance is ready, nor a fetch', async t => {
+  t.is((await simulateExchanges(false, PeerMethodName.Exchange)).sent, 100)
+  t.is((await simulateExchanges(true, PeerMethodName.Fetch)).sent, 100)
+})
--- a/packages/bilberryd/src/instance_parts.ts
+++ b/packages/bilberryd/src/instance_parts.ts
@@ -21,6 +21,7 @@
 import { createHttpPeers } from '@bilberryworks/instances'
 import { createHttpPlatform } from '@bilberryworks/platform'
 import { createHttpTargets } from '@bilberryworks/targets'
+import { createBudgetedPeers } from './budgeted_peers.ts'
 import { createClientBlocksLoader } from './client_blocks.ts'
 import { createDispatcher } from './dispatch.ts'
 import { createFeed } from './feed.ts'
@@ -38,6 +39,7 @@
 import { createView } from './view.ts'
 
 const heartbeatsMissed = 4
+const defaultControlBytesPerSecond = 16_384
 
 /** What an instance is made of. */
 export interface InstanceParts extends AsyncDisposable {
@@ -130,10 +132,13 @@
   const shifts = createShiftLoop({
     instance: settings.instance, view, platform, hasCapacity, isPlatformReachable: () => sync.isPlatformReachable(), rankDelayMs: settings.pollMs, getNowMs
   })
-  const sync = createSync({
+  const exchangePeers = createBudgetedPeers(peers, {
+    bytesPerSecond: settings.controlBytesPerSecond ?? defaultControlBytesPerSecond, isReady: () => sync.isReady(), countBytes: metrics.countControlBytes, countHeldBack: metrics.countExchangeHeldBack, getNowMs
+  })
+  const sync: Sync = createSync({
     view,
     platform,
-    peers,
+    peers: exchangePeers,
     createAnnouncement: identity.createAnnouncement,
     seedPeers: settings.seedPeers,
     pollMs: settings.pollMs,
--- a/packages/bilberryd/src/metrics.ts
+++ b/packages/bilberryd/src/metrics.ts
@@ -36,6 +36,10 @@
   countUnauthenticated: (listener: string) => void
   /** Counts a look-up. */
   countLookUp: () => void
+  /** Counts bytes of the exchange with peers. */
+  countControlBytes: (bytes: number) => void
+  /** Counts an exchange left out because the budget of control bytes was spent. */
+  countExchangeHeldBack: () => void
   /** Counts an attempt to load the map of client blocks. */
   countClientBlocksLoad: (load: ClientBlocksLoad) => void
   /** Counts the requests that a stop cut off. */
@@ -60,6 +64,8 @@
   const cutOff = new Counter({ name: 'bilberry_stop_cut_off_total', help: 'Requests cut off by the end of a stop', registers })
   const lookUps = new Counter({ name: 'bilberry_look_ups_total', help: 'Look-ups of entry instances', registers })
   const unauthenticated = new Counter({ name: 'bilberry_unauthenticated_total', help: 'Calls without a valid key or token, by listener', labelNames: ['listener'], registers })
+  const controlBytes = new Counter({ name: 'bilberry_control_bytes_total', help: 'Bytes of exchanges with peers that this instance began', registers })
+  const heldBack = new Counter({ name: 'bilberry_exchanges_held_back_total', help: 'Exchanges left out because the budget of control bytes was spent', registers })
   const blockLoads = new Counter({ name: 'bilberry_client_blocks_loads_total', help: 'Attempts to load the map of client blocks, by end', labelNames: ['end'], registers })
   const latency = new Histogram({ name: 'bilberry_request_seconds', help: 'Time from first byte to end', labelNames: ['service', 'outcome'], buckets: latencyBucketsSeconds, registers })
   for (const reason of Object.values(RefusalReason)) refusals.inc({ reason }, 0)
@@ -78,6 +84,8 @@
     countRetry: reason => retries.inc({ reason }),
     countUnauthenticated: listener => unauthenticated.inc({ listener }),
     countLookUp: () => lookUps.inc(),
+    countControlBytes: bytes => controlBytes.inc(bytes),
+    countExchangeHeldBack: () => heldBack.inc(),
     countClientBlocksLoad: end => blockLoads.inc({ end }),
     countCutOff: count => cutOff.inc(count)
   }
--- a/packages/bilberryd/src/settings.ts
+++ b/packages/bilberryd/src/settings.ts
@@ -67,6 +67,8 @@
   pollMs: number
   /** Time between two heartbeats, in milliseconds. */
   heartbeatMs: number
+  /** Bytes that exchanges with peers may take each second in the long run; 16384 by default. */
+  controlBytesPerSecond?: number
   /** Longest time that a request other than an upload may take at a target, in milliseconds. */
   longestDispatchMs: number
   /** Longest time that a stop waits for requests in flight, in milliseconds. */
--- a/packages/bilberryd/src/settings_schema.ts
+++ b/packages/bilberryd/src/settings_schema.ts
@@ -59,6 +59,7 @@
     lookUpTtlSeconds: { type: 'integer', minimum: 1, maximum: 300, default: 5 },
     pollMs: { type: 'integer', minimum: 50, maximum: 60_000, default: 1_000 },
     heartbeatMs: { type: 'integer', minimum: 100, maximum: 60_000, default: 3_000 },
+    controlBytesPerSecond: { type: 'integer', minimum: 256, maximum: 1_000_000_000, default: 16_384 },
     longestDispatchMs: { type: 'integer', minimum: 100, maximum: 600_000, default: 10_000 },
     stopLimitMs: { type: 'integer', minimum: 0, maximum: 3_600_000, default: 120_000 }
   }
--- a/packages/instances/src/http_peers.ts
+++ b/packages/instances/src/http_peers.ts
@@ -53,15 +53,17 @@
   return {
     async call<T> (peerAddress: string, method: string, call: PeerCallOptions): Promise<Result<T, PeerFailure>> {
       try {
+        const body = JSON.stringify(createJSONRPCRequest(nextId++, method, call.params))
         const answer = await agent.request({
           origin: `http://${peerAddress}`,
           method: 'POST',
           path: '/rpc',
           headers: { authorization, 'content-type': 'application/json' },
-          body: JSON.stringify(createJSONRPCRequest(nextId++, method, call.params)),
+          body,
           signal: AbortSignal.timeout(call.timeoutMs ?? defaultCallTimeoutMs)
         })
         const text = await answer.body.text()
+        call.recordBytes?.(Buffer.byteLength(body) + Buffer.byteLength(text))
         if (answer.statusCode !== 200) return err({ kind: PeerFailureKind.Refused, detail: `${method} ended with ${answer.statusCode}` })
         const response = JSON.parse(text) as JSONRPCResponse
         if (response.error !== undefined) return err({ kind: PeerFailureKind.Refused, detail: response.error.message })
--- a/packages/instances/src/peers.ts
+++ b/packages/instances/src/peers.ts
@@ -46,4 +46,6 @@
   params: unknown
   /** Milliseconds after which the call is given up on; 1 s by default. */
   timeoutMs?: number
+  /** Called with the bytes of the bodies of an answered call. */
+  recordBytes?: (bytes: number) => void
 }
--- a/packages/steering/src/mod.ts
+++ b/packages/steering/src/mod.ts
@@ -13,6 +13,7 @@
  */
 export * from './admission.ts'
 export * from './check_document.ts'
+export * from './byte_budget.ts'
 export * from './client_address.ts'
 export * from './client_blocks.ts'
 export * from './client_blocks_build.ts'
