Measure control and recovery of fleets up to the plan's size

Cause: docs/CAPACITY.md needs slopes of control by nodes, services and targets, and times and bytes of recovery. Ruled out: real processes by the hundred; the loops of up to 550 instances run in one process over fakes of platform and peers that count bytes as JSON.

--- a/packages/bilberryd/src/mod.ts
+++ b/packages/bilberryd/src/mod.ts
@@ -9,4 +9,6 @@
  */
 export * from './client_blocks.ts'
 export * from './run_instance.ts'
+export * from './sync.ts'
+export * from './view.ts'
 export * from './settings.ts'
--- /dev/null
+++ b/packages/standins/src/bench_capacity_control.ts
@@ -0,0 +1,170 @@
+/**
+ * Measures what control costs a node, and how long a fleet takes to be current again after a failure.
+ *
+ * @module
+ */
+import type { ServiceDocument } from '@bilberryworks/steering'
+import type { Fleet, FleetNode } from './bench_capacity_fleet.ts'
+import { setTimeout } from 'node:timers/promises'
+import { writeAcceptedDocument } from './accept_document.ts'
+import { createFleet, fleetPollMs, pollsPerHeartbeat } from './bench_capacity_fleet.ts'
+import { createDocument, deployments } from './deployments.ts'
+
+const windowPolls = pollsPerHeartbeat
+const waitLimitPolls = 60
+const startGroup = 4
+const checkMs = 20
+const replacedShare = 0.1
+const missedChanges = 50
+const randomSeed = 5
+
+/** Sizes of a fleet. */
+export interface FleetSize {
+  nodes: number
+  services: number
+  targets: number
+}
+
+/** Sizes at which control is measured, each value varied by itself. */
+export const fleetSizes: FleetSize[] = [
+  { nodes: 50, services: 10, targets: 100 },
+  { nodes: 100, services: 10, targets: 100 },
+  { nodes: 200, services: 10, targets: 100 },
+  { nodes: 550, services: 10, targets: 100 },
+  { nodes: 100, services: 50, targets: 100 },
+  { nodes: 100, services: 10, targets: 500 }
+]
+
+/** Measures control at each size and prints a table of bytes and platform calls for each node and poll. */
+export async function measureControl (): Promise<void> {
+  const rows = []
+  for (const size of fleetSizes) {
+    await using fleet = await startFleet(size)
+    await setTimeout(fleetPollMs * pollsPerHeartbeat)
+    fleet.clear()
+    await setTimeout(fleetPollMs * windowPolls)
+    const { counts } = fleet
+    const perNodePoll = (value: number): number => Math.round(value / size.nodes / windowPolls * 100) / 100
+    rows.push({
+      ...size,
+      exchangeBytes: perNodePoll(counts.exchangeBytes),
+      indexBytes: perNodePoll(counts.indexBytes),
+      instanceRowBytes: perNodePoll(counts.instanceRowBytes),
+      machineBytes: perNodePoll(counts.machineBytes),
+      otherBytes: perNodePoll(counts.otherBytes),
+      calls: perNodePoll(counts.reads),
+      rowsRead: perNodePoll(counts.rowsRead),
+      writes: perNodePoll(counts.writes)
+    })
+  }
+  console.log('Control for each node and poll')
+  console.table(rows)
+}
+
+/** Measures recoveries of a fleet of the plan's size and prints polls and bytes for each. */
+export async function measureRecoveries (size: FleetSize): Promise<void> {
+  await using fleet = await startFleet(size)
+  await setTimeout(fleetPollMs * pollsPerHeartbeat)
+  const recoveries = [
+    await measureRecovery(fleet, 'one change in force everywhere', measureChange),
+    await measureRecovery(fleet, 'one in ten replaced at once', measureReplacement),
+    await measureRecovery(fleet, `a domain back, ${missedChanges} changes missed`, measureDomainBack),
+    await measureRecovery(fleet, 'an instance starts in an outage', measureStartInOutage)
+  ]
+  console.log(`Recovery, ${size.nodes} nodes, ${size.services} services`)
+  console.table(recoveries)
+}
+
+interface Recovery {
+  /** Instances that had to recover. */
+  recovering: number
+  /** Polls from the event to the last of them being current; infinite where it was not. */
+  polls: number
+}
+
+async function measureRecovery (fleet: Fleet, name: string, recover: (fleet: Fleet) => Promise<Recovery>): Promise<object> {
+  fleet.clear()
+  const { recovering, polls } = await recover(fleet)
+  const { exchangeBytes, exchanges, otherBytes, reads, writes } = fleet.counts
+  return { name, recovering, polls: Math.round(polls * 100) / 100, exchanges, exchangeKilobytes: Math.round(exchangeBytes / 1000), documentKilobytes: Math.round(otherBytes / 1000), reads, writes }
+}
+
+async function measureChange (fleet: Fleet): Promise<Recovery> {
+  await writeAcceptedDocument(fleet.platform, createServiceDocument(0), { revision: 2 })
+  return { recovering: fleet.nodes.size, polls: await countPollsUntil(() => [...fleet.nodes.values()].every(node => getRevision(node, 0) === 2)) }
+}
+
+async function measureReplacement (fleet: Fleet): Promise<Recovery> {
+  const replaced = [...fleet.nodes.values()].filter((_, index) => index % (1 / replacedShare) === 0)
+  await Promise.all(replaced.map(node => node[Symbol.asyncDispose]()))
+  fleet.clear()
+  const fresh = replaced.map(node => fleet.start(Number(node.name.slice('node-'.length)), { incarnation: 2 }))
+  const isKnown = (node: FleetNode): boolean => fresh.every(other => node.view.getInstance(other.name)?.incarnation === other.incarnation)
+  return { recovering: fresh.length, polls: await countPollsUntil(() => fresh.every(node => node.sync.isReady()) && [...fleet.nodes.values()].every(isKnown)) }
+}
+
+async function measureDomainBack (fleet: Fleet): Promise<Recovery> {
+  const domain = 'site-3'
+  fleet.isCut = (from, to) => (from === domain) !== (to === domain)
+  for (let change = 0; change < missedChanges; change++) {
+    const service = 1 + change % 9
+    await writeAcceptedDocument(fleet.platform, createServiceDocument(service), { revision: 2 + Math.floor(change / 9) })
+  }
+  await setTimeout(fleetPollMs * pollsPerHeartbeat)
+  const revisions = new Map(Array.from({ length: 9 }, (_, index) => [index + 1, Math.max(...[...fleet.nodes.values()].map(node => getRevision(node, index + 1)))]))
+  const members = [...fleet.nodes.values()].filter(node => node.failureDomain === domain)
+  fleet.clear()
+  fleet.isCut = () => false
+  const isCurrent = (node: FleetNode): boolean => [...revisions].every(([service, revision]) => getRevision(node, service) === revision)
+  if (members.some(isCurrent)) throw new Error('The domain was not cut off')
+  return { recovering: members.length, polls: await countPollsUntil(() => members.every(isCurrent)) }
+}
+
+async function measureStartInOutage (fleet: Fleet): Promise<Recovery> {
+  fleet.isCut = (_from, to) => to === ''
+  fleet.clear()
+  const node = fleet.start(fleet.nodes.size, { incarnation: 1, seedPeers: ['node-0', 'node-1'] })
+  const isCurrent = (): boolean => node.sync.isReady() && getRevision(node, 0) === 2
+  const polls = await countPollsUntil(isCurrent)
+  return { recovering: 1, polls }
+}
+
+async function startFleet (size: FleetSize): Promise<Fleet> {
+  const fleet = createFleet({ targets: size.targets, getRandom: createRandom(randomSeed) })
+  for (let service = 0; service < size.services; service++) await writeAcceptedDocument(fleet.platform, createServiceDocument(service))
+  for (let index = 0; index < size.nodes; index++) {
+    fleet.start(index, { incarnation: 1 })
+    if (index % startGroup === 0) await setTimeout(checkMs)
+  }
+  const polls = await countPollsUntil(() => [...fleet.nodes.values()].every(node => node.sync.isReady() && node.view.listInstances().length === size.nodes))
+  if (polls === Infinity) console.log(`Fleet of ${size.nodes} did not become ready in ${waitLimitPolls} polls`)
+  return fleet
+}
+
+function createServiceDocument (index: number): ServiceDocument {
+  return { ...createDocument(deployments.kutiyka, deployments.kutiyka.services[0]), service: `service-${index}` }
+}
+
+function getRevision (node: FleetNode, service: number): number {
+  return node.view.getDocument(`service-${service}`)?.revision ?? 0
+}
+
+async function countPollsUntil (isDone: () => boolean): Promise<number> {
+  const startMs = performance.now()
+  while (!isDone()) {
+    if (performance.now() - startMs > waitLimitPolls * fleetPollMs) return Infinity
+    await setTimeout(checkMs)
+  }
+  return (performance.now() - startMs) / fleetPollMs
+}
+
+/** Creates a repeatable random source (mulberry32). */
+function createRandom (seed: number): () => number {
+  let state = seed
+  return () => {
+    state = (state + 0x6d2b79f5) | 0
+    let value = Math.imul(state ^ state >>> 15, state | 1)
+    value ^= value + Math.imul(value ^ value >>> 7, value | 61)
+    return ((value ^ value >>> 14) >>> 0) / 0x1_0000_0000
+  }
+}
--- /dev/null
+++ b/packages/standins/src/bench_capacity_fleet.ts
@@ -0,0 +1,195 @@
+/**
+ * Hundreds of instances' loops in one process, over a platform and a network of function calls that count bytes.
+ *
+ * Times are given in polls, so that they hold for any interval.
+ *
+ * @module
+ */
+import type { PeerClient } from '@bilberryworks/instances'
+import type { Platform } from '@bilberryworks/platform'
+import type { TargetRecord } from '@bilberryworks/steering'
+import type { Sync, View } from 'bilberryd'
+import { setTimeout } from 'node:timers/promises'
+import { PeerFailureKind } from '@bilberryworks/instances'
+import { createMemoryPlatform, MemoryFault } from '@bilberryworks/platform'
+import { MachineState } from '@bilberryworks/steering'
+import { createSync, createView } from 'bilberryd'
+import { err, ok } from 'neverthrow'
+
+/** Time between two polls in the measurement, in milliseconds. */
+export const fleetPollMs = 2_000
+
+/** Polls from one heartbeat to the next. */
+export const pollsPerHeartbeat = 4
+
+const heartbeatsMissed = 4
+const maxLatencyMs = 20
+const domainCount = 10
+const regionCount = 3
+
+/** What was counted. */
+export interface FleetCounts {
+  exchangeBytes: number
+  exchanges: number
+  indexBytes: number
+  instanceRowBytes: number
+  machineBytes: number
+  otherBytes: number
+  reads: number
+  rowsRead: number
+  writes: number
+}
+
+/** An instance of the fleet. */
+export interface FleetNode extends AsyncDisposable {
+  name: string
+  incarnation: string
+  failureDomain: string
+  view: View
+  sync: Sync
+}
+
+/** Instances in one process. */
+export interface Fleet extends AsyncDisposable {
+  /** Live instances by address. */
+  nodes: Map<string, FleetNode>
+  /** Counts since they were last set to zero. */
+  counts: FleetCounts
+  /** A client of the platform that counts nothing. */
+  platform: Platform
+  /** Whether two places can reach each other; the platform's place is empty. */
+  isCut: (from: string, to: string) => boolean
+  /** Starts an instance. */
+  start (index: number, options: { incarnation: number, seedPeers?: string[] }): FleetNode
+  /** Sets all counts to zero. */
+  clear (): void
+}
+
+/**
+ * Creates a fleet without instances.
+ *
+ * @param options Number of targets on the platform's list, and the random source
+ * @returns The fleet
+ */
+export function createFleet (options: { targets: number, getRandom: () => number }): Fleet {
+  const { getRandom } = options
+  const memory = createMemoryPlatform()
+  memory.machines = { instances: [], targets: Array.from({ length: options.targets }, (_, index) => createTarget(index)) }
+  const counts = createCounts()
+  const fleet: Fleet = {
+    nodes: new Map(),
+    counts,
+    platform: memory,
+    isCut: () => false,
+    clear: () => Object.assign(counts, createCounts()),
+    start (index, { incarnation, seedPeers = [] }) {
+      const domain = index % domainCount
+      const name = `node-${index}`
+      const failureDomain = `site-${domain}`
+      const identity = { instance: name, incarnation: `5f0c8a52-9d0e-4b52-8f39-${String(index).padStart(6, '0')}${String(incarnation).padStart(6, '0')}`, failureDomain, region: `region-${domain % regionCount}`, callerAddress: `10.${domain}.1.${index}:8080`, peerAddress: name, state: MachineState.Live, pinEpoch: 0 }
+      const view = createView({ instanceTimeoutMs: fleetPollMs * pollsPerHeartbeat * heartbeatsMissed, getNowMs: () => performance.now() })
+      let sequence = 0
+      const sync = createSync({
+        view,
+        platform: createCountedPlatform(memory, { counts, getRandom, isCut: () => fleet.isCut(failureDomain, '') }),
+        peers: createCountedPeers(fleet, failureDomain),
+        createAnnouncement: () => ({ ...identity, sequence: ++sequence }),
+        seedPeers,
+        pollMs: fleetPollMs,
+        heartbeatMs: fleetPollMs * pollsPerHeartbeat,
+        getRandom,
+        getNowMs: () => performance.now(),
+        recordPlatform: () => {}
+      })
+      const node: FleetNode = {
+        name,
+        incarnation: identity.incarnation,
+        failureDomain,
+        view,
+        sync,
+        async [Symbol.asyncDispose] () {
+          if (fleet.nodes.get(name) === node) fleet.nodes.delete(name)
+          await sync[Symbol.asyncDispose]()
+        }
+      }
+      fleet.nodes.set(name, node)
+      return node
+    },
+    async [Symbol.asyncDispose] () {
+      await Promise.all([...fleet.nodes.values()].map(node => node[Symbol.asyncDispose]()))
+    }
+  }
+  return fleet
+}
+
+function createCounts (): FleetCounts {
+  return { exchangeBytes: 0, exchanges: 0, indexBytes: 0, instanceRowBytes: 0, machineBytes: 0, otherBytes: 0, reads: 0, rowsRead: 0, writes: 0 }
+}
+
+function createTarget (index: number): TargetRecord {
+  const domain = index % domainCount
+  return { target: `target-${index}`, service: `service-${index % 50}`, address: `10.${domain}.2.${index}:8080`, failureDomain: `site-${domain}`, region: `region-${domain % regionCount}`, slots: 3, maxConnections: 330, state: MachineState.Live }
+}
+
+type Counted = 'indexBytes' | 'instanceRowBytes' | 'machineBytes' | 'otherBytes'
+
+function chooseCount (table: string): Counted {
+  return table === 'index' ? 'indexBytes' : table === 'instances' ? 'instanceRowBytes' : 'otherBytes'
+}
+
+/** Counts what a client of the platform over HTTP would carry, as JSON. */
+function createCountedPlatform (memory: Platform, options: { counts: FleetCounts, getRandom: () => number, isCut: () => boolean }): Platform {
+  const { counts } = options
+  const cutOff = createMemoryPlatform()
+  cutOff.chooseFault = () => MemoryFault.Outage
+  async function choosePlatform (): Promise<Platform> {
+    await setTimeout(1 + options.getRandom() * maxLatencyMs)
+    return options.isCut() ? cutOff : memory
+  }
+  function countRead (kind: Counted, value: unknown, rows: number): void {
+    counts[kind] += JSON.stringify(value ?? null).length
+    counts.reads++
+    counts.rowsRead += rows
+  }
+  return {
+    ...cutOff,
+    async readRow (table, key) {
+      const row = await (await choosePlatform()).readRow(table, key)
+      if (row.isOk()) countRead(chooseCount(table), row.value, 1)
+      return row
+    },
+    async listRows (table, prefix) {
+      const rows = await (await choosePlatform()).listRows(table, prefix)
+      if (rows.isOk()) countRead(chooseCount(table), rows.value, rows.value.length)
+      return rows
+    },
+    async writeRows (writes) {
+      const written = await (await choosePlatform()).writeRows(writes)
+      counts.writes++
+      counts[chooseCount(writes.length === 1 ? writes[0]!.table : '')] += JSON.stringify(writes).length
+      return written
+    },
+    async listMachines () {
+      const list = await (await choosePlatform()).listMachines()
+      if (list.isOk()) countRead('machineBytes', list.value, 1)
+      return list
+    }
+  }
+}
+
+function createCountedPeers (fleet: Fleet, failureDomain: string): PeerClient {
+  return {
+    async call (address, method, { params }) {
+      const request = JSON.stringify(params)
+      await setTimeout(1)
+      const peer = fleet.nodes.get(address)
+      if (peer === undefined || fleet.isCut(failureDomain, peer.failureDomain)) return err({ kind: PeerFailureKind.ConnectFailed, detail: 'Peer is out of reach' })
+      const reply = JSON.stringify(await peer.sync.methods[method]?.(JSON.parse(request)))
+      fleet.counts.exchangeBytes += request.length + reply.length
+      fleet.counts.exchanges++
+      return ok(JSON.parse(reply))
+    },
+    forward: async () => { throw new Error('Fleet forwards no requests') },
+    async [Symbol.asyncDispose] () {}
+  }
+}
--- /dev/null
+++ b/packages/standins/src/bench_capacity_processes.ts
@@ -0,0 +1,83 @@
+/**
+ * Measures what control costs real processes that serve no callers: processor time and bytes of all sockets.
+ *
+ * @module
+ */
+import type { Settings } from 'bilberryd'
+import type { InstanceAddresses } from './cluster.ts'
+import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { setTimeout } from 'node:timers/promises'
+import { createHttpPlatform } from '@bilberryworks/platform'
+import { writeAcceptedDocument } from './accept_document.ts'
+import { readCpuSeconds } from './bench_capacity_look_up.ts'
+import { startChild } from './child.ts'
+import { createCleanUp } from './clean_up.ts'
+import { locateDaemon, locateScript } from './cluster.ts'
+import { createDocument, deployments } from './deployments.ts'
+
+const processCounts = [4, 8, 16, 24]
+const pollMs = 1_000
+const pollsPerHeartbeat = 4
+const settlePolls = 12
+const windowPolls = 16
+const domainCount = 10
+const regionCount = 3
+
+/** Measures fleets of real processes and prints what a node spends on each poll. */
+export async function measureProcesses (): Promise<void> {
+  const rows = []
+  for (const count of processCounts) rows.push(await measureFleet(count))
+  console.log('Control of real processes, for each node and poll')
+  console.table(rows)
+}
+
+async function measureFleet (count: number): Promise<object> {
+  await using stack = createCleanUp()
+  const { ready: { url } } = stack.add(await startChild<{ url: string }>(locateScript('main_platform.js'), []))
+  await using platform = createHttpPlatform(url)
+  for (const service of deployments.kutiyka.services) await writeAcceptedDocument(platform, createDocument(deployments.kutiyka, service))
+  const folder = await mkdtemp(join(tmpdir(), 'bilberryworks-'))
+  stack.add({ [Symbol.asyncDispose]: () => rm(folder, { recursive: true }) })
+  const pids: number[] = []
+  for (let index = 0; index < count; index++) {
+    const file = join(folder, `${index}.json`)
+    await writeFile(file, JSON.stringify(createSettings(index, url)))
+    const child = stack.add(await startChild<InstanceAddresses>(locateDaemon(), ['--settings', file]))
+    pids.push(child.process.pid!)
+  }
+  await setTimeout(pollMs * settlePolls)
+  const before = await Promise.all(pids.map(readUse))
+  await setTimeout(pollMs * windowPolls)
+  const after = await Promise.all(pids.map(readUse))
+  const perNodePoll = (key: 'cpuSeconds' | 'bytes'): number => after.reduce((sum, use, index) => sum + use[key] - before[index]![key], 0) / count / windowPolls
+  return { processes: count, cpuMsPerPoll: Math.round(perNodePoll('cpuSeconds') * 1e5) / 100, bytesPerPoll: Math.round(perNodePoll('bytes')) }
+}
+
+function createSettings (index: number, platformUrl: string): Settings {
+  const listen = { host: '127.0.0.1', port: 0 }
+  const domain = index % domainCount
+  return {
+    instance: `node-${index}`,
+    failureDomain: `site-${domain}`,
+    region: `region-${domain % regionCount}`,
+    platformUrl,
+    listen: { callers: listen, operators: listen, peers: listen },
+    peerKeys: ['capacity-measurement'],
+    seedPeers: [],
+    tokens: [],
+    lookUpTtlSeconds: 30,
+    pollMs,
+    heartbeatMs: pollMs * pollsPerHeartbeat,
+    stopLimitMs: 1_000,
+    longestDispatchMs: 10_000
+  }
+}
+
+/** Reads processor time, and bytes that were read and written by calls, which sockets carry nearly all of. */
+async function readUse (pid: number): Promise<{ cpuSeconds: number, bytes: number }> {
+  const text = await readFile(`/proc/${pid}/io`, 'utf8')
+  const readField = (name: string): number => Number(new RegExp(`^${name}: (\\d+)`, 'm').exec(text)?.[1])
+  return { cpuSeconds: await readCpuSeconds(pid), bytes: readField('rchar') + readField('wchar') }
+}
--- a/packages/standins/src/mod.ts
+++ b/packages/standins/src/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from './bench_capacity.ts'
 export * from './caller.ts'
 export * from './child.ts'
 export * from './cluster.ts'
