--- a/packages/standins/src/bench_capacity_control.ts
+++ b/packages/standins/src/bench_capacity_control.ts
@@ -7,9 +7,10 @@
 import type { Fleet, FleetNode } from './bench_capacity_fleet.ts'
 import { setTimeout } from 'node:timers/promises'
 import { writeAcceptedDocument } from './accept_document.ts'
-import { createFleet, fleetPollMs, pollsPerHeartbeat } from './bench_capacity_fleet.ts'
+import { createFleet, pollsPerHeartbeat } from './bench_capacity_fleet.ts'
 import { createDocument, deployments } from './deployments.ts'
 
+const benchPollMs = 2_000
 const windowPolls = pollsPerHeartbeat
 const waitLimitPolls = 60
 const startGroup = 4
@@ -23,6 +24,8 @@
   nodes: number
   services: number
   targets: number
+  /** Time between two polls, in milliseconds; 2 s by default. */
+  pollMs?: number
 }
 
 /** Sizes at which control is measured, each value varied by itself. */
@@ -40,9 +43,9 @@
   const rows = []
   for (const size of fleetSizes) {
     await using fleet = await startFleet(size)
-    await setTimeout(fleetPollMs * pollsPerHeartbeat)
+    await setTimeout(fleet.pollMs * pollsPerHeartbeat)
     fleet.clear()
-    await setTimeout(fleetPollMs * windowPolls)
+    await setTimeout(fleet.pollMs * windowPolls)
     const { counts } = fleet
     const perNodePoll = (value: number): number => Math.round(value / size.nodes / windowPolls * 100) / 100
     rows.push({
@@ -61,20 +64,42 @@
   console.table(rows)
 }
 
-/** Measures recoveries of a fleet of the plan's size and prints polls and bytes for each. */
+/** How a fleet recovered from one event. */
+export interface RecoveryFigures {
+  name: string
+  recovering: number
+  polls: number
+  exchanges: number
+  exchangeKilobytes: number
+  documentKilobytes: number
+  reads: number
+  writes: number
+}
+
+/** Measures recoveries of a fleet and prints polls and bytes for each. */
 export async function measureRecoveries (size: FleetSize): Promise<void> {
-  await using fleet = await startFleet(size)
-  await setTimeout(fleetPollMs * pollsPerHeartbeat)
-  const recoveries = [
-    await measureRecovery(fleet, 'one change in force everywhere', measureChange),
-    await measureRecovery(fleet, 'one in ten replaced at once', measureReplacement),
-    await measureRecovery(fleet, `a domain back, ${missedChanges} changes missed`, measureDomainBack),
-    await measureRecovery(fleet, 'an instance starts in an outage', measureStartInOutage)
-  ]
+  const recoveries = await runRecoveries(size)
   console.log(`Recovery, ${size.nodes} nodes, ${size.services} services`)
   console.table(recoveries)
 }
 
+/**
+ * Brings a fleet through one event after the other.
+ *
+ * @param size Size of the fleet; ten services at least
+ * @returns The figures of each event
+ */
+export async function runRecoveries (size: FleetSize): Promise<RecoveryFigures[]> {
+  await using fleet = await startFleet(size)
+  await setTimeout(fleet.pollMs * pollsPerHeartbeat)
+  return [
+    await measureRecovery(fleet, { name: 'one change in force everywhere', recover: measureChange }),
+    await measureRecovery(fleet, { name: 'one in ten replaced at once', recover: measureReplacement }),
+    await measureRecovery(fleet, { name: `a domain back, ${missedChanges} changes missed`, recover: measureDomainBack }),
+    await measureRecovery(fleet, { name: 'an instance starts in an outage', recover: measureStartInOutage })
+  ]
+}
+
 interface Recovery {
   /** Instances that had to recover. */
   recovering: number
@@ -82,7 +107,7 @@
   polls: number
 }
 
-async function measureRecovery (fleet: Fleet, name: string, recover: (fleet: Fleet) => Promise<Recovery>): Promise<object> {
+async function measureRecovery (fleet: Fleet, { name, recover }: { name: string, recover: (fleet: Fleet) => Promise<Recovery> }): Promise<RecoveryFigures> {
   fleet.clear()
   const { recovering, polls } = await recover(fleet)
   const { exchangeBytes, exchanges, otherBytes, reads, writes } = fleet.counts
@@ -91,7 +116,7 @@
 
 async function measureChange (fleet: Fleet): Promise<Recovery> {
   await writeAcceptedDocument(fleet.platform, createServiceDocument(0), { revision: 2 })
-  return { recovering: fleet.nodes.size, polls: await countPollsUntil(() => [...fleet.nodes.values()].every(node => getRevision(node, 0) === 2)) }
+  return { recovering: fleet.nodes.size, polls: await countPollsUntil(fleet, () => [...fleet.nodes.values()].every(node => getRevision(node, 0) === 2)) }
 }
 
 async function measureReplacement (fleet: Fleet): Promise<Recovery> {
@@ -100,7 +125,7 @@
   fleet.clear()
   const fresh = replaced.map(node => fleet.start(Number(node.name.slice('node-'.length)), { incarnation: 2 }))
   const isKnown = (node: FleetNode): boolean => fresh.every(other => node.view.getInstance(other.name)?.incarnation === other.incarnation)
-  return { recovering: fresh.length, polls: await countPollsUntil(() => fresh.every(node => node.sync.isReady()) && [...fleet.nodes.values()].every(isKnown)) }
+  return { recovering: fresh.length, polls: await countPollsUntil(fleet, () => fresh.every(node => node.sync.isReady()) && [...fleet.nodes.values()].every(isKnown)) }
 }
 
 async function measureDomainBack (fleet: Fleet): Promise<Recovery> {
@@ -110,14 +135,14 @@
     const service = 1 + change % 9
     await writeAcceptedDocument(fleet.platform, createServiceDocument(service), { revision: 2 + Math.floor(change / 9) })
   }
-  await setTimeout(fleetPollMs * pollsPerHeartbeat)
+  await setTimeout(fleet.pollMs * pollsPerHeartbeat)
   const revisions = new Map(Array.from({ length: 9 }, (_, index) => [index + 1, Math.max(...[...fleet.nodes.values()].map(node => getRevision(node, index + 1)))]))
   const members = [...fleet.nodes.values()].filter(node => node.failureDomain === domain)
   fleet.clear()
   fleet.isCut = () => false
   const isCurrent = (node: FleetNode): boolean => [...revisions].every(([service, revision]) => getRevision(node, service) === revision)
   if (members.some(isCurrent)) throw new Error('The domain was not cut off')
-  return { recovering: members.length, polls: await countPollsUntil(() => members.every(isCurrent)) }
+  return { recovering: members.length, polls: await countPollsUntil(fleet, () => members.every(isCurrent)) }
 }
 
 async function measureStartInOutage (fleet: Fleet): Promise<Recovery> {
@@ -125,18 +150,18 @@
   fleet.clear()
   const node = fleet.start(fleet.nodes.size, { incarnation: 1, seedPeers: ['node-0', 'node-1'] })
   const isCurrent = (): boolean => node.sync.isReady() && getRevision(node, 0) === 2
-  const polls = await countPollsUntil(isCurrent)
+  const polls = await countPollsUntil(fleet, isCurrent)
   return { recovering: 1, polls }
 }
 
 async function startFleet (size: FleetSize): Promise<Fleet> {
-  const fleet = createFleet({ targets: size.targets, getRandom: createRandom(randomSeed) })
+  const fleet = createFleet({ targets: size.targets, pollMs: size.pollMs ?? benchPollMs, getRandom: createRandom(randomSeed) })
   for (let service = 0; service < size.services; service++) await writeAcceptedDocument(fleet.platform, createServiceDocument(service))
   for (let index = 0; index < size.nodes; index++) {
     fleet.start(index, { incarnation: 1 })
     if (index % startGroup === 0) await setTimeout(checkMs)
   }
-  const polls = await countPollsUntil(() => [...fleet.nodes.values()].every(node => node.sync.isReady() && node.view.listInstances().length === size.nodes))
+  const polls = await countPollsUntil(fleet, () => [...fleet.nodes.values()].every(node => node.sync.isReady() && node.view.listInstances().length === size.nodes))
   if (polls === Infinity) console.log(`Fleet of ${size.nodes} did not become ready in ${waitLimitPolls} polls`)
   return fleet
 }
@@ -149,13 +174,13 @@
   return node.view.getDocument(`service-${service}`)?.revision ?? 0
 }
 
-async function countPollsUntil (isDone: () => boolean): Promise<number> {
+async function countPollsUntil (fleet: Fleet, isDone: () => boolean): Promise<number> {
   const startMs = performance.now()
   while (!isDone()) {
-    if (performance.now() - startMs > waitLimitPolls * fleetPollMs) return Infinity
+    if (performance.now() - startMs > waitLimitPolls * fleet.pollMs) return Infinity
     await setTimeout(checkMs)
   }
-  return (performance.now() - startMs) / fleetPollMs
+  return (performance.now() - startMs) / fleet.pollMs
 }
 
 /** Creates a repeatable random source (mulberry32). */
--- a/packages/standins/src/bench_capacity_fleet.ts
+++ b/packages/standins/src/bench_capacity_fleet.ts
@@ -16,9 +16,6 @@
 import { createSync, createView } from 'bilberryd'
 import { err, ok } from 'neverthrow'
 
-/** Time between two polls in the measurement, in milliseconds. */
-export const fleetPollMs = 2_000
-
 /** Polls from one heartbeat to the next. */
 export const pollsPerHeartbeat = 4
 
@@ -49,8 +46,20 @@
   sync: Sync
 }
 
+/** Options of {@linkcode createFleet}. */
+export interface CreateFleetOptions {
+  /** Number of targets on the platform's list. */
+  targets: number
+  /** Time between two polls, in milliseconds. */
+  pollMs: number
+  /** Returns a random number from 0 to 1. */
+  getRandom: () => number
+}
+
 /** Instances in one process. */
 export interface Fleet extends AsyncDisposable {
+  /** Time between two polls, in milliseconds. */
+  pollMs: number
   /** Live instances by address. */
   nodes: Map<string, FleetNode>
   /** Counts since they were last set to zero. */
@@ -68,15 +77,16 @@
 /**
  * Creates a fleet without instances.
  *
- * @param options Number of targets on the platform's list, and the random source
+ * @param options Its size and times
  * @returns The fleet
  */
-export function createFleet (options: { targets: number, getRandom: () => number }): Fleet {
-  const { getRandom } = options
+export function createFleet (options: CreateFleetOptions): Fleet {
+  const { getRandom, pollMs } = options
   const memory = createMemoryPlatform()
   memory.machines = { instances: [], targets: Array.from({ length: options.targets }, (_, index) => createTarget(index)) }
   const counts = createCounts()
   const fleet: Fleet = {
+    pollMs,
     nodes: new Map(),
     counts,
     platform: memory,
@@ -87,7 +97,7 @@
       const name = `node-${index}`
       const failureDomain = `site-${domain}`
       const identity = { instance: name, incarnation: `5f0c8a52-9d0e-4b52-8f39-${String(index).padStart(6, '0')}${String(incarnation).padStart(6, '0')}`, failureDomain, region: `region-${domain % regionCount}`, callerAddress: `10.${domain}.1.${index}:8080`, peerAddress: name, state: MachineState.Live, pinEpoch: 0 }
-      const view = createView({ instanceTimeoutMs: fleetPollMs * pollsPerHeartbeat * heartbeatsMissed, getNowMs: () => performance.now() })
+      const view = createView({ instanceTimeoutMs: pollMs * pollsPerHeartbeat * heartbeatsMissed, getNowMs: () => performance.now() })
       let sequence = 0
       const sync = createSync({
         view,
@@ -95,8 +105,8 @@
         peers: createCountedPeers(fleet, failureDomain),
         createAnnouncement: () => ({ ...identity, sequence: ++sequence }),
         seedPeers,
-        pollMs: fleetPollMs,
-        heartbeatMs: fleetPollMs * pollsPerHeartbeat,
+        pollMs,
+        heartbeatMs: pollMs * pollsPerHeartbeat,
         getRandom,
         getNowMs: () => performance.now(),
         recordPlatform: () => {}
