Collect the tables of the capacity bench in Markdown

Change: tables go through one report; capacityPart is ready for the list of parts. Ruled out: a second way of rendering tables.

--- a/packages/standins/src/bench_capacity.ts
+++ b/packages/standins/src/bench_capacity.ts
@@ -3,21 +3,34 @@
  *
  * @module
  */
+import type { AddTable } from './bench_capacity_report.ts'
+import type { BenchPart } from './bench_part.ts'
 import { availableParallelism, loadavg } from 'node:os'
 import { measureControl, measureRecoveries } from './bench_capacity_control.ts'
 import { measureLookUps } from './bench_capacity_look_up.ts'
 import { blockCounts, measureMaps } from './bench_capacity_map.ts'
 import { measureProcesses } from './bench_capacity_processes.ts'
+import { createTableReport } from './bench_capacity_report.ts'
 
 const planNodes = 550
 
 /** Parts of the bench, by the name that selects one. */
-const parts: Record<string, () => Promise<unknown>> = {
+const parts: Record<string, (addTable: AddTable) => Promise<unknown>> = {
   processes: measureProcesses,
   control: measureControl,
-  recovery: () => measureRecoveries({ nodes: planNodes, services: 10, targets: 100 }),
+  recovery: addTable => measureRecoveries({ nodes: planNodes, services: 10, targets: 100 }, addTable),
   map: measureMaps,
-  lookups: () => measureLookUps([0, blockCounts.at(-1)!])
+  lookups: addTable => measureLookUps([0, blockCounts.at(-1)!], addTable)
+}
+
+/** The bench as a part of `npm run bench`. */
+export const capacityPart: BenchPart = {
+  name: 'capacity',
+  title: 'Slopes at the size of the long-run plan',
+  async run () {
+    const markdown = await measureCapacity()
+    return { summary: 'Slopes of control, recovery, the map of client blocks and look-ups; [CAPACITY.md](../CAPACITY.md) works them out for the plan.', markdown }
+  }
 }
 
 /**
@@ -25,11 +38,20 @@
  *
  * @param names Parts to run; all by default
  */
-export async function runCapacityBench (names: string[] = Object.keys(parts)): Promise<void> {
+export async function runCapacityBench (names?: string[]): Promise<void> {
+  await measureCapacity(names)
+}
+
+async function measureCapacity (names = Object.keys(parts)): Promise<string> {
+  const report = createTableReport()
+  const loads: object[] = []
   for (const name of names) {
     const measure = parts[name]
     if (measure === undefined) throw new Error(`Part "${name}" is none of ${Object.keys(parts).join(', ')}`)
-    console.log(`\n## ${name} (${availableParallelism()} cores, load ${loadavg()[0]?.toFixed(1)})`)
-    await measure()
+    const loadBefore = loadavg()[0]!.toFixed(1)
+    await measure(report.addTable)
+    loads.push({ part: name, loadBefore, loadAfter: loadavg()[0]!.toFixed(1) })
   }
+  report.addTable(`Load of the machine (${availableParallelism()} cores, shared with other work where above 1)`, loads)
+  return report.render()
 }
--- a/packages/standins/src/bench_capacity_control.ts
+++ b/packages/standins/src/bench_capacity_control.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { ServiceDocument } from '@bilberryworks/steering'
+import type { AddTable } from './bench_capacity_report.ts'
 import type { Fleet, FleetNode } from './bench_capacity_fleet.ts'
 import { setTimeout } from 'node:timers/promises'
 import { writeAcceptedDocument } from './accept_document.ts'
@@ -38,8 +39,8 @@
   { nodes: 100, services: 10, targets: 500 }
 ]
 
-/** Measures control at each size and prints a table of bytes and platform calls for each node and poll. */
-export async function measureControl (): Promise<void> {
+/** Measures control at each size: bytes and platform calls for each node and poll. */
+export async function measureControl (addTable: AddTable): Promise<void> {
   const rows = []
   for (const size of fleetSizes) {
     await using fleet = await startFleet(size)
@@ -60,8 +61,7 @@
       writes: perNodePoll(counts.writes)
     })
   }
-  console.log('Control for each node and poll')
-  console.table(rows)
+  addTable('Control of fleets in one process, for each node and poll', rows)
 }
 
 /** How a fleet recovered from one event. */
@@ -76,11 +76,9 @@
   writes: number
 }
 
-/** Measures recoveries of a fleet and prints polls and bytes for each. */
-export async function measureRecoveries (size: FleetSize): Promise<void> {
-  const recoveries = await runRecoveries(size)
-  console.log(`Recovery, ${size.nodes} nodes, ${size.services} services`)
-  console.table(recoveries)
+/** Measures recoveries of a fleet: polls and bytes for each. */
+export async function measureRecoveries (size: FleetSize, addTable: AddTable): Promise<void> {
+  addTable(`Recovery of a fleet of ${size.nodes} nodes with ${size.services} services`, await runRecoveries(size))
 }
 
 /**
--- a/packages/standins/src/bench_capacity_look_up.ts
+++ b/packages/standins/src/bench_capacity_look_up.ts
@@ -6,6 +6,7 @@
 import type { InstanceRecord } from '@bilberryworks/steering'
 import type { Settings } from 'bilberryd'
 import type { InstanceAddresses } from './cluster.ts'
+import type { AddTable } from './bench_capacity_report.ts'
 import type { CleanUp } from './clean_up.ts'
 import { createHash } from 'node:crypto'
 import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises'
@@ -56,20 +57,23 @@
  * Measures look-ups at several sizes of fleet and map, and the load of a map while look-ups are served.
  *
  * @param blockCounts Sizes of the map, ascending; 0 for none
+ * @param addTable Takes the tables
  * @returns The figures by size
  */
-export async function measureLookUps (blockCounts: number[]): Promise<LookUpFigures[]> {
+export async function measureLookUps (blockCounts: number[], addTable: AddTable): Promise<LookUpFigures[]> {
   await using stack = createCleanUp()
   const figures: LookUpFigures[] = []
+  const loads: object[] = []
   for (const nodes of [7, nodeCount]) {
     const { instance, platformUrl } = await startMeasured(stack, nodes)
     for (const [index, blocks] of blockCounts.entries()) {
       await announceOthers(platformUrl, { nodes, sequence: index + 2 })
-      if (blocks > 0) await loadWhileServing(instance, { platformUrl, blocks })
+      if (blocks > 0) loads.push({ nodes, ...await loadWhileServing(instance, { platformUrl, blocks }) })
       figures.push(await measureInstance(instance, { nodes, blocks }))
     }
   }
-  console.table(figures)
+  addTable('Loads of a map while 870 look-ups a second are served', loads)
+  addTable('An instance that serves look-ups', figures)
   return figures
 }
 
@@ -153,7 +157,7 @@
   }
 }
 
-async function loadWhileServing (instance: MeasuredInstance, options: { platformUrl: string, blocks: number }): Promise<void> {
+async function loadWhileServing (instance: MeasuredInstance, options: { platformUrl: string, blocks: number }): Promise<object> {
   await using pool = createPool(instance)
   const revision = await readMetric(instance, 'bilberry_client_blocks_revision')
   await publishBlocks(options.platformUrl, { blocks: options.blocks })
@@ -165,7 +169,7 @@
     latencies.push(...await runOffered(pool, 0.5))
   }
   latencies.sort((a, b) => a - b)
-  console.table([{
+  return {
     loadedBlocks: options.blocks,
     inForceAfterMs: Math.round(performance.now() - startMs),
     cpuSeconds: computeTenths(await readCpuSeconds(instance.pid) - cpuStart),
@@ -173,7 +177,7 @@
     longestMs: computeTenths(latencies.at(-1)!),
     rssMegabytes: await readRssMegabytes(instance.pid),
     rssPeakMegabytes: await readRssMegabytes(instance.pid, 'VmHWM')
-  }])
+  }
 }
 
 function createPool (instance: MeasuredInstance): Pool & AsyncDisposable {
--- a/packages/standins/src/bench_capacity_map.ts
+++ b/packages/standins/src/bench_capacity_map.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { ClientAddress, ClientBlockEntry, ClientBlocks } from '@bilberryworks/steering'
+import type { AddTable } from './bench_capacity_report.ts'
 import { monitorEventLoopDelay } from 'node:perf_hooks'
 import { createHttpPlatform, runSliced } from '@bilberryworks/platform'
 import { publishClientBlocks } from '@bilberryworks/operators'
@@ -54,14 +55,15 @@
 }
 
 /**
- * Measures the map at each size and prints a line for each.
+ * Measures the map at each size.
  *
+ * @param addTable Takes the table
  * @returns The figures by size
  */
-export async function measureMaps (): Promise<MapFigures[]> {
+export async function measureMaps (addTable: AddTable): Promise<MapFigures[]> {
   const figures: MapFigures[] = []
   for (const count of blockCounts) figures.push(await measureMap(count))
-  console.table(figures)
+  addTable('Map of client blocks, by number of blocks', figures)
   return figures
 }
 
--- a/packages/standins/src/bench_capacity_processes.ts
+++ b/packages/standins/src/bench_capacity_processes.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Settings } from 'bilberryd'
+import type { AddTable } from './bench_capacity_report.ts'
 import type { InstanceAddresses } from './cluster.ts'
 import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
@@ -25,12 +26,11 @@
 const domainCount = 10
 const regionCount = 3
 
-/** Measures fleets of real processes and prints what a node spends on each poll. */
-export async function measureProcesses (): Promise<void> {
+/** Measures fleets of real processes: what a node spends on each poll. */
+export async function measureProcesses (addTable: AddTable): Promise<void> {
   const rows = []
   for (const count of processCounts) rows.push(await measureFleet(count))
-  console.log('Control of real processes, for each node and poll')
-  console.table(rows)
+  addTable('Control of real processes that serve no callers, for each node and poll', rows)
 }
 
 async function measureFleet (count: number): Promise<object> {
