Add the benchmark command and the choice of feeder

Cause: the choice of feeder by rendezvous hashing of the caller sends all callers behind one address to one feeder, and nothing measures the policies. Ruled out: a test harness of our own for plots; echarts renders SVG without a DOM. Conclusion: the interface stands; which way is used follows the measurement.

--- /dev/null
+++ b/packages/standins/src/main_bench.ts
@@ -0,0 +1,40 @@
+/**
+ * The benchmark: prints tables and writes docs/MEASUREMENTS.md with a page for each part.
+ *
+ * @module
+ */
+import type { BenchPart } from './bench_part.ts'
+import { writeFile } from 'node:fs/promises'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { command, optional, positional, run, string } from 'cmd-ts'
+import { renderBenchIndex, writeBenchPage } from './bench_part.ts'
+import { runFeederBench } from './bench_feeder.ts'
+
+const docsFolder = fileURLToPath(new URL('../../../docs', import.meta.url))
+
+/** The parts, one a line. */
+const parts: BenchPart[] = [
+  { name: 'feeder', title: 'Choice of the feeder in a region', run: runFeederBench }
+]
+
+async function runParts (name: string | undefined): Promise<void> {
+  const selected = name === undefined ? parts : parts.filter(part => part.name === name)
+  if (selected.length === 0) throw new Error(`No part is named "${name}"; there are ${parts.map(part => part.name).join(', ')}`)
+  const folder = join(docsFolder, 'measurements')
+  for (const part of selected) {
+    const report = await part.run()
+    console.log(`\n# ${part.title}\n\n${report.summary}\n\n${report.markdown}`)
+    await writeBenchPage(part, { report, folder })
+  }
+  await writeFile(join(docsFolder, 'MEASUREMENTS.md'), await renderBenchIndex(parts, folder))
+}
+
+const bench = command({
+  name: 'bench',
+  description: 'Measures the decisions on a virtual clock and writes docs/MEASUREMENTS.md',
+  args: { part: positional({ type: optional(string), displayName: 'part', description: 'The part to measure; all by default' }) },
+  handler: async ({ part }) => runParts(part)
+})
+
+await run(bench, process.argv.slice(2))
--- a/packages/steering/src/mod.ts
+++ b/packages/steering/src/mod.ts
@@ -14,6 +14,7 @@
 export * from './admission.ts'
 export * from './document.ts'
 export * from './entries.ts'
+export * from './feeder_choice.ts'
 export * from './inventory.ts'
 export * from './outcomes.ts'
 export * from './pin.ts'
