Admit by class, deadline and caller, and judge the health of targets

Cause: one sorted array served all callers in order of arrival, so that one caller could take the whole queue, wait estimates ignored that uploads hold long, nothing gave way in a full queue, and a target that failed was sent to again. Ruled out: a heap of virtual times (turns by caller need constant time only); active probes (a probe takes a slot; the next look-up probes instead). Change: lanes by priority and class with a sixteenth of the slot time for the worse ones, turns between callers, displacement, Retry-After spread over the refused work, circuit, slow start, and reports that only lower and age. Conclusion: slots are exact in any order of arrive, finish, fail, leave, expire.

--- a/packages/bilberryd/src/dispatch.ts
+++ b/packages/bilberryd/src/dispatch.ts
@@ -3,11 +3,11 @@
  *
  * @module
  */
-import type { Refusal, RetryReason, ServiceAnswer, ServiceRequest } from '@bilberryworks/steering'
+import type { Refusal, RetryReason, ServiceAnswer, ServiceRequest, Slot } from '@bilberryworks/steering'
 import type { TargetClient, TargetFailure } from '@bilberryworks/targets'
 import type { Result } from 'neverthrow'
-import type { Feed, FeedRequest, Slot } from './feed.ts'
-import { createNotRun, createUnknown, RefusalReason, RequestClass, RetryReason as RetryReasons } from '@bilberryworks/steering'
+import type { Feed, FeedRequest } from './feed.ts'
+import { createNotRun, createUnknown, RefusalReason, RequestClass, RetryReason as RetryReasons, TargetSignal } from '@bilberryworks/steering'
 import { TargetFailureKind } from '@bilberryworks/targets'
 import { err, ok } from 'neverthrow'
 
@@ -44,13 +44,17 @@
     if (result.isErr()) {
       const { kind, leaving } = result.error
       if (leaving) options.markTargetLeaving(slot.target.target)
+      slot.recordFailure(mapSignal(kind, request.signal.aborted))
       if (kind === TargetFailureKind.ConnectFailed || kind === TargetFailureKind.Refused) slot.release()
       else await cancelRun(feedRequest, slot)
       return err(result.error)
     }
     if (result.value.leaving) options.markTargetLeaving(slot.target.target)
     result.value.body.once('end', slot.release)
-    result.value.body.once('error', () => { cancelRun(feedRequest, slot).catch(slot.release) })
+    result.value.body.once('error', () => {
+      slot.recordFailure(mapSignal(TargetFailureKind.Lost, request.signal.aborted))
+      cancelRun(feedRequest, slot).catch(slot.release)
+    })
     return ok(result.value)
   }
 
@@ -86,6 +90,16 @@
   }
 }
 
+/** Maps a failure to what it says of the target's health; a time-out or a caller that left says nothing. */
+function mapSignal (kind: TargetFailureKind, callerGone: boolean): TargetSignal {
+  switch (kind) {
+    case TargetFailureKind.ConnectFailed: return TargetSignal.ConnectFailed
+    case TargetFailureKind.Refused: return TargetSignal.Refused
+    case TargetFailureKind.Lost: return callerGone ? TargetSignal.Ended : TargetSignal.Lost
+    case TargetFailureKind.TimedOut: return TargetSignal.Ended
+  }
+}
+
 function isBodiless (request: ServiceRequest): boolean {
   return request.method === 'GET' || request.method === 'HEAD'
 }
--- a/packages/bilberryd/src/feed.ts
+++ b/packages/bilberryd/src/feed.ts
@@ -3,16 +3,13 @@
  *
  * @module
  */
-import type { AdmissionItem, AdmissionQueue, Refusal, RequestClass, ServiceRequest, TargetRecord } from '@bilberryworks/steering'
+import type { FeedLimits, FeedLoad, Refusal, RequestClass, ServiceRequest, Slot, TargetRecord } from '@bilberryworks/steering'
 import type { Result } from 'neverthrow'
-import { chooseTarget, createAdmissionQueue, createNotRun, createSlotLedger, RefusalReason } from '@bilberryworks/steering'
-import { err, ok } from 'neverthrow'
+import { createNotRun, createSlotFeed, createWarmUps, getFeedLimits, RefusalReason } from '@bilberryworks/steering'
+import { err } from 'neverthrow'
 
-const initialHoldMs = 50
-const holdSmoothing = 0.1
-const retryAfterMs = 1_000
-const expireIntervalMs = 20
-const defaultMaxQueued = 256
+const advanceIntervalMs = 20
+const observeIntervalMs = 500
 
 /** A request with what was decided about it. */
 export interface FeedRequest {
@@ -26,118 +23,83 @@
   deadlineAtMs: number
 }
 
-/** A slot of a target, held until it is released. */
-export interface Slot {
-  /** The target. */
-  target: TargetRecord
-  /** Gives the slot back, once the target is known to be done; later calls do nothing. */
-  release: () => void
-}
-
 /** Options of {@linkcode createFeed}. */
 export interface CreateFeedOptions {
-  /** Lists the usable targets of a service that this instance feeds now. */
-  listFedTargets: (service: string) => TargetRecord[]
+  /** Lists the usable targets of a service that this instance feeds now; called for each decision. */
+  listFedTargets: (service: string) => readonly TargetRecord[]
+  /** Lists the usable targets of all services, whoever feeds them, to tell cold ones; what is fed by default. */
+  listUsableTargets?: () => readonly TargetRecord[]
+  /** Returns the bounds of a service's queue; 256 requests and half of their time by default. */
+  getLimits?: (service: string) => FeedLimits
   /** Returns the monotonic time, in milliseconds. */
   getNowMs: () => number
+  /** Returns a random number in [0, 1); `Math.random` by default. */
+  getRandom?: () => number
 }
 
 /** The slots that an instance feeds and the requests that wait for them. */
 export interface Feed extends AsyncDisposable {
   /** Waits for a slot, or refuses at once what can't be served in time. */
   reserveSlot (feedRequest: FeedRequest): Promise<Result<Slot, Refusal>>
+  /** Takes a target's report of its load over. */
+  recordLoad (target: string, busySlots: number): void
+  /** Returns what the instance offers for a service now, for its peers. */
+  getLoad (service: string): FeedLoad
+  /** Returns the slots held at a target. */
+  getBusy (target: string): number
   /** Counts the requests that wait. */
   countQueued (): number
   /** Counts the requests that hold a slot. */
   countInFlight (): number
 }
 
-/** The queue of one service with the requests that wait in it. */
-interface ServiceQueue {
-  queue: AdmissionQueue
-  waiting: Map<string, (granted: Result<Slot, Refusal>) => void>
-  meanHoldMs: number
-}
-
 /**
  * Creates the feed of an instance.
  *
- * @param options The targets and the clock
- * @returns The feed; dispose it to stop its timer
+ * @param options The targets, bounds and the clock
+ * @returns The feed; dispose it to stop its timers
  */
 export function createFeed (options: CreateFeedOptions): Feed {
-  const ledger = createSlotLedger()
-  const services = new Map<string, ServiceQueue>()
-  let inFlight = 0
-  const timer = setInterval(() => services.forEach((_, service) => drainQueue(service)), expireIntervalMs)
-
-  function getQueue (service: string): ServiceQueue {
-    const known = services.get(service)
-    if (known !== undefined) return known
-    const created = { queue: createAdmissionQueue(defaultMaxQueued), waiting: new Map(), meanHoldMs: initialHoldMs }
-    services.set(service, created)
-    return created
-  }
+  const { getNowMs, getRandom = Math.random, getLimits = () => getFeedLimits(undefined) } = options
+  const warmUps = createWarmUps()
+  const slots = createSlotFeed({ listFedTargets: options.listFedTargets, getLimits, warmUps, getNowMs, getRandom })
+  const timers = [setInterval(() => slots.advance(), advanceIntervalMs), setInterval(observeTargets, observeIntervalMs)]
 
-  function drainQueue (service: string): void {
-    const entry = getQueue(service)
-    for (const item of entry.queue.expire(options.getNowMs())) {
-      settleItem(entry, item, err(createNotRun(RefusalReason.DeadlinePassed, 'Deadline passed before a slot was free', retryAfterMs)))
+  function observeTargets (): void {
+    const byService = new Map<string, TargetRecord[]>()
+    for (const record of options.listUsableTargets?.() ?? []) {
+      const group = byService.get(record.service) ?? []
+      group.push(record)
+      byService.set(record.service, group)
     }
-    while (entry.queue.count() > 0) {
-      const target = chooseTarget(options.listFedTargets(service), ledger)
-      const item = target === undefined ? undefined : entry.queue.take(options.getNowMs())
-      if (target === undefined || item === undefined) return
-      settleItem(entry, item, ok(createSlot(service, target)))
-    }
-  }
-
-  function createSlot (service: string, target: TargetRecord): Slot {
-    const startedMs = options.getNowMs()
-    let held = true
-    ledger.reserve(target.target)
-    inFlight++
-    return {
-      target,
-      release () {
-        if (!held) return
-        held = false
-        const entry = getQueue(service)
-        entry.meanHoldMs += holdSmoothing * (options.getNowMs() - startedMs - entry.meanHoldMs)
-        ledger.release(target.target)
-        inFlight--
-        drainQueue(service)
-      }
-    }
-  }
-
-  function settleItem (entry: ServiceQueue, item: AdmissionItem, granted: Result<Slot, Refusal>): void {
-    entry.waiting.get(item.requestId)?.(granted)
-    entry.waiting.delete(item.requestId)
+    for (const [service, usable] of byService) warmUps.observe(service, usable, getNowMs())
   }
 
   return {
-    async reserveSlot ({ request, priority, deadlineAtMs }) {
-      const entry = getQueue(request.service)
-      const usable = options.listFedTargets(request.service)
-      if (usable.length === 0) return err(createNotRun(RefusalReason.NoUsableTarget, `Service "${request.service}" has no usable target here`, retryAfterMs))
-      const slots = usable.reduce((sum, target) => sum + target.slots, 0)
-      const item = { requestId: request.requestId, priority, deadlineAtMs }
-      const admitted = entry.queue.admit(item, { nowMs: options.getNowMs(), slots, meanHoldMs: entry.meanHoldMs })
-      if (admitted.isErr()) return err(admitted.error)
+    async reserveSlot ({ request, requestClass, priority, deadlineAtMs }) {
+      const { requestId, callerKey, service, signal } = request
       return new Promise(resolve => {
-        entry.waiting.set(request.requestId, resolve)
-        request.signal.addEventListener('abort', () => {
-          if (!entry.queue.remove(request.requestId)) return
-          settleItem(entry, item, err(createNotRun(RefusalReason.CallerGone, 'Caller closed the connection')))
-        }, { once: true })
-        drainQueue(request.service)
+        const refuseGone = (): void => {
+          if (slots.remove(service, requestId)) resolve(err(createNotRun(RefusalReason.CallerGone, 'Caller closed the connection')))
+        }
+        if (signal.aborted) {
+          resolve(err(createNotRun(RefusalReason.CallerGone, 'Caller closed the connection')))
+          return
+        }
+        signal.addEventListener('abort', refuseGone, { once: true })
+        slots.arrive(service, { requestId, callerKey, requestClass, priority, deadlineAtMs }, granted => {
+          signal.removeEventListener('abort', refuseGone)
+          resolve(granted)
+        })
       })
     },
-    countQueued: () => [...services.values()].reduce((sum, entry) => sum + entry.queue.count(), 0),
-    countInFlight: () => inFlight,
+    recordLoad: slots.recordLoad,
+    getLoad: slots.getLoad,
+    getBusy: slots.getBusy,
+    countQueued: slots.countQueued,
+    countInFlight: slots.countInFlight,
     async [Symbol.asyncDispose] () {
-      clearInterval(timer)
+      timers.forEach(timer => clearInterval(timer))
     }
   }
 }
--- a/packages/bilberryd/src/run_instance.ts
+++ b/packages/bilberryd/src/run_instance.ts
@@ -12,7 +12,7 @@
 import { createHttpPeers, createPeerHandler } from '@bilberryworks/instances'
 import { createOperatorsService } from '@bilberryworks/operators'
 import { createHttpPlatform } from '@bilberryworks/platform'
-import { chooseFeeder, MachineState } from '@bilberryworks/steering'
+import { chooseFeeder, getFeedLimits, MachineState } from '@bilberryworks/steering'
 import { createHttpTargets } from '@bilberryworks/targets'
 import moleculer from 'moleculer'
 import { createCallersService } from './callers_service.ts'
@@ -64,6 +64,8 @@
   })
   const feed: Feed = createFeed({
     listFedTargets: service => listUsableTargets(view, service).filter(target => chooseFeeder(target, view.listInstances())?.instance === settings.instance),
+    listUsableTargets: () => view.listAllTargets().filter(target => target.state === MachineState.Live),
+    getLimits: service => getFeedLimits(view.getDocument(service)?.document),
     getNowMs
   })
   const dispatch = createDispatcher({ feed, targets, markTargetLeaving: view.markTargetLeaving, countRetry: metrics.countRetry, getNowMs })
--- /dev/null
+++ b/packages/steering/src/slot_feed_test.ts
@@ -0,0 +1,176 @@
+import type { TargetRecord } from './inventory.ts'
+import type { Slot } from './slot_feed.ts'
+import test from 'ava'
+import fc from 'fast-check'
+import { TargetSignal } from './circuit.ts'
+import { MachineState } from './inventory.ts'
+import { RequestClass } from './outcomes.ts'
+import { createSlotFeed } from './slot_feed.ts'
+import { createWarmUps, warmUpMs } from './slow_start.ts'
+
+const seed = 20260612
+
+function createTarget (target: string, slots = 3): TargetRecord {
+  return { target, service: 's', address: '', failureDomain: 'f', region: 'r', slots, maxConnections: 330, state: MachineState.Live }
+}
+
+/** A feed on a clock of its own, with a record of what it granted and refused. */
+class Fixture {
+  nowMs = 0
+  listed: TargetRecord[] = [createTarget('a'), createTarget('b')]
+  held: Slot[] = []
+  arrived = 0
+  settled = new Map<string, string>()
+  warmUps = createWarmUps()
+  random = 0.5
+  feed = createSlotFeed({
+    listFedTargets: () => this.listed,
+    getLimits: () => ({ maxQueued: 8, waitShare: 0.5 }),
+    warmUps: this.warmUps,
+    getNowMs: () => this.nowMs,
+    getRandom: () => this.random
+  })
+
+  arrive (requestClass = RequestClass.LookUp, deadlineMs = 2_000): string {
+    const requestId = `r${this.arrived++}`
+    const item = { requestId, callerKey: `c${this.arrived % 3}`, requestClass, priority: 0, deadlineAtMs: this.nowMs + deadlineMs }
+    this.feed.arrive('s', item, granted => {
+      if (this.settled.has(requestId)) throw new Error(`Request "${requestId}" was settled twice`)
+      this.settled.set(requestId, granted.isOk() ? 'granted' : granted.error.reason)
+      if (granted.isOk()) this.held.push(granted.value)
+    })
+    return requestId
+  }
+
+  finish (signal?: TargetSignal): void {
+    const slot = this.held.shift()
+    if (signal !== undefined) slot?.recordFailure(signal)
+    slot?.release()
+    slot?.release()
+  }
+
+  countHeld (target: string): number {
+    return this.held.filter(slot => slot.target.target === target).length
+  }
+}
+
+type Step = (fixture: Fixture) => void
+const classes = Object.values(RequestClass)
+const stepArbitrary: fc.Arbitrary<Step> = fc.oneof(
+  fc.tuple(fc.constantFrom(...classes), fc.integer({ min: 0, max: 3_000 })).map(([each, deadlineMs]): Step => fixture => { fixture.arrive(each, deadlineMs) }),
+  fc.constantFrom(undefined, ...Object.values(TargetSignal)).map((signal): Step => fixture => fixture.finish(signal)),
+  fc.subarray(['a', 'b', 'c']).chain(names => fc.integer({ min: 0, max: 3 }).map((slots): Step => fixture => {
+    fixture.listed = names.map(name => createTarget(name, slots))
+    fixture.warmUps.observe('s', fixture.listed, fixture.nowMs)
+  })),
+  fc.integer({ min: 0, max: 2_000 }).map((ms): Step => fixture => { fixture.nowMs += ms }),
+  fc.integer({ min: 0, max: 20 }).map((index): Step => fixture => {
+    if (fixture.feed.remove('s', `r${index}`)) fixture.settled.set(`r${index}`, 'removed')
+  }),
+  fc.integer({ min: 0, max: 9 }).map((busy): Step => fixture => fixture.feed.recordLoad('a', busy)),
+  fc.constant<Step>(fixture => fixture.feed.advance())
+)
+
+test('never grants more slots than the targets have, and settles each request once', t => {
+  fc.assert(fc.property(fc.array(stepArbitrary, { maxLength: 120 }), steps => {
+    const fixture = new Fixture()
+    for (const step of steps) {
+      const before = new Map(['a', 'b', 'c'].map(name => [name, fixture.countHeld(name)]))
+      step(fixture)
+      for (const [name, held] of before) {
+        const now = fixture.countHeld(name)
+        const slots = fixture.listed.find(target => target.target === name)?.slots ?? 0
+        if (now > Math.max(held, slots)) return false
+      }
+      if (fixture.feed.countInFlight() !== fixture.held.length) return false
+      if (fixture.feed.countQueued() + fixture.settled.size !== fixture.arrived) return false
+      if (fixture.feed.countQueued() > 8) return false
+    }
+    fixture.nowMs += 10_000
+    fixture.feed.advance()
+    return fixture.feed.countQueued() === 0 && fixture.settled.size === fixture.arrived
+  }), { seed, numRuns: 1_000 })
+  t.pass()
+})
+
+test('grants a freed slot to the next request at once', t => {
+  const fixture = new Fixture()
+  for (let index = 0; index < 7; index++) fixture.arrive()
+  t.is(fixture.held.length, 6)
+  fixture.nowMs = 20
+  fixture.finish()
+  t.is(fixture.held.length, 6)
+  t.is(fixture.feed.countQueued(), 0)
+})
+
+test('opens a circuit after failures in a row, probes by a look-up, then warms up', t => {
+  const fixture = new Fixture()
+  fixture.listed = [createTarget('a')]
+  for (let index = 0; index < 3; index++) {
+    fixture.arrive()
+    fixture.finish(TargetSignal.ConnectFailed)
+  }
+  const refused = fixture.arrive()
+  t.is(fixture.settled.get(refused), 'overloaded')
+  fixture.nowMs = 400
+  const order = fixture.arrive(RequestClass.AtMostOnce)
+  t.is(fixture.settled.get(order), undefined)
+  fixture.arrive()
+  fixture.arrive()
+  t.is(fixture.held.length, 1)
+  t.is(fixture.settled.get(order), undefined)
+  fixture.finish()
+  t.is(fixture.held.length, 1, 'a target that has come back starts with one slot')
+  t.is(fixture.settled.get(order), 'granted')
+  fixture.nowMs += warmUpMs
+  fixture.feed.advance()
+  t.is(fixture.feed.getLoad('s').slots, 3)
+})
+
+test('warms up a target that joins, not those of the first list', t => {
+  const fixture = new Fixture()
+  fixture.warmUps.observe('s', fixture.listed, 0)
+  t.is(fixture.feed.getLoad('s').slots, 6)
+  fixture.listed = [...fixture.listed, createTarget('c')]
+  fixture.warmUps.observe('s', fixture.listed, 0)
+  t.is(fixture.feed.getLoad('s').slots, 7)
+  fixture.nowMs = warmUpMs / 2
+  t.is(fixture.feed.getLoad('s').slots, 8)
+})
+
+const reports: Array<[string, (fixture: Fixture) => void, number]> = [
+  ['all idle changes nothing', fixture => fixture.feed.recordLoad('a', 0), 3],
+  ['full leaves one slot', fixture => fixture.feed.recordLoad('a', 3), 1],
+  ['own requests are not counted twice', fixture => { fixture.held.length = 0; fixture.arrive(); fixture.feed.recordLoad('a', fixture.feed.getBusy('a')) }, 3],
+  ['half its lifetime', fixture => { fixture.feed.recordLoad('a', 2); fixture.nowMs += 1_500 }, 2],
+  ['aged out', fixture => { fixture.feed.recordLoad('a', 3); fixture.nowMs += 10_000 }, 3],
+  ['refusal of the target lowers by one', fixture => { fixture.arrive(); fixture.finish(TargetSignal.Refused) }, 2],
+  ['liar is believed less', fixture => {
+    for (let index = 0; index < 6; index++) {
+      fixture.feed.recordLoad('a', 9)
+      fixture.arrive()
+      fixture.nowMs += 10
+      fixture.finish()
+    }
+  }, 2]
+]
+for (const [name, act, slots] of reports) {
+  test(`lowers slots by reports: ${name}`, t => {
+    const fixture = new Fixture()
+    fixture.listed = [createTarget('a')]
+    t.is(fixture.feed.getLoad('s').slots, 3)
+    act(fixture)
+    t.is(fixture.feed.getLoad('s').slots, slots)
+  })
+}
+
+test('keeps slots free of uploads while other classes are in use', t => {
+  const fixture = new Fixture()
+  for (let index = 0; index < 6; index++) fixture.arrive(RequestClass.Upload, 60_000)
+  t.is(fixture.held.length, 6)
+  while (fixture.held.length > 0) fixture.finish()
+  fixture.arrive(RequestClass.AtMostOnce)
+  fixture.finish()
+  for (let index = 0; index < 6; index++) fixture.arrive(RequestClass.Upload, 60_000)
+  t.is(fixture.held.length, 5)
+})
--- a/packages/steering/src/slots.ts
+++ b/packages/steering/src/slots.ts
@@ -1,56 +1,61 @@
 /**
- * Exact counts of the slots in use at the targets that this instance feeds.
+ * Exact counts of the slots in use at the targets that this instance feeds, and the choice between targets.
  *
  * @module
  */
 import type { TargetRecord } from './inventory.ts'
 
-/** Counts of the slots in use, by target. */
-export interface SlotLedger {
-  /** Returns the slots in use at a target. */
-  getBusy (target: string): number
-  /** Takes a slot of a target. */
-  reserve (target: string): void
-  /** Gives a slot back, once the target is known to be done. */
-  release (target: string): void
+/** A target with its slots as the feeding instance counts them. */
+export interface TargetOccupancy {
+  /** The target. */
+  target: TargetRecord
+  /** Requests that hold a slot. */
+  busy: number
+  /** Slots that may be used now, at most those of the target. */
+  limit: number
 }
 
-/**
- * Creates a ledger with no slot in use.
- *
- * @returns The ledger
- */
-export function createSlotLedger (): SlotLedger {
-  const busy = new Map<string, number>()
-  return {
-    getBusy: target => busy.get(target) ?? 0,
-    reserve (target) {
-      busy.set(target, (busy.get(target) ?? 0) + 1)
-    },
-    release (target) {
-      const left = (busy.get(target) ?? 0) - 1
-      if (left > 0) busy.set(target, left)
-      else busy.delete(target)
-    }
+/** What a choice of target decides from besides the targets. */
+export interface ChooseTargetOptions {
+  /** Returns a random number in [0, 1). */
+  getRandom: () => number
+  /** Counts the choices made, from 0. */
+  turn: number
+}
+
+/** Chooses a target with a free slot, or `undefined` where there is none. */
+export type ChooseTarget = <T extends TargetOccupancy>(targets: readonly T[], options: ChooseTargetOptions) => T | undefined
+
+/** Chooses the target with the most free slots; the first of the list from a random place on. */
+export const chooseMostFree: ChooseTarget = (targets, options) => chooseHighest(targets, options, each => each.limit - each.busy)
+
+/** Chooses the target with the fewest requests that has a free slot. */
+export const chooseLeastBusy: ChooseTarget = (targets, options) => chooseHighest(targets, options, each => -each.busy)
+
+/** Chooses at random among the targets that have a free slot. */
+export const chooseAnyFree: ChooseTarget = (targets, options) => chooseHighest(targets, options, () => 0)
+
+/** Chooses targets that have a free slot in turn. */
+export const chooseInTurn: ChooseTarget = (targets, { turn }) => {
+  for (let step = 0; step < targets.length; step++) {
+    const each = targets[(turn + step) % targets.length]!
+    if (each.busy < each.limit) return each
   }
+  return undefined
 }
 
-/**
- * Chooses the target with the most free slots.
- *
- * @param targets Usable targets that this instance feeds
- * @param ledger Slots in use
- * @returns A target with a free slot, or `undefined` where there is none
- */
-export function chooseTarget (targets: TargetRecord[], ledger: SlotLedger): TargetRecord | undefined {
-  let best: TargetRecord | undefined
-  let bestFree = 0
-  for (const target of targets) {
-    const free = target.slots - ledger.getBusy(target.target)
-    if (free > bestFree) {
-      best = target
-      bestFree = free
-    }
+function chooseHighest<T extends TargetOccupancy> (targets: readonly T[], options: ChooseTargetOptions, score: (each: T) => number): T | undefined {
+  const start = Math.floor(options.getRandom() * targets.length)
+  let best: T | undefined
+  let bestScore = -Infinity
+  for (let step = 0; step < targets.length; step++) {
+    const index = start + step
+    const each = targets[index < targets.length ? index : index - targets.length]!
+    if (each.busy >= each.limit) continue
+    const value = score(each)
+    if (value <= bestScore) continue
+    best = each
+    bestScore = value
   }
   return best
 }
--- /dev/null
+++ b/packages/steering/src/slow_start.ts
@@ -0,0 +1,58 @@
+/**
+ * Slow start: a target that is new or has come back takes few requests at once until it is warm.
+ *
+ * @module
+ */
+
+/** When targets became usable, from which follows which of them are cold. */
+export interface WarmUps {
+  /** Takes note of the targets of a service that are usable now, whoever feeds them. */
+  observe (service: string, usable: ReadonlyArray<{ target: string }>, nowMs: number): void
+  /** Restarts the warm-up of a target. */
+  start (target: string, nowMs: number): void
+  /** Returns the monotonic time since which a target is warming up; `-Infinity` for one that is warm. */
+  getSinceMs (target: string): number
+}
+
+/** Length of a warm-up, in milliseconds. */
+export const warmUpMs = 10_000
+
+/**
+ * Computes the slots that a target may use while it warms up.
+ *
+ * @param slots Its slots
+ * @param sinceMs Monotonic time since which it warms up
+ * @param nowMs Monotonic time now
+ * @returns At least 1, rising evenly to all
+ */
+export function computeWarmSlots (slots: number, sinceMs: number, nowMs: number): number {
+  const share = (nowMs - sinceMs) / warmUpMs
+  return share >= 1 ? slots : Math.max(Math.min(1, slots), Math.ceil(slots * share))
+}
+
+/**
+ * Creates the warm-ups of an instance that has seen no target yet.
+ *
+ * The targets of the first list of a service count as warm, since they serve already.
+ *
+ * @returns The warm-ups
+ */
+export function createWarmUps (): WarmUps {
+  const usableOf = new Map<string, Set<string>>()
+  const since = new Map<string, number>()
+  return {
+    observe (service, usable, nowMs) {
+      const before = usableOf.get(service)
+      const names = new Set(usable.map(record => record.target))
+      if (before === undefined && names.size === 0) return
+      usableOf.set(service, names)
+      if (before === undefined) return
+      for (const name of names) if (!before.has(name)) since.set(name, nowMs)
+      for (const name of before) if (!names.has(name)) since.delete(name)
+    },
+    start (target, nowMs) {
+      since.set(target, nowMs)
+    },
+    getSinceMs: target => since.get(target) ?? -Infinity
+  }
+}
