Plan regions by capacity and demand, and budget the links between them

Cause: a region that failed or was full kept its share of callers, and nothing counted the bytes sent between regions. Ruled out: moving weights by demand per caller (one caller can't be split, and the noise would use the cap up); charging answers where they are received (the socket buffers would already hold them), so each sender counts what it sends. Change: planRegions moves shares only as far as others have room, with a lower level for going back and a hold before a region is used again; regions.ts walks there under the cap and refuses the rest as shift_cap with the time of the next move. Token buckets whose rate and burst add up to the instance's share; createLinkGate paces bodies by back-pressure. Conclusion: a lost region of a third settles in three steps at a cap of a tenth, no window above it.

--- /dev/null
+++ b/packages/bilberryd/src/links_test.ts
@@ -0,0 +1,57 @@
+import type { LinkTransfer } from './links.ts'
+import test from 'ava'
+import { LinkPurpose, RefusalReason } from '@bilberryworks/steering'
+import { Readable } from 'node:stream'
+import { pipeline } from 'node:stream/promises'
+import { createLinkGate } from './links.ts'
+
+const linkBitsPerSecond = 8_000_000
+const shareBytes = linkBitsPerSecond / 8 / 2
+const transfer: LinkTransfer = { bytes: 1_000, purpose: LinkPurpose.Request, deadlineAtMs: 1_000 }
+
+const createGate = (getNowMs: () => number): ReturnType<typeof createLinkGate> => {
+  const getLinkBitsPerSecond = (region: string): number | undefined => region === 'unlimited' ? undefined : linkBitsPerSecond
+  return createLinkGate({ localRegion: 'here', getLinkBitsPerSecond, countSenders: () => 2, getNowMs })
+}
+
+const cases: Array<[string, string, Partial<LinkTransfer>, boolean]> = [
+  ['fits', 'there', {}, true],
+  ['does not fit its deadline', 'there', { bytes: shareBytes }, false],
+  ['own region', 'here', { bytes: 1e12 }, true],
+  ['link without a limit', 'unlimited', { bytes: 1e12 }, true],
+  ['length not known', 'there', { bytes: undefined }, true]
+]
+for (const [name, region, options, admitted] of cases) {
+  test(`admits a transfer: ${name}`, t => {
+    const result = createGate(() => 0).admitTransfer(region, { ...transfer, ...options })
+    t.is(result.isOk(), admitted)
+    if (result.isErr()) t.is(result.error.reason, RefusalReason.LinkBudget)
+  })
+}
+
+test('counts what is admitted until it is sent or given up', t => {
+  const gate = createGate(() => 0)
+  const large = { ...transfer, bytes: 0.8 * shareBytes }
+  const first = gate.admitTransfer('there', large)._unsafeUnwrap()
+  t.is(gate.admitTransfer('there', large)._unsafeUnwrapErr().retryAfterMs, 889)
+  first.destroy()
+  return new Promise<void>(resolve => first.once('close', () => {
+    t.true(gate.admitTransfer('there', large).isOk())
+    resolve()
+  }))
+})
+
+test('paces an upload and keeps its bytes whole', async t => {
+  await using gate = createGate(() => performance.now())
+  const body = Buffer.alloc(150_000, 'x')
+  const pacer = gate.admitTransfer('there', { bytes: body.length, purpose: LinkPurpose.Upload, deadlineAtMs: Infinity })._unsafeUnwrap()
+  const startedMs = performance.now()
+  const received: Buffer[] = []
+  await pipeline(Readable.from([body]), pacer, async source => {
+    for await (const piece of source) received.push(piece as Buffer)
+  })
+  t.true(Buffer.concat(received).equals(body))
+  const leastMs = (body.length - 0.1 * shareBytes) / (0.9 * shareBytes) * 1_000
+  t.true(performance.now() - startedMs >= leastMs - 1)
+  t.is(gate.countSent('there'), body.length)
+})
--- a/packages/bilberryd/src/regions.ts
+++ b/packages/bilberryd/src/regions.ts
@@ -3,18 +3,24 @@
  *
  * @module
  */
-import type { Refusal, RegionWeights, WeightWalk } from '@bilberryworks/steering'
+import type { Refusal, RegionDemand, RegionPlan, RegionReport, RegionSituation, RegionWeights, ServiceDocument, TargetRecord, WeightWalk } from '@bilberryworks/steering'
 import type { Result } from 'neverthrow'
 import type { View } from './view.ts'
-import { computeShares, createNotRun, rankByRendezvous, RefusalReason, walkWeights } from '@bilberryworks/steering'
+import { computeShares, createNotRun, createRegionDemand, emptyPlan, MachineState, planRegions, rankByRendezvous, RefusalReason, walkWeights } from '@bilberryworks/steering'
 import { err, ok } from 'neverthrow'
 
 const retryAfterMs = 1_000
+/** Time for which weights are used before they are planned again, in milliseconds. */
+const planIntervalMs = 100
 
 /** Options of {@linkcode createRegionChooser}. */
 export interface CreateRegionChooserOptions {
   /** What the instance knows. */
   view: View
+  /** Tells whether an instance that feeds a target can be reached; one of its region that is heard of by default. */
+  isFed?: (target: TargetRecord) => boolean
+  /** Returns what the feeders of a region last reported for a service; `undefined` where they have not. */
+  getRegionReport?: (service: string, region: string) => RegionReport | undefined
   /** Returns the monotonic time, in milliseconds. */
   getNowMs: () => number
 }
@@ -25,6 +31,18 @@
   getWeights (service: string): RegionWeights
   /** Chooses the region of a caller, or refuses. */
   chooseRegion (service: string, callerKey: string): Result<string, Refusal>
+  /** Records whether a region refused a request for want of slots. */
+  recordRegion (service: string, region: string, wasRefused: boolean): void
+}
+
+/** What is remembered of a service. */
+interface ServiceRegions {
+  walk: WeightWalk | undefined
+  plan: RegionPlan
+  plannedAtMs: number
+  stepMs: number
+  demand: RegionDemand
+  capacities: Record<string, number>
 }
 
 /**
@@ -34,24 +52,84 @@
  * @returns The chooser
  */
 export function createRegionChooser (options: CreateRegionChooserOptions): RegionChooser {
-  const walks = new Map<string, WeightWalk>()
-
-  function getWeights (service: string): RegionWeights {
-    const document = options.view.getDocument(service)?.document
-    if (document === undefined) return {}
-    const desired = computeShares(document.regionWeights)
-    const limits = { cap: document.shiftCap, stepMs: document.shiftStepMs, nowMs: options.getNowMs() }
-    const walk = walkWeights(walks.get(service) ?? { applied: desired, moves: [] }, desired, limits)
-    walks.set(service, walk)
-    return walk.applied
+  const { view, getNowMs } = options
+  const services = new Map<string, ServiceRegions>()
+
+  function getService (service: string): ServiceRegions {
+    const known = services.get(service)
+    if (known !== undefined) return known
+    const created = { walk: undefined, plan: emptyPlan, plannedAtMs: -Infinity, stepMs: 0, demand: createRegionDemand(), capacities: {} }
+    services.set(service, created)
+    return created
+  }
+
+  /**
+   * Sums the slots of each region from the list of targets in memory, which an outage of the platform leaves in force.
+   *
+   * A target counts where an instance that feeds it can be reached; reports of its feeders only lower its slots.
+   */
+  function sumCapacities (service: string): Record<string, number> {
+    const heard = new Set(view.listInstances().map(record => record.region))
+    const isFed = options.isFed ?? ((target: TargetRecord) => heard.has(target.region))
+    const capacities: Record<string, number> = {}
+    for (const target of view.listTargets(service)) {
+      const isUsable = target.state === MachineState.Live && isFed(target)
+      capacities[target.region] = (capacities[target.region] ?? 0) + (isUsable ? target.slots : 0)
+    }
+    for (const region of Object.keys(capacities)) {
+      const report = options.getRegionReport?.(service, region)
+      if (report !== undefined) capacities[region] = Math.min(capacities[region]!, report.slots)
+    }
+    return capacities
+  }
+
+  function planService (service: string, document: ServiceDocument): ServiceRegions {
+    const entry = getService(service)
+    const nowMs = getNowMs()
+    if (nowMs - entry.plannedAtMs < planIntervalMs) return entry
+    entry.plannedAtMs = nowMs
+    entry.stepMs = document.shiftStepMs
+    entry.capacities = sumCapacities(service)
+    const inForce = computeShares(document.regionWeights)
+    const known = Object.fromEntries(Object.keys(inForce).map(region => {
+      return [region, { capacity: entry.capacities[region] ?? 0, report: options.getRegionReport?.(service, region) }]
+    }))
+    const demands = entry.demand.computeDemands(known, nowMs)
+    const situations: Record<string, RegionSituation> = {}
+    for (const [region, { capacity }] of Object.entries(known)) situations[region] = { capacity, demand: demands[region] ?? 0 }
+    entry.plan = planRegions(entry.plan, { weights: inForce, situations, objective: document.objective, nowMs })
+    const isUsable = Object.keys(entry.plan.weights).length > 0
+    const limits = { cap: document.shiftCap, stepMs: document.shiftStepMs, nowMs }
+    entry.walk = walkWeights(entry.walk ?? { applied: inForce, moves: [] }, isUsable ? entry.plan.weights : inForce, limits)
+    return entry
+  }
+
+  /** Computes when the cap lets the next move happen. */
+  function computeNextMoveMs (entry: ServiceRegions): number {
+    const oldest = entry.walk?.moves[0]
+    return oldest === undefined ? retryAfterMs : Math.max(retryAfterMs, oldest.atMs + entry.stepMs - getNowMs())
   }
 
   return {
-    getWeights,
+    getWeights (service) {
+      const document = view.getDocument(service)?.document
+      return document === undefined ? {} : planService(service, document).walk?.applied ?? {}
+    },
     chooseRegion (service, callerKey) {
-      const [region] = rankByRendezvous(callerKey, getWeights(service))
-      if (region === undefined) return err(createNotRun(RefusalReason.NoUsableTarget, `Service "${service}" has no region`, retryAfterMs))
-      return ok(region)
+      const document = view.getDocument(service)?.document
+      const entry = document === undefined ? undefined : planService(service, document)
+      const [region] = rankByRendezvous(callerKey, entry?.walk?.applied ?? {})
+      if (entry === undefined || region === undefined) {
+        return err(createNotRun(RefusalReason.NoUsableTarget, `Service "${service}" has no region`, retryAfterMs))
+      }
+      if ((entry.capacities[region] ?? 0) > 0) return ok(region)
+      const isCapped = Object.values(entry.capacities).some(capacity => capacity > 0)
+      return err(isCapped
+        ? createNotRun(RefusalReason.ShiftCap, `Region "${region}" is out, and its callers move no faster than the cap`, computeNextMoveMs(entry))
+        : createNotRun(RefusalReason.NoUsableTarget, `Service "${service}" has no usable target`, retryAfterMs))
+    },
+    recordRegion (service, region, wasRefused) {
+      getService(service).demand.record(region, wasRefused, getNowMs())
     }
   }
 }
--- /dev/null
+++ b/packages/bilberryd/src/regions_test.ts
@@ -0,0 +1,96 @@
+import type { AcceptedDocument, InstanceRecord, TargetRecord } from '@bilberryworks/steering'
+import type { RegionChooser } from './regions.ts'
+import type { View } from './view.ts'
+import test from 'ava'
+import { computeMovedShare, MachineState, Objective, RefusalReason } from '@bilberryworks/steering'
+import { createRegionChooser } from './regions.ts'
+
+const regionNames = ['a', 'b', 'c']
+const cap = 0.1
+const stepMs = 10_000
+
+/** A chooser over three regions of 20 slots, whose clock and live regions a test sets. */
+class Fixture {
+  nowMs = 0
+  live = new Set(regionNames)
+  leaving = new Set<string>()
+  slots: Record<string, number> = { a: 20, b: 20, c: 20 }
+  chooser: RegionChooser
+  constructor () {
+    const document = { regionWeights: { a: 1, b: 1, c: 1 }, shiftCap: cap, shiftStepMs: stepMs, objective: Objective.Headroom }
+    const view = {
+      getDocument: (service: string) => service === 's' ? { revision: 1, document } as unknown as AcceptedDocument : undefined,
+      getShift: () => undefined,
+      listInstances: () => [...this.live].map(region => ({ instance: region, region }) as InstanceRecord),
+      listTargets: () => regionNames.map(region => {
+        return { target: region, region, slots: this.slots[region], state: this.leaving.has(region) ? MachineState.Leaving : MachineState.Live } as TargetRecord
+      })
+    }
+    this.chooser = createRegionChooser({ view: view as unknown as View, getNowMs: () => this.nowMs })
+    this.chooser.getWeights('s')
+  }
+
+  /** Sends requests of many callers; returns the reasons of those refused, by reason. */
+  countRefused (): Record<string, number> {
+    const counts: Record<string, number> = {}
+    for (let index = 0; index < 300; index++) {
+      const result = this.chooser.chooseRegion('s', `caller-${index}`)
+      if (result.isErr()) counts[result.error.reason] = (counts[result.error.reason] ?? 0) + 1
+    }
+    return counts
+  }
+}
+
+const losses: Array<[string, (fixture: Fixture) => void]> = [
+  ['its instances are silent', fixture => fixture.live.delete('a')],
+  ['its targets leave', fixture => fixture.leaving.add('a')]
+]
+for (const [name, lose] of losses) {
+  test(`moves a lost region no faster than the cap, and as fast: ${name}`, t => {
+    const fixture = new Fixture()
+    lose(fixture)
+    const history: Array<{ atMs: number, weights: Record<string, number> }> = []
+    let settledAtMs: number | undefined
+    for (fixture.nowMs = 1_000; fixture.nowMs <= 60_000; fixture.nowMs += 250) {
+      const weights = fixture.chooser.getWeights('s')
+      history.push({ atMs: fixture.nowMs, weights })
+      if ((weights['a'] ?? 0) < 1e-9) settledAtMs ??= fixture.nowMs
+      for (const past of history) {
+        if (fixture.nowMs - past.atMs < stepMs) t.true(computeMovedShare(past.weights, weights) <= cap + 1e-9)
+      }
+    }
+    t.is(settledAtMs, 1_000 + 3 * stepMs)
+  })
+}
+
+test('refuses the callers that may not move yet, and says when they may', t => {
+  const fixture = new Fixture()
+  fixture.live.delete('a')
+  fixture.nowMs = 1_000
+  const refused = fixture.countRefused()
+  t.deepEqual(Object.keys(refused), [RefusalReason.ShiftCap])
+  t.true(refused[RefusalReason.ShiftCap]! > 30 && refused[RefusalReason.ShiftCap]! < 110)
+  fixture.nowMs = 4_000
+  const result = Array.from({ length: 300 }, (_, index) => fixture.chooser.chooseRegion('s', `caller-${index}`)).find(each => each.isErr())
+  t.is(result?._unsafeUnwrapErr().retryAfterMs, 7_000)
+})
+
+test('refuses as no usable target where all regions are out', t => {
+  const fixture = new Fixture()
+  fixture.live.clear()
+  fixture.nowMs = 1_000
+  t.deepEqual(fixture.countRefused(), { [RefusalReason.NoUsableTarget]: 300 })
+})
+
+test('spills what a region refuses, under the cap', t => {
+  const fixture = new Fixture()
+  fixture.slots['a'] = 5
+  for (fixture.nowMs = 1_000; fixture.nowMs <= 5_000; fixture.nowMs += 100) {
+    for (const region of regionNames) {
+      for (let index = 0; index < 10; index++) fixture.chooser.recordRegion('s', region, region === 'a' && index < 5)
+    }
+    fixture.chooser.getWeights('s')
+  }
+  const weights = fixture.chooser.getWeights('s')
+  t.true(weights['a']! < 0.25 && weights['a']! >= 1 / 3 - cap - 1e-9, JSON.stringify(weights))
+})
