Add the simulation of policies on a virtual clock

Cause: no policy had been measured. Ruled out: timers and sockets in the benchmark; one event loop over the pure decisions is exact and repeatable.

--- a/packages/bilberryd/src/mod.ts
+++ b/packages/bilberryd/src/mod.ts
@@ -9,3 +9,5 @@
  */
 export * from './run_instance.ts'
 export * from './settings.ts'
+export * from './regions.ts'
+export * from './view.ts'
--- /dev/null
+++ b/packages/standins/src/bench_scenarios.ts
@@ -0,0 +1,163 @@
+/**
+ * Measures each policy in each scenario, at the sizes of both deployments.
+ *
+ * @module
+ */
+import type { BenchPlot, BenchReport } from './bench_part.ts'
+import type { Policy } from './bench_policies.ts'
+import type { ReportOptions } from './bench_routers.ts'
+import type { Measured, Scenario } from './bench_simulate.ts'
+import type { SimWorld } from './bench_world.ts'
+import type { Deployment } from './deployments.ts'
+import { renderTable } from './bench_part.ts'
+import { renderLinePlot } from './bench_plot.ts'
+import { allPolicies, productPolicy } from './bench_policies.ts'
+import { createFeederRouter } from './bench_routers.ts'
+import { simulate, simulateOmniscient } from './bench_simulate.ts'
+import { deployments } from './deployments.ts'
+import { rankFeedersByTwoChoices } from '@bilberryworks/steering'
+
+const seed = 20260612
+const eventMs = 10_000
+const coldRequests = 30
+
+/** A scenario with the reports that it brings. */
+export interface BenchScenario extends Scenario {
+  /** Reports that lag or mislead; as usual by default. */
+  reports?: ReportOptions
+}
+
+/** Every third target, those of all regions among them. */
+const listThird = (world: SimWorld): SimWorld['targets'] => world.targets.filter((_, index) => index % 3 === 2)
+
+function scheduleChange (world: SimWorld, atMs: number, change: () => void): void {
+  world.clock.schedule(atMs, () => {
+    change()
+    world.epoch++
+  })
+}
+
+/** The scenarios. */
+export const scenarios: BenchScenario[] = [
+  { name: 'steady 60 %', lengthMs: 30_000, getLoad: () => 0.6 },
+  { name: 'steady 90 %', lengthMs: 30_000, getLoad: () => 0.9 },
+  { name: 'rush 130 %', lengthMs: 30_000, getLoad: () => 1.3 },
+  { name: 'rush 200 %', lengthMs: 30_000, getLoad: () => 2 },
+  {
+    name: 'region fails at the rush',
+    lengthMs: 60_000,
+    getLoad: () => 0.85,
+    prepare: world => scheduleChange(world, eventMs, () => {
+      const [region] = world.deployment.regions
+      for (const each of [...world.instances, ...world.targets]) if (each.region === region) each.alive = false
+    })
+  },
+  { name: 'reports 10 s late, 90 %', lengthMs: 30_000, getLoad: () => 0.9, reports: { lagMs: 10_000 } },
+  { name: 'reports say idle, 90 %', lengthMs: 30_000, getLoad: () => 0.9, reports: { lagMs: 1_000, lie: () => 0 } },
+  { name: 'reports say full, 90 %', lengthMs: 30_000, getLoad: () => 0.9, reports: { lagMs: 1_000, lie: slots => slots } },
+  {
+    name: 'a third starts cold, 60 %',
+    lengthMs: 30_000,
+    getLoad: nowMs => nowMs < eventMs ? 0.4 : 0.6,
+    prepare: world => {
+      for (const target of listThird(world)) target.leaving = true
+      scheduleChange(world, eventMs, () => {
+        for (const target of listThird(world)) {
+          target.leaving = false
+          target.coldRequests = coldRequests
+        }
+      })
+    }
+  },
+  {
+    name: 'a third leaves, 60 %',
+    lengthMs: 30_000,
+    getLoad: () => 0.6,
+    prepare: world => scheduleChange(world, eventMs, () => listThird(world).forEach(target => { target.leaving = true }))
+  },
+  { name: 'retry storm, 200 % for 10 s', lengthMs: 40_000, getLoad: nowMs => nowMs < eventMs ? 2 : 0.6, maxTries: 4 },
+  { name: 'retry storm, fixed 1 s', lengthMs: 40_000, getLoad: nowMs => nowMs < eventMs ? 2 : 0.6, maxTries: 4, getRetryMs: () => 1_000 }
+]
+
+const formatMs = (value: number | undefined): string => value === undefined ? '' : value < 100 ? value.toFixed(1) : value.toFixed(0)
+const formatShare = (value: number): string => `${(100 * value).toFixed(1)} %`
+
+const head = ['policy', 'requests', 'answered', 'refused', 'refused while free', 'slot time used', 'overload s', 'fullest region', 'moved', 'tries', 'look-up p50/p99/p999 ms', 'order p50/p99/p999 ms', 'upload p50/p99 ms']
+
+function renderRow (name: string, measured: Measured): Array<string | number> {
+  const lookUp = measured.latency['look-up']
+  const order = measured.latency['at-most-once']
+  const upload = measured.latency['upload']
+  return [
+    name, measured.requests, measured.answered, measured.refused, measured.refusedWhileFree, formatShare(measured.usedShare), measured.overloadSeconds,
+    formatShare(measured.fullestRegion), measured.movedRequests, measured.tries,
+    [lookUp?.p50, lookUp?.p99, lookUp?.p999].map(formatMs).join(' / '),
+    [order?.p50, order?.p99, order?.p999].map(formatMs).join(' / '),
+    [upload?.p50, upload?.p99].map(formatMs).join(' / ')
+  ]
+}
+
+const coldPolicy: Policy = {
+  name: 'feeders, no slow start',
+  create: world => createFeederRouter(world, { rankFeeders: rankFeedersByTwoChoices, waitShare: 0.5, slowStart: false })
+}
+
+/**
+ * Runs all scenarios.
+ *
+ * @returns The report
+ */
+export function runScenarioBench (): BenchReport {
+  const parts: string[] = [`Seed ${seed}; the same arrivals for each policy. An overload second is a second in which a target was sent more than it has slots.`]
+  const plots: BenchPlot[] = []
+  const aims: Array<Array<string | number>> = []
+  for (const [name, deployment] of Object.entries(deployments)) {
+    parts.push(`## ${name}`)
+    for (const scenario of scenarios) {
+      const rows: Array<Array<string | number>> = []
+      const policies = scenario.name.includes('cold') ? [...allPolicies, coldPolicy] : allPolicies
+      for (const policy of policies) {
+        const measured = simulate(world => policy.create(world, scenario.reports), { deployment, scenario, seed })
+        rows.push(renderRow(policy.name, measured))
+        if (policy === productPolicy) {
+          aims.push(...compareWithAims({ name, deployment, scenario, measured }))
+          plots.push(...renderPlots({ name, scenario, measured }))
+        }
+      }
+      parts.push(`### ${name}: ${scenario.name}`, renderTable(head, rows))
+      const plot = plots.find(each => each.fileName === getPlotName(name, scenario))
+      if (plot !== undefined) parts.push(`![Share answered and moved, by second](${plot.fileName})`)
+    }
+  }
+  const aimTable = renderTable(['deployment', 'scenario', 'aim', 'measured', 'met'], aims)
+  const missed = aims.filter(row => row[4] === 'no').length
+  const summary = `Of ${aims.length} comparisons with the aims ${missed} are missed; the first table says by how much.`
+  return { summary, markdown: ['## Aims', aimTable, ...parts].join('\n\n'), plots }
+}
+
+function compareWithAims (run: { name: string, deployment: Deployment, scenario: BenchScenario, measured: Measured }): Array<Array<string | number>> {
+  const { name, scenario, measured } = run
+  const row = (aim: string, value: string, isMet: boolean): string[] => [name, scenario.name, aim, value, isMet ? 'yes' : 'no']
+  const rows = [row('no overload second', `${measured.overloadSeconds}`, measured.overloadSeconds === 0)]
+  if (scenario.name === 'rush 130 %') rows.push(row('slot time used 95 % or more', formatShare(measured.usedShare), measured.usedShare >= 0.95))
+  if (scenario.name === 'steady 60 %') {
+    rows.push(row('nothing refused', `${measured.refused}`, measured.refused === 0))
+    const best = simulateOmniscient({ ...run, seed })
+    for (const [requestClass, latency] of Object.entries(measured.latency)) {
+      const ratio = latency.p99 / best[requestClass]!.p99
+      rows.push(row(`p99 of ${requestClass} within 1.5 of omniscient`, `${formatMs(latency.p99)} ms / ${formatMs(best[requestClass]!.p99)} ms = ${ratio.toFixed(2)}`, ratio <= 1.5))
+    }
+  }
+  return rows
+}
+
+const getPlotName = (name: string, scenario: Scenario): string => `${name}-${scenario.name.replaceAll(/[^a-z0-9]+/g, '-')}.svg`
+
+function renderPlots ({ name, scenario, measured }: { name: string, scenario: BenchScenario, measured: Measured }): BenchPlot[] {
+  if (scenario.prepare === undefined && scenario.maxTries === undefined) return []
+  const svg = renderLinePlot(`${name}: ${scenario.name}`, [
+    { name: 'answered', values: measured.answeredShare },
+    { name: 'moved', values: measured.movedShare }
+  ])
+  return [{ fileName: getPlotName(name, scenario), svg }]
+}
--- a/packages/standins/src/main_bench.ts
+++ b/packages/standins/src/main_bench.ts
@@ -10,11 +10,13 @@
 import { command, optional, positional, run, string } from 'cmd-ts'
 import { renderBenchIndex, writeBenchPage } from './bench_part.ts'
 import { runFeederBench } from './bench_feeder.ts'
+import { runScenarioBench } from './bench_scenarios.ts'
 
 const docsFolder = fileURLToPath(new URL('../../../docs', import.meta.url))
 
 /** The parts, one a line. */
 const parts: BenchPart[] = [
+  { name: 'scenarios', title: 'Policies under load and faults', run: runScenarioBench },
   { name: 'feeder', title: 'Choice of the feeder in a region', run: runFeederBench }
 ]
 
