Report the load of a feeder with each of its answers in the simulation

Change: the load comes with each answer; the busy slots of a region are smoothed before weights are planned. Conclusion: feeders must send their load with each answer.

--- a/packages/standins/src/bench_routers.ts
+++ b/packages/standins/src/bench_routers.ts
@@ -39,6 +39,10 @@
   slowStart?: boolean
   /** How reports reach the instances; 1 s late and true by default. */
   reports?: ReportOptions
+  /** Whether feeders report their load only once a second, and not with each answer; false by default. */
+  pollOnly?: boolean
+  /** Whether a request that a feeder refuses for want of slots is sent to one other feeder; false by default. */
+  askAnother?: boolean
   /** Whether each instance feeds a share of the slots of every target of its region, in place of whole targets. */
   leasedShares?: boolean
 }
@@ -70,42 +74,65 @@
     node.regions = createRegionChooser({ view: createView(world), getNowMs: world.clock.getNowMs, getRegionReport: (_, region) => sumRegion(world, region, getLoads()) })
   }
 
-  return (request, entry, end) => {
-    const node = nodes.get(entry.name)!
-    const region = node.regions!.chooseRegion(world.service.name, request.callerKey)
-    if (region.isErr()) return end({ refusal: region.error })
+  /** Describes the feeders of a region as an instance sees them. */
+  function listFeeders (node: Node, region: string): FeederState[] {
+    const nowMs = world.clock.getNowMs()
     const snapshot = getLoads()
-    const feeders = world.instances.filter(each => each.alive && each.region === region.value).map((instance): FeederState => {
+    return world.instances.filter(each => each.alive && each.region === region).map(instance => {
       const load = snapshot?.byInstance.get(instance.name)
+      const polled = load === undefined ? undefined : { load: load.busy + load.queued, atMs: snapshot!.atMs }
+      const heard = options.pollOnly === true ? polled : node.heard.get(instance.name)
       return {
         instance: instance.name,
         slots: sumFedSlots(world, nodes.get(instance.name)!),
         ownInFlight: node.inFlight.get(instance.name) ?? 0,
-        reportedLoad: load === undefined ? undefined : load.busy + load.queued,
-        reportAgeMs: world.clock.getNowMs() - (snapshot?.atMs ?? 0),
-        isLocal: instance === entry,
-        isNear: instance.failureDomain === entry.failureDomain
+        reportedLoad: heard?.load,
+        reportAgeMs: nowMs - (heard?.atMs ?? 0),
+        isLocal: instance === node.instance,
+        isNear: instance.failureDomain === node.instance.failureDomain
       }
     })
-    const best = options.rankFeeders(feeders, { callerKey: request.callerKey, getRandom: world.getRandom })[0]
+  }
+
+  /** Sends a request to one feeder after another, until one has answered or refused for good. */
+  function forwardToFeeder (call: { node: Node, request: SimRequest, region: string, ranked: FeederState[] }, end: EndRequest): void {
+    const { node, request, region, ranked: [best, ...others] } = call
     const feeder = best === undefined ? undefined : nodes.get(best.instance)
     if (feeder === undefined) return end({ refusal: createNotRun(RefusalReason.NoUsableTarget, 'No feeder', retryAfterMs) })
-    const hopMs = feeder === node ? 0 : computeLatencyMs(world, entry, feeder.instance)
-    node.inFlight.set(feeder.instance.name, (node.inFlight.get(feeder.instance.name) ?? 0) + 1)
+    const { name } = feeder.instance
+    const hopMs = feeder === node ? 0 : computeLatencyMs(world, node.instance, feeder.instance)
+    node.inFlight.set(name, (node.inFlight.get(name) ?? 0) + 1)
     world.clock.schedule(hopMs, () => dispatchAtFeeder(world, { feeder, request, attempt: 1 }, result => {
+      const load = feeder.feed.getLoad(world.service.name)
       world.clock.schedule(hopMs, () => {
-        node.inFlight.set(feeder.instance.name, node.inFlight.get(feeder.instance.name)! - 1)
-        node.regions!.recordRegion(world.service.name, region.value, 'refusal' in result && result.refusal.reason === RefusalReason.Overloaded)
+        node.inFlight.set(name, node.inFlight.get(name)! - 1)
+        node.heard.set(name, { load: load.busy + load.queued, atMs: world.clock.getNowMs() })
+        const isOverloaded = 'refusal' in result && result.refusal.reason === RefusalReason.Overloaded
+        if (isOverloaded && options.askAnother === true && others.length > 0) {
+          forwardToFeeder({ ...call, ranked: others.slice(0, 1) }, end)
+          return
+        }
+        node.regions!.recordRegion(world.service.name, region, isOverloaded)
         end(result)
       })
     }))
   }
+
+  return (request, entry, end) => {
+    const node = nodes.get(entry.name)!
+    const region = node.regions!.chooseRegion(world.service.name, request.callerKey)
+    if (region.isErr()) return end({ refusal: region.error })
+    const ranked = options.rankFeeders(listFeeders(node, region.value), { callerKey: request.callerKey, getRandom: world.getRandom })
+    forwardToFeeder({ node, request, region: region.value, ranked }, end)
+  }
 }
 
 interface Node {
   instance: SimInstance
   feed: SlotFeed
   inFlight: Map<string, number>
+  /** Load of each feeder by its last answer. */
+  heard: Map<string, { load: number, atMs: number }>
   regions: RegionChooser | undefined
   listFed: () => readonly TargetRecord[]
 }
@@ -136,7 +163,7 @@
   if (options.slowStart !== false) {
     scheduleEvery(world, observeMs, () => warmUps.observe(world.service.name, world.targets.filter(each => each.alive && !each.leaving).map(each => each.record), world.clock.getNowMs()))
   }
-  return { instance, feed, inFlight: new Map(), regions: undefined, listFed }
+  return { instance, feed, inFlight: new Map(), heard: new Map(), regions: undefined, listFed }
 }
 
 function dispatchAtFeeder (world: SimWorld, call: { feeder: Node, request: SimRequest, attempt: number }, end: EndRequest): void {
--- a/packages/steering/src/region_demand.ts
+++ b/packages/steering/src/region_demand.ts
@@ -37,6 +37,8 @@
 interface Counts {
   sent: number
   refused: number
+  /** Mean of the reported busy slots; `undefined` before the first report. */
+  busy: number | undefined
   atMs: number
 }
 
@@ -59,7 +61,7 @@
   const regions = new Map<string, Counts>()
 
   function getCounts (region: string, nowMs: number): Counts {
-    const counts = regions.get(region) ?? { sent: 0, refused: 0, atMs: nowMs }
+    const counts = regions.get(region) ?? { sent: 0, refused: 0, busy: undefined, atMs: nowMs }
     regions.set(region, counts)
     const factor = Math.exp((counts.atMs - nowMs) / memoryMs)
     counts.sent *= factor
@@ -68,6 +70,16 @@
     return counts
   }
 
+  /** Smooths the reported busy slots, since at any moment a few more or fewer are busy than in the mean. */
+  function updateBusy (region: string, report: RegionReport | undefined, nowMs: number): number {
+    const before = regions.get(region)?.atMs ?? nowMs
+    const counts = getCounts(region, nowMs)
+    const weight = 1 - Math.exp((before - nowMs) / memoryMs)
+    if (report === undefined) counts.busy = undefined
+    else counts.busy = counts.busy === undefined ? report.busy : counts.busy + (report.busy - counts.busy) * weight
+    return counts.busy ?? 0
+  }
+
   return {
     record (region, wasRefused, nowMs) {
       const counts = getCounts(region, nowMs)
@@ -80,12 +92,12 @@
       let knownDemand = 0
       let knownSent = 0
       for (const [region, { capacity, report }] of Object.entries(known)) {
+        const isReported = report !== undefined && report.ageMs <= regionReportLifetimeMs
+        const busy = updateBusy(region, isReported ? report : undefined, nowMs)
         const { sent, refused } = getCounts(region, nowMs)
         const refusedShare = sent < minSent ? 0 : Math.min(maxRefusedShare, refused / sent)
         const isFull = refusedShare >= fullShare
-        const isReported = report !== undefined && report.ageMs <= regionReportLifetimeMs
         if (!isFull && !isReported) unknown.push(region)
-        const busy = isReported ? report.busy : 0
         demands[region] = (isFull ? Math.max(busy, capacity) : busy) / (1 - refusedShare)
         if (!isFull && !isReported) continue
         knownDemand += demands[region]
