--- a/packages/bilberryd/src/dispatch.ts
+++ b/packages/bilberryd/src/dispatch.ts
@@ -3,12 +3,12 @@
  *
  * @module
  */
-import type { Refusal, RetryReason, ServiceAnswer, ServiceRequest, TargetRecord } from '@bilberryworks/steering'
+import type { Refusal, RetryReason, ServiceAnswer, ServiceRequest, Slot, TargetRecord } from '@bilberryworks/steering'
 import type { TargetClient, TargetFailure } from '@bilberryworks/targets'
 import type { Result } from 'neverthrow'
-import type { Feed, FeedRequest, Slot } from './feed.ts'
+import type { Feed, FeedRequest } from './feed.ts'
 import { finished } from 'node:stream'
-import { createNotRun, createRetryBudget, createUnknown, Outcome, RefusalReason, RequestClass, RetryReason as RetryReasons } from '@bilberryworks/steering'
+import { createNotRun, createRetryBudget, createUnknown, Outcome, RefusalReason, RequestClass, RetryReason as RetryReasons, TargetSignal } from '@bilberryworks/steering'
 import { TargetFailureKind } from '@bilberryworks/targets'
 import { err, ok } from 'neverthrow'
 
@@ -61,14 +61,19 @@
     const leaving = result.isOk() ? result.value.leaving : result.error.leaving
     if (leaving) options.markTargetLeaving(slot.target.target)
     if (result.isErr()) {
+      slot.recordFailure(mapSignal(result.error.kind, request.signal.aborted))
       if (result.error.kind === TargetFailureKind.ConnectFailed) options.markTargetUnreachable?.(slot.target.target)
       if (isUnread(result.error)) slot.release()
       else startCancel(feedRequest, slot)
       return err(result.error)
     }
     finished(result.value.body, { writable: false }, error => {
-      if (error) startCancel(feedRequest, slot)
-      else slot.release()
+      if (error) {
+        slot.recordFailure(mapSignal(TargetFailureKind.Lost, request.signal.aborted))
+        startCancel(feedRequest, slot)
+      } else {
+        slot.release()
+      }
     })
     return ok(result.value)
   }
@@ -144,3 +149,13 @@
     case TargetFailureKind.TimedOut: return createUnknown(RefusalReason.TargetTimeout, failure.detail)
   }
 }
+
+/** Says what the end of an exchange tells of the health of its target. */
+function mapSignal (kind: TargetFailureKind, callerGone: boolean): TargetSignal {
+  switch (kind) {
+    case TargetFailureKind.ConnectFailed: return TargetSignal.ConnectFailed
+    case TargetFailureKind.Refused: return TargetSignal.Refused
+    case TargetFailureKind.Lost: return callerGone ? TargetSignal.Ended : TargetSignal.Lost
+    case TargetFailureKind.TimedOut: return TargetSignal.Ended
+  }
+}
