--- a/packages/bilberryd/src/instance_handlers.ts
+++ b/packages/bilberryd/src/instance_handlers.ts
@@ -9,11 +9,13 @@
 import { createServiceHandler } from '@bilberryworks/callers'
 import { createPeerHandler } from '@bilberryworks/instances'
 import { createOperatorsService } from '@bilberryworks/operators'
+import { Outcome } from '@bilberryworks/steering'
 import moleculer from 'moleculer'
 import { createCallersService } from './callers_service.ts'
 import { PeerMethodName } from './exchange_messages.ts'
 import { feedsMethod } from './feed_exchange.ts'
-import { createCallersGateway, createOperatorsGateway } from './gateways.ts'
+import { createOperatorsGateway } from './gateways.ts'
+import { createLookUpHandler } from './look_up_handler.ts'
 
 /** The handlers, by listener. */
 export interface InstanceHandlers extends AsyncDisposable {
@@ -31,7 +33,7 @@
 export async function createInstanceHandlers (parts: InstanceParts): Promise<InstanceHandlers> {
   const { settings, metrics, identity, sync, feeding, handleRequest } = parts
   const broker = createBroker(parts)
-  const lookUp = createCallersGateway(broker)
+  const lookUp = createLookUpHandler(broker, { recordRefusal: reason => metrics.recordEnd({ service: '', outcome: Outcome.NotRun, reason, whole: true, elapsedMs: 0 }) })
   const serve = createServiceHandler({ fromPeer: false, handleRequest, recordEnd: metrics.recordEnd, isStopping: identity.isLeaving })
   const operators = createOperatorsGateway(broker, {
     tokens: () => settings.tokens, countUnauthenticated: () => metrics.countUnauthenticated('operators'), registry: metrics.registry, isReady: parts.isReady
@@ -61,9 +63,11 @@
 }
 
 function createBroker (parts: InstanceParts): ServiceBroker {
-  const { settings, view, regions, metrics, platform, sync, identity, status } = parts
+  const { settings, view, clientBlocks, regions, metrics, platform, sync, identity, status } = parts
   const broker = new moleculer.ServiceBroker({ nodeID: settings.instance, logger: false, skipProcessEventRegistration: true })
-  broker.createService(createCallersService({ view, regions, region: settings.region, ttlSeconds: settings.lookUpTtlSeconds, countLookUp: metrics.countLookUp }))
+  broker.createService(createCallersService({
+    view, regions, getBlocks: clientBlocks.getBlocks, region: settings.region, ttlSeconds: settings.lookUpTtlSeconds, countLookUp: metrics.countLookUp, getRandom: Math.random, getNowMs: () => performance.now()
+  }))
   broker.createService(createOperatorsService({
     platform,
     listDocuments: view.listDocuments,
--- a/packages/bilberryd/src/instance_parts.ts
+++ b/packages/bilberryd/src/instance_parts.ts
@@ -8,6 +8,7 @@
 import type { HandleRequest, WeightChange } from '@bilberryworks/steering'
 import type { TargetClient } from '@bilberryworks/targets'
 import type Logger from 'bunyan'
+import type { ClientBlocksLoader } from './client_blocks.ts'
 import type { Feed } from './feed.ts'
 import type { Feeding } from './feeding.ts'
 import type { Identity } from './identity.ts'
@@ -21,6 +22,8 @@
 import { createHttpPlatform } from '@bilberryworks/platform'
 import { getFeedLimits, MachineState } from '@bilberryworks/steering'
 import { createHttpTargets } from '@bilberryworks/targets'
+import { createBudgetedPeers } from './budgeted_peers.ts'
+import { createClientBlocksLoader } from './client_blocks.ts'
 import { createDispatcher } from './dispatch.ts'
 import { createFeed } from './feed.ts'
 import { createFeeding } from './feeding.ts'
@@ -37,6 +40,7 @@
 import { createView } from './view.ts'
 
 const heartbeatsMissed = 4
+const defaultControlBytesPerSecond = 16_384
 
 /** What an instance is made of. */
 export interface InstanceParts extends AsyncDisposable {
@@ -45,6 +49,7 @@
   peers: PeerClient
   identity: Identity
   view: View
+  clientBlocks: ClientBlocksLoader
   metrics: Metrics
   feed: Feed
   feeding: Feeding
@@ -84,8 +89,10 @@
     countQueued: () => feed.countQueued(),
     countInFlight: () => feed.countInFlight(),
     getPlatformAgeMs: () => sync.getPlatformAgeMs(),
+    getClientBlocksRevision: () => clientBlocks.getBlocks().revision,
     getRevisions: view.getRevisions
   })
+  const clientBlocks = createClientBlocksLoader({ platform, getRandom: Math.random, countLoad: metrics.countClientBlocksLoad, recordLoad: (load, detail) => log.info({ load }, detail) })
   const suspects = createSuspects(getNowMs)
   const feed: Feed = createFeed({
     listFedTargets: service => suspects.select(listUsableTargets(view, service).flatMap(target => {
@@ -128,10 +135,13 @@
   const shifts = createShiftLoop({
     instance: settings.instance, view, platform, hasCapacity, isPlatformReachable: () => sync.isPlatformReachable(), rankDelayMs: settings.pollMs, getNowMs
   })
-  const sync = createSync({
+  const exchangePeers = createBudgetedPeers(peers, {
+    bytesPerSecond: settings.controlBytesPerSecond ?? defaultControlBytesPerSecond, isReady: () => sync.isReady(), countBytes: metrics.countControlBytes, countHeldBack: metrics.countExchangeHeldBack, getNowMs
+  })
+  const sync: Sync = createSync({
     view,
     platform,
-    peers,
+    peers: exchangePeers,
     createAnnouncement: identity.createAnnouncement,
     seedPeers: settings.seedPeers,
     pollMs: settings.pollMs,
@@ -140,7 +150,10 @@
     getNowMs,
     recordHeartbeat: feeding.recordHeartbeat,
     recordMachines: feeding.recordMachines,
-    followIndex: feeding.refresh,
+    async followIndex (index) {
+      clientBlocks.observeRevision(index.clientBlocks)
+      await feeding.refresh(index)
+    },
     afterPoll: shifts.advanceShifts,
     recordSuperseded: () => log.warn('A later incarnation runs under the name of this instance'),
     recordPlatform: reachable => log.info({ reachable }, reachable ? 'Platform answers' : 'Platform does not answer')
@@ -160,6 +173,7 @@
     peers,
     identity,
     view,
+    clientBlocks,
     metrics,
     feed,
     feeding,
@@ -169,7 +183,7 @@
     handleRequest: keeper.handleRequest,
     isReady: () => !identity.isLeaving() && sync.isReady(),
     async [Symbol.asyncDispose] () {
-      await Promise.all([sync, feedLoop].map(loop => loop[Symbol.asyncDispose]()))
+      await Promise.all([sync, feedLoop, clientBlocks].map(loop => loop[Symbol.asyncDispose]()))
       await feed[Symbol.asyncDispose]()
       await Promise.all(Object.values(clients).map(client => client[Symbol.asyncDispose]()))
     }
