--- a/packages/bilberryd/src/main.ts
+++ b/packages/bilberryd/src/main.ts
@@ -42,7 +42,7 @@
 async function runUntilStopped (settings: Settings): Promise<void> {
   const log = createLogger({ name: 'bilberryd', instance: settings.instance, stream: process.stderr })
   const instance = await runInstance(settings, log)
-  console.log(JSON.stringify({ ready: true, ...instance.addresses }))
+  console.log(JSON.stringify({ ready: true, ...instance.addresses, listening: instance.listening }))
   const stop = (): void => {
     process.once('SIGTERM', () => process.exit(exitFindings))
     process.once('SIGINT', () => process.exit(exitFindings))
--- a/packages/bilberryd/src/run_instance.ts
+++ b/packages/bilberryd/src/run_instance.ts
@@ -33,6 +33,8 @@
 export interface RunningInstance extends AsyncDisposable {
   /** `host:port` of each listener. */
   addresses: { callers: string, operators: string, peers: string }
+  /** `host:port` that each listener is bound to, which differs where others reach it by an advertised address. */
+  listening: { callers: string, operators: string, peers: string }
   /** Stops gracefully: announces it, serves on, lets requests in flight end. */
   stop (): Promise<void>
 }
@@ -136,6 +138,7 @@
   }
   return {
     addresses,
+    listening: { callers: listeners[0]!.address, operators: listeners[1]!.address, peers: listeners[2]!.address },
     async stop () {
       state = MachineState.Leaving
       log.info('Instance is leaving')
--- a/packages/bilberryd/src/settings.ts
+++ b/packages/bilberryd/src/settings.ts
@@ -9,12 +9,38 @@
 import { err, ok } from 'neverthrow'
 import { settingsSchema } from './settings_schema.ts'
 
+/** Certificate and key of a listener; each is PEM text or the path of a PEM file, read again on SIGHUP. */
+export interface TlsSettings {
+  /** Certificate chain. */
+  certificate: string
+  /** Private key. */
+  key: string
+}
+
 /** An address to listen on. */
 export interface ListenSettings {
   /** IP number. */
   host: string
   /** TCP port; 0 for one that the system chooses. */
   port: number
+  /** Certificate and key; plain TCP where absent. */
+  tls?: TlsSettings
+}
+
+/** How peers are called over TLS. */
+export interface PeerTlsSettings {
+  /** Certificate authority of the peers: PEM text or the path of a PEM file. */
+  ca: string
+  /** Name that the peers' certificates carry; their IP number where absent. */
+  serverName?: string
+}
+
+/** Capacity of the link between two regions. */
+export interface LinkSettings {
+  /** The two regions, in any order. */
+  regions: [string, string]
+  /** Capacity each way, in bits a second. */
+  bitsPerSecond: number
 }
 
 /** A token of a team. */
@@ -57,10 +83,18 @@
   localAddress?: string
   /** Keys between instances, the one to send first. */
   peerKeys: string[]
+  /** How peers are called over TLS; plain TCP where absent. */
+  peerTls?: PeerTlsSettings
   /** `host:port` of peers to ask at start when the platform is out. */
   seedPeers: string[]
   /** Tokens of operators. */
   tokens: TokenSettings[]
+  /** Capacity by pair of regions; no limit where a pair is absent. */
+  links: LinkSettings[]
+  /** Longest time that a client may take to send the header fields of a request, in milliseconds. */
+  headersTimeoutMs: number
+  /** Longest pause within the body of a request, in milliseconds. */
+  bodyIdleTimeoutMs: number
   /** Lifetime of a look-up's answer, in seconds. */
   lookUpTtlSeconds: number
   /** Time between two polls of the platform, in milliseconds. */
--- a/packages/bilberryd/src/settings_schema.ts
+++ b/packages/bilberryd/src/settings_schema.ts
@@ -7,13 +7,44 @@
 const namePattern = '^[A-Za-z0-9_-]{1,64}$'
 const addressPattern = '^(\\d{1,3}(\\.\\d{1,3}){3}|\\[[0-9a-fA-F:]+\\]):\\d{1,5}$'
 
+const tls = {
+  type: 'object',
+  additionalProperties: false,
+  required: ['certificate', 'key'],
+  properties: {
+    certificate: { type: 'string', minLength: 1 },
+    key: { type: 'string', minLength: 1 }
+  }
+}
+
 const listen = {
   type: 'object',
   additionalProperties: false,
   required: ['host', 'port'],
   properties: {
     host: { type: 'string', minLength: 1 },
-    port: { type: 'integer', minimum: 0, maximum: 65535 }
+    port: { type: 'integer', minimum: 0, maximum: 65535 },
+    tls
+  }
+}
+
+const peerTls = {
+  type: 'object',
+  additionalProperties: false,
+  required: ['ca'],
+  properties: {
+    ca: { type: 'string', minLength: 1 },
+    serverName: { type: 'string', minLength: 1 }
+  }
+}
+
+const link = {
+  type: 'object',
+  additionalProperties: false,
+  required: ['regions', 'bitsPerSecond'],
+  properties: {
+    regions: { type: 'array', minItems: 2, maxItems: 2, uniqueItems: true, items: { type: 'string', pattern: namePattern } },
+    bitsPerSecond: { type: 'integer', minimum: 1 }
   }
 }
 
@@ -55,7 +86,11 @@
     localAddress: { type: 'string', minLength: 1 },
     peerKeys: { type: 'array', minItems: 1, maxItems: 2, items: { type: 'string', minLength: 16 } },
     seedPeers: { type: 'array', items: { type: 'string', pattern: addressPattern }, default: [] },
+    peerTls,
     tokens: { type: 'array', items: token, default: [] },
+    links: { type: 'array', items: link, default: [] },
+    headersTimeoutMs: { type: 'integer', minimum: 100, maximum: 600_000, default: 10_000 },
+    bodyIdleTimeoutMs: { type: 'integer', minimum: 100, maximum: 600_000, default: 30_000 },
     lookUpTtlSeconds: { type: 'integer', minimum: 1, maximum: 300, default: 5 },
     pollMs: { type: 'integer', minimum: 50, maximum: 60_000, default: 1_000 },
     heartbeatMs: { type: 'integer', minimum: 100, maximum: 60_000, default: 3_000 },
--- a/packages/standins/src/cluster.ts
+++ b/packages/standins/src/cluster.ts
@@ -5,9 +5,11 @@
  */
 import type { TargetRecord } from '@bilberryworks/steering'
 import type { Settings } from 'bilberryd'
-import type { Child } from './child.ts'
+import type { Child, StartChildOptions } from './child.ts'
 import type { CleanUp } from './clean_up.ts'
 import type { Deployment } from './deployments.ts'
+import type { Place } from './places.ts'
+import type { RelayProcess } from './relay_process.ts'
 import type { RunRecord, StartTargetStandinOptions, TargetBehaviour } from './target_standin.ts'
 import { createHash, randomBytes, randomUUID } from 'node:crypto'
 import { mkdtemp, rm, writeFile } from 'node:fs/promises'
@@ -19,16 +21,22 @@
 import { startChild } from './child.ts'
 import { createCleanUp } from './clean_up.ts'
 import { createDocument, instanceCount, listFailureDomains } from './deployments.ts'
+import { locateMachine } from './places.ts'
+import { startRelay } from './relay_process.ts'
 
 const targetsPerProcess = 8
-const readyTimeoutMs = 20_000
+const firstTargetNumber = 10
+const readyTimeoutMs = 30_000
 const readyPollMs = 50
+const platformRoute = 'platform'
 
 /** The addresses that a ready instance prints. */
 export interface InstanceAddresses {
   callers: string
   operators: string
   peers: string
+  /** Addresses that the listeners are bound to, behind the relay. */
+  listening: { callers: string, operators: string, peers: string }
 }
 
 /** An entry instance of the cluster. */
@@ -45,6 +53,8 @@
   instances: ClusterInstance[]
   /** The targets. */
   targets: TargetRecord[]
+  /** The relay that adds latencies and bounds links. */
+  relay: RelayProcess
   /** Token of the operators' team. */
   token: string
   /** Changes how a target behaves. */
@@ -67,43 +77,68 @@
   body?: unknown
 }
 
+/** Options of {@linkcode startCluster}. */
+export interface StartClusterOptions {
+  /** Folder for the logs of all processes; standard error of this process by default. */
+  logFolder?: string
+  /** Kills all processes when aborted. */
+  signal?: AbortSignal
+}
+
 /**
  * Starts a deployment.
  *
  * @param deployment The deployment
+ * @param options Where logs go and what ends the processes
  * @returns The cluster; dispose it to end all its processes
  */
-export async function startCluster (deployment: Deployment): Promise<Cluster> {
+export async function startCluster (deployment: Deployment, options: StartClusterOptions = {}): Promise<Cluster> {
   const stack = createCleanUp()
   try {
-    return await startProcesses(deployment, stack)
+    return await startProcesses(deployment, stack, options)
   } catch (error) {
     await stack[Symbol.asyncDispose]()
     throw error
   }
 }
 
-async function startProcesses (deployment: Deployment, stack: CleanUp): Promise<Cluster> {
-  const platform = stack.add(await startChild<{ url: string }>(locateScript('main_platform.js'), []))
-  const targetChildren = await Promise.all(groupTargets(deployment).map(async group => {
-    return stack.add(await startChild<{ targets: TargetRecord[] }>(locateScript('main_targets.js'), [JSON.stringify(group)]))
-  }))
-  const targets = targetChildren.flatMap(child => child.ready.targets)
+async function startProcesses (deployment: Deployment, stack: CleanUp, options: StartClusterOptions): Promise<Cluster> {
+  const createOptions = (name: string): StartChildOptions => ({
+    logFile: options.logFolder === undefined ? undefined : join(options.logFolder, `${name}.log`),
+    signal: options.signal
+  })
+  const instancePlaces = listInstancePlaces(deployment)
+  const groups = groupTargets(deployment)
+  const [relay, platform, ...targetChildren] = await Promise.all([
+    startRelay(locateScript('main_relay.js'), deployment, createOptions('relay')).then(stack.add),
+    startChild<{ url: string }>(locateScript('main_platform.js'), [], createOptions('platform')).then(stack.add),
+    ...groups.map(async (group, index) => {
+      return stack.add(await startChild<{ targets: TargetRecord[] }>(locateScript('main_targets.js'), [JSON.stringify(group)], createOptions(`targets-${index}`)))
+    })
+  ])
+  const routes = await relay.openRoutes(listRoutes(deployment, { groups, instancePlaces }))
+  relay.connectRoute(platformRoute, new URL(platform.ready.url).host)
+  const targets = targetChildren.flatMap(child => child.ready.targets).map(record => {
+    relay.connectRoute(record.target, record.address)
+    return { ...record, address: routes[record.target]! }
+  })
   await request(`${platform.ready.url}/machines`, { method: 'PUT', body: JSON.stringify({ instances: [], targets }) })
 
   const folder = await mkdtemp(join(tmpdir(), 'bilberryworks-'))
   stack.add({ [Symbol.asyncDispose]: () => rm(folder, { recursive: true }) })
   const token = randomBytes(24).toString('base64url')
-  const all = createSettings(deployment, { platformUrl: platform.ready.url, token })
+  const all = createSettings(deployment, { platformUrl: `http://${routes[platformRoute]}`, token, routes, instancePlaces })
   const instances = await Promise.all(all.map(async settings => {
     const file = join(folder, `${settings.instance}.json`)
     await writeFile(file, JSON.stringify(settings))
-    const child = stack.add(await startChild<InstanceAddresses>(locateDaemon(), ['--settings', file]))
+    const child = stack.add(await startChild<InstanceAddresses>(locateDaemon(), ['--settings', file], createOptions(settings.instance)))
+    registerInstance(relay, settings.instance, child)
     return { settings, child }
   }))
   const cluster: Cluster = {
     instances,
     targets,
+    relay,
     token,
     setBehaviour (target, behaviour) {
       const index = targetChildren.findIndex(child => child.ready.targets.some(record => record.target === target))
@@ -156,31 +191,81 @@
   })
 }
 
-function groupTargets (deployment: Deployment): StartTargetStandinOptions[][] {
+/** Sends connections on to an instance, and refuses them once its process has ended. */
+function registerInstance (relay: RelayProcess, name: string, child: Child<InstanceAddresses>): void {
+  for (const listener of ['callers', 'peers'] as const) {
+    const route = formatInstanceRoute(name, listener)
+    relay.connectRoute(route, child.ready.listening[listener])
+    child.process.once('exit', () => relay.closeRoute(route))
+  }
+}
+
+function formatInstanceRoute (name: string, listener: 'callers' | 'peers'): string {
+  return `${name}/${listener}`
+}
+
+function listRoutes (deployment: Deployment, parts: { groups: TargetPlace[][], instancePlaces: Place[] }): Record<string, Place> {
+  const [storeDomain] = listFailureDomains(deployment)
+  const routes: Record<string, Place> = { [platformRoute]: locateMachine(deployment.regions, storeDomain!.failureDomain, firstTargetNumber - 1) }
+  for (const target of parts.groups.flat()) routes[target.target] = { failureDomain: target.failureDomain, region: target.region, host: target.host }
+  for (const [index, place] of parts.instancePlaces.entries()) {
+    routes[formatInstanceRoute(formatInstanceName(index), 'callers')] = place
+    routes[formatInstanceRoute(formatInstanceName(index), 'peers')] = place
+  }
+  return routes
+}
+
+function formatInstanceName (index: number): string {
+  return `entry-${index}`
+}
+
+function listInstancePlaces (deployment: Deployment): Place[] {
+  const domains = listFailureDomains(deployment)
+  return Array.from({ length: instanceCount }, (_, index) => {
+    return locateMachine(deployment.regions, domains[index % domains.length]!.failureDomain, Math.floor(index / domains.length))
+  })
+}
+
+type TargetPlace = StartTargetStandinOptions & { host: string }
+
+function groupTargets (deployment: Deployment): TargetPlace[][] {
   const domains = listFailureDomains(deployment)
+  let number = 0
   const all = deployment.services.flatMap(service => Array.from({ length: service.targets }, (_, index) => {
-    return { target: `${service.name}-${index}`, service: service.name, slots: service.slots, ...domains[index % domains.length]! }
+    const place = locateMachine(deployment.regions, domains[index % domains.length]!.failureDomain, firstTargetNumber + Math.floor(number++ / domains.length))
+    return { target: `${service.name}-${index}`, service: service.name, slots: service.slots, ...place }
   }))
-  const groups: StartTargetStandinOptions[][] = []
+  const groups: TargetPlace[][] = []
   for (let start = 0; start < all.length; start += targetsPerProcess) groups.push(all.slice(start, start + targetsPerProcess))
   return groups
 }
 
-function createSettings (deployment: Deployment, shared: { platformUrl: string, token: string }): Settings[] {
-  const domains = listFailureDomains(deployment)
+interface SharedSettings {
+  platformUrl: string
+  token: string
+  routes: Record<string, string>
+  instancePlaces: Place[]
+}
+
+function createSettings (deployment: Deployment, shared: SharedSettings): Settings[] {
   const peerKey = randomBytes(24).toString('base64url')
-  const listen = { host: '127.0.0.1', port: 0 }
-  return Array.from({ length: instanceCount }, (_, index) => {
-    const { failureDomain, region } = domains[index % domains.length]!
+  return shared.instancePlaces.map((place, index) => {
+    const instance = formatInstanceName(index)
+    const listen = { host: place.host, port: 0 }
     return {
-      instance: `entry-${index}`,
-      failureDomain,
-      region,
+      instance,
+      failureDomain: place.failureDomain,
+      region: place.region,
       platformUrl: shared.platformUrl,
       listen: { callers: listen, operators: listen, peers: listen },
+      advertise: { callers: shared.routes[formatInstanceRoute(instance, 'callers')]!, peers: shared.routes[formatInstanceRoute(instance, 'peers')]! },
+      localAddress: place.host,
       peerKeys: [peerKey],
       seedPeers: [],
       tokens: [{ name: 'demonstration', team: 'operations', sha256: createHash('sha256').update(shared.token).digest('hex') }],
+      links: listLinks(deployment),
+      headersTimeoutMs: 10_000,
+      bodyIdleTimeoutMs: 30_000,
       lookUpTtlSeconds: 2,
       pollMs: 500,
       heartbeatMs: 1_000,
@@ -189,6 +274,11 @@
   })
 }
 
+function listLinks (deployment: Deployment): Settings['links'] {
+  const { regions, linkBitsPerSecond } = deployment
+  return regions.flatMap((from, index) => regions.slice(index + 1).map(to => ({ regions: [from, to] as [string, string], bitsPerSecond: linkBitsPerSecond })))
+}
+
 function locateScript (name: string): string {
   return fileURLToPath(new URL(name, import.meta.url))
 }
--- a/packages/standins/src/main_demo.ts
+++ b/packages/standins/src/main_demo.ts
@@ -8,16 +8,25 @@
 import type { Deployment } from './deployments.ts'
 import type { RunRecord } from './target_standin.ts'
 import { randomBytes, randomUUID } from 'node:crypto'
+import { setMaxListeners } from 'node:events'
+import { mkdtemp, rm } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
 import { command, flag, number, oneOf, option, optional, run } from 'cmd-ts'
 import { build as buildHistogram } from 'hdr-histogram-js'
 import { Agent } from 'undici'
 import { sendAsCaller } from './caller.ts'
 import { startCluster } from './cluster.ts'
 import { DeploymentName, deployments } from './deployments.ts'
+import { computeCallerAddress } from './places.ts'
 
 const concurrency = 16
 const uploadBytes = 256 * 1024
 const drainGraceMs = 3_000
+const callerCount = 250
+const connectionsPerCaller = 2
+const progressSteps = 4
+const exitUsage = 2
 
 const demo = command({
   name: 'npm start --',
@@ -28,30 +37,69 @@
     deployment: option({ type: oneOf(Object.values(DeploymentName)), long: 'deployment', defaultValue: () => DeploymentName.Kutiyka, description: 'kutiyka or trwsio' })
   },
   async handler ({ json, requests, deployment }) {
-    const chosen = deployments[deployment as DeploymentName]
-    await using cluster = await startCluster(chosen)
-    const interrupted = new Promise<void>(resolve => ['SIGINT', 'SIGTERM'].forEach(signal => process.once(signal, resolve)))
-    printAddresses(cluster)
-    if (requests === undefined) {
-      await interrupted
+    if (requests !== undefined && !(Number.isInteger(requests) && requests > 0)) {
+      console.error(`--requests "${requests}" is not a whole number above 0`)
+      process.exitCode = exitUsage
       return
     }
-    const report = await Promise.race([runRequests(cluster, { deployment: chosen, requests }), interrupted])
-    if (report === undefined) process.exitCode = 1
-    else if (json) console.log(JSON.stringify(report))
-    else console.table(report)
+    const interrupt = new AbortController()
+    setMaxListeners(0, interrupt.signal)
+    for (const signal of ['SIGINT', 'SIGTERM'] as const) process.on(signal, () => interrupt.abort(signal))
+    try {
+      await runDeployment({ chosen: deployments[deployment as DeploymentName], requests, json, signal: interrupt.signal })
+    } catch (error) {
+      if (!interrupt.signal.aborted) throw error
+      if (requests !== undefined) process.exitCode = exitBySignal[interrupt.signal.reason as InterruptSignal]
+    }
   }
 })
 
-function printAddresses (cluster: Cluster): void {
+type InterruptSignal = 'SIGINT' | 'SIGTERM'
+const exitBySignal: Record<InterruptSignal, number> = { SIGINT: 130, SIGTERM: 143 }
+
+/** Runs a deployment until its requests are done, or until interrupted where there are none. */
+async function runDeployment (options: { chosen: Deployment, requests: number | undefined, json: boolean, signal: AbortSignal }): Promise<void> {
+  const { chosen, requests, signal } = options
+  await using folder = await createLogFolder()
+  await using cluster = await startCluster(chosen, { logFolder: folder.path, signal })
+  const interrupted = new Promise<never>((_resolve, reject) => {
+    signal.addEventListener('abort', () => reject(new Error(`Interrupted by ${signal.reason}`)))
+  })
+  if (requests === undefined) {
+    printUsage(cluster, { deployment: chosen, logFolder: folder.path })
+    await interrupted
+    return
+  }
+  const report = await Promise.race([runRequests(cluster, { deployment: chosen, requests }), interrupted])
+  if (options.json) console.log(JSON.stringify(report))
+  else console.table(report)
+}
+
+async function createLogFolder (): Promise<{ path: string } & AsyncDisposable> {
+  const path = await mkdtemp(join(tmpdir(), 'bilberryworks-logs-'))
+  return { path, [Symbol.asyncDispose]: () => rm(path, { recursive: true }) }
+}
+
+function printUsage (cluster: Cluster, options: { deployment: Deployment, logFolder: string }): void {
+  const [first] = cluster.instances
+  const [main] = options.deployment.services
   for (const { settings, child } of cluster.instances) {
-    console.error(`${settings.instance} (${settings.failureDomain}): callers http://${child.ready.callers}, operators http://${child.ready.operators}`)
+    console.log(`${settings.instance} (${settings.failureDomain}): callers http://${child.ready.callers}, operators http://${child.ready.operators}`)
   }
-  console.error(`Token of the operators: ${cluster.token}`)
+  console.log(`
+Ask which instances to use:
+  curl -s 'http://${first!.child.ready.callers}/v1/services/${main.name}/entries?client=192.0.2.7'
+Send a request to one of them:
+  curl -i 'http://${first!.child.ready.callers}/services/${main.name}/menus/today'
+Send an order that runs at most once, with the pin of the first answer:
+  curl -i -X POST -H 'Idempotency-Key: order-1' -H 'Bilberry-Pin: PIN' -d '{}' 'http://${first!.child.ready.callers}/services/${main.name}/orders'
+Look at it as an operator; the token is ${cluster.token}:
+  curl -s -H 'Authorization: Bearer ${cluster.token}' 'http://${first!.child.ready.operators}/v1/status'
+Logs are in ${options.logFolder}. Interrupt (Ctrl-C) to stop everything.`)
 }
 
 async function runRequests (cluster: Cluster, options: { deployment: Deployment, requests: number }): Promise<object> {
-  await using agent = createAgent()
+  await using agents = createAgents()
   const addresses = cluster.instances.map(instance => instance.child.ready.callers)
   const results: CallerResult[] = []
   const drained = cluster.targets[0]!.target
@@ -67,21 +115,42 @@
         cluster.setBehaviour(drained, { leaving: true })
         drainedAtMs = Date.now()
       }
-      const caller = { agent: agent.agent, instances: addresses, client: `192.0.2.${index % 250}` }
+      const number = index % callerCount
+      const first = number % addresses.length
+      const instances = [...addresses.slice(first), ...addresses.slice(0, first)]
+      const caller = { agent: agents.get(number), instances, client: computeCallerAddress(number) }
       results.push(await sendAsCaller(createRequest(options.deployment, index), caller))
-      process.stderr.write(`\r${results.length}/${options.requests} requests`)
+      printProgress(results.length, options.requests)
     }
   }
   await Promise.all(Array.from({ length: concurrency }, sendNext))
   await stopping
-  process.stderr.write('\n')
   const runs = await cluster.collectRuns()
   return createReport(results, { runs, drained, drainedAtMs })
 }
 
-function createAgent (): { agent: Agent } & AsyncDisposable {
-  const agent = new Agent({ connections: concurrency })
-  return { agent, [Symbol.asyncDispose]: () => agent.destroy() }
+/** Shows each request on a terminal, and a few lines elsewhere. */
+function printProgress (done: number, requests: number): void {
+  const text = `${done}/${requests} requests`
+  if (process.stderr.isTTY) process.stderr.write(done === requests ? `\r${text}\n` : `\r${text}`)
+  else if (done === requests || done % Math.ceil(requests / progressSteps) === 0) console.error(text)
+}
+
+/** Creates the connections of each caller, which start from an address of its own. */
+function createAgents (): { get: (caller: number) => Agent } & AsyncDisposable {
+  const agents = new Map<number, Agent>()
+  return {
+    get (caller) {
+      const known = agents.get(caller)
+      if (known !== undefined) return known
+      const agent = new Agent({ connections: connectionsPerCaller, localAddress: computeCallerAddress(caller) })
+      agents.set(caller, agent)
+      return agent
+    },
+    async [Symbol.asyncDispose] () {
+      await Promise.all([...agents.values()].map(agent => agent.destroy()))
+    }
+  }
 }
 
 function createRequest (deployment: Deployment, index: number): CallerRequest {
--- /dev/null
+++ b/packages/standins/src/main_relay.ts
@@ -0,0 +1,61 @@
+/**
+ * Runs the relay of a deployment as a process of its own; each message from the parent is a command.
+ *
+ * @module
+ */
+import type { LinkProfile, RelayRoute } from './link_relay.ts'
+import type { Place } from './places.ts'
+import { createLinkRelay } from './link_relay.ts'
+
+/** A command to the process; `open` and `report` are answered by a message with the same `id`. */
+export type RelayCommand =
+  { kind: 'open', id: number, places: Record<string, Place> } |
+  { kind: 'connect', route: string, destination: string } |
+  { kind: 'close', route: string } |
+  { kind: 'report', id: number }
+
+/** The answer to a command. */
+export interface RelayReply {
+  /** Identifier of the command. */
+  id: number
+  /** `host:port` of each opened listener. */
+  addresses?: Record<string, string>
+  /** Bytes carried so far, by `from>to`. */
+  linkBytes?: Record<string, number>
+}
+
+const relay = createLinkRelay(JSON.parse(process.argv[2] ?? '{}') as LinkProfile)
+const routes = new Map<string, RelayRoute>()
+
+async function handleCommand (command: RelayCommand): Promise<void> {
+  switch (command.kind) {
+    case 'open': {
+      for (const [name, place] of Object.entries(command.places)) routes.set(name, await relay.openRoute(place))
+      const addresses = Object.fromEntries(Object.keys(command.places).map(name => [name, routes.get(name)!.address]))
+      reply({ id: command.id, addresses })
+      break
+    }
+    case 'connect':
+      routes.get(command.route)?.setDestination(command.destination)
+      break
+    case 'close':
+      await routes.get(command.route)?.[Symbol.asyncDispose]()
+      break
+    case 'report':
+      reply({ id: command.id, linkBytes: relay.getLinkBytes() })
+  }
+}
+
+function reply (message: RelayReply): void {
+  process.send?.(message)
+}
+
+process.on('message', (command: RelayCommand) => {
+  handleCommand(command).catch(error => {
+    console.error(error)
+    process.exit(1)
+  })
+})
+process.on('SIGINT', () => {})
+process.once('disconnect', () => process.exit(0))
+console.log(JSON.stringify({ ready: true }))
--- a/packages/standins/src/platform_standin.ts
+++ b/packages/standins/src/platform_standin.ts
@@ -3,10 +3,10 @@
  *
  * @module
  */
-import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { IncomingMessage, Server as HttpServer, ServerResponse } from 'node:http'
 import type { InstanceRecord, TargetRecord } from '@bilberryworks/steering'
 import type { TableRow, TableWrite } from '@bilberryworks/platform'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Server } from 'node:net'
 import { createServer } from 'node:http'
 
 /** Faults that are injected now. */
@@ -198,7 +198,7 @@
  *
  * @param server The server
  */
-export async function closeListener (server: Server): Promise<void> {
+export async function closeListener (server: HttpServer): Promise<void> {
   server.closeAllConnections()
   await new Promise<void>(resolve => server.close(() => resolve()))
 }
