Refuse bad input with its outcome, reason and counter

Cause: what node:http refuses by itself (framing, header size, time-outs, CONNECT) had neither outcome nor counter; bodies were not bounded; a refusal while the caller was still sending was lost to a reset; the name of an unknown service in a URL became a label of the metrics; HTTP/1.0, Upgrade, GET with a body, loops and unescaped path characters were passed on. Ruled out: answering a parse error on a connection whose earlier request is still being answered, since the refusal would be taken for that request's answer; it is broken off instead. Change: body guard (length, pauses) that leaves the caller's connection open when a target drops the body, handler of client errors, Via per service, strict framing, problem+json on the JSON interfaces, look-ups with a malformed client address refused, labels only for services that have a document; reasons request_timeout and unauthenticated. Conclusion: each case is refused with its reason and counted once, and nothing stays in flight.

--- a/packages/bilberryd/src/gateways.ts
+++ b/packages/bilberryd/src/gateways.ts
@@ -7,8 +7,11 @@
 import type { TokenRecord } from '@bilberryworks/operators'
 import type { Registry } from 'prom-client'
 import type { ServiceBroker, ServiceSchema } from 'moleculer'
+import { isIP } from 'node:net'
 import { findToken } from '@bilberryworks/operators'
+import { RefusalReason } from '@bilberryworks/steering'
 import moleculerWeb from 'moleculer-web'
+import { describeProblem, replyError, replyProblem } from './problems.ts'
 
 type GatewayRequest = IncomingMessage & { $ctx: { meta: Record<string, unknown> } }
 
@@ -19,14 +22,21 @@
 
 const maxDocumentSize = '1MB'
 
+/** Options of {@linkcode createCallersGateway}. */
+export interface CreateCallersGatewayOptions {
+  /** Called for each look-up that is refused as malformed. */
+  countRefusal: (reason: RefusalReason) => void
+}
+
 /**
  * Creates the handler of the callers' `/v1` interface.
  *
  * @param broker The broker that holds the `callers` service
+ * @param options Counters
  * @returns A handler for `node:http`
  */
-export function createCallersGateway (broker: ServiceBroker): RequestListener {
-  return createGateway(broker, {
+export function createCallersGateway (broker: ServiceBroker, options: CreateCallersGatewayOptions): RequestListener {
+  const gateway = createGateway(broker, {
     name: 'callers-gateway',
     mixins: [moleculerWeb as unknown as ServiceSchema],
     settings: {
@@ -37,10 +47,19 @@
         aliases: { 'GET services/:service/entries': 'callers.listEntries' },
         onBeforeCall (ctx: { meta: Record<string, unknown> }, _route: unknown, request: IncomingMessage) {
           ctx.meta['remoteAddress'] = request.socket.remoteAddress
-        }
-      }]
+        },
+        onAfterCall: describeProblem
+      }],
+      onError: replyError
     }
   })
+  return (request, response) => {
+    const clients = new URL(request.url ?? '/', 'http://localhost').searchParams.getAll('client')
+    if (clients.length > 1 || clients.some(client => isIP(client) === 0)) {
+      options.countRefusal(RefusalReason.BadRequest)
+      replyProblem(response, { status: 400, title: RefusalReason.BadRequest, detail: 'Query parameter client is not one IP number' })
+    } else gateway(request, response)
+  }
 }
 
 /** Options of {@linkcode createOperatorsGateway}. */
@@ -75,9 +94,12 @@
         aliases: {
           'GET documents': 'operators.listDocuments',
           'GET documents/:service': 'operators.getDocument',
+          'GET documents/:service/history': 'operators.getHistory',
           'PUT documents/:service': 'operators.putDocument',
-          'GET status': 'operators.getStatus'
+          'GET status': 'operators.getStatus',
+          'GET status/:service': 'operators.getServiceStatus'
         },
+        onAfterCall: describeProblem,
         onBeforeCall (ctx: { meta: Record<string, unknown> }, _route: unknown, request: GatewayRequest) {
           ctx.meta['token'] = findToken(request.headers.authorization, options.tokens())
           ctx.meta['ifMatch'] = request.headers['if-match']
@@ -86,10 +108,17 @@
           if (request.method === 'PUT') delete request.headers['if-none-match']
           ctx.meta['submissionId'] = request.headers['submission-id']
         }
-      }]
+      }],
+      onError: replyError
     }
   })
   return (request, response) => {
+    const methods = findMethods(request.url ?? '')
+    if (methods !== undefined && !methods.includes(request.method ?? '')) {
+      response.setHeader('allow', methods.join(', '))
+      replyProblem(response, { status: 405, title: 'method_not_allowed', detail: `Allowed are ${methods.join(', ')}` })
+      return
+    }
     switch (request.url) {
       case '/healthz':
         replyText(response, 200, 'ok')
@@ -104,7 +133,7 @@
         if (findToken(request.headers.authorization, options.tokens()) === undefined) {
           options.countUnauthenticated()
           response.setHeader('www-authenticate', 'Bearer')
-          replyText(response, 401, 'A valid bearer token is required')
+          replyProblem(response, { status: 401, title: RefusalReason.Unauthenticated, detail: 'A valid bearer token is required' })
         } else {
           gateway(request, response)
         }
@@ -112,6 +141,15 @@
   }
 }
 
+/** Lists the methods of a path of the operators' interface; `undefined` for an unknown path. */
+function findMethods (url: string): string[] | undefined {
+  const [path = ''] = url.split('?')
+  if (/^\/(healthz|readyz|metrics)$/.test(path)) return ['GET', 'HEAD']
+  if (/^\/v1\/documents\/[^/]+$/.test(path)) return ['GET', 'PUT']
+  if (/^\/v1\/(documents|documents\/[^/]+\/history|status|status\/[^/]+)$/.test(path)) return ['GET']
+  return undefined
+}
+
 function createGateway (broker: ServiceBroker, schema: ServiceSchema): RequestListener {
   return (broker.createService(schema) as unknown as Gateway).express()
 }
--- a/packages/bilberryd/src/metrics.ts
+++ b/packages/bilberryd/src/metrics.ts
@@ -27,6 +27,8 @@
   registry: Registry
   /** Counts the end of a caller's request. */
   recordEnd: (end: RequestEnd) => void
+  /** Counts a refusal that no request was read for. */
+  countRefusal: (reason: RefusalReason) => void
   /** Counts a retry. */
   countRetry: (reason: RetryReason) => void
   /** Counts a call without a valid key or token. */
@@ -60,11 +62,24 @@
   for (const reason of Object.values(RetryReason)) retries.inc({ reason }, 0)
   for (const listener of ['operators', 'peers']) unauthenticated.inc({ listener }, 0)
   registerGauges(registry, sources)
+  const labelled = new Set<string>()
+  /** Returns the label of a service; empty where it has no document, so that callers can't add labels. */
+  const getLabel = (service: string): string => {
+    if (labelled.has(service)) return service
+    if (!Object.hasOwn(sources.getRevisions(), service)) return ''
+    labelled.add(service)
+    return service
+  }
   return {
     registry,
+    countRefusal (reason) {
+      refusals.inc({ reason })
+      requests.inc({ service: '', outcome: Outcome.NotRun })
+    },
     recordEnd (end) {
-      requests.inc({ service: end.service, outcome: end.outcome })
-      latency.observe({ service: end.service, outcome: end.outcome }, end.elapsedMs / 1000)
+      const service = getLabel(end.service)
+      requests.inc({ service, outcome: end.outcome })
+      latency.observe({ service, outcome: end.outcome }, end.elapsedMs / 1000)
       if (end.reason !== undefined) refusals.inc({ reason: end.reason })
       if (end.outcome === Outcome.Answered && !end.whole) broken.inc()
     },
--- a/packages/bilberryd/src/open_listener.ts
+++ b/packages/bilberryd/src/open_listener.ts
@@ -3,13 +3,27 @@
  *
  * @module
  */
-import type { RequestListener, Server } from 'node:http'
+import type { RequestListener, Server, ServerOptions } from 'node:http'
 import type { AddressInfo } from 'node:net'
-import type { ListenSettings } from './settings.ts'
+import type { RefusalReason } from '@bilberryworks/steering'
+import type { ListenSettings, TlsSettings } from './settings.ts'
 import { createServer } from 'node:http'
+import { createServer as createTlsServer, Server as TlsServer } from 'node:https'
+import { handleClientErrors } from '@bilberryworks/callers'
+import { readPem } from './read_pem.ts'
 
 const maxHeaderBytes = 16 * 1024
-const headersTimeoutMs = 10_000
+const defaultHeadersTimeoutMs = 10_000
+const checksPerTimeout = 4
+const keepAliveProbeMs = 30_000
+
+/** Options of {@linkcode openListener}. */
+export interface OpenListenerOptions {
+  /** Longest time that a client may take to send its header fields, in milliseconds; 10,000 by default. */
+  headersTimeoutMs?: number
+  /** Called for each connection that was refused before a request could be read. */
+  countRefusal?: (reason: RefusalReason) => void
+}
 
 /** An open listener. */
 export interface OpenListener extends AsyncDisposable {
@@ -17,6 +31,8 @@
   address: string
   /** Takes no new connections, closes idle ones and waits until the others have ended. */
   drain (): Promise<void>
+  /** Uses another certificate for new connections; does nothing on a listener without TLS. */
+  reloadTls (tls: TlsSettings | undefined): void
 }
 
 /**
@@ -24,11 +40,18 @@
  *
  * @param handler Handles its requests
  * @param listen Where to listen
+ * @param options Time-outs and counters
  * @returns The listener; dispose it to close its connections at once
- * @throws {Error} If the address can't be listened on
+ * @throws {Error} If the address can't be listened on, or the certificate can't be read
  */
-export async function openListener (handler: RequestListener, listen: ListenSettings): Promise<OpenListener> {
-  const server = createServer({ maxHeaderSize: maxHeaderBytes, headersTimeout: headersTimeoutMs, requestTimeout: 0 }, handler)
+export async function openListener (handler: RequestListener, listen: ListenSettings, options: OpenListenerOptions = {}): Promise<OpenListener> {
+  const server = createHttpServer(listen, options.headersTimeoutMs ?? defaultHeadersTimeoutMs)
+  // Header fields above a count would be dropped in silence; their size is bounded instead.
+  server.maxHeadersCount = 0
+  server.on('request', handler)
+  // Without these listeners Node.js would answer by itself, without outcome and reason.
+  server.on('checkExpectation', handler)
+  handleClientErrors(server, options.countRefusal ?? (() => {}))
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
     server.listen(listen.port, listen.host, resolve)
@@ -40,6 +63,9 @@
       server.closeIdleConnections()
       await closed
     },
+    reloadTls (tls) {
+      if (tls !== undefined && server instanceof TlsServer) server.setSecureContext(readContext(tls))
+    },
     async [Symbol.asyncDispose] () {
       server.closeAllConnections()
       await closeServer(server)
@@ -47,6 +73,23 @@
   }
 }
 
+function createHttpServer (listen: ListenSettings, headersTimeoutMs: number): Server {
+  const http: ServerOptions = {
+    maxHeaderSize: maxHeaderBytes,
+    headersTimeout: headersTimeoutMs,
+    connectionsCheckingInterval: headersTimeoutMs / checksPerTimeout,
+    requestTimeout: 0,
+    requireHostHeader: false,
+    keepAlive: true,
+    keepAliveInitialDelay: keepAliveProbeMs
+  }
+  return listen.tls === undefined ? createServer(http) : createTlsServer({ ...http, ...readContext(listen.tls) })
+}
+
+function readContext (tls: TlsSettings): { cert: string, key: string } {
+  return { cert: readPem(tls.certificate), key: readPem(tls.key) }
+}
+
 async function closeServer (server: Server): Promise<void> {
   await new Promise<void>(resolve => server.close(() => resolve()))
 }
--- a/packages/bilberryd/src/run_instance.ts
+++ b/packages/bilberryd/src/run_instance.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { InstanceRecord } from '@bilberryworks/steering'
+import type { InstanceRecord, ServiceRequest } from '@bilberryworks/steering'
 import type Logger from 'bunyan'
 import type { Settings } from './settings.ts'
 import type { Feed } from './feed.ts'
@@ -15,6 +15,7 @@
 import { chooseFeeder, MachineState } from '@bilberryworks/steering'
 import { createHttpTargets } from '@bilberryworks/targets'
 import moleculer from 'moleculer'
+import { findMaxBodyBytes } from './body_limits.ts'
 import { createCallersService } from './callers_service.ts'
 import { createDispatcher } from './dispatch.ts'
 import { createFeed } from './feed.ts'
@@ -82,8 +83,10 @@
     getWallClockMs: () => Date.now(),
     createStatus: () => ({ instance: settings.instance, incarnation, state, ready: isReady(), platformAgeMs: Math.round(sync.getPlatformAgeMs()), revisions: view.getRevisions(), instances: view.listInstances() })
   }))
-  const lookUp = createCallersGateway(broker)
-  const serve = createServiceHandler({ fromPeer: false, handleRequest, recordEnd: metrics.recordEnd, isStopping })
+  const lookUp = createCallersGateway(broker, { countRefusal: metrics.countRefusal })
+  const getMaxBodyBytes = (request: ServiceRequest): number | undefined => findMaxBodyBytes(view, request)
+  const listening = { headersTimeoutMs: settings.headersTimeoutMs, countRefusal: metrics.countRefusal }
+  const serve = createServiceHandler({ fromPeer: false, handleRequest, recordEnd: metrics.recordEnd, isStopping, getMaxBodyBytes, bodyIdleTimeoutMs: settings.bodyIdleTimeoutMs })
   const serveForwarded = createServiceHandler({ fromPeer: true, handleRequest, recordEnd: metrics.recordEnd, isStopping: () => false })
   const operators = createOperatorsGateway(broker, { tokens: () => settings.tokens, countUnauthenticated: () => metrics.countUnauthenticated('operators'), registry: metrics.registry, isReady })
   const peerHandler = createPeerHandler({
@@ -94,9 +97,9 @@
   })
   await broker.start()
   const listeners = [
-    await openListener((request, response) => request.url?.startsWith('/v1/') === true ? lookUp(request, response) : serve(request, response), settings.listen.callers),
-    await openListener(operators, settings.listen.operators),
-    await openListener(peerHandler, settings.listen.peers)
+    await openListener((request, response) => request.url?.startsWith('/v1/') === true ? lookUp(request, response) : serve(request, response), settings.listen.callers, listening),
+    await openListener(operators, settings.listen.operators, listening),
+    await openListener(peerHandler, settings.listen.peers, listening)
   ]
   addresses.callers = settings.advertise?.callers ?? listeners[0]!.address
   addresses.operators = listeners[1]!.address
--- a/packages/callers/src/mod.ts
+++ b/packages/callers/src/mod.ts
@@ -7,6 +7,8 @@
  *
  * @module
  */
+export * from './body_guard.ts'
+export * from './client_errors.ts'
 export * from './header_fields.ts'
 export * from './parse_request.ts'
 export * from './service_handler.ts'
--- a/packages/callers/src/parse_request.ts
+++ b/packages/callers/src/parse_request.ts
@@ -14,6 +14,12 @@
 const maxKeyLength = 255
 const maxDeadlineMs = 86_400_000
 const serviceUrlPattern = /^\/services\/([a-z0-9][a-z0-9-]{0,62})(\/[^#]*)$/
+const plainPathPattern = /^[\w\-.~!$&'()*+,;=:@%/]*$/
+const queryPattern = /^[\x21-\x7e]*$/
+const keyPattern = /^[\x20-\x7e]+$/
+const deadlinePattern = /^\d{1,8}$/
+const refusedMethods = new Set(['CONNECT', 'TRACE'])
+const bodilessMethods = new Set(['GET', 'HEAD'])
 
 /** What is taken on trust of a request, which only a peer is given. */
 export interface ParseRequestOptions {
@@ -34,39 +40,84 @@
   const url = serviceUrlPattern.exec(message.url ?? '')
   if (url === null) return refuse(RefusalReason.BadRequest, 'URL is not of the form /services/{service}/{path}')
   const [, service = '', path = ''] = url
-  if (!isPlainPath(path)) return refuse(RefusalReason.BadRequest, 'Path has a dot segment or a bad escape')
-  if (message.headers['content-length'] !== undefined && message.headers['transfer-encoding'] !== undefined) {
-    return refuse(RefusalReason.BadRequest, 'Content-Length and Transfer-Encoding exclude each other')
-  }
+  if (!isPlainPath(path)) return refuse(RefusalReason.BadRequest, 'Path has a dot segment, a bad escape or a character that must be escaped')
+  const framing = checkFraming(message)
+  if (framing.isErr()) return err(framing.error)
   const key = readKey(message)
   if (key.isErr()) return err(key.error)
   const deadline = readDeadline(message)
   if (deadline.isErr()) return err(deadline.error)
+  const hops = options.fromPeer ? readHops(message) : ok(0)
+  if (hops.isErr()) return err(hops.error)
+  const via = options.fromPeer ? ok(message.headers.via) : addVia(message, service)
+  if (via.isErr()) return err(via.error)
   const length = message.headers['content-length']
   const header = (name: string): string | undefined => options.fromPeer ? String(message.headers[name] ?? '') || undefined : undefined
+  const headers = dropHopHeaders(message.headers)
+  if (via.value !== undefined) headers['via'] = via.value
   return ok({
     requestId: header('bilberry-request-id') ?? randomUUID(),
     service,
     method: message.method ?? 'GET',
     path,
-    headers: dropHopHeaders(message.headers),
+    headers,
     body: message,
     contentLength: length === undefined ? undefined : Number(length),
     callerKey: header('bilberry-caller') ?? message.socket.remoteAddress ?? '',
     idempotencyKey: key.value,
     pin: message.headers['bilberry-pin'] === undefined ? undefined : String(message.headers['bilberry-pin']),
     deadlineMs: deadline.value,
-    hops: Number(header('bilberry-hops') ?? 0),
+    hops: hops.value,
     signal: options.signal
   })
 }
 
+/** Checks what decides where a message ends and whom it is for. */
+function checkFraming (message: IncomingMessage): Result<void, Refusal> {
+  const { method = '', headers } = message
+  const length = headers['content-length']
+  if (message.httpVersion !== '1.1') return refuse(RefusalReason.BadRequest, `HTTP/${message.httpVersion} is not served, HTTP/1.1 is`)
+  if (message.headersDistinct['host']?.length !== 1) return refuse(RefusalReason.BadRequest, 'Host is missing or given more than once')
+  if (refusedMethods.has(method)) return refuse(RefusalReason.BadRequest, `Method ${method} is not served`)
+  if (headers.upgrade !== undefined) return refuse(RefusalReason.BadRequest, 'Upgrade is not served')
+  if (length !== undefined && headers['transfer-encoding'] !== undefined) {
+    return refuse(RefusalReason.BadRequest, 'Content-Length and Transfer-Encoding exclude each other')
+  }
+  const coding = headers['transfer-encoding']
+  if (coding !== undefined && coding.toLowerCase() !== 'chunked') return refuse(RefusalReason.BadRequest, 'Transfer-Encoding knows only chunked')
+  if (length !== undefined && !/^\d{1,15}$/.test(length)) return refuse(RefusalReason.BadRequest, 'Content-Length is not a length')
+  if (bodilessMethods.has(method) && (headers['transfer-encoding'] !== undefined || Number(length ?? 0) > 0)) {
+    return refuse(RefusalReason.BadRequest, `Method ${method} takes no body`)
+  }
+  if (headers.expect !== undefined && headers.expect.toLowerCase() !== '100-continue') {
+    return refuse(RefusalReason.BadRequest, 'Expect knows only 100-continue')
+  }
+  return ok(undefined)
+}
+
+/** Adds this system to `Via`; a request that came by it to the same service before is a loop. */
+function addVia (message: IncomingMessage, service: string): Result<string, Refusal> {
+  const own = `bilberry-${service}`
+  const earlier = message.headers.via === undefined ? [] : message.headers.via.split(',').map(text => text.trim())
+  const isOwn = (text: string): boolean => text.split(/\s+/)[1] === own
+  if (earlier.some(isOwn)) return refuse(RefusalReason.ForwardLoop, `Request has passed service "${service}" before`)
+  return ok([...earlier, `1.1 ${own}`].join(', '))
+}
+
+/** Reads how often a peer's request was forwarded: exactly once. */
+function readHops (message: IncomingMessage): Result<number, Refusal> {
+  const hops = message.headers['bilberry-hops']
+  return hops === '1' ? ok(1) : refuse(RefusalReason.ForwardLoop, `Request was forwarded ${String(hops)} times, allowed is once`)
+}
+
 function refuse<T> (reason: RefusalReason, detail: string): Result<T, Refusal> {
   return err(createNotRun(reason, detail))
 }
 
 function isPlainPath (path: string): boolean {
-  const [plain = ''] = path.split('?')
+  const queryAt = path.includes('?') ? path.indexOf('?') : path.length
+  const plain = path.slice(0, queryAt)
+  if (!plainPathPattern.test(plain) || !queryPattern.test(path.slice(queryAt))) return false
   for (const segment of plain.split('/')) {
     let decoded
     try {
@@ -74,7 +125,7 @@
     } catch {
       return false
     }
-    if (decoded === '.' || decoded === '..' || decoded.includes('/') || decoded.includes('\u0000')) return false
+    if (decoded === '.' || decoded === '..' || ['/', '\\', '\u0000'].some(character => decoded.includes(character))) return false
   }
   return true
 }
@@ -87,14 +138,15 @@
   if (key === '' || key.length > maxKeyLength) {
     return refuse(RefusalReason.BadIdempotencyKey, `Idempotency-Key has ${key.length} characters, allowed are 1 to ${maxKeyLength}`)
   }
+  if (!keyPattern.test(key)) return refuse(RefusalReason.BadIdempotencyKey, 'Idempotency-Key has a character outside of printable ASCII')
   return ok(key)
 }
 
 function readDeadline (message: IncomingMessage): Result<number | undefined, Refusal> {
   const text = message.headers['bilberry-deadline-ms']
   if (text === undefined) return ok(undefined)
-  const value = Number(text)
-  if (!Number.isInteger(value) || value < 0 || value > maxDeadlineMs) {
+  const value = deadlinePattern.test(String(text)) ? Number(text) : Infinity
+  if (value > maxDeadlineMs) {
     return refuse(RefusalReason.BadRequest, `Bilberry-Deadline-Ms "${String(text)}" is not a whole number from 0 to ${maxDeadlineMs}`)
   }
   return ok(value)
--- a/packages/callers/src/service_handler.ts
+++ b/packages/callers/src/service_handler.ts
@@ -4,8 +4,10 @@
  * @module
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { HandleRequest, Outcome, Refusal, RefusalReason } from '@bilberryworks/steering'
-import { Outcome as Outcomes } from '@bilberryworks/steering'
+import type { HandleRequest, Outcome, Refusal, RefusalReason, ServiceRequest } from '@bilberryworks/steering'
+import type { BodyGuard } from './body_guard.ts'
+import { createNotRun, Outcome as Outcomes, RefusalReason as RefusalReasons } from '@bilberryworks/steering'
+import { createBodyGuard } from './body_guard.ts'
 import { parseRequest } from './parse_request.ts'
 import { writeAnswer, writeRefusal } from './write_answer.ts'
 
@@ -33,6 +35,10 @@
   recordEnd: (end: RequestEnd) => void
   /** Whether connections are to be closed after their next answer. */
   isStopping: () => boolean
+  /** Returns the most bytes that the body of a request may have; no bound where absent. */
+  getMaxBodyBytes?: (request: ServiceRequest) => number | undefined
+  /** Longest pause within the body of a request, in milliseconds; no bound where absent. */
+  bodyIdleTimeoutMs?: number
 }
 
 /**
@@ -53,8 +59,7 @@
       options.recordEnd({ service, reason: undefined, elapsedMs: performance.now() - startedMs, ...end })
     }
     const refuse = (service: string, refusal: Refusal): void => {
-      if (!message.complete) response.setHeader('connection', 'close')
-      writeRefusal(response, refusal)
+      writeRefusal(response, refusal, { message })
       finish(service, { outcome: refusal.outcome, reason: refusal.reason, whole: true })
     }
     const parsed = parseRequest(message, { fromPeer: options.fromPeer, signal: gone.signal })
@@ -62,10 +67,17 @@
       refuse('', parsed.error)
       return
     }
-    const request = parsed.value
+    const maxBytes = options.getMaxBodyBytes?.(parsed.value)
+    const { contentLength, service } = parsed.value
+    if (maxBytes !== undefined && contentLength !== undefined && contentLength > maxBytes) {
+      refuse(service, createNotRun(RefusalReasons.BodyTooLarge, `Body has ${contentLength} bytes, allowed are ${maxBytes}`))
+      return
+    }
+    const guarded = hasBody(message) ? createBodyGuard(message, { maxBytes, idleTimeoutMs: options.bodyIdleTimeoutMs }) : undefined
+    const request = guarded === undefined ? parsed.value : { ...parsed.value, body: guarded.body }
     options.handleRequest(request).then(async result => {
       if (result.isErr()) {
-        refuse(request.service, result.error)
+        refuse(request.service, describeGuard(result.error, guarded))
         return
       }
       const whole = await writeAnswer(response, result.value)
@@ -73,3 +85,13 @@
     }).catch(() => response.destroy())
   }
 }
+
+function hasBody (message: IncomingMessage): boolean {
+  return message.headers['transfer-encoding'] !== undefined || Number(message.headers['content-length'] ?? 0) > 0
+}
+
+/** Names the guard's reason where it ended the body, and keeps the outcome: the request may have run. */
+function describeGuard (refusal: Refusal, guarded: BodyGuard | undefined): Refusal {
+  const reason = guarded?.getReason()
+  return reason === undefined ? refusal : { outcome: refusal.outcome, reason, detail: `Body was not taken whole: ${reason}` }
+}
--- a/packages/callers/src/write_answer.ts
+++ b/packages/callers/src/write_answer.ts
@@ -3,12 +3,14 @@
  *
  * @module
  */
-import type { ServerResponse } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Refusal, ServiceAnswer } from '@bilberryworks/steering'
 import { pipeline } from 'node:stream/promises'
 import { getRefusalStatus, Outcome } from '@bilberryworks/steering'
 import { dropHopHeaders } from './header_fields.ts'
 
+const maxLingerMs = 1_000
+
 /**
  * Writes a target's answer, streamed with back-pressure.
  *
@@ -30,13 +32,23 @@
   }
 }
 
+/** Options of {@linkcode writeRefusal}. */
+export interface WriteRefusalOptions {
+  /** The message that is refused; what is left of it is read and dropped. */
+  message?: IncomingMessage
+}
+
 /**
  * Writes a refusal as `application/problem+json`.
  *
+ * Where the caller is still sending, the connection is closed a little later: closed at once, it would
+ * be reset by the next byte that arrives, and the refusal lost with it.
+ *
  * @param response Where to write
  * @param refusal The refusal
+ * @param options The message that is refused
  */
-export function writeRefusal (response: ServerResponse, refusal: Refusal): void {
+export function writeRefusal (response: ServerResponse, refusal: Refusal, options: WriteRefusalOptions = {}): void {
   if (response.destroyed || response.headersSent) {
     response.destroy()
     return
@@ -51,5 +63,20 @@
     response.setHeader('retry-after', Math.max(1, Math.ceil(refusal.retryAfterMs / 1000)))
     response.setHeader('bilberry-retry-after-ms', Math.ceil(refusal.retryAfterMs))
   }
-  response.writeHead(status).end(body)
+  const { message } = options
+  if (message === undefined || message.complete) {
+    response.writeHead(status).end(body)
+    return
+  }
+  response.setHeader('connection', 'close')
+  response.writeHead(status).write(body)
+  finishAfterMessage(response, message)
+}
+
+function finishAfterMessage (response: ServerResponse, message: IncomingMessage): void {
+  const timer = setTimeout(() => response.end(), maxLingerMs)
+  message.once('end', () => response.end())
+  response.once('close', () => clearTimeout(timer))
+  message.unpipe()
+  message.resume()
 }
--- /dev/null
+++ b/packages/standins/src/bad_input_test.ts
@@ -0,0 +1,188 @@
+import type { Settings } from 'bilberryd'
+import type { TargetStandin } from './target_standin.ts'
+import type { PlatformStandin } from './platform_standin.ts'
+import test from 'ava'
+import { createLogger } from 'bunyan'
+import { parseSettings, runInstance } from 'bilberryd'
+import { once } from 'node:events'
+import { connect } from 'node:net'
+import { setTimeout } from 'node:timers/promises'
+import fc from 'fast-check'
+import { createDocument, DeploymentName, deployments } from './deployments.ts'
+import { createCleanUp } from './clean_up.ts'
+import { startPlatformStandin } from './platform_standin.ts'
+import { startTargetStandin } from './target_standin.ts'
+
+const host = '127.0.0.1'
+const service = { name: 'lunchbox-api', targets: 1, slots: 3 }
+const maxBodyBytes = 1000
+const maxUploadBytes = 100_000
+const timeoutMs = 400
+const seed = 20_240_907
+const fuzzRuns = 200
+
+interface System extends AsyncDisposable {
+  port: number
+  operators: string
+  target: TargetStandin
+  platform: PlatformStandin
+}
+
+async function startSystem (): Promise<System> {
+  const stack = createCleanUp()
+  const platform = stack.add(await startPlatformStandin())
+  const target = stack.add(await startTargetStandin({ target: 'target-0', service: service.name, slots: 3, failureDomain: 'sofia-a', region: 'sofia', serviceMs: 0 }))
+  platform.setMachines({ instances: [], targets: [target.record] })
+  const document = createDocument(deployments[DeploymentName.Kutiyka], service)
+  const accepted = { revision: 1, document: { ...document, regionWeights: { sofia: 1 }, limits: { ...document.limits, maxBodyBytes, maxUploadBytes } }, acceptedAtMs: 0, author: 'test', submissionId: 'first' }
+  const writes = [
+    { table: 'documents', key: service.name, value: accepted },
+    { table: 'index', key: 'index', value: { revisions: { [service.name]: 1 }, shifts: {}, feeds: {}, clientBlocks: 0 } }
+  ]
+  await fetch(`${platform.url}/transactions`, { method: 'POST', body: JSON.stringify({ writes }) })
+  const listen = { host, port: 0 }
+  const settings = {
+    instance: 'entry-0',
+    failureDomain: 'sofia-a',
+    region: 'sofia',
+    platformUrl: platform.url,
+    listen: { callers: listen, operators: listen, peers: listen },
+    peerKeys: ['0123456789abcdef'],
+    pollMs: 50,
+    headersTimeoutMs: timeoutMs,
+    bodyIdleTimeoutMs: timeoutMs
+  }
+  const parsed: Settings = parseSettings(JSON.stringify(settings))._unsafeUnwrap()
+  const instance = stack.add(await runInstance(parsed, createLogger({ name: 'test', streams: [] })))
+  const operators = `http://${instance.addresses.operators}`
+  while ((await fetch(`${operators}/readyz`)).status !== 200) await setTimeout(20)
+  return { port: Number(instance.addresses.callers.split(':')[1]), operators, target, platform, [Symbol.asyncDispose]: stack[Symbol.asyncDispose] }
+}
+
+/** Sends bytes as they are and collects what comes until the connection ends. */
+async function sendRaw (port: number, text: string, options: { end?: boolean } = {}): Promise<string> {
+  const socket = connect({ host, port })
+  let received = ''
+  socket.on('error', () => {})
+  socket.on('data', chunk => {
+    received += chunk.toString('latin1')
+  })
+  const closed = once(socket, 'close')
+  socket.write(text, 'latin1')
+  if (options.end === true) socket.end()
+  await closed
+  return received
+}
+
+const post = (fields: string, body = ''): string => `POST /services/lunchbox-api/orders HTTP/1.1\r\nHost: x\r\nConnection: close\r\n${fields}\r\n${body}`
+const get = (url: string, fields = 'Host: x\r\n'): string => `GET ${url} HTTP/1.1\r\n${fields}Connection: close\r\n\r\n`
+const chunk = (length: number): string => `${length.toString(16)}\r\n${'x'.repeat(length)}\r\n`
+
+const cases: Array<{ name: string, text: string, end?: boolean, status: number, reason: string, runs?: number, outcome?: string }> = [
+  { name: 'header fields of 20 kB', text: get('/services/lunchbox-api/x', `Host: x\r\nX-Long: ${'a'.repeat(20_000)}\r\n`), status: 431, reason: 'headers_too_large' },
+  { name: 'body above the limit by its length', text: post('Content-Length: 1001\r\n', 'x'.repeat(1001)), status: 413, reason: 'body_too_large' },
+  { name: 'upload above the limit by its length', text: 'PUT /services/lunchbox-api/uploads/1 HTTP/1.1\r\nHost: x\r\nContent-Length: 100001\r\n\r\n', status: 413, reason: 'body_too_large' },
+  { name: 'chunked body above the limit', text: post('Transfer-Encoding: chunked\r\n', `${chunk(800)}${chunk(800)}0\r\n\r\n`), status: 502, reason: 'body_too_large', outcome: 'unknown', runs: 1 },
+  { name: 'unknown service', text: get('/services/other/x'), status: 404, reason: 'unknown_service' },
+  { name: 'no service', text: get('/'), status: 400, reason: 'bad_request' },
+  { name: 'dot segment', text: get('/services/lunchbox-api/a/../b'), status: 400, reason: 'bad_request' },
+  { name: 'escaped dot segment', text: get('/services/lunchbox-api/a/%2e%2E/b'), status: 400, reason: 'bad_request' },
+  { name: 'escaped slash', text: get('/services/lunchbox-api/a%2fb'), status: 400, reason: 'bad_request' },
+  { name: 'escaped NUL', text: get('/services/lunchbox-api/a%00'), status: 400, reason: 'bad_request' },
+  { name: 'bad escape', text: get('/services/lunchbox-api/%zz'), status: 400, reason: 'bad_request' },
+  { name: 'byte outside of ASCII', text: get('/services/lunchbox-api/\xe9'), status: 400, reason: 'bad_request' },
+  { name: 'length and chunks', text: post('Content-Length: 3\r\nTransfer-Encoding: chunked\r\n', '0\r\n\r\n'), status: 400, reason: 'bad_request' },
+  { name: 'two lengths', text: post('Content-Length: 3\r\nContent-Length: 4\r\n', 'abcd'), status: 400, reason: 'bad_request' },
+  { name: 'negative length', text: post('Content-Length: -3\r\n'), status: 400, reason: 'bad_request' },
+  { name: 'unknown transfer coding', text: post('Transfer-Encoding: other\r\n'), status: 400, reason: 'bad_request' },
+  { name: 'GET with a body', text: get('/services/lunchbox-api/x', 'Host: x\r\nContent-Length: 3\r\n') + 'abc', status: 400, reason: 'bad_request' },
+  { name: 'two keys', text: post('Idempotency-Key: a\r\nIdempotency-Key: b\r\n'), status: 400, reason: 'bad_idempotency_key' },
+  { name: 'key of 256 characters', text: post(`Idempotency-Key: ${'k'.repeat(256)}\r\n`), status: 400, reason: 'bad_idempotency_key' },
+  { name: 'empty key', text: post('Idempotency-Key:\r\n'), status: 400, reason: 'bad_idempotency_key' },
+  { name: 'key outside of ASCII', text: post('Idempotency-Key: \xe9\r\n'), status: 400, reason: 'bad_idempotency_key' },
+  { name: 'deadline that is no number', text: post('Bilberry-Deadline-Ms: soon\r\n'), status: 400, reason: 'bad_request' },
+  { name: 'two deadlines', text: post('Bilberry-Deadline-Ms: 1\r\nBilberry-Deadline-Ms: 2\r\n'), status: 400, reason: 'bad_request' },
+  { name: 'request that came by here before', text: get('/services/lunchbox-api/x', 'Host: x\r\nVia: 1.1 a, 1.1 bilberry-lunchbox-api\r\n'), status: 508, reason: 'forward_loop' },
+  { name: 'unknown method', text: 'BREW / HTTP/1.1\r\nHost: x\r\n\r\n', status: 400, reason: 'bad_request' },
+  { name: 'TRACE', text: 'TRACE /services/lunchbox-api/x HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n', status: 400, reason: 'bad_request' },
+  { name: 'CONNECT', text: 'CONNECT a:1 HTTP/1.1\r\nHost: x\r\n\r\n', status: 400, reason: 'bad_request' },
+  { name: 'Upgrade', text: 'GET /services/lunchbox-api/x HTTP/1.1\r\nHost: x\r\nConnection: upgrade, close\r\nUpgrade: websocket\r\n\r\n', status: 400, reason: 'bad_request' },
+  { name: 'unknown expectation', text: post('Expect: luck\r\n'), status: 400, reason: 'bad_request' },
+  { name: 'HTTP/1.0', text: 'GET /services/lunchbox-api/x HTTP/1.0\r\nHost: x\r\n\r\n', status: 400, reason: 'bad_request' },
+  { name: 'no Host', text: get('/services/lunchbox-api/x', ''), status: 400, reason: 'bad_request' },
+  { name: 'two Hosts', text: get('/services/lunchbox-api/x', 'Host: x\r\nHost: y\r\n'), status: 400, reason: 'bad_request' },
+  { name: 'TLS on a plain listener', text: '\x16\x03\x01\x02\x00\x01\x00', status: 400, reason: 'bad_request' },
+  { name: 'half a header, then silence', text: 'GET /services/lunchbox-api/x HTTP/1.1\r\nHost: x\r\n', status: 408, reason: 'request_timeout' },
+  { name: 'half a header, then the end', text: 'GET /services/lunchbox-api/x HT', end: true, status: 400, reason: 'bad_request' },
+  { name: 'half a body, then silence', text: post('Content-Length: 100\r\n', 'abc'), status: 502, reason: 'request_timeout', outcome: 'unknown', runs: 1 },
+  { name: 'malformed client address', text: get('/v1/services/lunchbox-api/entries?client=300.1.1.1'), status: 400, reason: 'bad_request' },
+  { name: 'two client addresses', text: get('/v1/services/lunchbox-api/entries?client=10.0.0.1&client=10.0.0.2'), status: 400, reason: 'bad_request' }
+]
+
+async function readCounter (system: System, line: string): Promise<number> {
+  const text = await (await fetch(`${system.operators}/metrics`)).text()
+  return Number(text.split('\n').find(other => other.startsWith(`${line} `))?.split(' ')[1] ?? NaN)
+}
+
+test('refuses bad input with outcome, reason and counter', async t => {
+  await using system = await startSystem()
+  for (const { name, text, end = false, status, reason, outcome = 'not-run', runs = 0 } of cases) {
+    const counter = `bilberry_refusals_total{reason="${reason}"}`
+    const before = await readCounter(system, counter)
+    const ranBefore = system.target.runs.length
+    const reply = await sendRaw(system.port, text, { end })
+    t.regex(reply, new RegExp(`^HTTP/1.1 ${status} `), name)
+    t.regex(reply, /content-type: application\/problem\+json/i, name)
+    if (!text.includes('/v1/')) {
+      t.regex(reply, new RegExp(`bilberry-outcome: ${outcome}\r\n`, 'i'), name)
+      t.regex(reply, new RegExp(`bilberry-reason: ${reason}\r\n`, 'i'), name)
+    }
+    t.is(await readCounter(system, counter), before + 1, `${name}: counter`)
+    t.true(system.target.runs.length - ranBefore <= runs, `${name}: runs`)
+  }
+  t.is(await readCounter(system, 'bilberry_in_flight_requests'), 0)
+  t.is(await readCounter(system, 'bilberry_queued_requests'), 0)
+  t.notRegex(await (await fetch(`${system.operators}/metrics`)).text(), /service="other"/)
+})
+
+test('lets go of what a caller leaves half-way', async t => {
+  await using system = await startSystem()
+  system.target.behaviour.serviceMs = 60_000
+  const halves = [post('Content-Length: 10\r\n', 'abc'), post('Transfer-Encoding: chunked\r\n', chunk(3))]
+  const sockets = halves.map(text => {
+    const socket = connect({ host, port: system.port })
+    socket.write(text)
+    return socket
+  })
+  while (system.target.runs.length < 2) await setTimeout(20)
+  sockets.forEach(socket => socket.destroy())
+  while (await readCounter(system, 'bilberry_in_flight_requests') > 0) await setTimeout(20)
+  t.true(system.target.runs.every(run => !run.finished))
+})
+
+test('answers pipelined requests in order and breaks off before garbage', async t => {
+  await using system = await startSystem()
+  const request = (order: string): string => `GET /services/lunchbox-api/x HTTP/1.1\r\nHost: x\r\nX-Order: ${order}\r\n\r\n`
+  const last = get('/services/lunchbox-api/x', 'Host: x\r\nX-Order: third\r\n')
+  const reply = await sendRaw(system.port, request('first') + request('second') + last)
+  t.deepEqual([...reply.matchAll(/"order":"(\w+)"/g)].map(match => match[1]), ['first', 'second', 'third'])
+  system.target.behaviour.serviceMs = 200
+  const broken = await sendRaw(system.port, `${request('fourth')}garbage\r\n\r\n`)
+  t.notRegex(broken, /not-run/)
+})
+
+test('survives any bytes', async t => {
+  await using system = await startSystem()
+  t.log(`seed ${seed}`)
+  const pieces = fc.oneof(
+    fc.constantFrom('GET ', 'POST ', '/services/lunchbox-api/', ' HTTP/1.1\r\n', 'Host: x\r\n', 'Content-Length: 2\r\n', 'Transfer-Encoding: chunked\r\n', '\r\n', '2\r\nab\r\n', '0\r\n\r\n', 'Idempotency-Key: '),
+    fc.string({ maxLength: 20 })
+  )
+  await fc.assert(fc.asyncProperty(fc.array(pieces, { maxLength: 12 }), async parts => {
+    const reply = await sendRaw(system.port, parts.join(''), { end: true })
+    if (reply === '') return
+    t.regex(reply, /^HTTP\/1\.1 \d{3} /)
+    t.regex(reply, /bilberry-outcome: |application\/problem\+json|HTTP\/1.1 100 Continue/i)
+  }), { seed, numRuns: fuzzRuns })
+  t.is((await fetch(`http://${host}:${system.port}/services/lunchbox-api/x`)).status, 200)
+})
--- a/packages/steering/src/outcomes.ts
+++ b/packages/steering/src/outcomes.ts
@@ -17,6 +17,8 @@
 /** Why a request ended as it did, sent as `Bilberry-Reason` and used as a counter label. */
 export enum RefusalReason {
   BadRequest = 'bad_request',
+  RequestTimeout = 'request_timeout',
+  Unauthenticated = 'unauthenticated',
   UnknownService = 'unknown_service',
   BodyTooLarge = 'body_too_large',
   HeadersTooLarge = 'headers_too_large',
@@ -78,6 +80,8 @@
 /** HTTP status codes for the reasons that are not a plain 503. */
 const statusByReason: Partial<Record<RefusalReason, number>> = {
   [RefusalReason.BadRequest]: 400,
+  [RefusalReason.Unauthenticated]: 401,
+  [RefusalReason.RequestTimeout]: 408,
   [RefusalReason.BadIdempotencyKey]: 400,
   [RefusalReason.KeyScopeMissing]: 400,
   [RefusalReason.BadPin]: 400,
