--- a/packages/standins/src/bad_input_test.ts
+++ b/packages/standins/src/bad_input_test.ts
@@ -55,7 +55,8 @@
   const parsed: Settings = parseSettings(JSON.stringify(settings))._unsafeUnwrap()
   const instance = stack.add(await runInstance(parsed, createLogger({ name: 'test', streams: [] })))
   const operators = `http://${instance.addresses.operators}`
-  while ((await fetch(`${operators}/readyz`)).status !== 200) await setTimeout(20)
+  while ((await fetch(`http://${instance.addresses.callers}/services/lunchbox-api/x`)).status !== 200) await setTimeout(20)
+  target.runs.length = 0
   return { port: Number(instance.addresses.callers.split(':')[1]), operators, target, platform, [Symbol.asyncDispose]: stack[Symbol.asyncDispose] }
 }
 
--- a/packages/standins/src/cluster.ts
+++ b/packages/standins/src/cluster.ts
@@ -269,6 +269,7 @@
       lookUpTtlSeconds: 2,
       pollMs: 500,
       heartbeatMs: 1_000,
+      longestDispatchMs: 5_000,
       stopLimitMs: 60_000
     }
   })
