--- a/packages/bilberryd/src/instance_handlers.ts
+++ b/packages/bilberryd/src/instance_handlers.ts
@@ -9,8 +9,8 @@
 import { createServiceHandler } from '@bilberryworks/callers'
 import { createPeerHandler } from '@bilberryworks/instances'
 import { createOperatorsService } from '@bilberryworks/operators'
-import { Outcome } from '@bilberryworks/steering'
 import moleculer from 'moleculer'
+import { findMaxBodyBytes } from './body_limits.ts'
 import { createCallersService } from './callers_service.ts'
 import { PeerMethodName } from './exchange_messages.ts'
 import { feedsMethod } from './feed_exchange.ts'
@@ -33,8 +33,15 @@
 export async function createInstanceHandlers (parts: InstanceParts): Promise<InstanceHandlers> {
   const { settings, metrics, identity, sync, feeding, handleRequest } = parts
   const broker = createBroker(parts)
-  const lookUp = createLookUpHandler(broker, { recordRefusal: reason => metrics.recordEnd({ service: '', outcome: Outcome.NotRun, reason, whole: true, elapsedMs: 0 }) })
-  const serve = createServiceHandler({ fromPeer: false, handleRequest, recordEnd: metrics.recordEnd, isStopping: identity.isLeaving })
+  const lookUp = createLookUpHandler(broker, { recordRefusal: metrics.countRefusal })
+  const serve = createServiceHandler({
+    fromPeer: false,
+    handleRequest,
+    recordEnd: metrics.recordEnd,
+    isStopping: identity.isLeaving,
+    getMaxBodyBytes: request => findMaxBodyBytes(parts.view, request),
+    bodyIdleTimeoutMs: settings.bodyIdleTimeoutMs
+  })
   const operators = createOperatorsGateway(broker, {
     tokens: () => settings.tokens, countUnauthenticated: () => metrics.countUnauthenticated('operators'), registry: metrics.registry, isReady: parts.isReady
   })
--- a/packages/bilberryd/src/run_instance.ts
+++ b/packages/bilberryd/src/run_instance.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { RefusalReason } from '@bilberryworks/steering'
 import type Logger from 'bunyan'
 import type { Settings } from './settings.ts'
 import { createInstanceHandlers } from './instance_handlers.ts'
@@ -15,6 +16,8 @@
 export interface RunningInstance extends AsyncDisposable {
   /** `host:port` of each listener. */
   addresses: { callers: string, operators: string, peers: string }
+  /** `host:port` that each listener is bound to, which differs where others reach it by an advertised address. */
+  listening: { callers: string, operators: string, peers: string }
   /** Stops gracefully: announces it, serves on, lets requests in flight end. */
   stop (): Promise<void>
 }
@@ -28,10 +31,11 @@
  */
 export async function runInstance (settings: Settings, log: Logger): Promise<RunningInstance> {
   const late = { callers: createLateHandler(), operators: createLateHandler(), peers: createLateHandler() }
+  const bounds = { headersTimeoutMs: settings.headersTimeoutMs, countRefusal: (reason: RefusalReason) => parts.metrics.countRefusal(reason) }
   const listeners = {
-    callers: await openListener(late.callers.handle, settings.listen.callers),
-    operators: await openListener(late.operators.handle, settings.listen.operators),
-    peers: await openListener(late.peers.handle, settings.listen.peers)
+    callers: await openListener(late.callers.handle, settings.listen.callers, bounds),
+    operators: await openListener(late.operators.handle, settings.listen.operators, bounds),
+    peers: await openListener(late.peers.handle, settings.listen.peers, bounds)
   }
   const addresses = {
     callers: settings.advertise?.callers ?? listeners.callers.address,
@@ -52,6 +56,7 @@
   }
   return {
     addresses,
+    listening: { callers: listeners.callers.address, operators: listeners.operators.address, peers: listeners.peers.address },
     async stop () {
       parts.identity.markLeaving()
       log.info('Instance is leaving')
--- a/packages/callers/src/write_answer.ts
+++ b/packages/callers/src/write_answer.ts
@@ -40,6 +40,9 @@
 /**
  * Writes a refusal as `application/problem+json`.
  *
+ * Where the caller is still sending, what it sends is read and dropped for a bounded time: closed at once, the
+ * connection would be reset by the next byte that arrives, and the refusal lost with it.
+ *
  * @param response Where to write
  * @param refusal The refusal
  */
@@ -71,5 +74,6 @@
   const timer = setTimeout(() => req.socket.destroy(), lingerMs)
   timer.unref()
   req.once('close', () => clearTimeout(timer))
+  req.unpipe()
   req.removeAllListeners('readable').resume()
 }
--- a/packages/standins/src/client_blocks_test.ts
+++ b/packages/standins/src/client_blocks_test.ts
@@ -162,7 +162,7 @@
 function createSettings (platformUrl: string): Settings {
   const listen = { host: '127.0.0.1', port: 0 }
   return {
-    instance: 'entry-0', failureDomain: 'sofia-a', region: 'sofia', platformUrl, listen: { callers: listen, operators: listen, peers: listen }, peerKeys: ['key'], seedPeers: [], tokens: [], lookUpTtlSeconds: 20, pollMs: 50, heartbeatMs: 200, stopLimitMs: 1_000, longestDispatchMs: 1_000
+    instance: 'entry-0', failureDomain: 'sofia-a', region: 'sofia', platformUrl, listen: { callers: listen, operators: listen, peers: listen }, peerKeys: ['key'], seedPeers: [], tokens: [], lookUpTtlSeconds: 20, pollMs: 50, heartbeatMs: 200, stopLimitMs: 1_000, longestDispatchMs: 1_000, links: [], headersTimeoutMs: 10_000, bodyIdleTimeoutMs: 30_000
   }
 }
 
