--- a/packages/bilberryd/src/instance_parts.ts
+++ b/packages/bilberryd/src/instance_parts.ts
@@ -20,6 +20,7 @@
 import type { View } from './view.ts'
 import { createHttpPeers } from '@bilberryworks/instances'
 import { createHttpPlatform } from '@bilberryworks/platform'
+import { getFeedLimits, MachineState } from '@bilberryworks/steering'
 import { createHttpTargets } from '@bilberryworks/targets'
 import { createBudgetedPeers } from './budgeted_peers.ts'
 import { createClientBlocksLoader } from './client_blocks.ts'
@@ -98,6 +99,8 @@
       const slots = feeding.getSlotLimit(target)
       return slots > 0 ? [{ ...target, slots }] : []
     })),
+    listUsableTargets: () => view.listAllTargets().filter(target => target.state === MachineState.Live),
+    getLimits: service => getFeedLimits(view.getDocument(service)?.document),
     getNowMs
   })
   const feeding = createFeeding({
--- a/packages/standins/src/bench_capacity_look_up.ts
+++ b/packages/standins/src/bench_capacity_look_up.ts
@@ -128,7 +128,10 @@
     pollMs: 5_000,
     heartbeatMs: 60_000,
     stopLimitMs: 1_000,
-    longestDispatchMs: 10_000
+    longestDispatchMs: 10_000,
+    links: [],
+    headersTimeoutMs: 10_000,
+    bodyIdleTimeoutMs: 30_000
   }
 }
 
--- a/packages/standins/src/bench_capacity_processes.ts
+++ b/packages/standins/src/bench_capacity_processes.ts
@@ -18,22 +18,26 @@
 import { locateDaemon, locateScript } from './cluster.ts'
 import { createDocument, deployments } from './deployments.ts'
 
-const processCounts = [4, 8, 16, 24]
-const pollMs = 1_000
+const fleets = [
+  { processes: 4, pollMs: 1_000 },
+  { processes: 24, pollMs: 1_000 },
+  { processes: 16, pollMs: 1_000 },
+  { processes: 16, pollMs: 5_000 }
+]
 const pollsPerHeartbeat = 4
-const settlePolls = 12
-const windowPolls = 16
+const settleMs = 12_000
+const windowMs = 20_000
 const domainCount = 10
 const regionCount = 3
 
-/** Measures fleets of real processes: what a node spends on each poll. */
+/** Measures fleets of real processes: what a node spends. */
 export async function measureProcesses (addTable: AddTable): Promise<void> {
   const rows = []
-  for (const count of processCounts) rows.push(await measureFleet(count))
-  addTable('Control of real processes that serve no callers, for each node and poll', rows)
+  for (const fleet of fleets) rows.push(await measureFleet(fleet))
+  addTable('Control of real processes that serve no callers, for each node', rows)
 }
 
-async function measureFleet (count: number): Promise<object> {
+async function measureFleet ({ processes: count, pollMs }: { processes: number, pollMs: number }): Promise<object> {
   await using stack = createCleanUp()
   const { ready: { url } } = stack.add(await startChild<{ url: string }>(locateScript('main_platform.js'), []))
   await using platform = createHttpPlatform(url)
@@ -43,19 +47,20 @@
   const pids: number[] = []
   for (let index = 0; index < count; index++) {
     const file = join(folder, `${index}.json`)
-    await writeFile(file, JSON.stringify(createSettings(index, url)))
+    await writeFile(file, JSON.stringify(createSettings(index, { platformUrl: url, pollMs })))
     const child = stack.add(await startChild<InstanceAddresses>(locateDaemon(), ['--settings', file]))
     pids.push(child.process.pid!)
   }
-  await setTimeout(pollMs * settlePolls)
+  await setTimeout(settleMs)
   const before = await Promise.all(pids.map(readUse))
-  await setTimeout(pollMs * windowPolls)
+  await setTimeout(windowMs)
   const after = await Promise.all(pids.map(readUse))
-  const perNodePoll = (key: 'cpuSeconds' | 'bytes'): number => after.reduce((sum, use, index) => sum + use[key] - before[index]![key], 0) / count / windowPolls
-  return { processes: count, cpuMsPerPoll: Math.round(perNodePoll('cpuSeconds') * 1e5) / 100, bytesPerPoll: Math.round(perNodePoll('bytes')) }
+  const perNodeSecond = (key: 'cpuSeconds' | 'bytes'): number => after.reduce((sum, use, index) => sum + use[key] - before[index]![key], 0) / count / (windowMs / 1000)
+  return { processes: count, pollMs, corePercent: Math.round(perNodeSecond('cpuSeconds') * 1e4) / 100, bytesPerSecond: Math.round(perNodeSecond('bytes')) }
 }
 
-function createSettings (index: number, platformUrl: string): Settings {
+function createSettings (index: number, options: { platformUrl: string, pollMs: number }): Settings {
+  const { platformUrl, pollMs } = options
   const listen = { host: '127.0.0.1', port: 0 }
   const domain = index % domainCount
   return {
@@ -71,7 +76,10 @@
     pollMs,
     heartbeatMs: pollMs * pollsPerHeartbeat,
     stopLimitMs: 1_000,
-    longestDispatchMs: 10_000
+    longestDispatchMs: 10_000,
+    headersTimeoutMs: 10_000,
+    bodyIdleTimeoutMs: 30_000,
+    links: []
   }
 }
 
--- a/packages/steering/src/feeds.ts
+++ b/packages/steering/src/feeds.ts
@@ -72,8 +72,8 @@
   return Math.ceil(slots / 2)
 }
 
-/** What {@linkcode computeSlotLimit} decides from. */
-export interface ComputeSlotLimitOptions {
+/** What {@linkcode computeOwnedSlots} decides from. */
+export interface ComputeOwnedSlotsOptions {
   /** Name of this instance. */
   instance: string
   /** The row as this instance knows it. */
@@ -91,7 +91,7 @@
  * @param options What to decide from
  * @returns The slots, 0 where the instance does not feed the target
  */
-export function computeSlotLimit (target: Pick<TargetRecord, 'target' | 'slots'>, options: ComputeSlotLimitOptions): number {
+export function computeOwnedSlots (target: Pick<TargetRecord, 'target' | 'slots'>, options: ComputeOwnedSlotsOptions): number {
   const { instance, row, lease } = options
   if (lease === LeaseState.Lapsed || chooseOwner(target.target, row.assignment.feeders) !== instance) return 0
   let limit = target.slots
