Measure the bytes of rows of services and feeds

Cause: the cost of feed rows and of the index row at the plan's size follows from their bytes. Change: part rows of the capacity bench. Ruled out: sizes worked out by hand from the types.

--- a/packages/standins/src/bench_capacity.ts
+++ b/packages/standins/src/bench_capacity.ts
@@ -11,11 +11,13 @@
 import { blockCounts, measureMaps } from './bench_capacity_map.ts'
 import { measureProcesses } from './bench_capacity_processes.ts'
 import { createTableReport } from './bench_capacity_report.ts'
+import { measureRows } from './bench_capacity_rows.ts'
 
 const planNodes = 550
 
 /** Parts of the bench, by the name that selects one. */
 const parts: Record<string, (addTable: AddTable) => Promise<unknown>> = {
+  rows: measureRows,
   processes: measureProcesses,
   control: measureControl,
   recovery: addTable => measureRecoveries({ nodes: planNodes, services: 10, targets: 100 }, addTable),
--- /dev/null
+++ b/packages/standins/src/bench_capacity_rows.ts
@@ -0,0 +1,41 @@
+/**
+ * Measures the size of rows, from which their cost is worked out.
+ *
+ * @module
+ */
+import type { AcceptedDocument, FeedAssignment, FeedRow } from '@bilberryworks/steering'
+import type { AddTable } from './bench_capacity_report.ts'
+import { createShiftRow } from '@bilberryworks/steering'
+import { createDocument, deployments } from './deployments.ts'
+
+const feederCounts = [1, 5, 20, 55]
+const candidateCount = 4
+const sampleService = 'service-100'
+
+/** Measures rows of documents, shifts and feeds, as JSON. */
+export async function measureRows (addTable: AddTable): Promise<void> {
+  const document = { ...createDocument(deployments.kutiyka, deployments.kutiyka.services[0]), service: sampleService }
+  const accepted: AcceptedDocument = { revision: 100, document, acceptedAtMs: 1_790_000_000_000, author: 'operations', submissionId: 'b8a4f3a2-5a1b-4a0e-8f5e-2f6f3f0a7c11' }
+  addTable('Rows of one service, in bytes', [{
+    document: countBytes(accepted),
+    shift: countBytes(createShiftRow(accepted)),
+    indexEntries: countBytes({ revisions: { [sampleService]: 100 }, shifts: { [sampleService]: 100 } }) - countBytes({ revisions: {}, shifts: {} }) + 2
+  }])
+  addTable('Feed row of a failure domain, by number of feeders', feederCounts.map(feeders => ({ feeders, bytes: countBytes(createFeedRow(feeders)) })))
+}
+
+/** Creates the row of a failure domain whose instances all feed and hold nothing of others. */
+function createFeedRow (feeders: number): FeedRow {
+  const names = Array.from({ length: feeders }, (_, index) => `node-${100 + index}`)
+  const assignment: FeedAssignment = { feeders: names, candidates: names.slice(0, candidateCount) }
+  return {
+    failureDomain: 'site-3',
+    revision: 100,
+    assignment,
+    parties: Object.fromEntries(names.map(name => [name, { assignment, busy: {}, silent: false }]))
+  }
+}
+
+function countBytes (value: unknown): number {
+  return Buffer.byteLength(JSON.stringify(value))
+}
