Keep checks of a large fleet from taking the process

Cause: with 550 nodes the check whether all know all ran each 20 ms and took most of the process. Ruled out: fewer nodes.

--- a/packages/standins/src/bench_capacity.ts
+++ b/packages/standins/src/bench_capacity.ts
@@ -14,13 +14,14 @@
 import { measureRows } from './bench_capacity_rows.ts'
 
 const planNodes = 550
+const planPollMs = 5_000
 
 /** Parts of the bench, by the name that selects one. */
 const parts: Record<string, (addTable: AddTable) => Promise<unknown>> = {
   rows: measureRows,
   processes: measureProcesses,
-  control: measureControl,
-  recovery: addTable => measureRecoveries({ nodes: planNodes, services: 10, targets: 100 }, addTable),
+  control: addTable => measureControl(addTable),
+  recovery: addTable => measureRecoveries({ nodes: planNodes, services: 10, targets: 100, pollMs: planPollMs }, addTable),
   map: measureMaps,
   lookups: addTable => measureLookUps([0, blockCounts.at(-1)!], addTable)
 }
