Let a relay's route take connections again for a destination that came back

Cause: a route stops listening when its instance ends, and stayed closed after the instance's restart; callers of a rolling restart met refused connections at every restarted instance (trace of the attempts: three restarted names, all refused). Ruled out: the system's look-up (it named live instances only) and the missing registration alone. Change: setting a destination opens the route again at its old address; a test for it. Conclusion: the fault was in the stand-in.

--- a/packages/standins/src/link_relay.ts
+++ b/packages/standins/src/link_relay.ts
@@ -94,10 +94,14 @@
         else forwardConnection(near, place, { destination, onRefused: () => server.close() })
       })
       await listen(server, place.host)
+      const address = formatServerAddress(server)
       const route: RelayRoute = {
-        address: formatServerAddress(server),
-        setDestination (address) {
-          destination = address
+        address,
+        setDestination (next) {
+          destination = next
+          // A route that was closed with its destination takes connections again at its old address.
+          if (!server.listening) server.listen(Number(address.split(':')[1]), place.host)
+          routes.add(route)
         },
         async [Symbol.asyncDispose] () {
           routes.delete(route)
--- a/packages/standins/src/link_relay_test.ts
+++ b/packages/standins/src/link_relay_test.ts
@@ -82,6 +82,20 @@
   await agent.destroy()
 })
 
+test('takes connections again for a destination that came back', async t => {
+  await using target = await startTargetStandin({ target: 't', service: 's', slots: 4, failureDomain: 'north-a', region: 'north', serviceMs: 0 })
+  await using relay = createLinkRelay(profile)
+  const route = await relay.openRoute(destination)
+  route.setDestination(target.record.address)
+  await route[Symbol.asyncDispose]()
+  route.setDestination(target.record.address)
+  const agent = new Agent()
+  const answer = await agent.request({ origin: `http://${route.address}`, method: 'GET', path: '/' })
+  t.is(answer.statusCode, 200)
+  await answer.body.dump()
+  await agent.destroy()
+})
+
 test('locates machines by their loopback address', t => {
   for (const failureDomain of ['north-a', 'north-b', 'south-b']) {
     const place = locateMachine(regions, failureDomain, 12)
