--- a/packages/bilberryd/src/run_instance.ts
+++ b/packages/bilberryd/src/run_instance.ts
@@ -134,7 +134,10 @@
     heartbeatMs: settings.heartbeatMs,
     getRandom: Math.random,
     getNowMs,
-    afterPoll: () => shifts.advanceShifts(),
+    afterPoll: async () => {
+      view.listDocuments().forEach(accepted => regions.getWeights(accepted.document.service))
+      await shifts.advanceShifts()
+    },
     recordSuperseded: () => log.warn('A later incarnation runs under the name of this instance'),
     recordPlatform: reachable => log.info({ reachable }, reachable ? 'Platform answers' : 'Platform does not answer')
   })
