Count a shift in callers that move, and let targets return by their own word

Ruled out: hashing that moves the shares' change only (needs the history of the weights at each instance). Change: the moved share is the exact probability that a caller's first region differs, and a step is found by bisection; targets that said they leave are asked by one instance and return after 10 s of reports without a break. Conclusion: the cap holds for callers, not only for shares.

--- /dev/null
+++ b/packages/bilberryd/src/leaving_watch.ts
@@ -0,0 +1,80 @@
+/**
+ * Asks targets that said they are leaving whether they take work again.
+ *
+ * @module
+ */
+import type { TargetRecord } from '@bilberryworks/steering'
+import type { TargetLoad } from '@bilberryworks/targets'
+import type { View } from './view.ts'
+import { MachineState, rankByRendezvous } from '@bilberryworks/steering'
+
+/** Milliseconds for which a target must report without a break that it takes work. */
+const liveHoldMs = 10_000
+const maxAsked = 16
+
+/** Options of {@linkcode createLeavingWatch}. */
+export interface CreateLeavingWatchOptions {
+  /** Name of this instance. */
+  instance: string
+  /** What the instance knows. */
+  view: View
+  /** Asks a target for its load; `undefined` where it did not answer. */
+  readLoad: (target: TargetRecord) => Promise<TargetLoad | undefined>
+  /** Returns the monotonic time, in milliseconds. */
+  getNowMs: () => number
+}
+
+/**
+ * Creates the function that asks once; the caller schedules it.
+ *
+ * A report that it takes work may lag, so it must hold for a while; a report of leaving, or none, starts anew.
+ *
+ * @param options Whom to ask
+ * @returns A function that asks the targets that this instance minds
+ */
+export function createLeavingWatch (options: CreateLeavingWatchOptions): () => Promise<void> {
+  const { view } = options
+  const liveSinceMs = new Map<string, number>()
+  let running = false
+
+  /** Whether this instance asks the target: one of the live instances of its region, or of all where there is none. */
+  function isMinded (target: TargetRecord): boolean {
+    const live = view.listInstances().filter(record => record.state === MachineState.Live)
+    const near = live.filter(record => record.region === target.region)
+    const candidates = near.length > 0 ? near : live
+    return rankByRendezvous(target.target, Object.fromEntries(candidates.map(record => [record.instance, 1])))[0] === options.instance
+  }
+
+  function listMinded (): TargetRecord[] {
+    const listed = new Map(view.listListedTargets().map(record => [record.target, record]))
+    return view.listTargetWords().flatMap(word => {
+      const record = listed.get(word.target)
+      return word.leaving && record?.address === word.address && isMinded(record) ? record : []
+    }).slice(0, maxAsked)
+  }
+
+  async function askTarget (target: TargetRecord): Promise<void> {
+    const load = await options.readLoad(target)
+    if (load?.leaving !== false) {
+      liveSinceMs.delete(target.target)
+      return
+    }
+    const sinceMs = liveSinceMs.get(target.target) ?? options.getNowMs()
+    liveSinceMs.set(target.target, sinceMs)
+    if (options.getNowMs() - sinceMs < liveHoldMs) return
+    liveSinceMs.delete(target.target)
+    view.markTargetLive(target.target)
+  }
+
+  return async () => {
+    if (running) return
+    running = true
+    const minded = listMinded()
+    const names = new Set(minded.map(record => record.target))
+    for (const name of liveSinceMs.keys()) {
+      if (!names.has(name)) liveSinceMs.delete(name)
+    }
+    await Promise.all(minded.map(askTarget))
+    running = false
+  }
+}
--- a/packages/bilberryd/src/run_instance.ts
+++ b/packages/bilberryd/src/run_instance.ts
@@ -20,6 +20,7 @@
 import { PeerMethodName } from './exchange_messages.ts'
 import { createFeed } from './feed.ts'
 import { createCallersGateway, createOperatorsGateway } from './gateways.ts'
+import { createLeavingWatch } from './leaving_watch.ts'
 import { createMetrics } from './metrics.ts'
 import { openListener } from './open_listener.ts'
 import { createRegionChooser } from './regions.ts'
@@ -124,6 +125,7 @@
   const hasCapacity = (service: string, change: WeightChange): boolean => hasLiveTargets(view, service, { change })
   const shifts = createShiftLoop({ instance: settings.instance, view, platform, hasCapacity, isPlatformReachable, rankDelayMs: settings.pollMs, getNowMs })
   const status = createStatusReader({ view, peers, createVersions: () => sync.createVersions(), getWeights: regions.getWeights, getShiftState: shifts.getState })
+  const askLeaving = createLeavingWatch({ instance: settings.instance, view, readLoad: targets.readLoad, getNowMs })
   const sync = createSync({
     view,
     platform,
@@ -136,9 +138,10 @@
     getNowMs,
     afterPoll: async () => {
       view.listDocuments().forEach(accepted => regions.getWeights(accepted.document.service))
+      askLeaving().catch(() => {})
       await shifts.advanceShifts()
     },
-    recordSuperseded: () => log.warn('A later incarnation runs under the name of this instance'),
+    recordSuperseded: () => (state = MachineState.Leaving) && log.warn('A later incarnation runs under the name of this instance'),
     recordPlatform: reachable => log.info({ reachable }, reachable ? 'Platform answers' : 'Platform does not answer')
   })
   log.info({ addresses, incarnation }, 'Instance started')
--- a/packages/bilberryd/src/shift_loop_test.ts
+++ b/packages/bilberryd/src/shift_loop_test.ts
@@ -132,7 +132,7 @@
     const sumMoves: Array<{ atMs: number, share: number }> = []
     let revision = 2
     let row = getRow(platform)
-    let sum = applyWalks(advancers, clock)
+    applyWalks(advancers, clock)
     for (const { kind, instance: index, ms } of actions) {
       const advancer = advancers[index]!
       switch (kind) {
@@ -153,9 +153,7 @@
       t.true(nextRow.step - row.step <= 1 && nextRow.step >= row.step)
       steps += nextRow.step - row.step
       row = nextRow
-      const nextSum = applyWalks(advancers, clock)
-      sumMoves.push({ atMs: clock.nowMs, share: computeMovedShare(sum, nextSum) })
-      sum = nextSum
+      sumMoves.push({ atMs: clock.nowMs, share: applyWalks(advancers, clock) })
     }
     t.true(findLargestWindow(rowMoves) <= cap + dust)
     t.true(findLargestWindow(sumMoves) <= cap + dust)
@@ -164,15 +162,16 @@
   t.log(`seed ${seed}, ${steps} steps`)
 })
 
-/** Walks each instance to the row that it knows; returns the weights of all their traffic together. */
-function applyWalks (advancers: Advancer[], clock: { nowMs: number }): RegionWeights {
-  const sum: RegionWeights = {}
+/** Walks each instance to the row that it knows; returns the share of callers that moves, with equal traffic at each instance. */
+function applyWalks (advancers: Advancer[], clock: { nowMs: number }): number {
+  let moved = 0
   for (const advancer of advancers) {
     const desired = advancer.view.getShift('api')?.weights ?? {}
-    advancer.walk = walkWeights(advancer.walk ?? { applied: desired, moves: [] }, desired, { cap, stepMs, nowMs: clock.nowMs })
-    for (const [region, weight] of Object.entries(advancer.walk.applied)) sum[region] = (sum[region] ?? 0) + weight / advancers.length
+    const before = advancer.walk ?? { applied: desired, moves: [] }
+    advancer.walk = walkWeights(before, desired, { cap, stepMs, nowMs: clock.nowMs })
+    moved += computeMovedShare(before.applied, advancer.walk.applied) / advancers.length
   }
-  return sum
+  return moved
 }
 
 function findLargestWindow (moves: Array<{ atMs: number, share: number }>): number {
--- /dev/null
+++ b/packages/bilberryd/src/target_table_test.ts
@@ -0,0 +1,76 @@
+import type { TargetRecord } from '@bilberryworks/steering'
+import { MachineState } from '@bilberryworks/steering'
+import test from 'ava'
+import { createLeavingWatch } from './leaving_watch.ts'
+import { createTargetTable } from './target_table.ts'
+import { createView } from './view.ts'
+
+const { Live, Leaving } = MachineState
+
+function createTarget (state = Live, address = 'a:1'): TargetRecord {
+  return { target: 't', service: 'api', address, failureDomain: 'd', region: 'r', slots: 1, maxConnections: 1, state }
+}
+
+test('the most cautious word on a target wins', t => {
+  const cases: Array<[byDocument: boolean, listed: MachineState, said: boolean, state: MachineState]> = [
+    [false, Live, false, Live], [true, Live, false, Leaving], [false, Leaving, false, Leaving], [false, Live, true, Leaving]
+  ]
+  for (const [byDocument, listed, said, state] of cases) {
+    const table = createTargetTable({ isLeavingByDocument: () => byDocument, getNowMs: () => 0 })
+    table.mergeList([createTarget(listed)], 0)
+    table.recordWord('t', said)
+    t.is(table.list('api')[0]?.state, state)
+  }
+})
+
+test('a list that lags or comes late does not bring a leaving target back', t => {
+  let nowMs = 0
+  const table = createTargetTable({ isLeavingByDocument: () => false, getNowMs: () => nowMs })
+  const getState = (): MachineState | undefined => table.list()[0]?.state
+  table.mergeList([createTarget(Leaving)], 0)
+  nowMs = 1_000
+  table.mergeList([createTarget(Live)], 2_000)
+  t.is(getState(), Leaving)
+  table.mergeList([createTarget(Live)], 0)
+  t.is(getState(), Leaving)
+  table.mergeList([], 0)
+  t.is(table.list().length, 1)
+  nowMs = 9_999
+  t.is(getState(), Leaving)
+  nowMs = 10_000
+  t.is(getState(), Live)
+})
+
+test('a word does not hold for a target at another address', t => {
+  const table = createTargetTable({ isLeavingByDocument: () => false, getNowMs: () => 0 })
+  table.mergeList([createTarget()], 0)
+  table.recordWord('t', true)
+  table.mergeList([createTarget(Live, 'a:2')], 0)
+  t.is(table.list()[0]?.state, Live)
+})
+
+test('a leaving target is live again after it said so for a while without a break', async t => {
+  let nowMs = 0
+  const reports: Array<boolean | undefined> = []
+  const view = createView({ instanceTimeoutMs: Infinity, getNowMs: () => nowMs })
+  view.mergeInstance({ instance: 'i', incarnation: 'x', failureDomain: 'd', region: 'r', callerAddress: '', peerAddress: '', state: Live, sequence: 1, pinEpoch: 0 })
+  view.mergeMachines({ instances: [], targets: [createTarget()] })
+  view.markTargetLeaving('t')
+  const ask = createLeavingWatch({
+    instance: 'i',
+    view,
+    async readLoad () {
+      const leaving = reports.shift()
+      return leaving === undefined ? undefined : { busySlots: 0, slots: 1, leaving }
+    },
+    getNowMs: () => nowMs
+  })
+  const states: Array<MachineState | undefined> = []
+  for (const report of [false, false, undefined, false, false, true, false, false, false]) {
+    reports.push(report)
+    await ask()
+    states.push(view.listTargets('api')[0]?.state)
+    nowMs += 5_000
+  }
+  t.deepEqual(states, [...Array<MachineState>(8).fill(Leaving), Live])
+})
--- a/packages/steering/src/shift_test.ts
+++ b/packages/steering/src/shift_test.ts
@@ -34,7 +34,7 @@
   ['rounding apart', { accepted: createAccepted({ a: 0.1 + 0.2, b: 0.3 }) }, ShiftState.Settled],
   ['no weight at all', { accepted: createAccepted({ a: 0 }) }, ShiftState.Settled],
   ['document behind the row', { accepted: createAccepted({ a: 1 }, 0.1, 1) }, ShiftState.DocumentBehind],
-  ['a region appears and one goes', { accepted: createAccepted({ a: 1, c: 1 }) }, ShiftState.Due, { a: 0.5, b: 0.4, c: 0.1 }]
+  ['a region appears and one goes', { accepted: createAccepted({ a: 1, c: 1 }) }, ShiftState.Due, { a: 0.5, b: 0.431, c: 0.069 }]
 ]
 
 for (const [name, change, state, weights] of cases) {
@@ -42,10 +42,16 @@
     const plan = planShift(createOptions(change))
     t.is(plan.state, state)
     t.is(plan.next === undefined, weights === undefined)
-    if (plan.next !== undefined) t.true(computeMovedShare(plan.next.weights, weights!) < dust, JSON.stringify(plan.next))
+    if (plan.next !== undefined) t.true(computeMovedShare(plan.next.weights, weights!) < 0.002, JSON.stringify(plan.next))
   })
 }
 
+test('a step of three regions moves the cap, counted in callers', t => {
+  const { row, accepted } = createOptions({ accepted: createAccepted({ a: 1, c: 1 }) })
+  const { next } = planShift(createOptions({ row, accepted }))
+  t.true(Math.abs(computeMovedShare(row.weights, next!.weights) - 0.1) < dust)
+})
+
 test('capacity is asked for the step, not for the end', t => {
   planShift(createOptions({
     hasCapacity (_service, { from, to }) {
--- a/packages/steering/src/weight_walk.ts
+++ b/packages/steering/src/weight_walk.ts
@@ -26,6 +26,9 @@
 /** Share below which two sets of weights count as equal, so that rounding never makes a step. */
 export const minMovedShare = 1e-9
 
+/** Rounds of bisection; the share that moves only grows along the straight way between two sets of weights. */
+const searchRounds = 40
+
 /**
  * Scales weights so that they add up to 1.
  *
@@ -40,17 +43,27 @@
 }
 
 /**
- * Computes the share of traffic that moves between two sets of weights.
+ * Computes the share of callers whose first region by weighted rendezvous hashing differs between two sets of weights.
+ *
+ * Rendezvous hashing is a race of exponential variables with the weights as rates. A caller stays in region `i` if no
+ * other region wins under either set, which has the probability 1 / sum over `j` of max(w_j / w_i, w'_j / w'_i).
+ * With two regions this is the change of weights; with more it may be larger.
  *
  * @param from Weights adding up to 1
  * @param to Weights adding up to 1
  * @returns The share that moves, 0 to 1
  */
 export function computeMovedShare (from: RegionWeights, to: RegionWeights): number {
-  const regions = new Set([...Object.keys(from), ...Object.keys(to)])
-  let difference = 0
-  for (const region of regions) difference += Math.abs((from[region] ?? 0) - (to[region] ?? 0))
-  return difference / 2
+  const regions = [...new Set([...Object.keys(from), ...Object.keys(to)])]
+  if (regions.every(region => (from[region] ?? 0) === (to[region] ?? 0))) return 0
+  let stayed = 0
+  for (const region of regions) {
+    const [before, after] = [from[region] ?? 0, to[region] ?? 0]
+    if (before <= 0 || after <= 0) continue
+    const rates = regions.map(other => Math.max((from[other] ?? 0) / before, (to[other] ?? 0) / after))
+    stayed += 1 / rates.reduce((sum, rate) => sum + rate, 0)
+  }
+  return Math.min(1, Math.max(0, 1 - stayed))
 }
 
 /**
@@ -58,20 +71,30 @@
  *
  * @param from Weights adding up to 1
  * @param desired Weights to reach, adding up to 1
- * @param maxShare Largest share that may move, 0 to 1
+ * @param options The largest share of callers that may move, 0 to 1
  * @returns The weights after the move: the desired ones where the whole distance may be moved
  */
 export function moveWeights (from: RegionWeights, desired: RegionWeights, { maxShare }: { maxShare: number }): RegionWeights {
-  const distance = computeMovedShare(from, desired)
-  if (distance <= maxShare) return desired
-  const fraction = maxShare / distance
-  const moved: RegionWeights = {}
+  if (computeMovedShare(from, desired) <= maxShare) return desired
+  let lowest = 0
+  let highest = 1
+  for (let round = 0; round < searchRounds; round++) {
+    const middle = (lowest + highest) / 2
+    if (computeMovedShare(from, joinWeights(from, desired, { fraction: middle })) <= maxShare) lowest = middle
+    else highest = middle
+  }
+  return joinWeights(from, desired, { fraction: lowest })
+}
+
+/** Computes the weights at a fraction of the straight way between two sets. */
+function joinWeights (from: RegionWeights, desired: RegionWeights, { fraction }: { fraction: number }): RegionWeights {
+  const mixed: RegionWeights = {}
   for (const region of new Set([...Object.keys(from), ...Object.keys(desired)])) {
     const weight = from[region] ?? 0
     const next = weight + ((desired[region] ?? 0) - weight) * fraction
-    if (next > 0) moved[region] = next
+    if (next > 0) mixed[region] = next
   }
-  return moved
+  return mixed
 }
 
 /**
@@ -89,8 +112,7 @@
   if (Object.keys(walk.applied).length === 0) return { applied: desired, moves: [] }
   const moves = walk.moves.filter(move => move.atMs > options.nowMs - options.stepMs)
   const left = options.cap - moves.reduce((sum, move) => sum + move.share, 0)
-  const share = Math.min(left, computeMovedShare(walk.applied, desired))
-  if (!(share >= minMovedShare)) return walk
-  const applied = moveWeights(walk.applied, desired, { maxShare: share })
-  return { applied, moves: [...moves, { atMs: options.nowMs, share }] }
+  if (!(left >= minMovedShare) || computeMovedShare(walk.applied, desired) < minMovedShare) return walk
+  const applied = moveWeights(walk.applied, desired, { maxShare: left })
+  return { applied, moves: [...moves, { atMs: options.nowMs, share: computeMovedShare(walk.applied, applied) }] }
 }
