Test that an older list of targets does not replace a later one

Ruled out: dropping the check. Change: the test brings an older list with another address after the later one. Figures: npx ava packages/bilberryd/dist/target_table_test.js, 4 passed; with the check removed on a scratch copy 1 fails.

--- a/packages/bilberryd/src/target_table_test.ts
+++ b/packages/bilberryd/src/target_table_test.ts
@@ -39,6 +39,8 @@
   t.is(getState(), Leaving)
   nowMs = 10_000
   t.is(getState(), Live)
+  table.mergeList([createTarget(Live, 'a:0')], 9_500)
+  t.is(table.list()[0]?.address, 'a:1')
 })
 
 test('a word does not hold for a target at another address', t => {
