--- a/packages/bilberryd/src/instance_table.ts
+++ b/packages/bilberryd/src/instance_table.ts
@@ -30,6 +30,8 @@
   merge (heard: HeardInstance): boolean
   /** Returns the last announcement under a name. */
   get (instance: string): InstanceRecord | undefined
+  /** Returns the time since an instance was last heard of, in milliseconds; infinite where it never was or can't be reached. */
+  getSilenceMs (instance: string): number
   /** Marks an instance as not reachable until it is heard of again. */
   drop (instance: string): void
   /** Sets the incarnations that the platform lists as leaving. */
@@ -60,6 +62,10 @@
       return order > 0
     },
     get: instance => entries.get(instance)?.record,
+    getSilenceMs (instance) {
+      const known = entries.get(instance)
+      return known === undefined || known.dropped ? Infinity : options.getNowMs() - known.heardAtMs
+    },
     drop (instance) {
       const known = entries.get(instance)
       if (known !== undefined) known.dropped = true
--- a/packages/bilberryd/src/poll_platform.ts
+++ b/packages/bilberryd/src/poll_platform.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { IndexRow, Platform } from '@bilberryworks/platform'
+import type { IndexRow, MachineList, Platform } from '@bilberryworks/platform'
 import type { AcceptedDocument, ShiftRow } from '@bilberryworks/steering'
 import type { View } from './view.ts'
 import { readIndex, TableName } from '@bilberryworks/platform'
@@ -16,8 +16,10 @@
   platform: Platform
   /** Reads the rows of all instances; resolves to whether the platform answered. */
   readInstances: () => Promise<boolean>
-  /** Reads what else the index row names. */
-  followIndex?: (index: IndexRow) => Promise<void>
+  /** Called with each index row, to fetch the feed rows that changed. */
+  refreshFeeds: (index: IndexRow) => Promise<void>
+  /** Called with each list of machines. */
+  recordMachines: (list: MachineList) => void
   /** Longest time between two readings of the instances' rows, in milliseconds. */
   instancesEveryMs: number
   /** Returns the monotonic time, in milliseconds. */
@@ -60,7 +62,10 @@
   async function readMachines (): Promise<boolean> {
     const askedAtMs = options.getNowMs()
     const machines = await platform.listMachines()
-    if (machines.isOk()) view.mergeMachines(machines.value, options.getNowMs() - askedAtMs)
+    if (machines.isOk()) {
+      view.mergeMachines(machines.value, options.getNowMs() - askedAtMs)
+      options.recordMachines(machines.value)
+    }
     return machines.isOk()
   }
 
@@ -81,13 +86,13 @@
     const { index } = read.value
     const revisions = view.getRevisions()
     const steps = view.getSteps()
-    const [machinesRead, ...fetched] = await Promise.all([
+    const [machinesRead, , ...fetched] = await Promise.all([
       readMachines(),
+      options.refreshFeeds(index),
       readInstances(index.members),
       ...listNewer(index.revisions, revisions).map(service => readDocument(service, index.revisions[service] ?? 0)),
       ...listNewer(index.shifts, steps).map(service => readShift(service, index.shifts[service] ?? 0))
     ])
-    await options.followIndex?.(index)
     return { answered: true, complete: machinesRead && fetched.every(Boolean) }
   }
 }
--- a/packages/bilberryd/src/run_instance.ts
+++ b/packages/bilberryd/src/run_instance.ts
@@ -3,31 +3,29 @@
  *
  * @module
  */
-import type { InstanceRecord, WeightChange } from '@bilberryworks/steering'
 import type Logger from 'bunyan'
 import type { Settings } from './settings.ts'
 import type { Feed } from './feed.ts'
-import { randomUUID } from 'node:crypto'
 import { createServiceHandler } from '@bilberryworks/callers'
 import { createHttpPeers, createPeerHandler } from '@bilberryworks/instances'
 import { createOperatorsService } from '@bilberryworks/operators'
 import { createHttpPlatform } from '@bilberryworks/platform'
-import { chooseFeeder, MachineState } from '@bilberryworks/steering'
 import { createHttpTargets } from '@bilberryworks/targets'
 import moleculer from 'moleculer'
 import { createCallersService } from './callers_service.ts'
 import { createDispatcher } from './dispatch.ts'
-import { PeerMethodName } from './exchange_messages.ts'
 import { createFeed } from './feed.ts'
 import { createCallersGateway, createOperatorsGateway } from './gateways.ts'
-import { createLeavingWatch } from './leaving_watch.ts'
+import { feedsMethod } from './feed_exchange.ts'
+import { createFeeding } from './feeding.ts'
+import { startLoop } from './loop.ts'
+import { createIdentity } from './identity.ts'
 import { createMetrics } from './metrics.ts'
 import { openListener } from './open_listener.ts'
 import { createRegionChooser } from './regions.ts'
 import { createRouter, listUsableTargets } from './route.ts'
-import { createShiftLoop, hasLiveTargets } from './shift_loop.ts'
-import { createStatusReader } from './status.ts'
-import { createSync } from './sync.ts'
+import { createSync, createSyncMethods } from './sync.ts'
+import { createUpkeep } from './upkeep.ts'
 import { createView } from './view.ts'
 
 const heartbeatsMissed = 4
@@ -55,10 +53,7 @@
   const targets = createHttpTargets(local)
   const peers = createHttpPeers({ key: settings.peerKeys[0]!, ...local })
   const view = createView({ instanceTimeoutMs: settings.heartbeatMs * heartbeatsMissed, getNowMs })
-  let state = MachineState.Live
-  let sequence = 0
-  const incarnation = randomUUID()
-  const addresses = { callers: '', operators: '', peers: '' }
+  const identity = createIdentity(settings)
 
   const metrics = createMetrics({
     countQueued: () => feed.countQueued(),
@@ -67,34 +62,34 @@
     getRevisions: view.getRevisions
   })
   const feed: Feed = createFeed({
-    listFedTargets: service => listUsableTargets(view, service).filter(target => chooseFeeder(target, view.listInstances())?.instance === settings.instance),
+    listFedTargets: service => listUsableTargets(view, service).flatMap(target => {
+      const slots = feeding.getSlotLimit(target)
+      return slots > 0 ? [{ ...target, slots }] : []
+    }),
     getNowMs
   })
   const dispatch = createDispatcher({ feed, targets, markTargetLeaving: view.markTargetLeaving, countRetry: metrics.countRetry, getNowMs })
   const regions = createRegionChooser({ view, getNowMs })
-  const isReady = (): boolean => state === MachineState.Live && sync.isReady()
-  const handleRequest = createRouter({ instance: settings.instance, view, dispatch, regions, peers, isReady: () => sync.isReady(), countRetry: metrics.countRetry, getNowMs })
-  const isStopping = (): boolean => state === MachineState.Leaving
+  const isReady = (): boolean => !identity.isLeaving() && sync.isReady()
+  const handleRequest = createRouter({ instance: settings.instance, view, listFeeders: failureDomain => feeding.listFeeders(failureDomain), dispatch, regions, peers, isReady: () => sync.isReady(), countRetry: metrics.countRetry, getNowMs })
   const broker = new moleculer.ServiceBroker({ nodeID: settings.instance, logger: false, skipProcessEventRegistration: true })
   broker.createService(createCallersService({ view, regions, region: settings.region, ttlSeconds: settings.lookUpTtlSeconds, countLookUp: metrics.countLookUp }))
   broker.createService(createOperatorsService({
     platform,
     listDocuments: view.listDocuments,
     listTargets: view.listAllTargets,
-    mergeDocument (accepted) {
-      if (view.mergeDocument(accepted)) sync.spread().catch(() => {})
-    },
+    mergeDocument: accepted => view.mergeDocument(accepted) && sync.spread().catch(() => {}),
     getWallClockMs: () => Date.now(),
-    createStatus: async () => ({ ...sync.createVersions(), state, ready: isReady(), ...await status.readInstances() }),
-    createServiceStatus: async service => await status.readService(service) ?? {}
+    createStatus: async () => ({ ...identity.getRecord(), ...sync.createVersions(), ready: isReady(), ...await upkeep.status.readInstances() }),
+    createServiceStatus: async service => await upkeep.status.readService(service) ?? {}
   }))
   const lookUp = createCallersGateway(broker)
-  const serve = createServiceHandler({ fromPeer: false, handleRequest, recordEnd: metrics.recordEnd, isStopping })
+  const serve = createServiceHandler({ fromPeer: false, handleRequest, recordEnd: metrics.recordEnd, isStopping: identity.isLeaving })
   const serveForwarded = createServiceHandler({ fromPeer: true, handleRequest, recordEnd: metrics.recordEnd, isStopping: () => false })
   const operators = createOperatorsGateway(broker, { tokens: () => settings.tokens, countUnauthenticated: () => metrics.countUnauthenticated('operators'), registry: metrics.registry, isReady })
   const peerHandler = createPeerHandler({
     keys: settings.peerKeys,
-    methods: Object.fromEntries(Object.values(PeerMethodName).map(name => [name, (params: unknown) => sync.methods[name]?.(params)])),
+    methods: { ...createSyncMethods(() => sync), [feedsMethod]: params => feeding.handleExchange(params) },
     handleForward: serveForwarded,
     countUnauthenticated: () => metrics.countUnauthenticated('peers')
   })
@@ -104,50 +99,52 @@
     await openListener(operators, settings.listen.operators),
     await openListener(peerHandler, settings.listen.peers)
   ]
-  addresses.callers = settings.advertise?.callers ?? listeners[0]!.address
-  addresses.operators = listeners[1]!.address
-  addresses.peers = settings.advertise?.peers ?? listeners[2]!.address
-
-  function createAnnouncement (): InstanceRecord {
-    return {
-      instance: settings.instance,
-      incarnation,
-      failureDomain: settings.failureDomain,
-      region: settings.region,
-      callerAddress: addresses.callers,
-      peerAddress: addresses.peers,
-      state,
-      sequence: ++sequence,
-      pinEpoch: 0
-    }
+  const [callersListener, operatorsListener, peersListener] = listeners
+  const addresses = {
+    callers: settings.advertise?.callers ?? callersListener!.address,
+    operators: operatorsListener!.address,
+    peers: settings.advertise?.peers ?? peersListener!.address
   }
-  const isPlatformReachable = (): boolean => sync.isPlatformReachable()
-  const hasCapacity = (service: string, change: WeightChange): boolean => hasLiveTargets(view, service, { change })
-  const shifts = createShiftLoop({ instance: settings.instance, view, platform, hasCapacity, isPlatformReachable, rankDelayMs: settings.pollMs, getNowMs })
-  const status = createStatusReader({ view, peers, createVersions: () => sync.createVersions(), getWeights: regions.getWeights, getShiftState: shifts.getState })
-  const askLeaving = createLeavingWatch({ instance: settings.instance, view, readLoad: targets.readLoad, getNowMs })
+  identity.updateAddresses(addresses)
+
+  const feeding = createFeeding({
+    leaseMs: settings.heartbeatMs * heartbeatsMissed,
+    longestDispatchMs: settings.longestDispatchMs,
+    platform,
+    peers,
+    getSelf: identity.getRecord,
+    listInstances: view.listInstances,
+    findInstance: view.findInstance,
+    getSilenceMs: view.getSilenceMs,
+    listTargets: view.listAllTargets,
+    getBusy: target => feed.getBusy(target),
+    getNowMs,
+    recordLease: lease => log.info({ lease }, 'Hold on targets changed'),
+    recordTakeover: (instance, failureDomain) => log.warn({ silent: instance, failureDomain }, 'Instance was declared silent')
+  })
+  const upkeep = createUpkeep({ settings, view, platform, peers, targets, regions, getSync: () => sync, getNowMs })
+  const feedLoop = startLoop(feeding.advance, { intervalMs: settings.pollMs, getRandom: Math.random })
   const sync = createSync({
     view,
     platform,
     peers,
-    createAnnouncement,
+    createAnnouncement: identity.createAnnouncement,
     seedPeers: settings.seedPeers,
     pollMs: settings.pollMs,
     heartbeatMs: settings.heartbeatMs,
     getRandom: Math.random,
     getNowMs,
-    afterPoll: async () => {
-      view.listDocuments().forEach(accepted => regions.getWeights(accepted.document.service))
-      askLeaving().catch(() => {})
-      await shifts.advanceShifts()
-    },
-    recordSuperseded: () => (state = MachineState.Leaving) && log.warn('A later incarnation runs under the name of this instance'),
+    recordHeartbeat: feeding.recordHeartbeat,
+    recordMachines: feeding.recordMachines,
+    refreshFeeds: feeding.refresh,
+    afterPoll: upkeep.runAfterPoll,
+    recordSuperseded: () => { identity.markLeaving(); log.warn('A later incarnation runs under the name of this instance') },
     recordPlatform: reachable => log.info({ reachable }, reachable ? 'Platform answers' : 'Platform does not answer')
   })
-  log.info({ addresses, incarnation }, 'Instance started')
+  log.info({ addresses, incarnation: identity.getRecord().incarnation }, 'Instance started')
 
   const dispose = async (): Promise<void> => {
-    await sync[Symbol.asyncDispose]()
+    await Promise.all([sync, feedLoop].map(loop => loop[Symbol.asyncDispose]()))
     await Promise.all(listeners.map(listener => listener[Symbol.asyncDispose]()))
     await broker.stop()
     await feed[Symbol.asyncDispose]()
@@ -156,10 +153,11 @@
   return {
     addresses,
     async stop () {
-      state = MachineState.Leaving
+      identity.markLeaving()
       log.info('Instance is leaving')
       await sync.announce()
       await waitMs(settings.lookUpTtlSeconds * 1000 + leavingMarginMs)
+      await feeding.release()
       const drained = Promise.all(listeners.map(listener => listener.drain()))
       await Promise.race([drained, waitMs(settings.stopLimitMs)])
       metrics.countCutOff(feed.countInFlight())
--- a/packages/bilberryd/src/shift_loop_test.ts
+++ b/packages/bilberryd/src/shift_loop_test.ts
@@ -42,7 +42,7 @@
     for (let other = 0; other < count; other++) {
       view.mergeInstance({ instance: `i${other}`, incarnation: 'x', failureDomain: 'd', region: 'r', callerAddress: '', peerAddress: '', state: MachineState.Live, sequence: 1, pinEpoch: 0 })
     }
-    const poll = createPoller({ view, platform: client, readInstances: async () => true, instancesEveryMs: 0, getNowMs })
+    const poll = createPoller({ view, platform: client, readInstances: async () => true, instancesEveryMs: 0, refreshFeeds: async () => {}, recordMachines: () => {}, getNowMs })
     const advancer: Advancer = { platform: client, view, walk: undefined, hasCapacity: true, reachable: true } as Advancer
     advancer.poll = async () => {
       advancer.reachable = (await poll()).answered
--- a/packages/bilberryd/src/sync_test.ts
+++ b/packages/bilberryd/src/sync_test.ts
@@ -63,7 +63,7 @@
       })
       const node: Node = { name, view, superseded: 0, state: MachineState.Live, platform } as Node
       node.sync = createSync({
-        view, platform, peers, createAnnouncement, seedPeers, pollMs: idleMs, heartbeatMs: idleMs, getRandom: () => 0, getNowMs, recordPlatform: () => {}, recordSuperseded: () => { node.superseded++ }
+        view, platform, peers, createAnnouncement, seedPeers, pollMs: idleMs, heartbeatMs: idleMs, getRandom: () => 0, getNowMs, recordPlatform: () => {}, recordHeartbeat: () => {}, recordMachines: () => {}, refreshFeeds: async () => {}, afterPoll: async () => {}, recordSuperseded: () => { node.superseded++ }
       })
       node[Symbol.asyncDispose] = () => node.sync[Symbol.asyncDispose]()
       network.nodes.set(name, node)
@@ -218,7 +218,7 @@
   await paused.sync.announce()
   await watcher.sync.refresh()
   await watcher.sync.spread()
-  t.is(watcher.view.getInstance('a')?.incarnation, 'aa-new')
+  t.is(watcher.view.findInstance('a')?.incarnation, 'aa-new')
   await paused.sync.refresh()
   t.deepEqual([paused.superseded, later.superseded], [1, 0])
 })
@@ -234,7 +234,7 @@
   await using fresh = network.start('a', ['w'], 'aa-new')
   await waitSettled()
   await fresh.sync.spread()
-  t.is(watcher.view.getInstance('a')?.incarnation, 'aa-new')
+  t.is(watcher.view.findInstance('a')?.incarnation, 'aa-new')
 })
 
 test('random faults: no revision falls, and healing brings the newest everywhere', async t => {
--- a/packages/bilberryd/src/view.ts
+++ b/packages/bilberryd/src/view.ts
@@ -33,8 +33,10 @@
   mergeShift (row: ShiftRow): boolean
   /** Takes an instance's announcement over unless a later one is known; its age is 0 milliseconds by default. */
   mergeInstance (record: InstanceRecord, ageMs?: number): boolean
-  /** Returns the last announcement of an instance, however old. */
-  getInstance (instance: string): InstanceRecord | undefined
+  /** Finds the last announcement of an instance, also where it has not been heard of lately. */
+  findInstance (instance: string): InstanceRecord | undefined
+  /** Returns the time since an instance was last heard of, in milliseconds; infinite where it never was or can't be reached. */
+  getSilenceMs (instance: string): number
   /** Takes the platform's list of machines over, unless a later one is known; its age is 0 milliseconds by default. */
   mergeMachines (list: MachineList, ageMs?: number): void
   /** Takes a list of targets over, unless a later one is known; its age is in milliseconds. */
@@ -106,7 +108,8 @@
       return true
     },
     mergeInstance: (record, ageMs = 0) => instances.merge({ record, ageMs }),
-    getInstance: instances.get,
+    findInstance: instances.get,
+    getSilenceMs: instances.getSilenceMs,
     mergeMachines (list, ageMs = 0) {
       targets.mergeList(list.targets, ageMs)
       const leaving = list.instances.filter(record => record.state === MachineState.Leaving)
--- a/packages/platform/src/tables.ts
+++ b/packages/platform/src/tables.ts
@@ -18,7 +18,7 @@
   History = 'history',
   /** `ShiftRow` by service. */
   Shifts = 'shifts',
-  /** `InstanceRecord` by instance and incarnation, joined by a slash: the heartbeats. */
+  /** `InstanceRecord` by instance: the heartbeats. */
   Instances = 'instances',
   /** `FeedRow` by failure domain: which instances feed its targets. */
   Feeds = 'feeds',
