Hold readiness back for peers that may know better, and show it

Change: a network whose answers are held, a check of the platform's row, and one line less in the announcer, since the merge of the own name already raises the start. Conclusion: start and wake-up are tested at the interface.

--- a/packages/bilberryd/src/announcer.ts
+++ b/packages/bilberryd/src/announcer.ts
@@ -110,10 +110,7 @@
       const stored = await platform.readRow(TableName.Instances, own.instance)
       if (stored.isErr()) return false
       const other = stored.value?.value as InstanceRecord | undefined
-      if (other !== undefined && other.incarnation !== own.incarnation) {
-        if (!confirmed) start = Math.max(start, (other.start ?? 0) + 1)
-        mergeInstance(other)
-      }
+      if (other !== undefined) mergeInstance(other)
       return superseded ? false : writeRow(stored.value)
     },
     async readInstances () {
--- a/packages/bilberryd/src/sync_test.ts
+++ b/packages/bilberryd/src/sync_test.ts
@@ -36,12 +36,13 @@
 interface Node extends AsyncDisposable { name: string, view: View, sync: Sync, superseded: number, state: MachineState, platform: MemoryPlatform }
 
 /** Instances over one platform and a network of function calls, with loops that stand still. */
-function createNetwork (): { platform: MemoryPlatform, nodes: Map<string, Node>, isCut: (from: string, to: string) => boolean, nowMs: number, start: (name: string, seedPeers?: string[], incarnation?: string) => Node } {
+function createNetwork (): { platform: MemoryPlatform, nodes: Map<string, Node>, isCut: (from: string, to: string) => boolean, nowMs: number, delay: Promise<void>, start: (name: string, seedPeers?: string[], incarnation?: string) => Node } {
   const network = {
     platform: createMemoryPlatform(),
     nodes: new Map<string, Node>(),
     isCut: (_from: string, _to: string): boolean => false,
     nowMs: 0,
+    delay: Promise.resolve(),
     start (name: string, seedPeers: string[] = [], incarnation = `${name}-1`): Node {
       const platform = createMemoryPlatform(network.platform.state)
       platform.machines = network.platform.machines
@@ -51,6 +52,7 @@
       let sequence = 0
       const peers: PeerClient = {
         async call (address, method, { params }) {
+          await network.delay
           const peer = network.nodes.get(address)
           if (peer === undefined || network.isCut(name, address)) return err({ kind: PeerFailureKind.ConnectFailed, detail: 'cut' })
           return ok(structuredClone(await peer.sync.methods[method]?.(structuredClone(params))) as never)
@@ -216,6 +218,7 @@
   await using later = network.start('a', [], 'aa-new')
   await waitSettled()
   await paused.sync.announce()
+  t.is((network.platform.getValue(TableName.Instances, 'a') as InstanceRecord).incarnation, 'aa-new')
   await watcher.sync.refresh()
   await watcher.sync.spread()
   t.is(watcher.view.findInstance('a')?.incarnation, 'aa-new')
@@ -237,6 +240,23 @@
   t.is(watcher.view.findInstance('a')?.incarnation, 'aa-new')
 })
 
+test('a peer that has not answered yet holds readiness back while it may know better', async t => {
+  const network = createNetwork()
+  await writeAccepted(network.platform, 3)
+  await using peer = network.start('a')
+  await waitSettled()
+  peer.view.mergeDocument(createAccepted(4))
+  let answer = (): void => {}
+  network.delay = new Promise(resolve => { answer = resolve })
+  await using node = network.start('b', ['a'])
+  await waitSettled()
+  await node.sync.refresh()
+  t.deepEqual([getRevision(node), node.sync.isReady()], [3, false])
+  answer()
+  await waitSettled()
+  t.deepEqual([getRevision(node), node.sync.isReady()], [4, true])
+})
+
 test('random faults: no revision falls, and healing brings the newest everywhere', async t => {
   const names = ['a', 'b', 'c']
   const action = fc.oneof(
