--- a/packages/bilberryd/src/_feeding_harness.ts
+++ b/packages/bilberryd/src/_feeding_harness.ts
@@ -119,7 +119,7 @@
     const unsupported = async (): Promise<never> => { throw new Error('Not used') }
     return {
       readRow: async (table, key) => harness.noPlatform.has(name) ? unavailable : ok(structuredClone(rows.get(`${table}/${key}`))),
-      listRows: async table => harness.noPlatform.has(name) ? unavailable : ok([...rows].filter(([key]) => key.startsWith(`${table}/`)).map(([, row]) => structuredClone(row))),
+      listRows: async (table, prefix) => harness.noPlatform.has(name) ? unavailable : ok([...rows].filter(([key]) => key.startsWith(`${table}/${prefix}`)).map(([, row]) => structuredClone(row))),
       async writeRows (writes) {
         const fault = harness.noPlatform.has(name) ? CallFault.Refused : harness.chooseFault(writes)
         if (fault === CallFault.Refused) return unavailable
@@ -161,7 +161,7 @@
       peers: createPeers(name),
       getSelf: () => record,
       listInstances: view.listInstances,
-      findInstance: view.findInstance,
+      findInstance: view.getInstance,
       getSilenceMs: view.getSilenceMs,
       listTargets: () => targets,
       getBusy: target => node.inFlight.filter(request => request.target === target).length,
@@ -186,7 +186,7 @@
         record = { ...record, sequence: record.sequence + 1 }
         view.mergeInstance(record)
         const sentAtMs = nowMs
-        const written = await platform.writeRows([{ table: TableName.Instances, key: name, value: record }])
+        const written = await platform.writeRows([{ table: TableName.Instances, key: `${name}/${record.incarnation}`, value: record }])
         if (written.isOk()) feeding.recordHeartbeat(sentAtMs)
         const heard = await platform.listRows(TableName.Instances, '')
         if (heard.isOk()) heard.value.forEach(row => view.mergeInstance(row.value as InstanceRecord))
--- a/packages/bilberryd/src/announcer.ts
+++ b/packages/bilberryd/src/announcer.ts
@@ -1,7 +1,7 @@
 /**
  * The announcements of an instance on the platform: heartbeat rows, ordered by start counts.
  *
- * A heartbeat is compared and set, so that an earlier incarnation that wakes up never overwrites a later one's row.
+ * Each incarnation has a row of its own, so that an earlier one that wakes up never overwrites a later one's.
  *
  * @module
  */
@@ -23,8 +23,6 @@
   createAnnouncement: () => InstanceRecord
   /** Called once where a later incarnation runs under this instance's name. */
   recordSuperseded: () => void
-  /** Called with the time at which a heartbeat was sent that the platform acknowledged. */
-  recordHeartbeat: (sentAtMs: number) => void
   /** Returns the monotonic time, in milliseconds. */
   getNowMs: () => number
 }
@@ -75,21 +73,36 @@
     }
   }
 
-  /** Writes the heartbeat over a row that was read; a row of another incarnation must be an earlier one's. */
-  async function writeRow (stored: TableRow | undefined): Promise<boolean> {
-    const record = createRecord()
-    const write = { table: TableName.Instances, key: record.instance, ifVersion: stored?.version ?? 0, value: record }
-    const sentAtMs = options.getNowMs()
-    const written = record.state === writtenState
-      ? await platform.writeRows([write])
-      : await writeWithIndex(platform, [write], index => ({ ...index, members: index.members + 1 }))
+  /** Takes a start count above all others under this name, and removes the rows of earlier incarnations. */
+  async function claimStart (): Promise<boolean> {
+    const own = createRecord()
+    const rows = await platform.listRows(TableName.Instances, `${own.instance}/`)
+    if (rows.isErr()) return false
+    const others = rows.value.filter(row => (row.value as InstanceRecord).incarnation !== own.incarnation)
+    const raised = Math.max(start, ...others.map(row => ((row.value as InstanceRecord).start ?? 0) + 1))
+    const record = { ...own, start: raised }
+    const written = await writeWithIndex(platform, [
+      { table: TableName.Instances, key: formatInstanceKey(record), value: record },
+      { table: TableName.Starts, key: record.instance, value: { start: raised } },
+      ...others.map(row => ({ table: TableName.Instances, key: row.key, ifVersion: row.version }))
+    ], index => ({ ...index, members: index.members + 1 }))
     if (written.isErr()) return false
+    start = raised
     confirmed = true
-    writtenState = record.state
-    options.recordHeartbeat(sentAtMs)
     return true
   }
 
+  async function writeRow (): Promise<boolean> {
+    const record = createRecord()
+    const write = { table: TableName.Instances, key: formatInstanceKey(record), value: record }
+    const changed = record.state !== writtenState
+    const written = changed
+      ? await writeWithIndex(platform, [write], index => ({ ...index, members: index.members + 1 }))
+      : await platform.writeRows([write])
+    if (written.isOk()) writtenState = record.state
+    return written.isOk()
+  }
+
   /** Removes a row that has not changed for long. */
   async function removeStaleRow (row: TableRow): Promise<void> {
     const nowMs = options.getNowMs()
@@ -105,13 +118,13 @@
     createRecord,
     mergeInstance,
     async writeHeartbeat () {
-      const own = createRecord()
-      view.mergeInstance(own)
-      const stored = await platform.readRow(TableName.Instances, own.instance)
-      if (stored.isErr()) return false
-      const other = stored.value?.value as InstanceRecord | undefined
-      if (other !== undefined) mergeInstance(other)
-      return superseded ? false : writeRow(stored.value)
+      view.mergeInstance(createRecord())
+      if (!confirmed) {
+        if (!await claimStart()) return false
+        writtenState = options.createAnnouncement().state
+        return true
+      }
+      return writeRow()
     },
     async readInstances () {
       const rows = await platform.listRows(TableName.Instances, '')
@@ -128,3 +141,13 @@
     }
   }
 }
+
+/**
+ * Formats the key of an instance's row.
+ *
+ * @param record The announcement
+ * @returns The key
+ */
+export function formatInstanceKey (record: InstanceRecord): string {
+  return `${record.instance}/${record.incarnation}`
+}
--- a/packages/bilberryd/src/exchange.ts
+++ b/packages/bilberryd/src/exchange.ts
@@ -84,7 +84,7 @@
     message.words.forEach(view.mergeTargetWord)
     const missing: string[] = []
     for (const { ageMs, ...note } of message.heartbeats) {
-      const known = view.findInstance(note.instance)
+      const known = view.getInstance(note.instance)
       if (known?.incarnation === note.incarnation) options.mergeInstance({ ...known, ...note }, ageMs)
       else if (known === undefined || compareAnnouncements(note, known) > 0) missing.push(note.instance)
     }
--- /dev/null
+++ b/packages/bilberryd/src/instance_parts.ts
@@ -0,0 +1,181 @@
+/**
+ * The parts of an instance, without its listeners.
+ *
+ * @module
+ */
+import type { PeerClient } from '@bilberryworks/instances'
+import type { HttpPlatform } from '@bilberryworks/platform'
+import type { HandleRequest } from '@bilberryworks/steering'
+import type { TargetClient } from '@bilberryworks/targets'
+import type Logger from 'bunyan'
+import type { Feed } from './feed.ts'
+import type { Feeding } from './feeding.ts'
+import type { Identity } from './identity.ts'
+import type { Metrics } from './metrics.ts'
+import type { RegionChooser } from './regions.ts'
+import type { Settings } from './settings.ts'
+import type { StatusReader } from './status.ts'
+import type { Sync } from './sync.ts'
+import type { View } from './view.ts'
+import { createHttpPeers } from '@bilberryworks/instances'
+import { createHttpPlatform } from '@bilberryworks/platform'
+import { createHttpTargets } from '@bilberryworks/targets'
+import { createDispatcher } from './dispatch.ts'
+import { createFeed } from './feed.ts'
+import { createFeeding } from './feeding.ts'
+import { createIdentity } from './identity.ts'
+import { createKeyKeeper } from './key_keeper.ts'
+import { startLoop } from './loop.ts'
+import { createMetrics } from './metrics.ts'
+import { createRegionChooser } from './regions.ts'
+import { createRouter, listUsableTargets } from './route.ts'
+import { createSuspects } from './suspects.ts'
+import { createSync } from './sync.ts'
+import { createUpkeep } from './upkeep.ts'
+import { createView } from './view.ts'
+
+const heartbeatsMissed = 4
+
+/** What an instance is made of. */
+export interface InstanceParts extends AsyncDisposable {
+  settings: Settings
+  platform: HttpPlatform
+  peers: PeerClient
+  identity: Identity
+  view: View
+  metrics: Metrics
+  feed: Feed
+  feeding: Feeding
+  regions: RegionChooser
+  status: StatusReader
+  sync: Sync
+  /** Handles a checked request. */
+  handleRequest: HandleRequest
+  /** Whether the instance may be named to callers. */
+  isReady: () => boolean
+}
+
+/** Options of {@linkcode createInstanceParts}. */
+export interface CreateInstancePartsOptions {
+  /** `host:port` under which others reach the instance. */
+  addresses: { callers: string, peers: string }
+  /** Where changes of state are written. */
+  log: Logger
+}
+
+/**
+ * Creates the parts of an instance and starts its loops.
+ *
+ * @param settings Its settings
+ * @param options Addresses and log
+ * @returns The parts; dispose them to stop the loops and close the connections
+ */
+export function createInstanceParts (settings: Settings, options: CreateInstancePartsOptions): InstanceParts {
+  const { log } = options
+  const getNowMs = (): number => performance.now()
+  const clients = createClients(settings)
+  const { platform, targets, peers } = clients
+  const identity = createIdentity(settings)
+  identity.updateAddresses(options.addresses)
+  const view = createView({ instanceTimeoutMs: settings.heartbeatMs * heartbeatsMissed, getNowMs })
+  const metrics = createMetrics({
+    countQueued: () => feed.countQueued(),
+    countInFlight: () => feed.countInFlight(),
+    getPlatformAgeMs: () => sync.getPlatformAgeMs(),
+    getRevisions: view.getRevisions
+  })
+  const suspects = createSuspects(getNowMs)
+  const feed: Feed = createFeed({
+    listFedTargets: service => suspects.select(listUsableTargets(view, service).flatMap(target => {
+      const slots = feeding.getSlotLimit(target)
+      return slots > 0 ? [{ ...target, slots }] : []
+    })),
+    getNowMs
+  })
+  const feeding = createFeeding({
+    leaseMs: settings.heartbeatMs * heartbeatsMissed,
+    longestDispatchMs: settings.longestDispatchMs,
+    platform,
+    peers,
+    getSelf: identity.getRecord,
+    listInstances: view.listInstances,
+    findInstance: view.getInstance,
+    getSilenceMs: view.getSilenceMs,
+    listTargets: view.listAllTargets,
+    getBusy: feed.getBusy,
+    getNowMs,
+    recordLease: lease => log.info({ lease }, 'Hold on targets changed'),
+    recordTakeover: (instance, failureDomain) => log.warn({ silent: instance, failureDomain }, 'Instance was declared silent')
+  })
+  const dispatch = createDispatcher({
+    feed,
+    targets,
+    markTargetLeaving: view.markTargetLeaving,
+    markTargetUnreachable: suspects.mark,
+    checkDispatch ({ service, target }) {
+      const record = view.listTargets(service).find(other => other.target === target)
+      return record !== undefined && feed.getBusy(target) <= feeding.getSlotLimit(record)
+    },
+    countRetry: metrics.countRetry,
+    getNowMs
+  })
+  const regions = createRegionChooser({ view, getNowMs })
+  const upkeep = createUpkeep({ settings, view, platform, peers, targets, regions, getSync: () => sync, getNowMs })
+  const sync = createSync({
+    view,
+    platform,
+    peers,
+    createAnnouncement: identity.createAnnouncement,
+    seedPeers: settings.seedPeers,
+    pollMs: settings.pollMs,
+    heartbeatMs: settings.heartbeatMs,
+    getRandom: Math.random,
+    getNowMs,
+    recordHeartbeat: feeding.recordHeartbeat,
+    recordMachines: feeding.recordMachines,
+    followIndex: feeding.refresh,
+    afterPoll: upkeep.runAfterPoll,
+    recordSuperseded () {
+      identity.markLeaving()
+      log.warn('A later incarnation runs under the name of this instance')
+    },
+    recordPlatform: reachable => log.info({ reachable }, reachable ? 'Platform answers' : 'Platform does not answer')
+  })
+  const feedLoop = startLoop(feeding.advance, { intervalMs: settings.pollMs, getRandom: Math.random })
+  const route = createRouter({
+    instance: settings.instance, view, listFeeders: feeding.listFeeders, dispatch, regions, peers, isReady: sync.isReady, countRetry: metrics.countRetry, getNowMs
+  })
+  const keeper = createKeyKeeper({
+    instance: settings.instance, incarnation: identity.getRecord().incarnation, platform, peers, view, handleRequest: route, getNowMs
+  })
+  identity.setPinEpochSource(keeper.getPinEpoch)
+  return {
+    settings,
+    platform,
+    peers,
+    identity,
+    view,
+    metrics,
+    feed,
+    feeding,
+    regions,
+    status: upkeep.status,
+    sync,
+    handleRequest: keeper.handleRequest,
+    isReady: () => !identity.isLeaving() && sync.isReady(),
+    async [Symbol.asyncDispose] () {
+      await Promise.all([sync, feedLoop].map(loop => loop[Symbol.asyncDispose]()))
+      await feed[Symbol.asyncDispose]()
+      await Promise.all(Object.values(clients).map(client => client[Symbol.asyncDispose]()))
+    }
+  }
+}
+
+function createClients (settings: Settings): { platform: HttpPlatform, targets: TargetClient, peers: PeerClient } {
+  const local = settings.localAddress === undefined ? {} : { localAddress: settings.localAddress }
+  return {
+    platform: createHttpPlatform(settings.platformUrl, local),
+    targets: createHttpTargets(local),
+    peers: createHttpPeers({ key: settings.peerKeys[0]!, ...local })
+  }
+}
--- a/packages/bilberryd/src/instance_table.ts
+++ b/packages/bilberryd/src/instance_table.ts
@@ -30,10 +30,10 @@
   merge (heard: HeardInstance): boolean
   /** Returns the last announcement under a name. */
   get (instance: string): InstanceRecord | undefined
-  /** Returns the time since an instance was last heard of, in milliseconds; infinite where it never was or can't be reached. */
-  getSilenceMs (instance: string): number
   /** Marks an instance as not reachable until it is heard of again. */
   drop (instance: string): void
+  /** Returns the time since an instance was last heard of, in milliseconds; infinite where it never was. */
+  getSilenceMs (instance: string): number
   /** Sets the incarnations that the platform lists as leaving. */
   setListedLeaving (incarnations: Set<string>): void
   /** Lists the instances heard of within the timeout, latest first. */
@@ -62,10 +62,7 @@
       return order > 0
     },
     get: instance => entries.get(instance)?.record,
-    getSilenceMs (instance) {
-      const known = entries.get(instance)
-      return known === undefined || known.dropped ? Infinity : options.getNowMs() - known.heardAtMs
-    },
+    getSilenceMs: instance => options.getNowMs() - (entries.get(instance)?.heardAtMs ?? -Infinity),
     drop (instance) {
       const known = entries.get(instance)
       if (known !== undefined) known.dropped = true
--- a/packages/bilberryd/src/sync.ts
+++ b/packages/bilberryd/src/sync.ts
@@ -44,8 +44,8 @@
   recordHeartbeat: (sentAtMs: number) => void
   /** Called with each list of machines. */
   recordMachines: (list: MachineList) => void
-  /** Called with each index row, to fetch the feed rows that changed. */
-  refreshFeeds: (index: IndexRow) => Promise<void>
+  /** Reads what else the index row names. */
+  followIndex: (index: IndexRow) => Promise<void>
   /** Called when the platform starts or stops answering. */
   recordPlatform: (reachable: boolean) => void
   /** Called once where a later incarnation runs under this instance's name. */
@@ -105,14 +105,14 @@
   /** Learns what there is to learn, then starts the loops. */
   async function startLoops (): Promise<AsyncDisposable[]> {
     await pollPlatform()
-    await announcer.writeHeartbeat()
+    await writeHeartbeat()
     recordAsked(await askPeers(peersAtOnce))
     peersAsked = true
     if (stopped) return []
     return [
       startLoop(pollPlatform, { intervalMs: options.pollMs, getRandom }),
       startLoop(askSomePeers, { intervalMs: () => options.pollMs * (reachable ? pollsPerExchange : 1), getRandom }),
-      startLoop(async () => { await announcer.writeHeartbeat() }, { intervalMs: options.heartbeatMs, getRandom })
+      startLoop(writeHeartbeat, { intervalMs: options.heartbeatMs, getRandom })
     ]
   }
 
@@ -122,6 +122,11 @@
     reachable = answered
   }
 
+  async function writeHeartbeat (): Promise<void> {
+    const sentAtMs = options.getNowMs()
+    if (await announcer.writeHeartbeat()) options.recordHeartbeat(sentAtMs)
+  }
+
   async function pollPlatform (): Promise<void> {
     const { answered, complete } = await poll()
     recordPlatform(answered)
@@ -163,7 +168,7 @@
     isPlatformReachable: () => reachable,
     getPlatformAgeMs: () => options.getNowMs() - lastPlatformMs,
     async announce () {
-      await Promise.all([announcer.writeHeartbeat(), spread()])
+      await Promise.all([writeHeartbeat(), spread()])
     },
     spread,
     refresh: pollPlatform,
@@ -180,13 +185,3 @@
     }
   }
 }
-
-/**
- * Creates the JSON-RPC methods by which peers ask, before the loops exist.
- *
- * @param getSync Returns the loops; called with each call of a peer
- * @returns The methods by name
- */
-export function createSyncMethods (getSync: () => Sync): Record<string, PeerMethod> {
-  return Object.fromEntries(Object.values(PeerMethodName).map(name => [name, (params: unknown) => getSync().methods[name]?.(params)]))
-}
--- a/packages/bilberryd/src/sync_test.ts
+++ b/packages/bilberryd/src/sync_test.ts
@@ -65,7 +65,7 @@
       })
       const node: Node = { name, view, superseded: 0, state: MachineState.Live, platform } as Node
       node.sync = createSync({
-        view, platform, peers, createAnnouncement, seedPeers, pollMs: idleMs, heartbeatMs: idleMs, getRandom: () => 0, getNowMs, recordPlatform: () => {}, recordHeartbeat: () => {}, recordMachines: () => {}, refreshFeeds: async () => {}, afterPoll: async () => {}, recordSuperseded: () => { node.superseded++ }
+        view, platform, peers, createAnnouncement, seedPeers, pollMs: idleMs, heartbeatMs: idleMs, getRandom: () => 0, getNowMs, recordPlatform: () => {}, recordHeartbeat: () => {}, recordMachines: () => {}, followIndex: async () => {}, afterPoll: async () => {}, recordSuperseded: () => { node.superseded++ }
       })
       node[Symbol.asyncDispose] = () => node.sync[Symbol.asyncDispose]()
       network.nodes.set(name, node)
@@ -218,10 +218,10 @@
   await using later = network.start('a', [], 'aa-new')
   await waitSettled()
   await paused.sync.announce()
-  t.is((network.platform.getValue(TableName.Instances, 'a') as InstanceRecord).incarnation, 'aa-new')
+  t.truthy(network.platform.getValue(TableName.Instances, 'a/aa-new'))
   await watcher.sync.refresh()
   await watcher.sync.spread()
-  t.is(watcher.view.findInstance('a')?.incarnation, 'aa-new')
+  t.is(watcher.view.getInstance('a')?.incarnation, 'aa-new')
   await paused.sync.refresh()
   t.deepEqual([paused.superseded, later.superseded], [1, 0])
 })
@@ -237,7 +237,7 @@
   await using fresh = network.start('a', ['w'], 'aa-new')
   await waitSettled()
   await fresh.sync.spread()
-  t.is(watcher.view.findInstance('a')?.incarnation, 'aa-new')
+  t.is(watcher.view.getInstance('a')?.incarnation, 'aa-new')
 })
 
 test('a peer that has not answered yet holds readiness back while it may know better', async t => {
--- a/packages/bilberryd/src/view.ts
+++ b/packages/bilberryd/src/view.ts
@@ -33,16 +33,16 @@
   mergeShift (row: ShiftRow): boolean
   /** Takes an instance's announcement over unless a later one is known; its age is 0 milliseconds by default. */
   mergeInstance (record: InstanceRecord, ageMs?: number): boolean
-  /** Finds the last announcement of an instance, also where it has not been heard of lately. */
-  findInstance (instance: string): InstanceRecord | undefined
-  /** Returns the time since an instance was last heard of, in milliseconds; infinite where it never was or can't be reached. */
-  getSilenceMs (instance: string): number
+  /** Returns the last announcement of an instance, however old. */
+  getInstance (instance: string): InstanceRecord | undefined
   /** Takes the platform's list of machines over, unless a later one is known; its age is 0 milliseconds by default. */
   mergeMachines (list: MachineList, ageMs?: number): void
   /** Takes a list of targets over, unless a later one is known; its age is in milliseconds. */
   mergeTargets (records: TargetRecord[], ageMs: number): void
   /** Marks an instance as not reachable until it is heard of again. */
   dropInstance (instance: string): void
+  /** Returns the time since an instance was last heard of, in milliseconds; infinite where it never was. */
+  getSilenceMs (instance: string): number
   /** Lists the instances heard of lately, leaving ones among them. */
   listInstances (): InstanceRecord[]
   /** Lists the instances heard of lately with the age of that, latest first. */
@@ -108,8 +108,7 @@
       return true
     },
     mergeInstance: (record, ageMs = 0) => instances.merge({ record, ageMs }),
-    findInstance: instances.get,
-    getSilenceMs: instances.getSilenceMs,
+    getInstance: instances.get,
     mergeMachines (list, ageMs = 0) {
       targets.mergeList(list.targets, ageMs)
       const leaving = list.instances.filter(record => record.state === MachineState.Leaving)
@@ -117,6 +116,7 @@
     },
     mergeTargets: targets.mergeList,
     dropInstance: instances.drop,
+    getSilenceMs: instances.getSilenceMs,
     listInstances: () => instances.listHeard().map(heard => heard.record),
     listHeardInstances: instances.listHeard,
     listUnreachable: instances.listUnreachable,
--- a/packages/platform/src/tables.ts
+++ b/packages/platform/src/tables.ts
@@ -18,8 +18,10 @@
   History = 'history',
   /** `ShiftRow` by service. */
   Shifts = 'shifts',
-  /** `InstanceRecord` by instance: the heartbeats. */
+  /** `InstanceRecord` by instance and incarnation, joined by a slash: the heartbeats. */
   Instances = 'instances',
+  /** Start count by instance, changed by each incarnation before its first heartbeat. */
+  Starts = 'starts',
   /** `FeedRow` by failure domain: which instances feed its targets. */
   Feeds = 'feeds',
   /** Pins of idempotency keys that came without one, by scope and key. */
