Let the platform's stand-in delay writes, answer stale and count bytes

Cause: late writes and stale answers could be tried in memory only, and nothing counted what the platform costs. Ruled out: faults in the client, which real processes use. Change: faults delayWrites, landAfterMs and staleMs, GET /counts with reads, writes, list reads and bytes; the tables are a module of their own. Each fault's row in the table fails where the fault does nothing, by its kind.

--- a/packages/standins/src/platform_standin.ts
+++ b/packages/standins/src/platform_standin.ts
@@ -5,9 +5,10 @@
  */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { InstanceRecord, TargetRecord } from '@bilberryworks/steering'
-import type { TableRow, TableWrite } from '@bilberryworks/platform'
-import type { AddressInfo } from 'node:net'
+import type { TableWrite } from '@bilberryworks/platform'
+import type { AddressInfo, Socket } from 'node:net'
 import { createServer } from 'node:http'
+import { createPlatformTables } from './platform_tables.ts'
 
 /** Faults that are injected now. */
 export interface PlatformFaults {
@@ -19,6 +20,12 @@
   delayMs: number
   /** Number of next writes whose answer is lost after the write took effect. */
   loseAnswers: number
+  /** Number of next transactions that are held back and land later, without an answer. */
+  delayWrites: number
+  /** Milliseconds after which a transaction that was held back lands. */
+  landAfterMs: number
+  /** Milliseconds by which reads of rows are stale. */
+  staleMs: number
   /** Milliseconds by which the list of machines lags. */
   listLagMs: number
 }
@@ -29,6 +36,10 @@
   reads: number
   /** Transactions and objects written. */
   writes: number
+  /** Readings of the list of machines. */
+  listReads: number
+  /** Bytes that came in and went out, header fields included, over all connections. */
+  bytes: number
 }
 
 /** A running stand-in. */
@@ -58,33 +69,22 @@
  * @returns The stand-in
  */
 export async function startPlatformStandin (host = '127.0.0.1'): Promise<PlatformStandin> {
-  const tables = new Map<string, Map<string, TableRow>>()
+  const tables = createPlatformTables()
   const objects = new Map<string, Uint8Array>()
   const lists: Array<{ atMs: number, machines: unknown }> = [{ atMs: -Infinity, machines: { instances: [], targets: [] } }]
-  const faults: PlatformFaults = { outage: false, cut: false, delayMs: 0, loseAnswers: 0, listLagMs: 0 }
-  const counts: PlatformCounts = { reads: 0, writes: 0 }
-  let nextVersion = 1
+  const faults: PlatformFaults = { outage: false, cut: false, delayMs: 0, loseAnswers: 0, delayWrites: 0, landAfterMs: 1_000, staleMs: 0, listLagMs: 0 }
+  const counts: PlatformCounts = { reads: 0, writes: 0, listReads: 0, bytes: 0 }
+  const connections = new Set<Socket>()
 
-  function getTable (name: string): Map<string, TableRow> {
-    const table = tables.get(name) ?? new Map<string, TableRow>()
-    tables.set(name, table)
-    return table
-  }
-
-  function applyWrites (writes: TableWrite[]): Reply {
-    const conflicts = writes.filter(write => write.ifVersion !== undefined && (getTable(write.table).get(write.key)?.version ?? 0) !== write.ifVersion)
-    if (conflicts.length > 0) return { status: 409, body: { conflicts: conflicts.map(({ table, key }) => ({ table, key })) } }
-    for (const write of writes) {
-      if (write.checkOnly === true) continue
-      if (write.value === undefined) getTable(write.table).delete(write.key)
-      else getTable(write.table).set(write.key, { key: write.key, version: nextVersion++, value: write.value })
-    }
-    return { status: 200, body: {} }
+  function replyToWrites (writes: TableWrite[]): Reply {
+    const conflicts = tables.applyWrites(writes)
+    return conflicts.length > 0 ? { status: 409, body: { conflicts } } : { status: 200, body: {} }
   }
 
   function handleCall (method: string, url: URL, body: Buffer): Reply {
     const [kind = '', first = '', second] = url.pathname.slice(1).split('/').map(decodeURIComponent)
     if (kind === 'machines') {
+      counts.listReads++
       const visible = lists.filter(list => list.atMs <= performance.now() - faults.listLagMs).at(-1)
       return { status: 200, body: visible?.machines }
     }
@@ -92,7 +92,7 @@
     else counts.writes++
     if (kind === 'transactions') {
       const { writes } = JSON.parse(body.toString('utf8')) as { writes: TableWrite[] }
-      return applyWrites(writes)
+      return replyToWrites(writes)
     }
     if (kind === 'objects' && method === 'PUT') {
       objects.set(first, new Uint8Array(body))
@@ -103,14 +103,19 @@
       return bytes === undefined ? { status: 404 } : { status: 200, bytes }
     }
     if (kind === 'tables' && second === undefined) {
-      const prefix = url.searchParams.get('prefix') ?? ''
-      const rows = [...getTable(first).values()].filter(row => row.key.startsWith(prefix)).sort((a, b) => a.key < b.key ? -1 : 1)
+      const rows = tables.listRows(first, url.searchParams.get('prefix') ?? '', faults)
       return { status: 200, body: { rows } }
     }
-    const row = kind === 'tables' ? getTable(first).get(second ?? '') : undefined
+    const row = kind === 'tables' ? tables.getRow(first, second ?? '', faults) : undefined
     return row === undefined ? { status: 404 } : { status: 200, body: row }
   }
 
+  function countBytes (): number {
+    let open = 0
+    for (const socket of connections) open += socket.bytesRead + socket.bytesWritten
+    return counts.bytes + open
+  }
+
   async function handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const body = await readBody(request)
     const url = new URL(request.url ?? '/', 'http://platform')
@@ -119,6 +124,10 @@
       response.end('{}')
       return
     }
+    if (url.pathname === '/counts') {
+      response.end(JSON.stringify({ ...counts, bytes: countBytes() }))
+      return
+    }
     if (url.pathname === '/machines' && request.method === 'PUT') {
       lists.push({ atMs: performance.now(), machines: JSON.parse(body.toString('utf8')) })
       response.end('{}')
@@ -130,6 +139,12 @@
       else response.writeHead(503).end()
       return
     }
+    if (url.pathname === '/transactions' && faults.delayWrites > 0) {
+      faults.delayWrites--
+      setTimeout(() => handleCall('POST', url, body), faults.landAfterMs).unref()
+      request.socket.destroy()
+      return
+    }
     const reply = handleCall(request.method ?? 'GET', url, body)
     if (request.method !== 'GET' && faults.loseAnswers > 0) {
       faults.loseAnswers--
@@ -143,6 +158,13 @@
   const server = createServer((request, response) => {
     handle(request, response).catch(() => response.destroy())
   })
+  server.on('connection', socket => {
+    connections.add(socket)
+    socket.once('close', () => {
+      connections.delete(socket)
+      counts.bytes += socket.bytesRead + socket.bytesWritten
+    })
+  })
   await listen(server, host)
   return {
     url: `http://${formatServerAddress(server)}`,
@@ -151,7 +173,7 @@
     setMachines (machines) {
       lists.push({ atMs: performance.now(), machines })
     },
-    getValue: (table, key) => getTable(table).get(key)?.value,
+    getValue: (table, key) => tables.getRow(table, key)?.value,
     async [Symbol.asyncDispose] () {
       await closeListener(server)
     }
