--- a/packages/instances/src/http_peers.ts
+++ b/packages/instances/src/http_peers.ts
@@ -38,14 +38,15 @@
  * @returns The client; dispose it to close its connections
  */
 export function createHttpPeers (options: CreateHttpPeersOptions): PeerClient {
-  const { key, connectionsPerPeer = 64, ...connect } = options
+  const { key, connectionsPerPeer = 64, ...local } = options
   const agent = new Agent({
     connections: connectionsPerPeer,
     pipelining: 1,
     keepAliveTimeout: keepAliveMs,
     headersTimeout: 0,
     bodyTimeout: 0,
-    connect: { timeout: connectTimeoutMs, ...connect }
+    connect: { timeout: connectTimeoutMs },
+    ...local
   })
   const authorization = `Bearer ${key}`
   let nextId = 1
--- a/packages/platform/src/http_platform.ts
+++ b/packages/platform/src/http_platform.ts
@@ -43,7 +43,8 @@
 export function createHttpPlatform (baseUrl: string, options: CreateHttpPlatformOptions = {}): HttpPlatform {
   const agent = new Agent({
     connections: maxConnections,
-    connect: { timeout: connectTimeoutMs, ...options }
+    connect: { timeout: connectTimeoutMs },
+    ...options
   })
 
   async function send (method: Dispatcher.HttpMethod, path: string, call: PlatformCallOptions & { body?: Uint8Array | string }): Promise<Result<Reply, PlatformFailure>> {
--- /dev/null
+++ b/packages/standins/src/local_address_test.ts
@@ -0,0 +1,30 @@
+import type { TargetRecord } from '@bilberryworks/steering'
+import { createServer } from 'node:http'
+import { Readable } from 'node:stream'
+import { createHttpPeers } from '@bilberryworks/instances'
+import { createHttpPlatform } from '@bilberryworks/platform'
+import { MachineState } from '@bilberryworks/steering'
+import { createHttpTargets } from '@bilberryworks/targets'
+import test from 'ava'
+import { closeListener, formatServerAddress, listen } from './platform_standin.ts'
+
+const localAddress = '127.9.9.9'
+
+test('clients connect from the local address that they are given', async t => {
+  const seen: Array<string | undefined> = []
+  const server = createServer((request, response) => {
+    seen.push(request.socket.remoteAddress)
+    response.end('{}')
+  })
+  await listen(server, '127.0.0.1')
+  const address = formatServerAddress(server)
+  await using platform = createHttpPlatform(`http://${address}`, { localAddress })
+  await using peers = createHttpPeers({ key: 'k', localAddress })
+  await using targets = createHttpTargets({ localAddress })
+  const target: TargetRecord = { target: 't', service: 's', address, failureDomain: 'd', region: 'r', slots: 1, maxConnections: 1, state: MachineState.Live }
+  await platform.listMachines()
+  await peers.call(address, 'm', { params: {} })
+  await targets.send(target, { requestId: 'x', method: 'GET', path: '/', headers: {}, body: Readable.from([]), deadlineMs: 5_000, signal: new AbortController().signal })
+  t.deepEqual(seen, [localAddress, localAddress, localAddress])
+  await closeListener(server)
+})
--- a/packages/targets/src/http_targets.ts
+++ b/packages/targets/src/http_targets.ts
@@ -40,14 +40,15 @@
  * @returns The client; dispose it to close its connections
  */
 export function createHttpTargets (options: CreateHttpTargetsOptions = {}): TargetClient {
-  const { connectionsPerTarget = 8, ...connect } = options
+  const { connectionsPerTarget = 8, ...local } = options
   const agent = new Agent({
     connections: connectionsPerTarget,
     pipelining: 1,
     keepAliveTimeout: keepAliveMs,
     headersTimeout: 0,
     bodyTimeout: 0,
-    connect: { timeout: connectTimeoutMs, ...connect }
+    connect: { timeout: connectTimeoutMs },
+    ...local
   })
 
   return {
