--- a/packages/bilberryd/src/feeding.ts
+++ b/packages/bilberryd/src/feeding.ts
@@ -9,7 +9,7 @@
 import type { FeedsReply } from './feed_exchange.ts'
 import type { FeedRows } from './feed_rows.ts'
 import { PlatformFailureKind } from '@bilberryworks/platform'
-import { chooseOwner, computeSlotLimit, planFeedChange } from '@bilberryworks/steering'
+import { chooseOwner, computeOwnedSlots, planFeedChange } from '@bilberryworks/steering'
 import { createFeedExchange } from './feed_exchange.ts'
 import { createHold } from './feed_hold.ts'
 import { createFeedRows } from './feed_rows.ts'
@@ -116,7 +116,7 @@
     const { instance } = options.getSelf()
     const lease = hold.getState()
     const mayHaveOrphans = wasParty && getNowMs() < startedMs + longestDispatchMs
-    const limits = rows.listPossible(target.failureDomain).map(row => computeSlotLimit(target, { instance, row, lease, mayHaveOrphans }))
+    const limits = rows.listPossible(target.failureDomain).map(row => computeOwnedSlots(target, { instance, row, lease, mayHaveOrphans }))
     return rows.getRow(target.failureDomain) === undefined ? 0 : Math.min(...limits)
   }
 
--- a/packages/bilberryd/src/instance_parts.ts
+++ b/packages/bilberryd/src/instance_parts.ts
@@ -8,6 +8,7 @@
 import type { HandleRequest } from '@bilberryworks/steering'
 import type { TargetClient } from '@bilberryworks/targets'
 import type Logger from 'bunyan'
+import type { ClientBlocksLoader } from './client_blocks.ts'
 import type { Feed } from './feed.ts'
 import type { Feeding } from './feeding.ts'
 import type { Identity } from './identity.ts'
@@ -19,7 +20,10 @@
 import type { View } from './view.ts'
 import { createHttpPeers } from '@bilberryworks/instances'
 import { createHttpPlatform } from '@bilberryworks/platform'
+import { getFeedLimits, MachineState } from '@bilberryworks/steering'
 import { createHttpTargets } from '@bilberryworks/targets'
+import { createBudgetedPeers } from './budgeted_peers.ts'
+import { createClientBlocksLoader } from './client_blocks.ts'
 import { createDispatcher } from './dispatch.ts'
 import { createFeed } from './feed.ts'
 import { createFeeding } from './feeding.ts'
@@ -35,6 +39,7 @@
 import { createView } from './view.ts'
 
 const heartbeatsMissed = 4
+const defaultControlBytesPerSecond = 16_384
 
 /** What an instance is made of. */
 export interface InstanceParts extends AsyncDisposable {
@@ -43,6 +48,7 @@
   peers: PeerClient
   identity: Identity
   view: View
+  clientBlocks: ClientBlocksLoader
   metrics: Metrics
   feed: Feed
   feeding: Feeding
@@ -82,14 +88,18 @@
     countQueued: () => feed.countQueued(),
     countInFlight: () => feed.countInFlight(),
     getPlatformAgeMs: () => sync.getPlatformAgeMs(),
+    getClientBlocksRevision: () => clientBlocks.getBlocks().revision,
     getRevisions: view.getRevisions
   })
+  const clientBlocks = createClientBlocksLoader({ platform, getRandom: Math.random, countLoad: metrics.countClientBlocksLoad, recordLoad: (load, detail) => log.info({ load }, detail) })
   const suspects = createSuspects(getNowMs)
   const feed: Feed = createFeed({
     listFedTargets: service => suspects.select(listUsableTargets(view, service).flatMap(target => {
       const slots = feeding.getSlotLimit(target)
       return slots > 0 ? [{ ...target, slots }] : []
     })),
+    listUsableTargets: () => view.listAllTargets().filter(target => target.state === MachineState.Live),
+    getLimits: service => getFeedLimits(view.getDocument(service)?.document),
     getNowMs
   })
   const feeding = createFeeding({
@@ -121,10 +131,13 @@
   })
   const regions = createRegionChooser({ view, getNowMs })
   const upkeep = createUpkeep({ settings, view, platform, peers, targets, regions, getSync: () => sync, getNowMs })
-  const sync = createSync({
+  const exchangePeers = createBudgetedPeers(peers, {
+    bytesPerSecond: settings.controlBytesPerSecond ?? defaultControlBytesPerSecond, isReady: () => sync.isReady(), countBytes: metrics.countControlBytes, countHeldBack: metrics.countExchangeHeldBack, getNowMs
+  })
+  const sync: Sync = createSync({
     view,
     platform,
-    peers,
+    peers: exchangePeers,
     createAnnouncement: identity.createAnnouncement,
     seedPeers: settings.seedPeers,
     pollMs: settings.pollMs,
@@ -133,7 +146,10 @@
     getNowMs,
     recordHeartbeat: feeding.recordHeartbeat,
     recordMachines: feeding.recordMachines,
-    followIndex: feeding.refresh,
+    async followIndex (index) {
+      clientBlocks.observeRevision(index.clientBlocks)
+      await feeding.refresh(index)
+    },
     afterPoll: upkeep.runAfterPoll,
     recordSuperseded () {
       identity.markLeaving()
@@ -155,6 +171,7 @@
     peers,
     identity,
     view,
+    clientBlocks,
     metrics,
     feed,
     feeding,
@@ -164,7 +181,7 @@
     handleRequest: keeper.handleRequest,
     isReady: () => !identity.isLeaving() && sync.isReady(),
     async [Symbol.asyncDispose] () {
-      await Promise.all([sync, feedLoop].map(loop => loop[Symbol.asyncDispose]()))
+      await Promise.all([sync, feedLoop, clientBlocks].map(loop => loop[Symbol.asyncDispose]()))
       await feed[Symbol.asyncDispose]()
       await Promise.all(Object.values(clients).map(client => client[Symbol.asyncDispose]()))
     }
