Add the benchmark of the path, large uploads, and time for a peer's own refusal

Cause: a fault that rejected inside the survival tests was swallowed, so that the rolling restart passed without restarting two at once; a forwarding instance and its feeder gave up at the same moment, and the truthful refusal lost the race. Change: the tests wait for the fault itself and keep requests in flight (150 ms of service, 24 callers); a peer is given a tenth of the time less, at most 250 ms.

--- a/packages/bilberryd/src/mod.ts
+++ b/packages/bilberryd/src/mod.ts
@@ -7,5 +7,7 @@
  *
  * @module
  */
+export * from './key_keeper.ts'
 export * from './run_instance.ts'
 export * from './settings.ts'
+export * from './view.ts'
--- a/packages/instances/src/http_peers.ts
+++ b/packages/instances/src/http_peers.ts
@@ -17,6 +17,9 @@
 const defaultCallTimeoutMs = 1_000
 const keepAliveMs = 4_000
 const peerRetryAfterMs = 1_000
+/** Share of the time left that a peer is not given, and the most of it, so that its own refusal arrives in time. */
+const replyReserveShare = 0.1
+const maxReplyReserveMs = 250
 
 /** Errors of undici that are raised before any byte of a request has been sent. */
 const unsentErrorCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
@@ -108,7 +111,7 @@
     'bilberry-request-id': request.requestId,
     'bilberry-caller': request.callerKey,
     'bilberry-hops': String(request.hops + 1),
-    'bilberry-deadline-ms': String(Math.floor(remainingMs))
+    'bilberry-deadline-ms': String(Math.max(0, Math.floor(remainingMs - Math.min(maxReplyReserveMs, remainingMs * replyReserveShare))))
   }
   if (request.idempotencyKey !== undefined) fields['idempotency-key'] = request.idempotencyKey
   if (request.pin !== undefined) fields['bilberry-pin'] = request.pin
--- /dev/null
+++ b/packages/standins/src/bench_path.ts
@@ -0,0 +1,131 @@
+/**
+ * Measures the path of a request: added latency, cost, drain time, memory of keys, and the ways to remember a key.
+ *
+ * @module
+ */
+import type { Cluster } from './cluster.ts'
+import type { Deployment } from './deployments.ts'
+import { randomUUID } from 'node:crypto'
+import { build as buildHistogram } from 'hdr-histogram-js'
+import { Agent } from 'undici'
+import { measureKeyMemory, measureKeyWays } from './bench_keys.ts'
+import { startCluster } from './cluster.ts'
+import { DeploymentName, deployments } from './deployments.ts'
+import { sendLargeUpload } from './large_upload.ts'
+import { runLoad } from './load.ts'
+import { measureMemoryRise, readProcessorSeconds } from './process_usage.ts'
+
+const warmUpRequests = 200
+const latencyRequests = 1_000
+const loadMs = 4_000
+const loadCallers = 32
+const uploadBytes = 1024 * 1024 * 1024
+
+/** Latencies of one way to a target. */
+interface LatencyRow {
+  way: string
+  p50Ms: number
+  p99Ms: number
+}
+
+/**
+ * Runs the benchmark of the path and prints its tables.
+ *
+ * @returns When all tables are printed
+ */
+export async function runPathBench (): Promise<void> {
+  const deployment = deployments[DeploymentName.Trwsio]
+  await using cluster = await startCluster(deployment)
+  for (const { target } of cluster.targets) cluster.setBehaviour(target, { serviceMs: 0 })
+  console.log('Added latency, one request after another')
+  console.table(await measureLatency(cluster, deployment))
+  console.log(`Requests a second per core of the instances, ${loadCallers} callers`)
+  console.table(await measureCost(cluster, deployment))
+  console.log('Upload of 1 GiB')
+  console.table(await measureUpload(cluster))
+  console.log('Drain time of an instance under load, of which the look-up\'s lifetime and margin are 3 s')
+  console.table(await measureDrain(cluster, deployment))
+  console.log('Memory of remembered keys')
+  console.table(await measureKeyMemory())
+  console.log('Ways to remember a key')
+  console.table(await measureKeyWays())
+}
+
+async function measureLatency (cluster: Cluster, deployment: Deployment): Promise<object[]> {
+  const [service] = deployment.services
+  const target = cluster.targets.find(record => record.service === service.name)!
+  const entry = cluster.instances.find(instance => instance.settings.failureDomain === target.failureDomain)!.child.ready.callers
+  const agent = new Agent({ connections: 1 })
+  const ways: Array<[string, string, string]> = [['direct', target.address, '/queue'], ['by an instance', entry, `/services/${service.name}/queue`]]
+  const histograms = ways.map(() => buildHistogram())
+  for (let index = 0; index < warmUpRequests + latencyRequests; index++) {
+    for (const [way, [, address, path]] of ways.entries()) {
+      const startedMs = performance.now()
+      const answer = await agent.request({ origin: `http://${address}`, method: 'GET', path })
+      await answer.body.text()
+      if (index >= warmUpRequests) histograms[way]!.recordValue(Math.round((performance.now() - startedMs) * 1_000))
+    }
+  }
+  await agent.destroy()
+  const rows = ways.map(([way], index) => describeLatency(way, histograms[index]!))
+  const [direct, routed] = rows as [LatencyRow, LatencyRow]
+  return [...rows, { way: 'ratio', p50Ms: routed.p50Ms / direct.p50Ms, p99Ms: routed.p99Ms / direct.p99Ms }]
+}
+
+function describeLatency (way: string, histogram: ReturnType<typeof buildHistogram>): LatencyRow {
+  return { way, p50Ms: histogram.getValueAtPercentile(50) / 1_000, p99Ms: histogram.getValueAtPercentile(99) / 1_000 }
+}
+
+async function measureCost (cluster: Cluster, deployment: Deployment): Promise<object[]> {
+  const [service] = deployment.services
+  const pids = cluster.instances.map(instance => instance.child.process.pid!)
+  const sumSeconds = (): number => pids.reduce((sum, pid) => sum + readProcessorSeconds(pid), 0)
+  const agent = new Agent({ connections: loadCallers })
+  const rows: object[] = []
+  for (const keyed of [false, true]) {
+    const before = sumSeconds()
+    const endMs = performance.now() + loadMs
+    let requests = 0
+    async function sendRequests (caller: number): Promise<void> {
+      const { address, pin } = await askEntry(cluster, { agent, service: service.name, caller })
+      while (performance.now() < endMs) {
+        const headers = keyed ? { 'idempotency-key': randomUUID(), 'bilberry-pin': pin } : {}
+        const answer = await agent.request({ origin: `http://${address}`, method: keyed ? 'POST' : 'GET', path: `/services/${service.name}/queue`, headers })
+        await answer.body.text()
+        if (answer.headers['bilberry-outcome'] === 'answered') requests++
+      }
+    }
+    await Promise.all(Array.from({ length: loadCallers }, (_, caller) => sendRequests(caller)))
+    const seconds = sumSeconds() - before
+    rows.push({ kind: keyed ? 'order under a key' : 'look-up', answered: requests, coreSeconds: seconds, perCoreSecond: Math.round(requests / seconds) })
+  }
+  await agent.destroy()
+  return rows
+}
+
+async function askEntry (cluster: Cluster, call: { agent: Agent, service: string, caller: number }): Promise<{ address: string, pin: string }> {
+  const origin = `http://${cluster.instances[call.caller % cluster.instances.length]!.child.ready.callers}`
+  const answer = await call.agent.request({ origin, method: 'GET', path: `/v1/services/${call.service}/entries?client=192.0.2.${call.caller}` })
+  const { entries } = await answer.body.json() as { entries: Array<{ address: string, pin: string }> }
+  return entries[0]!
+}
+
+async function measureUpload (cluster: Cluster): Promise<object[]> {
+  const pids = cluster.instances.map(instance => instance.child.process.pid!)
+  const startedMs = performance.now()
+  const address = cluster.instances[0]!.child.ready.callers
+  const { riseBytes, result } = await measureMemoryRise(pids, () => sendLargeUpload({ address, service: 'storfa-lluniau', bytes: uploadBytes }))
+  return [{ ...result, seconds: (performance.now() - startedMs) / 1_000, riseMiB: riseBytes / 1024 / 1024 }]
+}
+
+async function measureDrain (cluster: Cluster, deployment: Deployment): Promise<object[]> {
+  let seconds = 0
+  async function stopOne (): Promise<void> {
+    await new Promise(resolve => setTimeout(resolve, 500))
+    const startedMs = performance.now()
+    await cluster.instances[1]!.child.stop('SIGTERM')
+    seconds = (performance.now() - startedMs) / 1_000
+  }
+  const { reasons, ...report } = await runLoad(cluster, { deployment, until: stopOne(), callers: loadCallers })
+  return [{ seconds, ...report }]
+}
--- a/packages/standins/src/cluster.ts
+++ b/packages/standins/src/cluster.ts
@@ -151,9 +151,10 @@
   const deadlineMs = performance.now() + readyTimeoutMs
   for (const index of cluster.instances.keys()) {
     for (;;) {
-      const { body } = await cluster.callOperators(index, { method: 'GET', path: '/v1/status' })
-      const status = body as { ready: boolean, revisions: Record<string, number>, instances: unknown[] }
-      if (status.ready && Object.keys(status.revisions).length === deployment.services.length && status.instances.length === instanceCount) break
+      // An instance that is being restarted takes no connection.
+      const reply = await cluster.callOperators(index, { method: 'GET', path: '/v1/status' }).catch(() => undefined)
+      const status = reply?.body as { ready: boolean, revisions: Record<string, number>, instances: unknown[] } | undefined
+      if (status?.ready === true && Object.keys(status.revisions).length === deployment.services.length && status.instances.length === instanceCount) break
       if (performance.now() > deadlineMs) throw new Error(`Instance ${index} is not ready: ${JSON.stringify(status)}`)
       await new Promise(resolve => setTimeout(resolve, readyPollMs))
     }
--- /dev/null
+++ b/packages/standins/src/large_upload.ts
@@ -0,0 +1,56 @@
+/**
+ * Uploads of any size, generated and digested as they are sent.
+ *
+ * @module
+ */
+import type { LookUpAnswer } from './caller.ts'
+import { createHash, randomBytes, randomUUID } from 'node:crypto'
+import { Readable } from 'node:stream'
+import { request } from 'undici'
+
+const chunkBytes = 64 * 1024
+
+/** Options of {@linkcode sendLargeUpload}. */
+export interface SendLargeUploadOptions {
+  /** `host:port` of an entry instance. */
+  address: string
+  /** Name of the service. */
+  service: string
+  /** Size of the upload, in bytes. */
+  bytes: number
+}
+
+/** How an upload ended. */
+export interface LargeUploadResult {
+  /** Value of `Bilberry-Outcome`. */
+  outcome: string
+  /** Whether the target read the bytes that were sent, by their digest. */
+  same: boolean
+}
+
+/**
+ * Sends one upload under a key.
+ *
+ * @param options Where to and how much
+ * @returns How it ended
+ */
+export async function sendLargeUpload (options: SendLargeUploadOptions): Promise<LargeUploadResult> {
+  const lookUp = await request(`http://${options.address}/v1/services/${options.service}/entries`)
+  const { entries: [entry] } = await lookUp.body.json() as LookUpAnswer
+  const digest = createHash('sha256')
+  const chunk = randomBytes(chunkBytes)
+  async function * listChunks (): AsyncGenerator<Buffer> {
+    for (let left = options.bytes; left > 0; left -= chunkBytes) {
+      const part = chunk.subarray(0, Math.min(left, chunkBytes))
+      digest.update(part)
+      yield part
+    }
+  }
+  const answer = await request(`http://${entry!.address}/services/${options.service}/uploads/large`, {
+    method: 'PUT',
+    headers: { 'idempotency-key': randomUUID(), 'bilberry-pin': entry!.pin, 'content-length': String(options.bytes) },
+    body: Readable.from(listChunks(), { objectMode: false })
+  })
+  const text = await answer.body.text()
+  return { outcome: String(answer.headers['bilberry-outcome']), same: text.includes(digest.digest('hex')) }
+}
--- a/packages/standins/src/survival_test.ts
+++ b/packages/standins/src/survival_test.ts
@@ -10,6 +10,9 @@
 import { runLoad } from './load.ts'
 
 const seed = Number(process.env['BILBERRY_SEED'] ?? 5)
+/** Long enough that some requests are in flight at each instance at any time. */
+const serviceMs = 150
+const callers = 24
 const deployment = deployments[DeploymentName.Trwsio]
 
 async function waitMs (ms: number): Promise<void> {
@@ -18,7 +21,10 @@
 
 /** Runs a load during a fault and checks what holds under every fault. */
 async function runFault (t: ExecutionContext, cluster: Cluster, fault: () => Promise<void>): Promise<LoadReport> {
-  const report = await runLoad(cluster, { deployment, until: waitMs(500).then(fault).then(() => waitMs(500)) })
+  for (const { target } of cluster.targets) cluster.setBehaviour(target, { serviceMs })
+  const faulty = waitMs(500).then(fault).then(() => waitMs(500))
+  const report = await runLoad(cluster, { deployment, until: faulty, callers })
+  await faulty
   t.log(`seed ${seed}: ${JSON.stringify(report)}`)
   t.deepEqual({ ranTwice: report.ranTwice, wrong: report.wrong, untrueRefusals: report.untrueRefusals }, { ranTwice: 0, wrong: 0, untrueRefusals: 0 })
   t.true(report.answered > report.requests / 2)
@@ -49,7 +55,7 @@
       const codes = await Promise.all(group.map(index => cluster.instances[index]!.child.stop('SIGTERM')))
       t.deepEqual(codes, group.map(() => 0))
       for (const upload of await Promise.all(uploads)) t.deepEqual(upload, { whole: true, outcome: 'answered' })
-      for (const index of group) await cluster.restartInstance(index)
+      await Promise.all(group.map(index => cluster.restartInstance(index)))
     }
   })
   t.deepEqual({ broken: report.broken, notRun: report.notRun, unknown: report.unknown }, { broken: 0, notRun: 0, unknown: 0 })
