Tell a dropped body from its end

Change: readChunks fails where another reader took the rest or where the stream was closed before its end. Ruled out: an aborted connection (ECONNRESET is thrown for whole, half and empty bodies that were not yet read). Figures: npx ava packages/bilberryd/dist/body_digest_test.js: failed before with the digest of the half, passes now.

--- a/packages/bilberryd/src/body_digest.ts
+++ b/packages/bilberryd/src/body_digest.ts
@@ -5,7 +5,7 @@
  */
 import type { Readable } from 'node:stream'
 import { createHash } from 'node:crypto'
-import { detachBody } from '@bilberryworks/steering'
+import { detachBody, readChunks } from '@bilberryworks/steering'
 
 /** A body with the digest of what passed through it. */
 export interface DigestedBody {
@@ -37,7 +37,7 @@
 export async function readBodyDigest (source: Readable): Promise<string | undefined> {
   const hash = createHash('sha256')
   try {
-    for await (const chunk of source.iterator({ destroyOnReturn: false })) hash.update(chunk as Buffer)
+    for await (const chunk of readChunks(source)) hash.update(chunk)
   } catch {
     return undefined
   }
--- /dev/null
+++ b/packages/bilberryd/src/body_digest_test.ts
@@ -0,0 +1,21 @@
+import test from 'ava'
+import { Readable } from 'node:stream'
+import { createDigestedBody, readBodyDigest } from './body_digest.ts'
+
+test('computes no digest of a body whose rest is dropped or cut off', async t => {
+  for (const end of [(source: Readable) => source.removeAllListeners('readable').resume(), (source: Readable) => source.destroy()]) {
+    const sources = [0, 1].map(() => new Readable({ read () {} }))
+    const [first, second] = sources as [Readable, Readable]
+    const { body, getDigest } = createDigestedBody(first)
+    const passed = body.toArray().then(() => 'whole', () => 'cut')
+    const digest = readBodyDigest(second)
+    for (const source of sources) source.push(Buffer.from('half'))
+    await new Promise(resolve => setTimeout(resolve, 10))
+    for (const source of sources) {
+      end(source)
+      source.push(Buffer.from('rest'))
+      source.push(null)
+    }
+    t.deepEqual([await passed, getDigest(), await digest], ['cut', undefined, undefined])
+  }
+})
--- a/packages/steering/src/detach_body.ts
+++ b/packages/steering/src/detach_body.ts
@@ -25,11 +25,29 @@
  */
 export function detachBody (source: Readable, options: DetachBodyOptions = {}): Readable {
   async function * copyChunks (): AsyncGenerator<Buffer> {
-    for await (const chunk of source.iterator({ destroyOnReturn: false })) {
-      options.observeChunk?.(chunk as Buffer)
-      yield chunk as Buffer
+    for await (const chunk of readChunks(source)) {
+      options.observeChunk?.(chunk)
+      yield chunk
     }
     options.observeEnd?.()
   }
   return Readable.from(copyChunks(), { objectMode: false })
 }
+
+/**
+ * Reads a body without destroying it.
+ *
+ * @param source The body
+ * @returns Its chunks; fails where the body is cut off or its rest is dropped by another reader
+ */
+export async function * readChunks (source: Readable): AsyncGenerator<Buffer> {
+  const mark = (): void => {}
+  source.on('readable', mark)
+  try {
+    for await (const chunk of source.iterator({ destroyOnReturn: false })) yield chunk as Buffer
+    // The iterator also ends cleanly where another reader removed the listeners and took the rest.
+    if (!source.readableEnded || !source.listeners('readable').includes(mark)) throw new Error('Rest of the body was dropped')
+  } finally {
+    source.off('readable', mark)
+  }
+}
