--- a/packages/bilberryd/src/instance_parts.ts
+++ b/packages/bilberryd/src/instance_parts.ts
@@ -33,7 +33,6 @@
 import { createMetrics } from './metrics.ts'
 import { createRegionChooser } from './regions.ts'
 import { createRouter, listUsableTargets } from './route.ts'
-import { createSuspects } from './suspects.ts'
 import { createSync } from './sync.ts'
 import { createUpkeep } from './upkeep.ts'
 import { createView } from './view.ts'
@@ -92,12 +91,11 @@
     getRevisions: view.getRevisions
   })
   const clientBlocks = createClientBlocksLoader({ platform, getRandom: Math.random, countLoad: metrics.countClientBlocksLoad, recordLoad: (load, detail) => log.info({ load }, detail) })
-  const suspects = createSuspects(getNowMs)
   const feed: Feed = createFeed({
-    listFedTargets: service => suspects.select(listUsableTargets(view, service).flatMap(target => {
+    listFedTargets: service => listUsableTargets(view, service).flatMap(target => {
       const slots = feeding.getSlotLimit(target)
       return slots > 0 ? [{ ...target, slots }] : []
-    })),
+    }),
     listUsableTargets: () => view.listAllTargets().filter(target => target.state === MachineState.Live),
     getLimits: service => getFeedLimits(view.getDocument(service)?.document),
     getNowMs
@@ -121,7 +119,6 @@
     feed,
     targets,
     markTargetLeaving: view.markTargetLeaving,
-    markTargetUnreachable: suspects.mark,
     checkDispatch ({ service, target }) {
       const record = view.listTargets(service).find(other => other.target === target)
       return record !== undefined && feed.getBusy(target) <= feeding.getSlotLimit(record)
@@ -164,7 +161,7 @@
   const keeper = createKeyKeeper({
     instance: settings.instance, incarnation: identity.getRecord().incarnation, platform, peers, view, handleRequest: route, getNowMs
   })
-  identity.setPinEpochSource(keeper.getPinEpoch)
+  identity.followPinEpoch(keeper.getPinEpoch)
   return {
     settings,
     platform,
--- a/packages/bilberryd/src/stop.ts
+++ b/packages/bilberryd/src/stop.ts
@@ -6,6 +6,7 @@
 import type { OpenListener } from './open_listener.ts'
 
 const leavingMarginMs = 1_000
+const peersLearnMs = 1_000
 const pollMs = 20
 
 /** Options of {@linkcode drainInstance}. */
@@ -14,10 +15,12 @@
   announce: () => Promise<void>
   /** Lifetime of a look-up's answer, in milliseconds. */
   lookUpTtlMs: number
-  /** Hands over the targets that the instance feeds. */
+  /** Hands over what the instance feeds; others may still send requests for it until they hear of it. */
   release: () => Promise<void>
-  /** Listeners to drain. */
-  listeners: OpenListener[]
+  /** Listeners for callers and operators. */
+  ownListeners: OpenListener[]
+  /** Listener for peers, which is needed until all that the instance feeds is handed over. */
+  peerListener: OpenListener
   /** Counts the requests that hold a slot of a target, the caller being there or not. */
   countInFlight: () => number
   /** Longest time to wait for requests in flight, in milliseconds. */
@@ -33,13 +36,19 @@
 export async function drainInstance (options: DrainInstanceOptions): Promise<number> {
   await options.announce()
   await waitMs(options.lookUpTtlMs + leavingMarginMs)
-  await options.release()
-  const drained = Promise.all(options.listeners.map(listener => listener.drain())).then(() => waitForRuns(options))
-  await Promise.race([drained, waitMs(options.limitMs)])
-  const open = options.listeners.reduce((sum, listener) => sum + listener.countOpen(), 0)
+  await Promise.race([drainListeners(options), waitMs(options.limitMs)])
+  const open = [...options.ownListeners, options.peerListener].reduce((sum, listener) => sum + listener.countOpen(), 0)
   return Math.max(open, options.countInFlight())
 }
 
+async function drainListeners (options: DrainInstanceOptions): Promise<void> {
+  await Promise.all(options.ownListeners.map(listener => listener.drain()))
+  await options.release()
+  await waitMs(peersLearnMs)
+  await options.peerListener.drain()
+  await waitForRuns(options)
+}
+
 async function waitForRuns (options: DrainInstanceOptions): Promise<void> {
   const deadlineMs = performance.now() + options.limitMs
   while (options.countInFlight() > 0 && performance.now() < deadlineMs) await waitMs(pollMs)
