--- a/packages/bilberryd/src/feed.ts
+++ b/packages/bilberryd/src/feed.ts
@@ -8,6 +8,8 @@
 import { createNotRun, createSlotFeed, createWarmUps, getFeedLimits, RefusalReason } from '@bilberryworks/steering'
 import { err } from 'neverthrow'
 
+export type { Slot } from '@bilberryworks/steering'
+
 const advanceIntervalMs = 20
 const observeIntervalMs = 500
 
--- a/packages/bilberryd/src/run_instance.ts
+++ b/packages/bilberryd/src/run_instance.ts
@@ -1,33 +1,15 @@
 /**
- * Composes an entry instance from its parts and runs it.
+ * Runs an entry instance: opens its listeners, composes it from its parts, and stops it gracefully.
  *
  * @module
  */
-import type { InstanceRecord } from '@bilberryworks/steering'
 import type Logger from 'bunyan'
 import type { Settings } from './settings.ts'
-import type { Feed } from './feed.ts'
-import { randomUUID } from 'node:crypto'
-import { createServiceHandler } from '@bilberryworks/callers'
-import { createHttpPeers, createPeerHandler } from '@bilberryworks/instances'
-import { createOperatorsService } from '@bilberryworks/operators'
-import { createHttpPlatform } from '@bilberryworks/platform'
-import { chooseFeeder, getFeedLimits, MachineState } from '@bilberryworks/steering'
-import { createHttpTargets } from '@bilberryworks/targets'
-import moleculer from 'moleculer'
-import { createCallersService } from './callers_service.ts'
-import { createDispatcher } from './dispatch.ts'
-import { createFeed } from './feed.ts'
-import { createCallersGateway, createOperatorsGateway } from './gateways.ts'
-import { createMetrics } from './metrics.ts'
+import { createInstanceHandlers } from './instance_handlers.ts'
+import { createInstanceParts } from './instance_parts.ts'
+import { createLateHandler } from './late_handler.ts'
 import { openListener } from './open_listener.ts'
-import { createRegionChooser } from './regions.ts'
-import { createRouter, listUsableTargets } from './route.ts'
-import { createSync } from './sync.ts'
-import { createView } from './view.ts'
-
-const heartbeatsMissed = 4
-const leavingMarginMs = 1_000
+import { drainInstance } from './stop.ts'
 
 /** A running instance. */
 export interface RunningInstance extends AsyncDisposable {
@@ -45,114 +27,46 @@
  * @returns The running instance
  */
 export async function runInstance (settings: Settings, log: Logger): Promise<RunningInstance> {
-  const getNowMs = (): number => performance.now()
-  const local = settings.localAddress === undefined ? {} : { localAddress: settings.localAddress }
-  const platform = createHttpPlatform(settings.platformUrl, local)
-  const targets = createHttpTargets(local)
-  const peers = createHttpPeers({ key: settings.peerKeys[0]!, ...local })
-  const view = createView({ instanceTimeoutMs: settings.heartbeatMs * heartbeatsMissed, getNowMs })
-  let state = MachineState.Live
-  let sequence = 0
-  const incarnation = randomUUID()
-  const addresses = { callers: '', operators: '', peers: '' }
-
-  const metrics = createMetrics({
-    countQueued: () => feed.countQueued(),
-    countInFlight: () => feed.countInFlight(),
-    getPlatformAgeMs: () => sync.getPlatformAgeMs(),
-    getRevisions: view.getRevisions
-  })
-  const feed: Feed = createFeed({
-    listFedTargets: service => listUsableTargets(view, service).filter(target => chooseFeeder(target, view.listInstances())?.instance === settings.instance),
-    listUsableTargets: () => view.listAllTargets().filter(target => target.state === MachineState.Live),
-    getLimits: service => getFeedLimits(view.getDocument(service)?.document),
-    getNowMs
-  })
-  const dispatch = createDispatcher({ feed, targets, markTargetLeaving: view.markTargetLeaving, countRetry: metrics.countRetry, getNowMs })
-  const regions = createRegionChooser({ view, getNowMs })
-  const isReady = (): boolean => state === MachineState.Live && sync.isReady()
-  const handleRequest = createRouter({ instance: settings.instance, view, dispatch, regions, peers, isReady: () => sync.isReady(), countRetry: metrics.countRetry, getNowMs })
-  const isStopping = (): boolean => state === MachineState.Leaving
-  const broker = new moleculer.ServiceBroker({ nodeID: settings.instance, logger: false, skipProcessEventRegistration: true })
-  broker.createService(createCallersService({ view, regions, region: settings.region, ttlSeconds: settings.lookUpTtlSeconds, countLookUp: metrics.countLookUp }))
-  broker.createService(createOperatorsService({
-    platform,
-    listDocuments: view.listDocuments,
-    mergeDocument: view.mergeDocument,
-    getWallClockMs: () => Date.now(),
-    createStatus: () => ({ instance: settings.instance, incarnation, state, ready: isReady(), platformAgeMs: Math.round(sync.getPlatformAgeMs()), revisions: view.getRevisions(), instances: view.listInstances() })
-  }))
-  const lookUp = createCallersGateway(broker)
-  const serve = createServiceHandler({ fromPeer: false, handleRequest, recordEnd: metrics.recordEnd, isStopping })
-  const serveForwarded = createServiceHandler({ fromPeer: true, handleRequest, recordEnd: metrics.recordEnd, isStopping: () => false })
-  const operators = createOperatorsGateway(broker, { tokens: () => settings.tokens, countUnauthenticated: () => metrics.countUnauthenticated('operators'), registry: metrics.registry, isReady })
-  const peerHandler = createPeerHandler({
-    keys: settings.peerKeys,
-    methods: { exchange: params => sync.handleExchange(params) },
-    handleForward: serveForwarded,
-    countUnauthenticated: () => metrics.countUnauthenticated('peers')
-  })
-  await broker.start()
-  const listeners = [
-    await openListener((request, response) => request.url?.startsWith('/v1/') === true ? lookUp(request, response) : serve(request, response), settings.listen.callers),
-    await openListener(operators, settings.listen.operators),
-    await openListener(peerHandler, settings.listen.peers)
-  ]
-  addresses.callers = settings.advertise?.callers ?? listeners[0]!.address
-  addresses.operators = listeners[1]!.address
-  addresses.peers = settings.advertise?.peers ?? listeners[2]!.address
-
-  function createAnnouncement (): InstanceRecord {
-    return {
-      instance: settings.instance,
-      incarnation,
-      failureDomain: settings.failureDomain,
-      region: settings.region,
-      callerAddress: addresses.callers,
-      peerAddress: addresses.peers,
-      state,
-      sequence: ++sequence,
-      pinEpoch: 0
-    }
+  const late = { callers: createLateHandler(), operators: createLateHandler(), peers: createLateHandler() }
+  const listeners = {
+    callers: await openListener(late.callers.handle, settings.listen.callers),
+    operators: await openListener(late.operators.handle, settings.listen.operators),
+    peers: await openListener(late.peers.handle, settings.listen.peers)
   }
-  const sync = createSync({
-    view,
-    platform,
-    peers,
-    createAnnouncement,
-    seedPeers: settings.seedPeers,
-    pollMs: settings.pollMs,
-    heartbeatMs: settings.heartbeatMs,
-    getRandom: Math.random,
-    getNowMs,
-    recordPlatform: reachable => log.info({ reachable }, reachable ? 'Platform answers' : 'Platform does not answer')
-  })
-  log.info({ addresses, incarnation }, 'Instance started')
+  const addresses = {
+    callers: settings.advertise?.callers ?? listeners.callers.address,
+    operators: listeners.operators.address,
+    peers: settings.advertise?.peers ?? listeners.peers.address
+  }
+  const parts = createInstanceParts(settings, { addresses, log })
+  const handlers = await createInstanceHandlers(parts)
+  late.callers.update(handlers.callers)
+  late.operators.update(handlers.operators)
+  late.peers.update(handlers.peers)
+  log.info({ addresses, incarnation: parts.identity.getRecord().incarnation }, 'Instance started')
 
-  const dispose = async (): Promise<void> => {
-    await sync[Symbol.asyncDispose]()
-    await Promise.all(listeners.map(listener => listener[Symbol.asyncDispose]()))
-    await broker.stop()
-    await feed[Symbol.asyncDispose]()
-    await Promise.all([platform, targets, peers].map(peer => peer[Symbol.asyncDispose]()))
+  async function dispose (): Promise<void> {
+    await Promise.all(Object.values(listeners).map(listener => listener[Symbol.asyncDispose]()))
+    await handlers[Symbol.asyncDispose]()
+    await parts[Symbol.asyncDispose]()
   }
   return {
     addresses,
     async stop () {
-      state = MachineState.Leaving
+      parts.identity.markLeaving()
       log.info('Instance is leaving')
-      await sync.announce()
-      await waitMs(settings.lookUpTtlSeconds * 1000 + leavingMarginMs)
-      const drained = Promise.all(listeners.map(listener => listener.drain()))
-      await Promise.race([drained, waitMs(settings.stopLimitMs)])
-      metrics.countCutOff(feed.countInFlight())
+      const cutOff = await drainInstance({
+        announce: parts.sync.announce,
+        lookUpTtlMs: settings.lookUpTtlSeconds * 1000,
+        release: parts.feeding.release,
+        listeners: Object.values(listeners),
+        countInFlight: parts.feed.countInFlight,
+        limitMs: settings.stopLimitMs
+      })
+      parts.metrics.countCutOff(cutOff)
       await dispose()
-      log.info('Instance stopped')
+      log.info({ cutOff }, 'Instance stopped')
     },
     [Symbol.asyncDispose]: dispose
   }
 }
-
-async function waitMs (ms: number): Promise<void> {
-  await new Promise(resolve => setTimeout(resolve, ms).unref())
-}
--- a/packages/steering/src/admission.ts
+++ b/packages/steering/src/admission.ts
@@ -203,7 +203,6 @@
     admit,
     take: (state, isAllowed = () => true) => takeNext(state, isAllowed),
     collectExpired (state) {
-      if (expired.length === 0) return []
       const dropped = expired.map(item => ({ item, refusal: refuseItem(item, lateDetail, state) }))
       expired = []
       return dropped
--- a/packages/steering/src/slot_feed.ts
+++ b/packages/steering/src/slot_feed.ts
@@ -20,7 +20,7 @@
 import { createNotRun } from './refusal.ts'
 import { mergeReportedLoad } from './reported_load.ts'
 import { chooseMostFree } from './slots.ts'
-import { computeSlotLimit, createTargetStates, recordTargetSignal } from './target_state.ts'
+import { computeUsableSlots, createTargetStates, recordTargetSignal } from './target_state.ts'
 import { createUploadReserve } from './upload_reserve.ts'
 
 /** A slot of a target, held until it is released. */
@@ -150,7 +150,7 @@
     let slots = 0
     let freeSlots = 0
     for (const state of entry.targets) {
-      state.limit = computeSlotLimit(state, { nowMs, warmUps })
+      state.limit = computeUsableSlots(state, { nowMs, warmUps })
       slots += state.limit
       freeSlots += Math.max(0, state.limit - state.busy)
     }
--- a/packages/steering/src/target_state.ts
+++ b/packages/steering/src/target_state.ts
@@ -65,7 +65,7 @@
  * @param options Warm-ups and the time
  * @returns Whole slots; at least 1 unless the circuit is open or the target has none
  */
-export function computeSlotLimit (state: TargetState, options: TargetStateOptions): number {
+export function computeUsableSlots (state: TargetState, options: TargetStateOptions): number {
   const { slots, target } = state.target
   if (state.circuit.failures > 0) {
     const circuit = getCircuitState(state.circuit, options.nowMs)
