--- a/packages/bilberryd/src/dispatch.ts
+++ b/packages/bilberryd/src/dispatch.ts
@@ -3,10 +3,10 @@
  *
  * @module
  */
-import type { Refusal, RetryReason, ServiceAnswer, ServiceRequest, TargetRecord } from '@bilberryworks/steering'
+import type { Refusal, RetryReason, ServiceAnswer, ServiceRequest, Slot, TargetRecord } from '@bilberryworks/steering'
 import type { TargetClient, TargetFailure } from '@bilberryworks/targets'
 import type { Result } from 'neverthrow'
-import type { Feed, FeedRequest, Slot } from './feed.ts'
+import type { Feed, FeedRequest } from './feed.ts'
 import { finished } from 'node:stream'
 import { createNotRun, createRetryBudget, createUnknown, Outcome, RefusalReason, RequestClass, RetryReason as RetryReasons, TargetSignal } from '@bilberryworks/steering'
 import { TargetFailureKind } from '@bilberryworks/targets'
@@ -61,8 +61,8 @@
     const leaving = result.isOk() ? result.value.leaving : result.error.leaving
     if (leaving) options.markTargetLeaving(slot.target.target)
     if (result.isErr()) {
-      if (result.error.kind === TargetFailureKind.ConnectFailed) options.markTargetUnreachable?.(slot.target.target)
       slot.recordFailure(mapSignal(result.error.kind, request.signal.aborted))
+      if (result.error.kind === TargetFailureKind.ConnectFailed) options.markTargetUnreachable?.(slot.target.target)
       if (isUnread(result.error)) slot.release()
       else startCancel(feedRequest, slot)
       return err(result.error)
@@ -138,16 +138,6 @@
   }
 }
 
-/** Maps a failure to what it says of the target's health; a time-out or a caller that left says nothing. */
-function mapSignal (kind: TargetFailureKind, callerGone: boolean): TargetSignal {
-  switch (kind) {
-    case TargetFailureKind.ConnectFailed: return TargetSignal.ConnectFailed
-    case TargetFailureKind.Refused: return TargetSignal.Refused
-    case TargetFailureKind.Lost: return callerGone ? TargetSignal.Ended : TargetSignal.Lost
-    case TargetFailureKind.TimedOut: return TargetSignal.Ended
-  }
-}
-
 function isBodiless (request: ServiceRequest): boolean {
   return request.method === 'GET' || request.method === 'HEAD'
 }
@@ -160,3 +150,13 @@
     case TargetFailureKind.TimedOut: return createUnknown(RefusalReason.TargetTimeout, failure.detail)
   }
 }
+
+/** Says what the end of an exchange tells of the health of its target. */
+function mapSignal (kind: TargetFailureKind, callerGone: boolean): TargetSignal {
+  switch (kind) {
+    case TargetFailureKind.ConnectFailed: return TargetSignal.ConnectFailed
+    case TargetFailureKind.Refused: return TargetSignal.Refused
+    case TargetFailureKind.Lost: return callerGone ? TargetSignal.Ended : TargetSignal.Lost
+    case TargetFailureKind.TimedOut: return TargetSignal.Ended
+  }
+}
--- a/packages/bilberryd/src/gateways.ts
+++ b/packages/bilberryd/src/gateways.ts
@@ -1,5 +1,5 @@
 /**
- * The JSON interfaces of an instance, served by moleculer-web on listeners of our own.
+ * The operators' JSON interface, served by moleculer-web on a listener of our own.
  *
  * @module
  */
@@ -8,7 +8,9 @@
 import type { Registry } from 'prom-client'
 import type { ServiceBroker, ServiceSchema } from 'moleculer'
 import { findToken } from '@bilberryworks/operators'
+import { RefusalReason } from '@bilberryworks/steering'
 import moleculerWeb from 'moleculer-web'
+import { describeProblem, replyError, replyProblem } from './problems.ts'
 
 type GatewayRequest = IncomingMessage & { $ctx: { meta: Record<string, unknown> }, body?: unknown }
 
@@ -19,30 +21,6 @@
 
 const maxDocumentSize = '1MB'
 
-/**
- * Creates the handler of the callers' `/v1` interface.
- *
- * @param broker The broker that holds the `callers` service
- * @returns A handler for `node:http`
- */
-export function createCallersGateway (broker: ServiceBroker): RequestListener {
-  return createGateway(broker, {
-    name: 'callers-gateway',
-    mixins: [moleculerWeb as unknown as ServiceSchema],
-    settings: {
-      server: false,
-      routes: [{
-        path: '/v1',
-        mappingPolicy: 'restrict',
-        aliases: { 'GET services/:service/entries': 'callers.listEntries' },
-        onBeforeCall (ctx: { meta: Record<string, unknown> }, _route: unknown, request: IncomingMessage) {
-          ctx.meta['remoteAddress'] = request.socket.remoteAddress
-        }
-      }]
-    }
-  })
-}
-
 /** Options of {@linkcode createOperatorsGateway}. */
 export interface CreateOperatorsGatewayOptions {
   /** Tokens that are valid. */
@@ -75,11 +53,12 @@
         aliases: {
           'GET documents': 'operators.listDocuments',
           'GET documents/:service': 'operators.getDocument',
-          'PUT documents/:service': 'operators.putDocument',
           'GET documents/:service/history': 'operators.getHistory',
+          'PUT documents/:service': 'operators.putDocument',
           'GET status': 'operators.getStatus',
           'GET status/:service': 'operators.getServiceStatus'
         },
+        onAfterCall: describeProblem,
         onBeforeCall (ctx: { meta: Record<string, unknown> }, _route: unknown, request: GatewayRequest) {
           ctx.meta['token'] = findToken(request.headers.authorization, options.tokens())
           ctx.meta['body'] = request.body
@@ -89,10 +68,17 @@
           if (request.method === 'PUT') delete request.headers['if-none-match']
           ctx.meta['submissionId'] = request.headers['submission-id']
         }
-      }]
+      }],
+      onError: replyError
     }
   })
   return (request, response) => {
+    const methods = findMethods(request.url ?? '')
+    if (methods !== undefined && !methods.includes(request.method ?? '')) {
+      response.setHeader('allow', methods.join(', '))
+      replyProblem(response, { status: 405, title: 'method_not_allowed', detail: `Allowed are ${methods.join(', ')}` })
+      return
+    }
     switch (request.url) {
       case '/healthz':
         replyText(response, 200, 'ok')
@@ -107,7 +93,7 @@
         if (findToken(request.headers.authorization, options.tokens()) === undefined) {
           options.countUnauthenticated()
           response.setHeader('www-authenticate', 'Bearer')
-          replyText(response, 401, 'A valid bearer token is required')
+          replyProblem(response, { status: 401, title: RefusalReason.Unauthenticated, detail: 'A valid bearer token is required' })
         } else {
           gateway(request, response)
         }
@@ -115,6 +101,15 @@
   }
 }
 
+/** Lists the methods of a path of the operators' interface; `undefined` for an unknown path. */
+function findMethods (url: string): string[] | undefined {
+  const [path = ''] = url.split('?')
+  if (/^\/(healthz|readyz|metrics)$/.test(path)) return ['GET', 'HEAD']
+  if (/^\/v1\/documents\/[^/]+$/.test(path)) return ['GET', 'PUT']
+  if (/^\/v1\/(documents|documents\/[^/]+\/history|status|status\/[^/]+)$/.test(path)) return ['GET']
+  return undefined
+}
+
 function createGateway (broker: ServiceBroker, schema: ServiceSchema): RequestListener {
   return (broker.createService(schema) as unknown as Gateway).express()
 }
--- a/packages/bilberryd/src/instance_handlers.ts
+++ b/packages/bilberryd/src/instance_handlers.ts
@@ -10,10 +10,12 @@
 import { createPeerHandler } from '@bilberryworks/instances'
 import { createOperatorsService } from '@bilberryworks/operators'
 import moleculer from 'moleculer'
+import { findMaxBodyBytes } from './body_limits.ts'
 import { createCallersService } from './callers_service.ts'
 import { PeerMethodName } from './exchange_messages.ts'
 import { feedsMethod } from './feed_exchange.ts'
-import { createCallersGateway, createOperatorsGateway } from './gateways.ts'
+import { createOperatorsGateway } from './gateways.ts'
+import { createLookUpHandler } from './look_up_handler.ts'
 
 /** The handlers, by listener. */
 export interface InstanceHandlers extends AsyncDisposable {
@@ -31,8 +33,15 @@
 export async function createInstanceHandlers (parts: InstanceParts): Promise<InstanceHandlers> {
   const { settings, metrics, identity, sync, feeding, handleRequest } = parts
   const broker = createBroker(parts)
-  const lookUp = createCallersGateway(broker)
-  const serve = createServiceHandler({ fromPeer: false, handleRequest, recordEnd: metrics.recordEnd, isStopping: identity.isLeaving })
+  const lookUp = createLookUpHandler(broker, { recordRefusal: metrics.countRefusal })
+  const serve = createServiceHandler({
+    fromPeer: false,
+    handleRequest,
+    recordEnd: metrics.recordEnd,
+    isStopping: identity.isLeaving,
+    getMaxBodyBytes: request => findMaxBodyBytes(parts.view, request),
+    bodyIdleTimeoutMs: settings.bodyIdleTimeoutMs
+  })
   const operators = createOperatorsGateway(broker, {
     tokens: () => settings.tokens, countUnauthenticated: () => metrics.countUnauthenticated('operators'), registry: metrics.registry, isReady: parts.isReady
   })
@@ -61,9 +70,11 @@
 }
 
 function createBroker (parts: InstanceParts): ServiceBroker {
-  const { settings, view, regions, metrics, platform, sync, identity, status } = parts
+  const { settings, view, clientBlocks, regions, metrics, platform, sync, identity, status } = parts
   const broker = new moleculer.ServiceBroker({ nodeID: settings.instance, logger: false, skipProcessEventRegistration: true })
-  broker.createService(createCallersService({ view, regions, region: settings.region, ttlSeconds: settings.lookUpTtlSeconds, countLookUp: metrics.countLookUp }))
+  broker.createService(createCallersService({
+    view, regions, getBlocks: clientBlocks.getBlocks, region: settings.region, ttlSeconds: settings.lookUpTtlSeconds, countLookUp: metrics.countLookUp, getRandom: Math.random, getNowMs: () => performance.now()
+  }))
   broker.createService(createOperatorsService({
     platform,
     listDocuments: view.listDocuments,
--- a/packages/bilberryd/src/mod.ts
+++ b/packages/bilberryd/src/mod.ts
@@ -7,6 +7,7 @@
  *
  * @module
  */
+export * from './client_blocks.ts'
 export * from './run_instance.ts'
 export * from './settings.ts'
 export * from './regions.ts'
--- a/packages/instances/src/http_peers.ts
+++ b/packages/instances/src/http_peers.ts
@@ -38,14 +38,15 @@
  * @returns The client; dispose it to close its connections
  */
 export function createHttpPeers (options: CreateHttpPeersOptions): PeerClient {
-  const { key, connectionsPerPeer = 64, ...connect } = options
+  const { key, connectionsPerPeer = 64, ...local } = options
   const agent = new Agent({
     connections: connectionsPerPeer,
     pipelining: 1,
     keepAliveTimeout: keepAliveMs,
     headersTimeout: 0,
     bodyTimeout: 0,
-    connect: { timeout: connectTimeoutMs, ...connect }
+    connect: { timeout: connectTimeoutMs },
+    ...local
   })
   const authorization = `Bearer ${key}`
   let nextId = 1
@@ -53,15 +54,17 @@
   return {
     async call<T> (peerAddress: string, method: string, call: PeerCallOptions): Promise<Result<T, PeerFailure>> {
       try {
+        const body = JSON.stringify(createJSONRPCRequest(nextId++, method, call.params))
         const answer = await agent.request({
           origin: `http://${peerAddress}`,
           method: 'POST',
           path: '/rpc',
           headers: { authorization, 'content-type': 'application/json' },
-          body: JSON.stringify(createJSONRPCRequest(nextId++, method, call.params)),
+          body,
           signal: AbortSignal.timeout(call.timeoutMs ?? defaultCallTimeoutMs)
         })
         const text = await answer.body.text()
+        call.recordBytes?.(Buffer.byteLength(body) + Buffer.byteLength(text))
         if (answer.statusCode !== 200) return err({ kind: PeerFailureKind.Refused, detail: `${method} ended with ${answer.statusCode}` })
         const response = JSON.parse(text) as JSONRPCResponse
         if (response.error !== undefined) return err({ kind: PeerFailureKind.Refused, detail: response.error.message })
--- a/packages/steering/src/mod.ts
+++ b/packages/steering/src/mod.ts
@@ -12,8 +12,14 @@
  * @module
  */
 export * from './admission.ts'
+export * from './byte_budget.ts'
 export * from './check_document.ts'
 export * from './circuit.ts'
+export * from './client_address.ts'
+export * from './client_blocks.ts'
+export * from './client_blocks_build.ts'
+export * from './client_blocks_codec.ts'
+export * from './client_blocks_merge.ts'
 export * from './desired_weights.ts'
 export * from './detach_body.ts'
 export * from './diff_documents.ts'
