--- a/packages/bilberryd/src/dispatch.ts
+++ b/packages/bilberryd/src/dispatch.ts
@@ -94,6 +94,7 @@
       if (slot.isErr()) return err(mayHaveRun ?? slot.error)
       const obstacle = findObstacle(feedRequest, slot.value)
       if (obstacle !== undefined) {
+        slot.value.recordFailure(TargetSignal.Ended)
         slot.value.release()
         if (obstacle.reason === RefusalReason.LeaseLapsed && attempt < maxAttempts) continue
         return err(mayHaveRun ?? obstacle)
--- a/packages/bilberryd/src/instance_parts.ts
+++ b/packages/bilberryd/src/instance_parts.ts
@@ -126,7 +126,11 @@
     countRetry: metrics.countRetry,
     getNowMs
   })
-  const regions = createRegionChooser({ view, getNowMs })
+  const regions = createRegionChooser({
+    view,
+    isFed: target => feeding.listFeeders(target.failureDomain).some(feeder => view.listInstances().some(record => record.instance === feeder)),
+    getNowMs
+  })
   const upkeep = createUpkeep({ settings, view, platform, peers, targets, regions, getSync: () => sync, getNowMs })
   const exchangePeers = createBudgetedPeers(peers, {
     bytesPerSecond: settings.controlBytesPerSecond ?? defaultControlBytesPerSecond, isReady: () => sync.isReady(), countBytes: metrics.countControlBytes, countHeldBack: metrics.countExchangeHeldBack, getNowMs
--- a/packages/steering/src/target_state.ts
+++ b/packages/steering/src/target_state.ts
@@ -65,7 +65,7 @@
  * @param options Warm-ups and the time
  * @returns Whole slots; at least 1 unless the circuit is open or the target has none
  */
-export function computeSlotLimit (state: TargetState, options: TargetStateOptions): number {
+export function computeUsableSlots (state: TargetState, options: TargetStateOptions): number {
   const { slots, target } = state.target
   if (state.circuit.failures > 0) {
     const circuit = getCircuitState(state.circuit, options.nowMs)
@@ -90,5 +90,5 @@
   state.circuit = advanceCircuit(state.circuit, signal, options)
   if (wasOpen && state.circuit === closedCircuit) warmUps.start(state.target.target, nowMs)
   if (signal === TargetSignal.Refused) state.report = recordTargetRefusal(state.report, nowMs)
-  else if (signal === TargetSignal.Answered && state.report !== noReport) state.report = recordTargetAnswer(state.report, state.target.slots)
+  else if (signal === TargetSignal.Answered && state.report !== noReport) state.report = recordTargetAnswer(state.report)
 }
