--- a/packages/bilberryd/src/gateways.ts
+++ b/packages/bilberryd/src/gateways.ts
@@ -1,5 +1,5 @@
 /**
- * The JSON interfaces of an instance, served by moleculer-web on listeners of our own.
+ * The operators' JSON interface, served by moleculer-web on a listener of our own.
  *
  * @module
  */
@@ -7,13 +7,12 @@
 import type { TokenRecord } from '@bilberryworks/operators'
 import type { Registry } from 'prom-client'
 import type { ServiceBroker, ServiceSchema } from 'moleculer'
-import { isIP } from 'node:net'
 import { findToken } from '@bilberryworks/operators'
 import { RefusalReason } from '@bilberryworks/steering'
 import moleculerWeb from 'moleculer-web'
 import { describeProblem, replyError, replyProblem } from './problems.ts'
 
-type GatewayRequest = IncomingMessage & { $ctx: { meta: Record<string, unknown> } }
+type GatewayRequest = IncomingMessage & { $ctx: { meta: Record<string, unknown> }, body?: unknown }
 
 /** A moleculer-web service that has no listener of its own. */
 interface Gateway {
@@ -22,46 +21,6 @@
 
 const maxDocumentSize = '1MB'
 
-/** Options of {@linkcode createCallersGateway}. */
-export interface CreateCallersGatewayOptions {
-  /** Called for each look-up that is refused as malformed. */
-  countRefusal: (reason: RefusalReason) => void
-}
-
-/**
- * Creates the handler of the callers' `/v1` interface.
- *
- * @param broker The broker that holds the `callers` service
- * @param options Counters
- * @returns A handler for `node:http`
- */
-export function createCallersGateway (broker: ServiceBroker, options: CreateCallersGatewayOptions): RequestListener {
-  const gateway = createGateway(broker, {
-    name: 'callers-gateway',
-    mixins: [moleculerWeb as unknown as ServiceSchema],
-    settings: {
-      server: false,
-      routes: [{
-        path: '/v1',
-        mappingPolicy: 'restrict',
-        aliases: { 'GET services/:service/entries': 'callers.listEntries' },
-        onBeforeCall (ctx: { meta: Record<string, unknown> }, _route: unknown, request: IncomingMessage) {
-          ctx.meta['remoteAddress'] = request.socket.remoteAddress
-        },
-        onAfterCall: describeProblem
-      }],
-      onError: replyError
-    }
-  })
-  return (request, response) => {
-    const clients = new URL(request.url ?? '/', 'http://localhost').searchParams.getAll('client')
-    if (clients.length > 1 || clients.some(client => isIP(client) === 0)) {
-      options.countRefusal(RefusalReason.BadRequest)
-      replyProblem(response, { status: 400, title: RefusalReason.BadRequest, detail: 'Query parameter client is not one IP number' })
-    } else gateway(request, response)
-  }
-}
-
 /** Options of {@linkcode createOperatorsGateway}. */
 export interface CreateOperatorsGatewayOptions {
   /** Tokens that are valid. */
@@ -102,6 +61,7 @@
         onAfterCall: describeProblem,
         onBeforeCall (ctx: { meta: Record<string, unknown> }, _route: unknown, request: GatewayRequest) {
           ctx.meta['token'] = findToken(request.headers.authorization, options.tokens())
+          ctx.meta['body'] = request.body
           ctx.meta['ifMatch'] = request.headers['if-match']
           ctx.meta['ifNoneMatch'] = request.headers['if-none-match']
           // moleculer-web would answer a PUT with `If-None-Match: *` by 304.
--- /dev/null
+++ b/packages/bilberryd/src/instance_handlers.ts
@@ -0,0 +1,89 @@
+/**
+ * The request handlers of an instance's listeners.
+ *
+ * @module
+ */
+import type { RequestListener } from 'node:http'
+import type { ServiceRequest } from '@bilberryworks/steering'
+import type { ServiceBroker } from 'moleculer'
+import type { InstanceParts } from './instance_parts.ts'
+import { createServiceHandler } from '@bilberryworks/callers'
+import { createPeerHandler } from '@bilberryworks/instances'
+import { createOperatorsService } from '@bilberryworks/operators'
+import { Outcome } from '@bilberryworks/steering'
+import moleculer from 'moleculer'
+import { findMaxBodyBytes } from './body_limits.ts'
+import { createCallersService } from './callers_service.ts'
+import { PeerMethodName } from './exchange_messages.ts'
+import { feedsMethod } from './feed_exchange.ts'
+import { createOperatorsGateway } from './gateways.ts'
+import { createLookUpHandler } from './look_up_handler.ts'
+
+/** The handlers, by listener. */
+export interface InstanceHandlers extends AsyncDisposable {
+  callers: RequestListener
+  operators: RequestListener
+  peers: RequestListener
+}
+
+/**
+ * Creates the handlers of an instance.
+ *
+ * @param parts The parts of the instance
+ * @returns The handlers; dispose them to stop the broker behind them
+ */
+export async function createInstanceHandlers (parts: InstanceParts): Promise<InstanceHandlers> {
+  const { settings, view, metrics, identity, sync, feeding, handleRequest } = parts
+  const broker = createBroker(parts)
+  const lookUp = createLookUpHandler(broker, { recordRefusal: reason => metrics.recordEnd({ service: '', outcome: Outcome.NotRun, reason, whole: true, elapsedMs: 0 }) })
+  const bodyBounds = {
+    getMaxBodyBytes: (request: ServiceRequest) => findMaxBodyBytes(view, request),
+    ...settings.bodyIdleTimeoutMs === undefined ? {} : { bodyIdleTimeoutMs: settings.bodyIdleTimeoutMs }
+  }
+  const serve = createServiceHandler({ fromPeer: false, handleRequest, recordEnd: metrics.recordEnd, isStopping: identity.isLeaving, ...bodyBounds })
+  const operators = createOperatorsGateway(broker, {
+    tokens: () => settings.tokens, countUnauthenticated: () => metrics.countUnauthenticated('operators'), registry: metrics.registry, isReady: parts.isReady
+  })
+  const peers = createPeerHandler({
+    keys: settings.peerKeys,
+    methods: {
+      ...Object.fromEntries(Object.values(PeerMethodName).map(name => [name, (params: unknown) => sync.methods[name]?.(params)])),
+      [feedsMethod]: feeding.handleExchange
+    },
+    handleForward: createServiceHandler({ fromPeer: true, handleRequest, recordEnd: metrics.recordEnd, isStopping: () => false }),
+    countUnauthenticated: () => metrics.countUnauthenticated('peers')
+  })
+  await broker.start()
+  return {
+    callers (request, response) {
+      if (request.url?.startsWith('/v1/') !== true) return serve(request, response)
+      if (identity.isLeaving()) response.setHeader('connection', 'close')
+      return lookUp(request, response)
+    },
+    operators,
+    peers,
+    async [Symbol.asyncDispose] () {
+      await broker.stop()
+    }
+  }
+}
+
+function createBroker (parts: InstanceParts): ServiceBroker {
+  const { settings, view, clientBlocks, regions, metrics, platform, sync, identity, status } = parts
+  const broker = new moleculer.ServiceBroker({ nodeID: settings.instance, logger: false, skipProcessEventRegistration: true })
+  broker.createService(createCallersService({
+    view, regions, getBlocks: clientBlocks.getBlocks, region: settings.region, ttlSeconds: settings.lookUpTtlSeconds, countLookUp: metrics.countLookUp, getRandom: Math.random, getNowMs: () => performance.now()
+  }))
+  broker.createService(createOperatorsService({
+    platform,
+    listDocuments: view.listDocuments,
+    listTargets: view.listAllTargets,
+    mergeDocument (accepted) {
+      if (view.mergeDocument(accepted)) sync.spread().catch(() => {})
+    },
+    getWallClockMs: () => Date.now(),
+    createStatus: async () => ({ ...identity.getRecord(), ...sync.createVersions(), ready: parts.isReady(), ...await status.readInstances() }),
+    createServiceStatus: async service => await status.readService(service) ?? {}
+  }))
+  return broker
+}
--- a/packages/bilberryd/src/open_listener.ts
+++ b/packages/bilberryd/src/open_listener.ts
@@ -16,6 +16,7 @@
 const defaultHeadersTimeoutMs = 10_000
 const checksPerTimeout = 4
 const keepAliveProbeMs = 30_000
+const idleCheckMs = 50
 
 /** Options of {@linkcode openListener}. */
 export interface OpenListenerOptions {
@@ -29,6 +30,8 @@
 export interface OpenListener extends AsyncDisposable {
   /** `host:port` that it listens on. */
   address: string
+  /** Counts the requests that have not ended. */
+  countOpen (): number
   /** Takes no new connections, closes idle ones and waits until the others have ended. */
   drain (): Promise<void>
   /** Uses another certificate for new connections; does nothing on a listener without TLS. */
@@ -52,16 +55,23 @@
   // Without these listeners Node.js would answer by itself, without outcome and reason.
   server.on('checkExpectation', handler)
   handleClientErrors(server, options.countRefusal ?? (() => {}))
+  let open = 0
+  server.on('request', (_, response) => {
+    open++
+    response.once('close', () => open--)
+  })
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
     server.listen(listen.port, listen.host, resolve)
   })
   return {
     address: formatAddress(server),
+    countOpen: () => open,
     async drain () {
-      const closed = closeServer(server)
-      server.closeIdleConnections()
-      await closed
+      // A connection that was busy when the listener closed becomes idle later.
+      const timer = setInterval(() => server.closeIdleConnections(), idleCheckMs)
+      await closeServer(server)
+      clearInterval(timer)
     },
     reloadTls (tls) {
       if (tls !== undefined && server instanceof TlsServer) server.setSecureContext(readContext(tls))
--- a/packages/bilberryd/src/settings.ts
+++ b/packages/bilberryd/src/settings.ts
@@ -90,17 +90,19 @@
   /** Tokens of operators. */
   tokens: TokenSettings[]
   /** Capacity by pair of regions; no limit where a pair is absent. */
-  links: LinkSettings[]
+  links?: LinkSettings[]
   /** Longest time that a client may take to send the header fields of a request, in milliseconds. */
-  headersTimeoutMs: number
+  headersTimeoutMs?: number
   /** Longest pause within the body of a request, in milliseconds. */
-  bodyIdleTimeoutMs: number
+  bodyIdleTimeoutMs?: number
   /** Lifetime of a look-up's answer, in seconds. */
   lookUpTtlSeconds: number
   /** Time between two polls of the platform, in milliseconds. */
   pollMs: number
   /** Time between two heartbeats, in milliseconds. */
   heartbeatMs: number
+  /** Bytes that exchanges with peers may take each second in the long run; 16384 by default. */
+  controlBytesPerSecond?: number
   /** Longest time that a request other than an upload may take at a target, in milliseconds. */
   longestDispatchMs: number
   /** Longest time that a stop waits for requests in flight, in milliseconds. */
--- a/packages/bilberryd/src/silence_watch.ts
+++ b/packages/bilberryd/src/silence_watch.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { MachineList, Platform, TableWrite } from '@bilberryworks/platform'
+import { isDeepStrictEqual } from 'node:util'
 import { TableName } from '@bilberryworks/platform'
 
 /** Options of {@linkcode createSilenceWatch}. */
@@ -38,9 +39,11 @@
   settle (instances: string[]): void
 }
 
-/** What was seen of the heartbeat row of a quiet instance. */
+/** What was seen of the rows that a quiet instance would have changed. */
 interface Observation {
-  version: number
+  /** Checks that the rows are unchanged. */
+  checks: TableWrite[]
+  /** Monotonic time since when they are unchanged, in milliseconds. */
   sinceMs: number
 }
 
@@ -70,10 +73,9 @@
           observations.delete(name)
           continue
         }
-        const row = await options.platform.readRow(TableName.Instances, name)
-        if (row.isErr()) return
-        const version = row.value?.version ?? 0
-        if (observations.get(name)?.version !== version) observations.set(name, { version, sinceMs: getNowMs() })
+        const checks = await readChecks(options.platform, name)
+        if (checks === undefined) return
+        if (!isDeepStrictEqual(observations.get(name)?.checks, checks)) observations.set(name, { checks, sinceMs: getNowMs() })
       }
     },
     isSilent (instance) {
@@ -93,7 +95,7 @@
     },
     suspect (instances) {
       for (const name of instances) suspicions.set(name, (suspicions.get(name) ?? 0) + 1)
-      return instances.map(name => ({ table: TableName.Instances, key: name, ifVersion: observations.get(name)?.version ?? 0, checkOnly: true }))
+      return instances.flatMap(name => observations.get(name)?.checks ?? [])
     },
     settle (instances) {
       for (const name of instances) {
@@ -105,3 +107,12 @@
     }
   }
 }
+
+/** Reads the rows of which an instance changes at least one with each heartbeat; `undefined` where they can't be read. */
+async function readChecks (platform: Platform, instance: string): Promise<TableWrite[] | undefined> {
+  const start = await platform.readRow(TableName.Starts, instance)
+  const heartbeats = await platform.listRows(TableName.Instances, `${instance}/`)
+  if (start.isErr() || heartbeats.isErr()) return undefined
+  const startCheck = { table: TableName.Starts, key: instance, ifVersion: start.value?.version ?? 0, checkOnly: true }
+  return [startCheck, ...heartbeats.value.map(row => ({ table: TableName.Instances, key: row.key, ifVersion: row.version, checkOnly: true }))]
+}
--- a/packages/callers/src/service_handler.ts
+++ b/packages/callers/src/service_handler.ts
@@ -59,7 +59,7 @@
       options.recordEnd({ service, reason: undefined, elapsedMs: performance.now() - startedMs, ...end })
     }
     const refuse = (service: string, refusal: Refusal): void => {
-      writeRefusal(response, refusal, { message })
+      writeRefusal(response, refusal)
       finish(service, { outcome: refusal.outcome, reason: refusal.reason, whole: true })
     }
     const parsed = parseRequest(message, { fromPeer: options.fromPeer, signal: gone.signal })
--- a/packages/callers/src/write_answer.ts
+++ b/packages/callers/src/write_answer.ts
@@ -3,13 +3,13 @@
  *
  * @module
  */
-import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { ServerResponse } from 'node:http'
 import type { Refusal, ServiceAnswer } from '@bilberryworks/steering'
 import { pipeline } from 'node:stream/promises'
 import { getRefusalStatus, Outcome } from '@bilberryworks/steering'
 import { dropHopHeaders } from './header_fields.ts'
 
-const maxLingerMs = 1_000
+const lingerMs = 5_000
 
 /**
  * Writes a target's answer, streamed with back-pressure.
@@ -21,10 +21,15 @@
  * @returns Whether the whole answer was written
  */
 export async function writeAnswer (response: ServerResponse, answer: ServiceAnswer): Promise<boolean> {
+  if (response.destroyed) {
+    answer.body.on('error', () => {}).destroy()
+    return false
+  }
   const headers = dropHopHeaders(answer.headers)
   response.writeHead(answer.status, { ...headers, 'bilberry-outcome': Outcome.Answered })
   try {
     await pipeline(answer.body, response)
+    drainBody(response)
     return true
   } catch {
     response.destroy()
@@ -32,23 +37,13 @@
   }
 }
 
-/** Options of {@linkcode writeRefusal}. */
-export interface WriteRefusalOptions {
-  /** The message that is refused; what is left of it is read and dropped. */
-  message?: IncomingMessage
-}
-
 /**
  * Writes a refusal as `application/problem+json`.
  *
- * Where the caller is still sending, the connection is closed a little later: closed at once, it would
- * be reset by the next byte that arrives, and the refusal lost with it.
- *
  * @param response Where to write
  * @param refusal The refusal
- * @param options The message that is refused
  */
-export function writeRefusal (response: ServerResponse, refusal: Refusal, options: WriteRefusalOptions = {}): void {
+export function writeRefusal (response: ServerResponse, refusal: Refusal): void {
   if (response.destroyed || response.headersSent) {
     response.destroy()
     return
@@ -63,20 +58,19 @@
     response.setHeader('retry-after', Math.max(1, Math.ceil(refusal.retryAfterMs / 1000)))
     response.setHeader('bilberry-retry-after-ms', Math.ceil(refusal.retryAfterMs))
   }
-  const { message } = options
-  if (message === undefined || message.complete) {
-    response.writeHead(status).end(body)
-    return
-  }
-  response.setHeader('connection', 'close')
-  response.writeHead(status).write(body)
-  finishAfterMessage(response, message)
+  // Closing a connection with unread bytes resets it, and the caller may lose the refusal.
+  if (!response.req.complete) response.removeHeader('connection')
+  response.writeHead(status).end(body)
+  drainBody(response)
 }
 
-function finishAfterMessage (response: ServerResponse, message: IncomingMessage): void {
-  const timer = setTimeout(() => response.end(), maxLingerMs)
-  message.once('end', () => response.end())
-  response.once('close', () => clearTimeout(timer))
-  message.unpipe()
-  message.resume()
+/** Reads and drops what is left of a request, for a bounded time, so that its caller reads the answer. */
+function drainBody (response: ServerResponse): void {
+  const { req } = response
+  if (req.complete || req.destroyed) return
+  const timer = setTimeout(() => req.socket.destroy(), lingerMs)
+  timer.unref()
+  req.once('close', () => clearTimeout(timer))
+  req.unpipe()
+  req.removeAllListeners('readable').resume()
 }
--- a/packages/standins/src/cluster.ts
+++ b/packages/standins/src/cluster.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { ChildProcess } from 'node:child_process'
 import type { TargetRecord } from '@bilberryworks/steering'
 import type { Settings } from 'bilberryd'
 import type { Child, StartChildOptions } from './child.ts'
@@ -57,6 +58,10 @@
   relay: RelayProcess
   /** Token of the operators' team. */
   token: string
+  /** Processes of the targets. */
+  targetProcesses: ChildProcess[]
+  /** Starts a new incarnation of an instance whose process has ended, and waits until it is ready. */
+  restartInstance (index: number): Promise<void>
   /** Changes how a target behaves. */
   setBehaviour (target: string, behaviour: Partial<TargetBehaviour>): void
   /** Collects what all targets recorded. */
@@ -140,6 +145,15 @@
     targets,
     relay,
     token,
+    targetProcesses: targetChildren.map(child => child.process),
+    async restartInstance (index) {
+      const file = join(folder, `${instances[index]!.settings.instance}.json`)
+      const { instance } = instances[index]!.settings
+      const child = stack.add(await startChild<InstanceAddresses>(locateDaemon(), ['--settings', file], createOptions(instance)))
+      registerInstance(relay, instance, child)
+      instances[index]!.child = child
+      await waitUntilReady(cluster, deployment)
+    },
     setBehaviour (target, behaviour) {
       const index = targetChildren.findIndex(child => child.ready.targets.some(record => record.target === target))
       targetChildren[index]?.process.send({ kind: 'behave', target, behaviour })
@@ -275,15 +289,26 @@
   })
 }
 
-function listLinks (deployment: Deployment): Settings['links'] {
+function listLinks (deployment: Deployment): NonNullable<Settings['links']> {
   const { regions, linkBitsPerSecond } = deployment
   return regions.flatMap((from, index) => regions.slice(index + 1).map(to => ({ regions: [from, to] as [string, string], bitsPerSecond: linkBitsPerSecond })))
 }
 
-function locateScript (name: string): string {
+/**
+ * Locates a compiled script of this package.
+ *
+ * @param name Name of its file
+ * @returns Its path
+ */
+export function locateScript (name: string): string {
   return fileURLToPath(new URL(name, import.meta.url))
 }
 
-function locateDaemon (): string {
+/**
+ * Locates the compiled daemon.
+ *
+ * @returns Its path
+ */
+export function locateDaemon (): string {
   return join(createRequire(import.meta.url).resolve('bilberryd'), '..', 'main.js')
 }
--- a/packages/standins/src/link_relay.ts
+++ b/packages/standins/src/link_relay.ts
@@ -6,7 +6,7 @@
  *
  * @module
  */
-import type { Server, Socket } from 'node:net'
+import type { AddressInfo, Server, Socket } from 'node:net'
 import type { Place } from './places.ts'
 import { connect, createServer } from 'node:net'
 import { listen, formatServerAddress } from './platform_standin.ts'
@@ -33,8 +33,10 @@
 export interface RelayRoute extends AsyncDisposable {
   /** `host:port` that it listens on. */
   address: string
-  /** Sets where connections go; before that they are closed. */
+  /** Sets where connections go; before that they are closed. Opens the listener again where it is closed. */
   setDestination (address: string): void
+  /** Resets all connections and refuses new ones until a destination is set. */
+  close (): void
 }
 
 /** A running relay. */
@@ -94,15 +96,21 @@
         else forwardConnection(near, place, { destination, onRefused: () => server.close() })
       })
       await listen(server, place.host)
+      const { port } = server.address() as AddressInfo
       const route: RelayRoute = {
         address: formatServerAddress(server),
         setDestination (address) {
           destination = address
+          if (!server.listening) server.listen(port, place.host)
+        },
+        close () {
+          if (server.listening) server.close()
+          sockets.forEach(socket => socket.resetAndDestroy())
         },
         async [Symbol.asyncDispose] () {
           routes.delete(route)
           const closed = new Promise<void>(resolve => server.close(() => resolve()))
-          sockets.forEach(socket => socket.resetAndDestroy())
+          route.close()
           await closed
         }
       }
--- a/packages/standins/src/relay_process.ts
+++ b/packages/standins/src/relay_process.ts
@@ -15,7 +15,7 @@
   openRoutes (places: Record<string, Place>): Promise<Record<string, string>>
   /** Sets where the connections of a listener go. */
   connectRoute (route: string, destination: string): void
-  /** Closes a listener and its connections. */
+  /** Resets the connections of a listener and refuses new ones until it is connected again. */
   closeRoute (route: string): void
   /** Reads the bytes carried so far between regions, by `from>to`. */
   readLinkBytes (): Promise<Record<string, number>>
