Add bilberryctl, TLS listeners and secrets that are read again

Cause: operators had no command line; listeners spoke plain TCP only, a key or certificate could be replaced by a restart only, and operators' refusals were partly plain text. Ruled out: taking a 503 to the repeat of a submission for its end, since it says nothing of the first attempt, whose answer was lost; the command goes on and ends with status 3 where nothing settles it. Change: all sub-commands of the contract with exit statuses 0 to 3; one Submission-Id over at most five attempts; the revision that get printed is the one that apply builds on. Certificate and key by path or text for each listener, https between peers by a CA, SIGHUP reads tokens, peer keys and certificates again; 401, 403, 404, 405, 412 and 422 as problem+json. The certificates under testdata are for tests only. Conclusion: every sub-command ends with the status of the contract against a fake, and the real listener answers each refusal with its status.

--- /dev/null
+++ b/packages/bilberryctl/src/main_test.ts
@@ -0,0 +1,116 @@
+import type { IncomingMessage } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import test from 'ava'
+import { execFile } from 'node:child_process'
+import { mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { createServer } from 'node:http'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+
+const main = fileURLToPath(new URL('main.js', import.meta.url))
+const document = {
+  service: 'api',
+  ownerTeam: 'operations',
+  regionWeights: { north: 1 },
+  shiftCap: 0.1,
+  shiftStepMs: 10_000,
+  leavingTargets: [],
+  classes: [],
+  objective: 'latency',
+  limits: { maxBodyBytes: 1000, maxUploadBytes: 1000, maxQueued: 10 }
+}
+const accepted = { revision: 4, document, acceptedAtMs: 0, author: 'someone', submissionId: 'earlier' }
+const entries = { service: 'api', revision: 4, ttlSeconds: 5, pin: 'p', entries: [{ instance: 'entry-0', address: '127.0.0.1:1', failureDomain: 'north-a', region: 'north' }] }
+
+/** One scripted answer: a status with its body, or a broken connection. */
+type Reply = { status: number, body: unknown } | 'cut'
+
+const taken: Reply = { status: 200, body: { ...accepted, revision: 5 } }
+const current: Reply = { status: 200, body: accepted }
+
+interface Run {
+  code: number
+  stdout: string
+  stderr: string
+  seen: Array<{ line: string, submission: string | undefined, condition: string | undefined, authorization: string | undefined }>
+}
+
+/** Runs the command against a fake that answers by the script; its last answer is repeated. */
+async function runCommand (args: string[], script: Reply[], content: unknown = document): Promise<Run> {
+  const seen: Run['seen'] = []
+  const server = createServer((request: IncomingMessage, response) => {
+    const header = (name: string): string | undefined => request.headers[name]?.toString()
+    seen.push({ line: `${request.method} ${request.url}`, submission: header('submission-id'), condition: header('if-match') ?? header('if-none-match'), authorization: header('authorization') })
+    const reply = script[Math.min(seen.length, script.length) - 1] ?? 'cut'
+    if (reply === 'cut') request.socket.destroy()
+    else request.resume().once('end', () => response.writeHead(reply.status, { 'content-type': 'application/json' }).end(JSON.stringify(reply.body)))
+  })
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  const folder = await mkdtemp(join(tmpdir(), 'bilberryctl-'))
+  await writeFile(join(folder, 'document.json'), JSON.stringify(content))
+  await writeFile(join(folder, 'token'), 'secret\n')
+  const env = { ...process.env, BILBERRY_ENDPOINT: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, BILBERRY_TOKEN_FILE: join(folder, 'token') }
+  const run = await new Promise<Run>(resolve => {
+    execFile(process.execPath, [main, ...args], { cwd: folder, env }, (error, stdout, stderr) => resolve({ code: Number(error?.code ?? 0), stdout, stderr, seen }))
+  })
+  server.closeAllConnections()
+  server.close()
+  await rm(folder, { recursive: true })
+  return run
+}
+
+const file = 'document.json'
+const conflict: Reply = { status: 412, body: { title: 'revision_conflict', detail: 'Revision is 5' } }
+const behind: Reply = { status: 200, body: { instances: [{ instance: 'entry-0', revision: 5 }, { instance: 'entry-1', revision: 4 }], unreachable: [] } }
+const inForce: Reply = { status: 200, body: { instances: [{ instance: 'entry-0', revision: 5 }, { instance: 'entry-1', revision: 5 }], unreachable: [] } }
+const cases: Array<{ name: string, args: string[], script: Reply[], content?: unknown, code: number, shows: RegExp, calls?: number }> = [
+  { name: 'help', args: ['--help'], script: [], code: 0, shows: /lookup/ },
+  { name: 'no command', args: [], script: [], code: 2, shows: /subcommand/ },
+  { name: 'unknown option', args: ['list', '--none'], script: [], code: 2, shows: /none/ },
+  { name: 'check of a good document', args: ['check', file], script: [], code: 0, shows: /No findings/, calls: 0 },
+  { name: 'check of a bad document', args: ['check', file], script: [], content: { ...document, shiftCap: 2, more: 1 }, code: 1, shows: /shiftCap.*\n?.*|more/, calls: 0 },
+  { name: 'check of a missing file', args: ['check', 'none.json'], script: [], code: 1, shows: /none\.json/ },
+  { name: 'get', args: ['get', 'api'], script: [current], code: 0, shows: /"revision": 4/ },
+  { name: 'get of another team', args: ['get', 'api'], script: [{ status: 403, body: { title: 'other_team' } }], code: 1, shows: /403: other_team/ },
+  { name: 'list', args: ['list'], script: [{ status: 200, body: { documents: [accepted] } }], code: 0, shows: /api +4 +someone/ },
+  { name: 'history', args: ['history', 'api'], script: [{ status: 200, body: { history: [accepted] } }], code: 0, shows: /earlier/ },
+  { name: 'diff', args: ['diff', file], script: [current], content: { ...document, shiftCap: 0.2 }, code: 0, shows: /\/shiftCap +0\.1 +0\.2/ },
+  { name: 'status', args: ['status'], script: [{ status: 200, body: { instance: 'entry-0', instances: [{ instance: 'entry-1' }] } }], code: 0, shows: /entry-1/ },
+  { name: 'lookup', args: ['lookup', 'api', '--client', '192.0.2.7'], script: [{ status: 200, body: entries }], code: 0, shows: /north-a/ },
+  { name: 'endpoint that is gone', args: ['list', '--endpoint', 'http://127.0.0.1:1'], script: [], code: 1, shows: /127\.0\.0\.1:1/ },
+  { name: 'apply', args: ['apply', file], script: [current, taken], code: 0, shows: /Revision 5/, calls: 2 },
+  { name: 'apply after another edit', args: ['apply', file], script: [current, conflict], code: 1, shows: /412: revision_conflict/, calls: 2 },
+  { name: 'apply with findings', args: ['apply', file], script: [current, { status: 422, body: { findings: [{ pointer: '/shiftCap', message: 'is too much' }] } }], code: 1, shows: /\/shiftCap: is too much/ },
+  { name: 'apply that was not run', args: ['apply', file], script: [current, { status: 503, body: { title: 'not-run' } }], code: 1, shows: /503/, calls: 2 },
+  { name: 'apply whose answer is lost once', args: ['apply', file], script: [current, 'cut', taken], code: 0, shows: /Revision 5/, calls: 3 },
+  { name: 'apply that stays unknown', args: ['apply', file], script: [current, 'cut', { status: 503, body: {} }, { status: 504, body: {} }], code: 3, shows: /--submission-id/, calls: 6 },
+  { name: 'apply until in force', args: ['apply', file, '--wait', '20'], script: [current, taken, behind, inForce], code: 0, shows: /in force/, calls: 4 },
+  { name: 'apply that is not in force in time', args: ['apply', file, '--wait', '0'], script: [current, taken, behind], code: 3, shows: /entry-1/ }
+]
+
+test('ends with the status and output of each case', async t => {
+  for (const { name, args, script, content = document, code, shows, calls } of cases) {
+    const run = await runCommand(args, script, content)
+    t.is(run.code, code, `${name}: ${run.stderr}`)
+    t.regex(run.stdout + run.stderr, shows, name)
+    if (calls !== undefined) t.is(run.seen.length, calls, `${name}: calls`)
+    t.true(run.seen.every(call => call.authorization === 'Bearer secret'), name)
+    t.false((run.stdout + run.stderr).includes('secret'), name)
+  }
+})
+
+test('repeats a submission under one identifier and one revision', async t => {
+  const run = await runCommand(['apply', file, '--json'], [current, 'cut', { status: 504, body: {} }, taken])
+  const puts = run.seen.slice(1)
+  t.is(new Set(puts.map(call => call.submission)).size, 1)
+  t.deepEqual(puts.map(call => call.condition), ['"4"', '"4"', '"4"'])
+  t.is((JSON.parse(run.stdout) as { revision: number }).revision, 5)
+})
+
+test('keeps the revision that get printed, and creates where there is none', async t => {
+  const edited = await runCommand(['apply', file], [taken], { ...accepted, revision: 3 })
+  t.deepEqual(edited.seen.map(call => call.condition), ['"3"'])
+  const created = await runCommand(['apply', file], [{ status: 404, body: {} }, { status: 201, body: accepted }])
+  t.deepEqual(created.seen.map(call => call.condition), [undefined, '*'])
+})
--- a/packages/bilberryctl/src/mod.ts
+++ b/packages/bilberryctl/src/mod.ts
@@ -1,6 +1,14 @@
 /**
  * The parts of `bilberryctl`.
  *
+ * ```ts
+ * import { applyDocument, createApiClient } from 'bilberryctl'
+ * ```
+ *
  * @module
  */
-export {}
+export * from './api_client.ts'
+export * from './apply_document.ts'
+export * from './exit_status.ts'
+export * from './read_document.ts'
+export * from './render.ts'
--- /dev/null
+++ b/packages/bilberryctl/src/render.ts
@@ -0,0 +1,43 @@
+/**
+ * Renders answers for people.
+ *
+ * @module
+ */
+
+/**
+ * Renders rows as a table with aligned columns.
+ *
+ * @param rows Cells by name of the column; the first row names the columns
+ * @returns The lines
+ */
+export function renderTable (rows: Array<Record<string, unknown>>): string {
+  const names = Object.keys(rows[0] ?? {})
+  const lines = [names.map(name => name.toUpperCase()), ...rows.map(row => names.map(name => renderCell(row[name])))]
+  const widths = names.map((_, column) => Math.max(...lines.map(cells => cells[column]!.length)))
+  return lines.map(cells => cells.map((cell, column) => cell.padEnd(widths[column]!)).join('  ').trimEnd()).join('\n')
+}
+
+function renderCell (value: unknown): string {
+  if (value === undefined || value === null) return '-'
+  return typeof value === 'object' ? JSON.stringify(value) : String(value)
+}
+
+/**
+ * Lists the differences between two JSON values.
+ *
+ * @param before The older value
+ * @param after The newer value
+ * @param pointer JSON pointer of the values
+ * @returns One row for each place that differs
+ */
+export function diffValues (before: unknown, after: unknown, pointer = ''): Array<{ pointer: string, before: unknown, after: unknown }> {
+  if (!isRecord(before) || !isRecord(after)) {
+    return JSON.stringify(before) === JSON.stringify(after) ? [] : [{ pointer: pointer === '' ? '/' : pointer, before, after }]
+  }
+  const names = [...new Set([...Object.keys(before), ...Object.keys(after)])]
+  return names.flatMap(name => diffValues(before[name], after[name], `${pointer}/${name.replaceAll('~', '~0').replaceAll('/', '~1')}`))
+}
+
+function isRecord (value: unknown): value is Record<string, unknown> {
+  return typeof value === 'object' && value !== null && !Array.isArray(value)
+}
--- a/packages/bilberryd/src/instance_handlers.ts
+++ b/packages/bilberryd/src/instance_handlers.ts
@@ -45,7 +45,7 @@
     tokens: () => settings.tokens, countUnauthenticated: () => metrics.countUnauthenticated('operators'), registry: metrics.registry, isReady: parts.isReady
   })
   const peers = createPeerHandler({
-    keys: settings.peerKeys,
+    listKeys: () => settings.peerKeys,
     methods: {
       ...Object.fromEntries(Object.values(PeerMethodName).map(name => [name, (params: unknown) => sync.methods[name]?.(params)])),
       [feedsMethod]: feeding.handleExchange
--- a/packages/bilberryd/src/instance_parts.ts
+++ b/packages/bilberryd/src/instance_parts.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { PeerClient } from '@bilberryworks/instances'
+import type { CreateHttpPeersOptions, PeerClient } from '@bilberryworks/instances'
 import type { HttpPlatform } from '@bilberryworks/platform'
 import type { HandleRequest, WeightChange } from '@bilberryworks/steering'
 import type { TargetClient } from '@bilberryworks/targets'
@@ -31,6 +31,7 @@
 import { createKeyKeeper } from './key_keeper.ts'
 import { startLoop } from './loop.ts'
 import { createMetrics } from './metrics.ts'
+import { readPem } from './read_pem.ts'
 import { createRegionChooser } from './regions.ts'
 import { createRouter, listUsableTargets } from './route.ts'
 import { createShiftLoop, hasLiveTargets } from './shift_loop.ts'
@@ -190,11 +191,17 @@
   }
 }
 
+function readPeerTls ({ peerTls }: Settings): Pick<CreateHttpPeersOptions, 'tls'> {
+  if (peerTls === undefined) return {}
+  const { ca, serverName } = peerTls
+  return { tls: { ca: readPem(ca), ...serverName === undefined ? {} : { servername: serverName } } }
+}
+
 function createClients (settings: Settings): { platform: HttpPlatform, targets: TargetClient, peers: PeerClient } {
   const local = settings.localAddress === undefined ? {} : { localAddress: settings.localAddress }
   return {
     platform: createHttpPlatform(settings.platformUrl, local),
     targets: createHttpTargets(local),
-    peers: createHttpPeers({ key: settings.peerKeys[0]!, ...local })
+    peers: createHttpPeers({ getKey: () => settings.peerKeys[0]!, ...readPeerTls(settings), ...local })
   }
 }
--- a/packages/bilberryd/src/main.ts
+++ b/packages/bilberryd/src/main.ts
@@ -4,6 +4,8 @@
  *
  * @module
  */
+import type Logger from 'bunyan'
+import type { RunningInstance } from './run_instance.ts'
 import type { Finding, Settings } from './settings.ts'
 import { createLogger } from 'bunyan'
 import { command, option, positional, run, string, subcommands } from 'cmd-ts'
@@ -30,7 +32,7 @@
   async handler ({ settings: file }) {
     const settings = readSettings(file)
     if (settings.isErr()) printFindings(settings.error)
-    else await runUntilStopped(settings.value)
+    else await runUntilStopped(settings.value, file)
   }
 })
 
@@ -39,10 +41,25 @@
   process.exitCode = exitFindings
 }
 
-async function runUntilStopped (settings: Settings): Promise<void> {
+/** Reads the settings again; keeps the old ones where the new ones have findings. */
+function refreshSecrets (instance: RunningInstance, file: string, log: Logger): void {
+  const settings = readSettings(file)
+  if (settings.isErr()) {
+    log.error({ findings: settings.error }, 'Settings were not read again')
+    return
+  }
+  try {
+    instance.reload(settings.value)
+  } catch (error) {
+    log.error({ detail: (error as Error).message }, 'Certificates were not read again')
+  }
+}
+
+async function runUntilStopped (settings: Settings, file: string): Promise<void> {
   const log = createLogger({ name: 'bilberryd', instance: settings.instance, stream: process.stderr })
   const instance = await runInstance(settings, log)
   console.log(JSON.stringify({ ready: true, ...instance.addresses, listening: instance.listening }))
+  process.on('SIGHUP', () => refreshSecrets(instance, file, log))
   const stop = (): void => {
     process.once('SIGTERM', () => process.exit(exitFindings))
     process.once('SIGINT', () => process.exit(exitFindings))
--- a/packages/bilberryd/src/run_instance.ts
+++ b/packages/bilberryd/src/run_instance.ts
@@ -18,6 +18,8 @@
   addresses: { callers: string, operators: string, peers: string }
   /** `host:port` that each listener is bound to, which differs where others reach it by an advertised address. */
   listening: { callers: string, operators: string, peers: string }
+  /** Takes tokens, keys between instances and certificates of other settings; the rest stays. */
+  reload (next: Settings): void
   /** Stops gracefully: announces it, serves on, lets requests in flight end. */
   stop (): Promise<void>
 }
@@ -59,6 +61,14 @@
   return {
     addresses,
     listening: { callers: listeners.callers.address, operators: listeners.operators.address, peers: listeners.peers.address },
+    reload (next) {
+      listeners.callers.reloadTls(next.listen.callers.tls)
+      listeners.operators.reloadTls(next.listen.operators.tls)
+      listeners.peers.reloadTls(next.listen.peers.tls)
+      settings.tokens = next.tokens
+      settings.peerKeys = next.peerKeys
+      log.info({ tokens: next.tokens.length, peerKeys: next.peerKeys.length }, 'Secrets were read again')
+    },
     async stop () {
       parts.identity.markLeaving()
       log.info('Instance is leaving')
--- a/packages/instances/src/http_peers.ts
+++ b/packages/instances/src/http_peers.ts
@@ -23,8 +23,10 @@
 
 /** Options of {@linkcode createHttpPeers}. */
 export interface CreateHttpPeersOptions {
-  /** Key sent with each call. */
-  key: string
+  /** Returns the key sent with each call. */
+  getKey: () => string
+  /** Certificate authority and name of the peers' certificates; plain TCP where absent. */
+  tls?: { ca: string, servername?: string }
   /** Local address of outgoing connections; the system's choice where absent. */
   localAddress?: string
   /** Most connections to one peer; 64 by default. */
@@ -38,17 +40,18 @@
  * @returns The client; dispose it to close its connections
  */
 export function createHttpPeers (options: CreateHttpPeersOptions): PeerClient {
-  const { key, connectionsPerPeer = 64, ...local } = options
+  const { getKey, tls, connectionsPerPeer = 64, ...local } = options
   const agent = new Agent({
     connections: connectionsPerPeer,
     pipelining: 1,
     keepAliveTimeout: keepAliveMs,
     headersTimeout: 0,
     bodyTimeout: 0,
-    connect: { timeout: connectTimeoutMs },
+    connect: { timeout: connectTimeoutMs, ...tls },
     ...local
   })
-  const authorization = `Bearer ${key}`
+  const scheme = tls === undefined ? 'http' : 'https'
+  const createAuthorization = (): string => `Bearer ${getKey()}`
   let nextId = 1
 
   return {
@@ -56,10 +59,10 @@
       try {
         const body = JSON.stringify(createJSONRPCRequest(nextId++, method, call.params))
         const answer = await agent.request({
-          origin: `http://${peerAddress}`,
+          origin: `${scheme}://${peerAddress}`,
           method: 'POST',
           path: '/rpc',
-          headers: { authorization, 'content-type': 'application/json' },
+          headers: { authorization: createAuthorization(), 'content-type': 'application/json' },
           body,
           signal: AbortSignal.timeout(call.timeoutMs ?? defaultCallTimeoutMs)
         })
@@ -78,10 +81,10 @@
       const timeout = AbortSignal.timeout(Math.max(1, Math.ceil(remainingMs)))
       try {
         const answer = await agent.request({
-          origin: `http://${peer.peerAddress}`,
+          origin: `${scheme}://${peer.peerAddress}`,
           method: request.method as 'GET',
           path: `/services/${request.service}${request.path}`,
-          headers: { ...request.headers, ...createForwardHeaders(request, remainingMs), 'bilberry-peer-key': authorization },
+          headers: { ...request.headers, ...createForwardHeaders(request, remainingMs), 'bilberry-peer-key': createAuthorization() },
           body: request.method === 'GET' || request.method === 'HEAD' ? null : detachBody(request.body),
           // A run under a key goes on when its caller is gone, so that its answer is there for a repeat.
           signal: request.idempotencyKey === undefined ? AbortSignal.any([timeout, request.signal]) : timeout
--- a/packages/instances/src/mod.ts
+++ b/packages/instances/src/mod.ts
@@ -4,7 +4,7 @@
  * ```ts
  * import { createHttpPeers } from '@bilberryworks/instances'
  *
- * await using peers = createHttpPeers({ key: 'secret' })
+ * await using peers = createHttpPeers({ getKey: () => 'secret' })
  * const reply = await peers.call('127.0.0.1:7001', 'inventory.exchange', { params: {} })
  * ```
  *
--- a/packages/instances/src/peer_listener.ts
+++ b/packages/instances/src/peer_listener.ts
@@ -5,6 +5,7 @@
  */
 import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http'
 import { createHash, timingSafeEqual } from 'node:crypto'
+import { Outcome, RefusalReason } from '@bilberryworks/steering'
 import { createJSONRPCErrorResponse, JSONRPCServer } from 'json-rpc-2.0'
 
 const maxRpcBytes = 4 * 1024 * 1024
@@ -14,8 +15,8 @@
 
 /** Options of {@linkcode createPeerHandler}. */
 export interface CreatePeerHandlerOptions {
-  /** Keys that are valid now; two while a key is being replaced. */
-  keys: string[]
+  /** Lists the keys that are valid now; two while a key is being replaced. */
+  listKeys: () => string[]
   /** JSON-RPC methods by name. */
   methods: Record<string, PeerMethod>
   /** Handles a request that a peer forwards. */
@@ -37,9 +38,10 @@
   return (request, response) => {
     const forwarded = request.url?.startsWith('/services/') === true
     const presented = forwarded ? request.headers['bilberry-peer-key'] : request.headers.authorization
-    if (!isAuthentic(String(presented ?? ''), options.keys)) {
+    if (!isAuthentic(String(presented ?? ''), options.listKeys())) {
       options.countUnauthenticated()
-      response.writeHead(401, { connection: 'close', 'bilberry-outcome': 'not-run', 'bilberry-reason': 'bad_request' }).end()
+      response.writeHead(401, { connection: 'close', 'content-type': 'application/problem+json', 'bilberry-outcome': Outcome.NotRun, 'bilberry-reason': RefusalReason.Unauthenticated })
+      response.end(JSON.stringify({ type: `urn:bilberryworks:${RefusalReason.Unauthenticated}`, title: RefusalReason.Unauthenticated, status: 401 }))
       return
     }
     if (forwarded) {
--- /dev/null
+++ b/packages/standins/src/_single_instance.ts
@@ -0,0 +1,93 @@
+/**
+ * One instance with a platform and one target, all in this process, for tests.
+ *
+ * @module
+ */
+import type { RunningInstance, Settings } from 'bilberryd'
+import type { PlatformStandin } from './platform_standin.ts'
+import type { TargetStandin } from './target_standin.ts'
+import { createHash } from 'node:crypto'
+import { setTimeout } from 'node:timers/promises'
+import { createLogger } from 'bunyan'
+import { parseSettings, runInstance } from 'bilberryd'
+import { createCleanUp } from './clean_up.ts'
+import { createDocument, DeploymentName, deployments } from './deployments.ts'
+import { startPlatformStandin } from './platform_standin.ts'
+import { startTargetStandin } from './target_standin.ts'
+
+/** Token of team `operations`. */
+export const operatorsToken = 'token-of-the-operators'
+
+/** Key between instances. */
+export const peerKey = 'key-between-the-instances'
+
+const service = { name: 'lunchbox-api', targets: 1, slots: 3 }
+const listen = { host: '127.0.0.1', port: 0 }
+
+/** The document of the service that the target runs. */
+export const firstDocument = { ...createDocument(deployments[DeploymentName.Kutiyka], service), regionWeights: { sofia: 1 } }
+
+/** A running instance with what it needs. */
+export interface SingleInstance extends AsyncDisposable {
+  instance: RunningInstance
+  settings: Settings
+  target: TargetStandin
+  platform: PlatformStandin
+  /** Lines of its log. */
+  log: string[]
+}
+
+/** Options of {@linkcode startSingleInstance}. */
+export interface StartSingleInstanceOptions {
+  /** Limits of the document. */
+  limits?: Partial<typeof firstDocument.limits>
+  /** Settings in place of those of the test. */
+  settings?: Record<string, unknown>
+}
+
+/**
+ * Starts the instance and waits until its look-up answers.
+ *
+ * @param options Limits and settings
+ * @returns The instance
+ */
+export async function startSingleInstance (options: StartSingleInstanceOptions = {}): Promise<SingleInstance> {
+  const stack = createCleanUp()
+  const platform = stack.add(await startPlatformStandin())
+  const target = stack.add(await startTargetStandin({ target: 'target-0', service: service.name, slots: service.slots, failureDomain: 'sofia-a', region: 'sofia', serviceMs: 0 }))
+  platform.setMachines({ instances: [], targets: [target.record] })
+  const document = { ...firstDocument, limits: { ...firstDocument.limits, ...options.limits } }
+  const accepted = { revision: 1, document, acceptedAtMs: 0, author: 'test', submissionId: 'first' }
+  const writes = [
+    { table: 'documents', key: service.name, value: accepted },
+    { table: 'index', key: 'index', value: { revisions: { [service.name]: 1 }, shifts: {}, feeds: {}, clientBlocks: 0 } }
+  ]
+  await fetch(`${platform.url}/transactions`, { method: 'POST', body: JSON.stringify({ writes }) })
+  const settings = parseSettings(JSON.stringify({
+    instance: 'entry-0',
+    failureDomain: 'sofia-a',
+    region: 'sofia',
+    platformUrl: platform.url,
+    listen: { callers: listen, operators: listen, peers: listen },
+    peerKeys: [peerKey],
+    tokens: [{ name: 'test', team: 'operations', sha256: createHash('sha256').update(operatorsToken).digest('hex') }],
+    pollMs: 50,
+    heartbeatMs: 100,
+    longestDispatchMs: 500,
+    ...options.settings
+  }))._unsafeUnwrap()
+  const log: string[] = []
+  const stream = { write: (line: string) => log.push(line) }
+  const instance = stack.add(await runInstance(settings, createLogger({ name: 'test', streams: [{ type: 'stream', level: 'trace', stream: stream as unknown as NodeJS.WritableStream }] })))
+  return { instance, settings, target, platform, log, [Symbol.asyncDispose]: stack[Symbol.asyncDispose] }
+}
+
+/**
+ * Waits until a request to the service is answered, and forgets the requests that ran.
+ *
+ * @param system The instance
+ */
+export async function waitUntilServing (system: SingleInstance): Promise<void> {
+  while ((await fetch(`http://${system.instance.addresses.callers}/services/lunchbox-api/x`)).status !== 200) await setTimeout(20)
+  system.target.runs.length = 0
+}
--- a/packages/standins/src/bad_input_test.ts
+++ b/packages/standins/src/bad_input_test.ts
@@ -1,65 +1,27 @@
-import type { Settings } from 'bilberryd'
-import type { TargetStandin } from './target_standin.ts'
-import type { PlatformStandin } from './platform_standin.ts'
+import type { SingleInstance } from './_single_instance.ts'
 import test from 'ava'
-import { createLogger } from 'bunyan'
-import { parseSettings, runInstance } from 'bilberryd'
 import { once } from 'node:events'
 import { connect } from 'node:net'
 import { setTimeout } from 'node:timers/promises'
 import fc from 'fast-check'
-import { createDocument, DeploymentName, deployments } from './deployments.ts'
-import { createCleanUp } from './clean_up.ts'
-import { startPlatformStandin } from './platform_standin.ts'
-import { startTargetStandin } from './target_standin.ts'
+import { startSingleInstance, waitUntilServing } from './_single_instance.ts'
 
 const host = '127.0.0.1'
-const service = { name: 'lunchbox-api', targets: 1, slots: 3 }
-const maxBodyBytes = 1000
-const maxUploadBytes = 100_000
+const limits = { maxBodyBytes: 1000, maxUploadBytes: 100_000 }
 const timeoutMs = 400
 const seed = 20_240_907
 const fuzzRuns = 200
 
-interface System extends AsyncDisposable {
+interface System extends SingleInstance {
   port: number
   operators: string
-  target: TargetStandin
-  platform: PlatformStandin
 }
 
 async function startSystem (): Promise<System> {
-  const stack = createCleanUp()
-  const platform = stack.add(await startPlatformStandin())
-  const target = stack.add(await startTargetStandin({ target: 'target-0', service: service.name, slots: 3, failureDomain: 'sofia-a', region: 'sofia', serviceMs: 0 }))
-  platform.setMachines({ instances: [], targets: [target.record] })
-  const document = createDocument(deployments[DeploymentName.Kutiyka], service)
-  const accepted = { revision: 1, document: { ...document, regionWeights: { sofia: 1 }, limits: { ...document.limits, maxBodyBytes, maxUploadBytes } }, acceptedAtMs: 0, author: 'test', submissionId: 'first' }
-  const writes = [
-    { table: 'documents', key: service.name, value: accepted },
-    { table: 'index', key: 'index', value: { revisions: { [service.name]: 1 }, shifts: {}, feeds: {}, clientBlocks: 0 } }
-  ]
-  await fetch(`${platform.url}/transactions`, { method: 'POST', body: JSON.stringify({ writes }) })
-  const listen = { host, port: 0 }
-  const settings = {
-    instance: 'entry-0',
-    failureDomain: 'sofia-a',
-    region: 'sofia',
-    platformUrl: platform.url,
-    listen: { callers: listen, operators: listen, peers: listen },
-    peerKeys: ['0123456789abcdef'],
-    pollMs: 50,
-    heartbeatMs: 100,
-    longestDispatchMs: 500,
-    headersTimeoutMs: timeoutMs,
-    bodyIdleTimeoutMs: timeoutMs
-  }
-  const parsed: Settings = parseSettings(JSON.stringify(settings))._unsafeUnwrap()
-  const instance = stack.add(await runInstance(parsed, createLogger({ name: 'test', streams: [] })))
-  const operators = `http://${instance.addresses.operators}`
-  while ((await fetch(`http://${instance.addresses.callers}/services/lunchbox-api/x`)).status !== 200) await setTimeout(20)
-  target.runs.length = 0
-  return { port: Number(instance.addresses.callers.split(':')[1]), operators, target, platform, [Symbol.asyncDispose]: stack[Symbol.asyncDispose] }
+  const single = await startSingleInstance({ limits, settings: { headersTimeoutMs: timeoutMs, bodyIdleTimeoutMs: timeoutMs } })
+  await waitUntilServing(single)
+  const { callers, operators } = single.instance.addresses
+  return { ...single, port: Number(callers.split(':')[1]), operators: `http://${operators}` }
 }
 
 /** Sends bytes as they are and collects what comes until the connection ends. */
