--- a/packages/bilberryd/src/instance_handlers.ts
+++ b/packages/bilberryd/src/instance_handlers.ts
@@ -4,13 +4,11 @@
  * @module
  */
 import type { RequestListener } from 'node:http'
-import type { ServiceRequest } from '@bilberryworks/steering'
 import type { ServiceBroker } from 'moleculer'
 import type { InstanceParts } from './instance_parts.ts'
 import { createServiceHandler } from '@bilberryworks/callers'
 import { createPeerHandler } from '@bilberryworks/instances'
 import { createOperatorsService } from '@bilberryworks/operators'
-import { Outcome } from '@bilberryworks/steering'
 import moleculer from 'moleculer'
 import { findMaxBodyBytes } from './body_limits.ts'
 import { createCallersService } from './callers_service.ts'
@@ -33,14 +31,17 @@
  * @returns The handlers; dispose them to stop the broker behind them
  */
 export async function createInstanceHandlers (parts: InstanceParts): Promise<InstanceHandlers> {
-  const { settings, view, metrics, identity, sync, feeding, handleRequest } = parts
+  const { settings, metrics, identity, sync, feeding, handleRequest } = parts
   const broker = createBroker(parts)
-  const lookUp = createLookUpHandler(broker, { recordRefusal: reason => metrics.recordEnd({ service: '', outcome: Outcome.NotRun, reason, whole: true, elapsedMs: 0 }) })
-  const bodyBounds = {
-    getMaxBodyBytes: (request: ServiceRequest) => findMaxBodyBytes(view, request),
-    ...settings.bodyIdleTimeoutMs === undefined ? {} : { bodyIdleTimeoutMs: settings.bodyIdleTimeoutMs }
-  }
-  const serve = createServiceHandler({ fromPeer: false, handleRequest, recordEnd: metrics.recordEnd, isStopping: identity.isLeaving, ...bodyBounds })
+  const lookUp = createLookUpHandler(broker, { recordRefusal: metrics.countRefusal })
+  const serve = createServiceHandler({
+    fromPeer: false,
+    handleRequest,
+    recordEnd: metrics.recordEnd,
+    isStopping: identity.isLeaving,
+    getMaxBodyBytes: request => findMaxBodyBytes(parts.view, request),
+    bodyIdleTimeoutMs: settings.bodyIdleTimeoutMs
+  })
   const operators = createOperatorsGateway(broker, {
     tokens: () => settings.tokens, countUnauthenticated: () => metrics.countUnauthenticated('operators'), registry: metrics.registry, isReady: parts.isReady
   })
--- a/packages/bilberryd/src/run_instance.ts
+++ b/packages/bilberryd/src/run_instance.ts
@@ -33,12 +33,11 @@
  */
 export async function runInstance (settings: Settings, log: Logger): Promise<RunningInstance> {
   const late = { callers: createLateHandler(), operators: createLateHandler(), peers: createLateHandler() }
-  let countRefusal: (reason: RefusalReason) => void = () => {}
-  const options = { ...settings.headersTimeoutMs === undefined ? {} : { headersTimeoutMs: settings.headersTimeoutMs }, countRefusal: (reason: RefusalReason) => countRefusal(reason) }
+  const bounds = { headersTimeoutMs: settings.headersTimeoutMs, countRefusal: (reason: RefusalReason) => parts.metrics.countRefusal(reason) }
   const listeners = {
-    callers: await openListener(late.callers.handle, settings.listen.callers, options),
-    operators: await openListener(late.operators.handle, settings.listen.operators, options),
-    peers: await openListener(late.peers.handle, settings.listen.peers, options)
+    callers: await openListener(late.callers.handle, settings.listen.callers, bounds),
+    operators: await openListener(late.operators.handle, settings.listen.operators, bounds),
+    peers: await openListener(late.peers.handle, settings.listen.peers, bounds)
   }
   const addresses = {
     callers: settings.advertise?.callers ?? listeners.callers.address,
@@ -46,7 +45,6 @@
     peers: settings.advertise?.peers ?? listeners.peers.address
   }
   const parts = createInstanceParts(settings, { addresses, log })
-  countRefusal = parts.metrics.countRefusal
   const handlers = await createInstanceHandlers(parts)
   late.callers.update(handlers.callers)
   late.operators.update(handlers.operators)
--- a/packages/standins/src/cluster.ts
+++ b/packages/standins/src/cluster.ts
@@ -133,13 +133,14 @@
   stack.add({ [Symbol.asyncDispose]: () => rm(folder, { recursive: true }) })
   const token = randomBytes(24).toString('base64url')
   const all = createSettings(deployment, { platformUrl: `http://${routes[platformRoute]}`, token, routes, instancePlaces })
-  const instances = await Promise.all(all.map(async settings => {
+  const startInstance = async (settings: Settings): Promise<Child<InstanceAddresses>> => {
     const file = join(folder, `${settings.instance}.json`)
     await writeFile(file, JSON.stringify(settings))
     const child = stack.add(await startChild<InstanceAddresses>(locateDaemon(), ['--settings', file], createOptions(settings.instance)))
     registerInstance(relay, settings.instance, child)
-    return { settings, child }
-  }))
+    return child
+  }
+  const instances = await Promise.all(all.map(async settings => ({ settings, child: await startInstance(settings) })))
   const cluster: Cluster = {
     instances,
     targets,
@@ -147,11 +148,8 @@
     token,
     targetProcesses: targetChildren.map(child => child.process),
     async restartInstance (index) {
-      const file = join(folder, `${instances[index]!.settings.instance}.json`)
-      const { instance } = instances[index]!.settings
-      const child = stack.add(await startChild<InstanceAddresses>(locateDaemon(), ['--settings', file], createOptions(instance)))
-      registerInstance(relay, instance, child)
-      instances[index]!.child = child
+      const instance = instances[index]!
+      instance.child = await startInstance(instance.settings)
       await waitUntilReady(cluster, deployment)
     },
     setBehaviour (target, behaviour) {
@@ -289,7 +287,7 @@
   })
 }
 
-function listLinks (deployment: Deployment): NonNullable<Settings['links']> {
+function listLinks (deployment: Deployment): Settings['links'] {
   const { regions, linkBitsPerSecond } = deployment
   return regions.flatMap((from, index) => regions.slice(index + 1).map(to => ({ regions: [from, to] as [string, string], bitsPerSecond: linkBitsPerSecond })))
 }
