--- a/packages/bilberryd/src/settings.ts
+++ b/packages/bilberryd/src/settings.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { ErrorObject } from 'ajv'
 import type { Result } from 'neverthrow'
 import { readFileSync } from 'node:fs'
 import { Ajv } from 'ajv'
@@ -134,7 +135,7 @@
   }
   if (checkSchema(value)) return ok(value)
   return err((checkSchema.errors ?? []).map(error => ({
-    pointer: error.instancePath,
+    pointer: locateFinding(error),
     message: `${error.message ?? 'is not allowed'}${describeParams(error.params)}`
   })))
 }
@@ -153,6 +154,13 @@
   }
 }
 
+/** Returns the pointer to the place itself, where ajv points to the object around it. */
+function locateFinding (error: ErrorObject): string {
+  const { missingProperty, additionalProperty } = error.params as { missingProperty?: string, additionalProperty?: string }
+  const name = missingProperty ?? additionalProperty
+  return name === undefined ? error.instancePath : `${error.instancePath}/${name.replaceAll('~', '~0').replaceAll('/', '~1')}`
+}
+
 function describeParams (params: Record<string, unknown>): string {
   const unknown = params['additionalProperty']
   if (typeof unknown === 'string') return `: unknown key "${unknown}"`
