--- a/packages/bilberryd/src/feed.ts
+++ b/packages/bilberryd/src/feed.ts
@@ -10,6 +10,8 @@
 
 const advanceIntervalMs = 20
 const observeIntervalMs = 500
+/** Time for which a list of fed targets is used; the lease is checked again right before each dispatch. */
+const listLifetimeMs = 10
 
 /** A request with what was decided about it. */
 export interface FeedRequest {
@@ -25,7 +27,7 @@
 
 /** Options of {@linkcode createFeed}. */
 export interface CreateFeedOptions {
-  /** Lists the usable targets of a service that this instance feeds now; called for each decision. */
+  /** Lists the usable targets of a service that this instance feeds now; called a hundred times a second at most. */
   listFedTargets: (service: string) => readonly TargetRecord[]
   /** Lists the usable targets of all services, whoever feeds them, to tell cold ones; what is fed by default. */
   listUsableTargets?: () => readonly TargetRecord[]
@@ -62,9 +64,19 @@
 export function createFeed (options: CreateFeedOptions): Feed {
   const { getNowMs, getRandom = Math.random, getLimits = () => getFeedLimits(undefined) } = options
   const warmUps = createWarmUps()
-  const slots = createSlotFeed({ listFedTargets: options.listFedTargets, getLimits, warmUps, getNowMs, getRandom })
+  const lists = new Map<string, { targets: readonly TargetRecord[], atMs: number }>()
+  const slots = createSlotFeed({ listFedTargets, getLimits, warmUps, getNowMs, getRandom })
   const timers = [setInterval(() => slots.advance(), advanceIntervalMs), setInterval(observeTargets, observeIntervalMs)]
 
+  function listFedTargets (service: string): readonly TargetRecord[] {
+    const nowMs = getNowMs()
+    const known = lists.get(service)
+    if (known !== undefined && nowMs - known.atMs < listLifetimeMs) return known.targets
+    const targets = options.listFedTargets(service)
+    lists.set(service, { targets, atMs: nowMs })
+    return targets
+  }
+
   function observeTargets (): void {
     const byService = new Map<string, TargetRecord[]>()
     for (const record of options.listUsableTargets?.() ?? []) {
--- /dev/null
+++ b/packages/bilberryd/src/feed_test.ts
@@ -0,0 +1,62 @@
+import type { ServiceRequest, TargetRecord } from '@bilberryworks/steering'
+import type { FeedRequest } from './feed.ts'
+import test from 'ava'
+import { MachineState, RefusalReason, RequestClass } from '@bilberryworks/steering'
+import { createFeed } from './feed.ts'
+
+const target: TargetRecord = { target: 'a', service: 's', address: '', failureDomain: 'f', region: 'r', slots: 1, maxConnections: 330, state: MachineState.Live }
+
+/** A feed of one slot on a clock that the test moves. */
+class Fixture {
+  nowMs = 0
+  listCalls = 0
+  feed = createFeed({
+    listFedTargets: () => {
+      this.listCalls++
+      return [target]
+    },
+    getNowMs: () => this.nowMs,
+    getRandom: () => 0.5
+  })
+
+  createRequest (requestId: string, deadlineMs: number, signal = new AbortController().signal): FeedRequest {
+    const request = { requestId, service: 's', callerKey: 'c', signal } as ServiceRequest
+    return { request, requestClass: RequestClass.LookUp, priority: 0, deadlineAtMs: this.nowMs + deadlineMs }
+  }
+}
+
+test('lists the fed targets once for the decisions of a moment', async t => {
+  const fixture = new Fixture()
+  for (let index = 0; index < 50; index++) (await fixture.feed.reserveSlot(fixture.createRequest(`r${index}`, 1_000)))._unsafeUnwrap().release()
+  t.is(fixture.listCalls, 1)
+  fixture.nowMs += 10
+  await fixture.feed.reserveSlot(fixture.createRequest('last', 1_000))
+  t.is(fixture.listCalls, 2)
+  await fixture.feed[Symbol.asyncDispose]()
+})
+
+test('answers a caller that goes while it waits, and one that has gone before', async t => {
+  const fixture = new Fixture()
+  const held = await fixture.feed.reserveSlot(fixture.createRequest('held', 1_000))
+  const gone = new AbortController()
+  const waiting = fixture.feed.reserveSlot(fixture.createRequest('waits', 1_000, gone.signal))
+  t.is(fixture.feed.countQueued(), 1)
+  gone.abort()
+  t.is((await waiting)._unsafeUnwrapErr().reason, RefusalReason.CallerGone)
+  t.is((await fixture.feed.reserveSlot(fixture.createRequest('late', 1_000, gone.signal)))._unsafeUnwrapErr().reason, RefusalReason.CallerGone)
+  t.is(fixture.feed.countQueued(), 0)
+  held._unsafeUnwrap().release()
+  t.is(fixture.feed.countInFlight(), 0)
+  await fixture.feed[Symbol.asyncDispose]()
+})
+
+test('refuses by its timer what can not be served any more', async t => {
+  const fixture = new Fixture()
+  await fixture.feed.reserveSlot(fixture.createRequest('held', 1_000))
+  const waiting = fixture.feed.reserveSlot(fixture.createRequest('waits', 500))
+  fixture.nowMs = 600
+  const refusal = (await waiting)._unsafeUnwrapErr()
+  t.is(refusal.reason, RefusalReason.DeadlinePassed)
+  t.true(refusal.retryAfterMs! > 0)
+  await fixture.feed[Symbol.asyncDispose]()
+})
