Simulate a region that is cut off and heals

Cause: the issue asks for a partition, and the benchmark had none. Change: instances of a cut region see no instances elsewhere and are seen by none; reports don't cross the cut.

--- a/packages/standins/src/bench_routers.ts
+++ b/packages/standins/src/bench_routers.ts
@@ -8,7 +8,7 @@
 import type { SimInstance, SimRequest, SimTarget, SimWorld } from './bench_world.ts'
 import { chooseMostFree, computeHash, createNotRun, createSlotFeed, createWarmUps, MachineState, RefusalReason, TargetSignal } from '@bilberryworks/steering'
 import { createRegionChooser } from 'bilberryd'
-import { computeLatencyMs, RunEnd, runOnTarget } from './bench_world.ts'
+import { computeLatencyMs, isReachable, RunEnd, runOnTarget } from './bench_world.ts'
 
 /** What became of a request: the region that answered, or a refusal. */
 export type EndRequest = (end: { region: string } | { refusal: Refusal }) => void
@@ -71,14 +71,14 @@
   })
   const getLoads = (): typeof loads[number] | undefined => loads.findLast(each => each.atMs <= world.clock.getNowMs() - reports.lagMs + reportMs)
   for (const node of nodes.values()) {
-    node.regions = createRegionChooser({ view: createView(world), getNowMs: world.clock.getNowMs, getRegionReport: (_, region) => sumRegion(world, region, getLoads()) })
+    node.regions = createRegionChooser({ view: createView(world, node.instance), getNowMs: world.clock.getNowMs, getRegionReport: (_, region) => sumRegion(world, { region, reader: node.instance }, getLoads()) })
   }
 
   /** Describes the feeders of a region as an instance sees them. */
   function listFeeders (node: Node, region: string): FeederState[] {
     const nowMs = world.clock.getNowMs()
     const snapshot = getLoads()
-    return world.instances.filter(each => each.alive && each.region === region).map(instance => {
+    return world.instances.filter(each => each.alive && each.region === region && isReachable(world, node.instance, each)).map(instance => {
       const load = snapshot?.byInstance.get(instance.name)
       const polled = load === undefined ? undefined : { slots: load.slots, load: load.busy + load.queued, atMs: snapshot!.atMs }
       const heard = options.pollOnly === true ? polled : node.heard.get(instance.name)
@@ -263,22 +263,22 @@
   return node.listFed().reduce((sum, record) => sum + record.slots, 0)
 }
 
-function sumRegion (world: SimWorld, region: string, snapshot: { atMs: number, byInstance: Map<string, { slots: number, busy: number }> } | undefined): RegionReport | undefined {
+function sumRegion (world: SimWorld, { region, reader }: { region: string, reader: SimInstance }, snapshot: { atMs: number, byInstance: Map<string, { slots: number, busy: number }> } | undefined): RegionReport | undefined {
   if (snapshot === undefined) return undefined
   const report = { slots: 0, busy: 0, ageMs: world.clock.getNowMs() - snapshot.atMs }
   for (const instance of world.instances) {
-    const load = instance.region === region ? snapshot.byInstance.get(instance.name) : undefined
+    const load = instance.region === region && isReachable(world, reader, instance) ? snapshot.byInstance.get(instance.name) : undefined
     report.slots += load?.slots ?? 0
     report.busy += load?.busy ?? 0
   }
   return report
 }
 
-function createView (world: SimWorld): View {
+function createView (world: SimWorld, reader: SimInstance): View {
   return {
     getDocument: () => ({ revision: 1, document: world.document }) as AcceptedDocument,
     getShift: () => undefined,
-    listInstances: () => world.instances.filter(each => each.alive).map(each => ({ instance: each.name, region: each.region }) as InstanceRecord),
+    listInstances: () => world.instances.filter(each => each.alive && isReachable(world, reader, each)).map(each => ({ instance: each.name, region: each.region }) as InstanceRecord),
     listTargets: () => world.targets.map(each => ({ ...each.record, state: each.leaving ? MachineState.Leaving : MachineState.Live }))
   } as unknown as View
 }
--- a/packages/standins/src/bench_scenarios.ts
+++ b/packages/standins/src/bench_scenarios.ts
@@ -19,6 +19,7 @@
 
 const seed = 20260612
 const eventMs = 10_000
+const cutMs = 20_000
 const coldRequests = 30
 const failureScenario = 'region fails at the rush'
 
@@ -53,6 +54,15 @@
       for (const each of [...world.instances, ...world.targets]) if (each.region === region) each.alive = false
     })
   },
+  {
+    name: 'a region is cut off for 20 s, 85 %',
+    lengthMs: 60_000,
+    getLoad: () => 0.85,
+    prepare: world => {
+      scheduleChange(world, eventMs, () => { world.cutRegion = world.deployment.regions[0] })
+      scheduleChange(world, eventMs + cutMs, () => { world.cutRegion = undefined })
+    }
+  },
   { name: 'reports 10 s late, 90 %', lengthMs: 30_000, getLoad: () => 0.9, reports: { lagMs: 10_000 } },
   { name: 'reports say idle, 90 %', lengthMs: 30_000, getLoad: () => 0.9, reports: { lagMs: 1_000, lie: () => 0 } },
   { name: 'reports say full, 90 %', lengthMs: 30_000, getLoad: () => 0.9, reports: { lagMs: 1_000, lie: slots => slots } },
--- a/packages/standins/src/bench_world.ts
+++ b/packages/standins/src/bench_world.ts
@@ -85,6 +85,8 @@
   targets: SimTarget[]
   /** Changes whenever a target or an instance dies, leaves or returns. */
   epoch: number
+  /** Region whose instances are cut off from those of the others. */
+  cutRegion: string | undefined
 }
 
 /** Mean run times and shares of the classes. */
@@ -117,7 +119,19 @@
     return { record, alive: true, leaving: false, busy: 0, assigned: 0, coldRequests: 0, overloadedSeconds: new Set(), ...place }
   })
   const clock = createVirtualClock()
-  return { clock, getRandom: createRandom(seed), deployment, service, document: createDocument(deployment, service), instances, targets, epoch: 0 }
+  return { clock, getRandom: createRandom(seed), deployment, service, document: createDocument(deployment, service), instances, targets, epoch: 0, cutRegion: undefined }
+}
+
+/**
+ * Tells whether two places can reach each other.
+ *
+ * @param world The world
+ * @param from One place
+ * @param to The other
+ * @returns Whether no cut is between them
+ */
+export function isReachable (world: SimWorld, from: Place, to: Place): boolean {
+  return from.region === to.region || (from.region !== world.cutRegion && to.region !== world.cutRegion)
 }
 
 /**
