--- a/packages/bilberryd/src/dispatch.ts
+++ b/packages/bilberryd/src/dispatch.ts
@@ -24,8 +24,6 @@
   targets: TargetClient
   /** Takes note that a target said that it is leaving. */
   markTargetLeaving: (target: string) => void
-  /** Takes note that a target took no connection. */
-  markTargetUnreachable?: (target: string) => void
   /** Checks right before each dispatch that this instance still feeds a target; always true by default. */
   checkDispatch?: (target: TargetRecord) => boolean
   /** Counts a retry. */
@@ -62,7 +60,6 @@
     if (leaving) options.markTargetLeaving(slot.target.target)
     if (result.isErr()) {
       slot.recordFailure(mapSignal(result.error.kind, request.signal.aborted))
-      if (result.error.kind === TargetFailureKind.ConnectFailed) options.markTargetUnreachable?.(slot.target.target)
       if (isUnread(result.error)) slot.release()
       else startCancel(feedRequest, slot)
       return err(result.error)
--- a/packages/bilberryd/src/instance_parts.ts
+++ b/packages/bilberryd/src/instance_parts.ts
@@ -5,7 +5,7 @@
  */
 import type { PeerClient } from '@bilberryworks/instances'
 import type { HttpPlatform } from '@bilberryworks/platform'
-import type { HandleRequest, WeightChange } from '@bilberryworks/steering'
+import type { HandleRequest } from '@bilberryworks/steering'
 import type { TargetClient } from '@bilberryworks/targets'
 import type Logger from 'bunyan'
 import type { ClientBlocksLoader } from './client_blocks.ts'
@@ -33,10 +33,8 @@
 import { createMetrics } from './metrics.ts'
 import { createRegionChooser } from './regions.ts'
 import { createRouter, listUsableTargets } from './route.ts'
-import { createShiftLoop, hasLiveTargets } from './shift_loop.ts'
-import { createStatusReader } from './status.ts'
-import { createSuspects } from './suspects.ts'
 import { createSync } from './sync.ts'
+import { createUpkeep } from './upkeep.ts'
 import { createView } from './view.ts'
 
 const heartbeatsMissed = 4
@@ -93,12 +91,11 @@
     getRevisions: view.getRevisions
   })
   const clientBlocks = createClientBlocksLoader({ platform, getRandom: Math.random, countLoad: metrics.countClientBlocksLoad, recordLoad: (load, detail) => log.info({ load }, detail) })
-  const suspects = createSuspects(getNowMs)
   const feed: Feed = createFeed({
-    listFedTargets: service => suspects.select(listUsableTargets(view, service).flatMap(target => {
+    listFedTargets: service => listUsableTargets(view, service).flatMap(target => {
       const slots = feeding.getSlotLimit(target)
       return slots > 0 ? [{ ...target, slots }] : []
-    })),
+    }),
     listUsableTargets: () => view.listAllTargets().filter(target => target.state === MachineState.Live),
     getLimits: service => getFeedLimits(view.getDocument(service)?.document),
     getNowMs
@@ -122,7 +119,6 @@
     feed,
     targets,
     markTargetLeaving: view.markTargetLeaving,
-    markTargetUnreachable: suspects.mark,
     checkDispatch ({ service, target }) {
       const record = view.listTargets(service).find(other => other.target === target)
       return record !== undefined && feed.getBusy(target) <= feeding.getSlotLimit(record)
@@ -135,10 +131,7 @@
     isFed: target => feeding.listFeeders(target.failureDomain).some(feeder => view.listInstances().some(record => record.instance === feeder)),
     getNowMs
   })
-  const hasCapacity = (service: string, change: WeightChange): boolean => hasLiveTargets(view, service, { change })
-  const shifts = createShiftLoop({
-    instance: settings.instance, view, platform, hasCapacity, isPlatformReachable: () => sync.isPlatformReachable(), rankDelayMs: settings.pollMs, getNowMs
-  })
+  const upkeep = createUpkeep({ settings, view, platform, peers, targets, regions, getSync: () => sync, getNowMs })
   const exchangePeers = createBudgetedPeers(peers, {
     bytesPerSecond: settings.controlBytesPerSecond ?? defaultControlBytesPerSecond, isReady: () => sync.isReady(), countBytes: metrics.countControlBytes, countHeldBack: metrics.countExchangeHeldBack, getNowMs
   })
@@ -158,19 +151,21 @@
       clientBlocks.observeRevision(index.clientBlocks)
       await feeding.refresh(index)
     },
-    afterPoll: shifts.advanceShifts,
-    recordSuperseded: () => log.warn('A later incarnation runs under the name of this instance'),
+    afterPoll: upkeep.runAfterPoll,
+    recordSuperseded () {
+      identity.markLeaving()
+      log.warn('A later incarnation runs under the name of this instance')
+    },
     recordPlatform: reachable => log.info({ reachable }, reachable ? 'Platform answers' : 'Platform does not answer')
   })
   const feedLoop = startLoop(feeding.advance, { intervalMs: settings.pollMs, getRandom: Math.random })
-  const status = createStatusReader({ view, peers, createVersions: sync.createVersions, getWeights: regions.getWeights, getShiftState: shifts.getState })
   const route = createRouter({
     instance: settings.instance, view, listFeeders: feeding.listFeeders, dispatch, regions, peers, isReady: sync.isReady, countRetry: metrics.countRetry, getNowMs
   })
   const keeper = createKeyKeeper({
     instance: settings.instance, incarnation: identity.getRecord().incarnation, platform, peers, view, handleRequest: route, getNowMs
   })
-  identity.setPinEpochSource(keeper.getPinEpoch)
+  identity.followPinEpoch(keeper.getPinEpoch)
   return {
     settings,
     platform,
@@ -182,7 +177,7 @@
     feed,
     feeding,
     regions,
-    status,
+    status: upkeep.status,
     sync,
     handleRequest: keeper.handleRequest,
     isReady: () => !identity.isLeaving() && sync.isReady(),
--- a/packages/bilberryd/src/mod.ts
+++ b/packages/bilberryd/src/mod.ts
@@ -8,7 +8,10 @@
  * @module
  */
 export * from './client_blocks.ts'
+export * from './key_keeper.ts'
+export * from './regions.ts'
 export * from './run_instance.ts'
+export * from './sync.ts'
+export * from './view.ts'
 export * from './settings.ts'
-export * from './regions.ts'
 export * from './view.ts'
--- a/packages/bilberryd/src/sync.ts
+++ b/packages/bilberryd/src/sync.ts
@@ -9,13 +9,12 @@
 import type { InstanceVersions } from './exchange_messages.ts'
 import type { ExchangeResult } from './exchange.ts'
 import type { View } from './view.ts'
-import { setTimeout } from 'node:timers/promises'
 import { createAnnouncer } from './announcer.ts'
 import { createExchange } from './exchange.ts'
 import { PeerMethodName } from './exchange_messages.ts'
+import { startLoop } from './loop.ts'
 import { createPoller } from './poll_platform.ts'
 
-const jitterShare = 0.2
 const peersPerRound = 2
 const peersAtOnce = 8
 const pollsPerExchange = 4
@@ -42,17 +41,17 @@
   /** Returns the monotonic time, in milliseconds. */
   getNowMs: () => number
   /** Called with the time at which a heartbeat was sent that the platform acknowledged. */
-  recordHeartbeat?: (sentAtMs: number) => void
+  recordHeartbeat: (sentAtMs: number) => void
   /** Called with each list of machines. */
-  recordMachines?: (list: MachineList) => void
+  recordMachines: (list: MachineList) => void
+  /** Reads what else the index row names. */
+  followIndex: (index: IndexRow) => Promise<void>
   /** Called when the platform starts or stops answering. */
   recordPlatform: (reachable: boolean) => void
   /** Called once where a later incarnation runs under this instance's name. */
-  recordSuperseded?: () => void
-  /** Reads what else the index row names. */
-  followIndex?: (index: IndexRow) => Promise<void>
+  recordSuperseded: () => void
   /** Called after each poll, answered or not. */
-  afterPoll?: () => Promise<void>
+  afterPoll: () => Promise<void>
 }
 
 /** The loops that keep a view current. */
@@ -84,13 +83,13 @@
  * @returns The loops; dispose them to stop
  */
 export function createSync (options: CreateSyncOptions): Sync {
-  const { view, platform, peers } = options
-  const stopped = new AbortController()
+  const { view, peers, getRandom } = options
+  let stopped = false
   let ready = false
   let reachable = false
   let peersAsked = false
   let lastPlatformMs = options.getNowMs()
-  const announcer = createAnnouncer({ view, platform, createAnnouncement: options.createAnnouncement, recordSuperseded: options.recordSuperseded ?? (() => {}), getNowMs: options.getNowMs })
+  const announcer = createAnnouncer(options)
   const exchange = createExchange({
     view,
     peers,
@@ -99,41 +98,22 @@
     isReady: () => ready,
     targetsSlackMs: options.pollMs * targetsSlackPolls
   })
-  const poll = createPoller({
-    view,
-    platform,
-    readInstances: announcer.readInstances,
-    instancesEveryMs: options.heartbeatMs,
-    getNowMs: options.getNowMs,
-    ...options.followIndex === undefined ? {} : { followIndex: options.followIndex },
-    ...options.recordMachines === undefined ? {} : { recordMachines: options.recordMachines }
-  })
+  const poll = createPoller({ ...options, readInstances: announcer.readInstances, instancesEveryMs: options.heartbeatMs })
   view.watchNews(() => { spread().catch(() => {}) })
-  const loops = runLoops()
+  const loops = startLoops()
 
-  async function runLoops (): Promise<void> {
+  /** Learns what there is to learn, then starts the loops. */
+  async function startLoops (): Promise<AsyncDisposable[]> {
     await pollPlatform()
     await writeHeartbeat()
     recordAsked(await askPeers(peersAtOnce))
     peersAsked = true
-    await pollPlatform()
-    await Promise.all([
-      runLoop(pollPlatform, () => options.pollMs),
-      runLoop(async () => recordAsked(await askPeers(ready ? peersPerRound : peersAtOnce)), () => options.pollMs * (reachable ? pollsPerExchange : 1)),
-      runLoop(writeHeartbeat, () => options.heartbeatMs)
-    ])
-  }
-
-  async function runLoop (step: () => Promise<void>, getIntervalMs: () => number): Promise<void> {
-    while (!stopped.signal.aborted) {
-      await waitFor(getIntervalMs() * (1 - jitterShare * options.getRandom()), stopped.signal)
-      if (!stopped.signal.aborted) await step()
-    }
-  }
-
-  async function writeHeartbeat (): Promise<void> {
-    const sentAtMs = options.getNowMs()
-    if (await announcer.writeHeartbeat()) options.recordHeartbeat?.(sentAtMs)
+    if (stopped) return []
+    return [
+      startLoop(pollPlatform, { intervalMs: options.pollMs, getRandom }),
+      startLoop(askSomePeers, { intervalMs: () => options.pollMs * (reachable ? pollsPerExchange : 1), getRandom }),
+      startLoop(writeHeartbeat, { intervalMs: options.heartbeatMs, getRandom })
+    ]
   }
 
   function recordPlatform (answered: boolean): void {
@@ -142,11 +122,16 @@
     reachable = answered
   }
 
+  async function writeHeartbeat (): Promise<void> {
+    const sentAtMs = options.getNowMs()
+    if (await announcer.writeHeartbeat()) options.recordHeartbeat(sentAtMs)
+  }
+
   async function pollPlatform (): Promise<void> {
     const { answered, complete } = await poll()
     recordPlatform(answered)
     ready ||= peersAsked && complete
-    await options.afterPoll?.()
+    await options.afterPoll()
   }
 
   function recordAsked (results: ExchangeResult[]): void {
@@ -165,6 +150,10 @@
     return Promise.all(chosen.map(address => exchange.exchangeWith(address)))
   }
 
+  async function askSomePeers (): Promise<void> {
+    recordAsked(await askPeers(ready ? peersPerRound : peersAtOnce))
+  }
+
   async function spread (): Promise<void> {
     recordAsked(await askPeers(peersAtOnce))
   }
@@ -191,12 +180,8 @@
       [PeerMethodName.Versions]: createVersions
     },
     async [Symbol.asyncDispose] () {
-      stopped.abort()
-      await loops
+      stopped = true
+      await Promise.all((await loops).map(loop => loop[Symbol.asyncDispose]()))
     }
   }
 }
-
-async function waitFor (ms: number, signal: AbortSignal): Promise<void> {
-  await setTimeout(ms, undefined, { signal }).catch(() => {})
-}
