--- a/packages/standins/src/bench_capacity_control.ts
+++ b/packages/standins/src/bench_capacity_control.ts
@@ -13,7 +13,7 @@
 
 const benchPollMs = 2_000
 const windowPolls = pollsPerHeartbeat
-const waitLimitPolls = 20
+const defaultWaitLimitPolls = 20
 const startGroup = 4
 const checkMs = 20
 const pausePerCheck = 20
@@ -28,6 +28,8 @@
   targets: number
   /** Time between two polls, in milliseconds; 2 s by default. */
   pollMs?: number
+  /** Longest wait for the fleet to be current, in polls; 20 by default. */
+  waitLimitPolls?: number
 }
 
 /** Sizes at which control is measured, each value varied by itself. */
@@ -157,14 +159,14 @@
 }
 
 async function startFleet (size: FleetSize): Promise<Fleet> {
-  const fleet = createFleet({ targets: size.targets, pollMs: size.pollMs ?? benchPollMs, getRandom: createRandom(randomSeed) })
+  const fleet = createFleet({ targets: size.targets, pollMs: size.pollMs ?? benchPollMs, waitLimitPolls: size.waitLimitPolls ?? defaultWaitLimitPolls, getRandom: createRandom(randomSeed) })
   for (let service = 0; service < size.services; service++) await writeAcceptedDocument(fleet.platform, createServiceDocument(service))
   for (let index = 0; index < size.nodes; index++) {
     fleet.start(index, { incarnation: 1 })
     if (index % startGroup === 0) await setTimeout(checkMs)
   }
   const polls = await countPollsUntil(fleet, () => [...fleet.nodes.values()].every(node => node.sync.isReady() && node.view.listInstances().length === size.nodes))
-  if (polls === Infinity) console.log(`Fleet of ${size.nodes} did not become ready in ${waitLimitPolls} polls`)
+  if (polls === Infinity) console.log(`Fleet of ${size.nodes} did not become ready in ${fleet.waitLimitPolls} polls`)
   return fleet
 }
 
@@ -182,7 +184,7 @@
   for (;;) {
     const checkStartMs = performance.now()
     if (isDone()) return (checkStartMs - startMs) / fleet.pollMs
-    if (checkStartMs - startMs > waitLimitPolls * fleet.pollMs) return Infinity
+    if (checkStartMs - startMs > fleet.waitLimitPolls * fleet.pollMs) return Infinity
     await setTimeout(Math.max(checkMs, (performance.now() - checkStartMs) * pausePerCheck))
   }
 }
--- a/packages/standins/src/bench_capacity_fleet.ts
+++ b/packages/standins/src/bench_capacity_fleet.ts
@@ -52,6 +52,8 @@
   targets: number
   /** Time between two polls, in milliseconds. */
   pollMs: number
+  /** Longest wait for the fleet to be current, in polls. */
+  waitLimitPolls: number
   /** Returns a random number from 0 to 1. */
   getRandom: () => number
 }
@@ -60,6 +62,8 @@
 export interface Fleet extends AsyncDisposable {
   /** Time between two polls, in milliseconds. */
   pollMs: number
+  /** Longest wait for the fleet to be current, in polls. */
+  waitLimitPolls: number
   /** Live instances by address. */
   nodes: Map<string, FleetNode>
   /** Counts since they were last set to zero. */
@@ -87,6 +91,7 @@
   const counts = createCounts()
   const fleet: Fleet = {
     pollMs,
+    waitLimitPolls: options.waitLimitPolls,
     nodes: new Map(),
     counts,
     platform: memory,
