Choose feeders by load and pace what crosses links

Cause: the entry instance sent all of a caller's requests to one feeder by hash, so that feeders refused as overloaded while others of the region had free slots; links were not budgeted. Ruled out: asking feeders before each request (a round trip more); their load rides on each answer instead. Change: router ranks feeders by two choices, or local first for latency, asks another after an overload while the body is whole, records demand by region; bodies and answers between regions are paced by the link gate; serving_parts.ts.

--- a/packages/bilberryd/src/instance_handlers.ts
+++ b/packages/bilberryd/src/instance_handlers.ts
@@ -14,6 +14,7 @@
 import { createCallersService } from './callers_service.ts'
 import { PeerMethodName } from './exchange_messages.ts'
 import { feedsMethod } from './feed_exchange.ts'
+import { feedLoadHeader, formatFeedLoad } from './feeder_loads.ts'
 import { createOperatorsGateway } from './gateways.ts'
 import { createLookUpHandler } from './look_up_handler.ts'
 
@@ -45,13 +46,18 @@
   const operators = createOperatorsGateway(broker, {
     tokens: () => settings.tokens, countUnauthenticated: () => metrics.countUnauthenticated('operators'), registry: metrics.registry, isReady: parts.isReady
   })
+  const serveForwarded = createServiceHandler({ fromPeer: true, handleRequest: parts.handleForwarded, recordEnd: metrics.recordEnd, isStopping: () => false })
   const peers = createPeerHandler({
     listKeys: () => settings.peerKeys,
     methods: {
       ...Object.fromEntries(Object.values(PeerMethodName).map(name => [name, (params: unknown) => sync.methods[name]?.(params)])),
       [feedsMethod]: feeding.handleExchange
     },
-    handleForward: createServiceHandler({ fromPeer: true, handleRequest, recordEnd: metrics.recordEnd, isStopping: () => false }),
+    handleForward (request, response) {
+      const service = /^\/services\/([^/?]+)/.exec(request.url ?? '')?.[1] ?? ''
+      if (parts.view.getDocument(service) !== undefined) response.setHeader(feedLoadHeader, formatFeedLoad(parts.feed.getLoad(service)))
+      serveForwarded(request, response)
+    },
     countUnauthenticated: () => metrics.countUnauthenticated('peers')
   })
   await broker.start()
--- a/packages/bilberryd/src/instance_parts.ts
+++ b/packages/bilberryd/src/instance_parts.ts
@@ -14,26 +14,21 @@
 import type { Identity } from './identity.ts'
 import type { Metrics } from './metrics.ts'
 import type { RegionChooser } from './regions.ts'
+import type { FeederLoads } from './feeder_loads.ts'
 import type { Settings } from './settings.ts'
 import type { StatusReader } from './status.ts'
 import type { Sync } from './sync.ts'
 import type { View } from './view.ts'
 import { createHttpPeers } from '@bilberryworks/instances'
 import { createHttpPlatform } from '@bilberryworks/platform'
-import { getFeedLimits, MachineState } from '@bilberryworks/steering'
 import { createHttpTargets } from '@bilberryworks/targets'
 import { createBudgetedPeers } from './budgeted_peers.ts'
 import { createClientBlocksLoader } from './client_blocks.ts'
-import { createDispatcher } from './dispatch.ts'
-import { createFeed } from './feed.ts'
-import { createFeeding } from './feeding.ts'
+import { createFeederLoads, feedLoadHeader } from './feeder_loads.ts'
 import { createIdentity } from './identity.ts'
-import { createKeyKeeper } from './key_keeper.ts'
-import { startLoop } from './loop.ts'
 import { createMetrics } from './metrics.ts'
 import { readPem } from './read_pem.ts'
-import { createRegionChooser } from './regions.ts'
-import { createRouter, listUsableTargets } from './route.ts'
+import { createServingParts } from './serving_parts.ts'
 import { createSync } from './sync.ts'
 import { createUpkeep } from './upkeep.ts'
 import { createView } from './view.ts'
@@ -57,6 +52,8 @@
   sync: Sync
   /** Handles a checked request. */
   handleRequest: HandleRequest
+  /** Handles a checked request that another instance forwarded. */
+  handleForwarded: HandleRequest
   /** Whether the instance may be named to callers. */
   isReady: () => boolean
 }
@@ -79,59 +76,22 @@
 export function createInstanceParts (settings: Settings, options: CreateInstancePartsOptions): InstanceParts {
   const { log } = options
   const getNowMs = (): number => performance.now()
-  const clients = createClients(settings)
+  const loads = createFeederLoads({ instance: settings.instance, failureDomain: settings.failureDomain, getOwnLoad: service => serving.feed.getLoad(service), getNowMs })
+  const clients = createClients(settings, loads)
   const { platform, targets, peers } = clients
   const identity = createIdentity(settings)
   identity.updateAddresses(options.addresses)
   const view = createView({ instanceTimeoutMs: settings.heartbeatMs * heartbeatsMissed, getNowMs })
   const metrics = createMetrics({
-    countQueued: () => feed.countQueued(),
-    countInFlight: () => feed.countInFlight(),
+    countQueued: () => serving.feed.countQueued(),
+    countInFlight: () => serving.feed.countInFlight(),
     getPlatformAgeMs: () => sync.getPlatformAgeMs(),
     getClientBlocksRevision: () => clientBlocks.getBlocks().revision,
     getRevisions: view.getRevisions
   })
   const clientBlocks = createClientBlocksLoader({ platform, getRandom: Math.random, countLoad: metrics.countClientBlocksLoad, recordLoad: (load, detail) => log.info({ load }, detail) })
-  const feed: Feed = createFeed({
-    listFedTargets: service => listUsableTargets(view, service).flatMap(target => {
-      const slots = feeding.getSlotLimit(target)
-      return slots > 0 ? [{ ...target, slots }] : []
-    }),
-    listUsableTargets: () => view.listAllTargets().filter(target => target.state === MachineState.Live),
-    getLimits: service => getFeedLimits(view.getDocument(service)?.document),
-    getNowMs
-  })
-  const feeding = createFeeding({
-    leaseMs: settings.heartbeatMs * heartbeatsMissed,
-    longestDispatchMs: settings.longestDispatchMs,
-    platform,
-    peers,
-    getSelf: identity.getRecord,
-    listInstances: view.listInstances,
-    findInstance: view.getInstance,
-    getSilenceMs: view.getSilenceMs,
-    listTargets: view.listAllTargets,
-    getBusy: feed.getBusy,
-    getNowMs,
-    recordLease: lease => log.info({ lease }, 'Hold on targets changed'),
-    recordTakeover: (instance, failureDomain) => log.warn({ silent: instance, failureDomain }, 'Instance was declared silent')
-  })
-  const dispatch = createDispatcher({
-    feed,
-    targets,
-    markTargetLeaving: view.markTargetLeaving,
-    checkDispatch ({ service, target }) {
-      const record = view.listTargets(service).find(other => other.target === target)
-      return record !== undefined && feed.getBusy(target) <= feeding.getSlotLimit(record)
-    },
-    countRetry: metrics.countRetry,
-    getNowMs
-  })
-  const regions = createRegionChooser({
-    view,
-    isFed: target => feeding.listFeeders(target.failureDomain).some(feeder => view.listInstances().some(record => record.instance === feeder)),
-    getNowMs
-  })
+  const serving = createServingParts({ settings, clients, loads, view, identity, metrics, log, isReady: () => sync.isReady(), getNowMs })
+  const { feed, feeding, regions } = serving
   const upkeep = createUpkeep({ settings, view, platform, peers, targets, regions, getSync: () => sync, getNowMs })
   const exchangePeers = createBudgetedPeers(peers, {
     bytesPerSecond: settings.controlBytesPerSecond ?? defaultControlBytesPerSecond, isReady: () => sync.isReady(), countBytes: metrics.countControlBytes, countHeldBack: metrics.countExchangeHeldBack, getNowMs
@@ -159,14 +119,6 @@
     },
     recordPlatform: reachable => log.info({ reachable }, reachable ? 'Platform answers' : 'Platform does not answer')
   })
-  const feedLoop = startLoop(feeding.advance, { intervalMs: settings.pollMs, getRandom: Math.random })
-  const route = createRouter({
-    instance: settings.instance, view, listFeeders: feeding.listFeeders, dispatch, regions, peers, isReady: sync.isReady, countRetry: metrics.countRetry, getNowMs
-  })
-  const keeper = createKeyKeeper({
-    instance: settings.instance, incarnation: identity.getRecord().incarnation, platform, peers, view, handleRequest: route, getNowMs
-  })
-  identity.followPinEpoch(keeper.getPinEpoch)
   return {
     settings,
     platform,
@@ -180,11 +132,12 @@
     regions,
     status: upkeep.status,
     sync,
-    handleRequest: keeper.handleRequest,
+    handleRequest: serving.handleRequest,
+    handleForwarded: serving.handleForwarded,
     isReady: () => !identity.isLeaving() && sync.isReady(),
     async [Symbol.asyncDispose] () {
-      await Promise.all([sync, feedLoop, clientBlocks].map(loop => loop[Symbol.asyncDispose]()))
-      await feed[Symbol.asyncDispose]()
+      await Promise.all([sync, clientBlocks].map(loop => loop[Symbol.asyncDispose]()))
+      await serving[Symbol.asyncDispose]()
       await Promise.all(Object.values(clients).map(client => client[Symbol.asyncDispose]()))
     }
   }
@@ -196,11 +149,17 @@
   return { tls: { ca: readPem(ca), ...serverName === undefined ? {} : { servername: serverName } } }
 }
 
-function createClients (settings: Settings): { platform: HttpPlatform, targets: TargetClient, peers: PeerClient } {
+function createClients (settings: Settings, loads: FeederLoads): { platform: HttpPlatform, targets: TargetClient, peers: PeerClient } {
   const local = settings.localAddress === undefined ? {} : { localAddress: settings.localAddress }
   return {
     platform: createHttpPlatform(settings.platformUrl, local),
     targets: createHttpTargets(local),
-    peers: createHttpPeers({ getKey: () => settings.peerKeys[0]!, ...readPeerTls(settings), ...local })
+    peers: createHttpPeers({
+      getKey: () => settings.peerKeys[0]!,
+      region: settings.region,
+      recordAnswer: (service, instance, headers) => loads.record(service, instance, headers[feedLoadHeader]?.toString()),
+      ...readPeerTls(settings),
+      ...local
+    })
   }
 }
--- /dev/null
+++ b/packages/bilberryd/src/pace_requests_test.ts
@@ -0,0 +1,66 @@
+import type { ServiceRequest } from '@bilberryworks/steering'
+import test from 'ava'
+import { Readable } from 'node:stream'
+import { buffer } from 'node:stream/consumers'
+import { RefusalReason, RequestClass } from '@bilberryworks/steering'
+import { ok } from 'neverthrow'
+import { createLinkGate } from './links.ts'
+import { createRequestPacer } from './pace_requests.ts'
+
+const bitsPerSecond = 8_000_000
+const getNowMs = (): number => performance.now()
+
+function createGate (): ReturnType<typeof createLinkGate> {
+  return createLinkGate({ localRegion: 'north', getLinkBitsPerSecond: () => bitsPerSecond, countSenders: () => 1, getNowMs })
+}
+
+function createRequest (bytes: number, originRegion?: string): ServiceRequest {
+  return {
+    requestId: 'r', service: 's', method: 'PUT', path: '/', headers: {}, body: Readable.from([Buffer.alloc(bytes)]), contentLength: bytes, callerKey: 'c', idempotencyKey: undefined, pin: undefined, deadlineMs: undefined, hops: 0, originRegion, signal: new AbortController().signal
+  }
+}
+
+test('counts a body that crosses a link', async t => {
+  await using gate = createGate()
+  const pacer = createRequestPacer(gate, { region: 'north', getNowMs })
+  const outgoing = { request: createRequest(1_000), requestClass: RequestClass.Upload, deadlineAtMs: getNowMs() + 10_000 }
+  const paced = pacer.paceRequest('south', outgoing)._unsafeUnwrap()
+  t.is((await buffer(paced.body)).length, 1_000)
+  t.is(gate.countSent('south'), 1_000)
+})
+
+test('leaves a body within the region alone', async t => {
+  await using gate = createGate()
+  const outgoing = { request: createRequest(1_000), requestClass: RequestClass.Upload, deadlineAtMs: getNowMs() + 10_000 }
+  const paced = createRequestPacer(gate, { region: 'north', getNowMs }).paceRequest('north', outgoing)._unsafeUnwrap()
+  t.is(paced, outgoing.request)
+})
+
+test('refuses what a link cannot carry in time', async t => {
+  await using gate = createGate()
+  const outgoing = { request: createRequest(10_000_000), requestClass: RequestClass.Upload, deadlineAtMs: getNowMs() + 100 }
+  const refusal = createRequestPacer(gate, { region: 'north', getNowMs }).paceRequest('south', outgoing)._unsafeUnwrapErr()
+  t.is(refusal.reason, RefusalReason.LinkBudget)
+  t.true(refusal.retryAfterMs! > 0)
+})
+
+test('paces answers to another region only', async t => {
+  await using gate = createGate()
+  const pacer = createRequestPacer(gate, { region: 'north', getNowMs })
+  const handle = pacer.paceAnswers(async () => ok({ status: 200, headers: {}, body: Readable.from([Buffer.alloc(500)]) }))
+  for (const [origin, sent] of [['south', 500], ['north', 500], [undefined, 500]] as const) {
+    const answer = (await handle(createRequest(0, origin)))._unsafeUnwrap()
+    t.is((await buffer(answer.body)).length, 500)
+    t.is(gate.countSent('south'), sent)
+  }
+})
+
+test('an answer that is cut off stays cut off', async t => {
+  await using gate = createGate()
+  const body = Readable.from((async function * () {
+    yield Buffer.alloc(100)
+    throw new Error('cut')
+  })())
+  const answer = (await createRequestPacer(gate, { region: 'north', getNowMs }).paceAnswers(async () => ok({ status: 200, headers: {}, body }))(createRequest(0, 'south')))._unsafeUnwrap()
+  await t.throwsAsync(buffer(answer.body))
+})
--- a/packages/bilberryd/src/route.ts
+++ b/packages/bilberryd/src/route.ts
@@ -3,21 +3,24 @@
  *
  * @module
  */
-import type { PeerClient } from '@bilberryworks/instances'
+import type { ForwardFailure, PeerClient } from '@bilberryworks/instances'
 import type { HandleRequest, InstanceRecord, Refusal, RetryReason, ServiceAnswer, ServiceRequest, TargetRecord } from '@bilberryworks/steering'
 import type { Result } from 'neverthrow'
 import type { Dispatch } from './dispatch.ts'
 import type { FeedRequest } from './feed.ts'
+import type { FeederCandidate, FeederLoads } from './feeder_loads.ts'
+import type { RequestPacer } from './pace_requests.ts'
 import type { RegionChooser } from './regions.ts'
 import type { View } from './view.ts'
-import { chooseClassRule, chooseOwner, createNotRun, MachineState, Outcome, rankByRendezvous, RefusalReason, RetryReason as RetryReasons } from '@bilberryworks/steering'
+import { finished } from 'node:stream'
+import { chooseClassRule, chooseOwner, createNotRun, MachineState, Objective, Outcome, rankFeedersByTwoChoices, rankFeedersLocalFirst, RefusalReason, RetryReason as RetryReasons } from '@bilberryworks/steering'
 import { err, ok } from 'neverthrow'
 
 const retryAfterMs = 1_000
 const hopReserveMs = 5
 
 /** Refusals of one feeder after which another one may do better. */
-const mayAskAnother = new Set([RefusalReason.NoUsableTarget, RefusalReason.LeaseLapsed, RefusalReason.Stopping])
+const mayAskAnother = new Set([RefusalReason.NoUsableTarget, RefusalReason.LeaseLapsed, RefusalReason.Overloaded, RefusalReason.Stopping])
 
 /** Options of {@linkcode createRouter}. */
 export interface CreateRouterOptions {
@@ -33,10 +36,16 @@
   regions: RegionChooser
   /** The other instances. */
   peers: PeerClient
+  /** Loads of the feeders. */
+  loads: FeederLoads
+  /** Links to the other regions. */
+  links: RequestPacer
   /** Whether this instance has learnt the documents since its start. */
   isReady: () => boolean
   /** Counts a retry. */
   countRetry: (reason: RetryReason) => void
+  /** Returns a random number in [0, 1). */
+  getRandom: () => number
   /** Returns the monotonic time, in milliseconds. */
   getNowMs: () => number
 }
@@ -50,34 +59,39 @@
 export function createRouter (options: CreateRouterOptions): HandleRequest {
   const { view, dispatch, regions, peers } = options
 
-  /** Ranks the instances that feed targets of a service in a region, best first for the caller. */
-  function rankFeeders (request: ServiceRequest, region: string): InstanceRecord[] {
-    const feeders = new Map<string, { record: InstanceRecord, slots: number }>()
+  /** Ranks the instances that feed targets of a service in a region, best first for the request. */
+  function rankFeeders (request: ServiceRequest, choice: { region: string, objective: Objective }): InstanceRecord[] {
+    const candidates = listCandidates(request.service, choice.region)
+    const rank = choice.objective === Objective.Latency ? rankFeedersLocalFirst : rankFeedersByTwoChoices
+    const ranked = rank(options.loads.describe(request.service, candidates), { callerKey: request.callerKey, getRandom: options.getRandom })
+    return ranked.map(feeder => candidates.find(({ record }) => record.instance === feeder.instance)!.record)
+  }
+
+  function listCandidates (service: string, region: string): FeederCandidate[] {
+    const feeders = new Map<string, FeederCandidate>()
     const records = new Map(view.listInstances().map(record => [record.instance, record]))
-    for (const target of listUsableTargets(view, request.service)) {
+    for (const target of listUsableTargets(view, service)) {
       const owner = target.region === region ? chooseOwner(target.target, options.listFeeders(target.failureDomain)) : undefined
       const record = records.get(owner ?? '')
       if (record === undefined) continue
-      const entry = feeders.get(record.instance) ?? { record, slots: 0 }
-      entry.slots += target.slots
-      feeders.set(record.instance, entry)
+      const candidate = feeders.get(record.instance) ?? { record, slots: 0 }
+      candidate.slots += target.slots
+      feeders.set(record.instance, candidate)
     }
-    const weights = Object.fromEntries([...feeders].map(([name, entry]) => [name, entry.slots]))
-    return rankByRendezvous(request.callerKey, weights).map(name => feeders.get(name)!.record)
+    return [...feeders.values()]
   }
 
-  async function forwardToFeeder (feedRequest: FeedRequest, candidates: InstanceRecord[]): Promise<Result<ServiceAnswer, Refusal>> {
-    const { request, deadlineAtMs } = feedRequest
+  async function sendToFeeders (feedRequest: FeedRequest, feeders: InstanceRecord[]): Promise<Result<ServiceAnswer, Refusal>> {
+    const { request } = feedRequest
     let refusal = createNotRun(RefusalReason.NoUsableTarget, `Service "${request.service}" has no usable target`, retryAfterMs)
-    for (const candidate of candidates) {
-      if (candidate.instance === options.instance) return dispatch(feedRequest)
-      const result = await peers.forward(candidate, request, deadlineAtMs - options.getNowMs() - hopReserveMs)
+    for (const feeder of feeders) {
+      const result = feeder.instance === options.instance ? await dispatchHere(feedRequest) : await forwardTo(feeder, feedRequest)
       if (result.isOk()) return ok(result.value)
       refusal = result.error.refusal
       if (result.error.unsent) {
-        view.dropInstance(candidate.instance)
+        view.dropInstance(feeder.instance)
         options.countRetry(RetryReasons.PeerUnreachable)
-      } else if (refusal.outcome === Outcome.NotRun && mayAskAnother.has(refusal.reason) && !request.body.readableDidRead) {
+      } else if (refusal.outcome === Outcome.NotRun && mayAskAnother.has(refusal.reason) && isBodyWhole(request)) {
         options.countRetry(RetryReasons.PeerRefused)
       } else {
         return err(refusal)
@@ -86,6 +100,22 @@
     return err(refusal)
   }
 
+  async function dispatchHere (feedRequest: FeedRequest): Promise<Result<ServiceAnswer, ForwardFailure>> {
+    const result = await dispatch(feedRequest)
+    return result.mapErr(refusal => ({ unsent: false, refusal }))
+  }
+
+  async function forwardTo (feeder: InstanceRecord, feedRequest: FeedRequest): Promise<Result<ServiceAnswer, ForwardFailure>> {
+    const { request, requestClass, deadlineAtMs } = feedRequest
+    const paced = options.links.paceRequest(feeder.region, { request, requestClass, deadlineAtMs })
+    if (paced.isErr()) return err({ unsent: false, refusal: paced.error })
+    const finishOwn = options.loads.start(request.service, feeder.instance)
+    const result = await peers.forward(feeder, paced.value, deadlineAtMs - options.getNowMs() - hopReserveMs)
+    if (result.isOk()) finished(result.value.body, { writable: false }, finishOwn)
+    else finishOwn()
+    return result
+  }
+
   return async request => {
     const accepted = view.getDocument(request.service)
     if (accepted === undefined) {
@@ -99,7 +129,9 @@
     if (request.hops > 0) return dispatch(feedRequest)
     const region = regions.chooseRegion(request.service, request.callerKey)
     if (region.isErr()) return err(region.error)
-    return forwardToFeeder(feedRequest, rankFeeders(request, region.value))
+    const result = await sendToFeeders(feedRequest, rankFeeders(request, { region: region.value, objective: accepted.document.objective }))
+    regions.recordRegion(request.service, region.value, result.isErr() && result.error.reason === RefusalReason.Overloaded)
+    return result
   }
 }
 
@@ -113,3 +145,8 @@
 export function listUsableTargets (view: View, service: string): TargetRecord[] {
   return view.listTargets(service).filter(target => target.state === MachineState.Live)
 }
+
+/** Whether none of a request's body has been read, so that another feeder may still get all of it. */
+function isBodyWhole (request: ServiceRequest): boolean {
+  return request.method === 'GET' || request.method === 'HEAD' || !request.body.readableDidRead
+}
--- /dev/null
+++ b/packages/bilberryd/src/serving_parts.ts
@@ -0,0 +1,146 @@
+/**
+ * The parts of an instance that carry requests: slots, routing, links and keys.
+ *
+ * @module
+ */
+import type { PeerClient } from '@bilberryworks/instances'
+import type { Platform } from '@bilberryworks/platform'
+import type { HandleRequest } from '@bilberryworks/steering'
+import type { TargetClient } from '@bilberryworks/targets'
+import type Logger from 'bunyan'
+import type { Feed } from './feed.ts'
+import type { FeederLoads } from './feeder_loads.ts'
+import type { Feeding } from './feeding.ts'
+import type { Identity } from './identity.ts'
+import type { Metrics } from './metrics.ts'
+import type { RegionChooser } from './regions.ts'
+import type { LinkSettings, Settings } from './settings.ts'
+import type { View } from './view.ts'
+import { getFeedLimits, MachineState } from '@bilberryworks/steering'
+import { createDispatcher } from './dispatch.ts'
+import { createFeed } from './feed.ts'
+import { createFeeding } from './feeding.ts'
+import { createKeyKeeper } from './key_keeper.ts'
+import { createLinkGate } from './links.ts'
+import { startLoop } from './loop.ts'
+import { createRequestPacer } from './pace_requests.ts'
+import { createRegionChooser } from './regions.ts'
+import { createRouter, listUsableTargets } from './route.ts'
+
+const heartbeatsPerLease = 4
+
+/** The parts that carry requests. */
+export interface ServingParts extends AsyncDisposable {
+  feed: Feed
+  feeding: Feeding
+  regions: RegionChooser
+  /** Handles a checked request of a caller. */
+  handleRequest: HandleRequest
+  /** Handles a checked request that another instance forwarded. */
+  handleForwarded: HandleRequest
+}
+
+/** Options of {@linkcode createServingParts}. */
+export interface CreateServingPartsOptions {
+  settings: Settings
+  clients: { platform: Platform, targets: TargetClient, peers: PeerClient }
+  loads: FeederLoads
+  view: View
+  identity: Identity
+  metrics: Metrics
+  /** Where changes of state are written. */
+  log: Logger
+  /** Whether the documents have been learnt since the start. */
+  isReady: () => boolean
+  /** Returns the monotonic time, in milliseconds. */
+  getNowMs: () => number
+}
+
+/**
+ * Creates the parts that carry requests.
+ *
+ * @param options What they are made from
+ * @returns The parts; dispose them to stop their timers
+ */
+export function createServingParts (options: CreateServingPartsOptions): ServingParts {
+  const { settings, loads, view, identity, metrics, log, getNowMs } = options
+  const { platform, targets, peers } = options.clients
+  const feed: Feed = createFeed({
+    listFedTargets: service => listUsableTargets(view, service).flatMap(target => {
+      const slots = feeding.getSlotLimit(target)
+      return slots > 0 ? [{ ...target, slots }] : []
+    }),
+    listUsableTargets: () => view.listAllTargets().filter(target => target.state === MachineState.Live),
+    getLimits: service => getFeedLimits(view.getDocument(service)?.document),
+    getNowMs
+  })
+  const feeding = createFeeding({
+    leaseMs: settings.heartbeatMs * heartbeatsPerLease,
+    longestDispatchMs: settings.longestDispatchMs,
+    platform,
+    peers,
+    getSelf: identity.getRecord,
+    listInstances: view.listInstances,
+    findInstance: view.getInstance,
+    getSilenceMs: view.getSilenceMs,
+    listTargets: view.listAllTargets,
+    getBusy: feed.getBusy,
+    getNowMs,
+    recordLease: lease => log.info({ lease }, 'Hold on targets changed'),
+    recordTakeover: (instance, failureDomain) => log.warn({ silent: instance, failureDomain }, 'Instance was declared silent')
+  })
+  const dispatch = createDispatcher({
+    feed,
+    targets,
+    markTargetLeaving: view.markTargetLeaving,
+    checkDispatch ({ service, target }) {
+      const record = view.listTargets(service).find(other => other.target === target)
+      return record !== undefined && feed.getBusy(target) <= feeding.getSlotLimit(record)
+    },
+    countRetry: metrics.countRetry,
+    getNowMs
+  })
+  const regions = createRegionChooser({
+    view,
+    isFed: target => feeding.listFeeders(target.failureDomain).some(feeder => view.listInstances().some(record => record.instance === feeder)),
+    getNowMs
+  })
+  const feedLoop = startLoop(feeding.advance, { intervalMs: settings.pollMs, getRandom: Math.random })
+  const gate = createLinkGate({ localRegion: settings.region, ...describeLinks(settings), getNowMs })
+  const pacer = createRequestPacer(gate, { region: settings.region, getNowMs })
+  const route = createRouter({
+    instance: settings.instance,
+    view,
+    listFeeders: feeding.listFeeders,
+    dispatch,
+    regions,
+    peers,
+    loads,
+    links: pacer,
+    isReady: options.isReady,
+    countRetry: metrics.countRetry,
+    getRandom: Math.random,
+    getNowMs
+  })
+  const keeper = createKeyKeeper({
+    instance: settings.instance, incarnation: identity.getRecord().incarnation, platform, peers, view, handleRequest: route, getNowMs
+  })
+  identity.followPinEpoch(keeper.getPinEpoch)
+  return {
+    feed,
+    feeding,
+    regions,
+    handleRequest: keeper.handleRequest,
+    handleForwarded: pacer.paceAnswers(keeper.handleRequest),
+    async [Symbol.asyncDispose] () {
+      for (const part of [feedLoop, gate, feed]) await part[Symbol.asyncDispose]()
+    }
+  }
+}
+
+/** Describes the links of the settings for the gate. */
+function describeLinks (settings: Settings): { getLinkBitsPerSecond: (toRegion: string) => number | undefined, countSenders: () => number } {
+  const findLink = (toRegion: string): LinkSettings | undefined => settings.links.find(({ regions }) => regions.includes(settings.region) && regions.includes(toRegion))
+  const senders = Math.max(1, ...settings.links.filter(({ regions }) => regions.includes(settings.region)).map(link => link.senders))
+  return { getLinkBitsPerSecond: toRegion => findLink(toRegion)?.bitsPerSecond, countSenders: () => senders }
+}
--- a/packages/bilberryd/src/settings.ts
+++ b/packages/bilberryd/src/settings.ts
@@ -42,6 +42,8 @@
   regions: [string, string]
   /** Capacity each way, in bits a second. */
   bitsPerSecond: number
+  /** Largest number of instances of one region that may use the link at the same time. */
+  senders: number
 }
 
 /** A token of a team. */
--- a/packages/bilberryd/src/settings_schema.ts
+++ b/packages/bilberryd/src/settings_schema.ts
@@ -44,7 +44,8 @@
   required: ['regions', 'bitsPerSecond'],
   properties: {
     regions: { type: 'array', minItems: 2, maxItems: 2, uniqueItems: true, items: { type: 'string', pattern: namePattern } },
-    bitsPerSecond: { type: 'integer', minimum: 1 }
+    bitsPerSecond: { type: 'integer', minimum: 1 },
+    senders: { type: 'integer', minimum: 1, maximum: 1_000, default: 8 }
   }
 }
 
--- a/packages/callers/src/header_fields.ts
+++ b/packages/callers/src/header_fields.ts
@@ -9,7 +9,7 @@
 const hopByHop = new Set(['connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect', 'host'])
 
 /** Fields that the system sets itself, so that what came with a message is dropped. */
-const ownFields = new Set(['bilberry-request-id', 'bilberry-caller', 'bilberry-hops', 'bilberry-deadline-ms', 'bilberry-pin', 'bilberry-outcome', 'bilberry-reason', 'bilberry-peer-key', 'bilberry-retry-after-ms', 'bilberry-target-state', 'idempotency-key'])
+const ownFields = new Set(['bilberry-request-id', 'bilberry-caller', 'bilberry-hops', 'bilberry-deadline-ms', 'bilberry-pin', 'bilberry-outcome', 'bilberry-reason', 'bilberry-peer-key', 'bilberry-retry-after-ms', 'bilberry-target-state', 'bilberry-feed-load', 'bilberry-origin-region', 'idempotency-key'])
 
 /**
  * Drops the header fields that end at this hop.
--- a/packages/callers/src/parse_request.ts
+++ b/packages/callers/src/parse_request.ts
@@ -68,6 +68,7 @@
     pin: message.headers['bilberry-pin'] === undefined ? undefined : String(message.headers['bilberry-pin']),
     deadlineMs: deadline.value,
     hops: hops.value,
+    originRegion: header('bilberry-origin-region'),
     signal: options.signal
   })
 }
--- a/packages/instances/src/http_peers.ts
+++ b/packages/instances/src/http_peers.ts
@@ -32,6 +32,10 @@
   tls?: { ca: string, servername?: string }
   /** Local address of outgoing connections; the system's choice where absent. */
   localAddress?: string
+  /** Region of this instance, told to peers so that they can charge the link back. */
+  region?: string
+  /** Called with the header fields of a peer's answer to a forwarded request, a refusal too. */
+  recordAnswer?: (service: string, instance: string, headers: HeaderFields) => void
   /** Most connections to one peer; 64 by default. */
   connectionsPerPeer?: number
 }
@@ -43,7 +47,7 @@
  * @returns The client; dispose it to close its connections
  */
 export function createHttpPeers (options: CreateHttpPeersOptions): PeerClient {
-  const { getKey, tls, connectionsPerPeer = 64, ...local } = options
+  const { getKey, tls, region, recordAnswer, connectionsPerPeer = 64, ...local } = options
   const agent = new Agent({
     connections: connectionsPerPeer,
     pipelining: 1,
@@ -87,12 +91,13 @@
           origin: `${scheme}://${peer.peerAddress}`,
           method: request.method as 'GET',
           path: `/services/${request.service}${request.path}`,
-          headers: { ...request.headers, ...createForwardHeaders(request, remainingMs), 'bilberry-peer-key': createAuthorization() },
+          headers: { ...request.headers, ...createForwardHeaders(request, { remainingMs, region }), 'bilberry-peer-key': createAuthorization() },
           body: request.method === 'GET' || request.method === 'HEAD' ? null : detachBody(request.body),
           // A run under a key goes on when its caller is gone, so that its answer is there for a repeat.
           signal: request.idempotencyKey === undefined ? AbortSignal.any([timeout, request.signal]) : timeout
         })
         const headers = collectHeaders(answer.headers)
+        recordAnswer?.(request.service, peer.instance, headers)
         if (headers['bilberry-outcome'] === Outcome.Answered) {
           return ok({ status: answer.statusCode, headers, body: answer.body })
         }
@@ -112,14 +117,15 @@
   return unsentErrorCodes.has((error as { code?: string }).code ?? '')
 }
 
-function createForwardHeaders (request: ServiceRequest, remainingMs: number): HeaderFields {
+function createForwardHeaders (request: ServiceRequest, hop: { remainingMs: number, region: string | undefined }): HeaderFields {
   const fields: HeaderFields = {
     'bilberry-request-id': request.requestId,
     'bilberry-caller': request.callerKey,
     'bilberry-hops': String(request.hops + 1),
-    'bilberry-deadline-ms': String(Math.max(0, Math.floor(remainingMs - Math.min(maxReplyReserveMs, remainingMs * replyReserveShare))))
+    'bilberry-deadline-ms': String(Math.max(0, Math.floor(hop.remainingMs - Math.min(maxReplyReserveMs, hop.remainingMs * replyReserveShare))))
   }
   if (request.idempotencyKey !== undefined) fields['idempotency-key'] = request.idempotencyKey
+  if (hop.region !== undefined) fields['bilberry-origin-region'] = hop.region
   if (request.pin !== undefined) fields['bilberry-pin'] = request.pin
   return fields
 }
--- a/packages/standins/src/cluster.ts
+++ b/packages/standins/src/cluster.ts
@@ -27,6 +27,8 @@
 
 const targetsPerProcess = 8
 const firstTargetNumber = 10
+/** Largest number of entry instances in one region. */
+const sendersPerRegion = 3
 const readyTimeoutMs = 30_000
 const readyPollMs = 50
 const platformRoute = 'platform'
@@ -290,7 +292,7 @@
 
 function listLinks (deployment: Deployment): Settings['links'] {
   const { regions, linkBitsPerSecond } = deployment
-  return regions.flatMap((from, index) => regions.slice(index + 1).map(to => ({ regions: [from, to] as [string, string], bitsPerSecond: linkBitsPerSecond })))
+  return regions.flatMap((from, index) => regions.slice(index + 1).map(to => ({ regions: [from, to] as [string, string], bitsPerSecond: linkBitsPerSecond, senders: sendersPerRegion })))
 }
 
 /**
--- a/packages/steering/src/request.ts
+++ b/packages/steering/src/request.ts
@@ -36,6 +36,8 @@
   deadlineMs: number | undefined
   /** How many instances have forwarded the request; never above 1. */
   hops: number
+  /** Region of the instance that forwarded the request, where one did. */
+  originRegion?: string | undefined
   /** Aborted when the caller is gone. */
   signal: AbortSignal
 }
