Measure distribution, and read the list of machines conditionally

Ruled out: a rarer reading, since a leaving target may be named there first. Change: runDistributionBench as a part of npm run bench; listMachines sends If-None-Match and keeps the list on 304.

--- a/packages/platform/src/http_platform.ts
+++ b/packages/platform/src/http_platform.ts
@@ -13,6 +13,7 @@
 const defaultTimeoutMs = 2_000
 const connectTimeoutMs = 1_000
 const maxConnections = 8
+const notModified = 304
 
 /** Errors of undici that are raised before any byte of a request has been sent. */
 const unsentErrorCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
@@ -29,6 +30,7 @@
 interface Reply {
   status: number
   body: Buffer
+  etag: string | undefined
 }
 
 /**
@@ -47,14 +49,18 @@
     ...options
   })
 
-  async function send (method: Dispatcher.HttpMethod, path: string, call: PlatformCallOptions & { body?: Uint8Array | string }): Promise<Result<Reply, PlatformFailure>> {
+  /** The list read last, which a conditional read may confirm. */
+  let listed: { etag: string | undefined, machines: MachineList } | undefined
+
+  async function send (method: Dispatcher.HttpMethod, path: string, call: PlatformCallOptions & { body?: Uint8Array | string, etag?: string | undefined }): Promise<Result<Reply, PlatformFailure>> {
     try {
-      const request = { origin: baseUrl, method, path, signal: AbortSignal.timeout(call.timeoutMs ?? defaultTimeoutMs), body: call.body ?? null }
+      const request = { origin: baseUrl, method, path, signal: AbortSignal.timeout(call.timeoutMs ?? defaultTimeoutMs), body: call.body ?? null, headers: call.etag === undefined ? {} : { 'if-none-match': call.etag } }
       const answer = await agent.request(request)
       const body = Buffer.from(await answer.body.arrayBuffer())
       if (answer.statusCode === 503) return fail(PlatformFailureKind.Unavailable, `${method} ${path} was refused with 503`)
       if (answer.statusCode >= 500) return fail(PlatformFailureKind.Unknown, `${method} ${path} ended with ${answer.statusCode}`)
-      return ok({ status: answer.statusCode, body })
+      const { etag } = answer.headers
+      return ok({ status: answer.statusCode, body, etag: typeof etag === 'string' ? etag : undefined })
     } catch (error) {
       return err(describeError(error, `${method} ${path}`))
     }
@@ -82,8 +88,13 @@
       return reply.map(() => undefined)
     },
     async listMachines (call = {}) {
-      const reply = await send('GET', '/machines', call)
-      return reply.map(({ body }) => parseJson<MachineList>(body))
+      const reply = await send('GET', '/machines', { ...call, etag: listed?.etag })
+      return reply.map(({ status, body, etag }) => {
+        if (status === notModified && listed !== undefined) return listed.machines
+        const machines = parseJson<MachineList>(body)
+        listed = { etag, machines }
+        return machines
+      })
     },
     async [Symbol.asyncDispose] () {
       await agent.destroy()
--- /dev/null
+++ b/packages/standins/src/bench_distribution.ts
@@ -0,0 +1,169 @@
+/**
+ * Measures the distribution of documents on real instances: time to force, cost on the platform, bytes.
+ *
+ * @module
+ */
+import type { AcceptedDocument, ServiceDocument } from '@bilberryworks/steering'
+import type { BenchReport } from './bench_part.ts'
+import type { Cluster } from './cluster.ts'
+import type { PlatformCounts } from './platform_standin.ts'
+import { randomUUID } from 'node:crypto'
+import { readFile } from 'node:fs/promises'
+import { request } from 'undici'
+import { startCluster } from './cluster.ts'
+import { DeploymentName, deployments } from './deployments.ts'
+
+const service = 'bwrdd-trwsio'
+const submissions = 20
+const watchIntervalMs = 5
+const settleMs = 4_000
+const windowMs = 15_000
+const shiftStepMs = 1_000
+const forceLimitMs = 30_000
+
+/** What was counted in a window. */
+interface Rates {
+  readsPerSecond: number
+  writesPerSecond: number
+  listReadsPerSecond: number
+  platformBytesPerSecond: number
+  instanceBytesPerSecond: number
+  steps: number
+}
+
+/**
+ * Runs the benchmark on the deployment of Trwsio Cymru, seven instances in processes of their own.
+ *
+ * @returns The tables
+ */
+export async function runDistributionBench (): Promise<BenchReport> {
+  await using cluster = await startCluster(deployments[DeploymentName.Trwsio])
+  const spread = await measureForce(cluster)
+  await updateFaults(cluster, { delayMs: 55 })
+  const delayed = await measureForce(cluster)
+  await updateFaults(cluster, { delayMs: 0 })
+  await waitMs(settleMs)
+  const rest = await measureRates(cluster)
+  await submit(cluster, 0, document => ({ ...document, regionWeights: { gogledd: 1, de: 1, canolbarth: 9 }, shiftCap: 0.02, shiftStepMs }))
+  const shift = await measureRates(cluster)
+  const count = cluster.instances.length
+  const { pollMs, heartbeatMs } = cluster.instances[0]!.settings
+  return {
+    summary: `In force on all ${count} instances ${formatMs(getMedian(spread))} (median) and ${formatMs(Math.max(...spread))} (worst) after acceptance; ` +
+      `${rest.readsPerSecond.toFixed(1)} reads and ${rest.writesPerSecond.toFixed(1)} writes a second at rest for all instances together.`,
+    markdown: [
+      `${count} instances in processes of their own on one machine, poll every ${pollMs} ms, heartbeat every ${heartbeatMs} ms, ${submissions} submissions each, shift steps of ${shiftStepMs} ms.`,
+      '',
+      '| time from acceptance to force on all instances | median | worst |',
+      '| --- | --- | --- |',
+      formatForce('platform at once', spread),
+      formatForce('55 ms added to each call of the platform', delayed),
+      '',
+      '| all instances together | at rest | in a shift |',
+      '| --- | --- | --- |',
+      formatRate('row reads a second', rest.readsPerSecond, shift.readsPerSecond),
+      formatRate('transactions a second', rest.writesPerSecond, shift.writesPerSecond),
+      formatRate('readings of the list of machines a second', rest.listReadsPerSecond, shift.listReadsPerSecond),
+      formatRate('steps taken a second', rest.steps, shift.steps),
+      '',
+      '| bytes a second for one instance, header fields included | at rest | in a shift |',
+      '| --- | --- | --- |',
+      formatRate('platform, both ways', rest.platformBytesPerSecond / count, shift.platformBytesPerSecond / count),
+      formatRate('all input and output of the process', rest.instanceBytesPerSecond, shift.instanceBytesPerSecond),
+      ''
+    ].join('\n')
+  }
+}
+
+/** Submits documents by one instance after the other; returns the milliseconds until all have each in force. */
+async function measureForce (cluster: Cluster): Promise<number[]> {
+  const elapsed: number[] = []
+  for (let index = 0; index < submissions; index++) {
+    const accepted = await submit(cluster, index % cluster.instances.length, document => ({ ...document, limits: { ...document.limits, maxQueued: 100 + index } }))
+    const startedMs = performance.now()
+    await Promise.all(cluster.instances.map((_, other) => waitForRevision(cluster, { index: other, revision: accepted.revision })))
+    elapsed.push(performance.now() - startedMs)
+  }
+  return elapsed
+}
+
+async function waitForRevision (cluster: Cluster, { index, revision }: { index: number, revision: number }): Promise<void> {
+  const deadlineMs = performance.now() + forceLimitMs
+  while (await readRevision(cluster, index) < revision) {
+    if (performance.now() > deadlineMs) throw new Error(`Revision ${revision} is not in force at instance ${index}`)
+    await waitMs(watchIntervalMs)
+  }
+}
+
+async function readDocument (cluster: Cluster, index: number): Promise<AcceptedDocument> {
+  const reply = await cluster.callOperators(index, { method: 'GET', path: `/v1/documents/${service}` })
+  return reply.body as AcceptedDocument
+}
+
+async function readRevision (cluster: Cluster, index: number): Promise<number> {
+  return (await readDocument(cluster, index)).revision
+}
+
+async function submit (cluster: Cluster, index: number, change: (document: ServiceDocument) => ServiceDocument): Promise<AcceptedDocument> {
+  const current = await readDocument(cluster, index)
+  const headers = { 'if-match': `"${current.revision}"`, 'submission-id': randomUUID() }
+  const reply = await cluster.callOperators(index, { method: 'PUT', path: `/v1/documents/${service}`, headers, body: change(current.document) })
+  if (reply.status !== 200) throw new Error(`Document was not accepted: ${JSON.stringify(reply)}`)
+  return reply.body as AcceptedDocument
+}
+
+async function measureRates (cluster: Cluster): Promise<Rates> {
+  const before = await readCounts(cluster)
+  await waitMs(windowMs)
+  const after = await readCounts(cluster)
+  const seconds = (after.atMs - before.atMs) / 1_000
+  return {
+    readsPerSecond: (after.counts.reads - before.counts.reads) / seconds,
+    writesPerSecond: (after.counts.writes - before.counts.writes) / seconds,
+    listReadsPerSecond: (after.counts.listReads - before.counts.listReads) / seconds,
+    platformBytesPerSecond: (after.counts.bytes - before.counts.bytes) / seconds,
+    instanceBytesPerSecond: (after.processBytes - before.processBytes) / seconds / cluster.instances.length,
+    steps: (after.step - before.step) / seconds
+  }
+}
+
+async function readCounts (cluster: Cluster): Promise<{ atMs: number, counts: PlatformCounts, processBytes: number, step: number }> {
+  const answer = await request(`${cluster.instances[0]!.settings.platformUrl}/counts`)
+  const counts = await answer.body.json() as PlatformCounts
+  const status = await cluster.callOperators(0, { method: 'GET', path: `/v1/status/${service}` })
+  const { shift } = status.body as { shift: { row: { step: number } } }
+  const sizes = await Promise.all(cluster.instances.map(instance => readProcessBytes(instance.child.process.pid!)))
+  return { atMs: performance.now(), counts, processBytes: sizes.reduce((sum, bytes) => sum + bytes, 0), step: shift.row.step }
+}
+
+/** Reads the bytes that a process has read and written, sockets among them; Linux only, 0 elsewhere. */
+async function readProcessBytes (pid: number): Promise<number> {
+  const text = await readFile(`/proc/${pid}/io`, 'utf8').catch(() => '')
+  const fields = [...text.matchAll(/^[rw]char: (\d+)$/gm)]
+  return fields.reduce((sum, [, digits]) => sum + Number(digits), 0)
+}
+
+async function updateFaults (cluster: Cluster, faults: object): Promise<void> {
+  const answer = await request(`${cluster.instances[0]!.settings.platformUrl}/faults`, { method: 'PUT', body: JSON.stringify(faults) })
+  await answer.body.dump()
+}
+
+function getMedian (values: number[]): number {
+  return [...values].sort((a, b) => a - b)[values.length >> 1] ?? 0
+}
+
+function formatForce (name: string, values: number[]): string {
+  return `| ${name} | ${formatMs(getMedian(values))} | ${formatMs(Math.max(...values))} |`
+}
+
+function formatRate (name: string, rest: number, shift: number): string {
+  return `| ${name} | ${rest.toFixed(1)} | ${shift.toFixed(1)} |`
+}
+
+function formatMs (value: number): string {
+  return `${value.toFixed(0)} ms`
+}
+
+async function waitMs (ms: number): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, ms))
+}
--- a/packages/standins/src/main_bench.ts
+++ b/packages/standins/src/main_bench.ts
@@ -9,6 +9,7 @@
 import { fileURLToPath } from 'node:url'
 import { command, optional, positional, run, string } from 'cmd-ts'
 import { renderBenchIndex, writeBenchPage } from './bench_part.ts'
+import { runDistributionBench } from './bench_distribution.ts'
 import { runFeederBench } from './bench_feeder.ts'
 import { runScenarioBench } from './bench_scenarios.ts'
 
@@ -17,6 +18,7 @@
 /** The parts, one a line. */
 const parts: BenchPart[] = [
   { name: 'scenarios', title: 'Policies under load and faults', run: runScenarioBench },
+  { name: 'distribution', title: 'Distribution of documents', run: runDistributionBench },
   { name: 'feeder', title: 'Choice of the feeder in a region', run: runFeederBench }
 ]
 
--- a/packages/standins/src/platform_standin.ts
+++ b/packages/standins/src/platform_standin.ts
@@ -60,6 +60,7 @@
   status: number
   body?: unknown
   bytes?: Uint8Array
+  etag?: string
 }
 
 /**
@@ -86,7 +87,7 @@
     if (kind === 'machines') {
       counts.listReads++
       const visible = lists.filter(list => list.atMs <= performance.now() - faults.listLagMs).at(-1)
-      return { status: 200, body: visible?.machines }
+      return { status: 200, body: visible?.machines, etag: `"${visible === undefined ? '' : lists.indexOf(visible)}"` }
     }
     if (method === 'GET') counts.reads++
     else counts.writes++
@@ -151,6 +152,11 @@
       request.socket.destroy()
       return
     }
+    if (reply.etag !== undefined) response.setHeader('etag', reply.etag)
+    if (reply.etag !== undefined && reply.etag === request.headers['if-none-match']) {
+      response.writeHead(304).end()
+      return
+    }
     response.writeHead(reply.status, { 'content-type': reply.bytes === undefined ? 'application/json' : 'application/octet-stream' })
     response.end(reply.bytes ?? JSON.stringify(reply.body ?? {}))
   }
--- a/packages/standins/src/platform_standin_test.ts
+++ b/packages/standins/src/platform_standin_test.ts
@@ -34,3 +34,14 @@
   const conflict = await platform.writeRows([{ table: 't', key: 'k', value: 2, ifVersion: 0 }])
   t.is(conflict._unsafeUnwrapErr().kind, PlatformFailureKind.Conflict)
 })
+
+test('platform stand-in: the list of machines is sent again only where it changed', async t => {
+  await using standin = await startPlatformStandin()
+  await using platform = createHttpPlatform(standin.url)
+  const lists: number[] = []
+  for (const count of [1, 1, 2, 2]) {
+    if (count !== lists.at(-1)) standin.setMachines({ instances: [], targets: Array.from({ length: count }, () => ({}) as never) })
+    lists.push((await platform.listMachines())._unsafeUnwrap().targets.length)
+  }
+  t.deepEqual(lists, [1, 1, 2, 2])
+})
