--- /dev/null
+++ b/packages/bilberryd/src/feeder_loads_test.ts
@@ -0,0 +1,39 @@
+import type { InstanceRecord } from '@bilberryworks/steering'
+import test from 'ava'
+import { createFeederLoads, formatFeedLoad, parseFeedLoad } from './feeder_loads.ts'
+
+const createLoads = (getNowMs: () => number): ReturnType<typeof createFeederLoads> => {
+  return createFeederLoads({ instance: 'self', failureDomain: 'd', getOwnLoad: () => ({ slots: 6, busy: 2, queued: 1 }), getNowMs })
+}
+const createCandidate = (instance: string, failureDomain = 'e') => ({ record: { instance, failureDomain } as InstanceRecord, slots: 9 })
+
+const headers: Array<[string, boolean]> = [['9,3,0', true], ['9,3', false], ['', false], ['9,-3,0', false], ['9,3,0,1', false], ['1e3,0,0', false]]
+for (const [text, isValid] of headers) {
+  test(`parses a load: "${text}"`, t => {
+    const load = parseFeedLoad(text)
+    t.is(load !== undefined, isValid)
+    if (load !== undefined) t.is(formatFeedLoad(load), text)
+  })
+}
+
+test('counts own requests once, and takes reports over', t => {
+  let nowMs = 0
+  const loads = createLoads(() => nowMs)
+  const describe = () => loads.describe('s', [createCandidate('a')])[0]!
+  const finish = loads.start('s', 'a')
+  loads.start('s', 'a')
+  loads.record('s', 'a', '4,3,2')
+  loads.record('s', 'a', 'malformed')
+  t.like(describe(), { ownInFlight: 2, reportedLoad: 5, slots: 4, reportAgeMs: 0 })
+  finish()
+  finish()
+  nowMs = 1_500
+  t.like(describe(), { ownInFlight: 1, reportedLoad: 5, slots: 9, reportAgeMs: 1_500 })
+  t.is(loads.describe('other', [createCandidate('a')])[0]!.reportedLoad, undefined)
+})
+
+test('knows its own load without a report', t => {
+  const [own, near] = createLoads(() => 0).describe('s', [createCandidate('self', 'd'), createCandidate('b', 'd')])
+  t.like(own, { isLocal: true, slots: 6, reportedLoad: 3 })
+  t.like(near, { isLocal: false, isNear: true, slots: 9, reportedLoad: undefined })
+})
--- a/packages/bilberryd/src/identity.ts
+++ b/packages/bilberryd/src/identity.ts
@@ -16,8 +16,8 @@
   createAnnouncement (): InstanceRecord
   /** Sets the addresses, once the listeners are open. */
   updateAddresses (addresses: { callers: string, peers: string }): void
-  /** Sets the function that returns the epoch of pins, in place of epoch 0. */
-  setPinEpochSource (getPinEpoch: () => number): void
+  /** Announces the epoch of pins that a function returns. */
+  followPinEpoch (getPinEpoch: () => number): void
   /** Marks the instance as leaving. */
   markLeaving (): void
   /** Whether the instance is leaving. */
@@ -52,8 +52,8 @@
     updateAddresses (addresses) {
       record = { ...record, callerAddress: addresses.callers, peerAddress: addresses.peers }
     },
-    setPinEpochSource (source) {
-      getPinEpoch = source
+    followPinEpoch (getEpoch) {
+      getPinEpoch = getEpoch
     },
     markLeaving () {
       record = { ...record, state: MachineState.Leaving }
--- a/packages/bilberryd/src/regions.ts
+++ b/packages/bilberryd/src/regions.ts
@@ -13,6 +13,9 @@
 /** Time for which weights are used before they are planned again, in milliseconds. */
 const planIntervalMs = 100
 
+/** Time for which a new instance waits to learn of all regions before it moves callers away from one, in milliseconds. */
+const startGraceMs = 5_000
+
 /** Options of {@linkcode createRegionChooser}. */
 export interface CreateRegionChooserOptions {
   /** What the instance knows. */
@@ -40,6 +43,8 @@
   walk: WeightWalk | undefined
   plan: RegionPlan
   plannedAtMs: number
+  /** Time of the first plan until all regions have been seen with capacity, in milliseconds. */
+  startedAtMs: number
   stepMs: number
   demand: RegionDemand
   capacities: Record<string, number>
@@ -58,7 +63,7 @@
   function getService (service: string): ServiceRegions {
     const known = services.get(service)
     if (known !== undefined) return known
-    const created = { walk: undefined, plan: emptyPlan, plannedAtMs: -Infinity, stepMs: 0, demand: createRegionDemand(), capacities: {} }
+    const created = { walk: undefined, plan: emptyPlan, plannedAtMs: -Infinity, startedAtMs: getNowMs(), stepMs: 0, demand: createRegionDemand(), capacities: {} }
     services.set(service, created)
     return created
   }
@@ -98,7 +103,9 @@
     const situations: Record<string, RegionSituation> = {}
     for (const [region, { capacity }] of Object.entries(known)) situations[region] = { capacity, demand: demands[region] ?? 0 }
     entry.plan = planRegions(entry.plan, { weights: inForce, situations, objective: document.objective, nowMs })
-    const isUsable = Object.keys(entry.plan.weights).length > 0
+    const isComplete = Object.values(situations).every(each => each.capacity > 0)
+    if (isComplete) entry.startedAtMs = -Infinity
+    const isUsable = Object.keys(entry.plan.weights).length > 0 && nowMs - entry.startedAtMs >= startGraceMs
     const limits = { cap: document.shiftCap, stepMs: document.shiftStepMs, nowMs }
     entry.walk = walkWeights(entry.walk ?? { applied: inForce, moves: [] }, isUsable ? entry.plan.weights : inForce, limits)
     return entry
--- a/packages/bilberryd/src/run_instance.ts
+++ b/packages/bilberryd/src/run_instance.ts
@@ -62,9 +62,10 @@
       log.info('Instance is leaving')
       const cutOff = await drainInstance({
         announce: parts.sync.announce,
-        lookUpTtlMs: settings.lookUpTtlSeconds * 1000,
         release: parts.feeding.release,
-        listeners: Object.values(listeners),
+        lookUpTtlMs: settings.lookUpTtlSeconds * 1000,
+        ownListeners: [listeners.callers, listeners.operators],
+        peerListener: listeners.peers,
         countInFlight: parts.feed.countInFlight,
         limitMs: settings.stopLimitMs
       })
