--- a/packages/standins/src/bench_capacity_fleet.ts
+++ b/packages/standins/src/bench_capacity_fleet.ts
@@ -109,6 +109,11 @@
         heartbeatMs: pollMs * pollsPerHeartbeat,
         getRandom,
         getNowMs: () => performance.now(),
+        recordHeartbeat: () => {},
+        recordMachines: () => {},
+        followIndex: async () => {},
+        recordSuperseded: () => {},
+        afterPoll: async () => {},
         recordPlatform: () => {}
       })
       const node: FleetNode = {
