--- a/packages/bilberryd/src/instance_parts.ts
+++ b/packages/bilberryd/src/instance_parts.ts
@@ -5,9 +5,10 @@
  */
 import type { PeerClient } from '@bilberryworks/instances'
 import type { HttpPlatform } from '@bilberryworks/platform'
-import type { HandleRequest, TargetRecord, WeightChange } from '@bilberryworks/steering'
+import type { HandleRequest, WeightChange } from '@bilberryworks/steering'
 import type { TargetClient } from '@bilberryworks/targets'
 import type Logger from 'bunyan'
+import type { ClientBlocksLoader } from './client_blocks.ts'
 import type { Feed } from './feed.ts'
 import type { Feeding } from './feeding.ts'
 import type { Identity } from './identity.ts'
@@ -19,7 +20,10 @@
 import type { View } from './view.ts'
 import { createHttpPeers } from '@bilberryworks/instances'
 import { createHttpPlatform } from '@bilberryworks/platform'
+import { getFeedLimits, MachineState } from '@bilberryworks/steering'
 import { createHttpTargets } from '@bilberryworks/targets'
+import { createBudgetedPeers } from './budgeted_peers.ts'
+import { createClientBlocksLoader } from './client_blocks.ts'
 import { createDispatcher } from './dispatch.ts'
 import { createFeed } from './feed.ts'
 import { createFeeding } from './feeding.ts'
@@ -35,6 +39,7 @@
 import { createView } from './view.ts'
 
 const heartbeatsMissed = 4
+const defaultControlBytesPerSecond = 16_384
 
 /** What an instance is made of. */
 export interface InstanceParts extends AsyncDisposable {
@@ -43,6 +48,7 @@
   peers: PeerClient
   identity: Identity
   view: View
+  clientBlocks: ClientBlocksLoader
   metrics: Metrics
   feed: Feed
   feeding: Feeding
@@ -82,13 +88,17 @@
     countQueued: () => feed.countQueued(),
     countInFlight: () => feed.countInFlight(),
     getPlatformAgeMs: () => sync.getPlatformAgeMs(),
+    getClientBlocksRevision: () => clientBlocks.getBlocks().revision,
     getRevisions: view.getRevisions
   })
+  const clientBlocks = createClientBlocksLoader({ platform, getRandom: Math.random, countLoad: metrics.countClientBlocksLoad, recordLoad: (load, detail) => log.info({ load }, detail) })
   const feed: Feed = createFeed({
     listFedTargets: service => listUsableTargets(view, service).flatMap(target => {
       const slots = feeding.getSlotLimit(target)
       return slots > 0 ? [{ ...target, slots }] : []
     }),
+    listUsableTargets: () => view.listAllTargets().filter(target => target.state === MachineState.Live),
+    getLimits: service => getFeedLimits(view.getDocument(service)?.document),
     getNowMs
   })
   const feeding = createFeeding({
@@ -106,20 +116,29 @@
     recordLease: lease => log.info({ lease }, 'Hold on targets changed'),
     recordTakeover: (instance, failureDomain) => log.warn({ silent: instance, failureDomain }, 'Instance was declared silent')
   })
-  const isFedHere = ({ service, target }: TargetRecord): boolean => {
-    const record = view.listTargets(service).find(known => known.target === target)
-    return record !== undefined && feeding.getSlotLimit(record) > 0
-  }
-  const dispatch = createDispatcher({ feed, targets, markTargetLeaving: view.markTargetLeaving, checkDispatch: isFedHere, countRetry: metrics.countRetry, getNowMs })
+  const dispatch = createDispatcher({
+    feed,
+    targets,
+    markTargetLeaving: view.markTargetLeaving,
+    checkDispatch ({ service, target }) {
+      const record = view.listTargets(service).find(other => other.target === target)
+      return record !== undefined && feed.getBusy(target) <= feeding.getSlotLimit(record)
+    },
+    countRetry: metrics.countRetry,
+    getNowMs
+  })
   const regions = createRegionChooser({ view, getNowMs })
   const hasCapacity = (service: string, change: WeightChange): boolean => hasLiveTargets(view, service, { change })
   const shifts = createShiftLoop({
     instance: settings.instance, view, platform, hasCapacity, isPlatformReachable: () => sync.isPlatformReachable(), rankDelayMs: settings.pollMs, getNowMs
   })
-  const sync = createSync({
+  const exchangePeers = createBudgetedPeers(peers, {
+    bytesPerSecond: settings.controlBytesPerSecond ?? defaultControlBytesPerSecond, isReady: () => sync.isReady(), countBytes: metrics.countControlBytes, countHeldBack: metrics.countExchangeHeldBack, getNowMs
+  })
+  const sync: Sync = createSync({
     view,
     platform,
-    peers,
+    peers: exchangePeers,
     createAnnouncement: identity.createAnnouncement,
     seedPeers: settings.seedPeers,
     pollMs: settings.pollMs,
@@ -128,7 +147,10 @@
     getNowMs,
     recordHeartbeat: feeding.recordHeartbeat,
     recordMachines: feeding.recordMachines,
-    followIndex: feeding.refresh,
+    async followIndex (index) {
+      clientBlocks.observeRevision(index.clientBlocks)
+      await feeding.refresh(index)
+    },
     afterPoll: shifts.advanceShifts,
     recordSuperseded: () => log.warn('A later incarnation runs under the name of this instance'),
     recordPlatform: reachable => log.info({ reachable }, reachable ? 'Platform answers' : 'Platform does not answer')
@@ -138,15 +160,17 @@
   const route = createRouter({
     instance: settings.instance, view, listFeeders: feeding.listFeeders, dispatch, regions, peers, isReady: sync.isReady, countRetry: metrics.countRetry, getNowMs
   })
-  const { instance, incarnation } = identity.getRecord()
-  const keeper = createKeyKeeper({ instance, incarnation, platform, peers, view, handleRequest: route, getNowMs })
-  identity.followPinEpoch(keeper.getPinEpoch)
+  const keeper = createKeyKeeper({
+    instance: settings.instance, incarnation: identity.getRecord().incarnation, platform, peers, view, handleRequest: route, getNowMs
+  })
+  identity.setPinEpochSource(keeper.getPinEpoch)
   return {
     settings,
     platform,
     peers,
     identity,
     view,
+    clientBlocks,
     metrics,
     feed,
     feeding,
@@ -156,7 +180,7 @@
     handleRequest: keeper.handleRequest,
     isReady: () => !identity.isLeaving() && sync.isReady(),
     async [Symbol.asyncDispose] () {
-      await Promise.all([sync, feedLoop].map(loop => loop[Symbol.asyncDispose]()))
+      await Promise.all([sync, feedLoop, clientBlocks].map(loop => loop[Symbol.asyncDispose]()))
       await feed[Symbol.asyncDispose]()
       await Promise.all(Object.values(clients).map(client => client[Symbol.asyncDispose]()))
     }
--- a/packages/bilberryd/src/mod.ts
+++ b/packages/bilberryd/src/mod.ts
@@ -7,7 +7,9 @@
  *
  * @module
  */
+export * from './client_blocks.ts'
 export * from './key_keeper.ts'
+export * from './regions.ts'
 export * from './run_instance.ts'
 export * from './settings.ts'
 export * from './view.ts'
--- a/packages/platform/src/mod.ts
+++ b/packages/platform/src/mod.ts
@@ -11,6 +11,7 @@
  * @module
  */
 export * from './http_platform.ts'
+export * from './load_client_blocks.ts'
 export * from './memory_platform.ts'
 export * from './platform.ts'
 export * from './tables.ts'
