--- a/packages/bilberryd/src/key_keeper.ts
+++ b/packages/bilberryd/src/key_keeper.ts
@@ -13,8 +13,8 @@
 import { createKeyRows } from './key_rows.ts'
 import { createKeyedRequests } from './keyed_requests.ts'
 
-const maxKeys = 100_000
-const maxResultBytes = 48 * 1024 * 1024
+const maxKeys = 50_000
+const maxResultBytes = 32 * 1024 * 1024
 const unknownServiceDeadlineMs = 10_000
 
 /** Options of {@linkcode createKeyKeeper}. */
--- a/packages/bilberryd/src/keyed_requests.ts
+++ b/packages/bilberryd/src/keyed_requests.ts
@@ -23,10 +23,16 @@
 export interface KeyedRun {
   /** Digest of service, method and path. */
   targetDigest: string
-  /** Returns the digest of the body, once it has arrived whole. */
-  getBodyDigest: () => string | undefined
-  /** Resolves when the first run has ended, to what a repeat gets; never rejects. */
-  ended: Promise<Result<RetainedAnswer, Refusal>>
+  /** Resolves when the first run has ended; never rejects. */
+  ended: Promise<RunEnd>
+}
+
+/** How a first run ended. */
+interface RunEnd {
+  /** What a repeat gets. */
+  result: Result<RetainedAnswer, Refusal>
+  /** Digest of the body, where it had arrived whole. */
+  bodyDigest: string | undefined
 }
 
 /** Options of {@linkcode createKeyedRequests}. */
@@ -105,10 +111,10 @@
   async function runFirst (keyed: KeyedRequest): Promise<Result<ServiceAnswer, Refusal>> {
     const { request } = keyed
     const { body, getDigest } = createDigestedBody(request.body)
-    let settle: (end: Result<RetainedAnswer, Refusal>) => void = () => {}
-    const ended = new Promise<Result<RetainedAnswer, Refusal>>(resolve => { settle = resolve })
-    const getBodyDigest = isBodiless(request) ? () => noBodyDigest : getDigest
-    if (!memory.remember(keyed, { targetDigest: computeTargetDigest(request), getBodyDigest, ended })) {
+    let resolveEnd: (end: RunEnd) => void = () => {}
+    const ended = new Promise<RunEnd>(resolve => { resolveEnd = resolve })
+    const settle = (result: RunEnd['result']): void => resolveEnd({ result, bodyDigest: isBodiless(request) ? noBodyDigest : getDigest() })
+    if (!memory.remember(keyed, { targetDigest: computeTargetDigest(request), ended })) {
       return err(createNotRun(RefusalReason.KeyMemoryFull, 'Memory of keys is full', retryAfterMs))
     }
     const result = await runSafely(handleRequest, { ...request, body, pin: undefined, deadlineMs: Math.max(0, keyed.deadlineAtMs - getNowMs()) })
@@ -130,15 +136,14 @@
     const end = await waitUntil(run.ended, keyed.deadlineAtMs - getNowMs())
     if (end === undefined) return err(late)
     // Nothing ran, and the body of the repeat is still unread.
-    if (end.isErr() && end.error.reason === RefusalReason.CallerGone) return handleOwn(keyed)
+    if (end.result.isErr() && end.result.error.reason === RefusalReason.CallerGone) return handleOwn(keyed)
     const read = await waitUntil(readDigest(request), keyed.deadlineAtMs - getNowMs())
     if (read === undefined) return err(late)
     const { digest } = read
-    const firstDigest = run.getBodyDigest()
-    if (digest !== undefined && firstDigest !== undefined && digest !== firstDigest) return err(reused)
-    if (end.isErr()) return err(end.error)
-    if (digest === undefined || firstDigest === undefined) return err(describeNotRetained('Body of the request can\'t be compared with the first'))
-    return ok(createRetainedAnswer(end.value))
+    if (digest !== undefined && end.bodyDigest !== undefined && digest !== end.bodyDigest) return err(reused)
+    if (end.result.isErr()) return err(end.result.error)
+    if (digest === undefined || end.bodyDigest === undefined) return err(describeNotRetained('Body of the request can\'t be compared with the first'))
+    return ok(createRetainedAnswer(end.result.value))
   }
 
   async function handleOwn (keyed: KeyedRequest): Promise<Result<ServiceAnswer, Refusal>> {
--- a/packages/bilberryd/src/retain_answer.ts
+++ b/packages/bilberryd/src/retain_answer.ts
@@ -63,7 +63,8 @@
   function copyChunk (chunk: Buffer): void {
     bytes += chunk.length
     fits &&= bytes <= options.maxBytes && options.reserveBytes(chunk.length)
-    if (fits) copy.chunks.push(chunk)
+    // The chunk may be a part of a larger buffer of the connection.
+    if (fits) copy.chunks.push(Buffer.from(chunk))
     else copy.chunks.length = 0
   }
 
--- a/packages/standins/src/bench_keys.ts
+++ b/packages/standins/src/bench_keys.ts
@@ -77,13 +77,17 @@
   await using bench = await startBench()
   setFlagsFromString('--expose-gc')
   const collectGarbage = runInNewContext('gc') as () => void
+  const readMemory = (): number => {
+    collectGarbage()
+    collectGarbage()
+    const { heapUsed, arrayBuffers } = process.memoryUsage()
+    return heapUsed + arrayBuffers
+  }
   for (let count = 0; count < 1_000; count++) await sendOrder(bench, createPinned())
-  collectGarbage()
-  const before = process.memoryUsage()
+  const before = readMemory()
   for (let count = 0; count < memoryKeys; count++) await sendOrder(bench, createPinned())
-  collectGarbage()
-  const after = process.memoryUsage()
-  const bytes = after.heapUsed + after.external - before.heapUsed - before.external
+  const bytes = readMemory() - before
+  await sendOrder(bench, createPinned())
   return [{ keys: memoryKeys, answerBytes, kibPerThousandKeys: bytes / memoryKeys * 1000 / 1024 }]
 }
 
--- a/packages/standins/src/bench_path.ts
+++ b/packages/standins/src/bench_path.ts
@@ -20,6 +20,7 @@
 const warmUpRequests = 200
 const latencyRequests = 1_000
 const loadMs = 4_000
+const idleMs = 2_000
 const loadCallers = 32
 const uploadBytes = 1024 * 1024 * 1024
 
@@ -90,32 +91,37 @@
   const [service] = deployment.services
   const pids = cluster.instances.map(instance => instance.child.process.pid!)
   const sumSeconds = (): number => pids.reduce((sum, pid) => sum + readProcessorSeconds(pid), 0)
-  const agent = new Agent({ connections: loadCallers })
+  const agents = Array.from({ length: loadCallers }, (_, caller) => new Agent({ connect: { localAddress: `127.0.1.${caller + 1}` } }))
   const rows: object[] = []
   for (const keyed of [false, true]) {
+    const idleBefore = sumSeconds()
+    await new Promise(resolve => setTimeout(resolve, idleMs))
     const before = sumSeconds()
+    const idleSeconds = (before - idleBefore) * loadMs / idleMs
     const endMs = performance.now() + loadMs
-    let requests = 0
-    async function sendRequests (caller: number): Promise<void> {
+    let answered = 0
+    let refused = 0
+    async function sendRequests (agent: Agent, caller: number): Promise<void> {
       const { address, pin } = await askEntry(cluster, { agent, service: service.name, caller })
       while (performance.now() < endMs) {
         const headers = keyed ? { 'idempotency-key': randomUUID(), 'bilberry-pin': pin } : {}
         const answer = await agent.request({ origin: `http://${address}`, method: keyed ? 'POST' : 'GET', path: `/services/${service.name}/queue`, headers })
         await answer.body.text()
-        if (answer.headers['bilberry-outcome'] === 'answered') requests++
+        if (answer.headers['bilberry-outcome'] === 'answered') answered++
+        else refused++
       }
     }
-    await Promise.all(Array.from({ length: loadCallers }, (_, caller) => sendRequests(caller)))
+    await Promise.all(agents.map(sendRequests))
     const seconds = sumSeconds() - before
-    rows.push({ kind: keyed ? 'order under a key' : 'look-up', answered: requests, coreSeconds: seconds, perCoreSecond: Math.round(requests / seconds) })
+    rows.push({ kind: keyed ? 'order under a key' : 'look-up', answered, refused, coreSeconds: seconds, idleCoreSeconds: idleSeconds, perCoreSecond: Math.round((answered + refused) / (seconds - idleSeconds)) })
   }
-  await agent.destroy()
+  await Promise.all(agents.map(agent => agent.destroy()))
   return rows
 }
 
 async function askEntry (cluster: Cluster, call: { agent: Agent, service: string, caller: number }): Promise<{ address: string, pin: string }> {
   const origin = `http://${cluster.instances[call.caller % cluster.instances.length]!.child.ready.callers}`
-  const answer = await call.agent.request({ origin, method: 'GET', path: `/v1/services/${call.service}/entries?client=192.0.2.${call.caller}` })
+  const answer = await call.agent.request({ origin, method: 'GET', path: `/v1/services/${call.service}/entries?client=127.0.1.${call.caller + 1}` })
   const { entries } = await answer.body.json() as { entries: Array<{ address: string, pin: string }> }
   return entries[0]!
 }
