--- a/packages/bilberryd/src/gateways.ts
+++ b/packages/bilberryd/src/gateways.ts
@@ -8,7 +8,9 @@
 import type { Registry } from 'prom-client'
 import type { ServiceBroker, ServiceSchema } from 'moleculer'
 import { findToken } from '@bilberryworks/operators'
+import { RefusalReason } from '@bilberryworks/steering'
 import moleculerWeb from 'moleculer-web'
+import { describeProblem, replyError, replyProblem } from './problems.ts'
 
 type GatewayRequest = IncomingMessage & { $ctx: { meta: Record<string, unknown> }, body?: unknown }
 
@@ -51,11 +53,12 @@
         aliases: {
           'GET documents': 'operators.listDocuments',
           'GET documents/:service': 'operators.getDocument',
-          'PUT documents/:service': 'operators.putDocument',
           'GET documents/:service/history': 'operators.getHistory',
+          'PUT documents/:service': 'operators.putDocument',
           'GET status': 'operators.getStatus',
           'GET status/:service': 'operators.getServiceStatus'
         },
+        onAfterCall: describeProblem,
         onBeforeCall (ctx: { meta: Record<string, unknown> }, _route: unknown, request: GatewayRequest) {
           ctx.meta['token'] = findToken(request.headers.authorization, options.tokens())
           ctx.meta['body'] = request.body
@@ -65,10 +68,17 @@
           if (request.method === 'PUT') delete request.headers['if-none-match']
           ctx.meta['submissionId'] = request.headers['submission-id']
         }
-      }]
+      }],
+      onError: replyError
     }
   })
   return (request, response) => {
+    const methods = findMethods(request.url ?? '')
+    if (methods !== undefined && !methods.includes(request.method ?? '')) {
+      response.setHeader('allow', methods.join(', '))
+      replyProblem(response, { status: 405, title: 'method_not_allowed', detail: `Allowed are ${methods.join(', ')}` })
+      return
+    }
     switch (request.url) {
       case '/healthz':
         replyText(response, 200, 'ok')
@@ -83,7 +93,7 @@
         if (findToken(request.headers.authorization, options.tokens()) === undefined) {
           options.countUnauthenticated()
           response.setHeader('www-authenticate', 'Bearer')
-          replyText(response, 401, 'A valid bearer token is required')
+          replyProblem(response, { status: 401, title: RefusalReason.Unauthenticated, detail: 'A valid bearer token is required' })
         } else {
           gateway(request, response)
         }
@@ -91,6 +101,15 @@
   }
 }
 
+/** Lists the methods of a path of the operators' interface; `undefined` for an unknown path. */
+function findMethods (url: string): string[] | undefined {
+  const [path = ''] = url.split('?')
+  if (/^\/(healthz|readyz|metrics)$/.test(path)) return ['GET', 'HEAD']
+  if (/^\/v1\/documents\/[^/]+$/.test(path)) return ['GET', 'PUT']
+  if (/^\/v1\/(documents|documents\/[^/]+\/history|status|status\/[^/]+)$/.test(path)) return ['GET']
+  return undefined
+}
+
 function createGateway (broker: ServiceBroker, schema: ServiceSchema): RequestListener {
   return (broker.createService(schema) as unknown as Gateway).express()
 }
--- a/packages/bilberryd/src/instance_parts.ts
+++ b/packages/bilberryd/src/instance_parts.ts
@@ -3,9 +3,9 @@
  *
  * @module
  */
-import type { PeerClient } from '@bilberryworks/instances'
+import type { CreateHttpPeersOptions, PeerClient } from '@bilberryworks/instances'
 import type { HttpPlatform } from '@bilberryworks/platform'
-import type { HandleRequest, WeightChange } from '@bilberryworks/steering'
+import type { HandleRequest } from '@bilberryworks/steering'
 import type { TargetClient } from '@bilberryworks/targets'
 import type Logger from 'bunyan'
 import type { ClientBlocksLoader } from './client_blocks.ts'
@@ -31,11 +31,11 @@
 import { createKeyKeeper } from './key_keeper.ts'
 import { startLoop } from './loop.ts'
 import { createMetrics } from './metrics.ts'
+import { readPem } from './read_pem.ts'
 import { createRegionChooser } from './regions.ts'
 import { createRouter, listUsableTargets } from './route.ts'
-import { createShiftLoop, hasLiveTargets } from './shift_loop.ts'
-import { createStatusReader } from './status.ts'
 import { createSync } from './sync.ts'
+import { createUpkeep } from './upkeep.ts'
 import { createView } from './view.ts'
 
 const heartbeatsMissed = 4
@@ -127,11 +127,12 @@
     countRetry: metrics.countRetry,
     getNowMs
   })
-  const regions = createRegionChooser({ view, getNowMs })
-  const hasCapacity = (service: string, change: WeightChange): boolean => hasLiveTargets(view, service, { change })
-  const shifts = createShiftLoop({
-    instance: settings.instance, view, platform, hasCapacity, isPlatformReachable: () => sync.isPlatformReachable(), rankDelayMs: settings.pollMs, getNowMs
+  const regions = createRegionChooser({
+    view,
+    isFed: target => feeding.listFeeders(target.failureDomain).some(feeder => view.listInstances().some(record => record.instance === feeder)),
+    getNowMs
   })
+  const upkeep = createUpkeep({ settings, view, platform, peers, targets, regions, getSync: () => sync, getNowMs })
   const exchangePeers = createBudgetedPeers(peers, {
     bytesPerSecond: settings.controlBytesPerSecond ?? defaultControlBytesPerSecond, isReady: () => sync.isReady(), countBytes: metrics.countControlBytes, countHeldBack: metrics.countExchangeHeldBack, getNowMs
   })
@@ -151,19 +152,21 @@
       clientBlocks.observeRevision(index.clientBlocks)
       await feeding.refresh(index)
     },
-    afterPoll: shifts.advanceShifts,
-    recordSuperseded: () => log.warn('A later incarnation runs under the name of this instance'),
+    afterPoll: upkeep.runAfterPoll,
+    recordSuperseded () {
+      identity.markLeaving()
+      log.warn('A later incarnation runs under the name of this instance')
+    },
     recordPlatform: reachable => log.info({ reachable }, reachable ? 'Platform answers' : 'Platform does not answer')
   })
   const feedLoop = startLoop(feeding.advance, { intervalMs: settings.pollMs, getRandom: Math.random })
-  const status = createStatusReader({ view, peers, createVersions: sync.createVersions, getWeights: regions.getWeights, getShiftState: shifts.getState })
   const route = createRouter({
     instance: settings.instance, view, listFeeders: feeding.listFeeders, dispatch, regions, peers, isReady: sync.isReady, countRetry: metrics.countRetry, getNowMs
   })
   const keeper = createKeyKeeper({
     instance: settings.instance, incarnation: identity.getRecord().incarnation, platform, peers, view, handleRequest: route, getNowMs
   })
-  identity.setPinEpochSource(keeper.getPinEpoch)
+  identity.followPinEpoch(keeper.getPinEpoch)
   return {
     settings,
     platform,
@@ -175,7 +178,7 @@
     feed,
     feeding,
     regions,
-    status,
+    status: upkeep.status,
     sync,
     handleRequest: keeper.handleRequest,
     isReady: () => !identity.isLeaving() && sync.isReady(),
@@ -187,11 +190,17 @@
   }
 }
 
+function readPeerTls ({ peerTls }: Settings): Pick<CreateHttpPeersOptions, 'tls'> {
+  if (peerTls === undefined) return {}
+  const { ca, serverName } = peerTls
+  return { tls: { ca: readPem(ca), ...serverName === undefined ? {} : { servername: serverName } } }
+}
+
 function createClients (settings: Settings): { platform: HttpPlatform, targets: TargetClient, peers: PeerClient } {
   const local = settings.localAddress === undefined ? {} : { localAddress: settings.localAddress }
   return {
     platform: createHttpPlatform(settings.platformUrl, local),
     targets: createHttpTargets(local),
-    peers: createHttpPeers({ key: settings.peerKeys[0]!, ...local })
+    peers: createHttpPeers({ getKey: () => settings.peerKeys[0]!, ...readPeerTls(settings), ...local })
   }
 }
--- a/packages/bilberryd/src/keyed_requests.ts
+++ b/packages/bilberryd/src/keyed_requests.ts
@@ -18,6 +18,8 @@
 const maxResultBytes = 64 * 1024
 /** Digest that stands for the body of a method whose body is not forwarded. */
 const noBodyDigest = 'none'
+/** Reasons for which a peer refuses before it looks into its memory, and which say nothing about an earlier try. */
+const beforeMemory = new Set([RefusalReason.BadRequest, RefusalReason.Unauthenticated, RefusalReason.HeadersTooLarge, RefusalReason.RequestTimeout, RefusalReason.BodyTooLarge])
 
 /** What is remembered of a key. */
 export interface KeyedRun {
@@ -103,8 +105,7 @@
     if (result.isOk()) return ok(result.value)
     const { unsent, refusal } = result.error
     if (unsent) options.dropInstance(pin.instance)
-    // A refusal that precedes the memory says nothing about an earlier try.
-    const undecided = unsent || (refusal.outcome === Outcome.NotRun && refusal.reason === RefusalReason.BadRequest)
+    const undecided = unsent || (refusal.outcome === Outcome.NotRun && beforeMemory.has(refusal.reason))
     return err(undecided ? gone : refusal)
   }
 
--- a/packages/bilberryd/src/run_instance.ts
+++ b/packages/bilberryd/src/run_instance.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { RefusalReason } from '@bilberryworks/steering'
 import type Logger from 'bunyan'
 import type { Settings } from './settings.ts'
 import { createInstanceHandlers } from './instance_handlers.ts'
@@ -15,6 +16,10 @@
 export interface RunningInstance extends AsyncDisposable {
   /** `host:port` of each listener. */
   addresses: { callers: string, operators: string, peers: string }
+  /** `host:port` that each listener is bound to, which differs where others reach it by an advertised address. */
+  listening: { callers: string, operators: string, peers: string }
+  /** Takes tokens, keys between instances and certificates of other settings; the rest stays. */
+  reload (next: Settings): void
   /** Stops gracefully: announces it, serves on, lets requests in flight end. */
   stop (): Promise<void>
 }
@@ -28,10 +33,11 @@
  */
 export async function runInstance (settings: Settings, log: Logger): Promise<RunningInstance> {
   const late = { callers: createLateHandler(), operators: createLateHandler(), peers: createLateHandler() }
+  const bounds = { headersTimeoutMs: settings.headersTimeoutMs, countRefusal: (reason: RefusalReason) => parts.metrics.countRefusal(reason) }
   const listeners = {
-    callers: await openListener(late.callers.handle, settings.listen.callers),
-    operators: await openListener(late.operators.handle, settings.listen.operators),
-    peers: await openListener(late.peers.handle, settings.listen.peers)
+    callers: await openListener(late.callers.handle, settings.listen.callers, bounds),
+    operators: await openListener(late.operators.handle, settings.listen.operators, bounds),
+    peers: await openListener(late.peers.handle, settings.listen.peers, bounds)
   }
   const addresses = {
     callers: settings.advertise?.callers ?? listeners.callers.address,
@@ -52,16 +58,25 @@
   }
   return {
     addresses,
+    listening: { callers: listeners.callers.address, operators: listeners.operators.address, peers: listeners.peers.address },
+    reload (next) {
+      listeners.callers.reloadTls(next.listen.callers.tls)
+      listeners.operators.reloadTls(next.listen.operators.tls)
+      listeners.peers.reloadTls(next.listen.peers.tls)
+      settings.tokens = next.tokens
+      settings.peerKeys = next.peerKeys
+      log.info({ tokens: next.tokens.length, peerKeys: next.peerKeys.length }, 'Secrets were read again')
+    },
     async stop () {
       parts.identity.markLeaving()
       log.info('Instance is leaving')
       const cutOff = await drainInstance({
-        announce: () => parts.sync.announce(),
-        release: () => parts.feeding.release(),
+        announce: parts.sync.announce,
+        release: parts.feeding.release,
         lookUpTtlMs: settings.lookUpTtlSeconds * 1000,
         ownListeners: [listeners.callers, listeners.operators],
         peerListener: listeners.peers,
-        countInFlight: () => parts.feed.countInFlight(),
+        countInFlight: parts.feed.countInFlight,
         limitMs: settings.stopLimitMs
       })
       parts.metrics.countCutOff(cutOff)
--- a/packages/bilberryd/src/settings.ts
+++ b/packages/bilberryd/src/settings.ts
@@ -3,18 +3,45 @@
  *
  * @module
  */
+import type { ErrorObject } from 'ajv'
 import type { Result } from 'neverthrow'
 import { readFileSync } from 'node:fs'
 import { Ajv } from 'ajv'
 import { err, ok } from 'neverthrow'
 import { settingsSchema } from './settings_schema.ts'
 
+/** Certificate and key of a listener; each is PEM text or the path of a PEM file, read again on SIGHUP. */
+export interface TlsSettings {
+  /** Certificate chain. */
+  certificate: string
+  /** Private key. */
+  key: string
+}
+
 /** An address to listen on. */
 export interface ListenSettings {
   /** IP number. */
   host: string
   /** TCP port; 0 for one that the system chooses. */
   port: number
+  /** Certificate and key; plain TCP where absent. */
+  tls?: TlsSettings
+}
+
+/** How peers are called over TLS. */
+export interface PeerTlsSettings {
+  /** Certificate authority of the peers: PEM text or the path of a PEM file. */
+  ca: string
+  /** Name that the peers' certificates carry; their IP number where absent. */
+  serverName?: string
+}
+
+/** Capacity of the link between two regions. */
+export interface LinkSettings {
+  /** The two regions, in any order. */
+  regions: [string, string]
+  /** Capacity each way, in bits a second. */
+  bitsPerSecond: number
 }
 
 /** A token of a team. */
@@ -57,10 +84,18 @@
   localAddress?: string
   /** Keys between instances, the one to send first. */
   peerKeys: string[]
+  /** How peers are called over TLS; plain TCP where absent. */
+  peerTls?: PeerTlsSettings
   /** `host:port` of peers to ask at start when the platform is out. */
   seedPeers: string[]
   /** Tokens of operators. */
   tokens: TokenSettings[]
+  /** Capacity by pair of regions; no limit where a pair is absent. */
+  links: LinkSettings[]
+  /** Longest time that a client may take to send the header fields of a request, in milliseconds. */
+  headersTimeoutMs: number
+  /** Longest pause within the body of a request, in milliseconds. */
+  bodyIdleTimeoutMs: number
   /** Lifetime of a look-up's answer, in seconds. */
   lookUpTtlSeconds: number
   /** Time between two polls of the platform, in milliseconds. */
@@ -100,7 +135,7 @@
   }
   if (checkSchema(value)) return ok(value)
   return err((checkSchema.errors ?? []).map(error => ({
-    pointer: error.instancePath,
+    pointer: locateFinding(error),
     message: `${error.message ?? 'is not allowed'}${describeParams(error.params)}`
   })))
 }
@@ -119,6 +154,13 @@
   }
 }
 
+/** Returns the pointer to the place itself, where ajv points to the object around it. */
+function locateFinding (error: ErrorObject): string {
+  const { missingProperty, additionalProperty } = error.params as { missingProperty?: string, additionalProperty?: string }
+  const name = missingProperty ?? additionalProperty
+  return name === undefined ? error.instancePath : `${error.instancePath}/${name.replaceAll('~', '~0').replaceAll('/', '~1')}`
+}
+
 function describeParams (params: Record<string, unknown>): string {
   const unknown = params['additionalProperty']
   if (typeof unknown === 'string') return `: unknown key "${unknown}"`
