--- a/packages/standins/src/bench_path.ts
+++ b/packages/standins/src/bench_path.ts
@@ -3,11 +3,13 @@
  *
  * @module
  */
+import type { BenchReport } from './bench_part.ts'
 import type { Cluster } from './cluster.ts'
 import type { Deployment } from './deployments.ts'
 import { randomUUID } from 'node:crypto'
 import { build as buildHistogram } from 'hdr-histogram-js'
 import { Agent } from 'undici'
+import { renderTable } from './bench_part.ts'
 import { measureKeyMemory, measureKeyWays } from './bench_keys.ts'
 import { startCluster } from './cluster.ts'
 import { DeploymentName, deployments } from './deployments.ts'
@@ -18,6 +20,7 @@
 const warmUpRequests = 200
 const latencyRequests = 1_000
 const loadMs = 4_000
+const idleMs = 2_000
 const loadCallers = 32
 const uploadBytes = 1024 * 1024 * 1024
 
@@ -29,26 +32,34 @@
 }
 
 /**
- * Runs the benchmark of the path and prints its tables.
+ * Runs the benchmark of the path.
  *
- * @returns When all tables are printed
+ * @returns The report
  */
-export async function runPathBench (): Promise<void> {
+export async function runPathBench (): Promise<BenchReport> {
   const deployment = deployments[DeploymentName.Trwsio]
   await using cluster = await startCluster(deployment)
   for (const { target } of cluster.targets) cluster.setBehaviour(target, { serviceMs: 0 })
-  console.log('Added latency, one request after another')
-  console.table(await measureLatency(cluster, deployment))
-  console.log(`Requests a second per core of the instances, ${loadCallers} callers`)
-  console.table(await measureCost(cluster, deployment))
-  console.log('Upload of 1 GiB')
-  console.table(await measureUpload(cluster))
-  console.log('Drain time of an instance under load, of which the look-up\'s lifetime and margin are 3 s')
-  console.table(await measureDrain(cluster, deployment))
-  console.log('Memory of remembered keys')
-  console.table(await measureKeyMemory())
-  console.log('Ways to remember a key')
-  console.table(await measureKeyWays())
+  const latency = await measureLatency(cluster, deployment)
+  const sections: Array<[string, object[]]> = [
+    ['Added latency, one request after another in turn', latency],
+    [`Requests a second per core of the instances, ${loadCallers} callers`, await measureCost(cluster, deployment)],
+    ['Upload of 1 GiB under a key: rise of the resident memory of the instance that rose most', await measureUpload(cluster)],
+    ['Drain of an instance under load; 3 s are the lifetime of a look-up and its margin', await measureDrain(cluster, deployment)],
+    ['Memory of remembered keys', await measureKeyMemory()],
+    ['Ways to remember a key: time until the answer of a target that answers at once, and answers while the store is out', await measureKeyWays()]
+  ]
+  const ratio = latency.at(-1) as LatencyRow
+  const summary = `By an instance a request takes ${formatCell(ratio.p50Ms)} times as long as direct at the median and ${formatCell(ratio.p99Ms)} times at p99, targets answering at once.`
+  return { summary, markdown: sections.map(([title, rows]) => `## ${title}\n\n${renderRows(rows)}`).join('\n\n') }
+}
+
+function renderRows (rows: object[]): string {
+  return renderTable(Object.keys(rows[0] ?? {}), rows.map(row => Object.values(row).map(formatCell)))
+}
+
+function formatCell (value: unknown): string {
+  return typeof value === 'number' ? String(Number(value.toPrecision(3))) : String(value)
 }
 
 async function measureLatency (cluster: Cluster, deployment: Deployment): Promise<object[]> {
@@ -80,32 +91,37 @@
   const [service] = deployment.services
   const pids = cluster.instances.map(instance => instance.child.process.pid!)
   const sumSeconds = (): number => pids.reduce((sum, pid) => sum + readProcessorSeconds(pid), 0)
-  const agent = new Agent({ connections: loadCallers })
+  const agents = Array.from({ length: loadCallers }, (_, caller) => new Agent({ connect: { localAddress: `127.0.1.${caller + 1}` } }))
   const rows: object[] = []
   for (const keyed of [false, true]) {
+    const idleBefore = sumSeconds()
+    await new Promise(resolve => setTimeout(resolve, idleMs))
     const before = sumSeconds()
+    const idleSeconds = (before - idleBefore) * loadMs / idleMs
     const endMs = performance.now() + loadMs
-    let requests = 0
-    async function sendRequests (caller: number): Promise<void> {
+    let answered = 0
+    let refused = 0
+    async function sendRequests (agent: Agent, caller: number): Promise<void> {
       const { address, pin } = await askEntry(cluster, { agent, service: service.name, caller })
       while (performance.now() < endMs) {
         const headers = keyed ? { 'idempotency-key': randomUUID(), 'bilberry-pin': pin } : {}
         const answer = await agent.request({ origin: `http://${address}`, method: keyed ? 'POST' : 'GET', path: `/services/${service.name}/queue`, headers })
         await answer.body.text()
-        if (answer.headers['bilberry-outcome'] === 'answered') requests++
+        if (answer.headers['bilberry-outcome'] === 'answered') answered++
+        else refused++
       }
     }
-    await Promise.all(Array.from({ length: loadCallers }, (_, caller) => sendRequests(caller)))
+    await Promise.all(agents.map(sendRequests))
     const seconds = sumSeconds() - before
-    rows.push({ kind: keyed ? 'order under a key' : 'look-up', answered: requests, coreSeconds: seconds, perCoreSecond: Math.round(requests / seconds) })
+    rows.push({ kind: keyed ? 'order under a key' : 'look-up', answered, refused, coreSeconds: seconds, idleCoreSeconds: idleSeconds, perCoreSecond: Math.round((answered + refused) / (seconds - idleSeconds)) })
   }
-  await agent.destroy()
+  await Promise.all(agents.map(agent => agent.destroy()))
   return rows
 }
 
 async function askEntry (cluster: Cluster, call: { agent: Agent, service: string, caller: number }): Promise<{ address: string, pin: string }> {
   const origin = `http://${cluster.instances[call.caller % cluster.instances.length]!.child.ready.callers}`
-  const answer = await call.agent.request({ origin, method: 'GET', path: `/v1/services/${call.service}/entries?client=192.0.2.${call.caller}` })
+  const answer = await call.agent.request({ origin, method: 'GET', path: `/v1/services/${call.service}/entries?client=127.0.1.${call.caller + 1}` })
   const { entries } = await answer.body.json() as { entries: Array<{ address: string, pin: string }> }
   return entries[0]!
 }
@@ -126,6 +142,6 @@
     await cluster.instances[1]!.child.stop('SIGTERM')
     seconds = (performance.now() - startedMs) / 1_000
   }
-  const { reasons, ...report } = await runLoad(cluster, { deployment, until: stopOne(), callers: loadCallers })
-  return [{ seconds, ...report }]
+  const { requests, answered, notRun, unknown, broken, ranTwice } = await runLoad(cluster, { deployment, until: stopOne(), callers: loadCallers })
+  return [{ seconds, requests, answered, notRun, unknown, broken, ranTwice }]
 }
--- a/packages/standins/src/main_bench.ts
+++ b/packages/standins/src/main_bench.ts
@@ -13,6 +13,7 @@
 import { runFeederBench, runTargetBench } from './bench_feeder.ts'
 import { runCostBench } from './bench_cost.ts'
 import { runLinkBench } from './bench_links.ts'
+import { runPathBench } from './bench_path.ts'
 import { runScenarioBench } from './bench_scenarios.ts'
 
 const docsFolder = fileURLToPath(new URL('../../../docs', import.meta.url))
@@ -24,6 +25,7 @@
   { name: 'feeder', title: 'Choice of the feeder in a region', run: runFeederBench },
   { name: 'target', title: 'Choice of the target of a feeder', run: runTargetBench },
   { name: 'cost', title: 'Cost of a decision', run: runCostBench },
+  { name: 'path', title: 'Path of a request', run: runPathBench },
   { name: 'links', title: 'Bytes between regions', run: runLinkBench }
 ]
 
