--- /dev/null
+++ b/packages/standins/src/bench_simulate_test.ts
@@ -0,0 +1,48 @@
+import type { Scenario } from './bench_simulate.ts'
+import test from 'ava'
+import { createRandom, createVirtualClock } from './bench_clock.ts'
+import { allPolicies, productPolicy } from './bench_policies.ts'
+import { simulate } from './bench_simulate.ts'
+import { deployments } from './deployments.ts'
+
+const seed = 20260612
+const rush: Scenario = { name: 'rush', lengthMs: 3_000, getLoad: () => 3 }
+const failure: Scenario = {
+  ...rush,
+  name: 'region fails',
+  prepare: world => world.clock.schedule(1_000, () => {
+    for (const each of [...world.instances, ...world.targets]) if (each.region === world.deployment.regions[0]) each.alive = false
+    world.epoch++
+  })
+}
+
+for (const [name, deployment] of Object.entries(deployments)) {
+  for (const scenario of [rush, failure]) {
+    test(`overloads no target: ${name}, ${scenario.name}`, t => {
+      const measured = simulate(world => productPolicy.create(world), { deployment, scenario, seed })
+      t.is(measured.overloadSeconds, 0)
+      t.is(measured.answered + measured.refused, measured.requests)
+      t.true(measured.refused > 0 && measured.fullestRegion <= 1 + 1e-9)
+    })
+  }
+}
+
+test('sees the overload of a policy that has no feeders', t => {
+  const random = allPolicies.find(policy => policy.name === 'random')!
+  t.true(simulate(world => random.create(world), { deployment: deployments.kutiyka, scenario: rush, seed }).overloadSeconds > 0)
+})
+
+test('measures the same for the same seed', t => {
+  const run = (): unknown => simulate(world => productPolicy.create(world), { deployment: deployments.kutiyka, scenario: rush, seed })
+  t.deepEqual(run(), run())
+})
+
+test('runs events in the order of their times', t => {
+  const clock = createVirtualClock()
+  const getRandom = createRandom(seed)
+  const seen: number[] = []
+  for (let index = 0; index < 500; index++) clock.schedule(getRandom() * 100, () => seen.push(clock.getNowMs()))
+  clock.advance(100)
+  t.is(seen.length, 500)
+  t.deepEqual(seen, [...seen].sort((a, b) => a - b))
+})
