--- a/packages/standins/src/link_relay_test.ts
+++ b/packages/standins/src/link_relay_test.ts
@@ -87,7 +87,7 @@
   await using relay = createLinkRelay(profile)
   const route = await relay.openRoute(destination)
   route.setDestination(target.record.address)
-  await route[Symbol.asyncDispose]()
+  route.close()
   route.setDestination(target.record.address)
   const agent = new Agent()
   const answer = await agent.request({ origin: `http://${route.address}`, method: 'GET', path: '/' })
--- a/packages/standins/src/main_relay.ts
+++ b/packages/standins/src/main_relay.ts
@@ -39,7 +39,7 @@
       routes.get(command.route)?.setDestination(command.destination)
       break
     case 'close':
-      await routes.get(command.route)?.[Symbol.asyncDispose]()
+      routes.get(command.route)?.close()
       break
     case 'report':
       reply({ id: command.id, linkBytes: relay.getLinkBytes() })
