--- a/packages/standins/src/bench_cost.ts
+++ b/packages/standins/src/bench_cost.ts
@@ -126,5 +126,5 @@
   }
   const head = ['decision', ...factors.flatMap(factor => [`µs at ${targetsToday * factor} targets`, 'bytes']), 'ns for each further target']
   const summary = `No decision takes more than ${dearest.toFixed(1)} µs on one thread at ${targetsToday * 100} targets fed by ${instancesToday} instances; the slot decisions grow with the targets that one instance feeds.`
-  return { summary, markdown: `Node ${process.version}, one thread; the median of ${repeats} repeats of ${rounds} decisions.\n\n${renderTable(head, rows)}` }
+  return { summary, markdown: `Node ${process.version}, one thread; the median of ${repeats} repeats of ${rounds} decisions. A decision on a slot holds the way of one request through arrive, grant and release. The list of fed targets is given; the daemon builds it a hundred times a second at most, which is not in these figures.\n\n${renderTable(head, rows)}` }
 }
--- a/packages/standins/src/bench_policies.ts
+++ b/packages/standins/src/bench_policies.ts
@@ -23,7 +23,7 @@
 
 /** The policy in use. */
 export const productPolicy: Policy = {
-  name: 'feeders, as in use',
+  name: 'feeders, as chosen',
   create: (world, reports) => createFeederRouter(world, {
     rankFeeders: world.deployment.objective === Objective.Latency ? rankFeedersLocalFirst : rankFeedersByTwoChoices,
     waitShare: getWaitShare(world),
