--- a/packages/bilberryd/src/instance_parts.ts
+++ b/packages/bilberryd/src/instance_parts.ts
@@ -5,7 +5,7 @@
  */
 import type { CreateHttpPeersOptions, PeerClient } from '@bilberryworks/instances'
 import type { HttpPlatform } from '@bilberryworks/platform'
-import type { HandleRequest, WeightChange } from '@bilberryworks/steering'
+import type { HandleRequest } from '@bilberryworks/steering'
 import type { TargetClient } from '@bilberryworks/targets'
 import type Logger from 'bunyan'
 import type { ClientBlocksLoader } from './client_blocks.ts'
@@ -34,10 +34,9 @@
 import { readPem } from './read_pem.ts'
 import { createRegionChooser } from './regions.ts'
 import { createRouter, listUsableTargets } from './route.ts'
-import { createShiftLoop, hasLiveTargets } from './shift_loop.ts'
-import { createStatusReader } from './status.ts'
 import { createSuspects } from './suspects.ts'
 import { createSync } from './sync.ts'
+import { createUpkeep } from './upkeep.ts'
 import { createView } from './view.ts'
 
 const heartbeatsMissed = 4
@@ -132,10 +131,7 @@
     getNowMs
   })
   const regions = createRegionChooser({ view, getNowMs })
-  const hasCapacity = (service: string, change: WeightChange): boolean => hasLiveTargets(view, service, { change })
-  const shifts = createShiftLoop({
-    instance: settings.instance, view, platform, hasCapacity, isPlatformReachable: () => sync.isPlatformReachable(), rankDelayMs: settings.pollMs, getNowMs
-  })
+  const upkeep = createUpkeep({ settings, view, platform, peers, targets, regions, getSync: () => sync, getNowMs })
   const exchangePeers = createBudgetedPeers(peers, {
     bytesPerSecond: settings.controlBytesPerSecond ?? defaultControlBytesPerSecond, isReady: () => sync.isReady(), countBytes: metrics.countControlBytes, countHeldBack: metrics.countExchangeHeldBack, getNowMs
   })
@@ -155,12 +151,14 @@
       clientBlocks.observeRevision(index.clientBlocks)
       await feeding.refresh(index)
     },
-    afterPoll: shifts.advanceShifts,
-    recordSuperseded: () => log.warn('A later incarnation runs under the name of this instance'),
+    afterPoll: upkeep.runAfterPoll,
+    recordSuperseded () {
+      identity.markLeaving()
+      log.warn('A later incarnation runs under the name of this instance')
+    },
     recordPlatform: reachable => log.info({ reachable }, reachable ? 'Platform answers' : 'Platform does not answer')
   })
   const feedLoop = startLoop(feeding.advance, { intervalMs: settings.pollMs, getRandom: Math.random })
-  const status = createStatusReader({ view, peers, createVersions: sync.createVersions, getWeights: regions.getWeights, getShiftState: shifts.getState })
   const route = createRouter({
     instance: settings.instance, view, listFeeders: feeding.listFeeders, dispatch, regions, peers, isReady: sync.isReady, countRetry: metrics.countRetry, getNowMs
   })
@@ -179,7 +177,7 @@
     feed,
     feeding,
     regions,
-    status,
+    status: upkeep.status,
     sync,
     handleRequest: keeper.handleRequest,
     isReady: () => !identity.isLeaving() && sync.isReady(),
--- a/packages/bilberryd/src/loop.ts
+++ b/packages/bilberryd/src/loop.ts
@@ -10,7 +10,7 @@
 /** Options of {@linkcode startLoop}. */
 export interface StartLoopOptions {
   /** Longest time between the end of a step and the start of the next, in milliseconds. */
-  intervalMs: number
+  intervalMs: number | (() => number)
   /** Returns a random number from 0 to 1. */
   getRandom: () => number
 }
@@ -37,7 +37,8 @@
   const { signal } = options
   while (!signal.aborted) {
     await step()
-    const waitMs = options.intervalMs * (1 - jitterShare * options.getRandom())
+    const intervalMs = typeof options.intervalMs === 'number' ? options.intervalMs : options.intervalMs()
+    const waitMs = intervalMs * (1 - jitterShare * options.getRandom())
     await setTimeout(waitMs, undefined, { signal }).catch(() => {})
   }
 }
