--- /dev/null
+++ b/packages/bilberryd/bin/bilberryd.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+await import('../dist/main.js')
--- a/packages/standins/src/link_relay.ts
+++ b/packages/standins/src/link_relay.ts
@@ -102,6 +102,7 @@
         setDestination (address) {
           destination = address
           if (!server.listening) server.listen(port, place.host)
+          routes.add(route)
         },
         close () {
           if (server.listening) server.close()
--- a/packages/standins/src/local_address_test.ts
+++ b/packages/standins/src/local_address_test.ts
@@ -19,7 +19,7 @@
   await listen(server, '127.0.0.1')
   const address = formatServerAddress(server)
   await using platform = createHttpPlatform(`http://${address}`, { localAddress })
-  await using peers = createHttpPeers({ key: 'k', localAddress })
+  await using peers = createHttpPeers({ getKey: () => 'k', localAddress })
   await using targets = createHttpTargets({ localAddress })
   const target: TargetRecord = { target: 't', service: 's', address, failureDomain: 'd', region: 'r', slots: 1, maxConnections: 1, state: MachineState.Live }
   await platform.listMachines()
--- a/packages/standins/src/operators_listener_test.ts
+++ b/packages/standins/src/operators_listener_test.ts
@@ -68,6 +68,17 @@
   for (const gauge of ['bilberry_queued_requests', 'bilberry_in_flight_requests', 'bilberry_platform_age_seconds']) t.regex(text, new RegExp(`^${gauge} [\\d.e-]+$`, 'm'))
 })
 
+test('names only counters and reasons that exist in docs/OPERATIONS.md', async t => {
+  await using system = await startSingleInstance()
+  const metrics = await (await fetch(`http://${system.instance.addresses.operators}/metrics`)).text()
+  const page = await readFile(fileURLToPath(new URL('../../../docs/OPERATIONS.md', import.meta.url)), 'utf8')
+  const names = [...page.matchAll(/bilberry_[a-z_]+/g)].map(([name]) => name)
+  t.true(names.length > 10)
+  for (const name of names) t.true(metrics.includes(`# TYPE ${name} `), name)
+  const reasons = new Set<string>(Object.values(RefusalReason))
+  for (const [, reason = ''] of page.matchAll(/reason="(\w+)"/g)) t.true(reasons.has(reason), reason)
+})
+
 test('takes two keys between instances, replaces them and logs none', async t => {
   await using system = await startSingleInstance()
   const { instance, settings } = system
