Hook the capacity part into the benchmark and give the routing test its new parts

Cause: the router takes loads and links since feeders are chosen by load; the test of refusals built it without. Ruled out: optional parts of the router (a missing one would go unnoticed). Change: fakes in refusals_test; one line in main_bench. Figures: npx ava packages/bilberryd/dist/refusals_test.js: 6 passed. Conclusion: npm run bench -- capacity prints the slopes.

--- a/packages/bilberryd/src/refusals_test.ts
+++ b/packages/bilberryd/src/refusals_test.ts
@@ -7,6 +7,7 @@
 import { Readable } from 'node:stream'
 import { createNotRun, MachineState, RefusalReason } from '@bilberryworks/steering'
 import { err, ok } from 'neverthrow'
+import { createFeederLoads } from './feeder_loads.ts'
 import { createRouter } from './route.ts'
 
 test('the page of refusals lists every reason once', t => {
@@ -36,10 +37,13 @@
       counts.dispatched++
       return err(createNotRun(RefusalReason.TargetRefused, ''))
     },
-    regions: { getWeights: () => ({ r: 1 }), chooseRegion: () => ok('r') } as unknown as CreateRouterOptions['regions'],
+    regions: { getWeights: () => ({ r: 1 }), chooseRegion: () => ok('r'), recordRegion: () => {} } as unknown as CreateRouterOptions['regions'],
     peers,
+    loads: createFeederLoads({ instance: 'a', failureDomain: 'd', getOwnLoad: () => ({ slots: 0, busy: 0, queued: 0 }), getNowMs: () => 0 }),
+    links: { paceRequest: (_region, { request }) => ok(request), paceAnswers: handle => handle },
     isReady: () => true,
     countRetry: () => {},
+    getRandom: () => 0.5,
     getNowMs: () => 0,
     ...change.options
   })
--- a/packages/standins/src/main_bench.ts
+++ b/packages/standins/src/main_bench.ts
@@ -9,6 +9,7 @@
 import { fileURLToPath } from 'node:url'
 import { command, optional, positional, run, string } from 'cmd-ts'
 import { renderBenchIndex, writeBenchPage } from './bench_part.ts'
+import { capacityPart } from './bench_capacity.ts'
 import { runDistributionBench } from './bench_distribution.ts'
 import { runFeederBench, runTargetBench } from './bench_feeder.ts'
 import { runCostBench } from './bench_cost.ts'
@@ -26,7 +27,8 @@
   { name: 'target', title: 'Choice of the target of a feeder', run: runTargetBench },
   { name: 'cost', title: 'Cost of a decision', run: runCostBench },
   { name: 'path', title: 'Path of a request', run: runPathBench },
-  { name: 'links', title: 'Bytes between regions', run: runLinkBench }
+  { name: 'links', title: 'Bytes between regions', run: runLinkBench },
+  capacityPart
 ]
 
 async function runParts (name: string | undefined): Promise<void> {
