Exchange feed rows by revision and bound the feeders of a failure domain

Cause: docs/CAPACITY.md: with 55 feeders a row has 41 KB, and each exchange carried all rows: 1.3 GB for one restart. Ruled out: keeping the assignment once for each revision (a larger change of the row; not needed with few feeders). Change: an exchange tells revisions and is answered with newer rows; at most 8 instances of a failure domain feed. Conclusion: rows and exchanges no longer grow with the nodes of a failure domain.

--- a/packages/bilberryd/src/feed_exchange.ts
+++ b/packages/bilberryd/src/feed_exchange.ts
@@ -15,7 +15,9 @@
 export interface FeedsMessage {
   /** Sender. */
   instance: string
-  /** Feed rows that the sender knows. */
+  /** Revision of each feed row that the sender knows, by failure domain. */
+  revisions: Record<string, number>
+  /** Feed rows that the sender has just changed. */
   rows: FeedRow[]
 }
 
@@ -49,7 +51,7 @@
 
 /** The exchange. */
 export interface FeedExchange {
-  /** Exchanges rows with an instance. */
+  /** Tells an instance of this one, and learns the rows that are newer there. */
   exchangeWith (instance: string): Promise<void>
   /** Tells the instances that a row concerns, so that a hand-over need not wait for their next poll. */
   spreadRow (row: FeedRow): Promise<void>
@@ -64,30 +66,33 @@
  * @returns The exchange
  */
 export function createFeedExchange (options: CreateFeedExchangeOptions): FeedExchange {
-  async function exchangeWith (instance: string): Promise<void> {
+  async function exchangeRows (instance: string, rows: FeedRow[]): Promise<void> {
     const record = options.findInstance(instance)
     if (record === undefined) return
     const sentAtMs = options.getNowMs()
-    const params: FeedsMessage = { instance: options.getInstance(), rows: options.listRows() }
+    const params: FeedsMessage = { instance: options.getInstance(), revisions: getRevisions(), rows }
     const reply = await options.peers.call<FeedsReply>(record.peerAddress, feedsMethod, { params, timeoutMs: exchangeTimeoutMs })
     if (reply.isErr()) return
     reply.value.rows.forEach(options.mergeRow)
     if (reply.value.heard) options.recordHeardBy(instance, sentAtMs)
   }
 
+  function getRevisions (): Record<string, number> {
+    return Object.fromEntries(options.listRows().map(row => [row.failureDomain, row.revision]))
+  }
+
   return {
-    exchangeWith,
+    exchangeWith: async instance => exchangeRows(instance, []),
     async spreadRow (row) {
       const names = new Set([...row.assignment.feeders, ...Object.keys(row.parties)])
       names.delete(options.getInstance())
-      await Promise.all([...names].map(exchangeWith))
+      await Promise.all([...names].map(name => exchangeRows(name, [row])))
     },
     handleExchange (params) {
       const message = params as FeedsMessage
-      const revisions = new Map(message.rows.map(row => [row.failureDomain, row.revision]))
       const heard = options.recordHeard(message.instance)
       message.rows.forEach(options.mergeRow)
-      return { heard, rows: options.listRows().filter(row => row.revision > (revisions.get(row.failureDomain) ?? 0)) }
+      return { heard, rows: options.listRows().filter(row => row.revision > (message.revisions[row.failureDomain] ?? 0)) }
     }
   }
 }
--- a/packages/bilberryd/src/feeding_test.ts
+++ b/packages/bilberryd/src/feeding_test.ts
@@ -163,7 +163,7 @@
   const harness = await createDelayedTakeover()
   harness.cuts.clear()
   harness.nodes[0]!.paused = harness.nodes[1]!.paused = false
-  const reply = harness.nodes.slice(0, 2).map(node => node.feeding.handleExchange({ instance: 'n2', rows: [] }).heard)
+  const reply = harness.nodes.slice(0, 2).map(node => node.feeding.handleExchange({ instance: 'n2', revisions: {}, rows: [] }).heard)
   t.true(reply.includes(false))
 })
 
@@ -191,3 +191,12 @@
   await settle(harness, 10)
   t.true(harness.targets.every(target => harness.sumLimits(target) === target.slots))
 })
+
+test('an exchange tells revisions and fetches only newer rows', async t => {
+  const harness = createHarness()
+  await settle(harness, 12)
+  const { rows } = harness.nodes[0]!.feeding.handleExchange({ instance: 'n1', revisions: {}, rows: [] })
+  const known = Object.fromEntries(rows.map(row => [row.failureDomain, row.revision]))
+  t.is(rows.length, 2)
+  t.deepEqual(harness.nodes[0]!.feeding.handleExchange({ instance: 'n1', revisions: known, rows: [] }).rows, [])
+})
--- a/packages/steering/src/feed_plan.ts
+++ b/packages/steering/src/feed_plan.ts
@@ -10,6 +10,8 @@
 import { rankByRendezvous } from './rendezvous.ts'
 
 const maxCandidates = 4
+/** Most instances of a failure domain that feed its targets. */
+const maxFeeders = 8
 
 /** What {@linkcode planFeedChange} decides from. */
 export interface PlanFeedChangeOptions {
@@ -77,7 +79,7 @@
 function chooseFeeders (options: PlanFeedChangeOptions): string[] {
   const live = options.instances.filter(record => record.state === MachineState.Live)
   const own = live.filter(record => record.failureDomain === options.place.failureDomain)
-  if (own.length > 0 || !options.mayStandIn) return listNames(own)
+  if (own.length > 0 || !options.mayStandIn) return rankEvenly(options.place.failureDomain, listNames(own)).slice(0, maxFeeders)
   const region = live.filter(record => record.region === options.place.region)
   const names = listNames(region.length > 0 ? region : live)
   return rankEvenly(options.place.failureDomain, names).slice(0, 1)
--- /dev/null
+++ b/packages/steering/src/feed_plan_test.ts
@@ -0,0 +1,73 @@
+import type { InstanceRecord } from './inventory.ts'
+import type { FeedRow } from './feeds.ts'
+import type { PlanFeedChangeOptions } from './feed_plan.ts'
+import test from 'ava'
+import { chooseOwner } from './feeds.ts'
+import { planFeedChange } from './feed_plan.ts'
+import { MachineState } from './inventory.ts'
+
+function createRecord (instance: string, failureDomain = 'd', state = MachineState.Live): InstanceRecord {
+  return { instance, incarnation: 'x', failureDomain, region: 'r', callerAddress: '', peerAddress: '', state, sequence: 1, pinEpoch: 0 }
+}
+
+function plan (self: InstanceRecord, change: Partial<PlanFeedChangeOptions>): FeedRow | undefined {
+  return planFeedChange({
+    self,
+    place: { failureDomain: 'd', region: 'r' },
+    row: undefined,
+    instances: [self],
+    mustRelease: false,
+    mayStandIn: true,
+    busy: {},
+    isOwnTarget: (target, assignment) => chooseOwner(target, assignment.feeders) === self.instance,
+    isSilent: () => false,
+    isGone: () => false,
+    ...change
+  })?.row
+}
+
+/** Lets every instance change the row until nobody wants to. */
+function settle (instances: InstanceRecord[], start?: FeedRow): FeedRow | undefined {
+  let row = start
+  for (let round = 0; round < 100; round++) {
+    let changed = false
+    for (const self of instances) {
+      const next = plan(self, { row, instances })
+      changed ||= next !== undefined
+      row = next ?? row
+    }
+    if (!changed) return row
+  }
+  throw new Error('The row does not settle')
+}
+
+test('bounds the feeders of a large failure domain', t => {
+  const instances = Array.from({ length: 55 }, (_, index) => createRecord(`n${index}`))
+  const row = settle(instances)!
+  t.is(row.assignment.feeders.length, 8)
+  t.deepEqual(Object.keys(row.parties).sort(), row.assignment.feeders)
+})
+
+test('a leaving feeder stays until another one feeds', t => {
+  const leaving = createRecord('a', 'd', MachineState.Leaving)
+  const row = settle([createRecord('a')])!
+  t.deepEqual(plan(leaving, { row })?.assignment.feeders ?? row.assignment.feeders, ['a'])
+  const joined = plan(createRecord('b', 'e'), { row, instances: [leaving, createRecord('b', 'e')] })!
+  t.deepEqual(joined.assignment.feeders, ['a', 'b'])
+  t.deepEqual(plan(leaving, { row: joined, instances: [leaving, createRecord('b', 'e')] })!.assignment.feeders, ['b'])
+})
+
+test('only a candidate declares a feeder silent', t => {
+  const row = settle([createRecord('a'), createRecord('b', 'e')])!
+  const declare = (name: string): boolean | undefined => plan(createRecord(name, 'e'), { row, instances: [createRecord(name, 'e')], isSilent: () => true })?.parties['a']?.silent
+  t.true(declare('b'))
+  t.not(declare('c'), true)
+})
+
+test('whoever was declared silent acknowledges before it feeds again', t => {
+  const instances = [createRecord('a'), createRecord('b', 'e')]
+  const row = plan(instances[1]!, { row: settle(instances)!, instances: [instances[1]!], isSilent: () => true })!
+  const acknowledged = plan(instances[0]!, { row, instances, busy: { t: 2 } })!
+  t.deepEqual(acknowledged.assignment.feeders.includes('a'), false)
+  t.deepEqual(acknowledged.parties['a'], { assignment: acknowledged.assignment, busy: { t: 2 }, silent: false })
+})
