--- a/packages/bilberryd/src/sync_test.ts
+++ b/packages/bilberryd/src/sync_test.ts
@@ -65,7 +65,7 @@
       })
       const node: Node = { name, view, superseded: 0, state: MachineState.Live, platform } as Node
       node.sync = createSync({
-        view, platform, peers, createAnnouncement, seedPeers, pollMs: idleMs, heartbeatMs: idleMs, getRandom: () => 0, getNowMs, recordPlatform: () => {}, recordHeartbeat: () => {}, recordMachines: () => {}, followIndex: async () => {}, afterPoll: async () => {}, recordSuperseded: () => { node.superseded++ }
+        view, platform, peers, createAnnouncement, seedPeers, pollMs: idleMs, heartbeatMs: idleMs, getRandom: () => 0, getNowMs, recordPlatform: () => {}, recordSuperseded: () => { node.superseded++ }
       })
       node[Symbol.asyncDispose] = () => node.sync[Symbol.asyncDispose]()
       network.nodes.set(name, node)
--- a/packages/standins/src/caller.ts
+++ b/packages/standins/src/caller.ts
@@ -14,6 +14,8 @@
 type Reply = Omit<CallerResult, 'elapsedMs'> & {
   /** Whether the request can't have run in this attempt. */
   safe: boolean
+  /** Milliseconds to wait before the next attempt. */
+  retryMs: number
 }
 
 /** The answer to a look-up. */
@@ -86,13 +88,13 @@
     const entry = lookUp?.entries[attempt % lookUp.entries.length]
     if (lookUp === undefined || entry === undefined) continue
     const usedPin = pin ?? entry.pin
-    const { safe, ...reply } = await sendOnce(request, { ...options, address: entry.address, pin: usedPin })
+    const { safe, retryMs, ...reply } = await sendOnce(request, { ...options, address: entry.address, pin: usedPin })
     if (!safe) pin = usedPin
     result = { ...reply, broken: reply.broken || result.broken, wrong: reply.wrong || result.wrong, elapsedMs: performance.now() - startedMs }
     if (pin !== undefined && result.outcome === 'not-run') result.outcome = 'unknown'
     if (reply.outcome === 'answered' && !reply.broken) return result
     if (reply.outcome === 'unknown' && reply.reason !== undefined && request.method !== 'GET') return result
-    await new Promise(resolve => setTimeout(resolve, fallbackRetryMs))
+    await new Promise(resolve => setTimeout(resolve, retryMs))
   }
   return result
 }
@@ -122,10 +124,10 @@
     const text = await answer.body.text()
     const wrong = answered && !isOwnAnswer(request, text)
     const reason = answer.headers['bilberry-reason']
-    return { outcome, broken: wrong, wrong, reason: reason === undefined ? undefined : String(reason), safe: outcome === 'not-run' }
+    return { outcome, broken: wrong, wrong, reason: reason === undefined ? undefined : String(reason), safe: outcome === 'not-run', retryMs: Number(answer.headers['bilberry-retry-after-ms'] ?? fallbackRetryMs) }
   } catch (error) {
     const refused = (error as { code?: string }).code === 'ECONNREFUSED'
-    return { outcome: refused ? 'not-run' : 'unknown', broken: answered, wrong: false, reason: undefined, safe: refused }
+    return { outcome: refused ? 'not-run' : 'unknown', broken: answered, wrong: false, reason: undefined, safe: refused, retryMs: fallbackRetryMs }
   }
 }
 
