--- a/packages/standins/src/bench_capacity_rows.ts
+++ b/packages/standins/src/bench_capacity_rows.ts
@@ -8,7 +8,7 @@
 import { createShiftRow } from '@bilberryworks/steering'
 import { createDocument, deployments } from './deployments.ts'
 
-const feederCounts = [1, 5, 20, 55]
+const feederCounts = [1, 5, 8, 20, 55]
 const candidateCount = 4
 const sampleService = 'service-100'
 
