Name a feeder only while it holds its targets

Cause: a restarted feeder was chosen before its first hold: an upload sent to it was refused as no_usable_target with its body already on the way, so no other feeder could be asked (rolling restart, reason printed by the test). Ruled out: waiting at the feeder until the hold is valid (holds the answer back); the state Leaving (the feed row would change). Change: the announcement says whether the instance holds its targets; the state of the hold is looked at in each round, not only at a dispatch, and announced when it changes.

--- a/packages/bilberryd/src/feed_hold.ts
+++ b/packages/bilberryd/src/feed_hold.ts
@@ -35,7 +35,7 @@
   confirmRows (sentAtMs: number): void
   /** Takes note that an instance has heard of this one, by the time at which it was told. */
   recordHeardBy (instance: string, sentAtMs: number): void
-  /** Asks the instances that may take over, where the platform has not answered lately. */
+  /** Reports a change of state, and asks the instances that may take over where the platform has not answered lately. */
   renew (exchangeWith: (instance: string) => Promise<void>): Promise<void>
 }
 
@@ -86,6 +86,7 @@
       heardBy.set(instance, Math.max(heardBy.get(instance) ?? -Infinity, sentAtMs))
     },
     async renew (exchangeWith) {
+      getState()
       if (getNowMs() < heartbeatMs + leaseMs * renewShare) return
       const startedMs = getNowMs()
       await Promise.all(options.listGuards().map(exchangeWith))
--- a/packages/bilberryd/src/identity.ts
+++ b/packages/bilberryd/src/identity.ts
@@ -18,6 +18,8 @@
   updateAddresses (addresses: { callers: string, peers: string }): void
   /** Announces the epoch of pins that a function returns. */
   followPinEpoch (getPinEpoch: () => number): void
+  /** Sets whether the instance may send to the targets that it feeds. */
+  updateFeeding (feeding: boolean): void
   /** Marks the instance as leaving. */
   markLeaving (): void
   /** Whether the instance is leaving. */
@@ -39,6 +41,7 @@
     callerAddress: '',
     peerAddress: '',
     state: MachineState.Live,
+    feeding: false,
     sequence: 0,
     pinEpoch: 0
   }
@@ -55,6 +58,9 @@
     followPinEpoch (getEpoch) {
       getPinEpoch = getEpoch
     },
+    updateFeeding (feeding) {
+      record = { ...record, feeding }
+    },
     markLeaving () {
       record = { ...record, state: MachineState.Leaving }
     },
--- a/packages/bilberryd/src/instance_parts.ts
+++ b/packages/bilberryd/src/instance_parts.ts
@@ -90,7 +90,7 @@
     getRevisions: view.getRevisions
   })
   const clientBlocks = createClientBlocksLoader({ platform, getRandom: Math.random, countLoad: metrics.countClientBlocksLoad, recordLoad: (load, detail) => log.info({ load }, detail) })
-  const serving = createServingParts({ settings, clients, loads, view, identity, metrics, log, isReady: () => sync.isReady(), getNowMs })
+  const serving = createServingParts({ settings, clients, loads, view, identity, metrics, log, isReady: () => sync.isReady(), announce: () => { sync.announce().catch(() => {}) }, getNowMs })
   const { feed, feeding, regions } = serving
   const upkeep = createUpkeep({ settings, view, platform, peers, targets, regions, getSync: () => sync, getNowMs })
   const exchangePeers = createBudgetedPeers(peers, {
--- a/packages/bilberryd/src/route.ts
+++ b/packages/bilberryd/src/route.ts
@@ -69,7 +69,7 @@
 
   function listCandidates (service: string, region: string): FeederCandidate[] {
     const feeders = new Map<string, FeederCandidate>()
-    const records = new Map(view.listInstances().map(record => [record.instance, record]))
+    const records = new Map(view.listInstances().filter(record => record.feeding !== false).map(record => [record.instance, record]))
     for (const target of listUsableTargets(view, service)) {
       const owner = target.region === region ? chooseOwner(target.target, options.listFeeders(target.failureDomain)) : undefined
       const record = records.get(owner ?? '')
--- a/packages/bilberryd/src/serving_parts.ts
+++ b/packages/bilberryd/src/serving_parts.ts
@@ -16,7 +16,7 @@
 import type { RegionChooser } from './regions.ts'
 import type { LinkSettings, Settings } from './settings.ts'
 import type { View } from './view.ts'
-import { getFeedLimits, MachineState } from '@bilberryworks/steering'
+import { getFeedLimits, LeaseState, MachineState } from '@bilberryworks/steering'
 import { createDispatcher } from './dispatch.ts'
 import { createFeed } from './feed.ts'
 import { createFeeding } from './feeding.ts'
@@ -50,6 +50,8 @@
   metrics: Metrics
   /** Where changes of state are written. */
   log: Logger
+  /** Announces the instance at once. */
+  announce: () => void
   /** Whether the documents have been learnt since the start. */
   isReady: () => boolean
   /** Returns the monotonic time, in milliseconds. */
@@ -86,7 +88,11 @@
     listTargets: view.listAllTargets,
     getBusy: feed.getBusy,
     getNowMs,
-    recordLease: lease => log.info({ lease }, 'Hold on targets changed'),
+    recordLease (lease) {
+      identity.updateFeeding(lease !== LeaseState.Lapsed)
+      log.info({ lease }, 'Hold on targets changed')
+      options.announce()
+    },
     recordTakeover: (instance, failureDomain) => log.warn({ silent: instance, failureDomain }, 'Instance was declared silent')
   })
   const dispatch = createDispatcher({
--- a/packages/standins/src/survival_test.ts
+++ b/packages/standins/src/survival_test.ts
@@ -31,7 +31,7 @@
   return report
 }
 
-async function sendSlowUpload (address: string, durationMs: number): Promise<{ whole: boolean, outcome: unknown }> {
+async function sendSlowUpload (address: string, durationMs: number): Promise<{ whole: boolean, outcome: unknown, reason: unknown }> {
   const chunks = Array.from({ length: 20 }, () => randomBytes(8 * 1024))
   const body = Readable.from((async function * () {
     for (const chunk of chunks) {
@@ -41,7 +41,7 @@
   })())
   const answer = await request(`http://${address}/services/storfa-lluniau/uploads/slow`, { method: 'PUT', headers: { 'x-order': 'slow' }, body })
   const text = await answer.body.text()
-  return { whole: text.includes(createHash('sha256').update(Buffer.concat(chunks)).digest('hex')), outcome: answer.headers['bilberry-outcome'] }
+  return { whole: text.includes(createHash('sha256').update(Buffer.concat(chunks)).digest('hex')), outcome: answer.headers['bilberry-outcome'], reason: answer.headers['bilberry-reason'] }
 }
 
 test.serial('restarts all instances under load without a broken or refused request', async t => {
@@ -54,7 +54,7 @@
       await waitMs(200)
       const codes = await Promise.all(group.map(index => cluster.instances[index]!.child.stop('SIGTERM')))
       t.deepEqual(codes, group.map(() => 0))
-      for (const upload of await Promise.all(uploads)) t.deepEqual(upload, { whole: true, outcome: 'answered' })
+      for (const upload of await Promise.all(uploads)) t.deepEqual(upload, { whole: true, outcome: 'answered', reason: undefined })
       await Promise.all(group.map(index => cluster.restartInstance(index)))
     }
   })
--- a/packages/steering/src/inventory.ts
+++ b/packages/steering/src/inventory.ts
@@ -28,6 +28,8 @@
   peerAddress: string
   /** Whether it takes new work. */
   state: MachineState
+  /** Whether it may send to the targets that it feeds; not so between its start and its first hold on them. */
+  feeding?: boolean
   /** Counts this incarnation's announcements; the highest wins. */
   sequence: number
   /** Epoch under which keys are remembered now; see `pin.ts`. */
