--- a/packages/bilberryd/src/sync.ts
+++ b/packages/bilberryd/src/sync.ts
@@ -41,17 +41,17 @@
   /** Returns the monotonic time, in milliseconds. */
   getNowMs: () => number
   /** Called with the time at which a heartbeat was sent that the platform acknowledged. */
-  recordHeartbeat: (sentAtMs: number) => void
+  recordHeartbeat?: (sentAtMs: number) => void
   /** Called with each list of machines. */
-  recordMachines: (list: MachineList) => void
+  recordMachines?: (list: MachineList) => void
   /** Reads what else the index row names. */
-  followIndex: (index: IndexRow) => Promise<void>
+  followIndex?: (index: IndexRow) => Promise<void>
   /** Called when the platform starts or stops answering. */
   recordPlatform: (reachable: boolean) => void
   /** Called once where a later incarnation runs under this instance's name. */
-  recordSuperseded: () => void
+  recordSuperseded?: () => void
   /** Called after each poll, answered or not. */
-  afterPoll: () => Promise<void>
+  afterPoll?: () => Promise<void>
 }
 
 /** The loops that keep a view current. */
@@ -89,7 +89,7 @@
   let reachable = false
   let peersAsked = false
   let lastPlatformMs = options.getNowMs()
-  const announcer = createAnnouncer(options)
+  const announcer = createAnnouncer({ ...options, recordSuperseded: options.recordSuperseded ?? (() => {}) })
   const exchange = createExchange({
     view,
     peers,
@@ -124,14 +124,14 @@
 
   async function writeHeartbeat (): Promise<void> {
     const sentAtMs = options.getNowMs()
-    if (await announcer.writeHeartbeat()) options.recordHeartbeat(sentAtMs)
+    if (await announcer.writeHeartbeat()) options.recordHeartbeat?.(sentAtMs)
   }
 
   async function pollPlatform (): Promise<void> {
     const { answered, complete } = await poll()
     recordPlatform(answered)
     ready ||= peersAsked && complete
-    await options.afterPoll()
+    await options.afterPoll?.()
   }
 
   function recordAsked (results: ExchangeResult[]): void {
