Read all certificates before the first of them is used

Cause: a reload with one bad certificate changed the listeners before it and reported that nothing was read. Ruled out: checking the files when the settings are parsed, since they change apart from the settings. Change: each listener loads its certificate first; only when all are good are they used, with tokens and keys. Conclusion: a reload takes all or nothing.

--- a/packages/bilberryd/src/open_listener.ts
+++ b/packages/bilberryd/src/open_listener.ts
@@ -9,6 +9,7 @@
 import type { ListenSettings, TlsSettings } from './settings.ts'
 import { createServer } from 'node:http'
 import { createServer as createTlsServer, Server as TlsServer } from 'node:https'
+import { createSecureContext } from 'node:tls'
 import { handleClientErrors } from '@bilberryworks/callers'
 import { readPem } from './read_pem.ts'
 
@@ -34,8 +35,8 @@
   countOpen (): number
   /** Takes no new connections, closes idle ones and waits until the others have ended. */
   drain (): Promise<void>
-  /** Uses another certificate for new connections; does nothing on a listener without TLS. */
-  reloadTls (tls: TlsSettings | undefined): void
+  /** Reads a certificate; returns the function that uses it for new connections, which does nothing without TLS. */
+  loadTls (tls: TlsSettings | undefined): () => void
 }
 
 /**
@@ -73,8 +74,11 @@
       await closeServer(server)
       clearInterval(timer)
     },
-    reloadTls (tls) {
-      if (tls !== undefined && server instanceof TlsServer) server.setSecureContext(readContext(tls))
+    loadTls (tls) {
+      if (tls === undefined || !(server instanceof TlsServer)) return () => {}
+      const context = readContext(tls)
+      createSecureContext(context)
+      return () => server.setSecureContext(context)
     },
     async [Symbol.asyncDispose] () {
       server.closeAllConnections()
--- a/packages/bilberryd/src/run_instance.ts
+++ b/packages/bilberryd/src/run_instance.ts
@@ -18,7 +18,7 @@
   addresses: { callers: string, operators: string, peers: string }
   /** `host:port` that each listener is bound to, which differs where others reach it by an advertised address. */
   listening: { callers: string, operators: string, peers: string }
-  /** Takes tokens, keys between instances and certificates of other settings; the rest stays. */
+  /** Takes tokens, keys between instances and certificates of other settings; throws and changes nothing where a certificate is bad. */
   reload (next: Settings): void
   /** Stops gracefully: announces it, serves on, lets requests in flight end. */
   stop (): Promise<void>
@@ -60,9 +60,9 @@
     addresses,
     listening: { callers: listeners.callers.address, operators: listeners.operators.address, peers: listeners.peers.address },
     reload (next) {
-      listeners.callers.reloadTls(next.listen.callers.tls)
-      listeners.operators.reloadTls(next.listen.operators.tls)
-      listeners.peers.reloadTls(next.listen.peers.tls)
+      // All certificates are read before the first is used, so that a bad one changes nothing.
+      const uses = (['callers', 'operators', 'peers'] as const).map(name => listeners[name].loadTls(next.listen[name].tls))
+      uses.forEach(use => use())
       settings.tokens = next.tokens
       settings.peerKeys = next.peerKeys
       log.info({ tokens: next.tokens.length, peerKeys: next.peerKeys.length }, 'Secrets were read again')
