--- a/packages/standins/src/main_bench.ts
+++ b/packages/standins/src/main_bench.ts
@@ -9,9 +9,12 @@
 import { fileURLToPath } from 'node:url'
 import { command, optional, positional, run, string } from 'cmd-ts'
 import { renderBenchIndex, writeBenchPage } from './bench_part.ts'
+import { capacityPart } from './bench_capacity.ts'
+import { runDistributionBench } from './bench_distribution.ts'
 import { runFeederBench, runTargetBench } from './bench_feeder.ts'
 import { runCostBench } from './bench_cost.ts'
 import { runLinkBench } from './bench_links.ts'
+import { runPathBench } from './bench_path.ts'
 import { runScenarioBench } from './bench_scenarios.ts'
 
 const docsFolder = fileURLToPath(new URL('../../../docs', import.meta.url))
@@ -19,10 +22,13 @@
 /** The parts, one a line. */
 const parts: BenchPart[] = [
   { name: 'scenarios', title: 'Policies under load and faults', run: runScenarioBench },
+  { name: 'distribution', title: 'Distribution of documents', run: runDistributionBench },
   { name: 'feeder', title: 'Choice of the feeder in a region', run: runFeederBench },
   { name: 'target', title: 'Choice of the target of a feeder', run: runTargetBench },
   { name: 'cost', title: 'Cost of a decision', run: runCostBench },
-  { name: 'links', title: 'Bytes between regions', run: runLinkBench }
+  { name: 'path', title: 'Path of a request', run: runPathBench },
+  { name: 'links', title: 'Bytes between regions', run: runLinkBench },
+  capacityPart
 ]
 
 async function runParts (name: string | undefined): Promise<void> {
