Give a Retry-After with each request that stopped arriving

Ruled out: the same for outcome unknown, which a later try under the same key can only report again. Conclusion: each refusal that a later try helps says when.

--- a/packages/callers/src/client_errors.ts
+++ b/packages/callers/src/client_errors.ts
@@ -15,6 +15,8 @@
   ERR_HTTP_REQUEST_TIMEOUT: RefusalReason.RequestTimeout
 }
 
+const retryAfterSeconds = 1
+
 /** Errors by which a connection ends that sent nothing wrong. */
 const plainEndCodes = new Set(['ECONNRESET', 'EPIPE'])
 
@@ -61,6 +63,7 @@
     `Content-Length: ${Buffer.byteLength(body)}`,
     `Bilberry-Outcome: ${Outcome.NotRun}`,
     `Bilberry-Reason: ${reason}`,
+    ...reason === RefusalReason.RequestTimeout ? [`Retry-After: ${retryAfterSeconds}`] : [],
     '',
     body
   ].join('\r\n')
--- a/packages/callers/src/service_handler.ts
+++ b/packages/callers/src/service_handler.ts
@@ -11,6 +11,8 @@
 import { parseRequest } from './parse_request.ts'
 import { writeAnswer, writeRefusal } from './write_answer.ts'
 
+const retryAfterMs = 1_000
+
 /** How one request ended, for the counters. */
 export interface RequestEnd {
   /** The service named; empty where the URL names none. */
@@ -93,5 +95,8 @@
 /** Names the guard's reason where it ended the body, and keeps the outcome: the request may have run. */
 function describeGuard (refusal: Refusal, guarded: BodyGuard | undefined): Refusal {
   const reason = guarded?.getReason()
-  return reason === undefined ? refusal : { outcome: refusal.outcome, reason, detail: `Body was not taken whole: ${reason}` }
+  if (reason === undefined) return refusal
+  const ended: Refusal = { outcome: refusal.outcome, reason, detail: `Body was not taken whole: ${reason}` }
+  const worthRetry = reason === RefusalReasons.RequestTimeout && refusal.outcome === Outcomes.NotRun
+  return worthRetry ? { ...ended, retryAfterMs } : ended
 }
--- a/packages/standins/src/bad_input_test.ts
+++ b/packages/standins/src/bad_input_test.ts
@@ -102,6 +102,7 @@
       t.regex(reply, new RegExp(`bilberry-outcome: ${outcome}\r\n`, 'i'), name)
       t.regex(reply, new RegExp(`bilberry-reason: ${reason}\r\n`, 'i'), name)
     }
+    t.is(/^retry-after: /im.test(reply), status === 408, `${name}: Retry-After`)
     t.is(await readCounter(system, counter), before + 1, `${name}: counter`)
     t.true(system.target.runs.length - ranBefore <= runs, `${name}: runs`)
   }
