Let feeders' reports reach the plan of regions and the steps of shifts

Ruled out: believing the slots of an old report (a region once reported empty would get nothing, and so never report again).

--- a/packages/bilberryctl/src/api_client.ts
+++ b/packages/bilberryctl/src/api_client.ts
@@ -5,15 +5,13 @@
  */
 import type { Result } from 'neverthrow'
 import { readFileSync } from 'node:fs'
+import { isUnsentError } from '@bilberryworks/steering'
 import { err, ok } from 'neverthrow'
 import { Agent } from 'undici'
 
 const connectTimeoutMs = 3_000
 const defaultTimeoutMs = 10_000
 
-/** Errors of undici that are raised before any byte of a call has been sent. */
-const unsentErrorCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND', 'UND_ERR_CONNECT_TIMEOUT', 'CERT_HAS_EXPIRED', 'DEPTH_ZERO_SELF_SIGNED_CERT', 'UNABLE_TO_VERIFY_LEAF_SIGNATURE'])
-
 /** A call. */
 export interface ApiCall {
   /** HTTP method. */
@@ -85,7 +83,7 @@
         })
         return ok({ status: answer.statusCode, body: parseJson(await answer.body.text()) })
       } catch (error) {
-        const unsent = unsentErrorCodes.has((error as { code?: string }).code ?? '')
+        const unsent = isUnsentError(error)
         return err({ unsent, detail: `${call.method} ${options.endpoint}${call.path}: ${(error as Error).message}` })
       }
     },
--- a/packages/bilberryd/src/feeder_loads.ts
+++ b/packages/bilberryd/src/feeder_loads.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { FeederState, FeedLoad, InstanceRecord } from '@bilberryworks/steering'
+import type { FeederState, FeedLoad, InstanceRecord, RegionReport } from '@bilberryworks/steering'
 
 /** Header by which a feeder reports its load to the instance that forwarded a request, with each answer and refusal. */
 export const feedLoadHeader = 'bilberry-feed-load'
@@ -40,6 +40,8 @@
   record (service: string, feeder: string, header: string | undefined): void
   /** Describes feeders for a choice between them; pass only those of one region. */
   describe (service: string, candidates: FeederCandidate[]): FeederState[]
+  /** Adds up what feeders last reported, their ages too; `undefined` unless each of them has reported. */
+  sumReports (service: string, feeders: string[]): RegionReport | undefined
 }
 
 /** What is known of one feeder for one service. */
@@ -96,6 +98,20 @@
       const load = parseFeedLoad(header ?? '')
       if (load !== undefined) Object.assign(getFeeder(service, feeder), { load, reportedAtMs: getNowMs() })
     },
+    sumReports (service, feeders) {
+      if (feeders.length === 0) return undefined
+      const sum: RegionReport = { slots: 0, busy: 0, ageMs: 0 }
+      for (const feeder of feeders) {
+        const isLocal = feeder === options.instance
+        const { load, reportedAtMs } = getFeeder(service, feeder)
+        const reported = isLocal ? options.getOwnLoad(service) : load
+        if (reported === undefined) return undefined
+        sum.slots += reported.slots
+        sum.busy += reported.busy
+        if (!isLocal) sum.ageMs = Math.max(sum.ageMs, getNowMs() - reportedAtMs)
+      }
+      return sum
+    },
     describe: (service, candidates) => candidates.map(candidate => describeFeeder(service, candidate))
   }
 }
--- a/packages/bilberryd/src/feeder_loads_test.ts
+++ b/packages/bilberryd/src/feeder_loads_test.ts
@@ -37,3 +37,13 @@
   t.like(own, { isLocal: true, slots: 6, reportedLoad: 3 })
   t.like(near, { isLocal: false, isNear: true, slots: 9, reportedLoad: undefined })
 })
+
+test('adds up the reports of a region, once each feeder has reported', t => {
+  let nowMs = 0
+  const loads = createLoads(() => nowMs)
+  t.is(loads.sumReports('s', []), undefined)
+  t.is(loads.sumReports('s', ['self', 'a']), undefined)
+  loads.record('s', 'a', '4,3,2')
+  nowMs = 700
+  t.deepEqual(loads.sumReports('s', ['self', 'a']), { slots: 10, busy: 5, ageMs: 700 })
+})
--- a/packages/bilberryd/src/regions.ts
+++ b/packages/bilberryd/src/regions.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Refusal, RegionDemand, RegionPlan, RegionReport, RegionSituation, RegionWeights, ServiceDocument, TargetRecord, WeightWalk } from '@bilberryworks/steering'
+import type { Refusal, RegionDemand, RegionPlan, RegionReport, RegionSituation, RegionWeights, ServiceDocument, TargetRecord, WeightChange, WeightWalk } from '@bilberryworks/steering'
 import type { Result } from 'neverthrow'
 import type { View } from './view.ts'
 import { computeShares, createNotRun, createRegionDemand, emptyPlan, MachineState, planRegions, rankByRendezvous, RefusalReason, walkWeights } from '@bilberryworks/steering'
@@ -12,6 +12,8 @@
 const retryAfterMs = 1_000
 /** Time for which weights are used before they are planned again, in milliseconds. */
 const planIntervalMs = 100
+/** Age up to which the slots of a report are believed, in milliseconds. */
+const freshReportMs = 1_000
 
 /** Time for which a new instance waits to learn of all regions before it moves callers away from one, in milliseconds. */
 const startGraceMs = 5_000
@@ -34,6 +36,8 @@
   getWeights (service: string): RegionWeights
   /** Chooses the region of a caller, or refuses. */
   chooseRegion (service: string, callerKey: string): Result<string, Refusal>
+  /** Whether regions have room for a change of weights, by the demand known here. */
+  hasRoom (service: string, change: WeightChange): boolean
   /** Records whether a region refused a request for want of slots. */
   recordRegion (service: string, region: string, wasRefused: boolean): void
 }
@@ -47,6 +51,8 @@
   startedAtMs: number
   stepMs: number
   demand: RegionDemand
+  /** Slots that the requests for each region need. */
+  demands: Record<string, number>
   capacities: Record<string, number>
 }
 
@@ -63,7 +69,7 @@
   function getService (service: string): ServiceRegions {
     const known = services.get(service)
     if (known !== undefined) return known
-    const created = { walk: undefined, plan: emptyPlan, plannedAtMs: -Infinity, startedAtMs: getNowMs(), stepMs: 0, demand: createRegionDemand(), capacities: {} }
+    const created = { walk: undefined, plan: emptyPlan, plannedAtMs: -Infinity, startedAtMs: getNowMs(), stepMs: 0, demand: createRegionDemand(), demands: {}, capacities: {} }
     services.set(service, created)
     return created
   }
@@ -83,7 +89,7 @@
     }
     for (const region of Object.keys(capacities)) {
       const report = options.getRegionReport?.(service, region)
-      if (report !== undefined) capacities[region] = Math.min(capacities[region]!, report.slots)
+      if (report !== undefined && report.ageMs < freshReportMs) capacities[region] = Math.min(capacities[region]!, report.slots)
     }
     return capacities
   }
@@ -100,6 +106,7 @@
       return [region, { capacity: entry.capacities[region] ?? 0, report: options.getRegionReport?.(service, region) }]
     }))
     const demands = entry.demand.computeDemands(known, nowMs)
+    entry.demands = demands
     const situations: Record<string, RegionSituation> = {}
     for (const [region, { capacity }] of Object.entries(known)) situations[region] = { capacity, demand: demands[region] ?? 0 }
     entry.plan = planRegions(entry.plan, { weights: inForce, situations, objective: document.objective, nowMs })
@@ -135,6 +142,16 @@
         ? createNotRun(RefusalReason.ShiftCap, `Region "${region}" is out, and its callers move no faster than the cap`, computeNextMoveMs(entry))
         : createNotRun(RefusalReason.NoUsableTarget, `Service "${service}" has no usable target`, retryAfterMs))
     },
+    hasRoom (service, { from, to }) {
+      const document = view.getDocument(service)?.document
+      if (document === undefined) return false
+      const { demands, capacities } = planService(service, document)
+      const total = Object.values(demands).reduce((sum, demand) => sum + demand, 0)
+      return Object.entries(to).every(([region, weight]) => {
+        const capacity = capacities[region] ?? 0
+        return weight <= (from[region] ?? 0) || (capacity > 0 && total * weight <= capacity)
+      })
+    },
     recordRegion (service, region, wasRefused) {
       getService(service).demand.record(region, wasRefused, getNowMs())
     }
--- a/packages/bilberryd/src/regions_test.ts
+++ b/packages/bilberryd/src/regions_test.ts
@@ -94,3 +94,19 @@
   const weights = fixture.chooser.getWeights('s')
   t.true(weights['a']! < 0.25 && weights['a']! >= 1 / 3 - cap - 1e-9, JSON.stringify(weights))
 })
+
+test('has room for a change only where the demand known fits', t => {
+  const fixture = new Fixture()
+  const change = { from: { a: 0.4, b: 0.3, c: 0.3 }, to: { a: 0.3, b: 0.4, c: 0.3 } }
+  t.true(fixture.chooser.hasRoom('s', change), 'nothing is known to be full')
+  for (fixture.nowMs = 1_000; fixture.nowMs <= 5_000; fixture.nowMs += 100) {
+    for (const region of regionNames) {
+      for (let index = 0; index < 10; index++) fixture.chooser.recordRegion('s', region, index < 5)
+    }
+  }
+  t.false(fixture.chooser.hasRoom('s', change), 'each region refuses half')
+  fixture.live.delete('b')
+  fixture.nowMs += 20_000
+  t.false(fixture.chooser.hasRoom('s', change), 'the region that gets more is out')
+  t.false(fixture.chooser.hasRoom('unknown', change))
+})
--- a/packages/bilberryd/src/serving_parts.ts
+++ b/packages/bilberryd/src/serving_parts.ts
@@ -106,9 +106,15 @@
     countRetry: metrics.countRetry,
     getNowMs
   })
+  const listRegionFeeders = (service: string, region: string): string[] => {
+    const failureDomains = new Set(listUsableTargets(view, service).filter(target => target.region === region).map(target => target.failureDomain))
+    return [...new Set([...failureDomains].flatMap(feeding.listFeeders))].filter(isHeard)
+  }
+  const isHeard = (instance: string): boolean => view.listInstances().some(record => record.instance === instance)
   const regions = createRegionChooser({
     view,
-    isFed: target => feeding.listFeeders(target.failureDomain).some(feeder => view.listInstances().some(record => record.instance === feeder)),
+    isFed: target => feeding.listFeeders(target.failureDomain).some(isHeard),
+    getRegionReport: (service, region) => loads.sumReports(service, listRegionFeeders(service, region)),
     getNowMs
   })
   const feedLoop = startLoop(feeding.advance, { intervalMs: settings.pollMs, getRandom: Math.random })
--- a/packages/bilberryd/src/upkeep.ts
+++ b/packages/bilberryd/src/upkeep.ts
@@ -58,7 +58,7 @@
     instance,
     view,
     platform,
-    hasCapacity: (service, change) => hasLiveTargets(view, service, { change }),
+    hasCapacity: (service, change) => hasLiveTargets(view, service, { change }) && regions.hasRoom(service, change),
     isPlatformReachable: () => getSync().isPlatformReachable(),
     rankDelayMs: pollMs,
     getNowMs
--- a/packages/instances/src/http_peers.ts
+++ b/packages/instances/src/http_peers.ts
@@ -7,7 +7,7 @@
 import type { JSONRPCResponse } from 'json-rpc-2.0'
 import type { Result } from 'neverthrow'
 import type { ForwardFailure, PeerCallOptions, PeerClient, PeerFailure } from './peers.ts'
-import { createNotRun, createUnknown, detachBody, Outcome, RefusalReason } from '@bilberryworks/steering'
+import { collectHeaders, createNotRun, createUnknown, detachBody, isUnsentError, Outcome, RefusalReason } from '@bilberryworks/steering'
 import { createJSONRPCRequest } from 'json-rpc-2.0'
 import { err, ok } from 'neverthrow'
 import { Agent } from 'undici'
@@ -21,9 +21,6 @@
 const replyReserveShare = 0.1
 const maxReplyReserveMs = 250
 
-/** Errors of undici that are raised before any byte of a request has been sent. */
-const unsentErrorCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
-
 /** Options of {@linkcode createHttpPeers}. */
 export interface CreateHttpPeersOptions {
   /** Returns the key sent with each call. */
@@ -80,7 +77,7 @@
         if (response.error !== undefined) return err({ kind: PeerFailureKind.Refused, detail: response.error.message })
         return ok(response.result as T)
       } catch (error) {
-        const kind = isUnsent(error) ? PeerFailureKind.ConnectFailed : PeerFailureKind.Lost
+        const kind = isUnsentError(error) ? PeerFailureKind.ConnectFailed : PeerFailureKind.Lost
         return err({ kind, detail: `${method} at ${peerAddress}: ${(error as Error).message}` })
       }
     },
@@ -113,10 +110,6 @@
   }
 }
 
-function isUnsent (error: unknown): boolean {
-  return unsentErrorCodes.has((error as { code?: string }).code ?? '')
-}
-
 function createForwardHeaders (request: ServiceRequest, hop: { remainingMs: number, region: string | undefined }): HeaderFields {
   const fields: HeaderFields = {
     'bilberry-request-id': request.requestId,
@@ -130,14 +123,6 @@
   return fields
 }
 
-function collectHeaders (headers: Record<string, string | string[] | undefined>): HeaderFields {
-  const fields: HeaderFields = {}
-  for (const [name, value] of Object.entries(headers)) {
-    if (value !== undefined) fields[name] = value
-  }
-  return fields
-}
-
 function parseRefusal (headers: HeaderFields, peer: InstanceRecord): Refusal {
   const reason = headers['bilberry-reason'] as RefusalReason
   const known = Object.values(RefusalReason).includes(reason)
@@ -151,7 +136,7 @@
 
 function describeForwardError (error: unknown, call: { peer: InstanceRecord, timedOut: boolean }): ForwardFailure {
   const name = call.peer.instance
-  if (isUnsent(error)) {
+  if (isUnsentError(error)) {
     return { unsent: true, refusal: createNotRun(RefusalReason.PeerUnreachable, `Instance "${name}" can't be reached`, peerRetryAfterMs) }
   }
   const reason = call.timedOut ? RefusalReason.TargetTimeout : RefusalReason.PeerLost
--- a/packages/platform/src/http_platform.ts
+++ b/packages/platform/src/http_platform.ts
@@ -6,6 +6,7 @@
 import type { Dispatcher } from 'undici'
 import type { Result } from 'neverthrow'
 import type { MachineList, Platform, PlatformCallOptions, PlatformFailure, TableRow, TableWrite } from './platform.ts'
+import { isUnsentError } from '@bilberryworks/steering'
 import { err, ok } from 'neverthrow'
 import { Agent } from 'undici'
 import { PlatformFailureKind } from './platform.ts'
@@ -15,9 +16,6 @@
 const maxConnections = 8
 const notModified = 304
 
-/** Errors of undici that are raised before any byte of a request has been sent. */
-const unsentErrorCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
-
 /** Options of {@linkcode createHttpPlatform}. */
 export interface CreateHttpPlatformOptions {
   /** Local address of outgoing connections; the system's choice where absent. */
@@ -116,7 +114,6 @@
 }
 
 function describeError (error: unknown, call: string): PlatformFailure {
-  const code = (error as { code?: string }).code ?? ''
-  const kind = unsentErrorCodes.has(code) ? PlatformFailureKind.Unavailable : PlatformFailureKind.Unknown
+  const kind = isUnsentError(error) ? PlatformFailureKind.Unavailable : PlatformFailureKind.Unknown
   return { kind, detail: `${call} failed: ${(error as Error).message}` }
 }
--- a/packages/targets/src/http_targets.ts
+++ b/packages/targets/src/http_targets.ts
@@ -6,7 +6,7 @@
 import type { HeaderFields, TargetRecord } from '@bilberryworks/steering'
 import type { Result } from 'neverthrow'
 import type { TargetAnswer, TargetClient, TargetFailure, TargetLoad, TargetRequest } from './targets.ts'
-import { detachBody } from '@bilberryworks/steering'
+import { collectHeaders, detachBody, isUnsentError } from '@bilberryworks/steering'
 import { err, ok } from 'neverthrow'
 import { Agent } from 'undici'
 import { TargetFailureKind } from './targets.ts'
@@ -15,9 +15,6 @@
 const controlTimeoutMs = 1_000
 const keepAliveMs = 4_000
 
-/** Errors of undici that are raised before any byte of a request has been sent. */
-const unsentErrorCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
-
 /** Header by which a target says what became of a request that it did not answer. */
 const outcomeHeader = 'bilberry-outcome'
 /** Header that tags a request; a target may give it back with the answer. */
@@ -115,18 +112,9 @@
   }
 }
 
-function collectHeaders (headers: Record<string, string | string[] | undefined>): HeaderFields {
-  const fields: HeaderFields = {}
-  for (const [name, value] of Object.entries(headers)) {
-    if (value !== undefined) fields[name] = value
-  }
-  return fields
-}
-
 function describeError (error: unknown, target: TargetRecord, timedOut: boolean): TargetFailure {
-  const code = (error as { code?: string }).code ?? ''
   const detail = `Target "${target.target}": ${(error as Error).message}`
-  if (unsentErrorCodes.has(code)) return { kind: TargetFailureKind.ConnectFailed, detail, leaving: false }
+  if (isUnsentError(error)) return { kind: TargetFailureKind.ConnectFailed, detail, leaving: false }
   const kind = timedOut ? TargetFailureKind.TimedOut : TargetFailureKind.Lost
   return { kind, detail, leaving: false }
 }
