Prove by the targets' records that no slot is used twice

Cause: the slots of targets were proved on a virtual clock only; stand-ins that shed hide an excess. Ruled out: our own counters as evidence. Change: feeding_path_test runs the cluster with targets that do not shed, through a freeze with takeover, two stops with restarts, and a platform outage, and reads the targets' records; the cluster injects platform faults.

--- a/packages/standins/src/cluster.ts
+++ b/packages/standins/src/cluster.ts
@@ -10,6 +10,7 @@
 import type { CleanUp } from './clean_up.ts'
 import type { Deployment } from './deployments.ts'
 import type { Place } from './places.ts'
+import type { PlatformFaults } from './platform_standin.ts'
 import type { RelayProcess } from './relay_process.ts'
 import type { RunRecord, StartTargetStandinOptions, TargetBehaviour } from './target_standin.ts'
 import { createHash, randomBytes, randomUUID } from 'node:crypto'
@@ -64,6 +65,8 @@
   targetProcesses: ChildProcess[]
   /** Starts a new incarnation of an instance whose process has ended, and waits until it is ready. */
   restartInstance (index: number): Promise<void>
+  /** Injects faults into the platform. */
+  setPlatformFaults (faults: Partial<PlatformFaults>): Promise<void>
   /** Changes how a target behaves. */
   setBehaviour (target: string, behaviour: Partial<TargetBehaviour>): void
   /** Collects what all targets recorded. */
@@ -154,6 +157,10 @@
       instance.child = await startInstance(instance.settings)
       await waitUntilReady(cluster, deployment)
     },
+    async setPlatformFaults (faults) {
+      const answer = await request(`${platform.ready.url}/faults`, { method: 'PUT', body: JSON.stringify(faults) })
+      await answer.body.dump()
+    },
     setBehaviour (target, behaviour) {
       const index = targetChildren.findIndex(child => child.ready.targets.some(record => record.target === target))
       targetChildren[index]?.process.send({ kind: 'behave', target, behaviour })
--- /dev/null
+++ b/packages/standins/src/feeding_path_test.ts
@@ -0,0 +1,50 @@
+import type { Cluster } from './cluster.ts'
+import test from 'ava'
+import { startCluster } from './cluster.ts'
+import { DeploymentName, deployments } from './deployments.ts'
+import { runLoad } from './load.ts'
+
+const seed = Number(process.env['BILBERRY_SEED'] ?? 5)
+const serviceMs = 150
+const callers = 48
+const deployment = deployments[DeploymentName.Kutiyka]
+
+async function waitMs (ms: number): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, ms))
+}
+
+const faults: Array<[string, (cluster: Cluster) => Promise<void>]> = [
+  ['an instance is frozen until it is declared silent, and wakes up', async cluster => {
+    const { process: frozen } = cluster.instances[seed % 7]!.child
+    frozen.kill('SIGSTOP')
+    await waitMs(14_000)
+    frozen.kill('SIGCONT')
+    await waitMs(3_000)
+  }],
+  ['two instances are stopped and come back', async cluster => {
+    const indexes = [seed % 7, (seed + 3) % 7]
+    await Promise.all(indexes.map(index => cluster.instances[index]!.child.stop('SIGTERM')))
+    await Promise.all(indexes.map(index => cluster.restartInstance(index)))
+    await waitMs(2_000)
+  }],
+  ['the platform is out', async cluster => {
+    await cluster.setPlatformFaults({ outage: true })
+    await waitMs(8_000)
+    await cluster.setPlatformFaults({ outage: false })
+    await waitMs(1_000)
+  }]
+]
+for (const [name, fault] of faults) {
+  test.serial(`by the targets' records no slot is used twice: ${name}`, async t => {
+    await using cluster = await startCluster(deployment)
+    for (const target of cluster.targets) cluster.setBehaviour(target.target, { serviceMs, shed: false })
+    const report = await runLoad(cluster, { deployment, callers, until: fault(cluster) })
+    const slots = new Map(cluster.targets.map(target => [target.target, target.slots]))
+    const runs = await cluster.collectRuns()
+    const fullest = Math.max(...runs.map(run => run.busySlots - slots.get(run.target)!))
+    t.log(`seed ${seed}: ${JSON.stringify({ runs: runs.length, fullest, answered: report.answered, notRun: report.notRun, unknown: report.unknown })}`)
+    t.true(fullest <= 0, `${fullest} above the slots`)
+    t.is(fullest, 0, 'the load fills a target')
+    t.is(report.ranTwice, 0)
+  })
+}
--- a/packages/standins/src/survival_test.ts
+++ b/packages/standins/src/survival_test.ts
@@ -96,11 +96,10 @@
 
 test.serial('serves pinned requests on while the platform is out', async t => {
   await using cluster = await startCluster(deployment)
-  const platform = cluster.instances[0]!.settings.platformUrl
   const report = await runFault(t, cluster, async () => {
-    await request(`${platform}/faults`, { method: 'PUT', body: JSON.stringify({ outage: true }) })
+    await cluster.setPlatformFaults({ outage: true })
     await waitMs(5_000)
-    await request(`${platform}/faults`, { method: 'PUT', body: JSON.stringify({ outage: false }) })
+    await cluster.setPlatformFaults({ outage: false })
   })
   t.is(report.answered, report.requests)
 })
