Keep a cut-off failure domain serving

Cause: the hold was renewed in the same loop as the rows; with the platform blackholed each row's reads and writes waited for their time-outs, the trial after the lapse came more than 10 s late, and a lapsed hold dispatches nothing: of 12 callers inside a failure domain that was cut off none was served. Ruled out: shorter time-outs of the platform alone (rows of six failure domains still follow each other); the shift cap (callers of the own region were refused too, as no_usable_target).

--- a/packages/bilberryd/src/feeding.ts
+++ b/packages/bilberryd/src/feeding.ts
@@ -64,7 +64,9 @@
   recordMachines (list: MachineList): void
   /** Fetches the rows that the index row shows to have changed. */
   refresh (index: IndexRow): Promise<void>
-  /** Does one round: renews the lease by peers where the platform is out, and changes rows that need it. */
+  /** Renews the hold by peers where the platform is out; not held up by a platform that does not answer. */
+  renewHold (): Promise<void>
+  /** Changes the rows that need it. */
   advance (): Promise<void>
   /** Gives up everything that this instance feeds. */
   release (): Promise<void>
@@ -172,21 +174,6 @@
     for (const place of listPlaces(options.listTargets())) await updateRow(place)
   }
 
-  /** Finds out what became of changes whose answer was lost; those not carried out are fenced off by an empty change. */
-  async function resolvePending (): Promise<void> {
-    for (const { failureDomain } of rows.listAllPossible()) {
-      if (!rows.isPending(failureDomain)) continue
-      const stored = await readFeedRow(platform, failureDomain)
-      if (stored.isErr() || stored.value.row === undefined) continue
-      const { row } = stored.value
-      mergeRow(row)
-      if (!rows.isPending(failureDomain)) continue
-      const fence = { ...row, revision: row.revision + 1 }
-      const written = await writeFeedRow(platform, fence, { version: stored.value.version, guards: [] })
-      if (written.isOk()) mergeRow(fence)
-    }
-  }
-
   return {
     getSlotLimit,
     listFeeders: failureDomain => rows.getRow(failureDomain)?.assignment.feeders ?? [],
@@ -201,10 +188,12 @@
         if (stored.isOk() && stored.value.row !== undefined) mergeRow(stored.value.row)
       }
     },
-    async advance () {
-      await resolvePending()
+    async renewHold () {
       await confirmRows()
       await hold.renew(exchange.exchangeWith)
+    },
+    async advance () {
+      await resolvePending(rows, { platform, mergeRow })
       await watch.observe(listParties(rows).filter(name => name !== options.getSelf().instance))
       await updateRows()
     },
@@ -242,3 +231,20 @@
   const places = new Map(targets.map(target => [target.failureDomain, target.region]))
   return [...places].map(([failureDomain, region]) => ({ failureDomain, region }))
 }
+
+/** Finds out what became of changes whose answer was lost; those not carried out are fenced off by an empty change. */
+async function resolvePending (rows: FeedRows, options: { platform: Platform, mergeRow: (row: FeedRow) => void }): Promise<void> {
+  const { platform, mergeRow } = options
+  for (const { failureDomain } of rows.listAllPossible()) {
+    if (!rows.isPending(failureDomain)) continue
+    const stored = await readFeedRow(platform, failureDomain)
+    if (stored.isErr()) continue
+    const { row, version } = stored.value
+    if (row !== undefined) mergeRow(row)
+    const [pending] = rows.listPossible(failureDomain).slice(-1)
+    if (!rows.isPending(failureDomain) || pending === undefined) continue
+    const fence = row === undefined ? pending : { ...row, revision: row.revision + 1 }
+    const written = await writeFeedRow(platform, fence, { version, guards: [] })
+    if (written.isOk()) mergeRow(fence)
+  }
+}
--- a/packages/bilberryd/src/feeding_test.ts
+++ b/packages/bilberryd/src/feeding_test.ts
@@ -200,3 +200,15 @@
   t.is(rows.length, 2)
   t.deepEqual(harness.nodes[0]!.feeding.handleExchange({ instance: 'n1', revisions: known, rows: [] }).rows, [])
 })
+
+test('a first row that never lands is written again', async t => {
+  const harness = createHarness()
+  harness.chooseFault = writes => writes.some(write => write.table === TableName.Feeds && write.value !== undefined) ? CallFault.Delayed : CallFault.None
+  await settle(harness, 4)
+  harness.chooseFault = () => CallFault.None
+  await settle(harness, 20)
+  t.true(harness.targets.every(target => harness.sumLimits(target) === target.slots))
+  harness.landDelayed()
+  await settle(harness, 10)
+  t.true(harness.targets.every(target => harness.sumLimits(target) === target.slots))
+})
--- a/packages/bilberryd/src/serving_parts.ts
+++ b/packages/bilberryd/src/serving_parts.ts
@@ -117,7 +117,7 @@
     getRegionReport: (service, region) => loads.sumReports(service, listRegionFeeders(service, region)),
     getNowMs
   })
-  const feedLoop = startLoop(feeding.advance, { intervalMs: settings.pollMs, getRandom: Math.random })
+  const loops = [feeding.renewHold, feeding.advance].map(step => startLoop(step, { intervalMs: settings.pollMs, getRandom: Math.random }))
   const gate = createLinkGate({ localRegion: settings.region, ...describeLinks(settings), getNowMs })
   const pacer = createRequestPacer(gate, { region: settings.region, getNowMs })
   const route = createRouter({
@@ -145,7 +145,7 @@
     handleRequest: keeper.handleRequest,
     handleForwarded: pacer.paceAnswers(keeper.handleRequest),
     async [Symbol.asyncDispose] () {
-      for (const part of [feedLoop, gate, feed]) await part[Symbol.asyncDispose]()
+      for (const part of [...loops, gate, feed]) await part[Symbol.asyncDispose]()
     }
   }
 }
--- a/packages/standins/src/delayed_stream.ts
+++ b/packages/standins/src/delayed_stream.ts
@@ -15,6 +15,8 @@
   readyAtMs: number
   /** Charges bytes to a link; returns the monotonic time at which they have left it, in milliseconds. */
   charge: (bytes: number) => number
+  /** Whether the way is cut now, so that bytes are lost. */
+  isCut: () => boolean
 }
 
 interface Parcel {
@@ -26,7 +28,8 @@
 /**
  * Carries what one socket receives to another.
  *
- * A clean end is handed on as such; anything else resets the other side.
+ * A clean end is handed on as such; anything else resets the other side. Once bytes were lost by a cut, nothing
+ * more is carried, and the connection is reset by the first bytes after the cut.
  *
  * @param from Socket to read
  * @param to Socket to write
@@ -38,8 +41,14 @@
   let timer: NodeJS.Timeout | undefined
   let blocked = false
   let ended = false
+  let lossy = false
 
   function addParcel (chunk: Buffer | undefined): void {
+    if (options.isCut() || lossy) {
+      if (lossy && !options.isCut()) from.resetAndDestroy()
+      lossy = true
+      return
+    }
     const leftAtMs = options.charge(chunk?.length ?? 0)
     parcels.push({ chunk, dueAtMs: Math.max(leftAtMs, options.readyAtMs) + options.delayMs })
     queuedBytes += chunk?.length ?? 0
--- a/packages/standins/src/link_relay.ts
+++ b/packages/standins/src/link_relay.ts
@@ -43,6 +43,8 @@
 export interface LinkRelay extends AsyncDisposable {
   /** Opens a listener in front of something at a place. */
   openRoute (place: Place): Promise<RelayRoute>
+  /** Cuts failure domains off from everything outside of them but callers; in place of those cut off before. */
+  isolate (failureDomains: string[]): void
   /** Returns the bytes carried so far, by `from>to`. */
   getLinkBytes (): Record<string, number>
 }
@@ -57,6 +59,12 @@
   const linkBytes: Record<string, number> = {}
   const linkFreeAtMs: Record<string, number> = {}
   const routes = new Set<RelayRoute>()
+  let isolated: string[] = []
+
+  function isCut (source: Place | undefined, place: Place): boolean {
+    if (source === undefined || source.failureDomain === place.failureDomain) return false
+    return isolated.includes(source.failureDomain) || isolated.includes(place.failureDomain)
+  }
 
   /** Charges bytes to a link and returns when the last of them has left it. */
   function chargeLink (from: Place | undefined, to: Place | undefined, bytes: number): number {
@@ -72,6 +80,8 @@
     const source = locateSource(near.remoteAddress ?? '', profile.regions)
     const [forthMs, backMs] = computeLatencies(profile, source, place)
     const [host = '', port = ''] = options.destination.split(':')
+    // A connection over a way that is cut is accepted by the relay alone, and nothing ever comes back.
+    if (isCut(source, place)) return
     // TCP's handshake would take one round trip before the first byte can be sent.
     const readyAtMs = performance.now() + forthMs + backMs
     const far = connect({ host, port: Number(port), localAddress: near.remoteAddress ?? '', allowHalfOpen: true, noDelay: true })
@@ -79,8 +89,8 @@
       if (error.code === 'ECONNREFUSED') options.onRefused()
     })
     near.setNoDelay(true)
-    createDelayedStream(near, far, { delayMs: forthMs, readyAtMs, charge: bytes => chargeLink(source, place, bytes) })
-    createDelayedStream(far, near, { delayMs: backMs, readyAtMs: 0, charge: bytes => chargeLink(place, source, bytes) })
+    createDelayedStream(near, far, { delayMs: forthMs, readyAtMs, charge: bytes => chargeLink(source, place, bytes), isCut: () => isCut(source, place) })
+    createDelayedStream(far, near, { delayMs: backMs, readyAtMs: 0, charge: bytes => chargeLink(place, source, bytes), isCut: () => isCut(source, place) })
   }
 
   return {
@@ -118,6 +128,9 @@
       routes.add(route)
       return route
     },
+    isolate (failureDomains) {
+      isolated = failureDomains
+    },
     getLinkBytes: () => ({ ...linkBytes }),
     async [Symbol.asyncDispose] () {
       await Promise.all([...routes].map(route => route[Symbol.asyncDispose]()))
--- a/packages/standins/src/main_relay.ts
+++ b/packages/standins/src/main_relay.ts
@@ -12,6 +12,7 @@
   { kind: 'open', id: number, places: Record<string, Place> } |
   { kind: 'connect', route: string, destination: string } |
   { kind: 'close', route: string } |
+  { kind: 'isolate', failureDomains: string[] } |
   { kind: 'report', id: number }
 
 /** The answer to a command. */
@@ -41,6 +42,9 @@
     case 'close':
       routes.get(command.route)?.close()
       break
+    case 'isolate':
+      relay.isolate(command.failureDomains)
+      break
     case 'report':
       reply({ id: command.id, linkBytes: relay.getLinkBytes() })
   }
--- a/packages/standins/src/relay_process.ts
+++ b/packages/standins/src/relay_process.ts
@@ -17,6 +17,8 @@
   connectRoute (route: string, destination: string): void
   /** Resets the connections of a listener and refuses new ones until it is connected again. */
   closeRoute (route: string): void
+  /** Cuts failure domains off from everything outside of them but callers; in place of those cut off before. */
+  isolate (failureDomains: string[]): void
   /** Reads the bytes carried so far between regions, by `from>to`. */
   readLinkBytes (): Promise<Record<string, number>>
 }
@@ -49,6 +51,7 @@
     openRoutes: async places => (await ask(id => ({ kind: 'open', id, places }))).addresses ?? {},
     connectRoute: (route, destination) => send({ kind: 'connect', route, destination }),
     closeRoute: route => send({ kind: 'close', route }),
+    isolate: failureDomains => send({ kind: 'isolate', failureDomains }),
     readLinkBytes: async () => (await ask(id => ({ kind: 'report', id }))).linkBytes ?? {},
     [Symbol.asyncDispose]: child[Symbol.asyncDispose]
   }
