Let a caller of the tests not wait after its last attempt

Ruled out: a request that hangs (each attempt ended within 152 ms in the trace of all callers). Change: no wait after the last attempt.

--- a/packages/standins/src/caller.ts
+++ b/packages/standins/src/caller.ts
@@ -83,7 +83,8 @@
   let result: CallerResult = { outcome: 'not-run', broken: false, wrong: false, reason: undefined, elapsedMs: 0 }
   let lookUp: LookUpAnswer | undefined
   let pin: string | undefined
-  for (let attempt = 0; attempt < (options.attempts ?? maxAttempts); attempt++) {
+  const attempts = options.attempts ?? maxAttempts
+  for (let attempt = 0; attempt < attempts; attempt++) {
     lookUp = await askLookUp(request.service, options, attempt + startedMs) ?? lookUp
     const entry = lookUp?.entries[attempt % lookUp.entries.length]
     if (lookUp === undefined || entry === undefined) continue
@@ -94,7 +95,7 @@
     if (pin !== undefined && result.outcome === 'not-run') result.outcome = 'unknown'
     if (reply.outcome === 'answered' && !reply.broken) return result
     if (reply.outcome === 'unknown' && reply.reason !== undefined && request.method !== 'GET') return result
-    await new Promise(resolve => setTimeout(resolve, retryMs))
+    if (attempt + 1 < attempts) await new Promise(resolve => setTimeout(resolve, retryMs))
   }
   return result
 }
--- a/packages/standins/src/partition_test.ts
+++ b/packages/standins/src/partition_test.ts
@@ -60,7 +60,7 @@
   const served = settled.filter(each => each.length > 0 && each.every(({ outcome }) => outcome === 'answered')).length
   const reasons = new Set(settled.flat().filter(({ outcome }) => outcome !== 'answered').map(({ outcome, reason }) => `${outcome} ${reason}`))
   const slowest = Math.max(...settled.flat().filter(({ outcome }) => outcome === 'not-run').map(({ elapsedMs }) => elapsedMs))
-  t.log(JSON.stringify({ callersInside, served, reasons: [...reasons], slowestRefusalMs: Math.round(slowest), report }))
+  t.log(JSON.stringify({ callersInside, served, told: told.map(each => each.length), reasons: [...reasons], slowestRefusalMs: Math.round(slowest), report }))
   t.true(served > 0, 'callers of the region that is cut off are served')
   t.deepEqual([...reasons], ['not-run shift_cap'], 'callers of other regions move no faster than the cap')
   t.true(runs.every(run => run.busySlots <= slots.get(run.target)!), 'no target above its slots')
