--- a/scripts/run_checks.mjs
+++ b/scripts/run_checks.mjs
@@ -8,6 +8,7 @@
 import { spawnSync } from 'node:child_process'
 import { existsSync, readFileSync } from 'node:fs'
 import { fileURLToPath } from 'node:url'
+import { stripVTControlCharacters } from 'node:util'
 
 const root = fileURLToPath(new URL('..', import.meta.url))
 const maxOutputBytes = 256 * 1024 * 1024
@@ -36,8 +37,7 @@
     [/^\s+- (?:\[skip\]|\[todo\]) (.*)$/, results.skipped],
     [/^\s+✘ ((?!\[).*)$/, results.crashes]
   ]
-  // eslint-disable-next-line no-control-regex
-  for (const line of output.replace(/\u001b\[[\d;]*m/g, '').split('\n')) {
+  for (const line of stripVTControlCharacters(output).split('\n')) {
     for (const [pattern, list] of patterns) {
       const title = pattern.exec(line)?.[1]?.trim()
       if (title !== undefined && !list.includes(title)) list.push(title)
