--- a/packages/bilberryctl/src/commands.ts
+++ b/packages/bilberryctl/src/commands.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { AcceptedDocument, DocumentFinding } from '@bilberryworks/steering'
+import type { AcceptedDocument, Difference, DocumentFinding } from '@bilberryworks/steering'
 import type { ApiClient, ApiReply } from './api_client.ts'
 import { randomUUID } from 'node:crypto'
 import { command, flag, number, option, optional, positional, string, subcommands } from 'cmd-ts'
@@ -91,14 +91,21 @@
   description: 'Show who changed the document of a service, and when',
   args: { service, ...connection },
   handler: args => sendCall(args, `/v1/documents/${encodeURIComponent(args.service)}/history`, body => printResult(args, body, () => {
-    const rows = Array.isArray(body) ? body : Object.values(body as object).find(Array.isArray) ?? []
-    return rows.length === 0 ? 'No history' : renderTable((rows as AcceptedDocument[]).map(describeAccepted))
+    const entries = (body as { history: HistoryEntry[] }).history
+    return entries.length === 0 ? 'No history' : renderTable(entries.map(describeEntry))
   }))
 })
 
+/** One edit, as the operators' interface tells it. */
+type HistoryEntry = Pick<AcceptedDocument, 'revision' | 'author' | 'acceptedAtMs' | 'submissionId'> & { changes: Difference[] }
+
+function describeEntry ({ revision, author, acceptedAtMs, submissionId, changes }: HistoryEntry): Record<string, unknown> {
+  return { revision, author, accepted: new Date(acceptedAtMs).toISOString(), submission: submissionId, changed: changes.map(change => change.pointer).join(' ') }
+}
+
 function describeAccepted (accepted: AcceptedDocument): Record<string, unknown> {
   const { revision, author, acceptedAtMs, submissionId } = accepted
-  return { service: accepted.document?.service, revision, author, accepted: new Date(acceptedAtMs).toISOString(), submission: submissionId }
+  return { service: accepted.document.service, revision, author, accepted: new Date(acceptedAtMs).toISOString(), submission: submissionId }
 }
 
 const apply = command({
--- a/packages/bilberryctl/src/main_test.ts
+++ b/packages/bilberryctl/src/main_test.ts
@@ -74,7 +74,7 @@
   { name: 'get', args: ['get', 'api'], script: [current], code: 0, shows: /"revision": 4/ },
   { name: 'get of another team', args: ['get', 'api'], script: [{ status: 403, body: { title: 'other_team' } }], code: 1, shows: /403: other_team/ },
   { name: 'list', args: ['list'], script: [{ status: 200, body: { documents: [accepted] } }], code: 0, shows: /api +4 +someone/ },
-  { name: 'history', args: ['history', 'api'], script: [{ status: 200, body: { history: [accepted] } }], code: 0, shows: /earlier/ },
+  { name: 'history', args: ['history', 'api'], script: [{ status: 200, body: { service: 'api', history: [{ ...accepted, document: undefined, changes: [{ pointer: '/shiftCap', before: 0.1, after: 0.2 }] }] } }], code: 0, shows: /earlier +\/shiftCap/ },
   { name: 'diff', args: ['diff', file], script: [current], content: { ...document, shiftCap: 0.2 }, code: 0, shows: /\/shiftCap +0\.1 +0\.2/ },
   { name: 'status', args: ['status'], script: [{ status: 200, body: { instance: 'entry-0', instances: [{ instance: 'entry-1' }] } }], code: 0, shows: /entry-1/ },
   { name: 'lookup', args: ['lookup', 'api', '--client', '192.0.2.7'], script: [{ status: 200, body: entries }], code: 0, shows: /north-a/ },
