Let requests wait out a hand-over at the owner

Ruled out: choosing by reported slots (an instance that has not reported yet looks free); easing the test. Change: an owner without slots lets a request wait for the hand-over, 2 s at most, 256 requests at most.

--- a/packages/bilberryd/src/dispatch.ts
+++ b/packages/bilberryd/src/dispatch.ts
@@ -7,6 +7,7 @@
 import type { TargetClient, TargetFailure } from '@bilberryworks/targets'
 import type { Result } from 'neverthrow'
 import type { Feed, FeedRequest } from './feed.ts'
+import type { WaitForHandOver } from './hand_over_wait.ts'
 import { finished } from 'node:stream'
 import { createNotRun, createRetryBudget, createUnknown, Outcome, RefusalReason, RequestClass, RetryReason as RetryReasons, TargetSignal } from '@bilberryworks/steering'
 import { TargetFailureKind } from '@bilberryworks/targets'
@@ -24,6 +25,8 @@
   targets: TargetClient
   /** Takes note that a target said that it is leaving. */
   markTargetLeaving: (target: string) => void
+  /** Waits while targets are being handed over to this instance; not at all by default. */
+  waitForHandOver?: WaitForHandOver
   /** Checks right before each dispatch that this instance still feeds a target; always true by default. */
   checkDispatch?: (target: TargetRecord) => boolean
   /** Counts a retry. */
@@ -90,6 +93,7 @@
     let mayHaveRun: Refusal | undefined
     budget.recordAttempt()
     for (let attempt = 1; ; attempt++) {
+      await options.waitForHandOver?.(feedRequest.request.service, feedRequest.deadlineAtMs)
       const slot = await feed.reserveSlot(feedRequest)
       if (slot.isErr()) return err(mayHaveRun ?? slot.error)
       const obstacle = findObstacle(feedRequest, slot.value)
--- /dev/null
+++ b/packages/bilberryd/src/hand_over_wait.ts
@@ -0,0 +1,44 @@
+/**
+ * Lets requests wait while the targets that this instance owns are being handed over to it.
+ *
+ * @module
+ */
+import { setTimeout } from 'node:timers/promises'
+
+const maxWaitMs = 2_000
+const lookMs = 25
+const maxWaiting = 256
+
+/** Options of {@linkcode createHandOverWait}. */
+export interface CreateHandOverWaitOptions {
+  /** Whether this instance owns a usable target of a service, by the feed rows. */
+  ownsTarget: (service: string) => boolean
+  /** Whether it may use a slot of one now. */
+  hasSlots: (service: string) => boolean
+  /** Returns the monotonic time, in milliseconds. */
+  getNowMs: () => number
+}
+
+/** Waits until slots may be used, at most until a monotonic time, in milliseconds. */
+export type WaitForHandOver = (service: string, deadlineAtMs: number) => Promise<void>
+
+/**
+ * Creates the wait of an instance.
+ *
+ * A hand-over ends as soon as the instances before have acknowledged it; a request whose body is on its way here
+ * can't be sent to another feeder, so it waits for that, for 2 seconds at most and beside 255 others.
+ *
+ * @param options What this instance owns and may use
+ * @returns The wait, which is over at once where nothing is being handed over
+ */
+export function createHandOverWait (options: CreateHandOverWaitOptions): WaitForHandOver {
+  const { getNowMs } = options
+  let waiting = 0
+  return async (service, deadlineAtMs) => {
+    if (options.hasSlots(service) || waiting >= maxWaiting) return
+    const endMs = Math.min(deadlineAtMs, getNowMs() + maxWaitMs)
+    waiting++
+    while (getNowMs() < endMs && !options.hasSlots(service) && options.ownsTarget(service)) await setTimeout(lookMs)
+    waiting--
+  }
+}
--- a/packages/bilberryd/src/serving_parts.ts
+++ b/packages/bilberryd/src/serving_parts.ts
@@ -5,7 +5,7 @@
  */
 import type { PeerClient } from '@bilberryworks/instances'
 import type { Platform } from '@bilberryworks/platform'
-import type { HandleRequest } from '@bilberryworks/steering'
+import type { HandleRequest, TargetRecord } from '@bilberryworks/steering'
 import type { TargetClient } from '@bilberryworks/targets'
 import type Logger from 'bunyan'
 import type { Feed } from './feed.ts'
@@ -16,10 +16,11 @@
 import type { RegionChooser } from './regions.ts'
 import type { LinkSettings, Settings } from './settings.ts'
 import type { View } from './view.ts'
-import { getFeedLimits, LeaseState, MachineState } from '@bilberryworks/steering'
+import { chooseOwner, getFeedLimits, LeaseState, MachineState } from '@bilberryworks/steering'
 import { createDispatcher } from './dispatch.ts'
 import { createFeed } from './feed.ts'
 import { createFeeding } from './feeding.ts'
+import { createHandOverWait } from './hand_over_wait.ts'
 import { createKeyKeeper } from './key_keeper.ts'
 import { createLinkGate } from './links.ts'
 import { startLoop } from './loop.ts'
@@ -95,8 +96,15 @@
     },
     recordTakeover: (instance, failureDomain) => log.warn({ silent: instance, failureDomain }, 'Instance was declared silent')
   })
+  const isOwner = ({ target, failureDomain }: TargetRecord): boolean => chooseOwner(target, feeding.listFeeders(failureDomain)) === settings.instance
+  const waitForHandOver = createHandOverWait({
+    ownsTarget: service => listUsableTargets(view, service).some(isOwner),
+    hasSlots: service => listUsableTargets(view, service).some(target => feeding.getSlotLimit(target) > 0),
+    getNowMs
+  })
   const dispatch = createDispatcher({
     feed,
+    waitForHandOver,
     targets,
     markTargetLeaving: view.markTargetLeaving,
     checkDispatch ({ service, target }) {
