Call the feeder's lease a lease

Cause: code called it a hold beside LeaseState and leaseMs; the field's term is lease. Ruled out: renaming LeaseState in its place. Conclusion: one word for one thing.

--- a/packages/bilberryd/src/_feeding_harness.ts
+++ b/packages/bilberryd/src/_feeding_harness.ts
@@ -192,7 +192,7 @@
         if (heard.isOk()) heard.value.forEach(row => view.mergeInstance(row.value as InstanceRecord))
         const index = await readIndex(platform)
         if (index.isOk()) await feeding.refresh(index.value.index)
-        await feeding.renewHold()
+        await feeding.renewLease()
         await feeding.advance()
         dispatchAll()
       }
--- a/packages/bilberryd/src/feed_exchange.ts
+++ b/packages/bilberryd/src/feed_exchange.ts
@@ -1,5 +1,5 @@
 /**
- * The exchange between feeders: renews holds without the platform and spreads changed rows at once.
+ * The exchange between feeders: renews leases without the platform and spreads changed rows at once.
  *
  * @module
  */
--- a/packages/bilberryd/src/feed_hold.ts
+++ b/packages/bilberryd/src/feed_lease.ts
@@ -1,5 +1,5 @@
 /**
- * An instance's hold on what it feeds: valid while everybody who could take over has heard of it lately.
+ * An instance's lease on what it feeds: valid while everybody who could take over has heard of it lately.
  *
  * @module
  */
@@ -7,9 +7,9 @@
 
 const renewShare = 0.3
 
-/** Options of {@linkcode createHold}. */
-export interface CreateHoldOptions {
-  /** Time that the hold lasts without contact, in milliseconds. */
+/** Options of {@linkcode createLease}. */
+export interface CreateLeaseOptions {
+  /** Time that the lease lasts without contact, in milliseconds. */
   leaseMs: number
   /** Lists the instances that may take over. */
   listGuards: () => string[]
@@ -19,8 +19,8 @@
   recordLease: (state: LeaseState) => void
 }
 
-/** The hold. */
-export interface Hold {
+/** The lease. */
+export interface Lease {
   /** Returns the state now. */
   getState (): LeaseState
   /**
@@ -40,12 +40,12 @@
 }
 
 /**
- * Creates a hold that has lapsed.
+ * Creates a lease that has lapsed.
  *
  * @param options Times, clock and who could take over
- * @returns The hold
+ * @returns The lease
  */
-export function createHold (options: CreateHoldOptions): Hold {
+export function createLease (options: CreateLeaseOptions): Lease {
   const { leaseMs, getNowMs } = options
   const heardBy = new Map<string, number>()
   let heartbeatMs = -Infinity
@@ -53,7 +53,7 @@
   let unconfirmed: { sentAtMs: number, acknowledgedAtMs: number } | undefined
   let reported: LeaseState | undefined
 
-  /** Time at which the hold lapses; peers count only once the platform has shown the rows since the start. */
+  /** Time at which the lease lapses; peers count only once the platform has shown the rows since the start. */
   function computeEndMs (): number {
     if (heartbeatMs === -Infinity) return -Infinity
     const heard = options.listGuards().map(name => heardBy.get(name) ?? -Infinity)
--- a/packages/bilberryd/src/feeding.ts
+++ b/packages/bilberryd/src/feeding.ts
@@ -11,7 +11,7 @@
 import { PlatformFailureKind } from '@bilberryworks/platform'
 import { chooseOwner, computeOwnedSlots, planFeedChange } from '@bilberryworks/steering'
 import { createFeedExchange } from './feed_exchange.ts'
-import { createHold } from './feed_hold.ts'
+import { createLease } from './feed_lease.ts'
 import { createFeedRows } from './feed_rows.ts'
 import { confirmFeedRows, readFeedRow, writeFeedRow } from './feed_store.ts'
 import { createSilenceWatch } from './silence_watch.ts'
@@ -20,7 +20,7 @@
 
 /** Times that bind all instances of a deployment. */
 export interface FeedTimes {
-  /** Time that a hold lasts without contact, in milliseconds. */
+  /** Time that a lease lasts without contact, in milliseconds. */
   leaseMs: number
   /** Longest time that a request other than an upload may take, in milliseconds. */
   longestDispatchMs: number
@@ -64,8 +64,8 @@
   recordMachines (list: MachineList): void
   /** Fetches the rows that the index row shows to have changed. */
   refresh (index: IndexRow): Promise<void>
-  /** Renews the hold by peers where the platform is out; not held up by a platform that does not answer. */
-  renewHold (): Promise<void>
+  /** Renews the lease by peers where the platform is out; not held up by a platform that does not answer. */
+  renewLease (): Promise<void>
   /** Changes the rows that need it. */
   advance (): Promise<void>
   /** Gives up everything that this instance feeds. */
@@ -92,7 +92,7 @@
   const { platform, getNowMs, leaseMs, longestDispatchMs } = options
   const startedMs = getNowMs()
   const rows = createFeedRows()
-  const hold = createHold({ leaseMs, getNowMs, recordLease: options.recordLease, listGuards: () => listGuards(rows, options.getSelf().instance) })
+  const lease = createLease({ leaseMs, getNowMs, recordLease: options.recordLease, listGuards: () => listGuards(rows, options.getSelf().instance) })
   const watch = createSilenceWatch({
     takeoverMs: leaseMs * driftAllowance + longestDispatchMs, watchAfterMs: leaseMs / 2, platform, getSilenceMs: options.getSilenceMs, getNowMs
   })
@@ -104,7 +104,7 @@
     listRows: rows.listRows,
     mergeRow,
     recordHeard: watch.recordHeard,
-    recordHeardBy: hold.recordHeardBy
+    recordHeardBy: lease.recordHeardBy
   })
   let wasParty = false
   let mustRelease = false
@@ -116,9 +116,9 @@
 
   function getSlotLimit (target: TargetRecord): number {
     const { instance } = options.getSelf()
-    const lease = hold.getState()
+    const leaseState = lease.getState()
     const mayHaveOrphans = wasParty && getNowMs() < startedMs + longestDispatchMs
-    const limits = rows.listPossible(target.failureDomain).map(row => computeOwnedSlots(target, { instance, row, lease, mayHaveOrphans }))
+    const limits = rows.listPossible(target.failureDomain).map(row => computeOwnedSlots(target, { instance, row, lease: leaseState, mayHaveOrphans }))
     return rows.getRow(target.failureDomain) === undefined ? 0 : Math.min(...limits)
   }
 
@@ -165,9 +165,9 @@
 
   /** After a lapse, makes sure that nobody has taken over what this instance believes to feed. */
   async function confirmRows (): Promise<void> {
-    if (!hold.needsConfirmation()) return
+    if (!lease.needsConfirmation()) return
     const sentAtMs = getNowMs()
-    if (await confirmFeedRows(platform, mergeRow)) hold.confirmRows(sentAtMs)
+    if (await confirmFeedRows(platform, mergeRow)) lease.confirmRows(sentAtMs)
   }
 
   async function updateRows (): Promise<void> {
@@ -177,7 +177,7 @@
   return {
     getSlotLimit,
     listFeeders: failureDomain => rows.getRow(failureDomain)?.assignment.feeders ?? [],
-    recordHeartbeat: hold.recordHeartbeat,
+    recordHeartbeat: lease.recordHeartbeat,
     recordMachines (list) {
       watch.recordMachines(list, { self: options.getSelf().instance, parties: listParties(rows) })
     },
@@ -188,9 +188,9 @@
         if (stored.isOk() && stored.value.row !== undefined) mergeRow(stored.value.row)
       }
     },
-    async renewHold () {
+    async renewLease () {
       await confirmRows()
-      await hold.renew(exchange.exchangeWith)
+      await lease.renew(exchange.exchangeWith)
     },
     async advance () {
       await resolvePending(rows, { platform, mergeRow })
@@ -202,7 +202,7 @@
       await updateRows()
     },
     handleExchange: exchange.handleExchange,
-    getLeaseState: hold.getState
+    getLeaseState: lease.getState
   }
 }
 
--- a/packages/bilberryd/src/serving_parts.ts
+++ b/packages/bilberryd/src/serving_parts.ts
@@ -91,7 +91,7 @@
     getNowMs,
     recordLease (lease) {
       identity.updateFeeding(lease !== LeaseState.Lapsed)
-      log.info({ lease }, 'Hold on targets changed')
+      log.info({ lease }, 'Lease on targets changed')
       options.announce()
     },
     recordTakeover: (instance, failureDomain) => log.warn({ silent: instance, failureDomain }, 'Instance was declared silent')
@@ -125,7 +125,7 @@
     getRegionReport: (service, region) => loads.sumReports(service, listRegionFeeders(service, region)),
     getNowMs
   })
-  const loops = [feeding.renewHold, feeding.advance].map(step => startLoop(step, { intervalMs: settings.pollMs, getRandom: Math.random }))
+  const loops = [feeding.renewLease, feeding.advance].map(step => startLoop(step, { intervalMs: settings.pollMs, getRandom: Math.random }))
   const gate = createLinkGate({ localRegion: settings.region, ...describeLinks(settings), getNowMs })
   const pacer = createRequestPacer(gate, { region: settings.region, getNowMs })
   const route = createRouter({
--- a/packages/bilberryd/src/silence_watch.ts
+++ b/packages/bilberryd/src/silence_watch.ts
@@ -9,7 +9,7 @@
 
 /** Options of {@linkcode createSilenceWatch}. */
 export interface CreateSilenceWatchOptions {
-  /** Silence after which an instance's hold has surely lapsed and its last dispatch has ended, in milliseconds. */
+  /** Silence after which an instance's lease has surely lapsed and its last dispatch has ended, in milliseconds. */
   takeoverMs: number
   /** Silence after which an instance's heartbeat row is watched, in milliseconds. */
   watchAfterMs: number
--- a/packages/steering/src/inventory.ts
+++ b/packages/steering/src/inventory.ts
@@ -28,7 +28,7 @@
   peerAddress: string
   /** Whether it takes new work. */
   state: MachineState
-  /** Whether it may send to the targets that it feeds; not so between its start and its first hold on them. */
+  /** Whether it may send to the targets that it feeds; not so between its start and its first lease on them. */
   feeding?: boolean
   /** Counts this incarnation's announcements; the highest wins. */
   sequence: number
