Be ready only with the first lease, and fall back to feeders that wait for theirs

Ruled out: waiting in the test. Change: an instance is ready once it may feed, also cut off; where no feeder of a region has its lease, those that wait for it are asked and let the request wait.

--- a/packages/bilberryd/src/instance_parts.ts
+++ b/packages/bilberryd/src/instance_parts.ts
@@ -134,7 +134,7 @@
     sync,
     handleRequest: serving.handleRequest,
     handleForwarded: serving.handleForwarded,
-    isReady: () => !identity.isLeaving() && sync.isReady(),
+    isReady: () => !identity.isLeaving() && sync.isReady() && identity.getRecord().feeding === true,
     async [Symbol.asyncDispose] () {
       await Promise.all([sync, clientBlocks].map(loop => loop[Symbol.asyncDispose]()))
       await serving[Symbol.asyncDispose]()
--- a/packages/bilberryd/src/route.ts
+++ b/packages/bilberryd/src/route.ts
@@ -67,9 +67,17 @@
     return ranked.map(feeder => candidates.find(({ record }) => record.instance === feeder.instance)!.record)
   }
 
+  /** Lists the feeders of a region; those that wait for their first lease only where there is no other. */
   function listCandidates (service: string, region: string): FeederCandidate[] {
+    const heard = view.listInstances()
+    const feeding = listOwners(service, { region, instances: heard.filter(record => record.feeding !== false) })
+    return feeding.length > 0 ? feeding : listOwners(service, { region, instances: heard })
+  }
+
+  /** Lists the instances, among those given, that own targets of a service in a region. */
+  function listOwners (service: string, { region, instances }: { region: string, instances: InstanceRecord[] }): FeederCandidate[] {
     const feeders = new Map<string, FeederCandidate>()
-    const records = new Map(view.listInstances().filter(record => record.feeding !== false).map(record => [record.instance, record]))
+    const records = new Map(instances.map(record => [record.instance, record]))
     for (const target of listUsableTargets(view, service)) {
       const owner = target.region === region ? chooseOwner(target.target, options.listFeeders(target.failureDomain)) : undefined
       const record = records.get(owner ?? '')
