--- /dev/null
+++ b/packages/bilberryd/src/edge/attempt.ts
@@ -0,0 +1,57 @@
+/**
+ * One attempt of a caller, from its arrival to its end.
+ *
+ * @module
+ */
+import type { BookedTarget, PlacedRequest, RefusalReason, Route, WaitingRequest } from '@bilberryworks/steering'
+import type { RunningExchange } from '@bilberryworks/targets'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { GatheredBody } from './gather_body.ts'
+
+/** How far an attempt has come. */
+export enum AttemptPhase {
+  /** Its body is on its way. */
+  Arriving = 'arriving',
+  /** It waits for room at a target. */
+  Waiting = 'waiting',
+  /** It was handed to a target. */
+  Sent = 'sent',
+  /** Its answer is on its way to the caller. */
+  Answering = 'answering',
+  /** It has ended. */
+  Ended = 'ended'
+}
+
+/** An attempt of a caller. */
+export interface Attempt extends PlacedRequest, WaitingRequest {
+  /** The caller's message. */
+  message: IncomingMessage
+  /** The answer to the caller. */
+  response: ServerResponse
+  /** Its route under the configuration in force at its arrival. */
+  route: Route
+  /** Version of that configuration. */
+  version: number
+  /** Monotonic time of its final answer at the latest, in milliseconds. */
+  finalAtMs: number
+  /** Targets that it was sent to. */
+  tried: Set<string>
+  /** How far it has come. */
+  phase: AttemptPhase
+  /** Its body, once gathered. */
+  body: GatheredBody | undefined
+  /** Whether a part of the body was sent that is not kept, so that it can't be sent again. */
+  isBodySpent: boolean
+  /** The exchange under way. */
+  exchange: RunningExchange | undefined
+  /** The target of the exchange under way. */
+  entry: BookedTarget | undefined
+  /** Whether any byte of it may have been read by a target that did not say that it did not run it. */
+  mayHaveRun: boolean
+  /** Monotonic time at which it was last handed to a target, in milliseconds. */
+  sentAtMs: number
+  /** The timer of its final answer. */
+  timer: NodeJS.Timeout | undefined
+  /** Why its last exchange ended, for the log. */
+  lastReason: RefusalReason | undefined
+}
--- /dev/null
+++ b/packages/bilberryd/src/edge/caller_listener.ts
@@ -0,0 +1,166 @@
+/**
+ * The listener for callers: checks each request, gathers its body and hands it to the steering desk.
+ *
+ * @module
+ */
+import type { EntrySettings, Refusal } from '@bilberryworks/steering'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { AttemptFields } from '@bilberryworks/users-platform'
+import type { Attempt } from './attempt.ts'
+import type { EntryLog } from './entry_log.ts'
+import type { EntryMetrics } from './entry_metrics.ts'
+import type { EntryState } from './entry_state.ts'
+import type { SteeringDesk } from './steering_desk.ts'
+import { createServer } from 'node:http'
+import { checkFraming, handleClientErrors, writeRefusal } from '@bilberryworks/callers'
+import { createNotRun, Outcome, RefusalReason } from '@bilberryworks/steering'
+import { formatRetryAfter, readAttemptFields } from '@bilberryworks/users-platform'
+import { AttemptPhase } from './attempt.ts'
+import { gatherBody, hasBody } from './gather_body.ts'
+
+/** Options of {@linkcode createCallerListener}. */
+export interface CreateCallerListenerOptions {
+  /** Settings of the instance. */
+  settings: EntrySettings
+  /** What the instance believes. */
+  state: EntryState
+  /** Where attempts go. */
+  desk: SteeringDesk
+  /** Log of decisions. */
+  log: EntryLog
+  /** Metrics. */
+  metrics: EntryMetrics
+  /** Chooses the service for the next request of a route. */
+  chooseService: (route: Attempt['route']) => string
+  /** Tells whether connections are to be closed behind their next answer. */
+  isStopping: () => boolean
+  /** Returns monotonic time, in milliseconds. */
+  getNowMs: () => number
+}
+
+/** Longest header section that is read at all, in bytes; the configuration's own limit is checked below it. */
+const maxHeaderBytes = 65_536
+/** Part of a body that is gathered before it is sent, in bytes, so that it can be sent again; bounds the memory of an upload. */
+const holdBodyBytes = 262_144
+/** Time for the way of the answer to the caller, in milliseconds, by which it is sent before the caller's own time is over. */
+const answerTransitMs = 20
+/** Time after which a caller may come back that was refused since no configuration is known, in milliseconds. */
+const noConfigRetryMs = 500
+/** Bytes of the separators of a header field: colon, space and line end. */
+const fieldSeparatorBytes = 4
+
+/**
+ * Creates the listener, not yet listening.
+ *
+ * @param options What it hands requests to
+ * @returns The server
+ */
+export function createCallerListener (options: CreateCallerListenerOptions): Server {
+  const { state, desk, log, metrics, getNowMs } = options
+  const server = createServer({ maxHeaderSize: maxHeaderBytes, requestTimeout: 0, keepAlive: true, noDelay: true, requireHostHeader: false })
+  server.maxHeadersCount = 0
+
+  function refuseEarly (message: IncomingMessage, response: ServerResponse, refusal: Refusal): void {
+    metrics.countRefused('', refusal.outcome, refusal.reason)
+    log.info('request_refused', { id: readFields(message).attemptId, reason: refusal.reason, detail: refusal.detail, url: message.url, config: state.getConfig()?.version })
+    writeRefusal(response, refusal, formatRetryAfter)
+  }
+
+  function findAttempt (message: IncomingMessage, response: ServerResponse): Attempt | Refusal {
+    const nowMs = getNowMs()
+    const framing = checkFraming(message)
+    if (framing.isErr()) return framing.error
+    const config = state.getConfig()
+    if (config === undefined) return createNotRun(RefusalReason.NoDocument, 'No configuration is known yet', noConfigRetryMs)
+    const { limits } = config
+    if (countHeaderBytes(message) > limits.maxHeaderBytes) return createNotRun(RefusalReason.HeadersTooLarge, `Header section is longer than ${limits.maxHeaderBytes} bytes`)
+    const route = state.findRoute(readHost(message), message.url!.split('?', 1)[0]!)
+    if (route === undefined) return createNotRun(RefusalReason.UnknownService, `No route for "${message.url!}"`)
+    const fields = readFields(message)
+    if (fields.attemptId === undefined) return createNotRun(RefusalReason.BadRequest, 'Request has no identifier')
+    const length = Number(message.headers['content-length'] ?? 0)
+    if (length > limits.maxBodyBytes) return createNotRun(RefusalReason.BodyTooLarge, `Body has ${length} bytes, allowed are ${limits.maxBodyBytes}`)
+    return {
+      attemptId: fields.attemptId,
+      service: options.chooseService(route),
+      objectKey: route.hasAffinity ? fields.objectKey : undefined,
+      homeRegions: route.homeRegions,
+      priority: route.priority,
+      arrivedAtMs: nowMs,
+      refuseAtMs: nowMs,
+      message,
+      response,
+      route,
+      version: config.version,
+      finalAtMs: nowMs + Math.min(route.timeoutMs, (fields.timeLeftMs ?? Infinity) - answerTransitMs),
+      tried: new Set(),
+      phase: AttemptPhase.Arriving,
+      body: undefined,
+      isBodySpent: false,
+      exchange: undefined,
+      entry: undefined,
+      mayHaveRun: false,
+      sentAtMs: nowMs,
+      timer: undefined,
+      lastReason: undefined
+    }
+  }
+
+  function handleRequest (message: IncomingMessage, response: ServerResponse): void {
+    if (options.isStopping()) response.shouldKeepAlive = false
+    const attempt = findAttempt(message, response)
+    if ('outcome' in attempt) {
+      refuseEarly(message, response, attempt)
+      return
+    }
+    attempt.timer = setTimeout(() => desk.expire(attempt), Math.max(0, attempt.finalAtMs - getNowMs()))
+    response.on('close', () => {
+      if (!response.writableFinished) desk.abandon(attempt)
+    })
+    if (!hasBody(message)) {
+      message.resume()
+      desk.submit(attempt)
+      return
+    }
+    gatherBody(message, {
+      holdBytes: holdBodyBytes,
+      maxBytes: state.getConfig()?.limits.maxBodyBytes ?? Infinity,
+      onGathered (body) {
+        if (attempt.phase !== AttemptPhase.Arriving) return
+        attempt.body = body
+        desk.submit(attempt)
+      },
+      onTooLong: () => desk.refuse(attempt, createNotRun(RefusalReason.BodyTooLarge, 'Body grew longer than its bound'))
+    })
+  }
+
+  server.on('request', handleRequest)
+  server.on('checkContinue', (message: IncomingMessage, response: ServerResponse) => {
+    response.writeContinue()
+    handleRequest(message, response)
+  })
+  server.on('checkExpectation', (message: IncomingMessage, response: ServerResponse) => {
+    refuseEarly(message, response, createUnknownExpectation())
+  })
+  handleClientErrors(server, reason => metrics.countRefused('', Outcome.NotRun, reason))
+  return server
+}
+
+function createUnknownExpectation (): Refusal {
+  return createNotRun(RefusalReason.BadRequest, 'Expect knows only 100-continue')
+}
+
+function readFields (message: IncomingMessage): AttemptFields {
+  return readAttemptFields(message.headers as Record<string, string | undefined>)
+}
+
+/** Returns the host without its port. */
+function readHost (message: IncomingMessage): string {
+  return (message.headers.host ?? '').replace(/:\d+$/, '')
+}
+
+function countHeaderBytes (message: IncomingMessage): number {
+  let bytes = 0
+  for (const text of message.rawHeaders) bytes += text.length
+  return bytes + message.rawHeaders.length / 2 * fieldSeparatorBytes
+}
--- /dev/null
+++ b/packages/bilberryd/src/edge/entry_log.ts
@@ -0,0 +1,54 @@
+/**
+ * Structured log of an entry instance: JSON lines on standard output, bounded and never waited for.
+ *
+ * @module
+ */
+import type Logger from 'bunyan'
+import type { Writable } from 'node:stream'
+import { createLogger, INFO, WARN } from 'bunyan'
+
+/** Fields of a log line; `docs/OPERATIONS.md` lists them. */
+export type LogFields = Record<string, unknown>
+
+/** The log. */
+export interface EntryLog {
+  /** Writes a line on what an instance does or believes. */
+  info (event: string, fields: LogFields): void
+  /** Writes a line on what is lost or wrong. */
+  warn (event: string, fields: LogFields): void
+  /** Counts the lines that were dropped. */
+  countDropped (): number
+}
+
+/** Bytes that may wait for the reader of the log before lines are dropped. */
+const maxPendingBytes = 1_048_576
+
+/**
+ * Creates the log.
+ *
+ * @param instance Name of the instance
+ * @param output Where lines are written; standard output by default
+ * @returns The log
+ */
+export function createEntryLog (instance: string, output: Writable = process.stdout): EntryLog {
+  let dropped = 0
+  let reported = 0
+  const logger: Logger = createLogger({ name: 'bilberryd', instance, stream: output })
+  const write = (level: number, event: string, fields: LogFields): void => {
+    if (output.writableLength > maxPendingBytes) {
+      dropped++
+      return
+    }
+    if (dropped > reported) {
+      logger.warn({ event: 'log_dropped', lines: dropped - reported })
+      reported = dropped
+    }
+    if (level === INFO) logger.info({ event, ...fields })
+    else logger.warn({ event, ...fields })
+  }
+  return {
+    info: (event, fields) => write(INFO, event, fields),
+    warn: (event, fields) => write(WARN, event, fields),
+    countDropped: () => dropped
+  }
+}
--- /dev/null
+++ b/packages/bilberryd/src/edge/main.ts
@@ -0,0 +1,60 @@
+#!/usr/bin/env node
+/**
+ * The entry instance on the users' platform.
+ *
+ * @module
+ */
+import type { EntrySettings, SettingsFinding } from '@bilberryworks/steering'
+import type { Result } from 'neverthrow'
+import type { EntryLog } from './entry_log.ts'
+import { readFileSync, watchFile } from 'node:fs'
+import { decodeSettings, settingsPathVariable } from '@bilberryworks/users-platform'
+import { err } from 'neverthrow'
+import { createEntryLog } from './entry_log.ts'
+import { runEntry } from './run_entry.ts'
+
+const exitFindings = 1
+/** Time between two looks at the settings file, in milliseconds: it may change without a signal. */
+const settingsCheckMs = 2_000
+const metricsPortFlag = '--metrics-port='
+
+function readSettings (path: string): Result<EntrySettings, SettingsFinding[]> {
+  try {
+    return decodeSettings(readFileSync(path, 'utf8'))
+  } catch (error) {
+    return err([{ pointer: '', message: `Settings file can't be read: ${(error as Error).message}` }])
+  }
+}
+
+function readMetricsPort (): { metricsPort?: number } {
+  const flag = process.argv.find(argument => argument.startsWith(metricsPortFlag))
+  return flag === undefined ? {} : { metricsPort: Number(flag.slice(metricsPortFlag.length)) }
+}
+
+async function runUntilStopped (path: string, settings: EntrySettings, log: EntryLog): Promise<void> {
+  const entry = await runEntry(settings, log, readMetricsPort())
+  const reload = (): void => {
+    const next = readSettings(path)
+    if (next.isErr()) log.warn('settings_kept', { findings: next.error })
+    else entry.reload(next.value)
+  }
+  process.on('SIGHUP', reload)
+  watchFile(path, { interval: settingsCheckMs, persistent: false }, reload)
+  const stop = (): void => {
+    entry.stop().then(() => process.exit(0)).catch((error: Error) => {
+      log.warn('stop_failed', { detail: error.message })
+      process.exit(exitFindings)
+    })
+  }
+  process.once('SIGTERM', stop)
+  process.once('SIGINT', stop)
+}
+
+const path = process.env[settingsPathVariable] ?? ''
+const settings = readSettings(path)
+if (settings.isErr()) {
+  for (const finding of settings.error) console.error(`${finding.pointer || '/'}: ${finding.message}`)
+  process.exitCode = exitFindings
+} else {
+  await runUntilStopped(path, settings.value, createEntryLog(settings.value.instance))
+}
--- /dev/null
+++ b/packages/bilberryd/src/edge/peer_link.ts
@@ -0,0 +1,212 @@
+/**
+ * The link to the other instances: heartbeats by datagram, and calls for what they know and this one does not.
+ *
+ * @module
+ */
+import type { Socket } from 'node:dgram'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { SocketPlace } from '@bilberryworks/steering'
+import type { EntryLog } from './entry_log.ts'
+import type { EntryState } from './entry_state.ts'
+import type { PeerHeartbeat, PeerView } from './peer_view.ts'
+import type { KnownRow } from './row_tables.ts'
+import { createSocket } from 'node:dgram'
+import { createServer, get } from 'node:http'
+import { FollowedTable } from './entry_state.ts'
+
+/** What an instance passes on to a peer that asks. */
+interface PeerAnswer {
+  /** The instance itself and those that it hears. */
+  instances: PeerHeartbeat[]
+  /** Tables of which it knows later changes than the peer. */
+  tables: Partial<Record<FollowedTable, { version: number, rows: KnownRow[] }>>
+}
+
+/** Options of {@linkcode startPeerLink}. */
+export interface StartPeerLinkOptions {
+  /** What the instance says of itself now. */
+  getHeartbeat: () => PeerHeartbeat
+  /** The peers. */
+  view: PeerView
+  /** What the instance believes. */
+  state: EntryState
+  /** Addresses of peers that may answer at the start. */
+  seeds: SocketPlace[]
+  /** Time between two heartbeats, in milliseconds. */
+  intervalMs: number
+  /** Log of what is believed. */
+  log: EntryLog
+  /** Returns monotonic time, in milliseconds. */
+  getNowMs: () => number
+}
+
+/** The link. */
+export interface PeerLink extends AsyncDisposable {
+  /** Sends a heartbeat to all known peers at once. */
+  announce (): void
+  /** Asks the seeds for what they know. */
+  askSeeds (): Promise<void>
+}
+
+const statePath = '/v1/state'
+/** Time after which a peer's answer is given up, in milliseconds: more than the way between regions and a page of rows. */
+const callTimeoutMs = 1_000
+/** Time for which the store may still bring by itself what a peer is ahead by, in milliseconds: the spread of its answers to the instances. */
+const headStartMs = 400
+const maxAnswerBytes = 8_388_608
+
+/**
+ * Starts the link.
+ *
+ * @param options What is said and heard
+ * @returns The link; dispose it to stop
+ */
+export async function startPeerLink (options: StartPeerLinkOptions): Promise<PeerLink> {
+  const { view, state, log, getNowMs } = options
+  const own = options.getHeartbeat()
+  const socket = createSocket('udp4')
+  const pulls = new Set<string>()
+  const timers = new Set<NodeJS.Timeout>()
+
+  function announce (): void {
+    const bytes = Buffer.from(JSON.stringify(options.getHeartbeat()))
+    for (const { heartbeat } of view.listKnown()) socket.send(bytes, heartbeat.heartbeats.port, heartbeat.heartbeats.host, ignoreSendError)
+  }
+
+  /** A datagram that can't be sent is like one that is lost: the peer's silence tells. */
+  function ignoreSendError (error: Error | null): void {
+    if (error !== null) log.warn('heartbeat_unsent', { detail: error.message })
+  }
+
+  function isBehind (heartbeat: PeerHeartbeat): boolean {
+    return Object.values(FollowedTable).some(table => (heartbeat.versions[table] ?? 0) > state.getTable(table).getVersion())
+  }
+
+  function handleHeartbeat (heartbeat: PeerHeartbeat): void {
+    if (view.hear(heartbeat, getNowMs())) {
+      log.info('peer_live', { peer: heartbeat.instance, startedAtMs: heartbeat.startedAtMs })
+      // It learns at once that this instance lives.
+      socket.send(JSON.stringify(options.getHeartbeat()), heartbeat.heartbeats.port, heartbeat.heartbeats.host, ignoreSendError)
+    }
+    if (!isBehind(heartbeat) || pulls.has(heartbeat.instance)) return
+    pulls.add(heartbeat.instance)
+    const timer = setTimeout(() => {
+      timers.delete(timer)
+      pulls.delete(heartbeat.instance)
+      if (isBehind(heartbeat)) pull(heartbeat.peers).catch(error => log.warn('peer_call_failed', { peer: heartbeat.instance, detail: (error as Error).message }))
+    }, headStartMs)
+    timers.add(timer)
+  }
+
+  async function pull (place: SocketPlace): Promise<void> {
+    const query = Object.values(FollowedTable).map(table => `${table}=${state.getTable(table).getVersion()}`).join('&')
+    const answer = JSON.parse(await readText(place, `${statePath}?${query}`)) as PeerAnswer
+    for (const heartbeat of answer.instances) view.learn(heartbeat)
+    for (const [table, content] of Object.entries(answer.tables)) {
+      log.info('table_from_peer', { table, from: `${place.host}:${place.port}`, version: content.version })
+      state.applyRows(table as FollowedTable, content.rows, content.version)
+    }
+  }
+
+  function answerState (message: IncomingMessage, response: ServerResponse): void {
+    const [path, query = ''] = message.url!.split('?', 2)
+    if (path !== statePath) {
+      response.writeHead(404).end()
+      return
+    }
+    const asked = new URLSearchParams(query)
+    const answer: PeerAnswer = { instances: [options.getHeartbeat(), ...view.listLive(getNowMs()).map(peer => peer.heartbeat)], tables: {} }
+    for (const table of Object.values(FollowedTable)) {
+      const rows = state.getTable(table)
+      if (rows.getVersion() > Number(asked.get(table) ?? 0)) answer.tables[table] = { version: rows.getVersion(), rows: rows.list() }
+    }
+    const body = JSON.stringify(answer)
+    response.writeHead(200, { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body) }).end(body)
+  }
+
+  socket.on('message', bytes => {
+    const heartbeat = parseHeartbeat(bytes)
+    if (heartbeat === undefined) log.warn('heartbeat_undecodable', { bytes: bytes.length })
+    else handleHeartbeat(heartbeat)
+  })
+  socket.on('error', error => log.warn('heartbeat_socket', { detail: error.message }))
+  await bindSocket(socket, own.heartbeats)
+  const server = createServer(answerState)
+  await listenOn(server, own.peers)
+  const timer = setInterval(announce, options.intervalMs)
+
+  return {
+    announce,
+    async askSeeds () {
+      await Promise.all(options.seeds.filter(seed => seed.host !== own.peers.host).map(seed => pull(seed).catch(error => log.info('seed_silent', { seed: `${seed.host}:${seed.port}`, detail: (error as Error).message }))))
+    },
+    async [Symbol.asyncDispose] () {
+      clearInterval(timer)
+      for (const pending of timers) clearTimeout(pending)
+      socket.close()
+      server.closeAllConnections()
+      server.close()
+    }
+  }
+}
+
+function parseHeartbeat (bytes: Buffer): PeerHeartbeat | undefined {
+  try {
+    const value = JSON.parse(bytes.toString('utf8')) as PeerHeartbeat
+    return typeof value.instance === 'string' && typeof value.heartbeats?.port === 'number' && typeof value.versions === 'object' ? value : undefined
+  } catch {
+    // Reported by the caller as a heartbeat that can't be decoded.
+    return undefined
+  }
+}
+
+function readText (place: SocketPlace, path: string): Promise<string> {
+  return new Promise((resolve, reject) => {
+    const call = get({ host: place.host, port: place.port, path, agent: false }, response => {
+      const parts: Buffer[] = []
+      let bytes = 0
+      response.on('data', (part: Buffer) => {
+        bytes += part.length
+        if (bytes > maxAnswerBytes) call.destroy(new Error(`Answer is longer than ${maxAnswerBytes} bytes`))
+        else parts.push(part)
+      })
+      response.on('error', reject)
+      response.on('end', () => {
+        clearTimeout(timer)
+        resolve(Buffer.concat(parts).toString('utf8'))
+      })
+    })
+    const timer = setTimeout(() => call.destroy(new Error(`No answer for ${callTimeoutMs} ms`)), callTimeoutMs)
+    call.on('error', error => {
+      clearTimeout(timer)
+      reject(error)
+    })
+  })
+}
+
+function bindSocket (socket: Socket, place: SocketPlace): Promise<void> {
+  return new Promise((resolve, reject) => {
+    socket.once('error', reject)
+    socket.bind(place.port, place.host, () => {
+      socket.off('error', reject)
+      resolve()
+    })
+  })
+}
+
+/**
+ * Opens a server's listener.
+ *
+ * @param server The server
+ * @param place Where to listen
+ * @throws {Error} If the address can't be listened on
+ */
+export function listenOn (server: Server, place: SocketPlace): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(place.port, place.host, () => {
+      server.off('error', reject)
+      resolve()
+    })
+  })
+}
--- /dev/null
+++ b/packages/bilberryd/src/edge/peer_view.ts
@@ -0,0 +1,104 @@
+/**
+ * The other instances as this one hears of them: who they are, where, and whether they live.
+ *
+ * @module
+ */
+import type { SocketPlace } from '@bilberryworks/steering'
+
+/** What an instance says of itself to its peers. */
+export interface PeerHeartbeat {
+  /** Name of the instance. */
+  instance: string
+  /** Time of its process' start in Unix milliseconds; a restart has a later one. */
+  startedAtMs: number
+  /** Counts its heartbeats. */
+  sequence: number
+  /** Failure domain that it is in. */
+  failureDomain: string
+  /** Region that it is in. */
+  region: string
+  /** `host:port` for callers. */
+  callers: string
+  /** Where it takes heartbeats. */
+  heartbeats: SocketPlace
+  /** Where it takes calls of peers. */
+  peers: SocketPlace
+  /** Whether it takes new work. */
+  isReady: boolean
+  /** Version of its latest change of each followed table. */
+  versions: Record<string, number>
+}
+
+/** A peer with when it was last heard. */
+export interface KnownPeer {
+  /** Its last heartbeat. */
+  heartbeat: PeerHeartbeat
+  /** Monotonic time at which it was last heard, in milliseconds; `-Infinity` where only others told of it. */
+  heardAtMs: number
+}
+
+/** The other instances. */
+export interface PeerView {
+  /** Takes a heartbeat of the peer itself; returns whether it was news of a peer not live before. */
+  hear (heartbeat: PeerHeartbeat, nowMs: number): boolean
+  /** Takes note of a peer that somebody else told of. */
+  learn (heartbeat: PeerHeartbeat): void
+  /** Lists all peers that were ever told of, those that are gone for long not among them. */
+  listKnown (): KnownPeer[]
+  /** Lists the peers that live. */
+  listLive (nowMs: number): KnownPeer[]
+  /** Counts time in which this instance stood still: silence of others in it says nothing. */
+  forgive (durationMs: number): void
+  /** Returns the largest number of instances that were live together, this one among them. */
+  countMost (): number
+}
+
+/** Options of {@linkcode createPeerView}. */
+export interface CreatePeerViewOptions {
+  /** Name of this instance. */
+  instance: string
+  /** Silence after which a peer counts as gone, in milliseconds. */
+  silenceMs: number
+  /** Silence after which a peer is forgotten, in milliseconds. */
+  forgetMs: number
+}
+
+/**
+ * Creates the view of an instance that knows no peer.
+ *
+ * @param options Its name and times
+ * @returns The view
+ */
+export function createPeerView (options: CreatePeerViewOptions): PeerView {
+  const peers = new Map<string, KnownPeer & { learntAtMs: number }>()
+  let most = 1
+  const isLive = (peer: KnownPeer, nowMs: number): boolean => nowMs - peer.heardAtMs < options.silenceMs
+  const isNewer = (a: PeerHeartbeat, b: PeerHeartbeat): boolean => a.startedAtMs > b.startedAtMs || (a.startedAtMs === b.startedAtMs && a.sequence > b.sequence)
+  return {
+    hear (heartbeat, nowMs) {
+      if (heartbeat.instance === options.instance) return false
+      const known = peers.get(heartbeat.instance)
+      if (known !== undefined && known.heardAtMs > -Infinity && !isNewer(heartbeat, known.heartbeat)) return false
+      const wasLive = known !== undefined && isLive(known, nowMs)
+      peers.set(heartbeat.instance, { heartbeat, heardAtMs: nowMs, learntAtMs: nowMs })
+      const live = [...peers.values()].filter(peer => isLive(peer, nowMs)).length + 1
+      most = Math.max(most, live)
+      return !wasLive
+    },
+    learn (heartbeat) {
+      if (heartbeat.instance === options.instance) return
+      const known = peers.get(heartbeat.instance)
+      if (known !== undefined && !isNewer(heartbeat, known.heartbeat)) return
+      peers.set(heartbeat.instance, { heartbeat, heardAtMs: known?.heardAtMs ?? -Infinity, learntAtMs: performance.now() })
+    },
+    listKnown: () => [...peers.values()],
+    listLive (nowMs) {
+      for (const [name, peer] of peers) if (nowMs - Math.max(peer.heardAtMs, peer.learntAtMs) > options.forgetMs) peers.delete(name)
+      return [...peers.values()].filter(peer => isLive(peer, nowMs))
+    },
+    forgive (durationMs) {
+      for (const peer of peers.values()) peer.heardAtMs += durationMs
+    },
+    countMost: () => most
+  }
+}
--- /dev/null
+++ b/packages/bilberryd/src/edge/request_head.ts
@@ -0,0 +1,38 @@
+/**
+ * Builds the start line and header section of a request to a target.
+ *
+ * @module
+ */
+import type { Attempt } from './attempt.ts'
+import { hopByHopFields } from '@bilberryworks/callers'
+import { attemptIdHeader, targetIdHeader, timeLeftHeader } from '@bilberryworks/users-platform'
+
+const ownFields = new Set([targetIdHeader.toLowerCase(), timeLeftHeader.toLowerCase(), 'content-length', 'expect'])
+
+/**
+ * Builds the head of a request: what the caller sent, less what concerns its connection, and what the instance sets.
+ *
+ * @param attempt The attempt
+ * @param options The target, and the time that is left, in milliseconds
+ * @returns The head with the empty line behind it
+ */
+export function buildRequestHead (attempt: Attempt, options: { targetId: string, timeLeftMs: number }): string {
+  const { message, body } = attempt
+  const named = new Set((message.headers.connection ?? '').toLowerCase().split(',').map(name => name.trim()))
+  named.delete(attemptIdHeader.toLowerCase())
+  let head = `${message.method!} ${message.url!} HTTP/1.1\r\n`
+  const { rawHeaders } = message
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    const name = rawHeaders[index]!
+    const lower = name.toLowerCase()
+    // The host is end-to-end here: the target serves it by name.
+    if (lower !== 'host' && (named.has(lower) || hopByHopFields.has(lower) || ownFields.has(lower))) continue
+    head += `${name}: ${rawHeaders[index + 1]!}\r\n`
+  }
+  head += `${targetIdHeader}: ${options.targetId}\r\n${timeLeftHeader}: ${Math.max(1, Math.floor(options.timeLeftMs))}\r\n`
+  if (body !== undefined) {
+    const length = body.isWhole ? body.bytes : body.statedBytes
+    head += length === undefined ? 'Transfer-Encoding: chunked\r\n' : `Content-Length: ${length}\r\n`
+  }
+  return `${head}\r\n`
+}
--- /dev/null
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -0,0 +1,202 @@
+/**
+ * Composes an entry instance that sends to targets directly, runs it, and stops it gracefully.
+ *
+ * @module
+ */
+import type { EntrySettings } from '@bilberryworks/steering'
+import type { Server } from 'node:http'
+import type { EntryLog } from './entry_log.ts'
+import type { PeerHeartbeat } from './peer_view.ts'
+import { createServer } from 'node:http'
+import { setTimeout as wait } from 'node:timers/promises'
+import { createCleanUp, createShareSequence } from '@bilberryworks/steering'
+import { createTargetPool } from '@bilberryworks/targets'
+import { createStoreClient, operatorTable, targetTable } from '@bilberryworks/users-platform'
+import { createCallerListener } from './caller_listener.ts'
+import { createEntryMetrics, EntryGauge } from './entry_metrics.ts'
+import { createEntryState, FollowedTable } from './entry_state.ts'
+import { createInstanceRows } from './instance_rows.ts'
+import { createLookUpListener, createReadinessListener } from './look_up_listener.ts'
+import { listenOn, startPeerLink } from './peer_link.ts'
+import { createPeerView } from './peer_view.ts'
+import { createSteeringDesk } from './steering_desk.ts'
+import { startStoreFollower } from './store_follower.ts'
+
+/** A running entry instance. */
+export interface RunningEntry extends AsyncDisposable {
+  /** Stops gracefully: announces it, serves on, lets requests in flight end. */
+  stop (): Promise<void>
+  /** Takes other settings over, as far as they can change while it runs. */
+  reload (settings: EntrySettings): void
+}
+
+/** Time between two heartbeats, in milliseconds: a third of the silence after which a peer counts as gone. */
+const heartbeatIntervalMs = 1_000
+/** Silence after which a peer counts as gone, in milliseconds: three heartbeats lost in a row, each a rare event. */
+const peerSilenceMs = 3_300
+/** Silence after which a peer is forgotten, in milliseconds: a partition that lasts longer is healed by the rows read at the next start. */
+const peerForgetMs = 120_000
+/** Time between two rounds of upkeep, in milliseconds. */
+const upkeepMs = 250
+/** Length of a round of upkeep, in milliseconds, beyond which the instance stood still. */
+const standstillMs = 1_000
+/** Longest time that a connection to a target may take, in milliseconds: a way between regions with one packet lost. */
+const connectTimeoutMs = 600
+/** Longest time that a call of the store waits for a change, in milliseconds, less than the time in which a silent connection must be noticed. */
+const feedMarginMs = 2_000
+/** Pause behind an answer with changed targets, in milliseconds, as a share of the time in which a leaving target must be known. */
+const targetPauseShare = 0.15
+/** Time for which an instance that stops takes new requests, in milliseconds: callers keep a look-up for up to three times its time to live. */
+const lingerMs = 3_200
+/** Part of the time until the kill at which a stop no longer waits for requests in flight. */
+const stopShare = 0.97
+const stopCheckMs = 20
+
+/**
+ * Runs an entry instance until it is disposed.
+ *
+ * @param settings Its settings
+ * @param log Where decisions are written
+ * @param options Port of the metrics
+ * @returns The running instance
+ * @throws {Error} If an address can't be listened on
+ */
+export async function runEntry (settings: EntrySettings, log: EntryLog, options: { metricsPort?: number } = {}): Promise<RunningEntry> {
+  const owned = createCleanUp()
+  const getNowMs = (): number => performance.now()
+  const getRandom = Math.random
+  const startedAtMs = Date.now()
+  let isStopping = false
+  let sequence = 0
+
+  const metrics = createEntryMetrics({ readValues })
+  const view = createPeerView({ instance: settings.instance, silenceMs: peerSilenceMs, forgetMs: peerForgetMs })
+  const state = createEntryState({ regions: settings.regions, log, getNowMs, countUndecodable: metrics.countUndecodable, onChange: () => desk.placeWaiting() })
+  const pool = owned.add(createTargetPool({ connectTimeoutMs, onStray: metrics.countStray }))
+  const desk = createSteeringDesk({
+    settings,
+    state,
+    pool,
+    log,
+    metrics,
+    getNowMs,
+    getRandom,
+    listInstances: () => [settings.instance, ...view.listLive(getNowMs()).map(peer => peer.heartbeat.instance)],
+    countInstances: view.countMost
+  })
+
+  const isReady = (): boolean => !isStopping && state.getConfig() !== undefined
+
+  function getHeartbeat (): PeerHeartbeat {
+    return {
+      instance: settings.instance,
+      startedAtMs,
+      sequence: sequence++,
+      failureDomain: settings.failureDomain,
+      region: settings.region,
+      callers: `${settings.listen.callers.host}:${settings.listen.callers.port}`,
+      heartbeats: { host: settings.listen.peers.host, port: settings.heartbeatPort },
+      peers: settings.listen.peers,
+      isReady: isReady(),
+      versions: Object.fromEntries(Object.values(FollowedTable).map(table => [table, state.getTable(table).getVersion()]))
+    }
+  }
+
+  function readValues (): Record<EntryGauge, number> {
+    return {
+      [EntryGauge.ConfigVersion]: state.getConfig()?.version ?? 0,
+      [EntryGauge.Targets]: state.book.count(),
+      [EntryGauge.Waiting]: desk.countWaiting(),
+      [EntryGauge.InFlight]: desk.countInFlight(),
+      [EntryGauge.TargetConnections]: pool.count(),
+      [EntryGauge.Peers]: view.listLive(getNowMs()).length,
+      [EntryGauge.StoreAge]: (getNowMs() - state.getContactMs()) / 1_000,
+      [EntryGauge.DroppedLines]: log.countDropped()
+    }
+  }
+
+  const shares = createShareSequence(getRandom)
+  const callers = createCallerListener({ settings, state, desk, log, metrics, getNowMs, chooseService: shares.choose, isStopping: () => isStopping })
+  const lookUps = createLookUpListener({ settings, view, getHeartbeat, getNowMs })
+  const readiness = createReadinessListener(isReady)
+  await Promise.all([listenOn(callers, settings.listen.callers), listenOn(lookUps, settings.listen.lookUps), listenOn(readiness, settings.listen.readiness)])
+  for (const server of [callers, lookUps, readiness]) owned.add(ownServer(server))
+  if (options.metricsPort !== undefined) {
+    const server = createServer((_, response) => {
+      metrics.registry.metrics().then(text => response.writeHead(200, { 'Content-Type': metrics.registry.contentType }).end(text)).catch((error: Error) => response.writeHead(500).end(error.message))
+    })
+    await listenOn(server, { host: settings.listen.callers.host, port: options.metricsPort })
+    owned.add(ownServer(server))
+  }
+
+  const link = owned.add(await startPeerLink({ getHeartbeat, view, state, seeds: settings.seeds, intervalMs: heartbeatIntervalMs, log, getNowMs }))
+  const store = owned.add(createStoreClient(settings.store))
+  const { bounds } = settings
+  const waitMs = Math.max(1_000, Math.round(bounds.stableMs + bounds.drainMs - feedMarginMs))
+  const tables = [
+    { table: operatorTable, followed: FollowedTable.Operator, pauseMs: 0 },
+    { table: targetTable, followed: FollowedTable.Targets, pauseMs: Math.round(bounds.drainMs * targetPauseShare) }
+  ]
+  for (const { table, followed, pauseMs } of tables) {
+    owned.add(startStoreFollower({
+      store, table, waitMs, pauseMs, getRandom, onContact: state.recordContact,
+      onRows: (rows, version) => state.applyRows(followed, rows, version),
+      onChanges: changes => state.applyChanges(followed, changes)
+    }))
+  }
+  const rows = createInstanceRows({ store, view, log })
+  rows.join(getHeartbeat()).then(() => link.announce()).catch((error: Error) => log.warn('join_failed', { detail: error.message }))
+  link.askSeeds().then(() => link.announce()).catch((error: Error) => log.warn('seeds_failed', { detail: error.message }))
+
+  let lastRoundMs = getNowMs()
+  const upkeep = setInterval(() => {
+    const nowMs = getNowMs()
+    if (nowMs - lastRoundMs > standstillMs) {
+      log.warn('standstill', { durationMs: Math.round(nowMs - lastRoundMs) })
+      view.forgive(nowMs - lastRoundMs)
+    }
+    lastRoundMs = nowMs
+    pool.sweep(nowMs)
+    state.expireMissing(nowMs)
+  }, upkeepMs)
+  owned.add({ async [Symbol.asyncDispose] () { clearInterval(upkeep) } })
+  log.info('started', { failureDomain: settings.failureDomain, region: settings.region, callers: getHeartbeat().callers, cpuMs: Math.round(process.cpuUsage().user / 1_000 + process.cpuUsage().system / 1_000) })
+
+  return {
+    async stop () {
+      const stopAtMs = getNowMs()
+      isStopping = true
+      log.info('stopping', { inFlight: desk.countInFlight(), waiting: desk.countWaiting() })
+      link.announce()
+      const endMs = stopAtMs + bounds.graceMs * stopShare
+      while (getNowMs() < endMs) {
+        const lingering = getNowMs() - stopAtMs < Math.min(lingerMs, bounds.graceMs / 2)
+        if (!lingering && desk.countInFlight() + desk.countWaiting() === 0) break
+        await wait(stopCheckMs)
+      }
+      log.info('stopped', { inFlight: desk.countInFlight(), waiting: desk.countWaiting() })
+      await owned[Symbol.asyncDispose]()
+    },
+    reload (next) {
+      log.info('reloaded', { changed: listChanged(settings, next) })
+    },
+    [Symbol.asyncDispose]: () => owned[Symbol.asyncDispose]()
+  }
+}
+
+/** Names the settings that differ; addresses and places hold for the life of a process. */
+function listChanged (before: EntrySettings, after: EntrySettings): string[] {
+  const names = Object.keys(before) as Array<keyof EntrySettings>
+  return names.filter(name => JSON.stringify(before[name]) !== JSON.stringify(after[name]))
+}
+
+/** Closes a server with all its connections when it is disposed. */
+function ownServer (server: Server): AsyncDisposable {
+  return {
+    async [Symbol.asyncDispose] () {
+      const closed = new Promise<void>(resolve => server.close(() => resolve()))
+      server.closeAllConnections()
+      await closed
+    }
+  }
+}
--- a/packages/callers/src/header_fields.ts
+++ b/packages/callers/src/header_fields.ts
@@ -5,8 +5,8 @@
  */
 import type { HeaderFields } from '@bilberryworks/steering'
 
-/** Fields of RFC 9110 that concern one connection only. */
-const hopByHop = new Set(['connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect', 'host'])
+/** Header fields by lower-case name that concern one connection only (RFC 9110), and the host. */
+export const hopByHopFields = new Set(['connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect', 'host'])
 
 /** Fields that the system sets itself, so that what came with a message is dropped. */
 const ownFields = new Set(['bilberry-request-id', 'bilberry-caller', 'bilberry-hops', 'bilberry-deadline-ms', 'bilberry-pin', 'bilberry-outcome', 'bilberry-reason', 'bilberry-peer-key', 'bilberry-retry-after-ms', 'bilberry-target-state', 'bilberry-feed-load', 'bilberry-origin-region', 'idempotency-key'])
@@ -21,7 +21,7 @@
   const named = new Set(String(headers['connection'] ?? '').toLowerCase().split(',').map(name => name.trim()))
   const fields: HeaderFields = {}
   for (const [name, value] of Object.entries(headers)) {
-    if (value === undefined || hopByHop.has(name) || ownFields.has(name) || named.has(name)) continue
+    if (value === undefined || hopByHopFields.has(name) || ownFields.has(name) || named.has(name)) continue
     fields[name] = value
   }
   return fields
--- a/packages/callers/src/parse_request.ts
+++ b/packages/callers/src/parse_request.ts
@@ -73,8 +73,13 @@
   })
 }
 
-/** Checks what decides where a message ends and whom it is for. */
-function checkFraming (message: IncomingMessage): Result<void, Refusal> {
+/**
+ * Checks what decides where a message ends and whom it is for.
+ *
+ * @param message The message
+ * @returns The refusal that says what is wrong, where something is
+ */
+export function checkFraming (message: IncomingMessage): Result<void, Refusal> {
   const { method = '', headers } = message
   const length = headers['content-length']
   if (message.httpVersion !== '1.1') return refuse(RefusalReason.BadRequest, `HTTP/${message.httpVersion} is not served, HTTP/1.1 is`)
--- a/packages/callers/src/write_answer.ts
+++ b/packages/callers/src/write_answer.ts
@@ -45,8 +45,9 @@
  *
  * @param response Where to write
  * @param refusal The refusal
+ * @param formatRetryAfter Formats milliseconds as the value of `Retry-After`; whole seconds by default
  */
-export function writeRefusal (response: ServerResponse, refusal: Refusal): void {
+export function writeRefusal (response: ServerResponse, refusal: Refusal, formatRetryAfter: (retryAfterMs: number) => string = formatWholeSeconds): void {
   if (response.destroyed || response.headersSent) {
     response.destroy()
     return
@@ -58,7 +59,7 @@
   response.setHeader('bilberry-outcome', refusal.outcome)
   response.setHeader('bilberry-reason', refusal.reason)
   if (refusal.retryAfterMs !== undefined) {
-    response.setHeader('retry-after', Math.max(1, Math.ceil(refusal.retryAfterMs / 1000)))
+    response.setHeader('retry-after', formatRetryAfter(refusal.retryAfterMs))
     response.setHeader('bilberry-retry-after-ms', Math.ceil(refusal.retryAfterMs))
   }
   // Closing a connection with unread bytes resets it, and the caller may lose the refusal.
@@ -67,6 +68,10 @@
   drainBody(response)
 }
 
+function formatWholeSeconds (retryAfterMs: number): string {
+  return String(Math.max(1, Math.ceil(retryAfterMs / 1000)))
+}
+
 /** Reads and drops what is left of a request, for a bounded time, so that its caller reads the answer. */
 function drainBody (response: ServerResponse): void {
   const { req } = response
--- a/packages/standins/src/bench_capacity_processes.ts
+++ b/packages/standins/src/bench_capacity_processes.ts
@@ -14,7 +14,7 @@
 import { writeAcceptedDocument } from './accept_document.ts'
 import { readCpuSeconds } from './bench_capacity_look_up.ts'
 import { startChild } from './child.ts'
-import { createCleanUp } from './clean_up.ts'
+import { createCleanUp } from '@bilberryworks/steering'
 import { locateDaemon, locateScript } from './cluster.ts'
 import { createDocument, deployments } from './deployments.ts'
 
--- a/packages/steering/src/circuit.ts
+++ b/packages/steering/src/circuit.ts
@@ -51,13 +51,13 @@
  *
  * @param circuit The circuit before it
  * @param signal How the exchange ended
- * @param options The monotonic time, in milliseconds, and a random source, returning [0, 1)
+ * @param options The monotonic time, in milliseconds, a random source, returning [0, 1), and whether one failure is enough to open it
  * @returns The circuit after it
  */
-export function advanceCircuit (circuit: Circuit, signal: TargetSignal, options: { nowMs: number, getRandom: () => number }): Circuit {
+export function advanceCircuit (circuit: Circuit, signal: TargetSignal, options: { nowMs: number, getRandom: () => number, opensAtOnce?: boolean }): Circuit {
   if (signal === TargetSignal.Ended) return circuit
   if (signal === TargetSignal.Answered || signal === TargetSignal.Refused) return closedCircuit
-  const failures = circuit.failures + 1
+  const failures = Math.max(circuit.failures + 1, options.opensAtOnce === true ? failuresToOpen : 0)
   if (failures < failuresToOpen) return { failures, probeAtMs: 0 }
   const openMs = Math.min(maxOpenMs, firstOpenMs * 2 ** (failures - failuresToOpen))
   return { failures, probeAtMs: options.nowMs + openMs * (0.5 + options.getRandom() / 2) }
--- /dev/null
+++ b/packages/steering/src/placement.ts
@@ -0,0 +1,93 @@
+/**
+ * The choice of the target for a request: few targets an object, so that its state stays warm there.
+ *
+ * Answers the load at which more work arrives than slots exist for cold objects: sending an object elsewhere when its
+ * targets are full makes its work longer there, which fills more targets. So a request waits, or is refused, rather
+ * than warm a further target.
+ *
+ * @module
+ */
+import type { BookedTarget } from './target_book.ts'
+import { computeHash } from './rendezvous.ts'
+import { computeTargetLoad } from './target_book.ts'
+
+/** A request that needs a target. */
+export interface PlacedRequest {
+  /** Identifies the attempt. */
+  attemptId: string
+  /** Service that it is for. */
+  service: string
+  /** Object that it concerns, where the route keeps objects on the same targets. */
+  objectKey: string | undefined
+  /** Regions that it may be served in; empty where all may. */
+  homeRegions: string[]
+  /** Targets that it was sent to before. */
+  tried: ReadonlySet<string>
+}
+
+/** What a target is chosen from. */
+export interface ChoosePlacementOptions {
+  /** Targets in the object's order, best first. */
+  ranked: readonly BookedTarget[]
+  /** Tells whether a target may be sent a request now: neither out of reach, nor cold beyond its pace. */
+  isUsable: (entry: BookedTarget) => boolean
+  /** Monotonic time, in milliseconds. */
+  nowMs: number
+}
+
+/** Targets on which an object is kept warm: one, and one for when that is full. */
+const targetsPerObject = 2
+/** Requests beyond its slots that the object's first target is given: one waits there while the last answer is on its way. */
+const firstTargetQueue = 1
+/** Requests beyond its slots that the object's other target is given. */
+const otherTargetQueue = 0
+
+/**
+ * Ranks the targets for an object by rendezvous hashing, the same way on each instance.
+ *
+ * @param key Identifies the object
+ * @param targets The targets
+ * @returns The targets, best first
+ */
+export function rankTargets (key: string, targets: readonly BookedTarget[]): BookedTarget[] {
+  const scored = targets.map(entry => ({ entry, score: computeHash(`${entry.target.id}\u0000${key}`) }))
+  scored.sort((a, b) => b.score - a.score || (a.entry.target.id < b.entry.target.id ? -1 : 1))
+  return scored.map(item => item.entry)
+}
+
+/**
+ * Chooses the target for a request.
+ *
+ * @param request The request
+ * @param options The targets in the object's order, and what is known of them
+ * @returns The target, or `undefined` where the request has to wait
+ */
+export function choosePlacement (request: PlacedRequest, options: ChoosePlacementOptions): BookedTarget | undefined {
+  return request.objectKey === undefined ? chooseLeastLoaded(request, options) : chooseWarm(request, options)
+}
+
+function chooseWarm (request: PlacedRequest, { ranked, isUsable, nowMs }: ChoosePlacementOptions): BookedTarget | undefined {
+  let considered = 0
+  for (const entry of ranked) {
+    if (request.tried.has(entry.target.id) || !isUsable(entry)) continue
+    const queue = considered === 0 ? firstTargetQueue : otherTargetQueue
+    if (computeTargetLoad(entry, nowMs) < entry.target.slots + queue) return entry
+    considered++
+    if (considered >= targetsPerObject) return undefined
+  }
+  return undefined
+}
+
+function chooseLeastLoaded (request: PlacedRequest, { ranked, isUsable, nowMs }: ChoosePlacementOptions): BookedTarget | undefined {
+  let best: BookedTarget | undefined
+  let bestLoad = Infinity
+  for (const entry of ranked) {
+    if (request.tried.has(entry.target.id) || !isUsable(entry)) continue
+    const load = computeTargetLoad(entry, nowMs) / entry.target.slots
+    if (load < 1 && load < bestLoad) {
+      best = entry
+      bestLoad = load
+    }
+  }
+  return best
+}
--- /dev/null
+++ b/packages/steering/src/target_book.ts
@@ -0,0 +1,190 @@
+/**
+ * What an instance knows of the targets that it sends to directly: registration, load, health and warmth.
+ *
+ * @module
+ */
+import type { Circuit } from './circuit.ts'
+import type { ServingTarget } from './routing.ts'
+import { advanceCircuit, CircuitState, closedCircuit, getCircuitState, TargetSignal } from './circuit.ts'
+
+/** A target with what this instance knows of it. */
+export interface BookedTarget {
+  /** Its registration. */
+  target: ServingTarget
+  /** Region that it is in. */
+  region: string
+  /** Requests of this instance that it works on or that are on their way. */
+  inFlight: number
+  /** Requests of other instances there, by its last report. */
+  othersBusy: number
+  /** Monotonic time of the last report, in milliseconds. */
+  reportedAtMs: number
+  /** Its circuit. */
+  circuit: Circuit
+  /** Monotonic time until which it counts as cold, in milliseconds. */
+  coldUntilMs: number
+  /** Monotonic time of the last request that was sent while it was cold, in milliseconds. */
+  coldSentAtMs: number
+  /** Monotonic time of its last sign of life, in milliseconds. */
+  aliveAtMs: number
+  /** Monotonic time since which requests are there without any answer, in milliseconds; `Infinity` where none is. */
+  silentSinceMs: number
+}
+
+/** The targets by service. */
+export interface TargetBook {
+  /** Takes a registration over; a target that started anew is cold for what it says, and nothing else is known of it. */
+  register (target: ServingTarget, options: { region: string, nowMs: number }): BookedTarget
+  /** Forgets a target. */
+  remove (id: string): void
+  /** Finds a target. */
+  find (id: string): BookedTarget | undefined
+  /** Lists the targets of a service, leaving ones among them. */
+  list (service: string): BookedTarget[]
+  /** Counts changes of who is registered and where. */
+  getRevision (): number
+  /** Counts all targets. */
+  count (): number
+}
+
+/** Time after which the last report of a target's load counts for nothing, in milliseconds: about the time that its requests take. */
+const reportLifetimeMs = 1_000
+/** Time without an answer after which a target that has requests counts as silent, in milliseconds. */
+export const silenceMs = 2_500
+
+/**
+ * Creates an empty book.
+ *
+ * @returns The book
+ */
+export function createTargetBook (): TargetBook {
+  const byId = new Map<string, BookedTarget>()
+  const byService = new Map<string, BookedTarget[]>()
+  let revision = 0
+
+  function removeTarget (id: string): void {
+    const entry = byId.get(id)
+    if (entry === undefined) return
+    byId.delete(id)
+    const list = byService.get(entry.target.service)!.filter(other => other !== entry)
+    if (list.length > 0) byService.set(entry.target.service, list)
+    else byService.delete(entry.target.service)
+    revision++
+  }
+
+  function addTarget (target: ServingTarget, options: { region: string, nowMs: number }): BookedTarget {
+    const entry: BookedTarget = {
+      target,
+      region: options.region,
+      inFlight: 0,
+      othersBusy: 0,
+      reportedAtMs: -Infinity,
+      circuit: closedCircuit,
+      coldUntilMs: options.nowMs + target.coldLeftMs,
+      coldSentAtMs: -Infinity,
+      aliveAtMs: options.nowMs,
+      silentSinceMs: Infinity
+    }
+    byId.set(target.id, entry)
+    byService.set(target.service, [...byService.get(target.service) ?? [], entry])
+    revision++
+    return entry
+  }
+
+  return {
+    register (target, options) {
+      const known = byId.get(target.id)
+      if (known === undefined) return addTarget(target, options)
+      const before = known.target
+      const sameRun = before.startedAtMs === target.startedAtMs && before.service === target.service &&
+        before.address.host === target.address.host && before.address.port === target.address.port
+      if (!sameRun) {
+        removeTarget(target.id)
+        return addTarget(target, options)
+      }
+      known.target = target
+      if (before.leaving !== target.leaving || before.failureDomain !== target.failureDomain) revision++
+      if (target.coldLeftMs > 0) known.coldUntilMs = Math.max(known.coldUntilMs, options.nowMs + target.coldLeftMs)
+      return known
+    },
+    remove: removeTarget,
+    find: id => byId.get(id),
+    list: service => byService.get(service) ?? [],
+    getRevision: () => revision,
+    count: () => byId.size
+  }
+}
+
+/**
+ * Computes how many requests a target has, its own instance's and what others are taken to have there.
+ *
+ * A report counts for less with age, since what it counted has ended meanwhile.
+ *
+ * @param entry The target
+ * @param nowMs Monotonic time, in milliseconds
+ * @returns Requests, a fraction
+ */
+export function computeTargetLoad (entry: BookedTarget, nowMs: number): number {
+  const freshness = Math.max(0, 1 - (nowMs - entry.reportedAtMs) / reportLifetimeMs)
+  return entry.inFlight + entry.othersBusy * freshness
+}
+
+/**
+ * Records what a target said of its load beside an answer.
+ *
+ * @param entry The target, which is changed; the answered request still counts as in flight
+ * @param load Requests that it works on and that wait there, the answered one not among them
+ * @param nowMs Monotonic time, in milliseconds
+ */
+export function recordTargetLoad (entry: BookedTarget, load: { running: number, waiting: number }, nowMs: number): void {
+  entry.othersBusy = Math.max(0, load.running + load.waiting - (entry.inFlight - 1))
+  entry.reportedAtMs = nowMs
+}
+
+/**
+ * Records that a request is on its way to a target.
+ *
+ * @param entry The target, which is changed
+ * @param nowMs Monotonic time, in milliseconds
+ */
+export function recordTargetStart (entry: BookedTarget, nowMs: number): void {
+  entry.inFlight++
+  if (entry.silentSinceMs === Infinity) entry.silentSinceMs = nowMs
+  if (entry.coldUntilMs > nowMs) entry.coldSentAtMs = nowMs
+}
+
+/**
+ * Records how an exchange with a target ended.
+ *
+ * @param entry The target, which is changed
+ * @param signal How it ended
+ * @param options The monotonic time, in milliseconds, a random source, returning [0, 1), and the time for which a target that was out of reach counts as cold, in milliseconds
+ */
+export function recordTargetEnd (entry: BookedTarget, signal: TargetSignal, options: { nowMs: number, getRandom: () => number, coldForMs: number }): void {
+  const { nowMs } = options
+  entry.inFlight = Math.max(0, entry.inFlight - 1)
+  const isAlive = signal === TargetSignal.Answered || signal === TargetSignal.Refused
+  const wasOpen = getCircuitState(entry.circuit, nowMs) !== CircuitState.Closed
+  entry.circuit = advanceCircuit(entry.circuit, signal, { ...options, opensAtOnce: signal === TargetSignal.ConnectFailed })
+  if (isAlive) {
+    entry.aliveAtMs = nowMs
+    // It may have started again behind an address that it kept.
+    if (wasOpen) entry.coldUntilMs = Math.max(entry.coldUntilMs, nowMs + options.coldForMs)
+  }
+  if (entry.inFlight === 0) entry.silentSinceMs = Infinity
+  else if (isAlive) entry.silentSinceMs = nowMs
+}
+
+/**
+ * Tells whether a target may be sent a request as far as its health is known.
+ *
+ * @param entry The target
+ * @param nowMs Monotonic time, in milliseconds
+ * @returns Whether it may; one request at a time probes a target whose circuit was open or that is silent
+ */
+export function isTargetUsable (entry: BookedTarget, nowMs: number): boolean {
+  const state = getCircuitState(entry.circuit, nowMs)
+  if (state === CircuitState.Open) return false
+  if (state === CircuitState.HalfOpen) return entry.inFlight === 0
+  return nowMs - entry.silentSinceMs < silenceMs
+}
--- a/packages/targets/src/mod.ts
+++ b/packages/targets/src/mod.ts
@@ -9,5 +9,8 @@
  *
  * @module
  */
+export * from './answer_parser.ts'
 export * from './http_targets.ts'
+export * from './target_connection.ts'
+export * from './target_pool.ts'
 export * from './targets.ts'
--- /dev/null
+++ b/packages/targets/src/target_connection.ts
@@ -0,0 +1,199 @@
+/**
+ * A connection to a target, which carries one request at a time and takes only that request's own answer.
+ *
+ * @module
+ */
+import type { Socket } from 'node:net'
+import type { AnswerHead } from './answer_parser.ts'
+import { connect } from 'node:net'
+import { createAnswerParser } from './answer_parser.ts'
+
+/** How an exchange on a connection failed. */
+export enum ExchangeFailure {
+  /** No connection: no byte of the request was sent. */
+  ConnectFailed = 'connect_failed',
+  /** The connection broke after a byte may have been read. */
+  Lost = 'lost',
+  /** The target sent bytes that are no answer to this request. */
+  Malformed = 'malformed'
+}
+
+/** One request, ready to be sent. */
+export interface Exchange {
+  /** Start line and header section, with the empty line behind them. */
+  head: string
+  /** Sends the body by the given function, in parts; ends with `true`. Absent where there is none. */
+  writeBody?: (write: (part: Buffer, isLast: boolean) => boolean, onDrain: (resume: () => void) => void) => void
+  /** Whether the answer has no body whatever its head says. */
+  isBodiless: boolean
+  /** Tells whether an answer is this request's own. */
+  isOwnAnswer: (head: AnswerHead) => boolean
+  /** Called when the first byte of the request is about to be sent. */
+  onSent: () => void
+  /** Called with the head of the answer. */
+  onHead: (head: AnswerHead) => void
+  /** Called with each part of the answer's body. */
+  onBody: (part: Buffer) => void
+  /** Called at the end of the answer. */
+  onEnd: () => void
+  /** Called where the exchange fails, once, and never after its end. */
+  onFail: (failure: ExchangeFailure, detail: string) => void
+}
+
+/** A connection to a target. */
+export interface TargetConnection {
+  /** Sends a request; the connection must be free. */
+  send (exchange: Exchange): void
+  /** Tells whether another request may be sent now. */
+  isFree (): boolean
+  /** Monotonic time since which no request is under way, in milliseconds. */
+  idleSinceMs: number
+  /** Time after which the target closes an idle connection, in milliseconds, where it said so. */
+  keepAliveMs: number | undefined
+  /** Stops or goes on reading. */
+  setPaused (paused: boolean): void
+  /** Closes the connection; the exchange under way ends without a further call. */
+  close (): void
+}
+
+/** Options of {@linkcode openTargetConnection}. */
+export interface OpenTargetConnectionOptions {
+  /** Longest time that the connection may take, in milliseconds. */
+  connectTimeoutMs: number
+  /** Called once when the connection is closed. */
+  onClose: () => void
+  /** Called when the connection was established, with the time it took in milliseconds. */
+  onConnect?: (elapsedMs: number) => void
+  /** Called with each answer that belongs to no request under way. */
+  onStray: () => void
+}
+
+/** Answers to earlier requests that are skipped while one is awaited. */
+const maxStrays = 3
+const keepAlivePattern = /timeout=(\d+)/
+const msPerSecond = 1_000
+
+/**
+ * Opens a connection to a target.
+ *
+ * @param place Address of the target
+ * @param options Bounds and what to call
+ * @returns The connection, which may not be established yet
+ */
+export function openTargetConnection (place: { host: string, port: number }, options: OpenTargetConnectionOptions): TargetConnection {
+  const socket = connect({ host: place.host, port: place.port, noDelay: true })
+  const startedMs = performance.now()
+  let current: Exchange | undefined
+  let established = false
+  let closed = false
+  let reusable = true
+  let bodySent = true
+  let strays = 0
+  /** Whether the answer that is being read belongs to another request or is provisional. */
+  let skipping = false
+  const timer = setTimeout(() => endConnection(ExchangeFailure.ConnectFailed, `No connection for ${options.connectTimeoutMs} ms`), options.connectTimeoutMs)
+
+  function endConnection (failure: ExchangeFailure, detail: string): void {
+    if (closed) return
+    closed = true
+    clearTimeout(timer)
+    socket.destroy()
+    const exchange = current
+    current = undefined
+    options.onClose()
+    exchange?.onFail(established ? failure : ExchangeFailure.ConnectFailed, detail)
+  }
+
+  function startExchange (exchange: Exchange): void {
+    exchange.onSent()
+    bodySent = exchange.writeBody === undefined
+    socket.write(exchange.head, 'latin1')
+    exchange.writeBody?.((part, isLast) => {
+      if (closed || current !== exchange) return true
+      if (isLast) bodySent = true
+      return part.length === 0 || socket.write(part)
+    }, resume => socket.once('drain', resume))
+  }
+
+  const parser = createAnswerParser({
+    onHead (head) {
+      const exchange = current
+      if (head.status < 200) {
+        skipping = true
+        return true
+      }
+      if (exchange === undefined) throw new Error('Answer to no request')
+      skipping = !exchange.isOwnAnswer(head)
+      if (skipping) {
+        reusable = false
+        strays++
+        options.onStray()
+        if (strays > maxStrays || !head.isReusable) throw new Error('Answers of other requests')
+        return false
+      }
+      if (!head.isReusable) reusable = false
+      const told = keepAlivePattern.exec(head.fields['keep-alive'] ?? '')?.[1]
+      if (told !== undefined) connection.keepAliveMs = Number(told) * msPerSecond
+      exchange.onHead(head)
+      return exchange.isBodiless
+    },
+    onBody (part) {
+      if (!skipping) current?.onBody(part)
+    },
+    onEnd () {
+      if (skipping) {
+        skipping = false
+        return
+      }
+      const exchange = current
+      current = undefined
+      connection.idleSinceMs = performance.now()
+      // What is left of the body would be read as the start of the next request.
+      if (!bodySent || !reusable) closeConnection()
+      exchange?.onEnd()
+    }
+  })
+
+  function closeConnection (): void {
+    current = undefined
+    endConnection(ExchangeFailure.Lost, '')
+  }
+
+  socket.on('connect', () => {
+    established = true
+    clearTimeout(timer)
+    options.onConnect?.(performance.now() - startedMs)
+    if (current !== undefined) startExchange(current)
+  })
+  socket.on('data', bytes => {
+    const error = parser.read(bytes)
+    if (error !== undefined) endConnection(ExchangeFailure.Malformed, error.message)
+  })
+  socket.on('end', () => {
+    const error = current === undefined ? undefined : parser.finish()
+    endConnection(ExchangeFailure.Lost, error?.message ?? 'Target closed the connection')
+  })
+  socket.on('error', error => endConnection(ExchangeFailure.Lost, error.message))
+  socket.on('close', () => endConnection(ExchangeFailure.Lost, 'Connection closed'))
+
+  const connection: TargetConnection = {
+    idleSinceMs: startedMs,
+    keepAliveMs: undefined,
+    isFree: () => !closed && current === undefined && reusable && !hasUnread(socket),
+    send (exchange) {
+      current = exchange
+      if (established) startExchange(exchange)
+    },
+    setPaused (paused) {
+      if (paused) socket.pause()
+      else socket.resume()
+    },
+    close: closeConnection
+  }
+  return connection
+}
+
+/** Tells whether bytes have arrived that no request awaits. */
+function hasUnread (socket: Socket): boolean {
+  return socket.readableLength > 0
+}
