--- a/packages/bilberryd/src/edge/peer_view.ts
+++ b/packages/bilberryd/src/edge/peer_view.ts
@@ -42,7 +42,7 @@
   /** Takes a heartbeat of the peer itself; returns whether it was news of a peer not live before. */
   hear (heartbeat: PeerHeartbeat, nowMs: number): boolean
   /** Takes note of a peer that somebody else told of. */
-  learn (heartbeat: PeerHeartbeat): void
+  learn (heartbeat: PeerHeartbeat, nowMs: number): void
   /** Lists all peers that were ever told of, those that are gone for long not among them. */
   listKnown (): KnownPeer[]
   /** Lists the peers that live. */
@@ -85,11 +85,11 @@
       most = Math.max(most, live)
       return !wasLive
     },
-    learn (heartbeat) {
+    learn (heartbeat, nowMs) {
       if (heartbeat.instance === options.instance) return
       const known = peers.get(heartbeat.instance)
       if (known !== undefined && !isNewer(heartbeat, known.heartbeat)) return
-      peers.set(heartbeat.instance, { heartbeat, heardAtMs: known?.heardAtMs ?? -Infinity, learntAtMs: performance.now() })
+      peers.set(heartbeat.instance, { heartbeat, heardAtMs: known?.heardAtMs ?? -Infinity, learntAtMs: nowMs })
     },
     listKnown: () => [...peers.values()],
     listLive (nowMs) {
--- /dev/null
+++ b/packages/bilberryd/src/edge/peer_view_test.ts
@@ -0,0 +1,61 @@
+import type { PeerHeartbeat } from './peer_view.ts'
+import test from 'ava'
+import { chooseAddresses } from './look_up_listener.ts'
+import { createPeerView } from './peer_view.ts'
+
+function createHeartbeat (instance: string, change: Partial<PeerHeartbeat> = {}): PeerHeartbeat {
+  const place = { host: '10.0.0.1', port: 1 }
+  return { instance, startedAtMs: 1, sequence: 1, failureDomain: 'a', region: 'r', callers: `${instance}:1`, heartbeats: place, peers: place, isReady: true, versions: {}, ...change }
+}
+
+const createView = (): ReturnType<typeof createPeerView> => createPeerView({ instance: 'own', silenceMs: 3_000, forgetMs: 60_000 })
+
+test('takes a peer for live while it is heard, and for gone when it is silent', t => {
+  const view = createView()
+  t.true(view.hear(createHeartbeat('p'), 0))
+  t.false(view.hear(createHeartbeat('p', { sequence: 2 }), 1_000))
+  t.is(view.listLive(3_999).length, 1)
+  t.is(view.listLive(4_000).length, 0)
+  t.true(view.hear(createHeartbeat('p', { startedAtMs: 2 }), 5_000))
+  t.is(view.countMost(), 2)
+})
+
+test('does not take late heartbeats of an earlier run for signs of life', t => {
+  const view = createView()
+  view.hear(createHeartbeat('p', { startedAtMs: 2, sequence: 1 }), 0)
+  t.false(view.hear(createHeartbeat('p', { startedAtMs: 1, sequence: 99 }), 2_000))
+  t.is(view.listLive(3_500).length, 0)
+})
+
+test('does not take its own standstill for the silence of others', t => {
+  const view = createView()
+  view.hear(createHeartbeat('p'), 0)
+  view.forgive(5_000)
+  t.is(view.listLive(6_000).length, 1)
+})
+
+test('takes a peer that others tell of for known, not for live', t => {
+  const view = createView()
+  view.learn(createHeartbeat('p'), 0)
+  view.learn(createHeartbeat('own'), 0)
+  t.is(view.listLive(0).length, 0)
+  t.deepEqual(view.listKnown().map(peer => peer.heartbeat.instance), ['p'])
+})
+
+const instances = [
+  createHeartbeat('own'),
+  createHeartbeat('same', { failureDomain: 'a' }),
+  createHeartbeat('near', { failureDomain: 'b' }),
+  createHeartbeat('far', { failureDomain: 'c', region: 'q' }),
+  createHeartbeat('leaving', { isReady: false })
+]
+const lookUps: Array<[string, PeerHeartbeat[], { failureDomain: string, region: string }, string[]]> = [
+  ['the region of the caller, its failure domain first', instances, { failureDomain: 'b', region: 'r' }, ['near:1', 'own:1', 'same:1']],
+  ['another region where the caller\'s has one instance only', instances, { failureDomain: 'c', region: 'q' }, ['far:1', 'own:1', 'same:1', 'near:1']],
+  ['itself where no instance is ready', instances.slice(4), { failureDomain: 'a', region: 'r' }, ['leaving:1']]
+]
+for (const [what, named, lookUp, expected] of lookUps) {
+  test(`a look-up names ${what}`, t => {
+    t.deepEqual(chooseAddresses(named, lookUp), expected)
+  })
+}
--- /dev/null
+++ b/packages/bilberryd/src/edge/row_tables_test.ts
@@ -0,0 +1,44 @@
+import test from 'ava'
+import fc from 'fast-check'
+import { createRowTable } from './row_tables.ts'
+
+const seed = 20261203
+
+test('leaves older changes out, also behind a removal', t => {
+  const table = createRowTable()
+  t.is(table.mergeChanges([{ key: 'a', text: 'new', version: 5 }]).length, 1)
+  t.is(table.mergeChanges([{ key: 'a', text: 'old', version: 4 }]).length, 0)
+  t.is(table.mergeChanges([{ key: 'a', text: undefined, version: 6 }]).length, 1)
+  t.is(table.mergeChanges([{ key: 'a', text: 'old', version: 5 }]).length, 0)
+  t.deepEqual(table.list(), [])
+  t.is(table.getVersion(), 6)
+})
+
+test('removes what a whole table no longer has, unless it is newer', t => {
+  const table = createRowTable()
+  table.mergeChanges([{ key: 'a', text: 'a', version: 1 }, { key: 'b', text: 'b', version: 9 }])
+  t.deepEqual(table.mergeAll([{ key: 'c', text: 'c', version: 3 }], 5).map(change => [change.key, change.text]), [['c', 'c'], ['a', undefined]])
+  t.deepEqual(table.list().map(row => row.key).toSorted(), ['b', 'c'])
+})
+
+test('ends at the same rows in whatever order changes and tables arrive', t => {
+  t.log(`seed ${seed}`)
+  const change = fc.record({ key: fc.constantFrom('a', 'b', 'c'), text: fc.option(fc.constantFrom('x', 'y'), { nil: undefined }) })
+  t.notThrows(() => fc.assert(fc.property(fc.array(change, { maxLength: 12 }), fc.infiniteStream(fc.nat()), (history, picks) => {
+    const source = createRowTable()
+    const messages: Array<(table: ReturnType<typeof createRowTable>) => void> = []
+    for (const [index, entry] of history.entries()) {
+      source.mergeChanges([{ ...entry, version: index + 1 }])
+      const rows = source.list()
+      messages.push(table => table.mergeChanges([{ ...entry, version: index + 1 }]))
+      messages.push(table => table.mergeAll(rows, index + 1))
+    }
+    const copy = createRowTable()
+    for (const pick of picks) {
+      if (messages.length === 0) break
+      messages.splice(pick % messages.length, 1)[0]!(copy)
+    }
+    const describe = (table: typeof copy): string => JSON.stringify(table.list().map(row => [row.key, row.text]).toSorted())
+    return describe(copy) === describe(source)
+  }), { seed, numRuns: 300 }))
+})
--- /dev/null
+++ b/packages/steering/src/cold_pace_test.ts
@@ -0,0 +1,29 @@
+import test from 'ava'
+import { coldGapMs, isColdSender } from './cold_pace.ts'
+
+const cases = [
+  { instances: 7, perSecond: 2.4, mostInSecond: 8.6 },
+  { instances: 29, perSecond: 2.4, mostInSecond: 8.6 },
+  { instances: 7, perSecond: 9, mostInSecond: 18.5 },
+  { instances: 300, perSecond: 0.5, mostInSecond: 5.75 }
+]
+for (const { instances, ...pace } of cases) {
+  test(`${instances} instances send a target that bears ${pace.perSecond} a second no more`, t => {
+    const names = Array.from({ length: instances }, (_, index) => `entry-${index}`)
+    for (let target = 0; target < 50; target++) {
+      const senders = names.filter(name => isColdSender(name, names, { targetId: `t${target}`, pace })).length
+      t.true(senders >= 1)
+      t.true(senders <= Math.max(1, pace.perSecond))
+      // Two sets of live instances that differ altogether still hold the bound.
+      t.true(2 * senders * Math.ceil(1_000 / coldGapMs) <= pace.mostInSecond)
+    }
+  })
+}
+
+test('names others for each target', t => {
+  const names = Array.from({ length: 7 }, (_, index) => `entry-${index}`)
+  const pace = { perSecond: 2.4, mostInSecond: 8.6 }
+  const senders = new Set<string>()
+  for (let target = 0; target < 50; target++) for (const name of names) if (isColdSender(name, names, { targetId: `t${target}`, pace })) senders.add(name)
+  t.is(senders.size, 7)
+})
--- /dev/null
+++ b/packages/steering/src/placement_test.ts
@@ -0,0 +1,74 @@
+import type { BookedTarget } from './target_book.ts'
+import test from 'ava'
+import { choosePlacement, rankTargets } from './placement.ts'
+import { createTargetBook, isTargetUsable, recordTargetEnd, recordTargetStart, silenceMs } from './target_book.ts'
+import { TargetSignal } from './circuit.ts'
+
+const endOptions = { getRandom: () => 0.5, coldForMs: 3_000 }
+
+function createTargets (count: number, slots = 3): BookedTarget[] {
+  const book = createTargetBook()
+  return Array.from({ length: count }, (_, index) => book.register({
+    id: `t${index}`, service: 's', address: { host: '10.0.0.1', port: index + 1 }, failureDomain: 'a', slots, leaving: false, coldLeftMs: 0, startedAtMs: 1
+  }, { region: 'r', nowMs: 0 }))
+}
+
+const request = { attemptId: 'x', service: 's', objectKey: 'k', homeRegions: [], tried: new Set<string>() }
+
+function choose (ranked: BookedTarget[], options: { tried?: Set<string>, nowMs?: number, objectKey?: string | undefined } = {}): string | undefined {
+  const nowMs = options.nowMs ?? 0
+  const asked = { ...request, ...options, tried: options.tried ?? request.tried }
+  return choosePlacement(asked, { ranked, nowMs, isUsable: entry => isTargetUsable(entry, nowMs) })?.target.id
+}
+
+test('fills the first target, then the second, then lets a request wait', t => {
+  const ranked = createTargets(10)
+  const chosen: Array<string | undefined> = []
+  for (let sent = 0; sent < 9; sent++) {
+    const id = choose(ranked)
+    chosen.push(id)
+    const entry = ranked.find(other => other.target.id === id)
+    if (entry !== undefined) recordTargetStart(entry, 0)
+  }
+  t.deepEqual(chosen, ['t0', 't0', 't0', 't0', 't1', 't1', 't1', undefined, undefined])
+})
+
+test('passes over targets that were tried', t => {
+  t.is(choose(createTargets(3), { tried: new Set(['t0']) }), 't1')
+})
+
+test('passes over a target that takes no connection, until it may be probed', t => {
+  const ranked = createTargets(3)
+  recordTargetStart(ranked[0]!, 0)
+  recordTargetEnd(ranked[0]!, TargetSignal.ConnectFailed, { ...endOptions, nowMs: 0 })
+  t.is(choose(ranked, { nowMs: 10 }), 't1')
+  t.is(choose(ranked, { nowMs: 1_000 }), 't0')
+})
+
+test('passes over a target that answers nothing, and comes back with its answer', t => {
+  const ranked = createTargets(3)
+  recordTargetStart(ranked[0]!, 0)
+  recordTargetStart(ranked[0]!, 0)
+  t.is(choose(ranked, { nowMs: silenceMs }), 't1')
+  recordTargetEnd(ranked[0]!, TargetSignal.Answered, { ...endOptions, nowMs: silenceMs })
+  t.is(choose(ranked, { nowMs: silenceMs }), 't0')
+})
+
+test('sends a request without an object to the target with the least load', t => {
+  const ranked = createTargets(3)
+  recordTargetStart(ranked[0]!, 0)
+  recordTargetStart(ranked[2]!, 0)
+  t.is(choosePlacement({ ...request, objectKey: undefined }, { ranked, nowMs: 0, isUsable: () => true })?.target.id, 't1')
+})
+
+test('keeps most objects where they are when a target goes', t => {
+  const targets = createTargets(20)
+  let moved = 0
+  for (let key = 0; key < 500; key++) {
+    const before = rankTargets(`k${key}`, targets)[0]!
+    const after = rankTargets(`k${key}`, targets.slice(1))[0]!
+    if (before !== after) moved++
+    if (before !== targets[0]) t.is(before, after)
+  }
+  t.true(moved < 500 * 3 / 20)
+})
