Refuse requests that arrive late in a stop, and test the path against stand-ins

A stop also waited for the store's long poll when nothing was left (found by the new test: 2 s too long). Change: a stop takes requests for 0.42 of the time until the kill, then closes the listener and refuses what still comes on kept connections as not run; it ends when the last answer has left the process, bodies that arrive among them. Store calls are aborted at the end. A look-up stays in the caller's region where routes have homes. Stand-ins of the platform's store and targets, and a world of both with real entry instances: 29 tests of the path, the stop among them (failed before, passes now).

--- a/packages/bilberryd/src/edge/caller_listener.ts
+++ b/packages/bilberryd/src/edge/caller_listener.ts
@@ -18,6 +18,16 @@
 import { AttemptPhase } from './attempt.ts'
 import { collectBody, hasBody } from './collect_body.ts'
 
+/** How far a stop has come. */
+export enum StopPhase {
+  /** No stop. */
+  Running = 'running',
+  /** Requests are taken, and connections are closed behind their next answer. */
+  Leaving = 'leaving',
+  /** Requests are refused, since there is no time left for them. */
+  Closing = 'closing'
+}
+
 /** Options of {@linkcode createCallerListener}. */
 export interface CreateCallerListenerOptions {
   /** Settings of the instance. */
@@ -32,8 +42,8 @@
   metrics: EntryMetrics
   /** Chooses the service for the next request of a route. */
   chooseService: (route: Attempt['route']) => string
-  /** Tells whether connections are to be closed behind their next answer. */
-  isStopping: () => boolean
+  /** Tells how far a stop has come. */
+  getStopPhase: () => StopPhase
   /** Returns monotonic time, in milliseconds. */
   getNowMs: () => number
 }
@@ -46,6 +56,8 @@
 const answerTransitMs = 20
 /** Time after which a caller may come back that was refused since no configuration is known, in milliseconds. */
 const noConfigRetryMs = 500
+/** Time after which a caller may come back that an instance refuses which stops, in milliseconds: others serve it at once. */
+const stoppingRetryMs = 50
 /** Bytes of the separators of a header field: colon, space and line end. */
 const fieldSeparatorBytes = 4
 
@@ -107,7 +119,12 @@
   }
 
   function handleRequest (message: IncomingMessage, response: ServerResponse): void {
-    if (options.isStopping()) response.shouldKeepAlive = false
+    const phase = options.getStopPhase()
+    if (phase !== StopPhase.Running) response.shouldKeepAlive = false
+    if (phase === StopPhase.Closing) {
+      refuseEarly(message, response, createNotRun(RefusalReason.Stopping, 'Instance stops', stoppingRetryMs))
+      return
+    }
     const attempt = findAttempt(message, response)
     if ('outcome' in attempt) {
       refuseEarly(message, response, attempt)
--- a/packages/bilberryd/src/edge/look_up_listener.ts
+++ b/packages/bilberryd/src/edge/look_up_listener.ts
@@ -18,13 +18,15 @@
   view: PeerView
   /** What the instance says of itself now. */
   getHeartbeat: () => PeerHeartbeat
+  /** Tells whether a route binds its requests to regions. */
+  hasHomes: () => boolean
   /** Returns monotonic time, in milliseconds. */
   getNowMs: () => number
 }
 
 /** Time for which callers may keep a look-up, in milliseconds: short against the time in which a stop is announced. */
 const lookUpTtlMs = 1_000
-/** Instances that a look-up names at least, where there are so many, so that callers have others to turn to. */
+/** Instances that a look-up names at least, where there are so many, so that callers have others to turn to; no more than the own region's where requests must stay in theirs. */
 const minAddresses = 2
 
 /**
@@ -42,7 +44,7 @@
       return
     }
     const instances = [options.getHeartbeat(), ...options.view.listLive(options.getNowMs()).map(peer => peer.heartbeat)]
-    const body = formatLookUpAnswer(chooseAddresses(instances, lookUp), ttlMs)
+    const body = formatLookUpAnswer(chooseAddresses(instances, lookUp, { minAddresses: options.hasHomes() ? 1 : minAddresses }), ttlMs)
     response.writeHead(200, { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body) }).end(body)
   })
 }
@@ -52,14 +54,15 @@
  *
  * @param instances The instances that live, this one first
  * @param lookUp Where the caller is
+ * @param options Fewest addresses for which instances of other regions are named
  * @returns `host:port` of the instances; this one's where no other is ready
  */
-export function chooseAddresses (instances: PeerHeartbeat[], lookUp: LookUp): string[] {
+export function chooseAddresses (instances: PeerHeartbeat[], lookUp: LookUp, options: { minAddresses: number }): string[] {
   const ready = instances.filter(instance => instance.isReady)
   const getDistance = (instance: PeerHeartbeat): number => instance.failureDomain === lookUp.failureDomain ? 0 : instance.region === lookUp.region ? 1 : 2
   const ranked = ready.toSorted((a, b) => getDistance(a) - getDistance(b))
   const near = ranked.filter(instance => getDistance(instance) < 2)
-  const chosen = near.length >= minAddresses ? near : ranked
+  const chosen = near.length >= options.minAddresses ? near : ranked
   const named = chosen.length > 0 ? chosen : instances.slice(0, 1)
   return named.slice(0, maxLookUpAddresses).map(instance => instance.callers)
 }
--- a/packages/bilberryd/src/edge/peer_view_test.ts
+++ b/packages/bilberryd/src/edge/peer_view_test.ts
@@ -56,6 +56,10 @@
 ]
 for (const [what, named, lookUp, expected] of lookUps) {
   test(`a look-up names ${what}`, t => {
-    t.deepEqual(chooseAddresses(named, lookUp), expected)
+    t.deepEqual(chooseAddresses(named, lookUp, { minAddresses: 2 }), expected)
   })
 }
+
+test('a look-up stays in the region of the caller where requests are bound to theirs', t => {
+  t.deepEqual(chooseAddresses(instances, { failureDomain: 'c', region: 'q' }, { minAddresses: 1 }), ['far:1'])
+})
--- a/packages/bilberryd/src/edge/run_entry.ts
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -3,16 +3,17 @@
  *
  * @module
  */
-import type { EntrySettings } from '@bilberryworks/steering'
+import type { EntrySettings, SocketPlace } from '@bilberryworks/steering'
 import type { Server } from 'node:http'
 import type { EntryLog } from './entry_log.ts'
+import type { EntryMetrics } from './entry_metrics.ts'
 import type { PeerHeartbeat } from './peer_view.ts'
 import { createServer } from 'node:http'
 import { setTimeout as wait } from 'node:timers/promises'
 import { createCleanUp, createShareSequence } from '@bilberryworks/steering'
 import { createTargetPool } from '@bilberryworks/targets'
 import { createStoreClient, operatorTable, targetTable } from '@bilberryworks/users-platform'
-import { createCallerListener } from './caller_listener.ts'
+import { createCallerListener, StopPhase } from './caller_listener.ts'
 import { createEntryMetrics, EntryGauge } from './entry_metrics.ts'
 import { createEntryState, FollowedTable } from './entry_state.ts'
 import { createInstanceRows } from './instance_rows.ts'
@@ -46,8 +47,8 @@
 const feedMarginMs = 2_000
 /** Pause behind an answer with changed targets, in milliseconds, as a share of the time in which a leaving target must be known. */
 const targetPauseShare = 0.15
-/** Time for which an instance that stops takes new requests, in milliseconds: callers keep a look-up for up to three times its time to live. */
-const lingerMs = 3_200
+/** Part of the time until the kill for which an instance that stops takes new requests: callers turn elsewhere meanwhile, and what they sent last has the rest to end in. */
+const takeShare = 0.42
 /** Part of the time until the kill at which a stop no longer waits for requests in flight. */
 const stopShare = 0.97
 const stopCheckMs = 20
@@ -66,7 +67,7 @@
   const getNowMs = (): number => performance.now()
   const getRandom = Math.random
   const startedAtMs = Date.now()
-  let isStopping = false
+  let phase = StopPhase.Running
   let sequence = 0
 
   const metrics = createEntryMetrics({ readValues })
@@ -85,7 +86,7 @@
     countInstances: view.countMost
   })
 
-  const isReady = (): boolean => !isStopping && state.getConfig() !== undefined
+  const isReady = (): boolean => phase === StopPhase.Running && state.getConfig() !== undefined
 
   function getHeartbeat (): PeerHeartbeat {
     return {
@@ -116,18 +117,13 @@
   }
 
   const shares = createShareSequence(getRandom)
-  const callers = createCallerListener({ settings, state, desk, log, metrics, getNowMs, chooseService: shares.choose, isStopping: () => isStopping })
-  const lookUps = createLookUpListener({ settings, view, getHeartbeat, getNowMs })
+  const callers = createCallerListener({ settings, state, desk, log, metrics, getNowMs, chooseService: shares.choose, getStopPhase: () => phase })
+  const openRequests = countOpenRequests(callers)
+  const lookUps = createLookUpListener({ settings, view, getHeartbeat, getNowMs, hasHomes: () => state.getConfig()?.routes.some(route => route.homeRegions.length > 0) ?? false })
   const readiness = createReadinessListener(isReady)
   await Promise.all([listenOn(callers, settings.listen.callers), listenOn(lookUps, settings.listen.lookUps), listenOn(readiness, settings.listen.readiness)])
   for (const server of [callers, lookUps, readiness]) owned.add(createServerOwner(server))
-  if (options.metricsPort !== undefined) {
-    const server = createServer((_, response) => {
-      metrics.registry.metrics().then(text => response.writeHead(200, { 'Content-Type': metrics.registry.contentType }).end(text)).catch((error: Error) => response.writeHead(500).end(error.message))
-    })
-    await listenOn(server, { host: settings.listen.callers.host, port: options.metricsPort })
-    owned.add(createServerOwner(server))
-  }
+  if (options.metricsPort !== undefined) owned.add(createServerOwner(await openMetricsListener(metrics, { host: settings.listen.callers.host, port: options.metricsPort })))
 
   const link = owned.add(await startPeerLink({ getHeartbeat, view, state, seeds: settings.seeds, intervalMs: heartbeatIntervalMs, log, getNowMs }))
   const store = owned.add(createStoreClient(settings.store))
@@ -170,16 +166,18 @@
   return {
     async stop () {
       const stopAtMs = getNowMs()
-      isStopping = true
-      log.info('stopping', { inFlight: desk.countInFlight(), waiting: desk.countWaiting() })
+      phase = StopPhase.Leaving
+      log.info('stopping', { open: openRequests.count(), inFlight: desk.countInFlight(), waiting: desk.countWaiting() })
       link.announce()
+      await wait(bounds.graceMs * takeShare)
+      phase = StopPhase.Closing
+      callers.close()
       const endMs = stopAtMs + bounds.graceMs * stopShare
-      while (getNowMs() < endMs) {
-        const lingering = getNowMs() - stopAtMs < Math.min(lingerMs, bounds.graceMs / 2)
-        if (!lingering && desk.countInFlight() + desk.countWaiting() === 0) break
+      while (getNowMs() < endMs && openRequests.count() > 0) {
+        callers.closeIdleConnections()
         await wait(stopCheckMs)
       }
-      log.info('stopped', { inFlight: desk.countInFlight(), waiting: desk.countWaiting() })
+      log.info('stopped', { open: openRequests.count(), inFlight: desk.countInFlight(), waiting: desk.countWaiting() })
       await owned[Symbol.asyncDispose]()
     },
     reload (next) {
@@ -189,6 +187,24 @@
   }
 }
 
+async function openMetricsListener (metrics: EntryMetrics, place: SocketPlace): Promise<Server> {
+  const server = createServer((_, response) => {
+    metrics.registry.metrics().then(text => response.writeHead(200, { 'Content-Type': metrics.registry.contentType }).end(text)).catch((error: Error) => response.writeHead(500).end(error.message))
+  })
+  await listenOn(server, place)
+  return server
+}
+
+/** Counts the requests whose answers have not left the process, bodies that still arrive among them. */
+function countOpenRequests (server: Server): { count: () => number } {
+  let open = 0
+  server.prependListener('request', (_, response) => {
+    open++
+    response.once('close', () => open--)
+  })
+  return { count: () => open }
+}
+
 /** Names the settings that differ; addresses and places hold for the life of a process. */
 function listChanged (before: EntrySettings, after: EntrySettings): string[] {
   const names = Object.keys(before) as Array<keyof EntrySettings>
--- a/packages/bilberryd/src/edge/store_follower.ts
+++ b/packages/bilberryd/src/edge/store_follower.ts
@@ -58,8 +58,8 @@
   while (!signal.aborted) {
     const after = version
     const reply = after === undefined
-      ? await store.readRows(table, answerTimeoutMs)
-      : await store.readChanges(table, { after, waitMs, timeoutMs: waitMs + answerTimeoutMs })
+      ? await store.readRows(table, { timeoutMs: answerTimeoutMs, signal })
+      : await store.readChanges(table, { after, waitMs, timeoutMs: waitMs + answerTimeoutMs, signal })
     if (signal.aborted) return
     if (reply.isErr()) {
       if (reply.error.kind === StoreFailureKind.HistoryGone) {
--- a/packages/bilberryd/src/mod.ts
+++ b/packages/bilberryd/src/mod.ts
@@ -8,6 +8,8 @@
  * @module
  */
 export * from './client_blocks.ts'
+export * from './edge/entry_log.ts'
+export * from './edge/run_entry.ts'
 export * from './key_keeper.ts'
 export * from './regions.ts'
 export * from './run_instance.ts'
--- /dev/null
+++ b/packages/standins/src/site_path_test.ts
@@ -0,0 +1,244 @@
+import type { ExecutionContext } from 'ava'
+import type { CallerAnswer, CallOptions, SiteWorld, WorldEntry } from './site_world.ts'
+import { Agent, get } from 'node:http'
+import { connect } from 'node:net'
+import { setTimeout as wait } from 'node:timers/promises'
+import test from 'ava'
+import { StoreFault } from './site_store.ts'
+import { TargetFault } from './site_target.ts'
+import { createSiteWorld, waitUntil, worldHost } from './site_world.ts'
+
+/** Starts an instance that has the configuration and the targets. */
+async function startReady (world: SiteWorld, index = 0): Promise<WorldEntry> {
+  const entry = await world.startEntry(index)
+  await waitUntil(async () => (await world.call(entry)).status === 200)
+  return entry
+}
+
+function readStatus (place: { host: string, port: number }, path: string): Promise<{ status: number, body: string }> {
+  return new Promise((resolve, reject) => {
+    get({ ...place, path, agent: false }, response => {
+      let body = ''
+      response.on('data', (part: Buffer) => { body += part.toString() })
+      response.on('end', () => resolve({ status: response.statusCode!, body }))
+    }).on('error', reject)
+  })
+}
+
+test('passes a request and its answer on unchanged', async t => {
+  await using world = await createSiteWorld()
+  world.writeConfig()
+  const target = await world.openTarget('t1')
+  const entry = await startReady(world)
+  const body = Buffer.alloc(300_000, 'x')
+  const answer = await world.call(entry, { path: '/upload/a?b=%20c', method: 'POST', body, id: 'up-1', objectKey: '7' })
+  t.like(answer, { status: 200, body: 'answer of t1', isWhole: true })
+  t.is(answer.headers['x-server-signature'], 'signed-t1')
+  t.like(target.runs.at(-1), { attemptId: 'up-1', call: 'POST /upload/a?b=%20c', bodyBytes: 300_000 })
+})
+
+test('answers 503 and is not ready before it knows a configuration', async t => {
+  await using world = await createSiteWorld()
+  const entry = await world.startEntry(0)
+  const { readiness, lookUps } = entry.settings.listen
+  t.is((await world.call(entry)).status, 503)
+  t.is((await readStatus(readiness, '/ready')).status, 503)
+  world.writeConfig()
+  t.true(await waitUntil(async () => (await readStatus(readiness, '/ready')).status === 200))
+  t.is((await world.call(entry, { path: '/nowhere' })).status, 404)
+  t.deepEqual(JSON.parse((await readStatus(lookUps, '/resolve?name=x&region=a&zone=a-1')).body).addresses, [`${entry.settings.listen.callers.host}:${entry.settings.listen.callers.port}`])
+})
+
+const faultCases: Array<{ what: string, faults: TargetFault[], call: CallOptions, runs: number, check: (t: ExecutionContext, answer: CallerAnswer) => void }> = [
+  { what: 'a safe request whose answer is lost', faults: [TargetFault.AnswerLost], call: {}, runs: 2, check: (t, answer) => t.is(answer.status, 200) },
+  { what: 'a safe request whose answer is cut', faults: [TargetFault.Cut], call: {}, runs: 2, check: (t, answer) => t.is(answer.status, 200) },
+  { what: 'a safe request that fails at a target', faults: [TargetFault.Failed], call: {}, runs: 2, check: (t, answer) => t.is(answer.status, 200) },
+  { what: 'a safe request with an unsigned answer', faults: [TargetFault.Unsigned], call: {}, runs: 2, check: (t, answer) => t.is(answer.headers['x-server-signature'] !== undefined, true) },
+  { what: 'a request that must run once, whose answer is lost', faults: [TargetFault.AnswerLost], call: { path: '/unsafe/x', method: 'POST', body: 'x' }, runs: 1, check: (t, answer) => t.is(answer.status, 502) },
+  { what: 'a request that must run once, whose answer is cut', faults: [TargetFault.Cut], call: { path: '/unsafe/x', method: 'POST', body: 'x' }, runs: 1, check: (t, answer) => t.is(answer.status, 502) },
+  { what: 'a request that must run once and fails at a target', faults: [TargetFault.Failed], call: { path: '/unsafe/x', method: 'POST', body: 'x' }, runs: 1, check: (t, answer) => t.is(answer.status, 500) },
+  { what: 'a request that must run once, with a promise that the target did not make', faults: [TargetFault.FalsePromise], call: { path: '/unsafe/x', method: 'POST', body: 'x' }, runs: 1, check: (t, answer) => t.is(answer.status, 502) },
+  { what: 'a request that must run once, refused by one target', faults: [TargetFault.Shed], call: { path: '/unsafe/x', method: 'POST', body: 'x' }, runs: 1, check: (t, answer) => t.is(answer.status, 200) },
+  { what: 'a body that can be sent again, refused by one target', faults: [TargetFault.Shed], call: { path: '/upload/x', method: 'POST', body: 'y'.repeat(1_000) }, runs: 1, check: (t, answer) => t.is(answer.status, 200) }
+]
+for (const { what, faults, call, runs, check } of faultCases) {
+  test(`ends truly: ${what}`, async t => {
+    await using world = await createSiteWorld()
+    world.writeConfig()
+    const targets = [await world.openTarget('t1'), await world.openTarget('t2')]
+    const entry = await startReady(world)
+    for (const target of targets) target.runs.length = 0
+    // The first target of the object fails, whichever it is.
+    await world.call(entry, { ...call, objectKey: 'k' })
+    const first = targets.find(target => target.runs.length > 0)!
+    first.runs.length = 0
+    first.addFaults(faults)
+    const answer = await world.call(entry, { ...call, objectKey: 'k', id: 'tested' })
+    check(t, answer)
+    t.is(targets.flatMap(target => target.runs).filter(run => run.attemptId === 'tested').length, runs)
+  })
+}
+
+test('gives the final answer at the time-out of the route, and stops the work', async t => {
+  await using world = await createSiteWorld()
+  world.writeConfig({ timeout: '300ms' })
+  const target = await world.openTarget('t1', { workMs: 5 })
+  const entry = await startReady(world)
+  target.setWorkMs(2_000)
+  const answer = await world.call(entry, { path: '/unsafe/x', method: 'POST', body: 'x', id: 'slow' })
+  t.is(answer.status, 504)
+  t.true(answer.elapsedMs >= 290)
+  t.true(await waitUntil(() => target.runs.find(run => run.attemptId === 'slow')!.isCut))
+})
+
+test('cancels the work of a caller that leaves', async t => {
+  await using world = await createSiteWorld()
+  world.writeConfig()
+  const target = await world.openTarget('t1')
+  const entry = await startReady(world)
+  target.setWorkMs(1_000)
+  const gone = new AbortController()
+  const call = world.call(entry, { id: 'left', signal: gone.signal })
+  t.true(await waitUntil(() => target.runs.some(run => run.attemptId === 'left')))
+  gone.abort()
+  await call
+  t.true(await waitUntil(() => target.runs.find(run => run.attemptId === 'left')!.isCut))
+})
+
+test('sends nothing to a target that leaves or whose failure domain is evacuated', async t => {
+  await using world = await createSiteWorld()
+  world.writeConfig()
+  const targets = [await world.openTarget('t1'), await world.openTarget('t2', { failureDomain: 'b-1' }), await world.openTarget('t3', { failureDomain: 'b-2' })]
+  const entry = await startReady(world)
+  const countRuns = async (): Promise<number[]> => {
+    for (const target of targets) target.runs.length = 0
+    for (let index = 0; index < 30; index++) await world.call(entry, { objectKey: String(index) })
+    return targets.map(target => target.runs.length)
+  }
+  t.true((await countRuns()).every(runs => runs > 0))
+  targets[0]!.register({ state: 'draining' })
+  world.store.writeRow('op', 'evacuate/b-1', {})
+  await wait(800)
+  t.deepEqual(await countRuns(), [0, 0, 30])
+  world.store.removeRow('op', 'evacuate/b-1')
+  await wait(800)
+  const [left, back] = await countRuns()
+  t.is(left, 0)
+  t.true(back! > 0)
+})
+
+test('takes configuration, evacuations and targets from a peer where the store turns it away', async t => {
+  await using world = await createSiteWorld()
+  const version = world.writeConfig()
+  await world.openTarget('t1')
+  const entries = [await startReady(world, 0), await startReady(world, 2)]
+  const [cut, other] = entries as [WorldEntry, WorldEntry]
+  t.true(await waitUntil(() => cut.readLog().some(line => line['event'] === 'peer_live') && other.readLog().some(line => line['event'] === 'peer_live')))
+  cut.door.setFault(StoreFault.Busy)
+  const added = world.writeConfig({}, { added: world.createRoute('safe', { prefix: '/added/' }) })
+  await world.openTarget('t2')
+  world.store.removeRow('servers', 't1')
+  t.true(await waitUntil(async () => (await world.call(cut, { path: '/added/x' })).status === 200))
+  t.true(await waitUntil(() => cut.readLog().some(line => line['event'] === 'target_gone')))
+  t.deepEqual(cut.readLog().filter(line => line['event'] === 'config_in_force').map(line => line['version']), [version, added])
+})
+
+test('reads the table anew where the store has dropped its history', async t => {
+  await using world = await createSiteWorld()
+  world.writeConfig()
+  await world.openTarget('t1')
+  const entry = await startReady(world)
+  entry.door.setFault(StoreFault.Silent)
+  world.writeConfig({}, { added: world.createRoute('safe', { prefix: '/added/' }) })
+  world.store.dropHistory()
+  entry.door.setFault(StoreFault.None)
+  t.true(await waitUntil(async () => (await world.call(entry, { path: '/added/x' })).status === 200))
+})
+
+test('keeps targets that lapsed while the store was away, until they had time to come back', async t => {
+  await using world = await createSiteWorld()
+  world.writeConfig()
+  const target = await world.openTarget('t1')
+  const entry = await startReady(world)
+  entry.door.setFault(StoreFault.Reset)
+  t.true(await waitUntil(() => entry.readLog().some(line => line['event'] === 'store_lost')))
+  world.store.removeRow('servers', 't1')
+  entry.door.setFault(StoreFault.None)
+  t.true(await waitUntil(() => entry.readLog().some(line => line['event'] === 'store_regained')))
+  await wait(1_000)
+  t.is((await world.call(entry)).status, 200)
+  target.register()
+  await wait(2_500)
+  t.is((await world.call(entry)).status, 200)
+  t.false(entry.readLog().some(line => line['event'] === 'target_gone'))
+})
+
+test('stops without breaking a request off, and takes none long after the stop began', async t => {
+  await using world = await createSiteWorld()
+  world.writeConfig()
+  const target = await world.openTarget('t1')
+  const entry = await startReady(world)
+  const agent = new Agent({ keepAlive: true })
+  await world.call(entry, { agent })
+  target.setWorkMs(400)
+  const stopped = entry.running.stop()
+  const answers: CallerAnswer[] = []
+  const startedMs = performance.now()
+  const lateIds: string[] = []
+  for (let index = 0; performance.now() - startedMs < 4_500; index++) {
+    const id = `during-${index}`
+    if (performance.now() - startedMs > 3_000) lateIds.push(id)
+    answers.push(await world.call(entry, { agent, id, path: '/unsafe/x', method: 'POST', body: 'x' }))
+    await wait(30)
+  }
+  await stopped
+  t.true(performance.now() - startedMs < 6_000)
+  t.true(answers.filter(answer => answer.status === 200).length > 4)
+  for (const run of target.runs) t.false(lateIds.includes(run.attemptId))
+  t.is(answers.filter(answer => answer.status === undefined && answer.elapsedMs > 200).length, 0)
+})
+
+test('gives each object few targets, and queues no more at a target than it should', async t => {
+  await using world = await createSiteWorld()
+  world.writeConfig()
+  const targets = await Promise.all(['t1', 't2', 't3', 't4', 't5'].map(id => world.openTarget(id, { workMs: 50 })))
+  const entry = await startReady(world)
+  await waitUntil(() => entry.readLog().filter(line => line['event'] === 'target').length === 5)
+  for (const target of targets) target.runs.length = 0
+  await Promise.all(Array.from({ length: 20 }, () => world.call(entry, { objectKey: 'same' })))
+  t.is(targets.filter(target => target.runs.length > 0).length, 2)
+  t.true(targets.every(target => target.getMostBusy() <= 4))
+})
+
+const malformed: Array<[string, string, number]> = [
+  ['both framings', 'POST /safe/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: m\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n', 400],
+  ['two lengths', 'POST /safe/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: m\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd', 400],
+  ['a bare carriage return', 'GET /safe/x HTTP/1.1\r\nHost: h\r\nX-A: b\rc\r\nX-Request-Id: m\r\n\r\n', 400],
+  ['a folded header field', 'POST /safe/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: m\r\nTransfer-Encoding:\r\n chunked\r\n\r\n0\r\n\r\n', 400],
+  ['a space before the colon', 'POST /safe/x HTTP/1.1\r\nHost: h\r\nContent-Length : 3\r\nX-Request-Id: m\r\n\r\nabc', 400],
+  ['no identifier', `GET /safe/x HTTP/1.1\r\nHost: ${worldHost}\r\n\r\n`, 400],
+  ['two identifiers', `GET /safe/x HTTP/1.1\r\nHost: ${worldHost}\r\nX-Request-Id: m\r\nX-Request-Id: n\r\n\r\n`, 400],
+  ['a header section beyond the limit', `GET /safe/x HTTP/1.1\r\nHost: ${worldHost}\r\nX-Request-Id: m\r\nX-A: ${'a'.repeat(17_000)}\r\n\r\n`, 431],
+  ['a body beyond the limit', `POST /safe/x HTTP/1.1\r\nHost: ${worldHost}\r\nX-Request-Id: m\r\nContent-Length: 2000000\r\n\r\n`, 413]
+]
+for (const [what, bytes, status] of malformed) {
+  test(`refuses a request with ${what}, and sends nothing`, async t => {
+    await using world = await createSiteWorld()
+    world.writeConfig()
+    const target = await world.openTarget('t1')
+    const entry = await startReady(world)
+    target.runs.length = 0
+    const answer = await new Promise<string>(resolve => {
+      let got = ''
+      const socket = connect(entry.settings.listen.callers, () => socket.write(bytes))
+      socket.on('data', part => {
+        got += part.toString()
+        socket.end()
+      })
+      socket.on('error', () => resolve(got))
+      socket.on('close', () => resolve(got))
+    })
+    t.regex(answer, new RegExp(`^HTTP/1.1 ${status} `))
+    t.is(target.runs.length, 0)
+  })
+}
