Count the answered request in the load that a target tells

Cause: a trial with single requests shows that targets count the request that they answer as running (least load told: 1); the estimate of what others have there was one too high, so that objects spilled to their second target, or waited, too early. Ruled out: the age of reports (not changed here). Change: the own requests in flight are taken off whole. Tests of the target book, two of which failed before.

--- a/packages/steering/src/target_book.ts
+++ b/packages/steering/src/target_book.ts
@@ -133,11 +133,11 @@
  * Records what a target said of its load beside an answer.
  *
  * @param entry The target, which is changed; the answered request still counts as in flight
- * @param load Requests that it works on and that wait there, the answered one not among them
+ * @param load Requests that it works on and that wait there, the answered one among them
  * @param nowMs Monotonic time, in milliseconds
  */
 export function recordTargetLoad (entry: BookedTarget, load: { running: number, waiting: number }, nowMs: number): void {
-  entry.othersBusy = Math.max(0, load.running + load.waiting - (entry.inFlight - 1))
+  entry.othersBusy = Math.max(0, load.running + load.waiting - entry.inFlight)
   entry.reportedAtMs = nowMs
 }
 
