Take a target for silent by its own answer times, and let safe requests leave lost ones

Ruled out: the store's list (entries lapse 4 s later). Change: silent after four times the mean time of its answers (0.6 s to 2.5 s); a safe request at a target that is silent and takes no connection goes elsewhere within the repeat budget. The record of attempts at targets is a module of its own. Tests of both (new).

--- a/packages/bilberryd/src/edge/run_entry.ts
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -159,6 +159,7 @@
     lastRoundMs = nowMs
     pool.sweep(nowMs)
     state.expireMissing(nowMs)
+    desk.retryLost()
   }, upkeepMs)
   owned.add({ async [Symbol.asyncDispose] () { clearInterval(upkeep) } })
   log.info('started', { failureDomain: settings.failureDomain, region: settings.region, callers: getHeartbeat().callers, cpuMs: Math.round(process.cpuUsage().user / 1_000 + process.cpuUsage().system / 1_000) })
--- a/packages/bilberryd/src/edge/send_attempt.ts
+++ b/packages/bilberryd/src/edge/send_attempt.ts
@@ -7,7 +7,7 @@
 import type { AnswerHead, TargetPool } from '@bilberryworks/targets'
 import type { AnswerWriter } from './answer_writer.ts'
 import type { Attempt } from './attempt.ts'
-import { recordTargetLoad, RouteKind } from '@bilberryworks/steering'
+import { recordAnswerTime, recordTargetLoad, RouteKind } from '@bilberryworks/steering'
 import { ExchangeFailure } from '@bilberryworks/targets'
 import { readAnswerFields } from '@bilberryworks/users-platform'
 import { createAnswerWriter } from './answer_writer.ts'
@@ -73,6 +73,7 @@
     onHead (head) {
       const fields = readAnswerFields(head.status, head.fields)
       options.onFirstByte()
+      recordAnswerTime(entry, options.getNowMs() - attempt.sentAtMs)
       if (fields.load !== undefined) recordTargetLoad(entry, fields.load, options.getNowMs())
       if (fields.isNotRun) withheld = ExchangeEnd.NotRun
       else if (isWithheld(attempt, head, fields.isSigned)) withheld = ExchangeEnd.Failed
--- a/packages/bilberryd/src/edge/steering_desk.ts
+++ b/packages/bilberryd/src/edge/steering_desk.ts
@@ -9,13 +9,14 @@
 import type { EntryLog } from './entry_log.ts'
 import type { EntryMetrics } from './entry_metrics.ts'
 import type { EntryState } from './entry_state.ts'
-import { createNotRun, createRepeatBudget, createUnknown, createWaitingRequests, recordTargetEnd, recordTargetStart, RefusalReason, TargetSignal } from '@bilberryworks/steering'
+import { createNotRun, createRepeatBudget, createUnknown, createWaitingRequests, recordTargetStart, RefusalReason, TargetSignal } from '@bilberryworks/steering'
 import { AttemptPhase } from './attempt.ts'
 import { createAttemptEnds } from './attempt_ends.ts'
 import { RequestStage } from './entry_metrics.ts'
 import { createExchangeEndHandler, minWorkMs, overloadRetryMs } from './exchange_end.ts'
 import { createPlacer } from './placer.ts'
 import { ExchangeEnd, sendAttempt } from './send_attempt.ts'
+import { createTargetVisits } from './target_visits.ts'
 
 /** Steers attempts. */
 export interface SteeringDesk {
@@ -29,6 +30,8 @@
   expire (attempt: Attempt): void
   /** Looks again whether waiting requests find room. */
   placeWaiting (): void
+  /** Sends the requests elsewhere that may run again and are at targets which are lost. */
+  retryLost (): void
   /** Counts the requests that wait. */
   countWaiting (): number
   /** Counts the requests at targets. */
@@ -81,14 +84,14 @@
  * @returns The desk
  */
 export function createSteeringDesk (options: CreateSteeringDeskOptions): SteeringDesk {
-  const { settings: { bounds }, state, pool, log, metrics, getNowMs, getRandom } = options
+  const { settings: { bounds }, state, pool, log, metrics, getNowMs } = options
   const placer = createPlacer(options)
-  const ends = createAttemptEnds({ log, metrics, getNowMs, describeLoad: () => ({ waiting: countWaiting(), inFlight }) })
+  const visits = createTargetVisits(options)
+  const ends = createAttemptEnds({ log, metrics, getNowMs, describeLoad: () => ({ waiting: countWaiting(), inFlight: visits.count() }) })
   const getWaiting = createByName<WaitingRequests<Attempt>>(createWaitingRequests)
   const getBudget = createByName(() => createRepeatBudget({ ratio: bounds.retryRatio, slack: bounds.retrySlack, windowMs: bounds.budgetWindowMs, getInstances: options.countInstances }))
   const takeRepeat = (service: string): boolean => getBudget.get(service).take(getNowMs())
   const handleExchangeEnd = createExchangeEndHandler({ ends, log, metrics, getNowMs, takeRepeat, sendAgain: addWaiting })
-  let inFlight = 0
   let checkTimer: NodeJS.Timeout | undefined
 
   function addWaiting (attempt: Attempt): void {
@@ -128,15 +131,11 @@
   function dispatchAttempt (attempt: Attempt, entry: BookedTarget): void {
     const nowMs = getNowMs()
     if (attempt.finalAtMs - nowMs < minWorkMs) {
-      recordSignal(entry, TargetSignal.Ended)
+      visits.releaseUnused(entry)
       ends.refuse(attempt, createNotRun(RefusalReason.DeadlinePassed, 'Deadline passed before the request was sent', overloadRetryMs))
       return
     }
-    attempt.phase = AttemptPhase.Sent
-    attempt.entry = entry
-    attempt.sentAtMs = nowMs
-    attempt.tried.add(entry.target.id)
-    inFlight++
+    visits.add(attempt, entry)
     metrics.recordStage(RequestStage.Queue, attempt.route.name, nowMs - attempt.arrivedAtMs)
     sendAttempt(attempt, entry, {
       pool,
@@ -144,44 +143,28 @@
       maxBodyBytes: state.getConfig()?.limits.maxBodyBytes ?? Infinity,
       onFirstByte: () => metrics.recordStage(RequestStage.FirstByte, attempt.route.name, getNowMs() - attempt.sentAtMs),
       onBodyTooLong () {
-        cancelExchange(attempt)
+        visits.cancel(attempt, TargetSignal.Ended)
         ends.refuse(attempt, createUnknown(RefusalReason.BodyTooLarge, 'Body grew longer than its bound'))
       },
       onEnd (end, detail) {
-        releaseTarget(attempt, signalByEnd[end])
+        visits.release(attempt, signalByEnd[end])
         handleExchangeEnd(attempt, end, detail)
         dispatchWaiting(attempt.service)
       }
     })
   }
 
-  function recordSignal (entry: BookedTarget, signal: TargetSignal): void {
-    const coldForMs = state.getConfig()?.services.get(entry.target.service)?.coldForMs ?? 0
-    recordTargetEnd(entry, signal, { nowMs: getNowMs(), getRandom, coldForMs })
-  }
-
-  /** Frees the target of the exchange that has ended. */
-  function releaseTarget (attempt: Attempt, signal: TargetSignal): void {
-    const entry = attempt.entry!
-    inFlight--
-    attempt.exchange = undefined
-    attempt.entry = undefined
-    recordSignal(entry, signal)
-    if (signal === TargetSignal.ConnectFailed) pool.dropIdle(entry.target.id)
-    if (signal === TargetSignal.Answered) return
-    log.info('exchange_failed', { id: attempt.attemptId, target: entry.target.id, signal, elapsedMs: Math.round(getNowMs() - attempt.sentAtMs), inFlight: entry.inFlight, othersBusy: entry.othersBusy })
-  }
-
-  function cancelExchange (attempt: Attempt): void {
-    if (attempt.exchange === undefined) return
-    attempt.exchange.cancel()
-    releaseTarget(attempt, TargetSignal.Ended)
+  function retryLost (): void {
+    for (const attempt of visits.listLost()) {
+      visits.cancel(attempt, TargetSignal.Lost)
+      handleExchangeEnd(attempt, ExchangeEnd.Lost, 'Target is silent and takes no connection')
+    }
   }
 
   /** Takes an attempt out of the queue, and breaks off the exchange under way. */
   function detachAttempt (attempt: Attempt): void {
     if (attempt.phase === AttemptPhase.Waiting) getWaiting.get(attempt.service).remove(attempt.attemptId)
-    cancelExchange(attempt)
+    visits.cancel(attempt, TargetSignal.Ended)
   }
 
   return {
@@ -207,8 +190,9 @@
       dispatchWaiting(attempt.service)
     },
     placeWaiting: checkWaiting,
+    retryLost,
     countWaiting,
-    countInFlight: () => inFlight
+    countInFlight: visits.count
   }
 }
 
--- /dev/null
+++ b/packages/bilberryd/src/edge/target_visits.ts
@@ -0,0 +1,88 @@
+/**
+ * The attempts that are at targets, and what their ends say of the targets.
+ *
+ * @module
+ */
+import type { BookedTarget } from '@bilberryworks/steering'
+import type { TargetPool } from '@bilberryworks/targets'
+import type { Attempt } from './attempt.ts'
+import type { EntryLog } from './entry_log.ts'
+import type { EntryState } from './entry_state.ts'
+import { isTargetLost, recordTargetEnd, RouteKind, TargetSignal } from '@bilberryworks/steering'
+import { AttemptPhase } from './attempt.ts'
+
+/** The attempts at targets. */
+export interface TargetVisits {
+  /** Takes note that an attempt is handed to a target, which counts it already. */
+  add (attempt: Attempt, entry: BookedTarget): void
+  /** Frees the target of an attempt whose exchange has ended. */
+  release (attempt: Attempt, signal: TargetSignal): void
+  /** Breaks off the exchange of an attempt, where one is under way. */
+  cancel (attempt: Attempt, signal: TargetSignal): void
+  /** Frees a target that an attempt was counted at and not sent to. */
+  releaseUnused (entry: BookedTarget): void
+  /** Lists the attempts that may run again and are at targets which are lost. */
+  listLost (): Attempt[]
+  /** Counts the attempts. */
+  count (): number
+}
+
+/** Options of {@linkcode createTargetVisits}. */
+export interface CreateTargetVisitsOptions {
+  /** What the instance believes. */
+  state: EntryState
+  /** Connections to targets. */
+  pool: TargetPool
+  /** Log of decisions. */
+  log: EntryLog
+  /** Returns monotonic time, in milliseconds. */
+  getNowMs: () => number
+  /** Returns a random number in [0, 1). */
+  getRandom: () => number
+}
+
+/**
+ * Creates the record of no attempt.
+ *
+ * @param options What the ends are recorded in
+ * @returns The record
+ */
+export function createTargetVisits (options: CreateTargetVisitsOptions): TargetVisits {
+  const { state, pool, log, getNowMs, getRandom } = options
+  const sent = new Set<Attempt>()
+
+  function recordSignal (entry: BookedTarget, signal: TargetSignal): void {
+    const coldForMs = state.getConfig()?.services.get(entry.target.service)?.coldForMs ?? 0
+    recordTargetEnd(entry, signal, { nowMs: getNowMs(), getRandom, coldForMs })
+  }
+
+  function release (attempt: Attempt, signal: TargetSignal): void {
+    const entry = attempt.entry!
+    sent.delete(attempt)
+    attempt.exchange = undefined
+    attempt.entry = undefined
+    recordSignal(entry, signal)
+    if (signal === TargetSignal.ConnectFailed) pool.dropIdle(entry.target.id)
+    if (signal === TargetSignal.Answered) return
+    log.info('exchange_failed', { id: attempt.attemptId, target: entry.target.id, signal, elapsedMs: Math.round(getNowMs() - attempt.sentAtMs), inFlight: entry.inFlight, othersBusy: entry.othersBusy })
+  }
+
+  return {
+    add (attempt, entry) {
+      attempt.phase = AttemptPhase.Sent
+      attempt.entry = entry
+      attempt.sentAtMs = getNowMs()
+      attempt.tried.add(entry.target.id)
+      sent.add(attempt)
+    },
+    release,
+    cancel (attempt, signal) {
+      if (attempt.exchange === undefined) return
+      attempt.exchange.cancel()
+      release(attempt, signal)
+    },
+    releaseUnused: entry => recordSignal(entry, TargetSignal.Ended),
+    listLost: () => [...sent].filter(attempt => attempt.phase === AttemptPhase.Sent && attempt.route.kind === RouteKind.Safe && isTargetLost(attempt.entry!, getNowMs())),
+    count: () => sent.size
+  }
+}
--- a/packages/steering/src/placement_test.ts
+++ b/packages/steering/src/placement_test.ts
@@ -1,7 +1,7 @@
 import type { BookedTarget } from './target_book.ts'
 import test from 'ava'
 import { choosePlacement, rankTargets } from './placement.ts'
-import { createTargetBook, isTargetUsable, recordTargetEnd, recordTargetStart, silenceMs } from './target_book.ts'
+import { createTargetBook, isTargetLost, isTargetUsable, recordTargetEnd, recordTargetStart, maxSilenceMs, recordAnswerTime } from './target_book.ts'
 import { TargetSignal } from './circuit.ts'
 
 const endOptions = { getRandom: () => 0.5, coldForMs: 3_000 }
@@ -49,9 +49,28 @@
   const ranked = createTargets(3)
   recordTargetStart(ranked[0]!, 0)
   recordTargetStart(ranked[0]!, 0)
-  t.is(choose(ranked, { nowMs: silenceMs }), 't1')
-  recordTargetEnd(ranked[0]!, TargetSignal.Answered, { ...endOptions, nowMs: silenceMs })
-  t.is(choose(ranked, { nowMs: silenceMs }), 't0')
+  t.is(choose(ranked, { nowMs: maxSilenceMs }), 't1')
+  recordTargetEnd(ranked[0]!, TargetSignal.Answered, { ...endOptions, nowMs: maxSilenceMs })
+  t.is(choose(ranked, { nowMs: maxSilenceMs }), 't0')
+})
+
+test('passes over a target that is silent for longer than its answers take, but not while it works on cold objects', t => {
+  const ranked = createTargets(3)
+  recordAnswerTime(ranked[0]!, 300)
+  recordTargetStart(ranked[0]!, 0)
+  t.is(choose(ranked, { nowMs: 1_000 }), 't0')
+  t.is(choose(ranked, { nowMs: 1_300 }), 't1')
+})
+
+test('takes a target for lost that is silent and takes no connection', t => {
+  const [entry] = createTargets(1) as [BookedTarget]
+  recordAnswerTime(entry, 200)
+  recordTargetStart(entry, 0)
+  recordTargetStart(entry, 0)
+  t.false(isTargetLost(entry, 1_000))
+  recordTargetEnd(entry, TargetSignal.ConnectFailed, { ...endOptions, nowMs: 500 })
+  t.false(isTargetLost(entry, 510))
+  t.true(isTargetLost(entry, 1_000))
 })
 
 test('sends a request without an object to the target with the least load', t => {
--- a/packages/steering/src/target_book.ts
+++ b/packages/steering/src/target_book.ts
@@ -29,6 +29,8 @@
   aliveAtMs: number
   /** Monotonic time since which requests are there without any answer, in milliseconds; `Infinity` where none is. */
   silentSinceMs: number
+  /** Mean time until its answers, in milliseconds; `undefined` before the first. */
+  answerMs: number | undefined
 }
 
 /** The targets by service. */
@@ -49,8 +51,13 @@
 
 /** Time after which the last report of a target's load counts for nothing, in milliseconds: about the time that its requests take. */
 const reportLifetimeMs = 1_000
-/** Time without an answer after which a target that has requests counts as silent, in milliseconds. */
-export const silenceMs = 2_500
+/** Silence of a target with requests that is as long as this many of its answers take counts as the loss of it: cold work takes about three times as long as warm. */
+const answersOfSilence = 4
+/** Bounds of the time after which a target with requests counts as silent, in milliseconds: the way between regions with a packet lost, and the time-outs of routes. */
+export const minSilenceMs = 600
+export const maxSilenceMs = 2_500
+/** Weight of the latest answer in the mean time until a target's answers. */
+const answerWeight = 0.2
 
 /**
  * Creates an empty book.
@@ -83,7 +90,8 @@
       coldUntilMs: options.nowMs + target.coldLeftMs,
       coldSentAtMs: -Infinity,
       aliveAtMs: options.nowMs,
-      silentSinceMs: Infinity
+      silentSinceMs: Infinity,
+      answerMs: undefined
     }
     byId.set(target.id, entry)
     byService.set(target.service, [...byService.get(target.service) ?? [], entry])
@@ -175,6 +183,39 @@
   else if (isAlive) entry.silentSinceMs = nowMs
 }
 
+/**
+ * Records how long a target took to answer.
+ *
+ * @param entry The target, which is changed
+ * @param elapsedMs Time from the hand-over of the request to the head of its answer, in milliseconds
+ */
+export function recordAnswerTime (entry: BookedTarget, elapsedMs: number): void {
+  entry.answerMs = entry.answerMs === undefined ? elapsedMs : entry.answerMs + (elapsedMs - entry.answerMs) * answerWeight
+}
+
+/**
+ * Tells whether a target that has requests has answered nothing for longer than its answers take.
+ *
+ * @param entry The target
+ * @param nowMs Monotonic time, in milliseconds
+ * @returns Whether it is silent
+ */
+export function isTargetSilent (entry: BookedTarget, nowMs: number): boolean {
+  const limitMs = entry.answerMs === undefined ? maxSilenceMs : Math.min(maxSilenceMs, Math.max(minSilenceMs, entry.answerMs * answersOfSilence))
+  return nowMs - entry.silentSinceMs >= limitMs
+}
+
+/**
+ * Tells whether a target is lost as far as this instance can tell: silent, and out of reach for new connections too.
+ *
+ * @param entry The target
+ * @param nowMs Monotonic time, in milliseconds
+ * @returns Whether requests that may run again should go elsewhere rather than wait for it
+ */
+export function isTargetLost (entry: BookedTarget, nowMs: number): boolean {
+  return entry.circuit !== closedCircuit && getCircuitState(entry.circuit, nowMs) !== CircuitState.Closed && isTargetSilent(entry, nowMs)
+}
+
 /**
  * Tells whether a target may be sent a request as far as its health is known.
  *
@@ -186,5 +227,5 @@
   const state = getCircuitState(entry.circuit, nowMs)
   if (state === CircuitState.Open) return false
   if (state === CircuitState.HalfOpen) return entry.inFlight === 0
-  return nowMs - entry.silentSinceMs < silenceMs
+  return !isTargetSilent(entry, nowMs)
 }
