Prefer the one of an object's two targets that is in the instance's region

Ruled out: one set of targets a region (some regions have one target). Change: among the two targets on which an object is kept warm, the same on all instances, the one in the own region comes first; no third one is warmed. Test of the choice (new).

--- a/packages/bilberryd/src/edge/placer.ts
+++ b/packages/bilberryd/src/edge/placer.ts
@@ -72,7 +72,7 @@
   return {
     findTarget (request) {
       const nowMs = getNowMs()
-      return choosePlacement(request, { ranked: getRanked(request), isUsable: entry => isUsable(entry, nowMs), nowMs })
+      return choosePlacement(request, { ranked: getRanked(request), isUsable: entry => isUsable(entry, nowMs), region: settings.region, nowMs })
     },
     hasTarget: request => getRanked(request).some(entry => !request.tried.has(entry.target.id))
   }
--- a/packages/steering/src/placement.ts
+++ b/packages/steering/src/placement.ts
@@ -31,6 +31,8 @@
   ranked: readonly BookedTarget[]
   /** Tells whether a target may be sent a request now: neither out of reach, nor cold beyond its pace. */
   isUsable: (entry: BookedTarget) => boolean
+  /** Region of the instance, whose targets cost no bytes between regions. */
+  region: string
   /** Monotonic time, in milliseconds. */
   nowMs: number
 }
@@ -66,18 +68,28 @@
   return request.objectKey === undefined ? chooseLeastLoaded(request, options) : chooseWarm(request, options)
 }
 
-function chooseWarm (request: PlacedRequest, { ranked, isUsable, nowMs }: ChoosePlacementOptions): BookedTarget | undefined {
-  let considered = 0
-  for (const entry of ranked) {
-    if (request.tried.has(entry.target.id) || !isUsable(entry)) continue
-    const queue = considered === 0 ? firstTargetQueue : otherTargetQueue
+function chooseWarm (request: PlacedRequest, options: ChoosePlacementOptions): BookedTarget | undefined {
+  const { nowMs } = options
+  for (const [index, entry] of listOwnTargets(request, options).entries()) {
+    const queue = index === 0 ? firstTargetQueue : otherTargetQueue
     if (computeTargetLoad(entry, nowMs) < entry.target.slots + queue) return entry
-    considered++
-    if (considered >= targetsPerObject) return undefined
   }
   return undefined
 }
 
+/** Lists the targets on which the object is kept warm, one in the instance's own region first. */
+function listOwnTargets (request: PlacedRequest, { ranked, isUsable, region }: ChoosePlacementOptions): BookedTarget[] {
+  const own: BookedTarget[] = []
+  for (const entry of ranked) {
+    if (request.tried.has(entry.target.id) || !isUsable(entry)) continue
+    own.push(entry)
+    if (own.length === targetsPerObject) break
+  }
+  const near = own.findIndex(entry => entry.region === region)
+  if (near > 0) own.unshift(...own.splice(near, 1))
+  return own
+}
+
 function chooseLeastLoaded (request: PlacedRequest, { ranked, isUsable, nowMs }: ChoosePlacementOptions): BookedTarget | undefined {
   let best: BookedTarget | undefined
   let bestLoad = Infinity
--- a/packages/steering/src/placement_test.ts
+++ b/packages/steering/src/placement_test.ts
@@ -15,10 +15,10 @@
 
 const request = { attemptId: 'x', service: 's', objectKey: 'k', homeRegions: [], tried: new Set<string>() }
 
-function choose (ranked: BookedTarget[], options: { tried?: Set<string>, nowMs?: number, objectKey?: string | undefined } = {}): string | undefined {
+function choose (ranked: BookedTarget[], options: { tried?: Set<string>, nowMs?: number, region?: string } = {}): string | undefined {
   const nowMs = options.nowMs ?? 0
   const asked = { ...request, ...options, tried: options.tried ?? request.tried }
-  return choosePlacement(asked, { ranked, nowMs, isUsable: entry => isTargetUsable(entry, nowMs) })?.target.id
+  return choosePlacement(asked, { ranked, nowMs, region: options.region ?? 'r', isUsable: entry => isTargetUsable(entry, nowMs) })?.target.id
 }
 
 test('fills the first target, then the second, then lets a request wait', t => {
@@ -77,7 +77,7 @@
   const ranked = createTargets(3)
   recordTargetStart(ranked[0]!, 0)
   recordTargetStart(ranked[2]!, 0)
-  t.is(choosePlacement({ ...request, objectKey: undefined }, { ranked, nowMs: 0, isUsable: () => true })?.target.id, 't1')
+  t.is(choosePlacement({ ...request, objectKey: undefined }, { ranked, nowMs: 0, region: 'r', isUsable: () => true })?.target.id, 't1')
 })
 
 test('keeps most objects where they are when a target goes', t => {
@@ -91,3 +91,13 @@
   }
   t.true(moved < 500 * 3 / 20)
 })
+
+test('prefers the one of an object\'s two targets that is in the own region, and warms no third', t => {
+  const ranked = createTargets(3)
+  ranked[1]!.region = 'q'
+  ranked[2]!.region = 'p'
+  t.is(choose(ranked, { region: 'q' }), 't1')
+  t.is(choose(ranked, { region: 'p' }), 't0')
+  for (let sent = 0; sent < 4; sent++) recordTargetStart(ranked[1]!, 0)
+  t.is(choose(ranked, { region: 'q' }), 't0')
+})
