Apply the limits of the configuration to callers' connections, and pace refused callers by the load

Cause: idle connections of callers were closed after Node's own 5 s, not the configuration's time; header sections had Node's 60 s. Refused callers were all told to come back after the same second, however many there were, so that they returned in a wave. Change: keep-alive and header time-outs follow the configuration in force; a connection on which nothing was sent is closed without an answer. Retry-After comes from the refusals of the last seconds, the requests that wait, the mean time of answers and this instance's part of the slots, jittered (the pacer that the product had). Tests of both. Ruled out: a longer time for all (callers read at most a third of the time they have left).

--- a/packages/bilberryd/src/edge/caller_listener.ts
+++ b/packages/bilberryd/src/edge/caller_listener.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { EntrySettings, Refusal } from '@bilberryworks/steering'
+import type { CallerLimits, EntrySettings, Refusal } from '@bilberryworks/steering'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AttemptFields } from '@bilberryworks/users-platform'
 import type { Attempt } from './attempt.ts'
@@ -48,6 +48,8 @@
   getNowMs: () => number
 }
 
+/** Time between two looks for connections beyond their limits, in milliseconds. */
+const limitCheckMs = 500
 /** Longest header section that is read at all, in bytes; the configuration's own limit is checked below it. */
 const maxHeaderBytes = 65_536
 /** Part of a body that is collected before it is sent, in bytes, so that it can be sent again; bounds the memory of an upload. */
@@ -69,7 +71,7 @@
  */
 export function createCallerListener (options: CreateCallerListenerOptions): Server {
   const { state, desk, log, metrics, getNowMs } = options
-  const server = createServer({ maxHeaderSize: maxHeaderBytes, requestTimeout: 0, keepAlive: true, noDelay: true, requireHostHeader: false })
+  const server = createServer({ maxHeaderSize: maxHeaderBytes, requestTimeout: 0, connectionsCheckingInterval: limitCheckMs, keepAlive: true, noDelay: true, requireHostHeader: false })
   server.maxHeadersCount = 0
 
   function refuseEarly (message: IncomingMessage, response: ServerResponse, refusal: Refusal): void {
@@ -163,6 +165,18 @@
   return server
 }
 
+/**
+ * Applies the limits of a configuration to a listener, for connections that are open too.
+ *
+ * @param server The listener
+ * @param limits The limits, where any are known
+ */
+export function applyCallerLimits (server: Server, limits: CallerLimits | undefined): void {
+  if (limits === undefined) return
+  server.headersTimeout = limits.headerTimeoutMs
+  server.keepAliveTimeout = limits.idleTimeoutMs
+}
+
 function createUnknownExpectation (): Refusal {
   return createNotRun(RefusalReason.BadRequest, 'Expect knows only 100-continue')
 }
--- a/packages/bilberryd/src/edge/exchange_end.ts
+++ b/packages/bilberryd/src/edge/exchange_end.ts
@@ -22,12 +22,12 @@
   sendAgain: (attempt: Attempt) => void
   /** Takes a repeat from the budget of a service; returns whether it allowed it. */
   takeRepeat: (service: string) => boolean
+  /** Returns when the caller of a refused attempt may come back, in milliseconds. */
+  getRetryAfterMs: (attempt: Attempt) => number
   /** Returns monotonic time, in milliseconds. */
   getNowMs: () => number
 }
 
-/** Time after which a refused caller may come back, in milliseconds: about the time in which the requests that filled the targets end. */
-export const overloadRetryMs = 1_000
 /** Least time that is left for work at a target when a request is sent, in milliseconds: less is no more than the way there. */
 export const minWorkMs = 20
 
@@ -75,7 +75,7 @@
       log.info('retry', { id: attempt.attemptId, reason: cause.reason, detail: cause.detail, tried: attempt.tried.size })
       options.sendAgain(attempt)
     } else if (attempt.mayHaveRun) ends.refuse(attempt, createUnknown(RefusalReason.TargetLost, cause.detail))
-    else ends.refuse(attempt, createNotRun(attempt.lastReason ?? RefusalReason.Overloaded, cause.detail, overloadRetryMs))
+    else ends.refuse(attempt, createNotRun(attempt.lastReason ?? RefusalReason.Overloaded, cause.detail, options.getRetryAfterMs(attempt)))
   }
 
   return handleExchangeEnd
--- a/packages/bilberryd/src/edge/placer.ts
+++ b/packages/bilberryd/src/edge/placer.ts
@@ -13,6 +13,8 @@
   findTarget (request: PlacedRequest): BookedTarget | undefined
   /** Tells whether any target may take the request, with room or without. */
   hasTarget (request: PlacedRequest): boolean
+  /** Measures the slots of a service that fall to this instance, and the mean time that a request holds one, in milliseconds. */
+  measureCapacity (service: string): { slots: number, holdMs: number }
 }
 
 /** Options of {@linkcode createPlacer}. */
@@ -27,6 +29,8 @@
   getNowMs: () => number
 }
 
+/** Time that a request holds a slot where no target has answered yet, in milliseconds: the order of the objectives of routes. */
+const defaultHoldMs = 500
 /** Most rankings that are kept: some for each object and service of today's deployments. */
 const maxRankings = 4_000
 
@@ -74,6 +78,13 @@
       const nowMs = getNowMs()
       return choosePlacement(request, { ranked: getRanked(request), isUsable: entry => isUsable(entry, nowMs), region: settings.region, nowMs })
     },
+    measureCapacity (service) {
+      const nowMs = getNowMs()
+      const usable = state.book.list(service).filter(entry => !entry.target.leaving && !state.isEvacuated(entry.target.failureDomain) && isTargetUsable(entry, nowMs))
+      const told = usable.flatMap(entry => entry.answerMs ?? [])
+      const slots = usable.reduce((sum, entry) => sum + entry.target.slots, 0) / options.listInstances().length
+      return { slots, holdMs: told.length === 0 ? defaultHoldMs : told.reduce((sum, answerMs) => sum + answerMs, 0) / told.length }
+    },
     hasTarget: request => getRanked(request).some(entry => !request.tried.has(entry.target.id))
   }
 }
--- a/packages/bilberryd/src/edge/run_entry.ts
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -13,7 +13,7 @@
 import { createCleanUp, createShareSequence } from '@bilberryworks/steering'
 import { createTargetPool } from '@bilberryworks/targets'
 import { createStoreClient, operatorTable, targetTable } from '@bilberryworks/users-platform'
-import { createCallerListener, StopPhase } from './caller_listener.ts'
+import { applyCallerLimits, createCallerListener, StopPhase } from './caller_listener.ts'
 import { createEntryMetrics, EntryGauge } from './entry_metrics.ts'
 import { createEntryState, FollowedTable } from './entry_state.ts'
 import { createInstanceRows } from './instance_rows.ts'
@@ -64,15 +64,13 @@
  */
 export async function runEntry (settings: EntrySettings, log: EntryLog, options: { metricsPort?: number } = {}): Promise<RunningEntry> {
   const owned = createCleanUp()
-  const getNowMs = (): number => performance.now()
-  const getRandom = Math.random
+  const [getNowMs, getRandom] = [() => performance.now(), Math.random]
   const startedAtMs = Date.now()
-  let phase = StopPhase.Running
-  let sequence = 0
+  let [phase, sequence] = [StopPhase.Running, 0]
 
   const metrics = createEntryMetrics({ readValues })
   const view = createPeerView({ instance: settings.instance, silenceMs: peerSilenceMs, forgetMs: peerForgetMs })
-  const state = createEntryState({ regions: settings.regions, log, getNowMs, countUndecodable: metrics.countUndecodable, onChange: () => desk.placeWaiting() })
+  const state = createEntryState({ regions: settings.regions, log, getNowMs, countUndecodable: metrics.countUndecodable, onChange: handleChange })
   const pool = owned.add(createTargetPool({ connectTimeoutMs, onStray: metrics.countStray }))
   const desk = createSteeringDesk({
     settings,
@@ -86,6 +84,11 @@
     countInstances: view.countMost
   })
 
+  function handleChange (): void {
+    applyCallerLimits(callers, state.getConfig()?.limits)
+    desk.placeWaiting()
+  }
+
   const isReady = (): boolean => phase === StopPhase.Running && state.getConfig() !== undefined
 
   function getHeartbeat (): PeerHeartbeat {
@@ -119,7 +122,8 @@
   const shares = createShareSequence(getRandom)
   const callers = createCallerListener({ settings, state, desk, log, metrics, getNowMs, chooseService: shares.choose, getStopPhase: () => phase })
   const openRequests = countOpenRequests(callers)
-  const lookUps = createLookUpListener({ settings, view, getHeartbeat, getNowMs, hasHomes: () => state.getConfig()?.routes.some(route => route.homeRegions.length > 0) ?? false })
+  const hasHomes = (): boolean => state.getConfig()?.routes.some(route => route.homeRegions.length > 0) ?? false
+  const lookUps = createLookUpListener({ settings, view, getHeartbeat, getNowMs, hasHomes })
   const readiness = createReadinessListener(isReady)
   await Promise.all([listenOn(callers, settings.listen.callers), listenOn(lookUps, settings.listen.lookUps), listenOn(readiness, settings.listen.readiness)])
   for (const server of [callers, lookUps, readiness]) owned.add(createServerOwner(server))
--- a/packages/bilberryd/src/edge/steering_desk.ts
+++ b/packages/bilberryd/src/edge/steering_desk.ts
@@ -9,11 +9,11 @@
 import type { EntryLog } from './entry_log.ts'
 import type { EntryMetrics } from './entry_metrics.ts'
 import type { EntryState } from './entry_state.ts'
-import { createNotRun, createRepeatBudget, createUnknown, createWaitingRequests, recordTargetStart, RefusalReason, TargetSignal } from '@bilberryworks/steering'
+import { createNotRun, createRepeatBudget, createRetryPacer, createUnknown, createWaitingRequests, recordTargetStart, RefusalReason, TargetSignal } from '@bilberryworks/steering'
 import { AttemptPhase } from './attempt.ts'
 import { createAttemptEnds } from './attempt_ends.ts'
 import { RequestStage } from './entry_metrics.ts'
-import { createExchangeEndHandler, minWorkMs, overloadRetryMs } from './exchange_end.ts'
+import { createExchangeEndHandler, minWorkMs } from './exchange_end.ts'
 import { createPlacer } from './placer.ts'
 import { ExchangeEnd, sendAttempt } from './send_attempt.ts'
 import { createTargetVisits } from './target_visits.ts'
@@ -90,8 +90,10 @@
   const ends = createAttemptEnds({ log, metrics, getNowMs, describeLoad: () => ({ waiting: countWaiting(), inFlight: visits.count() }) })
   const getWaiting = createByName<WaitingRequests<Attempt>>(createWaitingRequests)
   const getBudget = createByName(() => createRepeatBudget({ ratio: bounds.retryRatio, slack: bounds.retrySlack, windowMs: bounds.budgetWindowMs, getInstances: options.countInstances }))
+  const getPacer = createByName(() => createRetryPacer(options.getRandom))
+  const getRetryAfterMs = (attempt: Attempt): number => getPacer.get(attempt.service).record({ nowMs: getNowMs(), queued: getWaiting.get(attempt.service).count(), ...placer.measureCapacity(attempt.service) })
   const takeRepeat = (service: string): boolean => getBudget.get(service).take(getNowMs())
-  const handleExchangeEnd = createExchangeEndHandler({ ends, log, metrics, getNowMs, takeRepeat, sendAgain: addWaiting })
+  const handleExchangeEnd = createExchangeEndHandler({ ends, log, metrics, getNowMs, takeRepeat, getRetryAfterMs, sendAgain: addWaiting })
   let checkTimer: NodeJS.Timeout | undefined
 
   function addWaiting (attempt: Attempt): void {
@@ -114,7 +116,7 @@
       return entry
     })
     for (const { request, placed: entry } of placed) dispatchAttempt(request, entry)
-    for (const attempt of waiting.takeExpired(getNowMs())) ends.refuse(attempt, createNotRun(RefusalReason.Overloaded, 'No slot was free in time', overloadRetryMs))
+    for (const attempt of waiting.takeExpired(getNowMs())) ends.refuse(attempt, createNotRun(RefusalReason.Overloaded, 'No slot was free in time', getRetryAfterMs(attempt)))
     if (countWaiting() > 0) checkTimer ??= setTimeout(checkWaiting, waitingCheckMs)
   }
 
@@ -132,7 +134,7 @@
     const nowMs = getNowMs()
     if (attempt.finalAtMs - nowMs < minWorkMs) {
       visits.releaseUnused(entry)
-      ends.refuse(attempt, createNotRun(RefusalReason.DeadlinePassed, 'Deadline passed before the request was sent', overloadRetryMs))
+      ends.refuse(attempt, createNotRun(RefusalReason.DeadlinePassed, 'Deadline passed before the request was sent', getRetryAfterMs(attempt)))
       return
     }
     visits.add(attempt, entry)
@@ -186,7 +188,7 @@
       detachAttempt(attempt)
       if (isAnswering) ends.breakOff(attempt, createUnknown(RefusalReason.TargetTimeout, 'Deadline passed within the answer'))
       else if (attempt.mayHaveRun) ends.refuse(attempt, createUnknown(RefusalReason.TargetTimeout, 'Deadline passed at the target'))
-      else ends.refuse(attempt, createNotRun(RefusalReason.DeadlinePassed, 'Deadline passed before a target took the request', overloadRetryMs))
+      else ends.refuse(attempt, createNotRun(RefusalReason.DeadlinePassed, 'Deadline passed before a target took the request', getRetryAfterMs(attempt)))
       dispatchWaiting(attempt.service)
     },
     placeWaiting: checkWaiting,
--- a/packages/callers/src/client_errors.ts
+++ b/packages/callers/src/client_errors.ts
@@ -4,15 +4,18 @@
  * @module
  */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import { STATUS_CODES } from 'node:http'
 import { getRefusalStatus, Outcome, RefusalReason } from '@bilberryworks/steering'
 
+const requestTimeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT'
+
 /** Reasons for the error codes of Node.js; every other code is a bad request. */
 const reasonByCode: Record<string, RefusalReason> = {
   HPE_HEADER_OVERFLOW: RefusalReason.HeadersTooLarge,
   HPE_CHUNK_EXTENSIONS_OVERFLOW: RefusalReason.HeadersTooLarge,
-  ERR_HTTP_REQUEST_TIMEOUT: RefusalReason.RequestTimeout
+  [requestTimeoutCode]: RefusalReason.RequestTimeout
 }
 
 const retryAfterSeconds = 1
@@ -45,7 +48,9 @@
     else setImmediate(() => socket.destroy())
   }
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Duplex) => {
-    if (plainEndCodes.has(error.code ?? '')) socket.destroy()
+    // A connection on which nothing was sent is closed like an idle one: an answer to no request could be taken for another's.
+    const isUnused = error.code === requestTimeoutCode && (socket as Socket).bytesRead === 0
+    if (isUnused || plainEndCodes.has(error.code ?? '')) socket.destroy()
     else refuse(socket, reasonByCode[error.code ?? ''] ?? RefusalReason.BadRequest, error.message)
   })
   server.on('connect', (_message: IncomingMessage, socket: Duplex) => {
--- a/packages/standins/src/site_path_test.ts
+++ b/packages/standins/src/site_path_test.ts
@@ -198,6 +198,36 @@
   t.is(answers.filter(answer => answer.status === undefined && answer.elapsedMs > 200).length, 0)
 })
 
+test('keeps connections as the configuration says, and closes one on which nothing was sent without an answer', async t => {
+  await using world = await createSiteWorld()
+  world.writeConfig()
+  await world.openTarget('t1')
+  const entry = await startReady(world)
+  const answer = await world.call(entry, { agent: new Agent({ keepAlive: true }) })
+  t.is(answer.headers['keep-alive'], 'timeout=15')
+  const received = await new Promise<string>(resolve => {
+    let got = ''
+    const socket = connect(entry.settings.listen.callers)
+    socket.on('data', part => { got += part.toString() })
+    socket.on('close', () => resolve(got))
+  })
+  t.is(received, '')
+})
+
+test('tells refused callers to come back later the more of them there are', async t => {
+  await using world = await createSiteWorld()
+  world.writeConfig({ timeout: '400ms' })
+  const target = await world.openTarget('t1')
+  const entry = await startReady(world)
+  target.setWorkMs(300)
+  const answers = await Promise.all(Array.from({ length: 60 }, () => world.call(entry, { objectKey: 'same' })))
+  const told = answers.filter(answer => answer.status === 503).map(answer => Number(answer.headers['retry-after']))
+  t.true(told.length > 20)
+  t.true(told.every(seconds => seconds > 0))
+  const mean = (values: number[]): number => values.reduce((sum, value) => sum + value, 0) / values.length
+  t.true(mean(told.slice(-10)) > mean(told.slice(0, 5)))
+})
+
 test('gives each object few targets, and queues no more at a target than it should', async t => {
   await using world = await createSiteWorld()
   world.writeConfig()
