Keep a connection only where nothing came behind an answer

Change: an exchange ends when all that came with the end of its answer has been read; a connection that holds more is closed.

--- a/packages/targets/src/answer_parser.ts
+++ b/packages/targets/src/answer_parser.ts
@@ -35,6 +35,8 @@
   read (bytes: Buffer): Error | undefined
   /** Tells whether the answer that is being read has no length and ends with its connection. */
   isOpenEnded (): boolean
+  /** Tells whether what was read ends with the end of an answer. */
+  isBetweenAnswers (): boolean
   /** Ends the input; returns an error where an answer is not complete. */
   finish (): Error | undefined
 }
@@ -42,6 +44,8 @@
 /** The members of the parser that its type declaration leaves out or hides. */
 interface ParserState {
   state: string
+  /** Start of a line whose end has not come. */
+  line: string
   body_bytes: number
   consumeLine: () => string | undefined
   BODY_CHUNKHEAD: () => void
@@ -58,7 +62,8 @@
  */
 export function createAnswerParser (events: AnswerEvents): AnswerParser {
   const parser = new HTTPParser(HTTPParser.RESPONSE)
-  checkChunkSizes(parser as unknown as ParserState)
+  const internal = parser as unknown as ParserState
+  checkChunkSizes(internal)
   parser[HTTPParser.kOnHeadersComplete] = info => {
     const fields = collectFields(info.headers)
     const contentLength = checkFraming(info.headers, fields)
@@ -76,7 +81,8 @@
     }
   }
   return {
-    isOpenEnded: () => (parser as unknown as ParserState).state === 'BODY_RAW',
+    isOpenEnded: () => internal.state === 'BODY_RAW',
+    isBetweenAnswers: () => internal.state === 'RESPONSE_LINE' && internal.line === '',
     read: bytes => run(() => parser.execute(bytes)),
     finish: () => run(() => parser.finish())
   }
--- a/packages/targets/src/target_connection.ts
+++ b/packages/targets/src/target_connection.ts
@@ -87,6 +87,8 @@
 export function openTargetConnection (place: { host: string, port: number }, options: OpenTargetConnectionOptions): TargetConnection {
   const socket = connect({ host: place.host, port: place.port, noDelay: true, allowHalfOpen: true })
   let current: Exchange | undefined
+  /** The exchange whose answer is complete, until all that came with its end has been read. */
+  let ended: Exchange | undefined
   let established = false
   let closed = false
   let reusable = true
@@ -98,9 +100,7 @@
   const timer = setTimeout(() => failConnection(ExchangeFailure.ConnectFailed, `No connection for ${options.connectTimeoutMs} ms`), options.connectTimeoutMs)
   const parser = createAnswerParser({
     onHead: handleHead,
-    onBody (part) {
-      if (!skipping) current?.onBody(part)
-    },
+    onBody: part => skipping ? undefined : current?.onBody(part),
     onEnd: handleEnd
   })
 
@@ -158,11 +158,18 @@
       skipping = false
       return
     }
-    const exchange = current
+    ended = current
     current = undefined
     connection.idleSinceMs = performance.now()
     // What is left of the body would be read as the start of the next request.
     if (!bodySent || !reusable) closeConnection()
+  }
+
+  /** Ends the exchange whose answer is complete; its connection is kept only where nothing came behind the answer. */
+  function settleEnded (): void {
+    const exchange = ended
+    ended = undefined
+    if (current === undefined && !parser.isBetweenAnswers()) closeConnection()
     exchange?.onEnd()
   }
 
@@ -179,6 +186,7 @@
       return
     }
     const error = current === undefined ? undefined : parser.finish()
+    settleEnded()
     failConnection(ExchangeFailure.Lost, error?.message ?? 'Target closed the connection')
   }
 
@@ -191,6 +199,7 @@
   socket.on('data', bytes => {
     const error = parser.read(bytes)
     if (error !== undefined) failConnection(ExchangeFailure.Malformed, error.message)
+    settleEnded()
   })
   socket.on('end', () => finishInput(performance.now()))
   socket.on('error', error => failConnection(ExchangeFailure.Lost, error.message))
