--- a/packages/standins/src/site_path_test.ts
+++ b/packages/standins/src/site_path_test.ts
@@ -91,6 +91,54 @@
   t.true(await waitUntil(() => target.runs.find(run => run.attemptId === 'slow')!.isCut))
 })
 
+test('sends a safe request elsewhere that is at a target which is silent and takes no connection', async t => {
+  await using world = await createSiteWorld()
+  world.writeConfig()
+  const targets = [await world.openTarget('t1'), await world.openTarget('t2')]
+  const entry = await startReady(world)
+  await waitUntil(() => entry.readLog().filter(line => line['event'] === 'target').length === 2)
+  for (const target of targets) target.runs.length = 0
+  await world.call(entry, { objectKey: 'k' })
+  const first = targets.find(target => target.runs.length > 0)!
+  first.setWorkMs(5_000)
+  const waiting = world.call(entry, { objectKey: 'k', id: 'waiting' })
+  t.true(await waitUntil(() => first.runs.some(run => run.attemptId === 'waiting')))
+  first.stopListening()
+  t.is((await world.call(entry, { objectKey: 'k' })).status, 200)
+  t.like(await waiting, { status: 200, isWhole: true })
+})
+
+test('sends an attempt to no more targets than its route allows, each with the time that is left', async t => {
+  await using world = await createSiteWorld()
+  world.writeConfig({ max_attempts: 2, timeout: '1000ms' })
+  const targets = await Promise.all(['t1', 't2', 't3', 't4'].map(id => world.openTarget(id, { workMs: 150 })))
+  const entry = await startReady(world)
+  await waitUntil(() => entry.readLog().filter(line => line['event'] === 'target').length === 4)
+  for (const target of targets) target.addFaults([TargetFault.AnswerLost, TargetFault.AnswerLost])
+  const answer = await world.call(entry, { objectKey: 'k', id: 'tested', timeLeftMs: 800 })
+  t.is(answer.status, 502)
+  const times = targets.flatMap(target => target.runs).filter(run => run.attemptId === 'tested').map(run => run.timeLeftMs).toSorted((a, b) => b - a)
+  t.is(times.length, 2)
+  t.true(times[0]! <= 800)
+  t.true(times[1]! <= times[0]! - 150)
+})
+
+test('never runs a request at a target that has taken over another one\'s address', async t => {
+  await using world = await createSiteWorld()
+  world.writeConfig()
+  const other = await world.openTarget('other')
+  const entry = await startReady(world)
+  // The entry of a target that is gone still names the address at which another one answers now.
+  world.store.writeRow('servers', 'gone', { service: 'svc', address: other.address, zone: 'a-1', version: 'v1', slots: 3, state: 'ready', cold_left: '0ms', seq: 1, born: 1 })
+  world.store.removeRow('servers', 'other')
+  await waitUntil(() => entry.readLog().some(line => line['event'] === 'target_gone'))
+  other.runs.length = 0
+  const answer = await world.call(entry, { path: '/unsafe/x', method: 'POST', body: 'x' })
+  t.is(answer.status, 503)
+  t.true(Number(answer.headers['retry-after']) > 0)
+  t.is(other.runs.length, 0)
+})
+
 test('cancels the work of a caller that leaves', async t => {
   await using world = await createSiteWorld()
   world.writeConfig()
--- a/packages/standins/src/site_target.ts
+++ b/packages/standins/src/site_target.ts
@@ -18,6 +18,8 @@
   call: string
   /** Length of the body, in bytes. */
   bodyBytes: number
+  /** Time that it was told is left, in milliseconds. */
+  timeLeftMs: number
   /** Whether the caller's side of the connection was closed before the end. */
   isCut: boolean
 }
@@ -54,6 +56,8 @@
 
 /** A target. */
 export interface SiteTarget extends AsyncDisposable {
+  /** `host:port` that it listens on. */
+  address: string
   /** What it ran. */
   runs: TargetRun[]
   /** Most requests that it has worked on at once. */
@@ -62,6 +66,8 @@
   addFaults (faults: TargetFault[]): void
   /** Writes its registration to the store. */
   register (change?: Record<string, unknown>): void
+  /** Takes no new connections from now on; open ones stay. */
+  stopListening (): void
   /** Sets the time that a request takes, in milliseconds. */
   setWorkMs (workMs: number): void
 }
@@ -95,7 +101,7 @@
       response.writeHead(503, { 'X-Not-Executed': '1', 'X-Server-Load': `${slots},9,${slots}` }).end()
       return
     }
-    const run = { attemptId, call: `${message.method!} ${message.url!}`, bodyBytes: body.length, isCut: false }
+    const run = { attemptId, call: `${message.method!} ${message.url!}`, bodyBytes: body.length, timeLeftMs: Number(message.headers['x-timeout-ms']), isCut: false }
     runs.push(run)
     response.on('close', () => { run.isCut = !response.writableFinished })
     busy++
@@ -123,9 +129,11 @@
   })
   const place = await listenOnLoopback(server)
   const target: SiteTarget = {
+    address: `${place.host}:${place.port}`,
     runs,
     getMostBusy: () => mostBusy,
     addFaults: added => faults.push(...added),
+    stopListening () { server.close() },
     setWorkMs (next) { workMs = next },
     register (change = {}) {
       sequence++
@@ -133,7 +141,7 @@
     },
     async [Symbol.asyncDispose] () {
       server.closeAllConnections()
-      await new Promise(resolve => server.close(resolve))
+      await new Promise<void>(resolve => server.close(() => resolve()))
     }
   }
   target.register()
