Name dispatcher, exchanges and registry as the field does

Cause: read as a newcomer, the steering desk, its visits and the book of targets were metaphors of our own, and hear, learn and forgive say little of what a view of peers does. Change: Dispatcher, ActiveExchanges, TargetRegistry, RegisteredTarget; recordHeartbeat, addKnown, excuseSilence.

--- a/packages/bilberryd/src/edge/target_visits.ts
+++ b/packages/bilberryd/src/edge/active_exchanges.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { BookedTarget } from '@bilberryworks/steering'
+import type { RegisteredTarget } from '@bilberryworks/steering'
 import type { TargetPool } from '@bilberryworks/targets'
 import type { Attempt } from './attempt.ts'
 import type { EntryLog } from './entry_log.ts'
@@ -12,23 +12,23 @@
 import { AttemptPhase } from './attempt.ts'
 
 /** The attempts at targets. */
-export interface TargetVisits {
+export interface ActiveExchanges {
   /** Takes note that an attempt is handed to a target, which counts it already. */
-  add (attempt: Attempt, entry: BookedTarget): void
+  add (attempt: Attempt, entry: RegisteredTarget): void
   /** Frees the target of an attempt whose exchange has ended. */
   release (attempt: Attempt, signal: TargetSignal): void
   /** Breaks off the exchange of an attempt, where one is under way. */
   cancel (attempt: Attempt, signal: TargetSignal): void
   /** Frees a target that an attempt was counted at and not sent to. */
-  releaseUnused (entry: BookedTarget): void
+  releaseUnused (entry: RegisteredTarget): void
   /** Lists the attempts that may run again and are at targets which are lost. */
   listLost (): Attempt[]
   /** Counts the attempts. */
   count (): number
 }
 
-/** Options of {@linkcode createTargetVisits}. */
-export interface CreateTargetVisitsOptions {
+/** Options of {@linkcode createActiveExchanges}. */
+export interface CreateActiveExchangesOptions {
   /** What the instance believes. */
   state: EntryState
   /** Connections to targets. */
@@ -47,11 +47,11 @@
  * @param options What the ends are recorded in
  * @returns The record
  */
-export function createTargetVisits (options: CreateTargetVisitsOptions): TargetVisits {
+export function createActiveExchanges (options: CreateActiveExchangesOptions): ActiveExchanges {
   const { state, pool, log, getNowMs, getRandom } = options
   const sent = new Set<Attempt>()
 
-  function recordSignal (entry: BookedTarget, signal: TargetSignal): void {
+  function recordSignal (entry: RegisteredTarget, signal: TargetSignal): void {
     const coldForMs = state.getConfig()?.services.get(entry.target.service)?.coldForMs ?? 0
     recordTargetEnd(entry, signal, { nowMs: getNowMs(), getRandom, coldForMs })
   }
--- a/packages/bilberryd/src/edge/attempt.ts
+++ b/packages/bilberryd/src/edge/attempt.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { BookedTarget, PlacedRequest, RefusalReason, Route, WaitingRequest } from '@bilberryworks/steering'
+import type { RegisteredTarget, PlacedRequest, RefusalReason, Route, WaitingRequest } from '@bilberryworks/steering'
 import type { RunningExchange } from '@bilberryworks/targets'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { CollectedBody } from './collect_body.ts'
@@ -45,7 +45,7 @@
   /** The exchange under way. */
   exchange: RunningExchange | undefined
   /** The target of the exchange under way. */
-  entry: BookedTarget | undefined
+  entry: RegisteredTarget | undefined
   /** Whether any byte of it may have been read by a target that did not say that it did not run it. */
   mayHaveRun: boolean
   /** Monotonic time at which it was last handed to a target, in milliseconds. */
--- a/packages/bilberryd/src/edge/caller_listener.ts
+++ b/packages/bilberryd/src/edge/caller_listener.ts
@@ -1,5 +1,5 @@
 /**
- * The listener for callers: checks each request, collects its body and hands it to the steering desk.
+ * The listener for callers: checks each request, collects its body and hands it to the dispatcher.
  *
  * @module
  */
@@ -10,7 +10,7 @@
 import type { EntryLog } from './entry_log.ts'
 import type { EntryMetrics } from './entry_metrics.ts'
 import type { EntryState } from './entry_state.ts'
-import type { SteeringDesk } from './steering_desk.ts'
+import type { Dispatcher } from './dispatcher.ts'
 import { createServer } from 'node:http'
 import { checkFraming, handleClientErrors, writeRefusal } from '@bilberryworks/callers'
 import { createNotRun, Outcome, RefusalReason } from '@bilberryworks/steering'
@@ -35,7 +35,7 @@
   /** What the instance believes. */
   state: EntryState
   /** Where attempts go. */
-  desk: SteeringDesk
+  dispatcher: Dispatcher
   /** Log of decisions. */
   log: EntryLog
   /** Metrics. */
@@ -70,7 +70,7 @@
  * @returns The server
  */
 export function createCallerListener (options: CreateCallerListenerOptions): Server {
-  const { state, desk, log, metrics, getNowMs } = options
+  const { state, dispatcher, log, metrics, getNowMs } = options
   const server = createServer({ maxHeaderSize: maxHeaderBytes, requestTimeout: 0, connectionsCheckingInterval: limitCheckMs, keepAlive: true, noDelay: true, requireHostHeader: false })
   server.maxHeadersCount = 0
 
@@ -132,13 +132,13 @@
       refuseEarly(message, response, attempt)
       return
     }
-    attempt.timer = setTimeout(() => desk.expire(attempt), Math.max(0, attempt.finalAtMs - getNowMs()))
+    attempt.timer = setTimeout(() => dispatcher.expire(attempt), Math.max(0, attempt.finalAtMs - getNowMs()))
     response.on('close', () => {
-      if (!response.writableFinished) desk.abandon(attempt)
+      if (!response.writableFinished) dispatcher.abandon(attempt)
     })
     if (!hasBody(message)) {
       message.resume()
-      desk.submit(attempt)
+      dispatcher.submit(attempt)
       return
     }
     collectBody(message, {
@@ -147,9 +147,9 @@
       onCollected (body) {
         if (attempt.phase !== AttemptPhase.Arriving) return
         attempt.body = body
-        desk.submit(attempt)
+        dispatcher.submit(attempt)
       },
-      onTooLong: () => desk.refuse(attempt, createNotRun(RefusalReason.BodyTooLarge, 'Body grew longer than its bound'))
+      onTooLong: () => dispatcher.refuse(attempt, createNotRun(RefusalReason.BodyTooLarge, 'Body grew longer than its bound'))
     })
   }
 
--- a/packages/bilberryd/src/edge/steering_desk.ts
+++ b/packages/bilberryd/src/edge/dispatcher.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { BookedTarget, EntrySettings, Refusal, WaitingRequests } from '@bilberryworks/steering'
+import type { RegisteredTarget, EntrySettings, Refusal, WaitingRequests } from '@bilberryworks/steering'
 import type { TargetPool } from '@bilberryworks/targets'
 import type { Attempt } from './attempt.ts'
 import type { EntryLog } from './entry_log.ts'
@@ -16,10 +16,10 @@
 import { createExchangeEndHandler, minWorkMs } from './exchange_end.ts'
 import { createPlacer } from './placer.ts'
 import { ExchangeEnd, sendAttempt } from './send_attempt.ts'
-import { createTargetVisits } from './target_visits.ts'
+import { createActiveExchanges } from './active_exchanges.ts'
 
 /** Steers attempts. */
-export interface SteeringDesk {
+export interface Dispatcher {
   /** Takes an attempt whose body has been collected, or that has none. */
   submit (attempt: Attempt): void
   /** Ends an attempt without an answer of a target. */
@@ -38,8 +38,8 @@
   countInFlight (): number
 }
 
-/** Options of {@linkcode createSteeringDesk}. */
-export interface CreateSteeringDeskOptions {
+/** Options of {@linkcode createDispatcher}. */
+export interface CreateDispatcherOptions {
   /** Settings of the instance. */
   settings: EntrySettings
   /** What the instance believes. */
@@ -78,16 +78,16 @@
 }
 
 /**
- * Creates the desk.
+ * Creates the dispatcher.
  *
  * @param options What it decides from, and where it sends
- * @returns The desk
+ * @returns The dispatcher
  */
-export function createSteeringDesk (options: CreateSteeringDeskOptions): SteeringDesk {
+export function createDispatcher (options: CreateDispatcherOptions): Dispatcher {
   const { settings: { bounds }, state, pool, log, metrics, getNowMs } = options
   const placer = createPlacer(options)
-  const visits = createTargetVisits(options)
-  const ends = createAttemptEnds({ log, metrics, getNowMs, describeLoad: () => ({ waiting: countWaiting(), inFlight: visits.count() }) })
+  const exchanges = createActiveExchanges(options)
+  const ends = createAttemptEnds({ log, metrics, getNowMs, describeLoad: () => ({ waiting: countWaiting(), inFlight: exchanges.count() }) })
   const getWaiting = createByName<WaitingRequests<Attempt>>(createWaitingRequests)
   const getBudget = createByName(() => createRepeatBudget({ ratio: bounds.retryRatio, slack: bounds.retrySlack, windowMs: bounds.budgetWindowMs, getInstances: options.countInstances }))
   const getPacer = createByName(() => createRetryPacer(options.getRandom))
@@ -130,14 +130,14 @@
     return getWaiting.list().reduce((sum, service) => sum + getWaiting.get(service).count(), 0)
   }
 
-  function dispatchAttempt (attempt: Attempt, entry: BookedTarget): void {
+  function dispatchAttempt (attempt: Attempt, entry: RegisteredTarget): void {
     const nowMs = getNowMs()
     if (attempt.finalAtMs - nowMs < minWorkMs) {
-      visits.releaseUnused(entry)
+      exchanges.releaseUnused(entry)
       ends.refuse(attempt, createNotRun(RefusalReason.DeadlinePassed, 'Deadline passed before the request was sent', getRetryAfterMs(attempt)))
       return
     }
-    visits.add(attempt, entry)
+    exchanges.add(attempt, entry)
     metrics.recordStage(RequestStage.Queue, attempt.route.name, nowMs - attempt.arrivedAtMs)
     sendAttempt(attempt, entry, {
       pool,
@@ -145,11 +145,11 @@
       maxBodyBytes: state.getConfig()?.limits.maxBodyBytes ?? Infinity,
       onFirstByte: () => metrics.recordStage(RequestStage.FirstByte, attempt.route.name, getNowMs() - attempt.sentAtMs),
       onBodyTooLong () {
-        visits.cancel(attempt, TargetSignal.Ended)
+        exchanges.cancel(attempt, TargetSignal.Ended)
         ends.refuse(attempt, createUnknown(RefusalReason.BodyTooLarge, 'Body grew longer than its bound'))
       },
       onEnd (end, detail) {
-        visits.release(attempt, signalByEnd[end])
+        exchanges.release(attempt, signalByEnd[end])
         handleExchangeEnd(attempt, end, detail)
         dispatchWaiting(attempt.service)
       }
@@ -157,8 +157,8 @@
   }
 
   function retryLost (): void {
-    for (const attempt of visits.listLost()) {
-      visits.cancel(attempt, TargetSignal.Lost)
+    for (const attempt of exchanges.listLost()) {
+      exchanges.cancel(attempt, TargetSignal.Lost)
       handleExchangeEnd(attempt, ExchangeEnd.Lost, 'Target is silent and takes no connection')
     }
   }
@@ -166,7 +166,7 @@
   /** Takes an attempt out of the queue, and breaks off the exchange under way. */
   function detachAttempt (attempt: Attempt): void {
     if (attempt.phase === AttemptPhase.Waiting) getWaiting.get(attempt.service).remove(attempt.attemptId)
-    visits.cancel(attempt, TargetSignal.Ended)
+    exchanges.cancel(attempt, TargetSignal.Ended)
   }
 
   return {
@@ -194,7 +194,7 @@
     placeWaiting: checkWaiting,
     retryLost,
     countWaiting,
-    countInFlight: visits.count
+    countInFlight: exchanges.count
   }
 }
 
--- a/packages/bilberryd/src/edge/entry_state.ts
+++ b/packages/bilberryd/src/edge/entry_state.ts
@@ -3,10 +3,10 @@
  *
  * @module
  */
-import type { Route, RoutingConfig, RouteTable, TargetBook } from '@bilberryworks/steering'
+import type { Route, RoutingConfig, RouteTable, TargetRegistry } from '@bilberryworks/steering'
 import type { EntryLog } from './entry_log.ts'
 import type { KnownRow, RowChange, RowTable } from './row_tables.ts'
-import { createRouteTable, createTargetBook } from '@bilberryworks/steering'
+import { createRouteTable, createTargetRegistry } from '@bilberryworks/steering'
 import { decodeRouting, decodeTarget, parseEvacuationKey, routingKey } from '@bilberryworks/users-platform'
 import { createRowTable } from './row_tables.ts'
 
@@ -21,7 +21,7 @@
 /** What an instance believes. */
 export interface EntryState {
   /** The targets. */
-  book: TargetBook
+  targets: TargetRegistry
   /** Returns the configuration in force; `undefined` until one is known. */
   getConfig (): RoutingConfig | undefined
   /** Finds the route of a request under the configuration in force. */
@@ -70,7 +70,7 @@
 export function createEntryState (options: CreateEntryStateOptions): EntryState {
   const { log, getNowMs } = options
   const tables = { [FollowedTable.Operator]: createRowTable(), [FollowedTable.Targets]: createRowTable() }
-  const book = createTargetBook()
+  const targets = createTargetRegistry()
   const evacuated = new Set<string>()
   /** Monotonic time at which a target whose entry is missing counts as gone, by identifier. */
   const missing = new Map<string, number>()
@@ -118,8 +118,8 @@
       return
     }
     missing.delete(key)
-    const before = book.find(key)
-    book.register(target, { region: options.regions.get(target.failureDomain) ?? '', nowMs: getNowMs() })
+    const before = targets.find(key)
+    targets.register(target, { region: options.regions.get(target.failureDomain) ?? '', nowMs: getNowMs() })
     if (before?.target.leaving !== target.leaving || target.coldLeftMs > 0) {
       log.info('target', { target: key, service: target.service, failureDomain: target.failureDomain, leaving: target.leaving, coldLeftMs: target.coldLeftMs, version })
     }
@@ -127,7 +127,7 @@
 
   /** Entries lapse while the store is away; those of targets that live come back after its return. */
   function markMissing (id: string): void {
-    if (book.find(id) === undefined) return
+    if (targets.find(id) === undefined) return
     const goneAtMs = returnedAtMs + lapsedReturnMs
     if (goneAtMs <= getNowMs()) removeTarget(id)
     else missing.set(id, goneAtMs)
@@ -135,7 +135,7 @@
 
   function removeTarget (id: string): void {
     missing.delete(id)
-    book.remove(id)
+    targets.remove(id)
     log.info('target_gone', { target: id })
   }
 
@@ -150,11 +150,11 @@
   }
 
   return {
-    book,
+    targets,
     getConfig: () => config,
     findRoute: (host, path) => routes?.findRoute(host, path),
     isEvacuated: failureDomain => evacuated.has(failureDomain),
-    getRevision: () => revision + book.getRevision(),
+    getRevision: () => revision + targets.getRevision(),
     applyRows: (table, rows, version) => applyAll(table, tables[table].mergeAll(rows, version)),
     applyChanges: (table, changes) => applyAll(table, tables[table].mergeChanges(changes)),
     getTable: table => tables[table],
--- a/packages/bilberryd/src/edge/instance_rows.ts
+++ b/packages/bilberryd/src/edge/instance_rows.ts
@@ -50,7 +50,7 @@
     for (const row of read.value.rows) {
       const heartbeat = parseRow(row.text)
       if (heartbeat === undefined) log.warn('instance_undecodable', { key: row.key })
-      else view.learn(heartbeat, performance.now())
+      else view.addKnown(heartbeat, performance.now())
     }
     return undefined
   }
--- a/packages/bilberryd/src/edge/peer_link.ts
+++ b/packages/bilberryd/src/edge/peer_link.ts
@@ -83,7 +83,7 @@
   }
 
   function handleHeartbeat (heartbeat: PeerHeartbeat): void {
-    if (view.hear(heartbeat, getNowMs())) {
+    if (view.recordHeartbeat(heartbeat, getNowMs())) {
       log.info('peer_live', { peer: heartbeat.instance, startedAtMs: heartbeat.startedAtMs })
       // It learns at once that this instance lives.
       socket.send(JSON.stringify(options.getHeartbeat()), heartbeat.heartbeats.port, heartbeat.heartbeats.host, reportSendError)
@@ -101,7 +101,7 @@
   async function readState (place: SocketPlace): Promise<void> {
     const query = Object.values(FollowedTable).map(table => `${table}=${state.getTable(table).getVersion()}`).join('&')
     const answer = JSON.parse(await readText(place, `${statePath}?${query}`)) as PeerAnswer
-    for (const heartbeat of answer.instances) view.learn(heartbeat, getNowMs())
+    for (const heartbeat of answer.instances) view.addKnown(heartbeat, getNowMs())
     for (const [table, content] of Object.entries(answer.tables)) {
       log.info('table_from_peer', { table, from: `${place.host}:${place.port}`, version: content.version })
       state.applyRows(table as FollowedTable, content.rows, content.version)
--- a/packages/bilberryd/src/edge/peer_view.ts
+++ b/packages/bilberryd/src/edge/peer_view.ts
@@ -40,15 +40,15 @@
 /** The other instances. */
 export interface PeerView {
   /** Takes a heartbeat of the peer itself; returns whether it was news of a peer not live before. */
-  hear (heartbeat: PeerHeartbeat, nowMs: number): boolean
+  recordHeartbeat (heartbeat: PeerHeartbeat, nowMs: number): boolean
   /** Takes note of a peer that somebody else told of. */
-  learn (heartbeat: PeerHeartbeat, nowMs: number): void
+  addKnown (heartbeat: PeerHeartbeat, nowMs: number): void
   /** Lists all peers that were ever told of, those that are gone for long not among them. */
   listKnown (): KnownPeer[]
   /** Lists the peers that live. */
   listLive (nowMs: number): KnownPeer[]
   /** Counts time in which this instance stood still: silence of others in it says nothing. */
-  forgive (durationMs: number): void
+  excuseSilence (durationMs: number): void
   /** Returns the largest number of instances that were live together, this one among them. */
   countMost (): number
 }
@@ -75,7 +75,7 @@
   const isLive = (peer: KnownPeer, nowMs: number): boolean => nowMs - peer.heardAtMs < options.silenceMs
   const isNewer = (a: PeerHeartbeat, b: PeerHeartbeat): boolean => a.startedAtMs > b.startedAtMs || (a.startedAtMs === b.startedAtMs && a.sequence > b.sequence)
   return {
-    hear (heartbeat, nowMs) {
+    recordHeartbeat (heartbeat, nowMs) {
       if (heartbeat.instance === options.instance) return false
       const known = peers.get(heartbeat.instance)
       if (known !== undefined && known.heardAtMs > -Infinity && !isNewer(heartbeat, known.heartbeat)) return false
@@ -85,7 +85,7 @@
       most = Math.max(most, live)
       return !wasLive
     },
-    learn (heartbeat, nowMs) {
+    addKnown (heartbeat, nowMs) {
       if (heartbeat.instance === options.instance) return
       const known = peers.get(heartbeat.instance)
       if (known !== undefined && !isNewer(heartbeat, known.heartbeat)) return
@@ -96,7 +96,7 @@
       for (const [name, peer] of peers) if (nowMs - Math.max(peer.heardAtMs, peer.learntAtMs) > options.forgetMs) peers.delete(name)
       return [...peers.values()].filter(peer => isLive(peer, nowMs))
     },
-    forgive (durationMs) {
+    excuseSilence (durationMs) {
       for (const peer of peers.values()) peer.heardAtMs += durationMs
     },
     countMost: () => most
--- a/packages/bilberryd/src/edge/peer_view_test.ts
+++ b/packages/bilberryd/src/edge/peer_view_test.ts
@@ -12,32 +12,32 @@
 
 test('takes a peer for live while it is heard, and for gone when it is silent', t => {
   const view = createView()
-  t.true(view.hear(createHeartbeat('p'), 0))
-  t.false(view.hear(createHeartbeat('p', { sequence: 2 }), 1_000))
+  t.true(view.recordHeartbeat(createHeartbeat('p'), 0))
+  t.false(view.recordHeartbeat(createHeartbeat('p', { sequence: 2 }), 1_000))
   t.is(view.listLive(3_999).length, 1)
   t.is(view.listLive(4_000).length, 0)
-  t.true(view.hear(createHeartbeat('p', { startedAtMs: 2 }), 5_000))
+  t.true(view.recordHeartbeat(createHeartbeat('p', { startedAtMs: 2 }), 5_000))
   t.is(view.countMost(), 2)
 })
 
 test('does not take late heartbeats of an earlier run for signs of life', t => {
   const view = createView()
-  view.hear(createHeartbeat('p', { startedAtMs: 2, sequence: 1 }), 0)
-  t.false(view.hear(createHeartbeat('p', { startedAtMs: 1, sequence: 99 }), 2_000))
+  view.recordHeartbeat(createHeartbeat('p', { startedAtMs: 2, sequence: 1 }), 0)
+  t.false(view.recordHeartbeat(createHeartbeat('p', { startedAtMs: 1, sequence: 99 }), 2_000))
   t.is(view.listLive(3_500).length, 0)
 })
 
 test('does not take its own standstill for the silence of others', t => {
   const view = createView()
-  view.hear(createHeartbeat('p'), 0)
-  view.forgive(5_000)
+  view.recordHeartbeat(createHeartbeat('p'), 0)
+  view.excuseSilence(5_000)
   t.is(view.listLive(6_000).length, 1)
 })
 
 test('takes a peer that others tell of for known, not for live', t => {
   const view = createView()
-  view.learn(createHeartbeat('p'), 0)
-  view.learn(createHeartbeat('own'), 0)
+  view.addKnown(createHeartbeat('p'), 0)
+  view.addKnown(createHeartbeat('own'), 0)
   t.is(view.listLive(0).length, 0)
   t.deepEqual(view.listKnown().map(peer => peer.heartbeat.instance), ['p'])
 })
--- a/packages/bilberryd/src/edge/placer.ts
+++ b/packages/bilberryd/src/edge/placer.ts
@@ -3,14 +3,14 @@
  *
  * @module
  */
-import type { BookedTarget, EntrySettings, PlacedRequest } from '@bilberryworks/steering'
+import type { RegisteredTarget, EntrySettings, PlacedRequest } from '@bilberryworks/steering'
 import type { EntryState } from './entry_state.ts'
 import { choosePlacement, coldGapMs, isColdSender, isTargetUsable, rankTargets } from '@bilberryworks/steering'
 
 /** Finds targets. */
 export interface Placer {
   /** Finds the target that has room for a request now. */
-  findTarget (request: PlacedRequest): BookedTarget | undefined
+  findTarget (request: PlacedRequest): RegisteredTarget | undefined
   /** Tells whether any target may take the request, with room or without. */
   hasTarget (request: PlacedRequest): boolean
   /** Measures the slots of a service that fall to this instance, and the mean time that a request holds one, in milliseconds. */
@@ -43,15 +43,15 @@
 export function createPlacer (options: CreatePlacerOptions): Placer {
   const { settings, state, getNowMs } = options
   const { bounds } = settings
-  const rankings = new Map<string, BookedTarget[]>()
+  const rankings = new Map<string, RegisteredTarget[]>()
   let rankingsRevision = -1
 
-  function isEligible (entry: BookedTarget, request: PlacedRequest): boolean {
+  function isEligible (entry: RegisteredTarget, request: PlacedRequest): boolean {
     const { target, region } = entry
     return !target.leaving && !state.isEvacuated(target.failureDomain) && (request.homeRegions.length === 0 || request.homeRegions.includes(region))
   }
 
-  function getRanked (request: PlacedRequest): BookedTarget[] {
+  function getRanked (request: PlacedRequest): RegisteredTarget[] {
     if (rankingsRevision !== state.getRevision() || rankings.size > maxRankings) {
       rankings.clear()
       rankingsRevision = state.getRevision()
@@ -59,13 +59,13 @@
     const key = `${request.service}\u0000${request.homeRegions.join(',')}\u0000${request.objectKey ?? ''}`
     let ranked = rankings.get(key)
     if (ranked === undefined) {
-      ranked = rankTargets(request.objectKey ?? '', state.book.list(request.service).filter(entry => isEligible(entry, request)))
+      ranked = rankTargets(request.objectKey ?? '', state.targets.list(request.service).filter(entry => isEligible(entry, request)))
       rankings.set(key, ranked)
     }
     return ranked
   }
 
-  function isUsable (entry: BookedTarget, nowMs: number): boolean {
+  function isUsable (entry: RegisteredTarget, nowMs: number): boolean {
     if (!isTargetUsable(entry, nowMs)) return false
     if (entry.coldUntilMs <= nowMs) return true
     const perSecond = state.getConfig()?.services.get(entry.target.service)?.coldRequestsPerSecond ?? 0
@@ -80,7 +80,7 @@
     },
     measureCapacity (service) {
       const nowMs = getNowMs()
-      const usable = state.book.list(service).filter(entry => !entry.target.leaving && !state.isEvacuated(entry.target.failureDomain) && isTargetUsable(entry, nowMs))
+      const usable = state.targets.list(service).filter(entry => !entry.target.leaving && !state.isEvacuated(entry.target.failureDomain) && isTargetUsable(entry, nowMs))
       const told = usable.flatMap(entry => entry.answerMs ?? [])
       const slots = usable.reduce((sum, entry) => sum + entry.target.slots, 0) / options.listInstances().length
       return { slots, holdMs: told.length === 0 ? defaultHoldMs : told.reduce((sum, answerMs) => sum + answerMs, 0) / told.length }
--- a/packages/bilberryd/src/edge/run_entry.ts
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -20,7 +20,7 @@
 import { createLookUpListener, createReadinessListener } from './look_up_listener.ts'
 import { listenOn, startPeerLink } from './peer_link.ts'
 import { createPeerView } from './peer_view.ts'
-import { createSteeringDesk } from './steering_desk.ts'
+import { createDispatcher } from './dispatcher.ts'
 import { startStoreFollower } from './store_follower.ts'
 
 /** A running entry instance. */
@@ -72,7 +72,7 @@
   const view = createPeerView({ instance: settings.instance, silenceMs: peerSilenceMs, forgetMs: peerForgetMs })
   const state = createEntryState({ regions: settings.regions, log, getNowMs, countUndecodable: metrics.countUndecodable, onChange: handleChange })
   const pool = owned.add(createTargetPool({ connectTimeoutMs, onStray: metrics.countStray }))
-  const desk = createSteeringDesk({
+  const dispatcher = createDispatcher({
     settings,
     state,
     pool,
@@ -86,7 +86,7 @@
 
   function handleChange (): void {
     applyCallerLimits(callers, state.getConfig()?.limits)
-    desk.placeWaiting()
+    dispatcher.placeWaiting()
   }
 
   const isReady = (): boolean => phase === StopPhase.Running && state.getConfig() !== undefined
@@ -109,9 +109,9 @@
   function readValues (): Record<EntryGauge, number> {
     return {
       [EntryGauge.ConfigVersion]: state.getConfig()?.version ?? 0,
-      [EntryGauge.Targets]: state.book.count(),
-      [EntryGauge.Waiting]: desk.countWaiting(),
-      [EntryGauge.InFlight]: desk.countInFlight(),
+      [EntryGauge.Targets]: state.targets.count(),
+      [EntryGauge.Waiting]: dispatcher.countWaiting(),
+      [EntryGauge.InFlight]: dispatcher.countInFlight(),
       [EntryGauge.TargetConnections]: pool.count(),
       [EntryGauge.Peers]: view.listLive(getNowMs()).length,
       [EntryGauge.StoreAge]: (getNowMs() - state.getContactMs()) / 1_000,
@@ -120,7 +120,7 @@
   }
 
   const shares = createShareSequence(getRandom)
-  const callers = createCallerListener({ settings, state, desk, log, metrics, getNowMs, chooseService: shares.choose, getStopPhase: () => phase })
+  const callers = createCallerListener({ settings, state, dispatcher, log, metrics, getNowMs, chooseService: shares.choose, getStopPhase: () => phase })
   const openRequests = countOpenRequests(callers)
   const hasHomes = (): boolean => state.getConfig()?.routes.some(route => route.homeRegions.length > 0) ?? false
   const lookUps = createLookUpListener({ settings, view, getHeartbeat, getNowMs, hasHomes })
@@ -158,12 +158,12 @@
     const nowMs = getNowMs()
     if (nowMs - lastRoundMs > standstillMs) {
       log.warn('standstill', { durationMs: Math.round(nowMs - lastRoundMs) })
-      view.forgive(nowMs - lastRoundMs)
+      view.excuseSilence(nowMs - lastRoundMs)
     }
     lastRoundMs = nowMs
     pool.sweep(nowMs)
     state.expireMissing(nowMs)
-    desk.retryLost()
+    dispatcher.retryLost()
   }, upkeepMs)
   owned.add({ async [Symbol.asyncDispose] () { clearInterval(upkeep) } })
   log.info('started', { failureDomain: settings.failureDomain, region: settings.region, callers: getHeartbeat().callers, cpuMs: Math.round(process.cpuUsage().user / 1_000 + process.cpuUsage().system / 1_000) })
@@ -172,7 +172,7 @@
     async stop () {
       const stopAtMs = getNowMs()
       phase = StopPhase.Leaving
-      log.info('stopping', { open: openRequests.count(), inFlight: desk.countInFlight(), waiting: desk.countWaiting() })
+      log.info('stopping', { open: openRequests.count(), inFlight: dispatcher.countInFlight(), waiting: dispatcher.countWaiting() })
       link.announce()
       await wait(bounds.graceMs * takeShare)
       phase = StopPhase.Closing
@@ -182,7 +182,7 @@
         callers.closeIdleConnections()
         await wait(stopCheckMs)
       }
-      log.info('stopped', { open: openRequests.count(), inFlight: desk.countInFlight(), waiting: desk.countWaiting() })
+      log.info('stopped', { open: openRequests.count(), inFlight: dispatcher.countInFlight(), waiting: dispatcher.countWaiting() })
       await owned[Symbol.asyncDispose]()
     },
     reload (next) {
--- a/packages/bilberryd/src/edge/send_attempt.ts
+++ b/packages/bilberryd/src/edge/send_attempt.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { BookedTarget } from '@bilberryworks/steering'
+import type { RegisteredTarget } from '@bilberryworks/steering'
 import type { AnswerHead, TargetPool } from '@bilberryworks/targets'
 import type { AnswerWriter } from './answer_writer.ts'
 import type { Attempt } from './attempt.ts'
@@ -57,7 +57,7 @@
  * @param entry The target
  * @param options What to call
  */
-export function sendAttempt (attempt: Attempt, entry: BookedTarget, options: SendAttemptOptions): void {
+export function sendAttempt (attempt: Attempt, entry: RegisteredTarget, options: SendAttemptOptions): void {
   const { target } = entry
   let writer: AnswerWriter | undefined
   let withheld: ExchangeEnd.NotRun | ExchangeEnd.Failed | undefined
--- a/packages/steering/src/placement.ts
+++ b/packages/steering/src/placement.ts
@@ -7,9 +7,9 @@
  *
  * @module
  */
-import type { BookedTarget } from './target_book.ts'
+import type { RegisteredTarget } from './target_registry.ts'
 import { computeHash } from './rendezvous.ts'
-import { computeTargetLoad } from './target_book.ts'
+import { computeTargetLoad } from './target_registry.ts'
 
 /** A request that needs a target. */
 export interface PlacedRequest {
@@ -28,9 +28,9 @@
 /** What a target is chosen from. */
 export interface ChoosePlacementOptions {
   /** Targets in the object's order, best first. */
-  ranked: readonly BookedTarget[]
+  ranked: readonly RegisteredTarget[]
   /** Tells whether a target may be sent a request now: neither out of reach, nor cold beyond its pace. */
-  isUsable: (entry: BookedTarget) => boolean
+  isUsable: (entry: RegisteredTarget) => boolean
   /** Region of the instance, whose targets cost no bytes between regions. */
   region: string
   /** Monotonic time, in milliseconds. */
@@ -51,7 +51,7 @@
  * @param targets The targets
  * @returns The targets, best first
  */
-export function rankTargets (key: string, targets: readonly BookedTarget[]): BookedTarget[] {
+export function rankTargets (key: string, targets: readonly RegisteredTarget[]): RegisteredTarget[] {
   const scored = targets.map(entry => ({ entry, score: computeHash(`${entry.target.id}\u0000${key}`) }))
   scored.sort((a, b) => b.score - a.score || (a.entry.target.id < b.entry.target.id ? -1 : 1))
   return scored.map(item => item.entry)
@@ -64,11 +64,11 @@
  * @param options The targets in the object's order, and what is known of them
  * @returns The target, or `undefined` where the request has to wait
  */
-export function choosePlacement (request: PlacedRequest, options: ChoosePlacementOptions): BookedTarget | undefined {
+export function choosePlacement (request: PlacedRequest, options: ChoosePlacementOptions): RegisteredTarget | undefined {
   return request.objectKey === undefined ? chooseLeastLoaded(request, options) : chooseWarm(request, options)
 }
 
-function chooseWarm (request: PlacedRequest, options: ChoosePlacementOptions): BookedTarget | undefined {
+function chooseWarm (request: PlacedRequest, options: ChoosePlacementOptions): RegisteredTarget | undefined {
   const { nowMs } = options
   for (const [index, entry] of listOwnTargets(request, options).entries()) {
     const queue = index === 0 ? firstTargetQueue : otherTargetQueue
@@ -78,8 +78,8 @@
 }
 
 /** Lists the targets on which the object is kept warm, one in the instance's own region first. */
-function listOwnTargets (request: PlacedRequest, { ranked, isUsable, region }: ChoosePlacementOptions): BookedTarget[] {
-  const own: BookedTarget[] = []
+function listOwnTargets (request: PlacedRequest, { ranked, isUsable, region }: ChoosePlacementOptions): RegisteredTarget[] {
+  const own: RegisteredTarget[] = []
   for (const entry of ranked) {
     if (request.tried.has(entry.target.id) || !isUsable(entry)) continue
     own.push(entry)
@@ -90,8 +90,8 @@
   return own
 }
 
-function chooseLeastLoaded (request: PlacedRequest, { ranked, isUsable, nowMs }: ChoosePlacementOptions): BookedTarget | undefined {
-  let best: BookedTarget | undefined
+function chooseLeastLoaded (request: PlacedRequest, { ranked, isUsable, nowMs }: ChoosePlacementOptions): RegisteredTarget | undefined {
+  let best: RegisteredTarget | undefined
   let bestLoad = Infinity
   for (const entry of ranked) {
     if (request.tried.has(entry.target.id) || !isUsable(entry)) continue
--- a/packages/steering/src/placement_test.ts
+++ b/packages/steering/src/placement_test.ts
@@ -1,21 +1,21 @@
-import type { BookedTarget } from './target_book.ts'
+import type { RegisteredTarget } from './target_registry.ts'
 import test from 'ava'
 import { choosePlacement, rankTargets } from './placement.ts'
-import { createTargetBook, isTargetLost, isTargetUsable, recordTargetEnd, recordTargetStart, maxSilenceMs, recordAnswerTime } from './target_book.ts'
+import { createTargetRegistry, isTargetLost, isTargetUsable, recordTargetEnd, recordTargetStart, maxSilenceMs, recordAnswerTime } from './target_registry.ts'
 import { TargetSignal } from './circuit.ts'
 
 const endOptions = { getRandom: () => 0.5, coldForMs: 3_000 }
 
-function createTargets (count: number, slots = 3): BookedTarget[] {
-  const book = createTargetBook()
-  return Array.from({ length: count }, (_, index) => book.register({
+function createTargets (count: number, slots = 3): RegisteredTarget[] {
+  const registry = createTargetRegistry()
+  return Array.from({ length: count }, (_, index) => registry.register({
     id: `t${index}`, service: 's', address: { host: '10.0.0.1', port: index + 1 }, failureDomain: 'a', slots, leaving: false, coldLeftMs: 0, startedAtMs: 1
   }, { region: 'r', nowMs: 0 }))
 }
 
 const request = { attemptId: 'x', service: 's', objectKey: 'k', homeRegions: [], tried: new Set<string>() }
 
-function choose (ranked: BookedTarget[], options: { tried?: Set<string>, nowMs?: number, region?: string } = {}): string | undefined {
+function choose (ranked: RegisteredTarget[], options: { tried?: Set<string>, nowMs?: number, region?: string } = {}): string | undefined {
   const nowMs = options.nowMs ?? 0
   const asked = { ...request, ...options, tried: options.tried ?? request.tried }
   return choosePlacement(asked, { ranked, nowMs, region: options.region ?? 'r', isUsable: entry => isTargetUsable(entry, nowMs) })?.target.id
@@ -63,7 +63,7 @@
 })
 
 test('takes a target for lost that is silent and takes no connection', t => {
-  const [entry] = createTargets(1) as [BookedTarget]
+  const [entry] = createTargets(1) as [RegisteredTarget]
   recordAnswerTime(entry, 200)
   recordTargetStart(entry, 0)
   recordTargetStart(entry, 0)
--- a/packages/steering/src/target_book.ts
+++ b/packages/steering/src/target_registry.ts
@@ -8,7 +8,7 @@
 import { advanceCircuit, CircuitState, closedCircuit, getCircuitState, TargetSignal } from './circuit.ts'
 
 /** A target with what this instance knows of it. */
-export interface BookedTarget {
+export interface RegisteredTarget {
   /** Its registration. */
   target: ServingTarget
   /** Region that it is in. */
@@ -34,15 +34,15 @@
 }
 
 /** The targets by service. */
-export interface TargetBook {
+export interface TargetRegistry {
   /** Takes a registration over; a target that started anew is cold for what it says, and nothing else is known of it. */
-  register (target: ServingTarget, options: { region: string, nowMs: number }): BookedTarget
+  register (target: ServingTarget, options: { region: string, nowMs: number }): RegisteredTarget
   /** Forgets a target. */
   remove (id: string): void
   /** Finds a target. */
-  find (id: string): BookedTarget | undefined
+  find (id: string): RegisteredTarget | undefined
   /** Lists the targets of a service, leaving ones among them. */
-  list (service: string): BookedTarget[]
+  list (service: string): RegisteredTarget[]
   /** Counts changes of who is registered and where. */
   getRevision (): number
   /** Counts all targets. */
@@ -60,13 +60,13 @@
 const answerWeight = 0.2
 
 /**
- * Creates an empty book.
+ * Creates an empty registry.
  *
- * @returns The book
+ * @returns The registry
  */
-export function createTargetBook (): TargetBook {
-  const byId = new Map<string, BookedTarget>()
-  const byService = new Map<string, BookedTarget[]>()
+export function createTargetRegistry (): TargetRegistry {
+  const byId = new Map<string, RegisteredTarget>()
+  const byService = new Map<string, RegisteredTarget[]>()
   let revision = 0
 
   function removeTarget (id: string): void {
@@ -79,8 +79,8 @@
     revision++
   }
 
-  function addTarget (target: ServingTarget, options: { region: string, nowMs: number }): BookedTarget {
-    const entry: BookedTarget = {
+  function addTarget (target: ServingTarget, options: { region: string, nowMs: number }): RegisteredTarget {
+    const entry: RegisteredTarget = {
       target,
       region: options.region,
       inFlight: 0,
@@ -132,7 +132,7 @@
  * @param nowMs Monotonic time, in milliseconds
  * @returns Requests, a fraction
  */
-export function computeTargetLoad (entry: BookedTarget, nowMs: number): number {
+export function computeTargetLoad (entry: RegisteredTarget, nowMs: number): number {
   const freshness = Math.max(0, 1 - (nowMs - entry.reportedAtMs) / reportLifetimeMs)
   return entry.inFlight + entry.othersBusy * freshness
 }
@@ -144,7 +144,7 @@
  * @param load Requests that it works on and that wait there, the answered one among them
  * @param nowMs Monotonic time, in milliseconds
  */
-export function recordTargetLoad (entry: BookedTarget, load: { running: number, waiting: number }, nowMs: number): void {
+export function recordTargetLoad (entry: RegisteredTarget, load: { running: number, waiting: number }, nowMs: number): void {
   entry.othersBusy = Math.max(0, load.running + load.waiting - entry.inFlight)
   entry.reportedAtMs = nowMs
 }
@@ -155,7 +155,7 @@
  * @param entry The target, which is changed
  * @param nowMs Monotonic time, in milliseconds
  */
-export function recordTargetStart (entry: BookedTarget, nowMs: number): void {
+export function recordTargetStart (entry: RegisteredTarget, nowMs: number): void {
   entry.inFlight++
   if (entry.silentSinceMs === Infinity) entry.silentSinceMs = nowMs
   if (entry.coldUntilMs > nowMs) entry.coldSentAtMs = nowMs
@@ -168,7 +168,7 @@
  * @param signal How it ended
  * @param options The monotonic time, in milliseconds, a random source, returning [0, 1), and the time for which a target that was out of reach counts as cold, in milliseconds
  */
-export function recordTargetEnd (entry: BookedTarget, signal: TargetSignal, options: { nowMs: number, getRandom: () => number, coldForMs: number }): void {
+export function recordTargetEnd (entry: RegisteredTarget, signal: TargetSignal, options: { nowMs: number, getRandom: () => number, coldForMs: number }): void {
   const { nowMs } = options
   entry.inFlight = Math.max(0, entry.inFlight - 1)
   const isAlive = signal === TargetSignal.Answered || signal === TargetSignal.Refused
@@ -189,7 +189,7 @@
  * @param entry The target, which is changed
  * @param elapsedMs Time from the hand-over of the request to the head of its answer, in milliseconds
  */
-export function recordAnswerTime (entry: BookedTarget, elapsedMs: number): void {
+export function recordAnswerTime (entry: RegisteredTarget, elapsedMs: number): void {
   entry.answerMs = entry.answerMs === undefined ? elapsedMs : entry.answerMs + (elapsedMs - entry.answerMs) * answerWeight
 }
 
@@ -200,7 +200,7 @@
  * @param nowMs Monotonic time, in milliseconds
  * @returns Whether it is silent
  */
-export function isTargetSilent (entry: BookedTarget, nowMs: number): boolean {
+export function isTargetSilent (entry: RegisteredTarget, nowMs: number): boolean {
   const limitMs = entry.answerMs === undefined ? maxSilenceMs : Math.min(maxSilenceMs, Math.max(minSilenceMs, entry.answerMs * answersOfSilence))
   return nowMs - entry.silentSinceMs >= limitMs
 }
@@ -212,7 +212,7 @@
  * @param nowMs Monotonic time, in milliseconds
  * @returns Whether requests that may run again should go elsewhere rather than wait for it
  */
-export function isTargetLost (entry: BookedTarget, nowMs: number): boolean {
+export function isTargetLost (entry: RegisteredTarget, nowMs: number): boolean {
   return entry.circuit !== closedCircuit && getCircuitState(entry.circuit, nowMs) !== CircuitState.Closed && isTargetSilent(entry, nowMs)
 }
 
@@ -223,7 +223,7 @@
  * @param nowMs Monotonic time, in milliseconds
  * @returns Whether it may; one request at a time probes a target whose circuit was open or that is silent
  */
-export function isTargetUsable (entry: BookedTarget, nowMs: number): boolean {
+export function isTargetUsable (entry: RegisteredTarget, nowMs: number): boolean {
   const state = getCircuitState(entry.circuit, nowMs)
   if (state === CircuitState.Open) return false
   if (state === CircuitState.HalfOpen) return entry.inFlight === 0
--- a/packages/steering/src/target_book_test.ts
+++ b/packages/steering/src/target_registry_test.ts
@@ -1,14 +1,14 @@
 import type { ServingTarget } from './routing.ts'
 import test from 'ava'
 import { TargetSignal } from './circuit.ts'
-import { computeTargetLoad, createTargetBook, recordTargetEnd, recordTargetLoad, recordTargetStart } from './target_book.ts'
+import { computeTargetLoad, createTargetRegistry, recordTargetEnd, recordTargetLoad, recordTargetStart } from './target_registry.ts'
 
 const target: ServingTarget = { id: 't', service: 's', address: { host: '10.0.0.1', port: 1 }, failureDomain: 'a', slots: 3, leaving: false, coldLeftMs: 0, startedAtMs: 1 }
 const endOptions = { nowMs: 0, getRandom: () => 0.5, coldForMs: 3_000 }
 const place = { region: 'r', nowMs: 0 }
 
 test('takes the answered request out of the load that a target tells', t => {
-  const entry = createTargetBook().register(target, place)
+  const entry = createTargetRegistry().register(target, place)
   recordTargetStart(entry, 0)
   recordTargetLoad(entry, { running: 1, waiting: 0 }, 0)
   recordTargetEnd(entry, TargetSignal.Answered, endOptions)
@@ -16,7 +16,7 @@
 })
 
 test('adds what others have at a target, less with the age of the report', t => {
-  const entry = createTargetBook().register(target, place)
+  const entry = createTargetRegistry().register(target, place)
   recordTargetStart(entry, 0)
   recordTargetStart(entry, 0)
   recordTargetLoad(entry, { running: 3, waiting: 2 }, 0)
@@ -27,20 +27,20 @@
 })
 
 test('forgets all of a target that started anew, and takes it for cold for what it says', t => {
-  const book = createTargetBook()
-  const before = book.register(target, place)
+  const registry = createTargetRegistry()
+  const before = registry.register(target, place)
   recordTargetStart(before, 0)
-  t.is(book.register({ ...target, leaving: true }, place), before)
-  const after = book.register({ ...target, startedAtMs: 2, coldLeftMs: 3_000 }, { region: 'r', nowMs: 100 })
+  t.is(registry.register({ ...target, leaving: true }, place), before)
+  const after = registry.register({ ...target, startedAtMs: 2, coldLeftMs: 3_000 }, { region: 'r', nowMs: 100 })
   t.not(after, before)
   t.like(after, { inFlight: 0, coldUntilMs: 3_100 })
-  t.deepEqual(book.list('s'), [after])
-  book.remove('t')
-  t.deepEqual(book.list('s'), [])
+  t.deepEqual(registry.list('s'), [after])
+  registry.remove('t')
+  t.deepEqual(registry.list('s'), [])
 })
 
 test('takes a target that was out of reach for cold when it answers again', t => {
-  const entry = createTargetBook().register(target, place)
+  const entry = createTargetRegistry().register(target, place)
   recordTargetStart(entry, 0)
   recordTargetEnd(entry, TargetSignal.ConnectFailed, endOptions)
   recordTargetStart(entry, 1_000)
