Take the speed of the machine out of three tests

The tests of a route's attempts (504 for 502: 800 ms were over) and of surplus answers (the second request went out before the surplus came) counted on speed too. Change: 30 s for calls whose speed is not tested; 20 s for the attempt; the second request waits until the connection is closed. Checks are the same. Ruled out: faults of the product (each failure is a time-out or an order that the test did not wait for).

--- a/packages/standins/src/operators_listener_test.ts
+++ b/packages/standins/src/operators_listener_test.ts
@@ -42,6 +42,9 @@
   { name: 'document with findings', path: '/v1/documents/lunchbox-api', method: 'PUT', body: '{"service":"lunchbox-api"}', authorization: own, status: 422 }
 ]
 
+/** Time for a call whose speed is not what is tested, in milliseconds. */
+const callTimeoutMs = 30_000
+
 test('refuses calls of operators as problems', async t => {
   const tokens = [
     { name: 'own', team: 'operations', sha256: createHash('sha256').update(operatorsToken).digest('hex') },
@@ -84,7 +87,7 @@
   const { instance, settings } = system
   const ask = async (key: string): Promise<boolean> => {
     await using peers = createHttpPeers({ getKey: () => key })
-    return (await peers.call(instance.addresses.peers, 'versions', { params: {} })).isOk()
+    return (await peers.call(instance.addresses.peers, 'versions', { params: {}, timeoutMs: callTimeoutMs })).isOk()
   }
   const asked = async (): Promise<boolean[]> => [await ask(peerKey), await ask(secretKey)]
   t.deepEqual(await asked(), [true, false])
@@ -124,7 +127,7 @@
   t.is(await read(addresses.callers, first), 400)
   t.is(await read(addresses.operators, first), 200)
   const peers = createHttpPeers({ getKey: () => peerKey, tls: { ca: first, servername: 'entry.test' } })
-  t.true((await peers.call(addresses.peers, 'versions', { params: {} })).isOk())
+  t.true((await peers.call(addresses.peers, 'versions', { params: {}, timeoutMs: callTimeoutMs })).isOk())
   await peers[Symbol.asyncDispose]()
   await install('second')
   system.instance.reload(system.settings)
--- a/packages/standins/src/site_path_test.ts
+++ b/packages/standins/src/site_path_test.ts
@@ -110,16 +110,16 @@
 
 test('sends an attempt to no more targets than its route allows, each with the time that is left', async t => {
   await using world = await createSiteWorld()
-  world.writeConfig({ max_attempts: 2, timeout: '1000ms' })
+  world.writeConfig({ max_attempts: 2, timeout: '30s' })
   const targets = await Promise.all(['t1', 't2', 't3', 't4'].map(id => world.openTarget(id, { workMs: 150 })))
   const entry = await startReady(world)
   await waitUntil(() => entry.readLog().filter(line => line['event'] === 'target').length === 4)
   for (const target of targets) target.addFaults([TargetFault.AnswerLost, TargetFault.AnswerLost])
-  const answer = await world.call(entry, { objectKey: 'k', id: 'tested', timeLeftMs: 800 })
+  const answer = await world.call(entry, { objectKey: 'k', id: 'tested', timeLeftMs: 20_000 })
   t.is(answer.status, 502)
   const times = targets.flatMap(target => target.runs).filter(run => run.attemptId === 'tested').map(run => run.timeLeftMs).toSorted((a, b) => b - a)
   t.is(times.length, 2)
-  t.true(times[0]! <= 800)
+  t.true(times[0]! <= 20_000)
   t.true(times[1]! <= times[0]! - 150)
 })
 
--- a/packages/targets/src/target_connection_test.ts
+++ b/packages/targets/src/target_connection_test.ts
@@ -1,5 +1,6 @@
 import type { AddressInfo, Server, Socket } from 'node:net'
 import type { ExchangeFailure } from './target_connection.ts'
+import { once } from 'node:events'
 import { createServer } from 'node:net'
 import { setTimeout as wait } from 'node:timers/promises'
 import test from 'ava'
@@ -77,14 +78,19 @@
 })
 
 test('closes a connection on which an answer comes that no request awaits', async t => {
-  const sockets = new Set<Socket>()
-  const outcomes = await runRequests((socket, index) => {
-    sockets.add(socket)
-    socket.write(formatAnswer(index === 0 ? 'a' : 'b', 'own'))
-    if (index === 0) setTimeout(() => socket.write(formatAnswer('a', 'again')), 5)
-  }, ['a', 'b'])
-  t.deepEqual(outcomes.map(outcome => outcome.body), ['own', 'own'])
-  t.is(sockets.size, 2)
+  const sockets: Socket[] = []
+  const { server, address } = await listenTarget(socket => {
+    sockets.push(socket)
+    socket.write(formatAnswer(sockets.length === 1 ? 'a' : 'b', 'own'))
+  })
+  await using pool = createTargetPool({ connectTimeoutMs: 5_000 })
+  t.is((await sendRequest(pool, address, 'a')).body, 'own')
+  const closed = once(sockets[0]!, 'close')
+  sockets[0]!.write(formatAnswer('a', 'again'))
+  await closed
+  t.is((await sendRequest(pool, address, 'b')).body, 'own')
+  t.is(new Set(sockets).size, 2)
+  server.close()
 })
 
 const cutAnswers: Array<[string, string]> = [
