Never let one target's refusal speak for another that may have run the request

Cause: read in the diff: on a target's word that it did not run a request, the attempt forgot that an earlier target may have run it. A safe request whose answer was lost at one target and refused by the next got 503, not run (new test: 503, expected 502). Requests that must run once were never sent further after a loss, so that they could not be hit; this is a false promise all the same. Ruled out: the writer of refusals, which already turns a refusal into unknown where the attempt may have run. Change: the word of a target restores what was open before its own exchange. The test failed before and passes now.

--- a/packages/bilberryd/src/edge/exchange_end.ts
+++ b/packages/bilberryd/src/edge/exchange_end.ts
@@ -56,7 +56,6 @@
         retryAttempt(attempt, { reason: RetryReason.ConnectFailed, isArrival: false, detail })
         break
       case ExchangeEnd.NotRun:
-        attempt.mayHaveRun = false
         attempt.lastReason = RefusalReason.TargetRefused
         retryAttempt(attempt, { reason: RetryReason.TargetRefused, isArrival: true, detail: 'Target refused the request' })
         break
--- a/packages/bilberryd/src/edge/send_attempt.ts
+++ b/packages/bilberryd/src/edge/send_attempt.ts
@@ -59,6 +59,8 @@
  */
 export function sendAttempt (attempt: Attempt, entry: RegisteredTarget, options: SendAttemptOptions): void {
   const { target } = entry
+  /** What earlier exchanges left open: this target can only speak for itself. */
+  const mayHaveRunBefore = attempt.mayHaveRun
   let writer: AnswerWriter | undefined
   let withheld: ExchangeEnd.NotRun | ExchangeEnd.Failed | undefined
   const writeBody = attempt.body === undefined ? {} : { writeBody: createBodySender(attempt.message, attempt.body, createBodyOptions(attempt, options)) }
@@ -75,8 +77,10 @@
       options.onFirstByte()
       recordAnswerTime(entry, options.getNowMs() - attempt.sentAtMs)
       if (fields.load !== undefined) recordTargetLoad(entry, fields.load, options.getNowMs())
-      if (fields.isNotRun) withheld = ExchangeEnd.NotRun
-      else if (isWithheld(attempt, head, fields.isSigned)) withheld = ExchangeEnd.Failed
+      if (fields.isNotRun) {
+        withheld = ExchangeEnd.NotRun
+        attempt.mayHaveRun = mayHaveRunBefore
+      } else if (isWithheld(attempt, head, fields.isSigned)) withheld = ExchangeEnd.Failed
       else writer = createAnswerWriter(attempt.response, head, createWriterOptions(attempt))
     },
     onBody: part => writer?.write(part),
--- a/packages/standins/src/site_path_test.ts
+++ b/packages/standins/src/site_path_test.ts
@@ -79,6 +79,23 @@
   })
 }
 
+test('does not say that a safe request has not run where one target lost its answer and another one refused it', async t => {
+  await using world = await createSiteWorld()
+  world.writeConfig()
+  const targets = [await world.openTarget('t1'), await world.openTarget('t2')]
+  const entry = await startReady(world)
+  await waitUntil(() => entry.readLog().filter(line => line['event'] === 'target').length === 2)
+  for (const target of targets) target.runs.length = 0
+  await world.call(entry, { objectKey: 'k' })
+  const first = targets.find(target => target.runs.length > 0)!
+  first.addFaults([TargetFault.AnswerLost])
+  targets.find(target => target !== first)!.addFaults([TargetFault.Shed])
+  const answer = await world.call(entry, { objectKey: 'k', id: 'tested' })
+  t.is(first.runs.filter(run => run.attemptId === 'tested').length, 1)
+  t.is(answer.status, 502)
+  t.is(answer.headers['bilberry-outcome'], 'unknown')
+})
+
 test('gives the final answer at the time-out of the route, and stops the work', async t => {
   await using world = await createSiteWorld()
   world.writeConfig({ timeout: '300ms' })
