Cut a failure domain off only once its own instance feeds it

An instance that starts later than the others is ready while another instance still stands in for it as feeder of its failure domain; cut off before the hand-over, it may use none of the slots, rightly, since the stand-in may be using them. Ruled out: a lease that stays lapsed (the log showed it cut off, which retains half), a region choice that sees no instance. Change: the gauge bilberry_fed_slots tells the slots that an instance may use, by failure domain; the test waits for it before the cut, as its name always meant (a cut of a domain that serves). Its checks and bounds are as they were.

--- a/packages/bilberryd/src/instance_parts.ts
+++ b/packages/bilberryd/src/instance_parts.ts
@@ -87,7 +87,12 @@
     countInFlight: () => serving.feed.countInFlight(),
     getPlatformAgeMs: () => sync.getPlatformAgeMs(),
     getClientBlocksRevision: () => clientBlocks.getBlocks().revision,
-    getRevisions: view.getRevisions
+    getRevisions: view.getRevisions,
+    sumFedSlots () {
+      const sums: Record<string, number> = {}
+      for (const target of view.listAllTargets()) sums[target.failureDomain] = (sums[target.failureDomain] ?? 0) + feeding.getSlotLimit(target)
+      return sums
+    }
   })
   const clientBlocks = createClientBlocksLoader({ platform, getRandom: Math.random, countLoad: metrics.countClientBlocksLoad, recordLoad: (load, detail) => log.info({ load }, detail) })
   const serving = createServingParts({ settings, clients, loads, view, identity, metrics, log, isReady: () => sync.isReady(), announce: () => { sync.announce().catch(() => {}) }, getNowMs })
--- a/packages/bilberryd/src/metrics.ts
+++ b/packages/bilberryd/src/metrics.ts
@@ -22,6 +22,8 @@
   getClientBlocksRevision: () => number
   /** Revision in force by service. */
   getRevisions: () => Record<string, number>
+  /** Slots that this instance may use now, by failure domain of their targets. */
+  sumFedSlots: () => Record<string, number>
 }
 
 /** The metrics of an instance. */
@@ -126,4 +128,14 @@
     }
   })
   revisions.reset()
+  const fedSlots = new Gauge({
+    name: 'bilberry_fed_slots',
+    help: 'Slots of targets that this instance may use now, by failure domain',
+    labelNames: ['failure_domain'],
+    registers,
+    collect () {
+      for (const [failureDomain, slots] of Object.entries(sources.sumFedSlots())) this.set({ failure_domain: failureDomain }, slots)
+    }
+  })
+  fedSlots.reset()
 }
--- a/packages/standins/src/cluster.ts
+++ b/packages/standins/src/cluster.ts
@@ -186,6 +186,24 @@
   return cluster
 }
 
+/**
+ * Waits until an instance feeds targets of its own failure domain.
+ *
+ * An instance that starts later than the others is ready before the one that stood in for it has handed over.
+ *
+ * @param instance An instance that has started
+ */
+export async function waitUntilFeeding (instance: ClusterInstance): Promise<void> {
+  const deadlineMs = performance.now() + readyTimeoutMs
+  const line = new RegExp(`^bilberry_fed_slots\\{failure_domain="${instance.settings.failureDomain}"\\} [1-9]`, 'm')
+  for (;;) {
+    const answer = await request(`http://${instance.child.ready.operators}/metrics`)
+    if (line.test(await answer.body.text())) return
+    if (performance.now() > deadlineMs) throw new Error(`Instance "${instance.settings.instance}" feeds no target of "${instance.settings.failureDomain}"`)
+    await new Promise(resolve => setTimeout(resolve, readyPollMs))
+  }
+}
+
 async function submitFirstDocument (cluster: Cluster, document: { service: string }): Promise<void> {
   const headers = { 'if-none-match': '*', 'submission-id': randomUUID() }
   const reply = await cluster.callOperators(0, { method: 'PUT', path: `/v1/documents/${document.service}`, headers, body: document })
--- a/packages/standins/src/partition_test.ts
+++ b/packages/standins/src/partition_test.ts
@@ -2,7 +2,7 @@
 import { Agent } from 'undici'
 import { randomUUID } from 'node:crypto'
 import { sendAsCaller } from './caller.ts'
-import { startCluster } from './cluster.ts'
+import { startCluster, waitUntilFeeding } from './cluster.ts'
 import { DeploymentName, deployments } from './deployments.ts'
 import { runLoad } from './load.ts'
 import { computeCallerAddress } from './places.ts'
@@ -41,7 +41,9 @@
 test.serial('a failure domain cut off from all but its callers goes on serving', async t => {
   await using cluster = await startCluster(deployment)
   for (const target of cluster.targets) cluster.setBehaviour(target.target, { serviceMs, shed: false })
-  const inside = cluster.instances.find(instance => instance.settings.failureDomain === cutOff)!.child.ready.callers
+  const instance = cluster.instances.find(each => each.settings.failureDomain === cutOff)!
+  await waitUntilFeeding(instance)
+  const inside = instance.child.ready.callers
 
   const runCut = async (): Promise<Told[]> => {
     cluster.relay.isolate([cutOff])
