Serve the product's Platform interface from the users' store

Cause: two platforms stood side by side: an invented HTTP form with a client and a stand-in of its own, and the store that the users run. What was proved against the first said nothing of the second. Ruled out: keeping the invented form for the product's own interface; an adapter in each caller. Change: StoreClient learns transactions with conditions, ranges and objects; store_platform.ts maps Platform to it, table_copy.ts follows the targets' rows by the feed of changes in place of a conditional GET; a failed condition names its rows by comparing what the store tells. http_platform.ts, platform_standin.ts and platform_tables.ts are gone: site_store.ts, with conditions, objects, held writes and counts, is the one stand-in, also of npm start. One bounded HTTP call (exchange_http.ts) in place of two. The setting 'regions' says what the platform's rows leave out. platform_standin_test.ts became site_store_test.ts: each of its fault cases, and no answer, nobody listening, conditions, pages and objects besides. Its case of stale reads is gone with the form that had them: the store's answers are linearizable; memory_platform.ts still plays them to the parts above it. local_address_test asks for a row, since the list of machines is two calls now. Conclusion: one platform client, one stand-in.

--- a/packages/bilberryd/src/edge/entry_state.ts
+++ b/packages/bilberryd/src/edge/entry_state.ts
@@ -7,7 +7,7 @@
 import type { EntryLog } from './entry_log.ts'
 import type { KnownRow, RowChange, RowTable } from './row_tables.ts'
 import { createRouteTable, createTargetRegistry } from '@bilberryworks/steering'
-import { decodeRouting, decodeTarget, parseEvacuationKey, routingKey } from '@bilberryworks/users-platform'
+import { decodeRouting, decodeTarget, parseEvacuationKey, parseJsonRow, routingKey } from '@bilberryworks/users-platform'
 import { createRowTable } from './row_tables.ts'
 
 /** The tables that an instance follows. */
@@ -82,7 +82,7 @@
   let returnedAtMs = -Infinity
 
   function applyConfig (text: string): void {
-    const next = decodeRouting(parseJson(text))
+    const next = decodeRouting(parseJsonRow(text))
     if (next === undefined) {
       options.countUndecodable(FollowedTable.Operator)
       log.warn('config_undecodable', { bytes: text.length })
@@ -111,7 +111,7 @@
       markMissing(key)
       return
     }
-    const target = decodeTarget(key, parseJson(text))
+    const target = decodeTarget(key, parseJsonRow(text))
     if (target === undefined) {
       options.countUndecodable(FollowedTable.Targets)
       log.warn('target_undecodable', { target: key, version })
@@ -183,12 +183,3 @@
     getContactMs: () => contactMs
   }
 }
-
-/** Returns `undefined` for a text that is not JSON; the decoders count that like any other value that they can't read. */
-function parseJson (text: string): unknown {
-  try {
-    return JSON.parse(text)
-  } catch {
-    return undefined
-  }
-}
--- a/packages/bilberryd/src/edge/instance_rows.ts
+++ b/packages/bilberryd/src/edge/instance_rows.ts
@@ -44,7 +44,7 @@
   const { store, view, log } = options
 
   async function joinOnce (own: PeerHeartbeat): Promise<string | undefined> {
-    const written = await store.writeRow({ table: instanceTable, key: own.instance, text: JSON.stringify(own) }, { timeoutMs: callTimeoutMs })
+    const written = await store.writeRows([{ table: instanceTable, key: own.instance, text: JSON.stringify(own) }], { timeoutMs: callTimeoutMs })
     if (written.isErr()) return written.error.detail
     const read = await store.readRows(instanceTable, { timeoutMs: callTimeoutMs })
     if (read.isErr()) return read.error.detail
--- a/packages/bilberryd/src/edge/peer_link.ts
+++ b/packages/bilberryd/src/edge/peer_link.ts
@@ -11,7 +11,8 @@
 import type { PeerHeartbeat, PeerView } from './peer_view.ts'
 import type { KnownRow } from './row_tables.ts'
 import { createSocket } from 'node:dgram'
-import { createServer, get } from 'node:http'
+import { createServer } from 'node:http'
+import { exchangeHttp } from '@bilberryworks/users-platform'
 import { FollowedTable } from './entry_state.ts'
 import { parseHeartbeat } from './peer_view.ts'
 
@@ -54,6 +55,7 @@
 const callTimeoutMs = 1_000
 /** Time for which the store may still bring by itself what a peer is ahead by, in milliseconds: the spread of its answers to the instances. */
 const headStartMs = 400
+/** Longest answer that is read, in bytes: all rows of both tables at the largest size. */
 const maxAnswerBytes = 8_388_608
 
 /**
@@ -101,7 +103,8 @@
 
   async function readState (place: SocketPlace): Promise<void> {
     const query = Object.values(FollowedTable).map(table => `${table}=${state.getTable(table).getVersion()}`).join('&')
-    const answer = JSON.parse(await readText(place, `${statePath}?${query}`)) as PeerAnswer
+    const { body } = await exchangeHttp({ place, method: 'GET', path: `${statePath}?${query}`, timeoutMs: callTimeoutMs, maxAnswerBytes })
+    const answer = JSON.parse(body.toString('utf8')) as PeerAnswer
     for (const heartbeat of answer.instances) view.addKnown(heartbeat, getNowMs())
     for (const [table, content] of Object.entries(answer.tables)) {
       log.info('table_from_peer', { table, from: `${place.host}:${place.port}`, version: content.version })
@@ -151,30 +154,6 @@
   }
 }
 
-function readText (place: SocketPlace, path: string): Promise<string> {
-  return new Promise((resolve, reject) => {
-    const call = get({ host: place.host, port: place.port, path, agent: false }, response => {
-      const parts: Buffer[] = []
-      let bytes = 0
-      response.on('data', (part: Buffer) => {
-        bytes += part.length
-        if (bytes > maxAnswerBytes) call.destroy(new Error(`Answer is longer than ${maxAnswerBytes} bytes`))
-        else parts.push(part)
-      })
-      response.on('error', reject)
-      response.on('end', () => {
-        clearTimeout(timer)
-        resolve(Buffer.concat(parts).toString('utf8'))
-      })
-    })
-    const timer = setTimeout(() => call.destroy(new Error(`No answer for ${callTimeoutMs} ms`)), callTimeoutMs)
-    call.on('error', error => {
-      clearTimeout(timer)
-      reject(error)
-    })
-  })
-}
-
 function openSocket (socket: Socket, place: SocketPlace): Promise<void> {
   return new Promise((resolve, reject) => {
     socket.once('error', reject)
--- a/packages/bilberryd/src/instance_parts.ts
+++ b/packages/bilberryd/src/instance_parts.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { CreateHttpPeersOptions, PeerClient } from '@bilberryworks/instances'
-import type { HttpPlatform } from '@bilberryworks/platform'
+import type { StorePlatform } from '@bilberryworks/platform'
 import type { HandleRequest } from '@bilberryworks/steering'
 import type { TargetClient } from '@bilberryworks/targets'
 import type Logger from 'bunyan'
@@ -20,7 +20,7 @@
 import type { Sync } from './sync.ts'
 import type { View } from './view.ts'
 import { createHttpPeers } from '@bilberryworks/instances'
-import { createHttpPlatform } from '@bilberryworks/platform'
+import { createStorePlatform } from '@bilberryworks/platform'
 import { createHttpTargets } from '@bilberryworks/targets'
 import { createBudgetedPeers } from './budgeted_peers.ts'
 import { createClientBlocksLoader } from './client_blocks.ts'
@@ -39,7 +39,7 @@
 /** What an instance is made of. */
 export interface InstanceParts extends AsyncDisposable {
   settings: Settings
-  platform: HttpPlatform
+  platform: StorePlatform
   peers: PeerClient
   identity: Identity
   view: View
@@ -154,10 +154,10 @@
   return { tls: { ca: readPem(ca), ...serverName === undefined ? {} : { servername: serverName } } }
 }
 
-function createClients (settings: Settings, loads: FeederLoads): { platform: HttpPlatform, targets: TargetClient, peers: PeerClient } {
+function createClients (settings: Settings, loads: FeederLoads): { platform: StorePlatform, targets: TargetClient, peers: PeerClient } {
   const local = settings.localAddress === undefined ? {} : { localAddress: settings.localAddress }
   return {
-    platform: createHttpPlatform(settings.platformUrl, local),
+    platform: createStorePlatform(settings.platformUrl, { ...local, ...settings.regions === undefined ? {} : { regions: settings.regions } }),
     targets: createHttpTargets(local),
     peers: createHttpPeers({
       getKey: () => settings.peerKeys[0]!,
--- a/packages/bilberryd/src/settings.ts
+++ b/packages/bilberryd/src/settings.ts
@@ -66,6 +66,8 @@
   region: string
   /** `http://host:port` of the platform. */
   platformUrl: string
+  /** Region of each failure domain that has targets; one that is missing is a region by itself. */
+  regions?: Record<string, string>
   /** Where to listen. */
   listen: {
     /** For callers. */
--- a/packages/bilberryd/src/settings_schema.ts
+++ b/packages/bilberryd/src/settings_schema.ts
@@ -69,7 +69,8 @@
     instance: { type: 'string', pattern: namePattern },
     failureDomain: { type: 'string', pattern: namePattern },
     region: { type: 'string', pattern: namePattern },
-    platformUrl: { type: 'string', pattern: '^https?://' },
+    platformUrl: { type: 'string', pattern: '^http://' },
+    regions: { type: 'object', additionalProperties: { type: 'string', pattern: namePattern } },
     listen: {
       type: 'object',
       additionalProperties: false,
--- a/packages/platform/src/mod.ts
+++ b/packages/platform/src/mod.ts
@@ -2,16 +2,16 @@
  * The platform peer: table service, object store and list of machines.
  *
  * ```ts
- * import { createHttpPlatform } from '@bilberryworks/platform'
+ * import { createStorePlatform } from '@bilberryworks/platform'
  *
- * await using platform = createHttpPlatform('http://127.0.0.1:8080')
+ * await using platform = createStorePlatform('http://127.0.0.1:8080')
  * const row = await platform.readRow('documents', 'lunchbox-api')
  * ```
  *
  * @module
  */
-export * from './http_platform.ts'
 export * from './load_client_blocks.ts'
 export * from './memory_platform.ts'
 export * from './platform.ts'
+export * from './store_platform.ts'
 export * from './tables.ts'
--- a/packages/standins/src/_single_instance.ts
+++ b/packages/standins/src/_single_instance.ts
@@ -4,15 +4,17 @@
  * @module
  */
 import type { RunningInstance, Settings } from 'bilberryd'
-import type { PlatformStandin } from './platform_standin.ts'
+import type { SiteStore } from './site_store.ts'
 import type { TargetStandin } from './target_standin.ts'
 import { createHash } from 'node:crypto'
 import { setTimeout } from 'node:timers/promises'
+import { indexKey, TableName } from '@bilberryworks/platform'
 import { createLogger } from 'bunyan'
 import { parseSettings, runInstance } from 'bilberryd'
 import { createCleanUp } from '@bilberryworks/steering'
 import { createDocument, DeploymentName, deployments } from './deployments.ts'
-import { startPlatformStandin } from './platform_standin.ts'
+import { listTargets } from './list_targets.ts'
+import { createSiteStore } from './site_store.ts'
 import { startTargetStandin } from './target_standin.ts'
 
 /** Token of team `operations`. */
@@ -32,7 +34,7 @@
   instance: RunningInstance
   settings: Settings
   target: TargetStandin
-  platform: PlatformStandin
+  store: SiteStore
   /** Lines of its log. */
   log: string[]
 }
@@ -53,21 +55,20 @@
  */
 export async function startSingleInstance (options: StartSingleInstanceOptions = {}): Promise<SingleInstance> {
   const stack = createCleanUp()
-  const platform = stack.add(await startPlatformStandin())
+  const store = stack.add(createSiteStore())
+  const door = await store.openDoor()
   const target = stack.add(await startTargetStandin({ target: 'target-0', service: service.name, slots: service.slots, failureDomain: 'sofia-a', region: 'sofia', serviceMs: 0 }))
-  platform.setMachines({ instances: [], targets: [target.record] })
+  listTargets(store, [target.record])
   const document = { ...firstDocument, limits: { ...firstDocument.limits, ...options.limits } }
   const accepted = { revision: 1, document, acceptedAtMs: 0, author: 'test', submissionId: 'first' }
-  const writes = [
-    { table: 'documents', key: service.name, value: accepted },
-    { table: 'index', key: 'index', value: { revisions: { [service.name]: 1 }, shifts: {}, feeds: {}, clientBlocks: 0 } }
-  ]
-  await fetch(`${platform.url}/transactions`, { method: 'POST', body: JSON.stringify({ writes }) })
+  store.writeRow(TableName.Documents, service.name, accepted)
+  store.writeRow(TableName.Index, indexKey, { revisions: { [service.name]: 1 }, shifts: {}, feeds: {}, clientBlocks: 0 })
   const settings = parseSettings(JSON.stringify({
     instance: 'entry-0',
     failureDomain: 'sofia-a',
     region: 'sofia',
-    platformUrl: platform.url,
+    platformUrl: door.url,
+    regions: { 'sofia-a': 'sofia' },
     listen: { callers: listen, operators: listen, peers: listen },
     peerKeys: [peerKey],
     tokens: [{ name: 'test', team: 'operations', sha256: createHash('sha256').update(operatorsToken).digest('hex') }],
@@ -79,7 +80,7 @@
   const log: string[] = []
   const stream = { write: (line: string) => log.push(line) }
   const instance = stack.add(await runInstance(settings, createLogger({ name: 'test', streams: [{ type: 'stream', level: 'trace', stream: stream as unknown as NodeJS.WritableStream }] })))
-  return { instance, settings, target, platform, log, [Symbol.asyncDispose]: stack[Symbol.asyncDispose] }
+  return { instance, settings, target, store, log, [Symbol.asyncDispose]: stack[Symbol.asyncDispose] }
 }
 
 /**
--- a/packages/standins/src/bench_capacity_look_up.ts
+++ b/packages/standins/src/bench_capacity_look_up.ts
@@ -12,7 +12,7 @@
 import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { createHttpPlatform, TableName } from '@bilberryworks/platform'
+import { createStorePlatform, TableName } from '@bilberryworks/platform'
 import { MachineState } from '@bilberryworks/steering'
 import { Pool, request } from 'undici'
 import { writeAcceptedDocument } from './accept_document.ts'
@@ -81,7 +81,7 @@
   const { ready: { url } } = stack.add(await startChild<{ url: string }>(locateScript('main_platform.js'), []))
   const folder = await mkdtemp(join(tmpdir(), 'bilberryworks-'))
   stack.add({ [Symbol.asyncDispose]: () => rm(folder, { recursive: true }) })
-  await using platform = createHttpPlatform(url)
+  await using platform = createStorePlatform(url)
   await writeAcceptedDocument(platform, createDocument(deployments.kutiyka, deployments.kutiyka.services[0]))
   await announceOthers(url, { nodes, sequence: 1 })
   const file = join(folder, 'settings.json')
@@ -91,11 +91,15 @@
   return { instance: { pid: child.process.pid!, addresses: child.ready }, platformUrl: url }
 }
 
+/** Most entries that the store takes in a transaction. */
+const maxTransactionRows = 100
+
 /** Writes the heartbeats of all instances but the measured one. */
 async function announceOthers (platformUrl: string, options: { nodes: number, sequence: number }): Promise<void> {
-  await using platform = createHttpPlatform(platformUrl)
+  await using platform = createStorePlatform(platformUrl)
   const others = Array.from({ length: options.nodes - 1 }, (_, index) => createRecord(index, options.sequence))
-  await platform.writeRows(others.map(value => ({ table: TableName.Instances, key: `${value.instance}/${value.incarnation}`, value })))
+  const writes = others.map(value => ({ table: TableName.Instances, key: `${value.instance}/${value.incarnation}`, value }))
+  for (let first = 0; first < writes.length; first += maxTransactionRows) await platform.writeRows(writes.slice(first, first + maxTransactionRows))
 }
 
 function createRecord (index: number, sequence: number): InstanceRecord {
--- a/packages/standins/src/bench_capacity_map.ts
+++ b/packages/standins/src/bench_capacity_map.ts
@@ -6,7 +6,7 @@
 import type { ClientAddress, ClientBlockEntry, ClientBlocks } from '@bilberryworks/steering'
 import type { AddTable } from './bench_capacity_report.ts'
 import { monitorEventLoopDelay } from 'node:perf_hooks'
-import { createHttpPlatform, runSliced } from '@bilberryworks/platform'
+import { createStorePlatform, runSliced } from '@bilberryworks/platform'
 import { publishClientBlocks } from '@bilberryworks/operators'
 import { applyClientBlocksDifference, buildClientBlocks, countTableBytes, decodeDifference, decodeSnapshot, diffClientBlocks, encodeDifference, encodeSnapshot, findSites, parseClientAddress } from '@bilberryworks/steering'
 
@@ -137,7 +137,7 @@
  * @returns Milliseconds that it took
  */
 export async function publishBlocks (platformUrl: string, options: { blocks: number, shift?: number }): Promise<number> {
-  await using platform = createHttpPlatform(platformUrl)
+  await using platform = createStorePlatform(platformUrl)
   const startMs = performance.now()
   const published = await publishClientBlocks(platform, createBlockEntries(options.blocks, options))
   if (published.isErr()) throw new Error(published.error.detail)
--- a/packages/standins/src/bench_capacity_processes.ts
+++ b/packages/standins/src/bench_capacity_processes.ts
@@ -10,7 +10,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { setTimeout } from 'node:timers/promises'
-import { createHttpPlatform } from '@bilberryworks/platform'
+import { createStorePlatform } from '@bilberryworks/platform'
 import { writeAcceptedDocument } from './accept_document.ts'
 import { readCpuSeconds } from './bench_capacity_look_up.ts'
 import { startChild } from './child.ts'
@@ -40,7 +40,7 @@
 async function measureFleet ({ processes: count, pollMs }: { processes: number, pollMs: number }): Promise<object> {
   await using stack = createCleanUp()
   const { ready: { url } } = stack.add(await startChild<{ url: string }>(locateScript('main_platform.js'), []))
-  await using platform = createHttpPlatform(url)
+  await using platform = createStorePlatform(url)
   for (const service of deployments.kutiyka.services) await writeAcceptedDocument(platform, createDocument(deployments.kutiyka, service))
   const folder = await mkdtemp(join(tmpdir(), 'bilberryworks-'))
   stack.add({ [Symbol.asyncDispose]: () => rm(folder, { recursive: true }) })
--- a/packages/standins/src/bench_distribution.ts
+++ b/packages/standins/src/bench_distribution.ts
@@ -6,10 +6,9 @@
 import type { AcceptedDocument, ServiceDocument } from '@bilberryworks/steering'
 import type { BenchReport } from './bench_part.ts'
 import type { Cluster } from './cluster.ts'
-import type { PlatformCounts } from './platform_standin.ts'
+import type { DoorCounts } from './site_store.ts'
 import { randomUUID } from 'node:crypto'
 import { readFile } from 'node:fs/promises'
-import { request } from 'undici'
 import { startCluster } from './cluster.ts'
 import { DeploymentName, deployments } from './deployments.ts'
 
@@ -39,9 +38,9 @@
 export async function runDistributionBench (): Promise<BenchReport> {
   await using cluster = await startCluster(deployments[DeploymentName.Trwsio])
   const spread = await measureForce(cluster)
-  await updateFaults(cluster, { delayMs: 55 })
+  await cluster.setPlatformFaults({ delayMs: 55 })
   const delayed = await measureForce(cluster)
-  await updateFaults(cluster, { delayMs: 0 })
+  await cluster.setPlatformFaults({ delayMs: 0 })
   await waitMs(settleMs)
   const rest = await measureRates(cluster)
   await submit(cluster, 0, document => ({ ...document, regionWeights: { gogledd: 1, de: 1, canolbarth: 9 }, shiftCap: 0.02, shiftStepMs }))
@@ -120,16 +119,15 @@
   return {
     readsPerSecond: (after.counts.reads - before.counts.reads) / seconds,
     writesPerSecond: (after.counts.writes - before.counts.writes) / seconds,
-    listReadsPerSecond: (after.counts.listReads - before.counts.listReads) / seconds,
+    listReadsPerSecond: (after.counts.targetReads - before.counts.targetReads) / seconds,
     platformBytesPerSecond: (after.counts.bytes - before.counts.bytes) / seconds,
     instanceBytesPerSecond: (after.processBytes - before.processBytes) / seconds / cluster.instances.length,
     steps: (after.step - before.step) / seconds
   }
 }
 
-async function readCounts (cluster: Cluster): Promise<{ atMs: number, counts: PlatformCounts, processBytes: number, step: number }> {
-  const answer = await request(`${cluster.instances[0]!.settings.platformUrl}/counts`)
-  const counts = await answer.body.json() as PlatformCounts
+async function readCounts (cluster: Cluster): Promise<{ atMs: number, counts: DoorCounts, processBytes: number, step: number }> {
+  const counts = await cluster.countPlatformCalls()
   const status = await cluster.callOperators(0, { method: 'GET', path: `/v1/status/${service}` })
   const { shift } = status.body as { shift: { row: { step: number } } }
   const sizes = await Promise.all(cluster.instances.map(instance => readProcessBytes(instance.child.process.pid!)))
@@ -143,11 +141,6 @@
   return fields.reduce((sum, [, digits]) => sum + Number(digits), 0)
 }
 
-async function updateFaults (cluster: Cluster, faults: object): Promise<void> {
-  const answer = await request(`${cluster.instances[0]!.settings.platformUrl}/faults`, { method: 'PUT', body: JSON.stringify(faults) })
-  await answer.body.dump()
-}
-
 function getMedian (values: number[]): number {
   return [...values].sort((a, b) => a - b)[values.length >> 1] ?? 0
 }
--- a/packages/standins/src/bench_keys.ts
+++ b/packages/standins/src/bench_keys.ts
@@ -5,16 +5,16 @@
  */
 import type { PeerClient } from '@bilberryworks/instances'
 import type { HandleRequest, ServiceRequest } from '@bilberryworks/steering'
-import type { PlatformStandin } from './platform_standin.ts'
+import type { StoreDoor } from './site_store.ts'
 import { randomUUID } from 'node:crypto'
 import { Readable } from 'node:stream'
 import { text } from 'node:stream/consumers'
 import { setFlagsFromString } from 'node:v8'
 import { runInNewContext } from 'node:vm'
-import { createHttpPlatform } from '@bilberryworks/platform'
+import { createStorePlatform } from '@bilberryworks/platform'
 import { createKeyKeeper, createView } from 'bilberryd'
 import { ok } from 'neverthrow'
-import { startPlatformStandin } from './platform_standin.ts'
+import { createSiteStore, StoreFault } from './site_store.ts'
 import { deployments } from './deployments.ts'
 
 const memoryKeys = 20_000
@@ -26,12 +26,13 @@
 /** A keeper with a target that answers at once. */
 interface Bench extends AsyncDisposable {
   handleRequest: HandleRequest
-  standin: PlatformStandin
+  door: StoreDoor
 }
 
 async function startBench (): Promise<Bench> {
-  const standin = await startPlatformStandin()
-  const platform = createHttpPlatform(standin.url)
+  const store = createSiteStore()
+  const door = await store.openDoor()
+  const platform = createStorePlatform(door.url)
   const getNowMs = (): number => performance.now()
   const { handleRequest } = createKeyKeeper({
     instance,
@@ -47,10 +48,10 @@
   })
   return {
     handleRequest,
-    standin,
+    door,
     async [Symbol.asyncDispose] () {
       await platform[Symbol.asyncDispose]()
-      await standin[Symbol.asyncDispose]()
+      await store[Symbol.asyncDispose]()
     }
   }
 }
@@ -101,7 +102,7 @@
   for (const [name, deployment] of Object.entries(deployments)) {
     for (const [place, oneWayMs] of [['store in the region', deployment.domainLatencyMs], ['store in another region', deployment.regionLatencyMs]] as const) {
       await using bench = await startBench()
-      bench.standin.faults.delayMs = 2 * oneWayMs
+      bench.door.faults.delayMs = 2 * oneWayMs
       for (const [way, createScope] of [['pin', createPinned], ['row per key', createAuthorized]] as const) {
         rows.push({ deployment: name, place, way, ...await measureWay(bench, createScope) })
       }
@@ -122,11 +123,11 @@
     times.push(performance.now() - startedMs)
   }
   times.sort((a, b) => a - b)
-  bench.standin.faults.outage = true
+  bench.door.setFault(StoreFault.Busy)
   let answeredInOutage = 0
   for (let count = 0; count < wayRequests; count++) {
     if (await sendOrder(bench, createScope())) answeredInOutage++
   }
-  bench.standin.faults.outage = false
+  bench.door.setFault(StoreFault.None)
   return { p50Ms: times[wayRequests >> 1], maxMs: times.at(-1), answeredInOutage: `${answeredInOutage} of ${wayRequests}` }
 }
--- a/packages/standins/src/client_blocks_test.ts
+++ b/packages/standins/src/client_blocks_test.ts
@@ -2,14 +2,14 @@
 import type { ClientBlockEntry } from '@bilberryworks/steering'
 import type { ClientBlocksLoader, Settings } from 'bilberryd'
 import { PublishFailureKind, publishClientBlocks } from '@bilberryworks/operators'
-import { ClientBlocksLoad, createHttpPlatform, formatClientBlocksKey, runSliced, TableName } from '@bilberryworks/platform'
+import { ClientBlocksLoad, createStorePlatform, formatClientBlocksKey, runSliced, TableName } from '@bilberryworks/platform'
 import { buildClientBlocks, decodeSnapshot, diffClientBlocks, encodeDifference, encodeSnapshot, findSites, parseClientAddress, readDigest } from '@bilberryworks/steering'
 import test from 'ava'
 import { createClientBlocksLoader, runInstance } from 'bilberryd'
 import { request } from 'undici'
 import { writeAcceptedDocument } from './accept_document.ts'
 import { createDocument, deployments } from './deployments.ts'
-import { startPlatformStandin } from './platform_standin.ts'
+import { createSiteStore, StoreFault } from './site_store.ts'
 
 const waitLimitMs = 10_000
 const silentLog = { info () {} } as unknown as Parameters<typeof runInstance>[1]
@@ -41,8 +41,9 @@
 }
 
 test('loads a snapshot, then differences', async t => {
-  await using standin = await startPlatformStandin()
-  await using platform = createHttpPlatform(standin.url)
+  await using store = createSiteStore()
+  const door = await store.openDoor()
+  await using platform = createStorePlatform(door.url)
   await publish(platform, createEntries(['sofia']))
   await using loading = startLoader(platform)
   const { loader, loads, find } = loading
@@ -87,8 +88,9 @@
 ]
 for (const [name, damage] of damages) {
   test(`keeps the last good map with ${name}, then recovers`, async t => {
-    await using standin = await startPlatformStandin()
-    await using platform = createHttpPlatform(standin.url)
+    await using store = createSiteStore()
+    const door = await store.openDoor()
+    await using platform = createStorePlatform(door.url)
     await publish(platform, createEntries(['sofia']))
     await using loading = startLoader(platform)
     const { loader, loads, find } = loading
@@ -97,12 +99,12 @@
     const row = await publish(platform, createEntries(['varna']))
     const good = (await platform.readObject(row.difference!.object))._unsafeUnwrap()!
     await damage(platform, row)
-    standin.faults.outage = name === 'an outage'
+    if (name === 'an outage') door.setFault(StoreFault.Busy)
     loader.observeRevision(2)
     await waitUntil(() => loads.length >= 3)
     t.deepEqual([loader.getBlocks().revision, ...find('10.0.0.1')], [1, 'sofia'])
-    t.true(loads.slice(1).every(load => load === (standin.faults.outage ? ClientBlocksLoad.Unavailable : ClientBlocksLoad.Damaged)))
-    standin.faults.outage = false
+    t.true(loads.slice(1).every(load => load === (name === 'an outage' ? ClientBlocksLoad.Unavailable : ClientBlocksLoad.Damaged)))
+    door.setFault(StoreFault.None)
     await platform.writeObject(row.difference!.object, good)
     await platform.writeRows([{ table: TableName.ClientBlocks, key: formatClientBlocksKey(2), value: row }])
     await loader.wait()
@@ -111,8 +113,9 @@
 }
 
 test('takes the snapshot where a difference is damaged', async t => {
-  await using standin = await startPlatformStandin()
-  await using platform = createHttpPlatform(standin.url)
+  await using store = createSiteStore()
+  const door = await store.openDoor()
+  await using platform = createStorePlatform(door.url)
   for (let revision = 1; revision <= 8; revision++) await publish(platform, createEntries([`site-${revision}`]))
   await using loading = startLoader(platform)
   const { loader, loads, find } = loading
@@ -127,8 +130,9 @@
 })
 
 test('one of two publications at the same time wins', async t => {
-  await using standin = await startPlatformStandin()
-  await using platform = createHttpPlatform(standin.url)
+  await using store = createSiteStore()
+  const door = await store.openDoor()
+  await using platform = createStorePlatform(door.url)
   await publish(platform, createEntries(['sofia']))
   const results = await Promise.all(['varna', 'plovdiv'].map(site => publishClientBlocks(platform, createEntries([site]))))
   t.deepEqual(results.map(result => result.isOk()).sort(), [false, true])
@@ -141,11 +145,12 @@
 })
 
 test('publishes nothing where the list has faults', async t => {
-  await using standin = await startPlatformStandin()
-  await using platform = createHttpPlatform(standin.url)
+  await using store = createSiteStore()
+  const door = await store.openDoor()
+  await using platform = createStorePlatform(door.url)
   const failure = (await publishClientBlocks(platform, createEntries([], ['10.0.0.1/8'])))._unsafeUnwrapErr()
   t.deepEqual([failure.kind, failure.findings.length], [PublishFailureKind.Findings, 2])
-  t.is(standin.counts.writes, 0)
+  t.is(door.countCalls().writes, 0)
 })
 
 test('serves other events while a map is decoded', async t => {
@@ -167,8 +172,9 @@
 }
 
 test('look-up uses the map and refuses malformed clients', async t => {
-  await using standin = await startPlatformStandin()
-  await using platform = createHttpPlatform(standin.url)
+  await using store = createSiteStore()
+  const door = await store.openDoor()
+  await using platform = createStorePlatform(door.url)
   const deployment = deployments.kutiyka
   const document = { ...createDocument(deployment, deployment.services[0]), regionWeights: { sofia: 1 } }
   await writeAcceptedDocument(platform, document)
@@ -178,7 +184,7 @@
   })
   await platform.writeRows(others.map(value => ({ table: TableName.Instances, key: `${value.instance}/x`, value })))
   // Nobody renews the rows of the other instances, which must not count as silent while the test lasts.
-  await using instance = await runInstance({ ...createSettings(standin.url), heartbeatMs: 60_000 }, silentLog)
+  await using instance = await runInstance({ ...createSettings(door.url), heartbeatMs: 60_000 }, silentLog)
   const ask = async (query: string, method: 'GET' | 'POST' = 'GET'): Promise<{ status: number, text: string, ttl: string }> => {
     const answer = await request(`http://${instance.addresses.callers}/v1/services/lunchbox-api/entries${query}`, { method })
     return { status: answer.statusCode, text: await answer.body.text(), ttl: String(answer.headers['cache-control']) }
--- a/packages/standins/src/cluster.ts
+++ b/packages/standins/src/cluster.ts
@@ -10,8 +10,9 @@
 import type { CleanUp } from '@bilberryworks/steering'
 import type { Deployment } from './deployments.ts'
 import type { Place } from './places.ts'
-import type { PlatformFaults } from './platform_standin.ts'
+import type { PlatformCommand, PlatformFaults } from './main_platform.ts'
 import type { RelayProcess } from './relay_process.ts'
+import type { DoorCounts } from './site_store.ts'
 import type { RunRecord, StartTargetStandinOptions, TargetBehaviour } from './target_standin.ts'
 import { createHash, randomBytes, randomUUID } from 'node:crypto'
 import { mkdtemp, rm, writeFile } from 'node:fs/promises'
@@ -67,6 +68,8 @@
   restartInstance (index: number): Promise<void>
   /** Injects faults into the platform. */
   setPlatformFaults (faults: Partial<PlatformFaults>): Promise<void>
+  /** Counts what the platform carried since its start. */
+  countPlatformCalls (): Promise<DoorCounts>
   /** Changes how a target behaves. */
   setBehaviour (target: string, behaviour: Partial<TargetBehaviour>): void
   /** Collects what all targets recorded. */
@@ -132,12 +135,12 @@
     relay.connectRoute(record.target, record.address)
     return { ...record, address: routes[record.target]! }
   })
-  await request(`${platform.ready.url}/machines`, { method: 'PUT', body: JSON.stringify({ instances: [], targets }) })
+  await sendPlatformCommand(platform, { kind: 'list', targets })
 
   const folder = await mkdtemp(join(tmpdir(), 'bilberryworks-'))
   stack.add({ [Symbol.asyncDispose]: () => rm(folder, { recursive: true }) })
   const token = randomBytes(24).toString('base64url')
-  const all = createSettings(deployment, { platformUrl: `http://${routes[platformRoute]}`, token, routes, instancePlaces })
+  const all = createSettings(deployment, { platformUrl: `http://${routes[platformRoute]}`, regions: Object.fromEntries(listFailureDomains(deployment).map(place => [place.failureDomain, place.region])), token, routes, instancePlaces })
   const startInstance = async (settings: Settings): Promise<Child<InstanceAddresses>> => {
     const file = join(folder, `${settings.instance}.json`)
     await writeFile(file, JSON.stringify(settings))
@@ -158,9 +161,9 @@
       await waitUntilReady(cluster, deployment)
     },
     async setPlatformFaults (faults) {
-      const answer = await request(`${platform.ready.url}/faults`, { method: 'PUT', body: JSON.stringify(faults) })
-      await answer.body.dump()
+      await sendPlatformCommand(platform, { kind: 'fault', faults })
     },
+    countPlatformCalls: () => sendPlatformCommand(platform, { kind: 'count' }),
     setBehaviour (target, behaviour) {
       const index = targetChildren.findIndex(child => child.ready.targets.some(record => record.target === target))
       targetChildren[index]?.process.send({ kind: 'behave', target, behaviour })
@@ -225,9 +228,25 @@
 }
 
 async function askRuns (child: Child<unknown>): Promise<RunRecord[]> {
+  const { runs } = await sendCommand<{ runs: RunRecord[] }>(child, { kind: 'report' })
+  return runs
+}
+
+/**
+ * Steers a platform that runs as a process of its own.
+ *
+ * @param child The process of `main_platform.js`
+ * @param command What it shall do
+ * @returns What it carried since its start
+ */
+export async function sendPlatformCommand (child: Child<unknown>, command: PlatformCommand): Promise<DoorCounts> {
+  return sendCommand<DoorCounts>(child, command)
+}
+
+async function sendCommand<T> (child: Child<unknown>, command: object): Promise<T> {
   return new Promise(resolve => {
-    child.process.once('message', message => resolve((message as { runs: RunRecord[] }).runs))
-    child.process.send({ kind: 'report' })
+    child.process.once('message', message => resolve(message as T))
+    child.process.send(command)
   })
 }
 
@@ -282,6 +301,7 @@
 
 interface SharedSettings {
   platformUrl: string
+  regions: Record<string, string>
   token: string
   routes: Record<string, string>
   instancePlaces: Place[]
@@ -297,6 +317,7 @@
       failureDomain: place.failureDomain,
       region: place.region,
       platformUrl: shared.platformUrl,
+      regions: shared.regions,
       listen: { callers: listen, operators: listen, peers: listen },
       advertise: { callers: shared.routes[formatInstanceRoute(instance, 'callers')]!, peers: shared.routes[formatInstanceRoute(instance, 'peers')]! },
       localAddress: place.host,
--- a/packages/standins/src/feeding_path_test.ts
+++ b/packages/standins/src/feeding_path_test.ts
@@ -3,6 +3,7 @@
 import { startCluster } from './cluster.ts'
 import { DeploymentName, deployments } from './deployments.ts'
 import { runLoad } from './load.ts'
+import { StoreFault } from './site_store.ts'
 
 const seed = Number(process.env['BILBERRY_SEED'] ?? 5)
 const serviceMs = 150
@@ -28,9 +29,9 @@
     await waitMs(2_000)
   }],
   ['the platform is out', async cluster => {
-    await cluster.setPlatformFaults({ outage: true })
+    await cluster.setPlatformFaults({ fault: StoreFault.Busy })
     await waitMs(8_000)
-    await cluster.setPlatformFaults({ outage: false })
+    await cluster.setPlatformFaults({ fault: StoreFault.None })
     await waitMs(1_000)
   }]
 ]
--- a/packages/standins/src/link_relay.ts
+++ b/packages/standins/src/link_relay.ts
@@ -9,7 +9,7 @@
 import type { AddressInfo, Server, Socket } from 'node:net'
 import type { Place } from './places.ts'
 import { connect, createServer } from 'node:net'
-import { listen, formatServerAddress } from './platform_standin.ts'
+import { listen, formatServerAddress } from './listeners.ts'
 import { createDelayedStream } from './delayed_stream.ts'
 import { locateSource } from './places.ts'
 
--- a/packages/standins/src/link_relay_test.ts
+++ b/packages/standins/src/link_relay_test.ts
@@ -4,7 +4,7 @@
 import { Agent } from 'undici'
 import { createLinkRelay } from './link_relay.ts'
 import { computeCallerAddress, locateMachine, locateSource } from './places.ts'
-import { formatServerAddress, listen } from './platform_standin.ts'
+import { formatServerAddress, listen } from './listeners.ts'
 import { startTargetStandin } from './target_standin.ts'
 
 const regions = ['north', 'south']
--- a/packages/standins/src/site_store.ts
+++ b/packages/standins/src/site_store.ts
@@ -3,10 +3,14 @@
  *
  * @module
  */
-import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import type { StoreRows, StoreTransaction } from './store_rows.ts'
 import { createServer } from 'node:http'
 import { text } from 'node:stream/consumers'
+import { setTimeout as wait } from 'node:timers/promises'
+import { listenOnLoopback, readBody } from './listeners.ts'
+import { createStoreRows } from './store_rows.ts'
 
 /** How a door of the store misbehaves. */
 export enum StoreFault {
@@ -22,14 +26,42 @@
   AnswerLost = 'answer_lost'
 }
 
+/** What else goes wrong at a door. */
+export interface DoorFaults {
+  /** Time added to each call, in milliseconds. */
+  delayMs: number
+  /** Number of next transactions that are held back and land later, without an answer. */
+  heldWrites: number
+  /** Time after which a transaction that was held back lands, in milliseconds. */
+  landAfterMs: number
+}
+
+/** Counts of what a door carried. */
+export interface DoorCounts {
+  /** Calls taken. */
+  calls: number
+  /** Rows, changes and objects read. */
+  reads: number
+  /** Transactions and objects written. */
+  writes: number
+  /** Readings of the targets' table. */
+  targetReads: number
+  /** Bytes in and out, header fields included, over all connections. */
+  bytes: number
+}
+
 /** One address of the store, with faults of its own. */
 export interface StoreDoor extends AsyncDisposable {
   /** Where it listens. */
   place: { host: string, port: number }
+  /** `http://host:port` of the same. */
+  url: string
+  /** What else goes wrong; may be changed at any time. */
+  faults: DoorFaults
   /** Makes it misbehave from now on, also to calls that wait. */
   setFault (fault: StoreFault): void
-  /** Counts the calls it took. */
-  countCalls (): number
+  /** Counts what it carried. */
+  countCalls (): DoorCounts
 }
 
 /** The store. */
@@ -40,20 +72,20 @@
   writeRow (table: string, key: string, value: unknown): void
   /** Removes a row. */
   removeRow (table: string, key: string): void
+  /** Returns the value of a row; `undefined` where there is none. */
+  getValue (table: string, key: string): unknown
   /** Forgets what changed before now. */
   dropHistory (): void
 }
 
-interface Change {
-  table: string
-  part: string
-  key: string
-  value: string
-  row_version: number
-  deleted?: true
+interface Reply {
+  status: number
+  body: object | Uint8Array
 }
 
 const historyGoneStatus = 410
+const conflictStatus = 412
+const targetTable = 'servers'
 
 /**
  * Creates an empty store.
@@ -61,129 +93,119 @@
  * @returns The store; dispose it to close its doors
  */
 export function createSiteStore (): SiteStore {
-  const rows = new Map<string, Change>()
+  const rows = createStoreRows()
+  const objects = new Map<string, Uint8Array>()
   const doors: StoreDoor[] = []
-  let history: Change[] = []
-  let oldest = 0
-  let version = 0
-  let waiting: Array<() => void> = []
 
-  function recordChange (change: Change): void {
-    const id = `${change.table}\u0000${change.part}\u0000${change.key}`
-    if (change.deleted === true) rows.delete(id)
-    else rows.set(id, change)
-    history.push(change)
-    const woken = waiting
-    waiting = []
-    for (const wake of woken) wake()
+  return {
+    async openDoor () {
+      const door = await openStoreDoor((message, url) => handleCall({ rows, objects }, message, url), transaction => { rows.apply(transaction) })
+      doors.push(door)
+      return door
+    },
+    writeRow (table, key, value) {
+      rows.apply({ upserts: [{ table, part: '', key, value: Buffer.from(JSON.stringify(value)).toString('base64') }] })
+    },
+    removeRow (table, key) {
+      rows.apply({ remove: [{ table, part: '', key }] })
+    },
+    getValue (table, key) {
+      const row = rows.getRow({ table, part: '', key })
+      return row === undefined ? undefined : JSON.parse(Buffer.from(row.value, 'base64').toString('utf8'))
+    },
+    dropHistory: rows.dropHistory,
+    async [Symbol.asyncDispose] () {
+      for (const door of doors) await door[Symbol.asyncDispose]()
+    }
   }
+}
 
-  function readRows (query: URLSearchParams): object {
-    const from = query.get('from') ?? ''
-    const limit = Number(query.get('limit') ?? 500)
-    const found = [...rows.values()].filter(row => row.table === query.get('table') && row.part === (query.get('part') ?? '') && row.key >= from)
-    found.sort((a, b) => a.key < b.key ? -1 : 1)
-    return { rows: found.slice(0, limit), has_more: found.length > limit, row_version: version, now: '0ms' }
+async function handleCall (held: { rows: StoreRows, objects: Map<string, Uint8Array> }, message: IncomingMessage, url: URL): Promise<Reply> {
+  const { rows, objects } = held
+  if (url.pathname === '/rows-get') return { status: 200, body: rows.read(url.searchParams) }
+  if (url.pathname === '/rows-feed') {
+    const feed = await rows.readFeed(url.searchParams)
+    return feed === undefined ? { status: historyGoneStatus, body: {} } : { status: 200, body: feed }
+  }
+  if (url.pathname === '/rows-tx') {
+    const { conflict, answer } = rows.apply(JSON.parse(await text(message)) as StoreTransaction)
+    return { status: conflict ? conflictStatus : 200, body: answer }
+  }
+  const [, call, name = ''] = url.pathname.split('/').map(decodeURIComponent)
+  if (call === 'blob-put') {
+    objects.set(name, new Uint8Array(await readBody(message)))
+    return { status: 200, body: {} }
   }
+  const object = call === 'blob-get' ? objects.get(name) : undefined
+  return object === undefined ? { status: 404, body: {} } : { status: 200, body: object }
+}
 
-  async function readFeed (query: URLSearchParams): Promise<object | undefined> {
-    const after = Number(query.get('after'))
-    const untilMs = performance.now() + Number(query.get('wait_ms') ?? 0)
-    for (;;) {
-      if (after < oldest) return undefined
-      const changes = history.filter(change => change.table === query.get('table') && change.row_version > after)
-      const leftMs = untilMs - performance.now()
-      if (changes.length > 0 || leftMs <= 0) return { rows: changes, row_version: version, now: '0ms' }
-      await new Promise<void>(resolve => {
-        const timer = setTimeout(resolve, leftMs)
-        waiting.push(() => {
-          clearTimeout(timer)
-          resolve()
-        })
-      })
-    }
+async function openStoreDoor (answerCall: (message: IncomingMessage, url: URL) => Promise<Reply>, land: (transaction: StoreTransaction) => void): Promise<StoreDoor> {
+  const faults: DoorFaults = { delayMs: 0, heldWrites: 0, landAfterMs: 1_000 }
+  const counts: DoorCounts = { calls: 0, reads: 0, writes: 0, targetReads: 0, bytes: 0 }
+  const connections = new Set<Socket>()
+  let fault = StoreFault.None
+
+  function count (message: IncomingMessage, url: URL): void {
+    counts.calls++
+    if (message.method === 'GET') counts.reads++
+    else counts.writes++
+    if (url.searchParams.get('table') === targetTable) counts.targetReads++
   }
 
-  function applyTransaction (body: { upserts: Array<{ table: string, part: string, key: string, value: string }>, remove: Array<{ table: string, part: string, key: string }> }): object {
-    version++
-    for (const row of body.upserts) recordChange({ ...row, row_version: version })
-    for (const row of body.remove) recordChange({ ...row, value: '', row_version: version, deleted: true })
-    return { row_version: version, now: '0ms' }
+  /** Whether a call ends here because of the fault at this moment. */
+  function isStopped (message: IncomingMessage, response: ServerResponse): boolean {
+    if (fault === StoreFault.Busy) response.writeHead(503).end()
+    else if (fault === StoreFault.Reset) message.socket.resetAndDestroy()
+    return fault !== StoreFault.None && fault !== StoreFault.AnswerLost
   }
 
-  async function handleCall (message: IncomingMessage): Promise<{ status: number, body: object }> {
+  async function reply (message: IncomingMessage, response: ServerResponse): Promise<void> {
     const url = new URL(message.url!, 'http://store')
-    if (url.pathname === '/rows-get') return { status: 200, body: readRows(url.searchParams) }
-    if (url.pathname === '/rows-feed') {
-      const feed = await readFeed(url.searchParams)
-      return feed === undefined ? { status: historyGoneStatus, body: {} } : { status: 200, body: feed }
+    if (faults.delayMs > 0) await wait(faults.delayMs)
+    if (isStopped(message, response)) {
+      counts.calls++
+      return
     }
-    if (url.pathname === '/rows-tx') return { status: 200, body: applyTransaction(JSON.parse(await text(message)) as Parameters<typeof applyTransaction>[0]) }
-    return { status: 404, body: {} }
-  }
-
-  async function openDoor (): Promise<StoreDoor> {
-    let fault = StoreFault.None
-    let calls = 0
-    const reply = async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
-      calls++
-      if (fault === StoreFault.Busy) response.writeHead(503).end()
-      else if (fault === StoreFault.Reset) message.socket.resetAndDestroy()
-      else if (fault !== StoreFault.Silent) {
-        const { status, body } = await handleCall(message)
-        const faultNow = fault as StoreFault
-        if (faultNow === StoreFault.AnswerLost || faultNow === StoreFault.Reset) message.socket.destroy()
-        else if (faultNow !== StoreFault.Silent) response.writeHead(status, { 'Content-Type': 'application/json' }).end(JSON.stringify(body))
-      }
+    count(message, url)
+    if (url.pathname === '/rows-tx' && faults.heldWrites > 0) {
+      faults.heldWrites--
+      const transaction = JSON.parse(await text(message)) as StoreTransaction
+      setTimeout(() => land(transaction), faults.landAfterMs).unref()
+      message.socket.destroy()
+      return
     }
-    const server = createServer((message, response) => {
-      reply(message, response).catch((error: Error) => response.writeHead(500).end(error.message))
-    })
-    const place = await listenOnLoopback(server)
-    const door: StoreDoor = {
-      place,
-      setFault (next) {
-        fault = next
-        if (next !== StoreFault.None) server.closeAllConnections()
-      },
-      countCalls: () => calls,
-      async [Symbol.asyncDispose] () {
-        server.closeAllConnections()
-        await new Promise(resolve => server.close(resolve))
-      }
+    const { status, body } = await answerCall(message, url)
+    if (fault === StoreFault.AnswerLost) message.socket.destroy()
+    else if (!isStopped(message, response)) {
+      const isObject = body instanceof Uint8Array
+      response.writeHead(status, { 'Content-Type': isObject ? 'application/octet-stream' : 'application/json' }).end(isObject ? body : JSON.stringify(body))
     }
-    doors.push(door)
-    return door
   }
 
+  const server = createServer((message, response) => {
+    reply(message, response).catch((error: Error) => response.destroy(error))
+  })
+  server.on('connection', socket => {
+    connections.add(socket)
+    socket.once('close', () => {
+      connections.delete(socket)
+      counts.bytes += socket.bytesRead + socket.bytesWritten
+    })
+  })
+  const place = await listenOnLoopback(server)
   return {
-    openDoor,
-    writeRow (table, key, value) {
-      version++
-      recordChange({ table, part: '', key, value: Buffer.from(JSON.stringify(value)).toString('base64'), row_version: version })
-    },
-    removeRow (table, key) {
-      version++
-      recordChange({ table, part: '', key, value: '', row_version: version, deleted: true })
-    },
-    dropHistory () {
-      history = []
-      oldest = version
-      for (const wake of waiting.splice(0)) wake()
+    place,
+    url: `http://${place.host}:${place.port}`,
+    faults,
+    setFault (next) {
+      fault = next
+      if (next !== StoreFault.None) server.closeAllConnections()
     },
+    countCalls: () => ({ ...counts, bytes: [...connections].reduce((sum, socket) => sum + socket.bytesRead + socket.bytesWritten, counts.bytes) }),
     async [Symbol.asyncDispose] () {
-      for (const door of doors) await door[Symbol.asyncDispose]()
+      server.closeAllConnections()
+      await new Promise(resolve => server.close(resolve))
     }
   }
 }
-
-/**
- * Opens a server on a free port of the loopback address.
- *
- * @param server The server
- * @returns Where it listens
- */
-export async function listenOnLoopback (server: Server): Promise<{ host: string, port: number }> {
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
-  return { host: '127.0.0.1', port: (server.address() as AddressInfo).port }
-}
--- a/packages/standins/src/site_target.ts
+++ b/packages/standins/src/site_target.ts
@@ -8,7 +8,8 @@
 import { createServer } from 'node:http'
 import { buffer } from 'node:stream/consumers'
 import { setTimeout as wait } from 'node:timers/promises'
-import { listenOnLoopback } from './site_store.ts'
+import { createTargetRow } from './list_targets.ts'
+import { listenOnLoopback } from './listeners.ts'
 
 /** A run of a request. */
 export interface TargetRun {
@@ -138,7 +139,7 @@
     setWorkMs (next) { workMs = next },
     register (change = {}) {
       sequence++
-      store.writeRow('servers', id, { service: options.service, address: `${place.host}:${place.port}`, zone: options.failureDomain, version: 'v1', slots, state: 'ready', cold_left: '0ms', seq: sequence, born: 1, ...change })
+      store.writeRow('servers', id, createTargetRow({ service: options.service, address: `${place.host}:${place.port}`, failureDomain: options.failureDomain, slots }, { seq: sequence, ...change }))
     },
     async [Symbol.asyncDispose] () {
       server.closeAllConnections()
--- a/packages/standins/src/survival_test.ts
+++ b/packages/standins/src/survival_test.ts
@@ -8,6 +8,7 @@
 import { startCluster } from './cluster.ts'
 import { DeploymentName, deployments } from './deployments.ts'
 import { runLoad } from './load.ts'
+import { StoreFault } from './site_store.ts'
 
 const seed = Number(process.env['BILBERRY_SEED'] ?? 5)
 /** Long enough that some requests are in flight at each instance at any time. */
@@ -97,9 +98,9 @@
 test.serial('serves pinned requests on while the platform is out', async t => {
   await using cluster = await startCluster(deployment)
   const report = await runFault(t, cluster, async () => {
-    await cluster.setPlatformFaults({ outage: true })
+    await cluster.setPlatformFaults({ fault: StoreFault.Busy })
     await waitMs(5_000)
-    await cluster.setPlatformFaults({ outage: false })
+    await cluster.setPlatformFaults({ fault: StoreFault.None })
   })
   t.is(report.answered, report.requests)
 })
--- a/packages/standins/src/target_standin.ts
+++ b/packages/standins/src/target_standin.ts
@@ -8,7 +8,7 @@
 import { createHash } from 'node:crypto'
 import { createServer } from 'node:http'
 import { MachineState } from '@bilberryworks/steering'
-import { closeListener, formatServerAddress, listen } from './platform_standin.ts'
+import { closeListener, formatServerAddress, listen } from './listeners.ts'
 
 const cancelPath = '/bilberry/requests/'
 
