Explain a request from the logs: bilberryctl explain, and what decided each hand-over

Cause: from an identifier to its cause led greps over the logs of all instances, and the lines did not say what was known of a target when it was chosen, nor why a request went no further. Change: request_ended tells each hand-over with the load that was known and its age; retry and retry_barred tell the budget and what bars; answers at once have a line too, the first 20 of each second. 'bilberryctl explain ID FILE' tells the story in order: decisions, beliefs of the deciding instance, what others knew.

--- a/packages/bilberryctl/src/commands.ts
+++ b/packages/bilberryctl/src/commands.ts
@@ -6,10 +6,12 @@
 import type { AcceptedDocument, Difference, DocumentFinding } from '@bilberryworks/steering'
 import type { ApiClient, ApiReply } from './api_client.ts'
 import { randomUUID } from 'node:crypto'
-import { command, flag, number, option, optional, positional, string, subcommands } from 'cmd-ts'
+import { command, flag, number, option, optional, positional, restPositionals, string, subcommands } from 'cmd-ts'
 import { createApiClient } from './api_client.ts'
 import { applyDocument, ApplyState, describeReply, waitUntilInForce } from './apply_document.ts'
 import { ExitStatus } from './exit_status.ts'
+import { describeRequest } from './describe_request.ts'
+import { readLogLines } from './log_lines.ts'
 import { readDocument } from './read_document.ts'
 import { diffValues, renderTable } from './render.ts'
 
@@ -182,9 +184,26 @@
   }
 })
 
+const explain = command({
+  name: 'explain',
+  description: 'Tell the story of a request from the logs of the instances',
+  args: {
+    id: positional({ type: string, displayName: 'ID', description: 'Identifier of the request' }),
+    files: restPositionals({ type: string, displayName: 'FILE', description: 'Logs of the instances' }),
+    json
+  },
+  async handler (args) {
+    if (args.files.length === 0) return failCommand('No log files were named', ExitStatus.Usage)
+    const steps = describeRequest(args.id, await readLogLines(args.files, args.id))
+    if (steps.length === 0) return failCommand(`No line names the request "${args.id}"`)
+    const startMs = steps[0]!.atMs
+    return printResult(args, { id: args.id, steps }, () => renderTable(steps.map(({ atMs, instance, kind, text }) => ({ ms: atMs - startMs, instance, kind, what: text }))))
+  }
+})
+
 /** The command line. */
 export const commandLine = subcommands({
   name: 'bilberryctl',
   description: 'Drives bilberryworks by the documents of your services. Exit status: 0 done, 1 refused or findings, 2 usage, 3 outcome unknown.',
-  cmds: { check, get, list, apply, diff, history, status, lookup }
+  cmds: { check, get, list, apply, diff, history, status, lookup, explain }
 })
--- a/packages/bilberryd/src/edge/active_exchanges.ts
+++ b/packages/bilberryd/src/edge/active_exchanges.ts
@@ -5,7 +5,7 @@
  */
 import type { RegisteredTarget } from '@bilberryworks/steering'
 import type { TargetPool } from '@bilberryworks/targets'
-import type { Attempt } from './attempt.ts'
+import type { Attempt, AttemptSend } from './attempt.ts'
 import type { EntryLog } from './entry_log.ts'
 import type { EntryState } from './entry_state.ts'
 import { isTargetLost, recordTargetEnd, RouteKind, TargetSignal } from '@bilberryworks/steering'
@@ -73,6 +73,7 @@
       attempt.entry = entry
       attempt.sentAtMs = getNowMs()
       attempt.tried.add(entry.target.id)
+      attempt.sends.push(describeSend(attempt, entry))
       sent.add(attempt)
     },
     release,
@@ -86,3 +87,15 @@
     count: () => sent.size
   }
 }
+
+function describeSend (attempt: Attempt, entry: RegisteredTarget): AttemptSend {
+  const { inFlight, othersBusy, reportedAtMs } = entry
+  return {
+    target: entry.target.id,
+    afterMs: Math.round(attempt.sentAtMs - attempt.arrivedAtMs),
+    inFlight,
+    othersBusy,
+    ...Number.isFinite(reportedAtMs) ? { reportAgeMs: Math.round(attempt.sentAtMs - reportedAtMs) } : {},
+    ...entry.coldUntilMs > attempt.sentAtMs ? { cold: true } : {}
+  }
+}
--- a/packages/bilberryd/src/edge/attempt.ts
+++ b/packages/bilberryd/src/edge/attempt.ts
@@ -22,6 +22,22 @@
   Ended = 'ended'
 }
 
+/** A hand-over of an attempt to a target, with what decided it. */
+export interface AttemptSend {
+  /** Identifier of the target. */
+  target: string
+  /** Time since the attempt's arrival, in milliseconds. */
+  afterMs: number
+  /** Requests of this instance that were there or on their way. */
+  inFlight: number
+  /** Requests of other instances there, by its last report. */
+  othersBusy: number
+  /** Age of that report, in milliseconds; absent where there is none. */
+  reportAgeMs?: number
+  /** Whether it counted as cold. */
+  cold?: true
+}
+
 /** An attempt of a caller. */
 export interface Attempt extends PlacedRequest, WaitingRequest {
   /** The caller's message. */
@@ -36,6 +52,8 @@
   finalAtMs: number
   /** Targets that it was sent to. */
   tried: Set<string>
+  /** What was known of each at that moment, for the log. */
+  sends: AttemptSend[]
   /** How far it has come. */
   phase: AttemptPhase
   /** Its body, once collected. */
--- a/packages/bilberryd/src/edge/attempt_ends.ts
+++ b/packages/bilberryd/src/edge/attempt_ends.ts
@@ -50,9 +50,9 @@
     const nowMs = getNowMs()
     const elapsedMs = nowMs - attempt.arrivedAtMs
     metrics.recordStage(RequestStage.Whole, attempt.route.name, elapsedMs)
-    // An answer by the first target within the objective is told by the counters alone.
-    if (refusal === undefined && attempt.tried.size <= 1 && elapsedMs <= attempt.route.objectiveMs) return
-    log.info('request_ended', {
+    const isAtOnce = refusal === undefined && attempt.tried.size <= 1 && elapsedMs <= attempt.route.objectiveMs
+    const write = isAtOnce ? log.sample : log.info
+    write('request_ended', {
       id: attempt.attemptId,
       route: attempt.route.name,
       service: attempt.service,
@@ -62,7 +62,7 @@
       reason: refusal?.reason,
       detail: refusal?.detail,
       retryAfterMs: refusal?.retryAfterMs,
-      tried: [...attempt.tried],
+      sends: attempt.sends,
       elapsedMs: Math.round(elapsedMs),
       leftMs: Math.round(attempt.finalAtMs - nowMs),
       ...options.describeLoad()
--- a/packages/bilberryd/src/edge/dispatcher.ts
+++ b/packages/bilberryd/src/edge/dispatcher.ts
@@ -92,8 +92,7 @@
   const getBudget = createByName(() => createRepeatBudget({ ratio: bounds.retryRatio, slack: bounds.retrySlack, windowMs: bounds.budgetWindowMs, getInstances: options.countInstances }))
   const getPacer = createByName(() => createRetryPacer(options.getRandom))
   const getRetryAfterMs = (attempt: Attempt): number => getPacer.get(attempt.service).record({ nowMs: getNowMs(), queued: getWaiting.get(attempt.service).count(), ...placer.measureCapacity(attempt.service) })
-  const takeRepeat = (service: string): boolean => getBudget.get(service).take(getNowMs())
-  const handleExchangeEnd = createExchangeEndHandler({ ends, log, metrics, getNowMs, takeRepeat, getRetryAfterMs, sendAgain: addWaiting })
+  const handleExchangeEnd = createExchangeEndHandler({ ends, log, metrics, getNowMs, getBudget: getBudget.get, getRetryAfterMs, sendAgain: addWaiting })
   let checkTimer: NodeJS.Timeout | undefined
 
   function addWaiting (attempt: Attempt): void {
--- a/packages/bilberryd/src/edge/entry_log.ts
+++ b/packages/bilberryd/src/edge/entry_log.ts
@@ -7,13 +7,15 @@
 import type { Writable } from 'node:stream'
 import { createLogger, INFO, WARN } from 'bunyan'
 
-/** Fields of a log line; `docs/OPERATIONS.md` lists them. */
+/** Fields of a log line; `docs/operations/platform.md` lists them. */
 export type LogFields = Record<string, unknown>
 
 /** The log. */
 export interface EntryLog {
   /** Writes a line on what an instance does or believes. */
   info (event: string, fields: LogFields): void
+  /** Writes a line on what went well at once; the first of each second are written, the others told by the counters alone. */
+  sample (event: string, fields: LogFields): void
   /** Writes a line on what is lost or wrong. */
   warn (event: string, fields: LogFields): void
   /** Counts the lines that were dropped. */
@@ -23,6 +25,10 @@
 /** Bytes that may wait for the reader of the log before lines are dropped. */
 const maxPendingBytes = 1_048_576
 
+/** Lines a second on what went well at once: enough to see each route, and less than what goes wrong on a bad day. */
+const sampledLinesPerSecond = 20
+const msPerSecond = 1_000
+
 /**
  * Creates the log.
  *
@@ -46,7 +52,15 @@
     if (level === INFO) logger.info({ event, ...fields })
     else logger.warn({ event, ...fields })
   }
+  let sampledSecond = 0
+  let sampled = 0
   return {
+    sample (event, fields) {
+      const second = Math.floor(performance.now() / msPerSecond)
+      if (second !== sampledSecond) sampled = 0
+      sampledSecond = second
+      if (++sampled <= sampledLinesPerSecond) write(INFO, event, fields)
+    },
     info: (event, fields) => write(INFO, event, fields),
     warn: (event, fields) => write(WARN, event, fields),
     countDropped: () => dropped
--- a/packages/bilberryd/src/edge/exchange_end.ts
+++ b/packages/bilberryd/src/edge/exchange_end.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { RepeatBudget } from '@bilberryworks/steering'
 import type { Attempt } from './attempt.ts'
 import type { AttemptEnds } from './attempt_ends.ts'
 import type { EntryLog } from './entry_log.ts'
@@ -20,14 +21,26 @@
   metrics: EntryMetrics
   /** Sends an attempt to a further target. */
   sendAgain: (attempt: Attempt) => void
-  /** Takes a repeat from the budget of a service; returns whether it allowed it. */
-  takeRepeat: (service: string) => boolean
+  /** The budget of repeats of a service. */
+  getBudget: (service: string) => RepeatBudget
   /** Returns when the caller of a refused attempt may come back, in milliseconds. */
   getRetryAfterMs: (attempt: Attempt) => number
   /** Returns monotonic time, in milliseconds. */
   getNowMs: () => number
 }
 
+/** Why an attempt goes to no further target. */
+enum RetryBar {
+  /** A part of its body was sent that is not kept. */
+  BodySpent = 'body_spent',
+  /** Its route allows no further target. */
+  Attempts = 'attempts',
+  /** Its time is over, or nearly so. */
+  Deadline = 'deadline',
+  /** The budget of repeats is used up. */
+  Budget = 'budget'
+}
+
 /** Least time that is left for work at a target when a request is sent, in milliseconds: less is no more than the way there. */
 export const minWorkMs = 20
 
@@ -68,14 +81,26 @@
   /** Sends a request to a further target where its route, its time and the budget allow it; else ends it. */
   function retryAttempt (attempt: Attempt, cause: { reason: RetryReason, isArrival: boolean, detail: string }): void {
     const nowMs = getNowMs()
-    const isAllowed = !attempt.isBodySpent && attempt.tried.size < attempt.route.maxAttempts && attempt.finalAtMs - nowMs > minWorkMs
-    if (isAllowed && (!cause.isArrival || options.takeRepeat(attempt.service))) {
+    const budget = options.getBudget(attempt.service)
+    const bar = findBar(attempt, nowMs) ?? (cause.isArrival && !budget.take(nowMs) ? RetryBar.Budget : undefined)
+    const inputs = { id: attempt.attemptId, reason: cause.reason, detail: cause.detail, tried: attempt.tried.size, budgetLeft: Math.floor(budget.computeLeft(nowMs)), leftMs: Math.round(attempt.finalAtMs - nowMs) }
+    if (bar === undefined) {
       metrics.countRetry(cause.reason)
-      log.info('retry', { id: attempt.attemptId, reason: cause.reason, detail: cause.detail, tried: attempt.tried.size })
+      log.info('retry', inputs)
       options.sendAgain(attempt)
-    } else if (attempt.mayHaveRun) ends.refuse(attempt, createUnknown(RefusalReason.TargetLost, cause.detail))
+      return
+    }
+    log.info('retry_barred', { ...inputs, bar })
+    if (attempt.mayHaveRun) ends.refuse(attempt, createUnknown(RefusalReason.TargetLost, cause.detail))
     else ends.refuse(attempt, createNotRun(attempt.lastReason ?? RefusalReason.Overloaded, cause.detail, options.getRetryAfterMs(attempt)))
   }
 
   return handleExchangeEnd
 }
+
+/** Tells what in the attempt itself bars a further target. */
+function findBar (attempt: Attempt, nowMs: number): RetryBar | undefined {
+  if (attempt.isBodySpent) return RetryBar.BodySpent
+  if (attempt.tried.size >= attempt.route.maxAttempts) return RetryBar.Attempts
+  return attempt.finalAtMs - nowMs <= minWorkMs ? RetryBar.Deadline : undefined
+}
--- a/packages/steering/src/repeat_budget.ts
+++ b/packages/steering/src/repeat_budget.ts
@@ -22,6 +22,8 @@
   recordRequest (nowMs: number): void
   /** Takes a repeat; returns whether the budget allowed it. */
   take (nowMs: number): boolean
+  /** Computes how many repeats the budget allows now. */
+  computeLeft (nowMs: number): number
 }
 
 /** Part of the budget that is used: an instance that restarts begins with a new slack while its last repeats still count. */
@@ -43,14 +45,20 @@
   const partMs = windowMs / partsPerWindow
   const requests = createPartCounts(partMs)
   const repeats = createPartCounts(partMs)
+
+  function computeLeft (nowMs: number): number {
+    const allowed = usedShare * (ratio * requests.sum(nowMs) + slack / Math.max(1, getInstances()))
+    return Math.max(0, allowed - repeats.sum(nowMs))
+  }
+
   return {
     recordRequest: nowMs => requests.record(nowMs),
     take (nowMs) {
-      const allowed = usedShare * (ratio * requests.sum(nowMs) + slack / Math.max(1, getInstances()))
-      if (repeats.sum(nowMs) + 1 > allowed) return false
+      if (computeLeft(nowMs) < 1) return false
       repeats.record(nowMs)
       return true
-    }
+    },
+    computeLeft
   }
 }
 
