Measure the time of new connections, and stages by kind of route

Cause: the histograms had no stage for connecting, and a label for each route, which a configuration of hundreds of routes multiplies.

--- a/packages/bilberryd/src/edge/attempt_ends.ts
+++ b/packages/bilberryd/src/edge/attempt_ends.ts
@@ -49,7 +49,7 @@
     clearTimeout(attempt.timer)
     const nowMs = getNowMs()
     const elapsedMs = nowMs - attempt.arrivedAtMs
-    metrics.recordStage(RequestStage.Whole, attempt.route.name, elapsedMs)
+    metrics.recordStage(RequestStage.Whole, attempt.route.kind, elapsedMs)
     const isAtOnce = refusal === undefined && attempt.tried.size <= 1 && elapsedMs <= attempt.route.objectiveMs
     const write = isAtOnce ? log.sample : log.info
     write('request_ended', {
--- a/packages/bilberryd/src/edge/dispatcher.ts
+++ b/packages/bilberryd/src/edge/dispatcher.ts
@@ -137,12 +137,13 @@
       return
     }
     exchanges.add(attempt, entry)
-    metrics.recordStage(RequestStage.Queue, attempt.route.name, nowMs - attempt.arrivedAtMs)
+    metrics.recordStage(RequestStage.Queue, attempt.route.kind, nowMs - attempt.arrivedAtMs)
     sendAttempt(attempt, entry, {
       pool,
       getNowMs,
       maxBodyBytes: state.getConfig()?.limits.maxBodyBytes ?? Infinity,
-      onFirstByte: () => metrics.recordStage(RequestStage.FirstByte, attempt.route.name, getNowMs() - attempt.sentAtMs),
+      onSent: () => metrics.recordStage(RequestStage.Connect, attempt.route.kind, getNowMs() - attempt.sentAtMs),
+      onFirstByte: () => metrics.recordStage(RequestStage.FirstByte, attempt.route.kind, getNowMs() - attempt.sentAtMs),
       onBodyTooLong () {
         exchanges.cancel(attempt, TargetSignal.Ended)
         ends.refuse(attempt, createUnknown(RefusalReason.BodyTooLarge, 'Body grew longer than its bound'))
--- a/packages/bilberryd/src/edge/entry_metrics.ts
+++ b/packages/bilberryd/src/edge/entry_metrics.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { RouteKind } from '@bilberryworks/steering'
 import { Outcome, RefusalReason, RetryReason } from '@bilberryworks/steering'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 
@@ -10,6 +11,8 @@
 export enum RequestStage {
   /** From arrival to the hand-over to a target. */
   Queue = 'queue',
+  /** From the hand-over to the first byte that is sent: the time of a new connection, none on one that was kept. */
+  Connect = 'connect',
   /** From the hand-over to the head of the answer. */
   FirstByte = 'first_byte',
   /** From arrival to the end. */
@@ -33,7 +36,7 @@
   /** Counts an answer of a target that belongs to no request under way. */
   countStray (): void
   /** Records how long a stage took, in milliseconds. */
-  recordStage (stage: RequestStage, route: string, elapsedMs: number): void
+  recordStage (stage: RequestStage, kind: RouteKind, elapsedMs: number): void
 }
 
 /** Where the gauges read their values. */
@@ -92,7 +95,7 @@
   const broken = new Counter({ name: 'bilberry_answers_broken_total', help: 'Answers cut off half-way', registers })
   const undecodable = new Counter({ name: 'bilberry_rows_undecodable_total', help: 'Rows that can not be decoded, by table', labelNames: ['table'], registers })
   const strays = new Counter({ name: 'bilberry_stray_answers_total', help: 'Answers of targets to no request under way', registers })
-  const stages = new Histogram({ name: 'bilberry_stage_seconds', help: 'Time of a stage', labelNames: ['stage', 'route'], buckets: latencyBucketsSeconds, registers })
+  const stages = new Histogram({ name: 'bilberry_stage_seconds', help: 'Time of a stage, by kind of route', labelNames: ['stage', 'kind'], buckets: latencyBucketsSeconds, registers })
   for (const reason of Object.values(RefusalReason)) refusals.inc({ reason }, 0)
   for (const reason of Object.values(RetryReason)) retries.inc({ reason }, 0)
   for (const name of Object.values(EntryGauge)) {
@@ -109,6 +112,6 @@
     countBroken: () => broken.inc(),
     countUndecodable: table => undecodable.inc({ table }),
     countStray: () => strays.inc(),
-    recordStage: (stage, route, elapsedMs) => stages.observe({ stage, route }, elapsedMs / msPerSecond)
+    recordStage: (stage, kind, elapsedMs) => stages.observe({ stage, kind }, elapsedMs / msPerSecond)
   }
 }
--- a/packages/bilberryd/src/edge/send_attempt.ts
+++ b/packages/bilberryd/src/edge/send_attempt.ts
@@ -37,6 +37,8 @@
   pool: TargetPool
   /** Most bytes that the body may have. */
   maxBodyBytes: number
+  /** Called when the first byte is about to be sent. */
+  onSent: () => void
   /** Called when the head of the answer has come. */
   onFirstByte: () => void
   /** Called once when the exchange has ended, with the cause where it failed. */
@@ -71,6 +73,7 @@
     isOwnAnswer: head => readAnswerFields(head.status, head.fields).attemptId === attempt.attemptId,
     onSent () {
       attempt.mayHaveRun = true
+      options.onSent()
     },
     onHead (head) {
       const fields = readAnswerFields(head.status, head.fields)
