Do not count a target that took no connection against what a route allows

Ruled out: the budget of repeats (an unsent request never drew on it). Change: 'reached' counts the targets that may have read a byte; at most 4 that took no connection are tried besides. Test: 'goes on to a further target where others took no connection' failed first (3 of 12 refused), passes.

--- a/packages/bilberryd/src/edge/attempt.ts
+++ b/packages/bilberryd/src/edge/attempt.ts
@@ -50,8 +50,10 @@
   version: number
   /** Monotonic time of its final answer at the latest, in milliseconds. */
   finalAtMs: number
-  /** Targets that it was sent to. */
+  /** Targets that it was handed to. */
   tried: Set<string>
+  /** How many of them may have read any byte of it, which its route bounds. */
+  reached: number
   /** What was known of each at that moment, for the log. */
   sends: AttemptSend[]
   /** How far it has come. */
--- a/packages/bilberryd/src/edge/caller_listener.ts
+++ b/packages/bilberryd/src/edge/caller_listener.ts
@@ -106,6 +106,7 @@
       version: config.version,
       finalAtMs: nowMs + Math.min(route.timeoutMs, (fields.timeLeftMs ?? Infinity) - answerTransitMs),
       tried: new Set(),
+      reached: 0,
       sends: [],
       phase: AttemptPhase.Arriving,
       body: undefined,
--- a/packages/bilberryd/src/edge/exchange_end.ts
+++ b/packages/bilberryd/src/edge/exchange_end.ts
@@ -33,7 +33,7 @@
 enum RetryBar {
   /** A part of its body was sent that is not kept. */
   BodySpent = 'body_spent',
-  /** Its route allows no further target. */
+  /** Its route allows no further target, or too many took no connection. */
   Attempts = 'attempts',
   /** Its time is over, or nearly so. */
   Deadline = 'deadline',
@@ -44,6 +44,9 @@
 /** Least time that is left for work at a target when a request is sent, in milliseconds: less is no more than the way there. */
 export const minWorkMs = 20
 
+/** Targets that took no connection, after which an attempt is given up: those of a failure domain that is lost are told by others and by the platform soon. */
+const maxUnreached = 4
+
 /**
  * Creates the function that is called with the end of each exchange.
  *
@@ -101,6 +104,6 @@
 /** Tells what in the attempt itself bars a further target. */
 function findBar (attempt: Attempt, nowMs: number): RetryBar | undefined {
   if (attempt.isBodySpent) return RetryBar.BodySpent
-  if (attempt.tried.size >= attempt.route.maxAttempts) return RetryBar.Attempts
+  if (attempt.reached >= attempt.route.maxAttempts || attempt.tried.size - attempt.reached >= maxUnreached) return RetryBar.Attempts
   return attempt.finalAtMs - nowMs <= minWorkMs ? RetryBar.Deadline : undefined
 }
--- a/packages/bilberryd/src/edge/send_attempt.ts
+++ b/packages/bilberryd/src/edge/send_attempt.ts
@@ -73,6 +73,7 @@
     isOwnAnswer: head => readAnswerFields(head.status, head.fields).attemptId === attempt.attemptId,
     onSent () {
       attempt.mayHaveRun = true
+      attempt.reached++
       options.onSent()
     },
     onHead (head) {
@@ -104,7 +105,7 @@
 function isWithheld (attempt: Attempt, head: AnswerHead, isSigned: boolean): boolean {
   if (head.status < 300) return !isSigned
   if (promiseStatuses.has(head.status)) return true
-  return head.status >= 500 && attempt.route.kind === RouteKind.Safe && attempt.tried.size < attempt.route.maxAttempts
+  return head.status >= 500 && attempt.route.kind === RouteKind.Safe && attempt.reached < attempt.route.maxAttempts
 }
 
 function createWriterOptions (attempt: Attempt): { onCommit: () => void, setPaused: (paused: boolean) => void } {
--- a/packages/standins/src/site_path_test.ts
+++ b/packages/standins/src/site_path_test.ts
@@ -4,6 +4,7 @@
 import { connect } from 'node:net'
 import { setTimeout as wait } from 'node:timers/promises'
 import test from 'ava'
+import { createTargetRow } from './list_targets.ts'
 import { StoreFault } from './site_store.ts'
 import { TargetFault } from './site_target.ts'
 import { createSiteWorld, waitUntil, worldHost } from './site_world.ts'
@@ -140,13 +141,25 @@
   t.true(times[1]! <= times[0]! - 150)
 })
 
+test('goes on to a further target where others took no connection, beyond what its route allows to be sent', async t => {
+  await using world = await createSiteWorld()
+  world.writeConfig({ max_attempts: 1 })
+  const live = await world.openTarget('live')
+  const entry = await startReady(world)
+  for (const id of ['gone1', 'gone2']) world.store.writeRow('servers', id, createTargetRow({ service: 'svc', address: '127.0.0.1:1', failureDomain: 'a-1', slots: 3 }))
+  await waitUntil(() => entry.readLog().filter(line => line['event'] === 'target').length === 3)
+  const answers = await Promise.all(Array.from({ length: 12 }, (_, index) => world.call(entry, { objectKey: `k${index}`, method: 'POST', path: '/unsafe/x', body: 'order', id: `order-${index}` })))
+  t.deepEqual(answers.map(answer => answer.status), answers.map(() => 200))
+  t.is(live.runs.filter(run => run.attemptId.startsWith('order-')).length, answers.length)
+})
+
 test('never runs a request at a target that has taken over another one\'s address', async t => {
   await using world = await createSiteWorld()
   world.writeConfig()
   const other = await world.openTarget('other')
   const entry = await startReady(world)
   // The entry of a target that is gone still names the address at which another one answers now.
-  world.store.writeRow('servers', 'gone', { service: 'svc', address: other.address, zone: 'a-1', version: 'v1', slots: 3, state: 'ready', cold_left: '0ms', seq: 1, born: 1 })
+  world.store.writeRow('servers', 'gone', createTargetRow({ service: 'svc', address: other.address, failureDomain: 'a-1', slots: 3 }))
   world.store.removeRow('servers', 'other')
   await waitUntil(() => entry.readLog().some(line => line['event'] === 'target_gone'))
   other.runs.length = 0
