Give up the work of a caller that left also where its answer waits behind another

An answer that waits behind an earlier one on its connection has no socket yet, and node:http tells it no end: its request was never given up, and the count of open requests, for which a stop waits, never fell again. Ruled out: the dispatcher (abandon works where it is called), the pace of targets after faults. Change: watchAnswer follows the connection too; one copy for the instance on the users' platform, the product's own listener and both counts.

--- a/packages/bilberryd/src/edge/caller_listener.ts
+++ b/packages/bilberryd/src/edge/caller_listener.ts
@@ -12,7 +12,7 @@
 import type { EntryState } from './entry_state.ts'
 import type { Dispatcher } from './dispatcher.ts'
 import { createServer } from 'node:http'
-import { checkFraming, handleClientErrors, writeRefusal } from '@bilberryworks/callers'
+import { checkFraming, handleClientErrors, watchAnswer, writeRefusal } from '@bilberryworks/callers'
 import { createNotRun, Outcome, RefusalReason } from '@bilberryworks/steering'
 import { formatRetryAfter, readAttemptFields } from '@bilberryworks/users-platform'
 import { AttemptPhase } from './attempt.ts'
@@ -133,8 +133,8 @@
       return
     }
     attempt.timer = setTimeout(() => dispatcher.expire(attempt), Math.max(0, attempt.finalAtMs - getNowMs()))
-    response.on('close', () => {
-      if (!response.writableFinished) dispatcher.abandon(attempt)
+    watchAnswer(message, response, isWhole => {
+      if (!isWhole) dispatcher.abandon(attempt)
     })
     if (!hasBody(message)) {
       message.resume()
--- a/packages/bilberryd/src/edge/run_entry.ts
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -10,6 +10,7 @@
 import type { PeerHeartbeat } from './peer_view.ts'
 import { createServer } from 'node:http'
 import { setTimeout as wait } from 'node:timers/promises'
+import { countOpenAnswers } from '@bilberryworks/callers'
 import { createCleanUp, createShareSequence } from '@bilberryworks/steering'
 import { createTargetPool } from '@bilberryworks/targets'
 import { createStoreClient, operatorTable, targetTable } from '@bilberryworks/users-platform'
@@ -119,7 +120,7 @@
 
   const shares = createShareSequence(getRandom)
   const callers = createCallerListener({ state, dispatcher, log, metrics, getNowMs, chooseService: shares.choose, getStopPhase: () => phase })
-  const openRequests = countOpenRequests(callers)
+  const countOpen = countOpenAnswers(callers)
   const hasHomes = (): boolean => state.getConfig()?.routes.some(route => route.homeRegions.length > 0) ?? false
   const lookUps = createLookUpListener({ settings, view, getHeartbeat, getNowMs, hasHomes })
   const readiness = createReadinessListener(isReady)
@@ -170,17 +171,17 @@
     async stop () {
       const stopAtMs = getNowMs()
       phase = StopPhase.Leaving
-      log.info('stopping', { open: openRequests.count(), inFlight: dispatcher.countInFlight(), waiting: dispatcher.countWaiting() })
+      log.info('stopping', { open: countOpen(), inFlight: dispatcher.countInFlight(), waiting: dispatcher.countWaiting() })
       link.announce()
       await wait(bounds.graceMs * takeShare)
       phase = StopPhase.Closing
       callers.close()
       const endMs = stopAtMs + bounds.graceMs * stopShare
-      while (getNowMs() < endMs && openRequests.count() > 0) {
+      while (getNowMs() < endMs && countOpen() > 0) {
         callers.closeIdleConnections()
         await wait(stopCheckMs)
       }
-      log.info('stopped', { open: openRequests.count(), inFlight: dispatcher.countInFlight(), waiting: dispatcher.countWaiting() })
+      log.info('stopped', { open: countOpen(), inFlight: dispatcher.countInFlight(), waiting: dispatcher.countWaiting() })
       await owned[Symbol.asyncDispose]()
     },
     reload (next) {
@@ -198,16 +199,6 @@
   return server
 }
 
-/** Counts the requests whose answers have not left the process, bodies that still arrive among them. */
-function countOpenRequests (server: Server): { count: () => number } {
-  let open = 0
-  server.prependListener('request', (_, response) => {
-    open++
-    response.once('close', () => open--)
-  })
-  return { count: () => open }
-}
-
 /** Names the settings that differ; addresses and places hold for the life of a process. */
 function listChanged (before: EntrySettings, after: EntrySettings): string[] {
   const names = Object.keys(before) as Array<keyof EntrySettings>
--- a/packages/bilberryd/src/open_listener.ts
+++ b/packages/bilberryd/src/open_listener.ts
@@ -10,7 +10,7 @@
 import { createServer } from 'node:http'
 import { createServer as createTlsServer, Server as TlsServer } from 'node:https'
 import { createSecureContext } from 'node:tls'
-import { handleClientErrors } from '@bilberryworks/callers'
+import { countOpenAnswers, handleClientErrors } from '@bilberryworks/callers'
 import { readPem } from './read_pem.ts'
 
 const maxHeaderBytes = 16 * 1024
@@ -56,18 +56,14 @@
   // Without these listeners Node.js would answer by itself, without outcome and reason.
   server.on('checkExpectation', handler)
   handleClientErrors(server, options.countRefusal ?? (() => {}))
-  let open = 0
-  server.on('request', (_, response) => {
-    open++
-    response.once('close', () => open--)
-  })
+  const countOpen = countOpenAnswers(server)
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
     server.listen(listen.port, listen.host, resolve)
   })
   return {
     address: formatAddress(server),
-    countOpen: () => open,
+    countOpen,
     async drain () {
       // A connection that was busy when the listener closed becomes idle later.
       const timer = setInterval(() => server.closeIdleConnections(), idleCheckMs)
--- a/packages/callers/src/service_handler.ts
+++ b/packages/callers/src/service_handler.ts
@@ -9,6 +9,7 @@
 import { createNotRun, Outcome as Outcomes, RefusalReason as RefusalReasons } from '@bilberryworks/steering'
 import { createBodyGuard } from './body_guard.ts'
 import { parseRequest } from './parse_request.ts'
+import { watchAnswer } from './watch_answer.ts'
 import { writeAnswer, writeRefusal } from './write_answer.ts'
 
 const retryAfterMs = 1_000
@@ -53,8 +54,8 @@
   return (message, response) => {
     const startedMs = performance.now()
     const gone = new AbortController()
-    response.on('close', () => {
-      if (!response.writableFinished) gone.abort()
+    watchAnswer(message, response, isWhole => {
+      if (!isWhole) gone.abort()
     })
     if (options.isStopping()) response.setHeader('connection', 'close')
     const finish = (service: string, end: { outcome: Outcome, reason?: RefusalReason, whole: boolean }): void => {
--- /dev/null
+++ b/packages/callers/src/watch_answer.ts
@@ -0,0 +1,44 @@
+/**
+ * Tells when an answer has ended, also one whose turn on its connection never came.
+ *
+ * @module
+ */
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+
+/**
+ * Calls a function once when an answer was written whole, or its connection is closed before.
+ *
+ * An answer that waits behind an earlier one on the same connection has no connection of its own yet, and so no end of its own where
+ * the connection is closed.
+ *
+ * @param message The request
+ * @param response Its answer
+ * @param onEnd Called with whether the answer was written whole
+ */
+export function watchAnswer (message: IncomingMessage, response: ServerResponse, onEnd: (isWhole: boolean) => void): void {
+  const { socket } = message
+  const finish = (): void => {
+    response.off('close', finish)
+    socket.off('close', finish)
+    onEnd(response.writableFinished)
+  }
+  // As many as there are requests on the connection, each removed with its answer.
+  socket.setMaxListeners(0)
+  socket.once('close', finish)
+  response.once('close', finish)
+}
+
+/**
+ * Counts the requests of a server whose answers have not left the process, bodies that still arrive among them.
+ *
+ * @param server The server
+ * @returns Returns the count now
+ */
+export function countOpenAnswers (server: Server): () => number {
+  let open = 0
+  server.prependListener('request', (message: IncomingMessage, response: ServerResponse) => {
+    open++
+    watchAnswer(message, response, () => { open-- })
+  })
+  return () => open
+}
--- /dev/null
+++ b/packages/callers/src/watch_answer_test.ts
@@ -0,0 +1,34 @@
+import type { ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import test from 'ava'
+import { createServer } from 'node:http'
+import { connect } from 'node:net'
+import { watchAnswer } from './watch_answer.ts'
+
+const request = (path: string): string => `GET ${path} HTTP/1.1\r\nHost: h\r\n\r\n`
+
+test('tells the end of each answer once, also of those that wait behind another when the connection is closed', async t => {
+  const ends: Array<[path: string, isWhole: boolean]> = []
+  const responses = new Map<string, ServerResponse>()
+  let allRead = (): void => {}
+  let allEnded = (): void => {}
+  const server = createServer((message, response) => {
+    responses.set(message.url!, response)
+    watchAnswer(message, response, isWhole => {
+      ends.push([message.url!, isWhole])
+      if (ends.length === 4) allEnded()
+    })
+    if (responses.size === 4) allRead()
+  })
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  const read = new Promise<void>(resolve => { allRead = resolve })
+  const ended = new Promise<void>(resolve => { allEnded = resolve })
+  const socket = connect((server.address() as AddressInfo).port, '127.0.0.1')
+  socket.resume().write(['/first', '/second', '/third', '/fourth'].map(request).join(''))
+  await read
+  responses.get('/third')!.end()
+  responses.get('/first')!.end('whole', () => socket.destroy())
+  await ended
+  await new Promise(resolve => server.close(resolve))
+  t.deepEqual(ends.sort(), [['/first', true], ['/fourth', false], ['/second', false], ['/third', false]])
+})
--- a/packages/standins/src/site_target.ts
+++ b/packages/standins/src/site_target.ts
@@ -65,6 +65,8 @@
   getMostBusy (): number
   /** Makes the next requests fail, each by one fault. */
   addFaults (faults: TargetFault[]): void
+  /** Forgets the faults that no request has met. */
+  dropFaults (): void
   /** Writes its registration to the store. */
   register (change?: Record<string, unknown>): void
   /** Takes no new connections from now on; open ones stay. */
@@ -135,6 +137,7 @@
     runs,
     getMostBusy: () => mostBusy,
     addFaults: added => faults.push(...added),
+    dropFaults () { faults.length = 0 },
     stopListening () { server.close() },
     setWorkMs (next) { workMs = next },
     register (change = {}) {
