--- a/packages/standins/src/site_world.ts
+++ b/packages/standins/src/site_world.ts
@@ -119,8 +119,6 @@
       seeds,
       regions: new Map(failureDomains.map(name => [name, name.slice(0, 1)])),
       store: door.place,
-      heartbeatMs: 1_500,
-      memoryBytes: 1e9,
       bounds: { stableMs: 4_000, drainMs: 2_500, graceMs: 6_000, configMs: 2_500, retryRatio: 0.2, retrySlack: 56, budgetWindowMs: 10_000, coldOver: 1.5, coldSlack: 5, maxLookUpTtlMs: 5_000 }
     }
     const output = new PassThrough()
--- a/packages/steering/src/entry_settings.ts
+++ b/packages/steering/src/entry_settings.ts
@@ -54,10 +54,6 @@
   regions: Map<string, string>
   /** Address of the platform's store. */
   store: SocketPlace
-  /** Most time between two signs of life of a target at the store, in milliseconds. */
-  heartbeatMs: number
-  /** Memory that the process may use, in bytes. */
-  memoryBytes: number
   /** Bounds for all instances together. */
   bounds: SteeringBounds
 }
--- a/packages/steering/src/waiting_requests.ts
+++ b/packages/steering/src/waiting_requests.ts
@@ -29,8 +29,6 @@
   takePlaced<P> (place: (request: T) => P | undefined): Array<{ request: T, placed: P }>
   /** Removes and returns the requests that are no longer worth waiting. */
   takeExpired (nowMs: number): T[]
-  /** Removes and returns all requests. */
-  takeAll (): T[]
   /** Counts the requests. */
   count (): number
 }
@@ -73,7 +71,6 @@
       return taken
     },
     takeExpired: nowMs => takeWhere(request => request.refuseAtMs <= nowMs),
-    takeAll: () => takeWhere(() => true),
     count: () => waiting.length
   }
 }
--- a/packages/steering/src/waiting_requests_test.ts
+++ b/packages/steering/src/waiting_requests_test.ts
@@ -22,7 +22,7 @@
   t.is(waiting.count(), 2)
   t.true(waiting.remove('a'))
   t.false(waiting.remove('a'))
-  t.deepEqual(waiting.takeAll().map(request => request.attemptId), ['c'])
+  t.deepEqual(waiting.takePlaced(() => true).map(({ request }) => request.attemptId), ['c'])
 })
 
 test('gives up on a request at the time it states', t => {
