Wait for uploads that asked whether to send their body before a stop ends

Ruled out: the time of the stop (2.9 s of 6 s), the change of the count by watchAnswer (the count before it had the same gap). Change: observeRequests is called for both events, by the count and by the guard. Test: 'counts a request that asked whether to send its body' failed first; passes.

--- a/packages/callers/src/client_errors.ts
+++ b/packages/callers/src/client_errors.ts
@@ -3,11 +3,12 @@
  *
  * @module
  */
-import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { IncomingMessage, Server } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import { STATUS_CODES } from 'node:http'
 import { getRefusalStatus, Outcome, RefusalReason } from '@bilberryworks/steering'
+import { observeRequests } from './watch_answer.ts'
 
 const requestTimeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT'
 
@@ -34,7 +35,7 @@
  */
 export function handleClientErrors (server: Server, countRefusal: (reason: RefusalReason) => void): void {
   const running = new WeakMap<Duplex, Set<IncomingMessage>>()
-  server.prependListener('request', (message: IncomingMessage, response: ServerResponse) => {
+  observeRequests(server, (message, response) => {
     const messages = running.get(message.socket) ?? new Set()
     running.set(message.socket, messages.add(message))
     response.once('close', () => messages.delete(message))
--- a/packages/callers/src/watch_answer.ts
+++ b/packages/callers/src/watch_answer.ts
@@ -36,9 +36,20 @@
  */
 export function countOpenAnswers (server: Server): () => number {
   let open = 0
-  server.prependListener('request', (message: IncomingMessage, response: ServerResponse) => {
+  observeRequests(server, (message, response) => {
     open++
     watchAnswer(message, response, () => { open-- })
   })
   return () => open
 }
+
+/**
+ * Calls a function with each request before the server's own handlers, those that ask whether to send their body among them.
+ *
+ * @param server The server, whose handlers are set: where none asks to be told of such requests, `node:http` bids them go on by itself
+ * @param observe What to call
+ */
+export function observeRequests (server: Server, observe: (message: IncomingMessage, response: ServerResponse) => void): void {
+  server.prependListener('request', observe)
+  if (server.listenerCount('checkContinue') > 0) server.prependListener('checkContinue', observe)
+}
--- a/packages/callers/src/watch_answer_test.ts
+++ b/packages/callers/src/watch_answer_test.ts
@@ -3,7 +3,7 @@
 import test from 'ava'
 import { createServer } from 'node:http'
 import { connect } from 'node:net'
-import { watchAnswer } from './watch_answer.ts'
+import { countOpenAnswers, watchAnswer } from './watch_answer.ts'
 
 const request = (path: string): string => `GET ${path} HTTP/1.1\r\nHost: h\r\n\r\n`
 
@@ -32,3 +32,30 @@
   await new Promise(resolve => server.close(resolve))
   t.deepEqual(ends.sort(), [['/first', true], ['/fourth', false], ['/second', false], ['/third', false]])
 })
+
+test('counts a request that asked whether to send its body, until it is answered', async t => {
+  let answer = (): void => {}
+  const server = createServer()
+  const handled = new Promise<void>(resolve => {
+    server.on('request', () => {})
+    server.on('checkContinue', (message, response: ServerResponse) => {
+      response.writeContinue()
+      message.resume()
+      answer = () => response.end('done')
+      resolve()
+    })
+  })
+  const countOpen = countOpenAnswers(server)
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  const socket = connect((server.address() as AddressInfo).port, '127.0.0.1')
+  socket.write('POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n')
+  await handled
+  t.is(countOpen(), 1)
+  socket.write('body')
+  answer()
+  await new Promise<void>(resolve => socket.on('data', part => { if (part.toString().includes('done')) resolve() }))
+  await new Promise(resolve => setImmediate(resolve))
+  t.is(countOpen(), 0)
+  socket.destroy()
+  await new Promise(resolve => server.close(resolve))
+})
