Count the end of an answer once where its connection is closed

The logs say 'stopped open=-1 inFlight=0' and 'open=0 inFlight=2': the close of a connection calls its listeners from a copy, so that watchAnswer's was called though the answer's own close, a listener before it, had removed it. Each caller that left was counted down twice, and a stop ended before those that stayed had their answers. Ruled out: the time of the stop; closing idle connections (both answers were still awaited from their targets). Change: watchAnswer ends once. Test: 'counts a request whose caller leaves once' failed first (0 in place of 1), passes.

--- a/packages/callers/src/watch_answer.ts
+++ b/packages/callers/src/watch_answer.ts
@@ -17,7 +17,11 @@
  */
 export function watchAnswer (message: IncomingMessage, response: ServerResponse, onEnd: (isWhole: boolean) => void): void {
   const { socket } = message
+  let hasEnded = false
   const finish = (): void => {
+    // The close of a connection calls its listeners from a copy, also one that was removed when the answer's own close came first.
+    if (hasEnded) return
+    hasEnded = true
     response.off('close', finish)
     socket.off('close', finish)
     onEnd(response.writableFinished)
--- a/packages/callers/src/watch_answer_test.ts
+++ b/packages/callers/src/watch_answer_test.ts
@@ -59,3 +59,23 @@
   socket.destroy()
   await new Promise(resolve => server.close(resolve))
 })
+
+test('counts a request whose caller leaves once, so that those that stay are waited for', async t => {
+  const server = createServer()
+  const answers: ServerResponse[] = []
+  server.on('request', (_, response: ServerResponse) => answers.push(response))
+  const countOpen = countOpenAnswers(server)
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  const { port } = server.address() as AddressInfo
+  const [leaving, staying] = [connect(port, '127.0.0.1'), connect(port, '127.0.0.1')]
+  leaving.write(request('/first'))
+  staying.write(request('/second'))
+  while (answers.length < 2) await new Promise(resolve => setImmediate(resolve))
+  t.is(countOpen(), 2)
+  leaving.destroy()
+  while (countOpen() === 2) await new Promise(resolve => setImmediate(resolve))
+  await new Promise(resolve => setTimeout(resolve, 20))
+  t.is(countOpen(), 1)
+  staying.destroy()
+  await new Promise(resolve => server.close(resolve))
+})
