Keep one copy of what the change wrote twice

Change: computeCapacity, waitShare and waitingCheckMs in steering; hasBody beside the body's guard; takeSample in place of sample; the rest as named. Behaviour, bounds and checks are as before.

--- a/packages/bilberryctl/src/describe_request.ts
+++ b/packages/bilberryctl/src/describe_request.ts
@@ -47,7 +47,7 @@
   if (first === undefined || last === undefined) return []
   const span = { fromMs: first.atMs - readNumber(last.fields['elapsedMs']), toMs: last.atMs }
   const instances = new Set(own.map(line => line.instance))
-  const steps = own.map(line => createStep(line, StepKind.Decision, `${line.event} ${formatFields(line.fields, ['id'])}`))
+  const steps = own.map(line => createStep(line, StepKind.Decision))
   for (const instance of instances) steps.push(...describeConfig(lines, { instance, ...span }), ...describeVicinity(lines, { instance, ...span }))
   for (const target of listTargets(own)) steps.push(...describeTarget(lines, { id, target, instances, ...span }))
   return steps.sort((a, b) => a.atMs - b.atMs)
@@ -78,7 +78,7 @@
   const own = lines.filter(line => line.instance === around.instance && nearbyEvents.has(line.event))
   const store = own.findLast(line => line.event.startsWith('store_') && line.atMs <= around.toMs)
   const near = own.filter(line => isNear(line, around) || (line === store && line.event === 'store_lost'))
-  return near.map(line => createStep(line, StepKind.Belief, `${line.event} ${formatFields(line.fields)}`))
+  return near.map(line => createStep(line, StepKind.Belief))
 }
 
 /** Tells what the instances believed of a target, and how it failed other requests. */
@@ -86,7 +86,7 @@
   const named = lines.filter(line => line.fields['target'] === around.target && line.fields['id'] !== around.id)
   const state = named.filter(line => line.fields['id'] === undefined && around.instances.has(line.instance))
   const known = state.findLast(line => line.atMs <= around.toMs)
-  const steps = state.filter(line => line === known || isNear(line, around)).map(line => createStep(line, StepKind.Belief, `${line.event} ${formatFields(line.fields)}`))
+  const steps = state.filter(line => line === known || isNear(line, around)).map(line => createStep(line, StepKind.Belief))
   const failed = named.filter(line => line.event === 'exchange_failed' && isNear(line, around))
   const firstFailed = failed[0]
   if (firstFailed === undefined) return steps
@@ -106,12 +106,14 @@
   return line.atMs >= fromMs - vicinityMs && line.atMs <= toMs + vicinityMs
 }
 
-function createStep (line: LogLine, kind: StepKind, text: string): StoryStep {
-  return { atMs: line.atMs, instance: line.instance, kind, text: text.trimEnd() }
+function createStep (line: LogLine, kind: StepKind, text = formatLine(line)): StoryStep {
+  return { atMs: line.atMs, instance: line.instance, kind, text }
 }
 
-function formatFields (fields: Record<string, unknown>, left: string[] = []): string {
-  return Object.entries(fields).filter(([name]) => !left.includes(name)).map(([name, value]) => `${name}=${typeof value === 'string' ? value : JSON.stringify(value)}`).join(' ')
+/** The identifier is that of the whole story. */
+function formatLine ({ event, fields }: LogLine): string {
+  const told = Object.entries(fields).filter(([name]) => name !== 'id')
+  return [event, ...told.map(([name, value]) => `${name}=${typeof value === 'string' ? value : JSON.stringify(value)}`)].join(' ')
 }
 
 function readNumber (value: unknown): number {
--- a/packages/bilberryd/src/edge/attempt_ends.ts
+++ b/packages/bilberryd/src/edge/attempt_ends.ts
@@ -51,8 +51,8 @@
     const elapsedMs = nowMs - attempt.arrivedAtMs
     metrics.recordStage(RequestStage.Whole, attempt.route.kind, elapsedMs)
     const isAtOnce = refusal === undefined && attempt.tried.size <= 1 && elapsedMs <= attempt.route.objectiveMs
-    const write = isAtOnce ? log.sample : log.info
-    write('request_ended', {
+    if (isAtOnce && !log.takeSample()) return
+    log.info('request_ended', {
       id: attempt.attemptId,
       route: attempt.route.name,
       service: attempt.service,
--- a/packages/bilberryd/src/edge/caller_listener.ts
+++ b/packages/bilberryd/src/edge/caller_listener.ts
@@ -12,11 +12,11 @@
 import type { EntryState } from './entry_state.ts'
 import type { Dispatcher } from './dispatcher.ts'
 import { createServer } from 'node:http'
-import { checkFraming, handleClientErrors, watchAnswer, writeRefusal } from '@bilberryworks/callers'
+import { checkFraming, handleClientErrors, hasBody, watchAnswer, writeRefusal } from '@bilberryworks/callers'
 import { createNotRun, Outcome, RefusalReason } from '@bilberryworks/steering'
 import { formatRetryAfter, readAttemptFields } from '@bilberryworks/users-platform'
 import { AttemptPhase } from './attempt.ts'
-import { collectBody, hasBody } from './collect_body.ts'
+import { collectBody } from './collect_body.ts'
 
 /** How far a stop has come. */
 export enum StopPhase {
--- a/packages/bilberryd/src/edge/collect_body.ts
+++ b/packages/bilberryd/src/edge/collect_body.ts
@@ -62,13 +62,3 @@
   message.on('data', readPart)
   message.on('end', finishBody)
 }
-
-/**
- * Tells whether a message has a body.
- *
- * @param message The message
- * @returns Whether its framing announces one
- */
-export function hasBody (message: IncomingMessage): boolean {
-  return message.headers['transfer-encoding'] !== undefined || Number(message.headers['content-length'] ?? 0) > 0
-}
--- a/packages/bilberryd/src/edge/dispatcher.ts
+++ b/packages/bilberryd/src/edge/dispatcher.ts
@@ -9,7 +9,7 @@
 import type { EntryLog } from './entry_log.ts'
 import type { EntryMetrics } from './entry_metrics.ts'
 import type { EntryState } from './entry_state.ts'
-import { createNotRun, createRepeatBudget, createRetryPacer, createUnknown, createWaitingRequests, recordTargetStart, RefusalReason, TargetSignal } from '@bilberryworks/steering'
+import { createNotRun, createRepeatBudget, createRetryPacer, createUnknown, createWaitingRequests, recordTargetStart, RefusalReason, TargetSignal, waitingCheckMs, waitShare } from '@bilberryworks/steering'
 import { AttemptPhase } from './attempt.ts'
 import { createAttemptEnds } from './attempt_ends.ts'
 import { RequestStage } from './entry_metrics.ts'
@@ -60,12 +60,8 @@
   getRandom: () => number
 }
 
-/** Share of its time that a request may wait for room; the rest is for its work. */
-const waitShare = 0.3
 /** Time after which a caller may come back where no target is known, in milliseconds: about the time in which one registers. */
 const noTargetRetryMs = 1_000
-/** Longest time between two looks at waiting requests, in milliseconds: load reports age meanwhile. */
-const waitingCheckMs = 50
 
 /** What the end of an exchange says of its target. */
 const signalByEnd: Record<ExchangeEnd, TargetSignal> = {
--- a/packages/bilberryd/src/edge/entry_log.ts
+++ b/packages/bilberryd/src/edge/entry_log.ts
@@ -14,8 +14,8 @@
 export interface EntryLog {
   /** Writes a line on what an instance does or believes. */
   info (event: string, fields: LogFields): void
-  /** Writes a line on what went well at once; the first of each second are written, the others told by the counters alone. */
-  sample (event: string, fields: LogFields): void
+  /** Tells whether what went well at once is to be written: the first of each second are, the others are told by the counters alone. */
+  takeSample (): boolean
   /** Writes a line on what is lost or wrong. */
   warn (event: string, fields: LogFields): void
   /** Counts the lines that were dropped. */
@@ -55,11 +55,11 @@
   let sampledSecond = 0
   let sampled = 0
   return {
-    sample (event, fields) {
+    takeSample () {
       const second = Math.floor(performance.now() / msPerSecond)
       if (second !== sampledSecond) sampled = 0
       sampledSecond = second
-      if (++sampled <= sampledLinesPerSecond) write(INFO, event, fields)
+      return ++sampled <= sampledLinesPerSecond
     },
     info: (event, fields) => write(INFO, event, fields),
     warn: (event, fields) => write(WARN, event, fields),
--- a/packages/bilberryd/src/edge/placer.ts
+++ b/packages/bilberryd/src/edge/placer.ts
@@ -5,7 +5,7 @@
  */
 import type { RegisteredTarget, EntrySettings, PlacedRequest } from '@bilberryworks/steering'
 import type { EntryState } from './entry_state.ts'
-import { choosePlacement, coldGapMs, computeHoldMs, isColdSender, isTargetUsable, rankTargets } from '@bilberryworks/steering'
+import { choosePlacement, coldGapMs, computeCapacity, isColdSender, isTargetUsable, rankTargets } from '@bilberryworks/steering'
 
 /** Finds targets. */
 export interface Placer {
@@ -29,8 +29,6 @@
   getNowMs: () => number
 }
 
-/** Time that a request holds a slot where no target has answered yet, in milliseconds: the order of the objectives of routes. */
-const defaultHoldMs = 500
 /** Most rankings that are kept: some for each object and service of today's deployments. */
 const maxRankings = 4_000
 
@@ -82,9 +80,7 @@
     measureCapacity (service) {
       const nowMs = getNowMs()
       const usable = listServing(service).filter(entry => isTargetUsable(entry, nowMs))
-      const told = usable.flatMap(entry => computeHoldMs(entry, nowMs) ?? [])
-      const slots = usable.reduce((sum, entry) => sum + entry.target.slots, 0) / options.listInstances().length
-      return { slots, holdMs: told.length === 0 ? defaultHoldMs : told.reduce((sum, holdMs) => sum + holdMs, 0) / told.length }
+      return computeCapacity(usable, { instances: options.listInstances().length, nowMs })
     },
     hasTarget: request => getRanked(request).some(entry => !request.tried.has(entry.target.id))
   }
--- a/packages/callers/src/body_guard.ts
+++ b/packages/callers/src/body_guard.ts
@@ -79,3 +79,13 @@
   timer.unref()
   body.once('close', () => clearInterval(timer))
 }
+
+/**
+ * Tells whether a message has a body.
+ *
+ * @param message The message
+ * @returns Whether its framing announces one
+ */
+export function hasBody (message: IncomingMessage): boolean {
+  return message.headers['transfer-encoding'] !== undefined || Number(message.headers['content-length'] ?? 0) > 0
+}
--- a/packages/callers/src/service_handler.ts
+++ b/packages/callers/src/service_handler.ts
@@ -7,7 +7,7 @@
 import type { HandleRequest, Outcome, Refusal, RefusalReason, ServiceRequest } from '@bilberryworks/steering'
 import type { BodyGuard } from './body_guard.ts'
 import { createNotRun, Outcome as Outcomes, RefusalReason as RefusalReasons } from '@bilberryworks/steering'
-import { createBodyGuard } from './body_guard.ts'
+import { createBodyGuard, hasBody } from './body_guard.ts'
 import { parseRequest } from './parse_request.ts'
 import { watchAnswer } from './watch_answer.ts'
 import { writeAnswer, writeRefusal } from './write_answer.ts'
@@ -89,10 +89,6 @@
   }
 }
 
-function hasBody (message: IncomingMessage): boolean {
-  return message.headers['transfer-encoding'] !== undefined || Number(message.headers['content-length'] ?? 0) > 0
-}
-
 /** Names the guard's reason where it ended the body, and keeps the outcome: the request may have run. */
 function describeGuard (refusal: Refusal, guarded: BodyGuard | undefined): Refusal {
   const reason = guarded?.getReason()
--- a/packages/standins/src/emulator/emulated_instance.ts
+++ b/packages/standins/src/emulator/emulated_instance.ts
@@ -7,7 +7,7 @@
 import type { VirtualClock } from '../bench_clock.ts'
 import type { EmulatedTarget, TargetLoad } from './emulated_target.ts'
 import type { PlacementPolicy } from './policies.ts'
-import { computeHoldMs, createRepeatBudget, createRetryPacer, createTargetRegistry, createWaitingRequests, isTargetUsable, rankTargets, recordAnswerTime, recordTargetEnd, recordTargetLoad, recordTargetStart, TargetSignal } from '@bilberryworks/steering'
+import { computeCapacity, createRepeatBudget, createRetryPacer, createTargetRegistry, createWaitingRequests, isTargetUsable, rankTargets, recordAnswerTime, recordTargetEnd, recordTargetLoad, recordTargetStart, TargetSignal, waitingCheckMs } from '@bilberryworks/steering'
 
 /** How an attempt ended. */
 export enum AttemptEnd {
@@ -71,8 +71,6 @@
 const maxAttempts = 3
 /** Repeats allowed for each request, and besides, as the platform's pages state them. */
 const budget = { ratio: 0.2, slack: 56, windowMs: 10_000 }
-/** Longest time between two looks at waiting requests, in milliseconds, as the product has it. */
-const waitingCheckMs = 50
 const service = 's'
 
 /**
@@ -100,9 +98,8 @@
   }
 
   function computeRetryAfterMs (): number {
-    const known = registry.list(service).flatMap(entry => computeHoldMs(entry, clock.getNowMs()) ?? [])
-    const holdMs = known.length === 0 ? 500 : known.reduce((sum, each) => sum + each, 0) / known.length
-    return pacer.record({ nowMs: clock.getNowMs(), queued: waiting.count(), slots: registry.count() * options.slots / options.instances, holdMs })
+    const nowMs = clock.getNowMs()
+    return pacer.record({ nowMs, queued: waiting.count(), ...computeCapacity(registry.list(service), { instances: options.instances, nowMs }) })
   }
 
   function refuse (attempt: EmulatedAttempt): void {
--- a/packages/standins/src/emulator/policies.ts
+++ b/packages/standins/src/emulator/policies.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { ChoosePlacementOptions, PlacedRequest, RegisteredTarget } from '@bilberryworks/steering'
-import { choosePlacement, computeTargetLoad } from '@bilberryworks/steering'
+import { choosePlacement, computeTargetLoad, waitShare } from '@bilberryworks/steering'
 
 /** A way to place requests. */
 export interface PlacementPolicy {
@@ -16,9 +16,6 @@
   waitShare: number
 }
 
-/** Share of its time that a request waits for room, as the product has it. */
-const productWaitShare = 0.3
-
 /** Requests by which the other target must be less loaded. */
 const otherHandicap = 0.5
 
@@ -26,7 +23,7 @@
 const hasRoom = (entry: RegisteredTarget, nowMs: number): boolean => computeTargetLoad(entry, nowMs) < entry.target.slots
 
 /** The product's: an object's own two targets, or waiting. */
-export const productPolicy: PlacementPolicy = { name: 'own two targets', choose: choosePlacement, waitShare: productWaitShare }
+export const productPolicy: PlacementPolicy = { name: 'own two targets', choose: choosePlacement, waitShare }
 
 /** The product's placement without refusal: a request waits as long as its caller does. */
 export const patientPolicy: PlacementPolicy = { name: 'own two targets, never refused', choose: choosePlacement, waitShare: 1 }
@@ -42,21 +39,21 @@
     const lesser = other !== undefined && otherLoad + otherHandicap < firstLoad ? other : first
     return computeTargetLoad(lesser, options.nowMs) < lesser.target.slots + 1 ? lesser : undefined
   },
-  waitShare: productWaitShare
+  waitShare
 }
 
 /** An object's first target, or the next in its order that has room, however cold. */
 export const spillPolicy: PlacementPolicy = {
   name: 'affinity, spilled freely',
   choose: (request, options) => listUntried(request, options).find(entry => hasRoom(entry, options.nowMs)),
-  waitShare: productWaitShare
+  waitShare
 }
 
 /** An object's first target, however full. */
 export const unboundedPolicy: PlacementPolicy = {
   name: 'affinity without bound',
   choose: (request, options) => listUntried(request, options)[0],
-  waitShare: productWaitShare
+  waitShare
 }
 
 /** Any target. */
@@ -66,7 +63,7 @@
     const targets = listUntried(request, options)
     return targets[Math.floor(getRandom() * targets.length)]
   },
-  waitShare: productWaitShare
+  waitShare
 }
 
 /** The target with the least load that is known. */
@@ -83,7 +80,7 @@
     }
     return best
   },
-  waitShare: productWaitShare
+  waitShare
 }
 
 /** All, the product's first. */
--- a/packages/standins/src/listeners.ts
+++ b/packages/standins/src/listeners.ts
@@ -3,21 +3,9 @@
  *
  * @module
  */
-import type { IncomingMessage, Server as HttpServer } from 'node:http'
+import type { Server as HttpServer } from 'node:http'
 import type { AddressInfo, Server } from 'node:net'
 
-/**
- * Reads a body whole.
- *
- * @param request The message
- * @returns The bytes
- */
-export async function readBody (request: IncomingMessage): Promise<Buffer> {
-  const chunks: Buffer[] = []
-  for await (const chunk of request) chunks.push(chunk as Buffer)
-  return Buffer.concat(chunks)
-}
-
 /**
  * Listens on a port that the system chooses.
  *
--- a/packages/standins/src/site_store.ts
+++ b/packages/standins/src/site_store.ts
@@ -7,9 +7,9 @@
 import type { Socket } from 'node:net'
 import type { StoreRows, StoreTransaction } from './store_rows.ts'
 import { createServer } from 'node:http'
-import { text } from 'node:stream/consumers'
+import { buffer, text } from 'node:stream/consumers'
 import { setTimeout as wait } from 'node:timers/promises'
-import { listenOnLoopback, readBody } from './listeners.ts'
+import { closeListener, listenOnLoopback } from './listeners.ts'
 import { createStoreRows } from './store_rows.ts'
 
 /** How a door of the store misbehaves. */
@@ -133,7 +133,7 @@
   }
   const [, call, name = ''] = url.pathname.split('/').map(decodeURIComponent)
   if (call === 'blob-put') {
-    objects.set(name, new Uint8Array(await readBody(message)))
+    objects.set(name, new Uint8Array(await buffer(message)))
     return { status: 200, body: {} }
   }
   const object = call === 'blob-get' ? objects.get(name) : undefined
@@ -204,8 +204,7 @@
     },
     countCalls: () => ({ ...counts, bytes: [...connections].reduce((sum, socket) => sum + socket.bytesRead + socket.bytesWritten, counts.bytes) }),
     async [Symbol.asyncDispose] () {
-      server.closeAllConnections()
-      await new Promise(resolve => server.close(resolve))
+      await closeListener(server)
     }
   }
 }
--- a/packages/standins/src/site_target.ts
+++ b/packages/standins/src/site_target.ts
@@ -9,7 +9,7 @@
 import { buffer } from 'node:stream/consumers'
 import { setTimeout as wait } from 'node:timers/promises'
 import { createTargetRow } from './list_targets.ts'
-import { listenOnLoopback } from './listeners.ts'
+import { closeListener, listenOnLoopback } from './listeners.ts'
 
 /** A run of a request. */
 export interface TargetRun {
@@ -145,8 +145,7 @@
       store.writeRow('servers', id, createTargetRow({ service: options.service, address: `${place.host}:${place.port}`, failureDomain: options.failureDomain, slots }, { seq: sequence, ...change }))
     },
     async [Symbol.asyncDispose] () {
-      server.closeAllConnections()
-      await new Promise<void>(resolve => server.close(() => resolve()))
+      await closeListener(server)
     }
   }
   target.register()
--- a/packages/steering/src/target_registry.ts
+++ b/packages/steering/src/target_registry.ts
@@ -54,6 +54,8 @@
 /** Bounds of the time after which a target with requests counts as silent, in milliseconds: the way between regions with a packet lost, and the time-outs of routes. */
 export const minSilenceMs = 600
 export const maxSilenceMs = 2_500
+/** Time that a request holds a slot where no target has answered yet, in milliseconds: the order of the objectives of routes. */
+const defaultHoldMs = 500
 /** Weight of the latest answer in the mean time until a target's answers. */
 const answerWeight = 0.2
 
@@ -214,6 +216,19 @@
   return Math.max(entry.answerMs, silentMs)
 }
 
+/**
+ * Computes what a group of targets can take of one instance, as far as it can tell.
+ *
+ * @param entries The targets
+ * @param options Instances that share them, and the monotonic time, in milliseconds
+ * @returns The slots that fall to the instance, and the mean time that a request holds one, in milliseconds
+ */
+export function computeCapacity (entries: readonly RegisteredTarget[], options: { instances: number, nowMs: number }): { slots: number, holdMs: number } {
+  const told = entries.flatMap(entry => computeHoldMs(entry, options.nowMs) ?? [])
+  const slots = entries.reduce((sum, entry) => sum + entry.target.slots, 0) / options.instances
+  return { slots, holdMs: told.length === 0 ? defaultHoldMs : told.reduce((sum, holdMs) => sum + holdMs, 0) / told.length }
+}
+
 /**
  * Tells whether a target is lost as far as this instance can tell: silent, and out of reach for new connections too.
  *
--- a/packages/steering/src/waiting_requests.ts
+++ b/packages/steering/src/waiting_requests.ts
@@ -33,6 +33,10 @@
   count (): number
 }
 
+/** Share of its time that a request may wait for room; the rest is for its work. */
+export const waitShare = 0.3
+/** Longest time between two looks at waiting requests, in milliseconds: load reports age meanwhile. */
+export const waitingCheckMs = 50
 /** Time that one rank of priority is worth in the order, in milliseconds; without a bound the lowest rank would starve. */
 const priorityStepMs = 400
 
