Ask a port that nobody can take where nobody shall listen

Cause: 'store as platform: nobody listens' and bilberryctl's 'ends with the status and output of each case' (diff) failed in the same run of many files at once. The first asked a port that it had just freed; the second's fake server had been given that port by the system, answered the transaction with 200, and counted a call without a token. Change: the test asks port 1 of the loopback address, as others do. Its check is as it was.

--- a/packages/standins/src/site_store_test.ts
+++ b/packages/standins/src/site_store_test.ts
@@ -30,10 +30,7 @@
 }
 
 test('store as platform: nobody listens', async t => {
-  const store = createSiteStore()
-  const { url } = await store.openDoor()
-  await store[Symbol.asyncDispose]()
-  await using platform = createStorePlatform(url)
+  await using platform = createStorePlatform('http://127.0.0.1:1')
   t.is((await platform.writeRows([{ table: 't', key: 'k', value: 1 }]))._unsafeUnwrapErr().kind, PlatformFailureKind.Unavailable)
 })
 
