Take a write for done only where the store says so

Ruled out: reads (they kept the check); the conditions of a transaction. Test: 'no such call', 'an answer that is no JSON' and 'a cut answer is no written row' failed first, all three; they pass.

--- a/packages/platform/src/store_platform.ts
+++ b/packages/platform/src/store_platform.ts
@@ -114,6 +114,7 @@
 const platformKinds: Record<StoreFailureKind, PlatformFailureKind> = {
   [StoreFailureKind.Refused]: PlatformFailureKind.Unavailable,
   [StoreFailureKind.HistoryGone]: PlatformFailureKind.Unavailable,
+  [StoreFailureKind.Missing]: PlatformFailureKind.Unknown,
   [StoreFailureKind.Conflict]: PlatformFailureKind.Conflict,
   [StoreFailureKind.NoAnswer]: PlatformFailureKind.Unknown
 }
--- a/packages/standins/src/site_store_test.ts
+++ b/packages/standins/src/site_store_test.ts
@@ -2,7 +2,9 @@
 import { createStorePlatform, PlatformFailureKind } from '@bilberryworks/platform'
 import { MachineState } from '@bilberryworks/steering'
 import test from 'ava'
+import { createServer } from 'node:http'
 import { createTargetRow, listTargets } from './list_targets.ts'
+import { closeListener, listenOnLoopback } from './listeners.ts'
 import { createSiteStore, StoreFault } from './site_store.ts'
 
 const cases: Array<[name: string, fault: StoreFault, faults: Partial<DoorFaults>, kind: PlatformFailureKind | undefined, written: boolean, landed: boolean]> = [
@@ -94,3 +96,16 @@
   store.dropHistory()
   t.deepEqual(await list(), [second])
 })
+
+for (const [name, status, body] of [['no such call', 404, '{}'], ['an answer that is no JSON', 200, '<html>'], ['a cut answer', 200, '{"row_version":']] as const) {
+  test(`store as platform: ${name} is no written row`, async t => {
+    const server = createServer((message, response) => {
+      message.resume()
+      response.writeHead(status).end(body)
+    })
+    await using platform = createStorePlatform(`http://127.0.0.1:${(await listenOnLoopback(server)).port}`)
+    t.is((await platform.writeRows([{ table: 't', key: 'k', value: 1 }]))._unsafeUnwrapErr().kind, PlatformFailureKind.Unknown)
+    t.is((await platform.readRow('t', 'k'))._unsafeUnwrapErr().kind, PlatformFailureKind.Unknown)
+    await closeListener(server)
+  })
+}
