Answer pipelined requests in order, safe ones in parallel, and start nothing behind a closing response

Cause: node:http emits every pipelined request as soon as it is parsed. The listener dispatched all of them, without a limit, an unsafe one beside the requests before it, and also those behind a response that closes the connection, which their caller counts as not read and sends again. Bytes that are no request, behind good ones, cut the responses to the good ones.

Change: createPipelineScheduler starts up to 8 safe requests of a connection together, any other request alone and in its turn, stops reading at 16 waiting ones, and ends the connection after 128 open ones. handleClientErrors closes a connection after the responses to its complete requests.

Reading stops after one chunk: a microtask pauses the socket, since node:http resumes it in a later tick.

--- a/packages/bilberryd/src/edge/caller_listener.ts
+++ b/packages/bilberryd/src/edge/caller_listener.ts
@@ -12,8 +12,8 @@
 import type { EntryState } from './entry_state.ts'
 import type { Dispatcher } from './dispatcher.ts'
 import { createServer } from 'node:http'
-import { checkFraming, handleClientErrors, hasBody, watchResponse, writeRefusal } from '@bilberryworks/callers'
-import { createNotRunRefusal, Outcome, RefusalReason } from '@bilberryworks/steering'
+import { checkFraming, createPipelineScheduler, handleClientErrors, hasBody, watchResponse, writeRefusal } from '@bilberryworks/callers'
+import { createNotRunRefusal, Outcome, RefusalReason, RouteKind } from '@bilberryworks/steering'
 import { formatRetryAfter, readAttemptFields } from '@bilberryworks/users-platform'
 import { AttemptPhase } from './attempt.ts'
 import { collectBody } from './collect_body.ts'
@@ -71,6 +71,7 @@
   const { state, dispatcher, log, metrics, getNowMs } = options
   const server = createServer({ maxHeaderSize: maxHeaderBytes, requestTimeout: 0, connectionsCheckingInterval: connectionCheckIntervalMs, keepAlive: true, noDelay: true, requireHostHeader: false })
   server.maxHeadersCount = 0
+  const pipeline = createPipelineScheduler()
 
   function refuseRequest (message: IncomingMessage, response: ServerResponse, refusal: Refusal): void {
     metrics.countRefused('', refusal.outcome, refusal.reason)
@@ -120,22 +121,9 @@
     }
   }
 
-  function handleRequest (message: IncomingMessage, response: ServerResponse): void {
-    const phase = options.getStopPhase()
-    if (phase !== StopPhase.Running) response.shouldKeepAlive = false
-    if (phase === StopPhase.Closing) {
-      refuseRequest(message, response, createNotRunRefusal(RefusalReason.Stopping, 'Instance is shutting down', stoppingRetryAfterMs))
-      return
-    }
-    const attempt = createAttempt(message, response)
-    if ('outcome' in attempt) {
-      refuseRequest(message, response, attempt)
-      return
-    }
-    attempt.deadlineTimer = setTimeout(() => dispatcher.expire(attempt), Math.max(0, attempt.deadlineAtMs - getNowMs()))
-    watchResponse(message, response, isComplete => {
-      if (!isComplete) dispatcher.abandon(attempt)
-    })
+  function submitAttempt (attempt: Attempt): void {
+    const { message } = attempt
+    if (attempt.phase !== AttemptPhase.Arriving) return
     if (!hasBody(message)) {
       message.resume()
       dispatcher.submit(attempt)
@@ -153,6 +141,25 @@
     })
   }
 
+  function handleRequest (message: IncomingMessage, response: ServerResponse): void {
+    // The caller counts a request behind a response that closes the connection as not read, and sends it again.
+    if (pipeline.isClosing(message.socket)) return
+    const phase = options.getStopPhase()
+    if (phase !== StopPhase.Running) response.shouldKeepAlive = false
+    const attempt = phase === StopPhase.Closing
+      ? createNotRunRefusal(RefusalReason.Stopping, 'Instance is shutting down', stoppingRetryAfterMs)
+      : createAttempt(message, response)
+    if ('outcome' in attempt) {
+      pipeline.schedule({ message, response, isSafe: true, start: () => refuseRequest(message, response, attempt) })
+      return
+    }
+    attempt.deadlineTimer = setTimeout(() => dispatcher.expire(attempt), Math.max(0, attempt.deadlineAtMs - getNowMs()))
+    watchResponse(message, response, isComplete => {
+      if (!isComplete) dispatcher.abandon(attempt)
+    })
+    pipeline.schedule({ message, response, isSafe: attempt.route.kind === RouteKind.Safe, start: () => submitAttempt(attempt) })
+  }
+
   server.on('request', handleRequest)
   server.on('checkContinue', (message: IncomingMessage, response: ServerResponse) => {
     response.writeContinue()
--- a/packages/callers/src/client_errors.ts
+++ b/packages/callers/src/client_errors.ts
@@ -27,24 +27,33 @@
 /**
  * Answers unreadable requests with a refusal that states outcome and reason, and closes their connections.
  *
- * A connection with an earlier request in progress is closed without a refusal: the caller would read the refusal as the
- * response to that earlier request.
+ * A connection with earlier requests in progress is closed after their responses, without a refusal: the caller would read
+ * the refusal as the response to one of those requests.
  *
  * @param server The server
  * @param countRefusal Called with the reason of each refusal
  */
 export function handleClientErrors (server: Server, countRefusal: (reason: RefusalReason) => void): void {
   const openRequests = new WeakMap<Duplex, Set<IncomingMessage>>()
+  /** Connections that are closed after the responses to their complete requests. */
+  const closing = new WeakSet<Duplex>()
+  const hasCompleteRequest = (messages: Iterable<IncomingMessage>): boolean => [...messages].some(message => message.complete)
   observeRequests(server, (message, response) => {
-    const messages = openRequests.get(message.socket) ?? new Set()
-    openRequests.set(message.socket, messages.add(message))
-    response.once('close', () => messages.delete(message))
+    const { socket } = message
+    const messages = openRequests.get(socket) ?? new Set()
+    openRequests.set(socket, messages.add(message))
+    response.once('close', () => {
+      messages.delete(message)
+      if (closing.has(socket) && !hasCompleteRequest(messages)) setImmediate(() => socket.destroy())
+    })
   })
   const refuse = (socket: Duplex, reason: RefusalReason, detail: string): void => {
     const messages = [...openRequests.get(socket) ?? []]
+    if (closing.has(socket)) return
     // If a request is still being received, its handler records the outcome.
     if (messages.every(message => message.complete)) countRefusal(reason)
     if (messages.length === 0 && socket.writable) socket.end(formatRefusal(reason, detail), () => socket.destroy())
+    else if (hasCompleteRequest(messages)) closing.add(socket.pause())
     // Closes the connection after a refusal that the handler has just written is sent.
     else setImmediate(() => socket.destroy())
   }
--- /dev/null
+++ b/packages/callers/src/pipeline_scheduler.ts
@@ -0,0 +1,133 @@
+/**
+ * Schedules the requests that a caller pipelines on one connection.
+ *
+ * @module
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import { watchResponse } from './watch_response.ts'
+
+/** A request to schedule. */
+export interface PipelinedRequest {
+  /** The request. */
+  message: IncomingMessage
+  /** The response to it. `shouldKeepAlive` must be final: a response that closes the connection ends the pipeline. */
+  response: ServerResponse
+  /** Whether the request may be processed at the same time as others of its connection (RFC 9112, section 9.3.2). */
+  isSafe: boolean
+  /** Starts the request. Never called if an earlier response closes the connection first. */
+  start: () => void
+}
+
+/** Schedules pipelined requests. */
+export interface PipelineScheduler {
+  /** Starts a request at once, or as soon as its turn on the connection comes. */
+  schedule (request: PipelinedRequest): void
+  /** Returns whether an open response closes a connection, so that requests received behind it are ignored. */
+  isClosing (socket: Socket): boolean
+}
+
+/** Options of {@linkcode createPipelineScheduler}. */
+export interface CreatePipelineSchedulerOptions {
+  /** Maximum number of requests of a connection that are in progress at the same time; 8 by default. */
+  maxStarted?: number
+  /** Number of waiting requests of a connection from which no more bytes are read from it; 16 by default. */
+  maxWaiting?: number
+  /** Maximum number of open requests of a connection. The response to the last one closes the connection, so that the caller sends the rest on another one; 128 by default. */
+  maxOpen?: number
+}
+
+interface OpenRequest extends PipelinedRequest {
+  isStarted: boolean
+}
+
+interface PipelinedConnection {
+  /** Requests without a complete response, in the order in which they were received. */
+  open: OpenRequest[]
+  isPaused: boolean
+}
+
+/** A caller that sends more at once than one connection should carry gets the rest of its parallelism from further connections. */
+const defaultMaxStarted = 8
+/** Twice what is in progress, so that a request is at hand whenever one ends. */
+const defaultMaxWaiting = 16
+/** Bounds the memory of a connection: `node:http` emits all requests of a chunk that has been read, also while reading is paused. */
+const defaultMaxOpen = 128
+
+/**
+ * Creates a scheduler.
+ *
+ * Safe requests run at the same time; any other request runs alone, since it must not start before its caller's earlier
+ * requests have ended. `node:http` sends the responses in the order of the requests. Requests behind a response that closes
+ * the connection are not started: the caller counts them as not read, and sends them again.
+ *
+ * @param options Limits of each connection
+ * @returns The scheduler
+ */
+export function createPipelineScheduler (options: CreatePipelineSchedulerOptions = {}): PipelineScheduler {
+  const { maxStarted = defaultMaxStarted, maxWaiting = defaultMaxWaiting, maxOpen = defaultMaxOpen } = options
+  const connections = new WeakMap<Socket, PipelinedConnection>()
+
+  function startNext (connection: PipelinedConnection): void {
+    let startedCount = 0
+    // A copy, since a request that ends as soon as it starts is removed from the list.
+    for (const [index, request] of [...connection.open].entries()) {
+      const isAllowed = index === 0 || (request.isSafe && startedCount < maxStarted)
+      if (!isAllowed) return
+      startedCount++
+      if (!request.isStarted) {
+        request.isStarted = true
+        request.start()
+      }
+      if (!request.isSafe || !request.response.shouldKeepAlive) return
+    }
+  }
+
+  const hasClosingResponse = ({ open }: PipelinedConnection): boolean => open.some(request => !request.response.shouldKeepAlive)
+
+  function updateReading (socket: Socket, connection: PipelinedConnection): void {
+    const waitingCount = connection.open.filter(request => !request.isStarted).length
+    if (hasClosingResponse(connection) ? connection.open.length > 1 : waitingCount >= maxWaiting) {
+      connection.isPaused = true
+      // `node:http` resumes the socket in a later tick of the same turn, after each message that it has parsed and each
+      // response that it has sent; a microtask runs after those ticks.
+      queueMicrotask(() => {
+        if (connection.isPaused) socket.pause()
+      })
+    } else if (connection.isPaused) {
+      connection.isPaused = false
+      socket.resume()
+    }
+  }
+
+  function getConnection (socket: Socket): PipelinedConnection {
+    const connection = connections.get(socket) ?? { open: [], isPaused: false }
+    connections.set(socket, connection)
+    return connection
+  }
+
+  return {
+    schedule (pipelined) {
+      const { message, response } = pipelined
+      const { socket } = message
+      const connection = getConnection(socket)
+      const request: OpenRequest = { ...pipelined, isStarted: false }
+      connection.open.push(request)
+      if (connection.open.length >= maxOpen) response.shouldKeepAlive = false
+      watchResponse(message, response, () => {
+        connection.open.splice(connection.open.indexOf(request), 1)
+        if (socket.destroyed) return
+        startNext(connection)
+        updateReading(socket, connection)
+      })
+      startNext(connection)
+      updateReading(socket, connection)
+    },
+    isClosing (socket) {
+      const connection = connections.get(socket)
+      if (connection === undefined || !hasClosingResponse(connection)) return false
+      updateReading(socket, connection)
+      return true
+    }
+  }
+}
