--- a/packages/bilberryd/src/dispatch.ts
+++ b/packages/bilberryd/src/dispatch.ts
@@ -106,7 +106,9 @@
       }
       const result = await sendToTarget(slotRequest, slot.value)
       if (result.isOk()) return ok(result.value)
-      const refusal = describeFailure(result.error)
+      const refusal = chooseAbortSignal(slotRequest.request).aborted && !isNotExecuted(result.error)
+        ? createUnknownRefusal(RefusalReason.CallerGone, 'Caller closed the connection after the request was sent to a target')
+        : describeFailure(result.error)
       if (refusal.outcome === Outcome.Unknown) unknownOutcome = refusal
       const retryReason = chooseRetryReason(slotRequest, result.error)
       if (retryReason === undefined || attempt === maxAttempts) return err(unknownOutcome ?? refusal)
--- a/packages/bilberryd/src/edge/attempt_finisher.ts
+++ b/packages/bilberryd/src/edge/attempt_finisher.ts
@@ -77,7 +77,7 @@
     refuse (attempt, refusal) {
       if (attempt.phase === AttemptPhase.Ended) return
       // After a "not run" refusal the caller may retry, which could run the request twice if a target may have run it.
-      const reported = attempt.mayHaveRun && refusal.outcome === Outcome.NotRun ? createUnknownRefusal(RefusalReason.TargetLost, refusal.detail) : refusal
+      const reported = attempt.mayHaveRun && refusal.outcome === Outcome.NotRun ? createUnknownRefusal(refusal.reason === RefusalReason.CallerGone ? RefusalReason.CallerGone : RefusalReason.TargetLost, refusal.detail) : refusal
       metrics.countRefused(attempt.route.name, reported.outcome, reported.reason)
       if (!attempt.response.headersSent) writeRefusal(attempt.response, reported, formatRetryAfter)
       recordEnd(attempt, reported.outcome, reported)
--- a/packages/bilberryd/src/keyed_request_handler.ts
+++ b/packages/bilberryd/src/keyed_request_handler.ts
@@ -137,7 +137,7 @@
     const end = await waitWithTimeout(run.ended, keyed.deadlineAtMs - getNowMs())
     if (end === undefined) return err(timedOut)
     // The first caller disconnected before its request ran, and the body of the duplicate is still unread: run the duplicate.
-    if (end.result.isErr() && end.result.error.reason === RefusalReason.CallerGone) return handleLocally(keyed)
+    if (end.result.isErr() && end.result.error.outcome === Outcome.NotRun && end.result.error.reason === RefusalReason.CallerGone) return handleLocally(keyed)
     const bodyRead = await waitWithTimeout(readDigest(request), keyed.deadlineAtMs - getNowMs())
     if (bodyRead === undefined) return err(timedOut)
     const { digest } = bodyRead
--- a/packages/bilberryd/src/link_rate_limiter.ts
+++ b/packages/bilberryd/src/link_rate_limiter.ts
@@ -35,8 +35,6 @@
 export interface LinkRateLimiter extends AsyncDisposable {
   /** Admits a transfer and returns the stream that paces its body, or refuses it when the body can't be sent before the deadline. A body of unknown length is always admitted. */
   admitTransfer (toRegion: string, transfer: LinkTransfer): Result<Transform, Refusal>
-  /** Takes the bytes of a protocol message between instances from the budget of a link; returns whether the message may be sent now. */
-  takeControlBytes (toRegion: string, bytes: number): boolean
   /** Returns the number of bytes sent to a region. */
   getSentBytes (toRegion: string): number
 }
@@ -161,12 +159,6 @@
       }
       return ok(createPacingStream(link, transfer))
     },
-    takeControlBytes (toRegion, bytes) {
-      const link = getLink(toRegion)
-      if (link.budget !== undefined && link.budget.take(bytes, LinkPurpose.Control, getNowMs()) > 0) return false
-      link.sentBytes += bytes
-      return true
-    },
     getSentBytes: toRegion => links.get(toRegion)?.sentBytes ?? 0,
     async [Symbol.asyncDispose] () {
       for (const link of links.values()) clearTimeout(link.timer)
--- a/packages/instances/src/peer_listener.ts
+++ b/packages/instances/src/peer_listener.ts
@@ -9,6 +9,8 @@
 import { createJSONRPCErrorResponse, JSONRPCServer } from 'json-rpc-2.0'
 
 const maxRpcBytes = 4 * 1024 * 1024
+/** Size of a body from which its connection is closed without a reply, in bytes: several times what any method accepts. */
+const maxDiscardedBytes = 4 * maxRpcBytes
 
 /** A JSON-RPC method. An error that it throws is returned to the peer as an error response. */
 export type PeerMethod = (params: unknown) => Promise<unknown> | unknown
@@ -75,10 +77,12 @@
 async function readText (request: IncomingMessage): Promise<string | undefined> {
   const chunks: Buffer[] = []
   let length = 0
+  // Reads a body that is too large to its end: the connection would otherwise be reset, and the peer would lose the reply.
   for await (const chunk of request) {
     length += (chunk as Buffer).length
-    if (length > maxRpcBytes) return undefined
-    chunks.push(chunk as Buffer)
+    if (length <= maxRpcBytes) chunks.push(chunk as Buffer)
+    else chunks.length = 0
+    if (length > maxDiscardedBytes) throw new Error(`Request body of more than ${maxDiscardedBytes} bytes`)
   }
-  return Buffer.concat(chunks).toString('utf8')
+  return length > maxRpcBytes ? undefined : Buffer.concat(chunks).toString('utf8')
 }
--- a/packages/standins/src/bench_capacity_processes.ts
+++ b/packages/standins/src/bench_capacity_processes.ts
@@ -12,7 +12,7 @@
 import { setTimeout } from 'node:timers/promises'
 import { createStorePlatform } from '@bilberryworks/platform'
 import { writeAcceptedDocument } from './accept_document.ts'
-import { readCpuSeconds } from './bench_capacity_look_up.ts'
+import { readCpuSeconds } from './process_usage.ts'
 import { startChild } from './child.ts'
 import { createCleanupStack } from '@bilberryworks/steering'
 import { locateDaemon, locateScript } from './cluster.ts'
@@ -87,5 +87,5 @@
 async function readResourceUsage (pid: number): Promise<{ cpuSeconds: number, bytes: number }> {
   const text = await readFile(`/proc/${pid}/io`, 'utf8')
   const readField = (name: string): number => Number(new RegExp(`^${name}: (\\d+)`, 'm').exec(text)?.[1])
-  return { cpuSeconds: await readCpuSeconds(pid), bytes: readField('rchar') + readField('wchar') }
+  return { cpuSeconds: readCpuSeconds(pid), bytes: readField('rchar') + readField('wchar') }
 }
--- a/packages/standins/src/child.ts
+++ b/packages/standins/src/child.ts
@@ -38,16 +38,17 @@
  * @param args Command-line arguments of the script
  * @param options Log file and abort signal
  * @returns The child process; dispose it to kill it
- * @throws {Error} If the process exits before it is ready
+ * @throws {Error} If the process can't be started, or exits before it is ready
  */
 export async function startChild<T> (script: string, args: string[], options: StartChildOptions = {}): Promise<Child<T>> {
   const logFileDescriptor = options.logFile === undefined ? undefined : openSync(options.logFile, 'a')
   const signalOptions = options.signal === undefined ? {} : { signal: options.signal, killSignal: 'SIGKILL' as const }
   const child = spawn(process.execPath, [script, ...args], { stdio: ['ignore', 'pipe', logFileDescriptor ?? 'inherit', 'ipc'], ...signalOptions })
   if (logFileDescriptor !== undefined) closeSync(logFileDescriptor)
-  child.on('error', () => {})
   const exited = new Promise<number | null>(resolve => child.once('exit', resolve))
   const readyLine = await new Promise<string>((resolve, reject) => {
+    // Stays for the life of the process: an abort of the signal emits an error as well.
+    child.on('error', error => reject(new Error(`Script "${script}" failed: ${error.message}`)))
     createInterface({ input: child.stdout! }).once('line', resolve)
     exited.then(code => reject(new Error(`Script "${script}" exited with code ${code} before it was ready`)), reject)
   })
--- a/packages/steering/src/desired_weights.ts
+++ b/packages/steering/src/desired_weights.ts
@@ -23,7 +23,9 @@
   weights: RegionWeights
   /** Regions that spill a part of their demand to other regions. */
   spillingRegions: ReadonlySet<string>
-  /** Monotonic time of the last plan in which a region had no capacity, by region, in milliseconds. */
+  /** Regions that had capacity in an earlier plan; any other region gets requests as soon as it has some. */
+  seenRegions: ReadonlySet<string>
+  /** Monotonic time of the last plan in which a seen region had no capacity, by region, in milliseconds. */
   lastDownAtMs: ReadonlyMap<string, number>
 }
 
@@ -40,7 +42,7 @@
 }
 
 /** Initial plan, to pass to the first call of {@linkcode planRegions}. */
-export const emptyRegionPlan: RegionPlan = { weights: {}, spillingRegions: new Set(), lastDownAtMs: new Map() }
+export const emptyRegionPlan: RegionPlan = { weights: {}, spillingRegions: new Set(), seenRegions: new Set(), lastDownAtMs: new Map() }
 
 /** Demand per slot above which a region starts to spill, and the lower level to which it spills; it stops spilling when its demand is below that level. */
 const spillLevels: Record<Objective, { start: number, end: number }> = {
@@ -66,11 +68,13 @@
  */
 export function planRegions (plan: RegionPlan, options: PlanRegionsOptions): RegionPlan {
   const { regionLoads, nowMs } = options
-  const lastDownAtMs = updateDownTimes(plan, options)
-  const isUsable = (region: string): boolean => nowMs - (lastDownAtMs.get(region) ?? -Infinity) >= recoveryHoldMs
+  const hasCapacity = (region: string): boolean => (regionLoads[region]?.capacity ?? 0) > 0
+  const lastDownAtMs = updateDownTimes(plan, { ...options, hasCapacity })
+  const seenRegions = new Set([...plan.seenRegions, ...Object.keys(options.weights).filter(hasCapacity)])
+  const isUsable = (region: string): boolean => hasCapacity(region) && nowMs - (lastDownAtMs.get(region) ?? -Infinity) >= recoveryHoldMs
   const shares = computeShares(Object.fromEntries(Object.entries(options.weights).filter(([region]) => isUsable(region))))
   const regions = Object.keys(shares)
-  if (regions.length === 0) return { weights: {}, spillingRegions: new Set(), lastDownAtMs }
+  if (regions.length === 0) return { weights: {}, spillingRegions: new Set(), seenRegions, lastDownAtMs }
 
   const demand = Object.values(regionLoads).reduce((sum, each) => sum + each.demand, 0)
   const levels = spillLevels[options.objective]
@@ -84,16 +88,16 @@
   const weights = spillingRegions.size === 0 ? shares : spreadDemand(regions, { shares, usableSlots, demand })
   const hasSameRegions = regions.length === Object.keys(plan.weights).length && regions.every(region => plan.weights[region] !== undefined)
   const isSmallChange = hasSameRegions && computeMovedShare(plan.weights, weights) < minChangedShare && (spillingRegions.size > 0 || plan.spillingRegions.size > 0)
-  return { weights: isSmallChange ? plan.weights : weights, spillingRegions, lastDownAtMs }
+  return { weights: isSmallChange ? plan.weights : weights, spillingRegions, seenRegions, lastDownAtMs }
 }
 
-/** Records the regions that have no capacity, and forgets those that have had capacity for {@linkcode recoveryHoldMs}. */
-function updateDownTimes (plan: RegionPlan, { weights, regionLoads, nowMs }: PlanRegionsOptions): Map<string, number> {
+/** Records the seen regions that have no capacity, and forgets those that have had capacity for {@linkcode recoveryHoldMs}. */
+function updateDownTimes (plan: RegionPlan, { weights, hasCapacity, nowMs }: PlanRegionsOptions & { hasCapacity: (region: string) => boolean }): Map<string, number> {
   const lastDownAtMs = new Map(plan.lastDownAtMs)
-  const isFirstPlan = Object.keys(plan.weights).length === 0 && plan.lastDownAtMs.size === 0
   for (const region of Object.keys(weights)) {
-    if ((regionLoads[region]?.capacity ?? 0) <= 0) lastDownAtMs.set(region, nowMs)
-    else if (isFirstPlan || nowMs - (lastDownAtMs.get(region) ?? nowMs) >= recoveryHoldMs) lastDownAtMs.delete(region)
+    if (!hasCapacity(region)) {
+      if (plan.seenRegions.has(region)) lastDownAtMs.set(region, nowMs)
+    } else if (nowMs - (lastDownAtMs.get(region) ?? nowMs) >= recoveryHoldMs) lastDownAtMs.delete(region)
   }
   return lastDownAtMs
 }
