--- a/packages/bilberryd/src/edge/dispatcher.ts
+++ b/packages/bilberryd/src/edge/dispatcher.ts
@@ -104,6 +104,7 @@
   function dispatchWaiting (service: string): void {
     const waiting = waitingByService.get(service)
     if (waiting.count() === 0) return
+    state.targets.observeTime(getNowMs())
     const assignments = waiting.takePlaced(attempt => {
       const entry = targetSelector.findTarget(attempt)
       // Counted immediately, so that the selection for the next queued request sees the remaining capacity.
--- a/packages/steering/src/target_registry.ts
+++ b/packages/steering/src/target_registry.ts
@@ -45,6 +45,8 @@
   getRevision (): number
   /** Returns the number of targets. */
   count (): number
+  /** Excludes pauses of this process from the time for which targets have been silent, since it reads no responses during a pause. To be called at least every 250 ms, and before targets are selected. */
+  observeTime (nowMs: number): void
 }
 
 /** Age from which a target's load report is ignored, in milliseconds: about the time that a request takes. */
@@ -55,6 +57,8 @@
 export const minSilenceMs = 600
 /** Maximum time without a response after which a target counts as silent, in milliseconds; follows from the time-outs of routes. */
 export const maxSilenceMs = 2_500
+/** Time between two observations above which the process is considered to have been paused, in milliseconds: twice the longest interval between them. */
+const pauseThresholdMs = 500
 /** Assumed time for which a request holds a slot if no target has responded yet, in milliseconds: the order of magnitude of the routes' latency objectives. */
 const defaultHoldMs = 500
 /** Weight of the latest response time in the moving average. */
@@ -69,6 +73,7 @@
   const byId = new Map<string, RegisteredTarget>()
   const byService = new Map<string, RegisteredTarget[]>()
   let revision = 0
+  let observedAtMs = -Infinity
 
   function removeTarget (id: string): void {
     const entry = byId.get(id)
@@ -119,7 +124,13 @@
     find: id => byId.get(id),
     list: service => byService.get(service) ?? [],
     getRevision: () => revision,
-    count: () => byId.size
+    count: () => byId.size,
+    observeTime (nowMs) {
+      const pauseMs = nowMs - observedAtMs
+      observedAtMs = nowMs
+      if (pauseMs < pauseThresholdMs || pauseMs === Infinity) return
+      for (const entry of byId.values()) if (entry.silentSinceMs < Infinity) entry.silentSinceMs = Math.min(nowMs, entry.silentSinceMs + pauseMs)
+    }
   }
 }
 
--- a/packages/steering/src/target_registry_test.ts
+++ b/packages/steering/src/target_registry_test.ts
@@ -1,7 +1,7 @@
 import type { ServingTarget } from './routing.ts'
 import test from 'ava'
 import { TargetSignal } from './circuit.ts'
-import { computeHoldMs, computeTargetLoad, createTargetRegistry, recordResponseTime, recordTargetResult, recordTargetLoad, recordTargetDispatch } from './target_registry.ts'
+import { computeHoldMs, computeTargetLoad, createTargetRegistry, isTargetSilent, minSilenceMs, recordResponseTime, recordTargetResult, recordTargetLoad, recordTargetDispatch } from './target_registry.ts'
 
 const target: ServingTarget = { id: 't', service: 's', address: { host: '10.0.0.1', port: 1 }, failureDomain: 'a', slots: 3, leaving: false, coldLeftMs: 0, startedAtMs: 1 }
 const endOptions = { nowMs: 0, getRandom: () => 0.5, coldForMs: 3_000 }
@@ -60,3 +60,18 @@
   t.is(computeHoldMs(entry, 1_005), 10)
   t.is(computeHoldMs(entry, 1_150), 150)
 })
+
+test('counts no pause of this process as silence of a target', t => {
+  const registry = createTargetRegistry()
+  const entry = registry.register(target, registration)
+  recordResponseTime(entry, 50)
+  const observe = (fromMs: number, toMs: number): void => {
+    for (let nowMs = fromMs; nowMs <= toMs; nowMs += 250) registry.observeTime(nowMs)
+  }
+  observe(0, 1_000)
+  recordTargetDispatch(entry, 1_100)
+  registry.observeTime(6_000)
+  t.false(isTargetSilent(entry, 6_000))
+  observe(6_000, 6_000 + minSilenceMs)
+  t.true(isTargetSilent(entry, 6_000 + minSilenceMs))
+})
