Fetch only missing rows from one near peer at a time, and shorten heartbeats

Change: replicas know up to which version of the store they are complete and send the changes since the caller's version, with removals, or all rows where these are not known that far back. createCatchUp chooses one peer at a time, nearest first, backs off after failures, and waits for the store where it responds and delivers. Live instances are sent to seeds' callers only. Heartbeats carry only what changes (some 80 bytes in place of 430); addresses are sent at the start and on request; peers in other regions get every second one. A run that began with an earlier time of day than the known one is accepted once that is silent. bilberry_peer_bytes_total counts both kinds of message.

--- a/packages/bilberryd/src/edge/entry_metrics.ts
+++ b/packages/bilberryd/src/edge/entry_metrics.ts
@@ -19,6 +19,14 @@
   Total = 'whole'
 }
 
+/** Kinds of messages to other instances, by which their bytes are counted. */
+export enum PeerTraffic {
+  /** Heartbeats. */
+  Heartbeat = 'heartbeat',
+  /** Rows of the replicated tables. */
+  State = 'state'
+}
+
 /** Records the metrics of an entry instance. */
 export interface EntryMetrics {
   /** Registry with all metrics. */
@@ -35,6 +43,8 @@
   countUndecodable (table: string): void
   /** Counts a response of a target that belongs to a request other than the one in flight on its connection. */
   countMismatchedResponse (): void
+  /** Counts bytes sent to peers, by kind of message. */
+  countPeerBytes (traffic: PeerTraffic, bytes: number): void
   /** Records the duration of a request stage, in milliseconds. */
   recordStage (stage: RequestStage, kind: RouteKind, elapsedMs: number): void
 }
@@ -95,9 +105,11 @@
   const truncatedResponses = new Counter({ name: 'bilberry_answers_broken_total', help: 'Responses to callers that were truncated', registers })
   const undecodableRows = new Counter({ name: 'bilberry_rows_undecodable_total', help: 'Rows that could not be decoded, by table', labelNames: ['table'], registers })
   const mismatchedResponses = new Counter({ name: 'bilberry_stray_answers_total', help: 'Responses of targets to requests other than the one in flight', registers })
+  const peerBytes = new Counter({ name: 'bilberry_peer_bytes_total', help: 'Bytes sent to other instances, by kind of message', labelNames: ['message'], registers })
   const stages = new Histogram({ name: 'bilberry_stage_seconds', help: 'Duration of a request stage in seconds, by stage and kind of route', labelNames: ['stage', 'kind'], buckets: latencyBucketsSeconds, registers })
   for (const reason of Object.values(RefusalReason)) refusals.inc({ reason }, 0)
   for (const reason of Object.values(RetryReason)) retries.inc({ reason }, 0)
+  for (const message of Object.values(PeerTraffic)) peerBytes.inc({ message }, 0)
   for (const name of Object.values(EntryGauge)) {
     registers[0]!.registerMetric(new Gauge({ name, help: gaugeHelp[name], registers: [], collect () { this.set(gauges.readers[name]()) } }))
   }
@@ -112,6 +124,7 @@
     countTruncated: () => truncatedResponses.inc(),
     countUndecodable: table => undecodableRows.inc({ table }),
     countMismatchedResponse: () => mismatchedResponses.inc(),
+    countPeerBytes: (message, bytes) => peerBytes.inc({ message }, bytes),
     recordStage: (stage, kind, elapsedMs) => stages.observe({ stage, kind }, elapsedMs / msPerSecond)
   }
 }
--- a/packages/bilberryd/src/edge/entry_state.ts
+++ b/packages/bilberryd/src/edge/entry_state.ts
@@ -5,7 +5,7 @@
  */
 import type { Route, RoutingConfig, RouteTable, TargetRegistry } from '@bilberryworks/steering'
 import type { EntryLog } from './entry_log.ts'
-import type { VersionedRow, RowChange, TableReplica } from './table_replica.ts'
+import type { RowChange, TableReplica, TableUpdate } from './table_replica.ts'
 import { createRouteTable, createTargetRegistry } from '@bilberryworks/steering'
 import { decodeRouting, decodeTarget, parseEvacuationKey, parseJsonRow, routingKey } from '@bilberryworks/users-platform'
 import { createTableReplica } from './table_replica.ts'
@@ -30,10 +30,8 @@
   isEvacuated (failureDomain: string): boolean
   /** Returns a number that increases with each change that can affect target selection. */
   getRevision (): number
-  /** Merges a snapshot of a table. */
-  applySnapshot (table: ReplicatedTable, rows: VersionedRow[], version: number): void
-  /** Merges changes of a table. */
-  applyChanges (table: ReplicatedTable, changes: RowChange[]): void
+  /** Merges an update of a table. */
+  applyUpdate (table: ReplicatedTable, update: TableUpdate): void
   /** Returns the replica of a table. */
   getTable (table: ReplicatedTable): TableReplica
   /** Records the result of a call to the store: a description of the failure, or `undefined` if the store responded. */
@@ -42,6 +40,8 @@
   removeExpired (nowMs: number): void
   /** Returns the monotonic time of the last response of the store, in milliseconds. */
   getLastContactMs (): number
+  /** Returns whether the last call to the store got a response. */
+  isStoreReachable (): boolean
 }
 
 /** Options of {@linkcode createEntryState}. */
@@ -155,8 +155,7 @@
     findRoute: (host, path) => routes?.findRoute(host, path),
     isEvacuated: failureDomain => evacuated.has(failureDomain),
     getRevision: () => revision + targets.getRevision(),
-    applySnapshot: (table, rows, version) => applyTableChanges(table, tables[table].mergeSnapshot(rows, version)),
-    applyChanges: (table, changes) => applyTableChanges(table, tables[table].mergeChanges(changes)),
+    applyUpdate: (table, update) => applyTableChanges(table, tables[table].merge(update)),
     getTable: table => tables[table],
     recordContact (failure) {
       const nowMs = getNowMs()
@@ -180,6 +179,7 @@
       }
       if (hasExpired) options.onChange()
     },
-    getLastContactMs: () => lastContactMs
+    getLastContactMs: () => lastContactMs,
+    isStoreReachable: () => !isStoreUnreachable
   }
 }
--- a/packages/bilberryd/src/edge/peer_link.ts
+++ b/packages/bilberryd/src/edge/peer_link.ts
@@ -4,25 +4,18 @@
  * @module
  */
 import type { Socket } from 'node:dgram'
-import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Server } from 'node:http'
 import type { SocketAddress } from '@bilberryworks/steering'
 import type { EntryLog } from './entry_log.ts'
 import type { EntryState } from './entry_state.ts'
-import type { PeerHeartbeat, PeerView } from './peer_view.ts'
-import type { VersionedRow } from './table_replica.ts'
+import type { KnownPeer, PeerHeartbeat, PeerPulse, PeerView } from './peer_view.ts'
 import { createSocket } from 'node:dgram'
 import { createServer } from 'node:http'
-import { exchangeHttp } from '@bilberryworks/users-platform'
+import { createCatchUp } from '@bilberryworks/steering'
 import { ReplicatedTable } from './entry_state.ts'
-import { parseHeartbeat } from './peer_view.ts'
-
-/** State of an instance, sent in response to a call of a peer. */
-interface PeerState {
-  /** Heartbeats of the instance itself and of its live peers. */
-  instances: PeerHeartbeat[]
-  /** Tables of which the instance has a later version than the peer. */
-  tables: Partial<Record<ReplicatedTable, { version: number, rows: VersionedRow[] }>>
-}
+import { PeerTraffic } from './entry_metrics.ts'
+import { createStateHandler, fetchPeerState } from './peer_state.ts'
+import { formatPulse, parseHeartbeat, parsePulse, PulseResult } from './peer_view.ts'
 
 /** Options of {@linkcode startPeerLink}. */
 export interface StartPeerLinkOptions {
@@ -34,29 +27,37 @@
   state: EntryState
   /** Addresses of peers to call at startup; some may be stale, and those with this instance's host are skipped. */
   seeds: SocketAddress[]
-  /** Time between two heartbeats, in milliseconds. */
+  /** Time between two heartbeats to a peer in the same region, in milliseconds. */
   intervalMs: number
+  /** Time between two heartbeats to a peer in another region, as a multiple of `intervalMs`. */
+  remoteIntervals: number
+  /** Time for which this instance must have been behind a peer before it fetches from it while the store responds, in milliseconds. */
+  storeDelayMs: number
+  /** Counts bytes sent to peers. */
+  countBytes: (traffic: PeerTraffic, bytes: number) => void
   /** Structured log. */
   log: EntryLog
   /** Returns monotonic time, in milliseconds. */
   getNowMs: () => number
+  /** Returns a random number in [0, 1). */
+  getRandom: () => number
 }
 
 /** Link to the other instances. */
 export interface PeerLink extends AsyncDisposable {
-  /** Sends a heartbeat to all known peers immediately. */
+  /** Sends a heartbeat with this instance's addresses to all known peers immediately. */
   announce (): void
   /** Fetches the known instances and newer table rows from the seeds; logs a seed that does not respond. */
   fetchFromSeeds (): Promise<void>
+  /** Fetches newer table rows from a peer if this instance is behind; to be called at short intervals. */
+  catchUp (): void
 }
 
-const statePath = '/v1/state'
-/** Time-out of a call to a peer, in milliseconds: longer than a round trip between regions and the transfer of a page of rows. */
-const callTimeoutMs = 1_000
-/** Delay before newer rows are fetched from a peer, in milliseconds: the store usually delivers a change to all instances within this time. */
-const pullDelayMs = 400
-/** Maximum size of a peer's response, in bytes: all rows of both tables at their largest size. */
-const maxResponseBytes = 8_388_608
+/** A heartbeat as sent, which may ask the receiver for its own. */
+interface HeartbeatMessage extends PeerHeartbeat {
+  /** Whether the sender does not know the addresses of the receiver. */
+  asksForHeartbeat?: boolean
+}
 
 /**
  * Starts sending heartbeats, and listening for heartbeats and calls from peers.
@@ -69,12 +70,12 @@
   const { view, state, log, getNowMs } = options
   const ownHeartbeat = options.getHeartbeat()
   const socket = createSocket('udp4')
-  const pendingPulls = new Set<string>()
-  const pullTimers = new Set<NodeJS.Timeout>()
+  const catchUp = createCatchUp({ storeDelayMs: options.storeDelayMs, getRandom: options.getRandom })
+  let round = 0
 
-  function announce (): void {
-    const bytes = Buffer.from(JSON.stringify(options.getHeartbeat()))
-    for (const { heartbeat } of view.listKnown()) socket.send(bytes, heartbeat.heartbeats.port, heartbeat.heartbeats.host, reportSendError)
+  function sendText (text: string, to: SocketAddress): void {
+    options.countBytes(PeerTraffic.Heartbeat, text.length)
+    socket.send(text, to.port, to.host, reportSendError)
   }
 
   /** Only logs the error: an unsent datagram has the same effect as a lost one, and the failure detection of the peers covers both. */
@@ -82,72 +83,93 @@
     if (error !== null) log.warn('heartbeat_unsent', { detail: error.message })
   }
 
-  function isBehind (heartbeat: PeerHeartbeat): boolean {
-    return Object.values(ReplicatedTable).some(table => (heartbeat.versions[table] ?? 0) > state.getTable(table).getVersion())
+  function announce (): void {
+    const text = JSON.stringify(options.getHeartbeat())
+    for (const { heartbeat } of view.listKnown()) sendText(text, heartbeat.heartbeats)
   }
 
-  function handleHeartbeat (heartbeat: PeerHeartbeat): void {
-    if (view.recordHeartbeat(heartbeat, getNowMs())) {
-      log.info('peer_live', { peer: heartbeat.instance, startedAtMs: heartbeat.startedAtMs })
-      // Sent immediately, so that the peer does not have to wait for the next heartbeat to see that this instance is live.
-      socket.send(JSON.stringify(options.getHeartbeat()), heartbeat.heartbeats.port, heartbeat.heartbeats.host, reportSendError)
-    }
-    if (!isBehind(heartbeat) || pendingPulls.has(heartbeat.instance)) return
-    pendingPulls.add(heartbeat.instance)
-    const timer = setTimeout(() => {
-      pullTimers.delete(timer)
-      pendingPulls.delete(heartbeat.instance)
-      if (isBehind(heartbeat)) readState(heartbeat.peers).catch(error => log.warn('peer_call_failed', { peer: heartbeat.instance, detail: (error as Error).message }))
-    }, pullDelayMs)
-    pullTimers.add(timer)
+  function sendPulses (): void {
+    const text = formatPulse(options.getHeartbeat())
+    const isRemoteRound = round++ % options.remoteIntervals === 0
+    for (const { heartbeat } of view.listKnown()) if (isRemoteRound || heartbeat.region === ownHeartbeat.region) sendText(text, heartbeat.heartbeats)
+  }
+
+  function recordLive (instance: string, startedAtMs: number): void {
+    log.info('peer_live', { peer: instance, startedAtMs })
+  }
+
+  function handleHeartbeat (heartbeat: HeartbeatMessage): void {
+    const hasBecomeLive = view.recordHeartbeat(heartbeat, getNowMs())
+    if (hasBecomeLive) recordLive(heartbeat.instance, heartbeat.startedAtMs)
+    // Sent immediately, so that the peer does not have to wait for the next heartbeat to see that this instance is live.
+    if (hasBecomeLive || heartbeat.asksForHeartbeat === true) sendText(JSON.stringify(options.getHeartbeat()), heartbeat.heartbeats)
   }
 
-  async function readState (address: SocketAddress): Promise<void> {
-    const query = Object.values(ReplicatedTable).map(table => `${table}=${state.getTable(table).getVersion()}`).join('&')
-    const { body } = await exchangeHttp({ address, method: 'GET', path: `${statePath}?${query}`, timeoutMs: callTimeoutMs, maxResponseBytes })
-    const peerState = JSON.parse(body.toString('utf8')) as PeerState
+  function handlePulse (pulse: PeerPulse, from: SocketAddress): void {
+    const result = view.recordPulse(pulse, getNowMs())
+    if (result === PulseResult.BecameLive) recordLive(pulse.instance, pulse.startedAtMs)
+    const message: HeartbeatMessage = { ...options.getHeartbeat(), asksForHeartbeat: true }
+    if (result === PulseResult.Unknown) sendText(JSON.stringify(message), from)
+  }
+
+  async function readState (address: SocketAddress, withInstances: boolean): Promise<void> {
+    const peerState = await fetchPeerState(address, { state, withInstances })
     for (const heartbeat of peerState.instances) view.addReported(heartbeat, getNowMs())
-    for (const [table, contents] of Object.entries(peerState.tables)) {
-      log.info('table_from_peer', { table, from: `${address.host}:${address.port}`, version: contents.version })
-      state.applySnapshot(table as ReplicatedTable, contents.rows, contents.version)
+    for (const [table, update] of Object.entries(peerState.tables)) {
+      log.info('table_from_peer', { table, from: `${address.host}:${address.port}`, asOf: update.asOf, isSnapshot: update.isSnapshot, changes: update.changes.length })
+      state.applyUpdate(table as ReplicatedTable, update)
     }
   }
 
-  function handleStateRequest (message: IncomingMessage, response: ServerResponse): void {
-    const [path, query = ''] = message.url!.split('?', 2)
-    if (path !== statePath) {
-      response.writeHead(404).end()
-      return
-    }
-    const knownVersions = new URLSearchParams(query)
-    const ownState: PeerState = { instances: [options.getHeartbeat(), ...view.listLive(getNowMs()).map(peer => peer.heartbeat)], tables: {} }
-    for (const table of Object.values(ReplicatedTable)) {
-      const rows = state.getTable(table)
-      if (rows.getVersion() > Number(knownVersions.get(table) ?? 0)) ownState.tables[table] = { version: rows.getVersion(), rows: rows.list() }
-    }
-    const body = JSON.stringify(ownState)
-    response.writeHead(200, { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body) }).end(body)
+  function isAhead ({ heartbeat }: KnownPeer): boolean {
+    return Object.values(ReplicatedTable).some(table => (heartbeat.versions[table] ?? 0) > state.getTable(table).getAsOf())
+  }
+
+  function computeDistance ({ failureDomain, region }: PeerHeartbeat): number {
+    if (failureDomain === ownHeartbeat.failureDomain) return 0
+    return region === ownHeartbeat.region ? 1 : 2
+  }
+
+  function fetchFromPeer (): void {
+    const nowMs = getNowMs()
+    const ahead = view.listLive(nowMs).filter(isAhead).map(peer => peer.heartbeat)
+    const peersAhead = ahead.map(heartbeat => ({ instance: heartbeat.instance, distance: computeDistance(heartbeat) }))
+    const ownVersion = Object.values(ReplicatedTable).reduce((sum, table) => sum + state.getTable(table).getVersion(), 0)
+    const chosen = catchUp.choosePeer({ peersAhead, ownVersion, isStoreReachable: state.isStoreReachable(), nowMs })
+    if (chosen === undefined) return
+    const { peers } = ahead.find(heartbeat => heartbeat.instance === chosen)!
+    readState(peers, false).then(() => catchUp.recordEnd(true, getNowMs()), (error: Error) => {
+      log.warn('peer_call_failed', { peer: chosen, detail: error.message })
+      catchUp.recordEnd(false, getNowMs())
+    })
   }
 
-  socket.on('message', bytes => {
-    const heartbeat = parseHeartbeat(bytes.toString('utf8'))
-    if (heartbeat === undefined) log.warn('heartbeat_undecodable', { bytes: bytes.length })
-    else handleHeartbeat(heartbeat)
+  socket.on('message', (bytes, { address, port }) => {
+    const text = bytes.toString('utf8')
+    const pulse = parsePulse(text)
+    const heartbeat = pulse === undefined ? parseHeartbeat(text) : undefined
+    if (pulse !== undefined) handlePulse(pulse, { host: address, port })
+    else if (heartbeat !== undefined) handleHeartbeat(heartbeat)
+    else log.warn('heartbeat_undecodable', { bytes: bytes.length })
   })
   socket.on('error', error => log.warn('heartbeat_socket', { detail: error.message }))
   await openSocket(socket, ownHeartbeat.heartbeats)
-  const server = createServer(handleStateRequest)
+  const server = createServer(createStateHandler({
+    state,
+    listInstances: () => [options.getHeartbeat(), ...view.listLive(getNowMs()).map(peer => peer.heartbeat)],
+    countBytes: bytes => options.countBytes(PeerTraffic.State, bytes)
+  }))
   await listenOn(server, ownHeartbeat.peers)
-  const timer = setInterval(announce, options.intervalMs)
+  const timer = setInterval(sendPulses, options.intervalMs)
 
   return {
     announce,
+    catchUp: fetchFromPeer,
     async fetchFromSeeds () {
-      await Promise.all(options.seeds.filter(seed => seed.host !== ownHeartbeat.peers.host).map(seed => readState(seed).catch(error => log.info('seed_silent', { seed: `${seed.host}:${seed.port}`, detail: (error as Error).message }))))
+      await Promise.all(options.seeds.filter(seed => seed.host !== ownHeartbeat.peers.host).map(seed => readState(seed, true).catch(error => log.info('seed_silent', { seed: `${seed.host}:${seed.port}`, detail: (error as Error).message }))))
     },
     async [Symbol.asyncDispose] () {
       clearInterval(timer)
-      for (const pending of pullTimers) clearTimeout(pending)
       socket.close()
       server.closeAllConnections()
       server.close()
--- a/packages/bilberryd/src/edge/peer_view.ts
+++ b/packages/bilberryd/src/edge/peer_view.ts
@@ -5,14 +5,22 @@
  */
 import type { SocketAddress } from '@bilberryworks/steering'
 
-/** Heartbeat that an instance sends to its peers. */
-export interface PeerHeartbeat {
+/** The part of a heartbeat that changes during a run. */
+export interface PeerPulse {
   /** Name of the instance. */
   instance: string
   /** Start time of the process in Unix milliseconds, by which heartbeats of an earlier run are recognized. */
   startedAtMs: number
   /** Sequence number of the heartbeat, which increases within a run. */
   sequence: number
+  /** Whether the instance accepts new requests. */
+  isReady: boolean
+  /** Version of the latest known change, by replicated table. */
+  versions: Record<string, number>
+}
+
+/** Heartbeat with the addresses of the instance, sent at its start and whenever a peer asks for it. */
+export interface PeerHeartbeat extends PeerPulse {
   /** Failure domain of the instance. */
   failureDomain: string
   /** Region of the instance. */
@@ -23,10 +31,18 @@
   heartbeats: SocketAddress
   /** TCP address for calls of peers. */
   peers: SocketAddress
-  /** Whether the instance accepts new requests. */
-  isReady: boolean
-  /** Version of the latest known change, by replicated table. */
-  versions: Record<string, number>
+}
+
+/** How a pulse was received. */
+export enum PulseResult {
+  /** The sender's addresses in this run are not known. */
+  Unknown = 'unknown',
+  /** A later heartbeat of the sender was received before. */
+  Outdated = 'outdated',
+  /** The sender was live already. */
+  Live = 'live',
+  /** The pulse made the sender live. */
+  BecameLive = 'became_live'
 }
 
 /** A known peer. */
@@ -41,6 +57,8 @@
 export interface PeerView {
   /** Records a heartbeat received from the peer itself, ignoring outdated ones; returns whether it made the peer live. */
   recordHeartbeat (heartbeat: PeerHeartbeat, nowMs: number): boolean
+  /** Records a pulse received from the peer itself. */
+  recordPulse (pulse: PeerPulse, nowMs: number): PulseResult
   /** Records a peer reported by another instance or by the store, which does not make it live. */
   addReported (heartbeat: PeerHeartbeat, nowMs: number): void
   /** Lists the known peers, live or not, except for those that have been evicted. */
@@ -57,8 +75,8 @@
 export interface CreatePeerViewOptions {
   /** Name of this instance. */
   instance: string
-  /** Time without a heartbeat after which a peer is not live, in milliseconds. */
-  timeoutMs: number
+  /** Returns the time without a heartbeat after which a peer is not live, in milliseconds. */
+  getTimeoutMs: (heartbeat: PeerHeartbeat) => number
   /** Time without a heartbeat or newer report after which a peer is evicted, in milliseconds. */
   evictionMs: number
 }
@@ -72,18 +90,37 @@
 export function createPeerView (options: CreatePeerViewOptions): PeerView {
   const peers = new Map<string, KnownPeer & { updatedAtMs: number }>()
   let maxLiveInstances = 1
-  const isLive = (peer: KnownPeer, nowMs: number): boolean => nowMs - peer.lastHeartbeatAtMs < options.timeoutMs
-  const isNewer = (a: PeerHeartbeat, b: PeerHeartbeat): boolean => a.startedAtMs > b.startedAtMs || (a.startedAtMs === b.startedAtMs && a.sequence > b.sequence)
+  const isLive = (peer: KnownPeer, nowMs: number): boolean => nowMs - peer.lastHeartbeatAtMs < options.getTimeoutMs(peer.heartbeat)
+  const isNewer = (a: PeerPulse, b: PeerPulse): boolean => a.startedAtMs > b.startedAtMs || (a.startedAtMs === b.startedAtMs && a.sequence > b.sequence)
+
+  /** Returns whether a heartbeat is of a run that began with an earlier time of day than the known run, as after a clock was set back. */
+  function isLaterRun (heartbeat: PeerPulse, known: KnownPeer, nowMs: number): boolean {
+    return heartbeat.startedAtMs !== known.heartbeat.startedAtMs && !isLive(known, nowMs)
+  }
+
+  function recordLive (heartbeat: PeerHeartbeat, nowMs: number): boolean {
+    const known = peers.get(heartbeat.instance)
+    const wasLive = known !== undefined && isLive(known, nowMs)
+    peers.set(heartbeat.instance, { heartbeat, lastHeartbeatAtMs: nowMs, updatedAtMs: nowMs })
+    if (wasLive) return false
+    const live = [...peers.values()].filter(peer => isLive(peer, nowMs)).length + 1
+    maxLiveInstances = Math.max(maxLiveInstances, live)
+    return true
+  }
+
   return {
     recordHeartbeat (heartbeat, nowMs) {
       if (heartbeat.instance === options.instance) return false
       const known = peers.get(heartbeat.instance)
-      if (known !== undefined && known.lastHeartbeatAtMs > -Infinity && !isNewer(heartbeat, known.heartbeat)) return false
-      const wasLive = known !== undefined && isLive(known, nowMs)
-      peers.set(heartbeat.instance, { heartbeat, lastHeartbeatAtMs: nowMs, updatedAtMs: nowMs })
-      const live = [...peers.values()].filter(peer => isLive(peer, nowMs)).length + 1
-      maxLiveInstances = Math.max(maxLiveInstances, live)
-      return !wasLive
+      const isOutdated = known !== undefined && known.lastHeartbeatAtMs > -Infinity && !isNewer(heartbeat, known.heartbeat) && !isLaterRun(heartbeat, known, nowMs)
+      return isOutdated ? false : recordLive(heartbeat, nowMs)
+    },
+    recordPulse (pulse, nowMs) {
+      if (pulse.instance === options.instance) return PulseResult.Outdated
+      const known = peers.get(pulse.instance)
+      if (known === undefined || pulse.startedAtMs > known.heartbeat.startedAtMs || isLaterRun(pulse, known, nowMs)) return PulseResult.Unknown
+      if (!isNewer(pulse, known.heartbeat)) return PulseResult.Outdated
+      return recordLive({ ...known.heartbeat, ...pulse }, nowMs) ? PulseResult.BecameLive : PulseResult.Live
     },
     addReported (heartbeat, nowMs) {
       if (heartbeat.instance === options.instance) return
@@ -103,6 +140,31 @@
   }
 }
 
+/**
+ * Formats the pulse of a heartbeat for a datagram, without names of fields, since it is the most frequent message between
+ * instances.
+ *
+ * @param pulse The pulse, or a heartbeat that contains it
+ * @returns JSON text
+ */
+export function formatPulse ({ instance, startedAtMs, sequence, isReady, versions }: PeerPulse): string {
+  return JSON.stringify([instance, startedAtMs, sequence, isReady, versions])
+}
+
+/**
+ * Parses a pulse from a datagram.
+ *
+ * @param text JSON text
+ * @returns The pulse, or `undefined` if the text is not a valid one
+ */
+export function parsePulse (text: string): PeerPulse | undefined {
+  const value = parseJson(text)
+  if (!Array.isArray(value)) return undefined
+  const [instance, startedAtMs, sequence, isReady, versions] = value as [string, number, number, boolean, Record<string, number>]
+  const isValid = typeof instance === 'string' && typeof startedAtMs === 'number' && typeof sequence === 'number' && typeof isReady === 'boolean' && typeof versions === 'object' && versions !== null
+  return isValid ? { instance, startedAtMs, sequence, isReady, versions } : undefined
+}
+
 /**
  * Parses a heartbeat from a datagram or a row of the store.
  *
@@ -110,11 +172,16 @@
  * @returns The heartbeat, or `undefined` if the text is not a valid one
  */
 export function parseHeartbeat (text: string): PeerHeartbeat | undefined {
+  const value = parseJson(text) as PeerHeartbeat | undefined
+  const isValid = typeof value?.instance === 'string' && typeof value.heartbeats?.port === 'number' && typeof value.peers?.port === 'number' && typeof value.versions === 'object'
+  return isValid ? value : undefined
+}
+
+/** Parses JSON; `undefined` if the text is invalid, which is reported like any other invalid message. */
+function parseJson (text: string): unknown {
   try {
-    const value = JSON.parse(text) as PeerHeartbeat
-    return typeof value.instance === 'string' && typeof value.heartbeats?.port === 'number' && typeof value.versions === 'object' ? value : undefined
+    return JSON.parse(text)
   } catch {
-    // Invalid JSON is reported like any other invalid heartbeat.
     return undefined
   }
 }
--- a/packages/bilberryd/src/edge/peer_view_test.ts
+++ b/packages/bilberryd/src/edge/peer_view_test.ts
@@ -1,14 +1,14 @@
 import type { PeerHeartbeat } from './peer_view.ts'
 import test from 'ava'
 import { chooseAddresses } from './look_up_listener.ts'
-import { createPeerView } from './peer_view.ts'
+import { createPeerView, formatPulse, parsePulse, PulseResult } from './peer_view.ts'
 
 function createHeartbeat (instance: string, overrides: Partial<PeerHeartbeat> = {}): PeerHeartbeat {
   const address = { host: '10.0.0.1', port: 1 }
   return { instance, startedAtMs: 1, sequence: 1, failureDomain: 'a', region: 'r', callers: `${instance}:1`, heartbeats: address, peers: address, isReady: true, versions: {}, ...overrides }
 }
 
-const createView = (): ReturnType<typeof createPeerView> => createPeerView({ instance: 'own', timeoutMs: 3_000, evictionMs: 60_000 })
+const createView = (): ReturnType<typeof createPeerView> => createPeerView({ instance: 'own', getTimeoutMs: () => 3_000, evictionMs: 60_000 })
 
 test('lists a peer as live until its heartbeats time out', t => {
   const view = createView()
@@ -27,6 +27,38 @@
   t.is(view.listLive(3_500).length, 0)
 })
 
+test('accepts a run that began with an earlier time of day once the known run is silent', t => {
+  const view = createView()
+  view.recordHeartbeat(createHeartbeat('p', { startedAtMs: 1_000, sequence: 90 }), 0)
+  t.false(view.recordHeartbeat(createHeartbeat('p', { startedAtMs: 400 }), 2_999))
+  t.true(view.recordHeartbeat(createHeartbeat('p', { startedAtMs: 400 }), 3_000))
+  t.false(view.recordHeartbeat(createHeartbeat('p', { startedAtMs: 400, sequence: 2 }), 4_000))
+  t.is(view.listLive(6_500).length, 1)
+})
+
+test('asks for the addresses of a run of which only a pulse was received', t => {
+  const view = createView()
+  const pulse = parsePulse(formatPulse(createHeartbeat('p')))!
+  t.is(view.recordPulse(pulse, 0), PulseResult.Unknown)
+  view.recordHeartbeat(createHeartbeat('p'), 0)
+  t.is(view.recordPulse(pulse, 1), PulseResult.Outdated)
+  t.is(view.recordPulse({ ...pulse, sequence: 2, isReady: false }, 2_000), PulseResult.Live)
+  t.is(view.listLive(4_999)[0]?.heartbeat.isReady, false)
+  t.is(view.recordPulse({ ...pulse, sequence: 3 }, 5_000), PulseResult.BecameLive)
+  t.is(view.recordPulse({ ...pulse, startedAtMs: 2, sequence: 0 }, 6_000), PulseResult.Unknown)
+  t.is(view.recordPulse({ ...pulse, instance: 'own' }, 6_000), PulseResult.Outdated)
+})
+
+test('makes a peer live by its pulse after another instance has reported its addresses', t => {
+  const view = createView()
+  view.addReported(createHeartbeat('p'), 0)
+  t.is(view.recordPulse({ ...parsePulse(formatPulse(createHeartbeat('p')))!, sequence: 2 }, 10), PulseResult.BecameLive)
+})
+
+test('parses no pulse from other JSON', t => {
+  for (const text of ['', '{}', '[]', '["p",1,2]', '["p",1,2,true,null]', '[1,1,2,true,{}]', JSON.stringify(createHeartbeat('p'))]) t.is(parsePulse(text), undefined, text)
+})
+
 test('keeps peers live across a pause of this process', t => {
   const view = createView()
   view.recordHeartbeat(createHeartbeat('p'), 0)
--- a/packages/bilberryd/src/edge/run_entry.ts
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -6,8 +6,10 @@
  */
 import type { EntrySettings, SocketAddress } from '@bilberryworks/steering'
 import type { Server } from 'node:http'
+import type { StoreClient } from '@bilberryworks/users-platform'
 import type { EntryLog } from './entry_log.ts'
 import type { EntryMetrics } from './entry_metrics.ts'
+import type { EntryState } from './entry_state.ts'
 import type { PeerHeartbeat } from './peer_view.ts'
 import { createServer } from 'node:http'
 import { setTimeout as wait } from 'node:timers/promises'
@@ -33,10 +35,15 @@
   reload (settings: EntrySettings): void
 }
 
-/** Interval between heartbeats, in milliseconds: about a third of the peer time-out. */
+/** Interval between heartbeats to a peer in the same region, in milliseconds: about a third of the peer time-out. */
 const heartbeatIntervalMs = 1_000
-/** Time without a heartbeat after which a peer is not live, in milliseconds: three consecutive lost heartbeats, each loss being rare. */
+/** Interval between heartbeats to a peer in another region, as a multiple of the interval within a region: fewer bytes between regions, and a dead peer is still noticed before look-ups must no longer name it. */
+const remoteHeartbeatIntervals = 2
+/** Time without a heartbeat after which a peer is not live, in milliseconds: three consecutive lost heartbeats within a region, two between regions, each loss being rare. */
 const peerTimeoutMs = 3_300
+const remotePeerTimeoutMs = 5_200
+/** Time for which an instance that the store responds to must have been behind a peer before it fetches from it, as a multiple of the pause between long polls of target changes: the store has then failed to deliver the changes. */
+const catchUpPauses = 2
 /** Time after which a silent peer is evicted, in milliseconds; after a longer partition the instances find each other again through the store at the next start. */
 const peerEvictionMs = 120_000
 /** Interval of periodic maintenance, in milliseconds. */
@@ -47,6 +54,7 @@
 const connectTimeoutMs = 600
 /** Difference between `stableMs + drainMs` and the duration of a long poll of the store, in milliseconds: enough to detect a dead connection and to get a response on a new one before that sum has elapsed. */
 const longPollMarginMs = 2_000
+const minLongPollMs = 1_000
 /** Delay of the next long poll after a response with target changes, as a share of `drainMs`, the time within which all instances must stop sending to a leaving target. */
 const targetPauseShare = 0.15
 /** Share of the grace period for which a stopping instance accepts new requests: callers switch to other instances during this time, and the last requests have the rest of the period to complete. */
@@ -82,7 +90,7 @@
       [EntryGauge.DroppedLines]: () => log.countDropped()
     }
   })
-  const view = createPeerView({ instance: settings.instance, timeoutMs: peerTimeoutMs, evictionMs: peerEvictionMs })
+  const view = createPeerView({ instance: settings.instance, evictionMs: peerEvictionMs, getTimeoutMs: heartbeat => heartbeat.region === settings.region ? peerTimeoutMs : remotePeerTimeoutMs })
   const state = createEntryState({ regions: settings.regions, log, getNowMs, countUndecodable: metrics.countUndecodable, onChange: handleChange })
   const pool = cleanup.add(createTargetPool({ connectTimeoutMs, onMismatchedResponse: metrics.countMismatchedResponse }))
   const dispatcher = createDispatcher({
@@ -129,26 +137,23 @@
   for (const server of [callers, lookUps, readiness]) cleanup.add(createServerDisposer(server))
   if (options.metricsPort !== undefined) cleanup.add(createServerDisposer(await openMetricsListener(metrics, { host: settings.listen.callers.host, port: options.metricsPort })))
 
-  const link = cleanup.add(await startPeerLink({ getHeartbeat, view, state, seeds: settings.seeds, intervalMs: heartbeatIntervalMs, log, getNowMs }))
-  const store = cleanup.add(createStoreClient(settings.store))
   const { bounds } = settings
-  const waitMs = Math.max(1_000, Math.round(bounds.stableMs + bounds.drainMs - longPollMarginMs))
-  const tables = [
-    { table: operatorTable, replicated: ReplicatedTable.Operator, pauseMs: 0 },
-    { table: targetTable, replicated: ReplicatedTable.Targets, pauseMs: Math.round(bounds.drainMs * targetPauseShare) }
-  ]
-  for (const { table, replicated, pauseMs } of tables) {
-    cleanup.add(startTableReplication({
-      store,
-      table,
-      waitMs,
-      pauseMs,
-      getRandom,
-      onContact: state.recordContact,
-      onSnapshot: (rows, version) => state.applySnapshot(replicated, rows, version),
-      onChanges: changes => state.applyChanges(replicated, changes)
-    }))
-  }
+  const targetPauseMs = Math.round(bounds.drainMs * targetPauseShare)
+  const link = cleanup.add(await startPeerLink({
+    getHeartbeat,
+    view,
+    state,
+    seeds: settings.seeds,
+    intervalMs: heartbeatIntervalMs,
+    remoteIntervals: remoteHeartbeatIntervals,
+    storeDelayMs: targetPauseMs * catchUpPauses,
+    countBytes: metrics.countPeerBytes,
+    log,
+    getNowMs,
+    getRandom
+  }))
+  const store = cleanup.add(createStoreClient(settings.store))
+  for (const replication of startReplications({ store, state, bounds, targetPauseMs, getRandom })) cleanup.add(replication)
   const discovery = createPeerDiscovery({ store, view, log })
   discovery.join(getHeartbeat()).then(() => link.announce()).catch((error: Error) => log.warn('join_failed', { detail: error.message }))
   link.fetchFromSeeds().then(() => link.announce()).catch((error: Error) => log.warn('seeds_failed', { detail: error.message }))
@@ -161,9 +166,11 @@
       view.discountPause(nowMs - lastMaintenanceMs)
     }
     lastMaintenanceMs = nowMs
+    state.targets.observeTime(nowMs)
     pool.closeExpired(nowMs)
     state.removeExpired(nowMs)
     dispatcher.retryUnreachable()
+    link.catchUp()
   }, maintenanceIntervalMs)
   cleanup.add({ async [Symbol.asyncDispose] () { clearInterval(maintenanceTimer) } })
   log.info('started', { failureDomain: settings.failureDomain, region: settings.region, callers: getHeartbeat().callers, cpuMs: Math.round(process.cpuUsage().user / 1_000 + process.cpuUsage().system / 1_000) })
@@ -192,6 +199,34 @@
   }
 }
 
+/** Options of {@linkcode startReplications}. */
+interface StartReplicationsOptions {
+  store: StoreClient
+  state: EntryState
+  bounds: EntrySettings['bounds']
+  /** Pause after a response with target changes, in milliseconds. */
+  targetPauseMs: number
+  getRandom: () => number
+}
+
+/** Starts the replication of all tables. */
+function startReplications ({ store, state, bounds, targetPauseMs, getRandom }: StartReplicationsOptions): AsyncDisposable[] {
+  const waitMs = Math.max(minLongPollMs, Math.round(bounds.stableMs + bounds.drainMs - longPollMarginMs))
+  const tables = [
+    { table: operatorTable, replicated: ReplicatedTable.Operator, pauseMs: 0 },
+    { table: targetTable, replicated: ReplicatedTable.Targets, pauseMs: targetPauseMs }
+  ]
+  return tables.map(({ table, replicated, pauseMs }) => startTableReplication({
+    store,
+    table,
+    waitMs,
+    pauseMs,
+    getRandom,
+    onContact: state.recordContact,
+    onUpdate: update => state.applyUpdate(replicated, update)
+  }))
+}
+
 async function openMetricsListener (metrics: EntryMetrics, address: SocketAddress): Promise<Server> {
   const server = createServer((_, response) => {
     metrics.registry.metrics().then(text => response.writeHead(200, { 'Content-Type': metrics.registry.contentType }).end(text)).catch((error: Error) => response.writeHead(500).end(error.message))
--- a/packages/bilberryd/src/edge/table_replication.ts
+++ b/packages/bilberryd/src/edge/table_replication.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import type { StoreClient, StoreRow } from '@bilberryworks/users-platform'
-import type { VersionedRow, RowChange } from './table_replica.ts'
+import type { StoreClient } from '@bilberryworks/users-platform'
+import type { TableUpdate } from './table_replica.ts'
 import { setTimeout } from 'node:timers/promises'
 import { StoreFailureKind } from '@bilberryworks/users-platform'
 
@@ -18,10 +18,8 @@
   waitMs: number
   /** Delay after a response with changes, in milliseconds, so that further changes are returned by a single call. */
   pauseMs: number
-  /** Called with a snapshot of the table and its version. */
-  onSnapshot: (rows: VersionedRow[], version: number) => void
-  /** Called with changes. */
-  onChanges: (changes: RowChange[]) => void
+  /** Called with the snapshot of the table, and then with the result of each long poll, which may be empty. */
+  onUpdate: (update: TableUpdate) => void
   /** Called after each call to the store, with a description of the failure, or `undefined` if the store responded. */
   onContact: (failure: string | undefined) => void
   /** Returns a random number in [0, 1). */
@@ -76,18 +74,11 @@
     failures = 0
     options.onContact(undefined)
     version = reply.value.version
-    if (after === undefined) options.onSnapshot(reply.value.rows.filter(hasText), version)
-    else if (reply.value.rows.length > 0) {
-      options.onChanges(reply.value.rows)
-      await waitUnlessAborted(signal, options.pauseMs)
-    }
+    options.onUpdate({ asOf: version, isSnapshot: after === undefined, changes: reply.value.rows })
+    if (after !== undefined && reply.value.rows.length > 0) await waitUnlessAborted(signal, options.pauseMs)
   }
 }
 
-function hasText (row: StoreRow): row is VersionedRow {
-  return row.text !== undefined
-}
-
 async function waitUnlessAborted (signal: AbortSignal, durationMs: number): Promise<void> {
   // The wait rejects only if it is aborted, which the loop in watchTable checks.
   await setTimeout(durationMs, undefined, { signal }).catch(() => undefined)
--- a/packages/steering/src/mod.ts
+++ b/packages/steering/src/mod.ts
@@ -14,6 +14,7 @@
 export * from './admission.ts'
 export * from './byte_budget.ts'
 export * from './check_document.ts'
+export * from './catch_up.ts'
 export * from './circuit.ts'
 export * from './cleanup_stack.ts'
 export * from './client_address.ts'
