Choose targets in the callers' region only where that has twenty or more

Change: below 20 targets in the own region (10 once chosen) targets are chosen in all regions alike, as before.

--- a/packages/bilberryd/src/edge/dispatcher.ts
+++ b/packages/bilberryd/src/edge/dispatcher.ts
@@ -54,8 +54,8 @@
   metrics: EntryMetrics
   /** Returns the names of the live instances, including this one. */
   listInstances: () => string[]
-  /** Returns the share of the objects of callers in this instance's region that targets in the region serve. */
-  getRegionShare: (service: string) => number
+  /** Returns the share of the objects of callers in this instance's region that targets in the region serve; `undefined` if targets are to be chosen in all regions alike. */
+  getRegionShare: (service: string) => number | undefined
   /** Returns the largest number of instances seen live at the same time, including this one. */
   getMaxLiveInstances: () => number
   /** Returns monotonic time, in milliseconds. */
--- a/packages/bilberryd/src/edge/region_shares.ts
+++ b/packages/bilberryd/src/edge/region_shares.ts
@@ -11,8 +11,8 @@
 
 /** Demand and region shares of an instance. */
 export interface RegionShares {
-  /** Returns the share of the objects of callers in this instance's region that targets in the region serve. */
-  getShare (service: string): number
+  /** Returns the share of the objects of callers in this instance's region that targets in the region serve; `undefined` if targets are to be chosen in all regions alike. */
+  getShare (service: string): number | undefined
   /** Returns the smoothed demand of this instance by service, in slots. */
   getDemand (): Record<string, number>
   /** Measures the demand and advances the shares; to be called at short intervals. */
@@ -50,11 +50,13 @@
   let advancedAtMs: number | undefined
 
   function listRooms (service: string, peers: PeerHeartbeat[], nowMs: number): Map<string, RegionRoom> {
-    const rooms = new Map<string, RegionRoom>([...regionNames].map(name => [name, { slots: 0, demand: 0 }]))
+    const rooms = new Map<string, RegionRoom>([...regionNames].map(name => [name, { targets: 0, slots: 0, demand: 0 }]))
     for (const entry of state.targets.list(service)) {
       const room = rooms.get(entry.region)
       const isAvailable = !entry.target.leaving && !state.isEvacuated(entry.target.failureDomain) && isTargetUsable(entry, nowMs)
-      if (room !== undefined && isAvailable) room.slots += entry.target.slots
+      if (room === undefined || !isAvailable) continue
+      room.targets++
+      room.slots += entry.target.slots
     }
     rooms.get(region)!.demand += demand.get(service) ?? 0
     for (const peer of peers) {
@@ -65,7 +67,7 @@
   }
 
   return {
-    getShare: service => shares.get(service)?.get() ?? 1,
+    getShare: service => shares.get(service)?.get(),
     getDemand: () => Object.fromEntries([...demand].map(([service, slots]) => [service, Math.round(slots * stepsPerSlot) / stepsPerSlot])),
     advance (nowMs) {
       const weight = advancedAtMs === undefined ? 0 : 1 - Math.exp((advancedAtMs - nowMs) / smoothingMs)
--- a/packages/bilberryd/src/edge/target_selector.ts
+++ b/packages/bilberryd/src/edge/target_selector.ts
@@ -25,8 +25,8 @@
   state: EntryState
   /** Returns the names of the live instances, including this one. */
   listInstances: () => string[]
-  /** Returns the share of the objects of callers in this instance's region that targets in the region serve. */
-  getRegionShare: (service: string) => number
+  /** Returns the share of the objects of callers in this instance's region that targets in the region serve; `undefined` if targets are to be chosen in all regions alike. */
+  getRegionShare: (service: string) => number | undefined
   /** Returns monotonic time, in milliseconds. */
   getNowMs: () => number
 }
@@ -56,13 +56,15 @@
       rankings.clear()
       rankingsRevision = state.getRevision()
     }
-    const isOwnFirst = isServedInRegion(request.objectKey ?? '', options.getRegionShare(request.service))
-    const key = `${request.service}\u0000${request.homeRegions.join(',')}\u0000${isOwnFirst ? 'own' : 'other'}\u0000${request.objectKey ?? ''}`
+    const share = options.getRegionShare(request.service)
+    const isOwnFirst = share === undefined ? undefined : isServedInRegion(request.objectKey ?? '', share)
+    const key = `${request.service}\u0000${request.homeRegions.join(',')}\u0000${isOwnFirst}\u0000${request.objectKey ?? ''}`
     let ranked = rankings.get(key)
     if (ranked === undefined) {
       const { homeRegions } = request
       const available = listAvailable(request.service).filter(({ region }) => homeRegions.length === 0 || homeRegions.includes(region))
-      ranked = rankByRegion(rankTargets(request.objectKey ?? '', available), { region: settings.region, isOwnFirst })
+      ranked = rankTargets(request.objectKey ?? '', available)
+      if (isOwnFirst !== undefined) ranked = rankByRegion(ranked, { region: settings.region, isOwnFirst })
       rankings.set(key, ranked)
     }
     return ranked
--- a/packages/standins/src/emulator/emulated_instance.ts
+++ b/packages/standins/src/emulator/emulated_instance.ts
@@ -56,7 +56,7 @@
   /** Policy that selects the targets. */
   policy: TargetSelectionPolicy
   /** Returns the share of the objects of callers in the region that targets in the region serve. */
-  getRegionShare: () => number
+  getRegionShare: () => number | undefined
   /** Virtual clock of the simulation. */
   clock: VirtualClock
   /** Returns a random number in [0, 1). */
@@ -101,7 +101,8 @@
   function getRankedTargets (objectKey: string): RegisteredTarget[] {
     const ranked = rankedTargetsByObject.get(objectKey) ?? rankTargets(objectKey, registry.list(service))
     rankedTargetsByObject.set(objectKey, ranked)
-    return policy.prefersOwnRegion ? rankByRegion(ranked, { region: options.region, isOwnFirst: isServedInRegion(objectKey, options.getRegionShare()) }) : ranked
+    const share = policy.prefersOwnRegion ? options.getRegionShare() : undefined
+    return share === undefined ? ranked : rankByRegion(ranked, { region: options.region, isOwnFirst: isServedInRegion(objectKey, share) })
   }
 
   function computeRetryAfterMs (): number {
--- a/packages/standins/src/emulator/simulate_site.ts
+++ b/packages/standins/src/emulator/simulate_site.ts
@@ -95,7 +95,7 @@
       const requests = instances.filter((_, index) => index % regions.length === regionIndex).reduce((sum, instance) => sum + instance.countRequests(), 0)
       const before = demandByRegion.get(region)!
       demandByRegion.set(region, before + (requests - before) * heartbeatIntervalMs / demandSmoothingMs)
-      rooms.set(region, { slots: site.targetsByRegion[region]! * site.slots, demand: demandByRegion.get(region)! })
+      rooms.set(region, { targets: site.targetsByRegion[region]!, slots: site.targetsByRegion[region]! * site.slots, demand: demandByRegion.get(region)! })
     }
     for (const share of regionShares.values()) share.advance(rooms, clock.getNowMs())
     if (clock.getNowMs() < load.durationSeconds * msPerSecond) clock.schedule(heartbeatIntervalMs, advanceRegionShares)
--- a/packages/steering/src/region_share.ts
+++ b/packages/steering/src/region_share.ts
@@ -10,8 +10,10 @@
 import type { RegisteredTarget } from './target_registry.ts'
 import { computeHash } from './rendezvous.ts'
 
-/** Slots and demand of a region for one service. */
+/** Targets and demand of a region for one service. */
 export interface RegionRoom {
+  /** Number of usable targets in the region. */
+  targets: number
   /** Slots of the usable targets in the region. */
   slots: number
   /** Slots that the requests of callers in the region take or wait for, wherever they are served. */
@@ -20,14 +22,17 @@
 
 /** The share of one region and service. */
 export interface RegionShare {
-  /** Returns the share of the objects of callers in the region that targets in the region serve. */
-  get (): number
+  /** Returns the share of the objects of callers in the region that targets in the region serve; `undefined` if targets are to be chosen in all regions alike. */
+  get (): number | undefined
   /** Moves the share toward the one that the room allows. */
   advance (rooms: ReadonlyMap<string, RegionRoom>, nowMs: number): void
 }
 
 /** Part of a region's slots up to which it serves all objects of its callers, also while other regions are less loaded; the rest is for bursts and cold objects. */
 const ownUse = 0.5
+/** Number of targets from which a region serves objects of its callers by itself, and number below which it no longer does: objects load a smaller number of targets too unevenly. */
+const minTargets = 20
+const minTargetsOnceChosen = 10
 /** Difference from the share that the room allows up to which the share stays. */
 const minChange = 0.1
 /** Maximum change of the share per second; well below what a site may move between regions within 2 s. */
@@ -57,7 +62,7 @@
 }
 
 /**
- * Creates the share of a region, which begins with what its part of the slots allows.
+ * Creates the share of a region. It begins with what the region's part of the slots allows, once the region has enough targets.
  *
  * @param region The region
  * @returns The share
@@ -67,11 +72,16 @@
   let advancedAtMs = 0
   let isMoving = false
   return {
-    get: () => share ?? 1,
+    get: () => share,
     advance (rooms, nowMs) {
       const wanted = computeRegionShare(region, rooms)
+      const targets = rooms.get(region)?.targets ?? 0
       const maxChange = maxChangePerSecond * (nowMs - advancedAtMs) / msPerSecond
       advancedAtMs = nowMs
+      if (targets < (share === undefined ? minTargets : minTargetsOnceChosen)) {
+        share = undefined
+        return
+      }
       if (share === undefined) {
         share = wanted
         return
