--- a/packages/bilberryd/src/edge/peer_link.ts
+++ b/packages/bilberryd/src/edge/peer_link.ts
@@ -8,14 +8,14 @@
 import type { SocketAddress } from '@bilberryworks/steering'
 import type { EntryLog } from './entry_log.ts'
 import type { EntryState } from './entry_state.ts'
-import type { KnownPeer, PeerHeartbeat, PeerPulse, PeerView } from './peer_view.ts'
+import type { KnownPeer, PeerHeartbeat, HeartbeatUpdate, PeerView } from './peer_view.ts'
 import { createSocket } from 'node:dgram'
 import { createServer } from 'node:http'
 import { createCatchUp } from '@bilberryworks/steering'
 import { ReplicatedTable } from './entry_state.ts'
 import { PeerTraffic } from './entry_metrics.ts'
 import { createStateHandler, fetchPeerState } from './peer_state.ts'
-import { formatPulse, parseHeartbeat, parsePulse, PulseResult } from './peer_view.ts'
+import { formatUpdate, parseHeartbeat, parseUpdate, UpdateResult } from './peer_view.ts'
 
 /** Options of {@linkcode startPeerLink}. */
 export interface StartPeerLinkOptions {
@@ -88,8 +88,8 @@
     for (const { heartbeat } of view.listKnown()) sendText(text, heartbeat.heartbeats)
   }
 
-  function sendPulses (): void {
-    const text = formatPulse(options.getHeartbeat())
+  function sendUpdates (): void {
+    const text = formatUpdate(options.getHeartbeat())
     const isRemoteRound = round++ % options.remoteIntervals === 0
     for (const { heartbeat } of view.listKnown()) if (isRemoteRound || heartbeat.region === ownHeartbeat.region) sendText(text, heartbeat.heartbeats)
   }
@@ -105,11 +105,11 @@
     if (hasBecomeLive || heartbeat.asksForHeartbeat === true) sendText(JSON.stringify(options.getHeartbeat()), heartbeat.heartbeats)
   }
 
-  function handlePulse (pulse: PeerPulse, from: SocketAddress): void {
-    const result = view.recordPulse(pulse, getNowMs())
-    if (result === PulseResult.BecameLive) recordLive(pulse.instance, pulse.startedAtMs)
+  function handleUpdate (update: HeartbeatUpdate, from: SocketAddress): void {
+    const result = view.recordUpdate(update, getNowMs())
+    if (result === UpdateResult.BecameLive) recordLive(update.instance, update.startedAtMs)
     const message: HeartbeatMessage = { ...options.getHeartbeat(), asksForHeartbeat: true }
-    if (result === PulseResult.Unknown) sendText(JSON.stringify(message), from)
+    if (result === UpdateResult.Unknown) sendText(JSON.stringify(message), from)
   }
 
   async function readState (address: SocketAddress, withInstances: boolean): Promise<void> {
@@ -146,9 +146,9 @@
 
   socket.on('message', (bytes, { address, port }) => {
     const text = bytes.toString('utf8')
-    const pulse = parsePulse(text)
-    const heartbeat = pulse === undefined ? parseHeartbeat(text) : undefined
-    if (pulse !== undefined) handlePulse(pulse, { host: address, port })
+    const update = parseUpdate(text)
+    const heartbeat = update === undefined ? parseHeartbeat(text) : undefined
+    if (update !== undefined) handleUpdate(update, { host: address, port })
     else if (heartbeat !== undefined) handleHeartbeat(heartbeat)
     else log.warn('heartbeat_undecodable', { bytes: bytes.length })
   })
@@ -160,7 +160,7 @@
     countBytes: bytes => options.countBytes(PeerTraffic.State, bytes)
   }))
   await listenOn(server, ownHeartbeat.peers)
-  const timer = setInterval(sendPulses, options.intervalMs)
+  const timer = setInterval(sendUpdates, options.intervalMs)
 
   return {
     announce,
--- a/packages/bilberryd/src/edge/peer_view.ts
+++ b/packages/bilberryd/src/edge/peer_view.ts
@@ -6,7 +6,7 @@
 import type { SocketAddress } from '@bilberryworks/steering'
 
 /** The part of a heartbeat that changes during a run. */
-export interface PeerPulse {
+export interface HeartbeatUpdate {
   /** Name of the instance. */
   instance: string
   /** Start time of the process in Unix milliseconds, by which heartbeats of an earlier run are recognized. */
@@ -22,7 +22,7 @@
 }
 
 /** Heartbeat with the addresses of the instance, sent at its start and whenever a peer asks for it. */
-export interface PeerHeartbeat extends PeerPulse {
+export interface PeerHeartbeat extends HeartbeatUpdate {
   /** Failure domain of the instance. */
   failureDomain: string
   /** Region of the instance. */
@@ -35,15 +35,15 @@
   peers: SocketAddress
 }
 
-/** How a pulse was received. */
-export enum PulseResult {
+/** How an update was received. */
+export enum UpdateResult {
   /** The sender's addresses in this run are not known. */
   Unknown = 'unknown',
   /** A later heartbeat of the sender was received before. */
   Outdated = 'outdated',
   /** The sender was live already. */
   Live = 'live',
-  /** The pulse made the sender live. */
+  /** The update made the sender live. */
   BecameLive = 'became_live'
 }
 
@@ -59,8 +59,8 @@
 export interface PeerView {
   /** Records a heartbeat received from the peer itself, ignoring outdated ones; returns whether it made the peer live. */
   recordHeartbeat (heartbeat: PeerHeartbeat, nowMs: number): boolean
-  /** Records a pulse received from the peer itself. */
-  recordPulse (pulse: PeerPulse, nowMs: number): PulseResult
+  /** Records an update received from the peer itself. */
+  recordUpdate (update: HeartbeatUpdate, nowMs: number): UpdateResult
   /** Records a peer reported by another instance or by the store, which does not make it live. */
   addReported (heartbeat: PeerHeartbeat, nowMs: number): void
   /** Lists the known peers, live or not, except for those that have been evicted. */
@@ -93,10 +93,10 @@
   const peers = new Map<string, KnownPeer & { updatedAtMs: number }>()
   let maxLiveInstances = 1
   const isLive = (peer: KnownPeer, nowMs: number): boolean => nowMs - peer.lastHeartbeatAtMs < options.getTimeoutMs(peer.heartbeat)
-  const isNewer = (a: PeerPulse, b: PeerPulse): boolean => a.startedAtMs > b.startedAtMs || (a.startedAtMs === b.startedAtMs && a.sequence > b.sequence)
+  const isNewer = (a: HeartbeatUpdate, b: HeartbeatUpdate): boolean => a.startedAtMs > b.startedAtMs || (a.startedAtMs === b.startedAtMs && a.sequence > b.sequence)
 
   /** Returns whether a heartbeat is of a run that began with an earlier time of day than the known run, as after a clock was set back. */
-  function isLaterRun (heartbeat: PeerPulse, known: KnownPeer, nowMs: number): boolean {
+  function isLaterRun (heartbeat: HeartbeatUpdate, known: KnownPeer, nowMs: number): boolean {
     return heartbeat.startedAtMs !== known.heartbeat.startedAtMs && !isLive(known, nowMs)
   }
 
@@ -117,12 +117,12 @@
       const isOutdated = known !== undefined && known.lastHeartbeatAtMs > -Infinity && !isNewer(heartbeat, known.heartbeat) && !isLaterRun(heartbeat, known, nowMs)
       return isOutdated ? false : recordLive(heartbeat, nowMs)
     },
-    recordPulse (pulse, nowMs) {
-      if (pulse.instance === options.instance) return PulseResult.Outdated
-      const known = peers.get(pulse.instance)
-      if (known === undefined || pulse.startedAtMs > known.heartbeat.startedAtMs || isLaterRun(pulse, known, nowMs)) return PulseResult.Unknown
-      if (!isNewer(pulse, known.heartbeat)) return PulseResult.Outdated
-      return recordLive({ ...known.heartbeat, ...pulse }, nowMs) ? PulseResult.BecameLive : PulseResult.Live
+    recordUpdate (update, nowMs) {
+      if (update.instance === options.instance) return UpdateResult.Outdated
+      const known = peers.get(update.instance)
+      if (known === undefined || update.startedAtMs > known.heartbeat.startedAtMs || isLaterRun(update, known, nowMs)) return UpdateResult.Unknown
+      if (!isNewer(update, known.heartbeat)) return UpdateResult.Outdated
+      return recordLive({ ...known.heartbeat, ...update }, nowMs) ? UpdateResult.BecameLive : UpdateResult.Live
     },
     addReported (heartbeat, nowMs) {
       if (heartbeat.instance === options.instance) return
@@ -143,23 +143,23 @@
 }
 
 /**
- * Formats the pulse of a heartbeat for a datagram, without names of fields, since it is the most frequent message between
+ * Formats an update for a datagram, without names of fields, since it is the most frequent message between
  * instances.
  *
- * @param pulse The pulse, or a heartbeat that contains it
+ * @param update The update, or a heartbeat that contains it
  * @returns JSON text
  */
-export function formatPulse ({ instance, startedAtMs, sequence, isReady, versions, demand }: PeerPulse): string {
+export function formatUpdate ({ instance, startedAtMs, sequence, isReady, versions, demand }: HeartbeatUpdate): string {
   return JSON.stringify([instance, startedAtMs, sequence, isReady, versions, demand])
 }
 
 /**
- * Parses a pulse from a datagram.
+ * Parses an update from a datagram.
  *
  * @param text JSON text
- * @returns The pulse, or `undefined` if the text is not a valid one
+ * @returns The update, or `undefined` if the text is not a valid one
  */
-export function parsePulse (text: string): PeerPulse | undefined {
+export function parseUpdate (text: string): HeartbeatUpdate | undefined {
   const value = parseJson(text)
   if (!Array.isArray(value)) return undefined
   const [instance, startedAtMs, sequence, isReady, versions, demand] = value as [string, number, number, boolean, Record<string, number>, Record<string, number>]
--- a/packages/bilberryd/src/edge/run_entry.ts
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -57,7 +57,7 @@
 const longPollMarginMs = 2_000
 const minLongPollMs = 1_000
 /** Delay of the next long poll after a response with target changes, as a share of `drainMs`, the time within which all instances must stop sending to a leaving target. */
-const targetPauseShare = 0.15
+const targetPauseShare = 0.3
 /** Share of the grace period for which a stopping instance accepts new requests: callers switch to other instances during this time, and the last requests have the rest of the period to complete. */
 const acceptShare = 0.42
 /** Share of the grace period, counted from its start, for which a stopping instance waits for requests in flight. */
--- a/packages/standins/src/large_upload.ts
+++ b/packages/standins/src/large_upload.ts
@@ -24,6 +24,8 @@
 export interface LargeUploadResult {
   /** Value of `Bilberry-Outcome` in the response. */
   outcome: string
+  /** Value of `Bilberry-Reason` in the response; `undefined` unless the upload was refused. */
+  reason: string | undefined
   /** Whether the SHA-256 digest that the target computed is that of the bytes sent. */
   same: boolean
 }
@@ -52,5 +54,5 @@
     body: Readable.from(listChunks(), { objectMode: false })
   })
   const text = await response.body.text()
-  return { outcome: String(response.headers['bilberry-outcome']), same: text.includes(digest.digest('hex')) }
+  return { outcome: String(response.headers['bilberry-outcome']), reason: response.headers['bilberry-reason'] as string | undefined, same: text.includes(digest.digest('hex')) }
 }
