--- a/packages/bilberryd/src/edge/peer_view_test.ts
+++ b/packages/bilberryd/src/edge/peer_view_test.ts
@@ -36,7 +36,7 @@
   t.is(view.listLive(6_500).length, 1)
 })
 
-test('asks for the addresses of a run of which only a update was received', t => {
+test('asks for the addresses of a run of which only an update was received', t => {
   const view = createView()
   const update = parseUpdate(formatUpdate(createHeartbeat('p')))!
   t.is(view.recordUpdate(update, 0), UpdateResult.Unknown)
