Rename four files after what they hold

feeder_choice to owner_choice, share_sequence to weighted_round_robin, target_words to target_self_reports, exchange_end to exchange_results, with their tests and the pages that name them. Cause: the names were left from an earlier language of the project. Moves and names only; the build and the linter pass, no other line changes.

--- a/packages/bilberryd/src/edge/dispatcher.ts
+++ b/packages/bilberryd/src/edge/dispatcher.ts
@@ -13,7 +13,7 @@
 import { AttemptPhase } from './attempt.ts'
 import { createAttemptFinisher } from './attempt_finisher.ts'
 import { RequestStage } from './entry_metrics.ts'
-import { createExchangeResultHandler, minTimeLeftMs } from './exchange_end.ts'
+import { createExchangeResultHandler, minTimeLeftMs } from './exchange_results.ts'
 import { createTargetSelector } from './target_selector.ts'
 import { ExchangeResult, sendAttempt } from './send_attempt.ts'
 import { createActiveExchanges } from './active_exchanges.ts'
--- a/packages/steering/src/membership_test.ts
+++ b/packages/steering/src/membership_test.ts
@@ -1,8 +1,8 @@
-import type { TargetSelfReport } from './target_words.ts'
+import type { TargetSelfReport } from './target_self_reports.ts'
 import test from 'ava'
 import fc from 'fast-check'
 import { checkOwnName, compareAnnouncements, OwnNameDecision } from './membership.ts'
-import { mergeTargetSelfReports, recordTargetSelfReport } from './target_words.ts'
+import { mergeTargetSelfReports, recordTargetSelfReport } from './target_self_reports.ts'
 
 const seed = Number(process.env['FC_SEED'] ?? 4)
 const announcement = fc.record({ incarnation: fc.constantFrom('x', 'y', 'z'), start: fc.nat(2), sequence: fc.nat(2) })
--- a/packages/steering/src/feeder_choice_test.ts
+++ b/packages/steering/src/owner_choice_test.ts
@@ -1,9 +1,9 @@
-import type { OwnerState, RankOwners } from './feeder_choice.ts'
+import type { OwnerState, RankOwners } from './owner_choice.ts'
 import test from 'ava'
 import {
   computeOwnerLoad, rankOwnersAtRandom, rankOwnersByCaller, rankOwnersByLoad, rankOwnersByTwoChoices, rankOwnersLocalFirst,
   ownerReportLifetimeMs
-} from './feeder_choice.ts'
+} from './owner_choice.ts'
 
 const owner: OwnerState = {
   instance: 'a', slots: 10, forwardedInFlight: 0, reportedLoad: undefined, reportAgeMs: 0, isLocal: false, isInSameFailureDomain: false
--- a/packages/steering/src/share_sequence_test.ts
+++ b/packages/steering/src/weighted_round_robin_test.ts
@@ -2,7 +2,7 @@
 import test from 'ava'
 import fc from 'fast-check'
 import { RouteKind } from './routing.ts'
-import { createWeightedRoundRobin } from './share_sequence.ts'
+import { createWeightedRoundRobin } from './weighted_round_robin.ts'
 
 const seed = 20261203
 
