Check the fleet retry budget at 77 and 300 instances with restarts

Cause: the property covered 7 instances that never restart. Change: the same bound with 77 and 300 instances, each of which restarts at most once, some never (cut off). Left aside: a restarted instance counts itself alone for the fraction of a second before its peers have replied, and then has the whole slack; the bound holds in the test since its count is the fleet's.

--- a/packages/steering/src/fleet_retry_budget_test.ts
+++ b/packages/steering/src/fleet_retry_budget_test.ts
@@ -44,3 +44,36 @@
   t.true(budget.take(5_000))
   t.false(budget.take(12_000))
 })
+
+for (const instances of [77, 300]) {
+  test(`keeps the retries of ${instances} instances within the budget while each restarts once and some are cut off from the others`, t => {
+    t.log(`seed ${seed}`)
+    const fleetSlack = 430
+    const event = fc.record({ instance: fc.nat(instances - 1), gapMs: fc.integer({ min: 0, max: 6 }), kind: fc.constantFrom('request', 'retry', 'retry', 'restart') })
+    t.notThrows(() => fc.assert(fc.property(fc.array(event, { minLength: 1_000, maxLength: 4_000 }), fc.nat({ max: 20 }), (events, cutOff) => {
+      // An instance that is cut off keeps the largest number of instances that it has seen.
+      const createBudget = (): ReturnType<typeof createFleetRetryBudget> => createFleetRetryBudget({ ratio, slack: fleetSlack, windowMs, getInstanceCount: () => instances })
+      const budgets = Array.from({ length: instances }, createBudget)
+      const restarted = new Set<number>()
+      const requests: number[] = []
+      const retries: number[] = []
+      let nowMs = 0
+      for (const { instance, gapMs, kind } of events) {
+        nowMs += gapMs
+        if (kind === 'restart') {
+          if (instance >= cutOff && !restarted.has(instance)) budgets[instance] = createBudget()
+          restarted.add(instance)
+        } else if (kind === 'request') {
+          budgets[instance]!.recordRequest(nowMs)
+          requests.push(nowMs)
+        } else if (budgets[instance]!.take(nowMs)) retries.push(nowMs)
+      }
+      let first = 0
+      return retries.every((atMs, index) => {
+        while (retries[first]! <= atMs - windowMs) first++
+        const requestCount = requests.filter(other => other <= atMs && other > atMs - 2 * windowMs).length
+        return index + 1 - first <= ratio * requestCount + fleetSlack
+      })
+    }), { seed, numRuns: 20 }))
+  })
+}
