Ask for a heartbeat only where the sender is unknown, and complete comments of the new parts

Cause: found in the last reading: each heartbeat update built a full heartbeat that was then not sent; a region that the settings do not list would have had no room.

--- a/packages/bilberryd/src/edge/peer_link.ts
+++ b/packages/bilberryd/src/edge/peer_link.ts
@@ -108,8 +108,9 @@
   function handleUpdate (update: HeartbeatUpdate, from: SocketAddress): void {
     const result = view.recordUpdate(update, getNowMs())
     if (result === UpdateResult.BecameLive) recordLive(update.instance, update.startedAtMs)
+    if (result !== UpdateResult.Unknown) return
     const message: HeartbeatMessage = { ...options.getHeartbeat(), asksForHeartbeat: true }
-    if (result === UpdateResult.Unknown) sendText(JSON.stringify(message), from)
+    sendText(JSON.stringify(message), from)
   }
 
   async function readState (address: SocketAddress, withInstances: boolean): Promise<void> {
--- a/packages/bilberryd/src/edge/region_shares.ts
+++ b/packages/bilberryd/src/edge/region_shares.ts
@@ -43,8 +43,8 @@
  * @returns The shares
  */
 export function createRegionShares (options: CreateRegionSharesOptions): RegionShares {
-  const { settings: { region, regions, failureDomain }, state } = options
-  const regionNames = new Set([...regions.values(), regions.get(failureDomain) ?? region])
+  const { settings: { region, regions }, state } = options
+  const regionNames = new Set([...regions.values(), region])
   const shares = new Map<string, RegionShare>()
   const demand = new Map<string, number>()
   let advancedAtMs: number | undefined
--- a/packages/bilberryd/src/edge/run_entry.ts
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -55,6 +55,7 @@
 const connectTimeoutMs = 600
 /** Difference between `stableMs + drainMs` and the duration of a long poll of the store, in milliseconds: enough to detect a dead connection and to get a response on a new one before that sum has elapsed. */
 const longPollMarginMs = 2_000
+/** Minimum duration of a long poll, in milliseconds, where the bounds of a deployment leave no more than the margin. */
 const minLongPollMs = 1_000
 /** Delay of the next long poll after a response with target changes, as a share of `drainMs`, the time within which all instances must stop sending to a leaving target. */
 const targetPauseShare = 0.3
@@ -201,11 +202,15 @@
 
 /** Options of {@linkcode startReplications}. */
 interface StartReplicationsOptions {
+  /** The store. */
   store: StoreClient
+  /** State that the tables are merged into. */
   state: EntryState
+  /** Bounds of the deployment. */
   bounds: EntrySettings['bounds']
   /** Pause after a response with target changes, in milliseconds. */
   targetPauseMs: number
+  /** Returns a random number in [0, 1). */
   getRandom: () => number
 }
 
--- a/packages/callers/src/pipeline_scheduler.ts
+++ b/packages/callers/src/pipeline_scheduler.ts
@@ -47,7 +47,7 @@
   isPaused: boolean
 }
 
-/** A caller that sends more at once than one connection should carry gets the rest of its parallelism from further connections. */
+/** Limits of a connection. A caller that sends more at once than one connection should carry gets the rest of its parallelism from further connections. */
 const defaultMaxStarted = 8
 /** Twice what is in progress, so that a request is at hand whenever one ends. */
 const defaultMaxWaiting = 16
