Log each failed call of table replication

An instance logged only the first failed call to the store of an outage (store_lost) and the next success (store_regained).

Each failed call of table replication now has a line store_call_failed with the table, the failure, the time that the call took and the time until the next one.

--- a/packages/bilberryd/src/edge/run_entry.ts
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -147,7 +147,7 @@
   const heartbeatTimes = { intervalMs: heartbeatIntervalMs, remoteIntervals: remoteHeartbeatIntervals, storeDelayMs: targetPauseMs * catchUpPauses }
   const link = cleanup.add(await startPeerLink({ ...heartbeatTimes, getHeartbeat, view, state, seeds: settings.seeds, countBytes: metrics.countPeerBytes, log, getNowMs, getRandom }))
   const store = cleanup.add(createStoreClient(settings.store))
-  for (const replication of startReplications({ store, state, bounds, targetPauseMs, getRandom })) cleanup.add(replication)
+  for (const replication of startReplications({ store, state, bounds, targetPauseMs, log, getNowMs, getRandom })) cleanup.add(replication)
   const discovery = createPeerDiscovery({ store, view, log })
   discovery.join(getHeartbeat()).then(() => link.announce()).catch((error: Error) => log.warn('join_failed', { detail: error.message }))
   link.fetchFromSeeds().then(() => link.announce()).catch((error: Error) => log.warn('seeds_failed', { detail: error.message }))
@@ -210,12 +210,16 @@
   bounds: EntrySettings['bounds']
   /** Pause after a response with target changes, in milliseconds. */
   targetPauseMs: number
+  /** Structured log. */
+  log: EntryLog
+  /** Returns monotonic time, in milliseconds. */
+  getNowMs: () => number
   /** Returns a random number in [0, 1). */
   getRandom: () => number
 }
 
 /** Starts the replication of all tables. */
-function startReplications ({ store, state, bounds, targetPauseMs, getRandom }: StartReplicationsOptions): AsyncDisposable[] {
+function startReplications ({ store, state, bounds, targetPauseMs, log, getNowMs, getRandom }: StartReplicationsOptions): AsyncDisposable[] {
   const waitMs = Math.max(minLongPollMs, Math.round(bounds.stableMs + bounds.drainMs - longPollMarginMs))
   const tables = [
     { table: operatorTable, replicated: ReplicatedTable.Operator, pauseMs: 0 },
@@ -226,8 +230,10 @@
     table,
     waitMs,
     pauseMs,
+    getNowMs,
     getRandom,
     onContact: state.recordContact,
+    onCallFailed: failure => log.info('store_call_failed', { ...failure }),
     onUpdate: update => state.applyUpdate(replicated, update)
   }))
 }
--- a/packages/bilberryd/src/edge/table_replication.ts
+++ b/packages/bilberryd/src/edge/table_replication.ts
@@ -8,6 +8,18 @@
 import { setTimeout } from 'node:timers/promises'
 import { StoreFailureKind } from '@bilberryworks/users-platform'
 
+/** A call to the store that failed. */
+export interface FailedCall {
+  /** Name of the table. */
+  table: string
+  /** Description of the failure. */
+  detail: string
+  /** Time from the start of the call to the failure, in milliseconds. */
+  elapsedMs: number
+  /** Time until the next call, in milliseconds. */
+  retryMs: number
+}
+
 /** Options of {@linkcode startTableReplication}. */
 export interface StartTableReplicationOptions {
   /** The store. */
@@ -22,6 +34,10 @@
   onUpdate: (update: TableUpdate) => void
   /** Called after each call to the store, with a description of the failure, or `undefined` if the store responded. */
   onContact: (failure: string | undefined) => void
+  /** Called for each call to the store that failed. */
+  onCallFailed: (failure: FailedCall) => void
+  /** Returns monotonic time, in milliseconds. */
+  getNowMs: () => number
   /** Returns a random number in [0, 1). */
   getRandom: () => number
 }
@@ -55,6 +71,7 @@
   let failures = 0
   while (!signal.aborted) {
     const after = version
+    const calledAtMs = options.getNowMs()
     const reply = after === undefined
       ? await store.readRows(table, { timeoutMs: responseTimeoutMs, signal })
       : await store.readChanges(table, { after, waitMs, timeoutMs: waitMs + responseTimeoutMs, signal })
@@ -67,8 +84,10 @@
       }
       options.onContact(reply.error.detail)
       const backoffMs = Math.min(maxBackoffMs, initialBackoffMs * 2 ** failures)
+      const retryMs = Math.round(backoffMs * (0.5 + options.getRandom() / 2))
       failures++
-      await waitUnlessAborted(signal, backoffMs * (0.5 + options.getRandom() / 2))
+      options.onCallFailed({ table, detail: reply.error.detail, elapsedMs: Math.round(options.getNowMs() - calledAtMs), retryMs })
+      await waitUnlessAborted(signal, retryMs)
       continue
     }
     failures = 0
