--- a/packages/standins/src/site_store.ts
+++ b/packages/standins/src/site_store.ts
@@ -20,6 +20,8 @@
   Busy = 'busy',
   /** Calls stay without a response and have no effect. */
   NoResponse = 'silent',
+  /** As `NoResponse`, but without closing a connection: connections that are open during the fault stay silent after it. */
+  Unreachable = 'unreachable',
   /** Connections are reset, and calls have no effect. */
   Reset = 'reset',
   /** Each call takes effect, but the connection is closed in place of a response. */
@@ -58,7 +60,7 @@
   url: string
   /** Delays, which may be changed at any time. */
   faults: EndpointFaults
-  /** Sets the fault of calls; any fault but `None` also closes the open connections and thus ends waiting calls. */
+  /** Sets the fault of calls; any fault but `None` and `Unreachable` also closes the open connections and thus ends waiting calls. */
   setFault (fault: StoreFault): void
   /** Returns the traffic so far. */
   countCalls (): EndpointCounts
@@ -144,6 +146,7 @@
   const faults: EndpointFaults = { delayMs: 0, heldWrites: 0, landAfterMs: 1_000 }
   const counts: EndpointCounts = { calls: 0, reads: 0, writes: 0, targetReads: 0, bytes: 0 }
   const connections = new Set<Socket>()
+  const silentConnections = new WeakSet<Socket>()
   let fault = StoreFault.None
 
   function countCall (message: IncomingMessage, url: URL): void {
@@ -155,6 +158,7 @@
 
   /** Applies the current fault to a call and returns whether the call must not be executed or answered any further. */
   function applyFault (message: IncomingMessage, response: ServerResponse): boolean {
+    if (silentConnections.has(message.socket)) return true
     if (fault === StoreFault.Busy) response.writeHead(503).end()
     else if (fault === StoreFault.Reset) message.socket.resetAndDestroy()
     return fault !== StoreFault.None && fault !== StoreFault.ResponseLost
@@ -188,6 +192,7 @@
   })
   server.on('connection', socket => {
     connections.add(socket)
+    if (fault === StoreFault.Unreachable) silentConnections.add(socket)
     socket.once('close', () => {
       connections.delete(socket)
       counts.bytes += socket.bytesRead + socket.bytesWritten
@@ -200,7 +205,8 @@
     faults,
     setFault (next) {
       fault = next
-      if (next !== StoreFault.None) server.closeAllConnections()
+      if (next === StoreFault.Unreachable) for (const socket of connections) silentConnections.add(socket)
+      else if (next !== StoreFault.None) server.closeAllConnections()
     },
     countCalls: () => ({ ...counts, bytes: [...connections].reduce((sum, socket) => sum + socket.bytesRead + socket.bytesWritten, counts.bytes) }),
     async [Symbol.asyncDispose] () {
