Give up a silent call to the store within the stability window

Cause: a call that an outage silences gets neither a response nor an error. Each call of table replication was a long poll with 5.5 s until its time-out, also the retry after a failure. A retry sent while the store was silent was noticed as lost up to 5.5 s later; the instances counted as in touch 4 s after the store's return. All instances lost theirs alike, so that no peer was ahead. Even a short outage that hits an open poll was noticed 1.5 s too late. Class: a time-out that is longer than the bound which rests on it.

Change: poll_schedule (steering, pure) plans the calls. A poll waits for the stability window less the time of its response and of a new call; after a failure calls don't wait, with 1 s and then up to half of the window for a slow store. Ruled out: cancelling one table's poll when another's times out, since both may be lost, and connections go silent one by one.

--- a/packages/bilberryd/src/edge/run_entry.ts
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -14,7 +14,7 @@
 import { createServer } from 'node:http'
 import { setTimeout as wait } from 'node:timers/promises'
 import { countOpenResponses } from '@bilberryworks/callers'
-import { createCleanupStack, createWeightedRoundRobin } from '@bilberryworks/steering'
+import { createCleanupStack, createPollSchedule, createWeightedRoundRobin } from '@bilberryworks/steering'
 import { createTargetPool } from '@bilberryworks/targets'
 import { createStoreClient, operatorTable, targetTable } from '@bilberryworks/users-platform'
 import { applyCallerLimits, createCallerListener, StopPhase } from './caller_listener.ts'
@@ -53,10 +53,6 @@
 const pauseThresholdMs = 1_000
 /** Time limit for connecting to a target, in milliseconds: enough for a connection between regions that loses one packet. */
 const connectTimeoutMs = 600
-/** Difference between `stableMs + drainMs` and the duration of a long poll of the store, in milliseconds: enough to detect a dead connection and to get a response on a new one before that sum has elapsed. */
-const longPollMarginMs = 2_000
-/** Minimum duration of a long poll, in milliseconds, where the bounds of a deployment leave no more than the margin. */
-const minLongPollMs = 1_000
 /** Delay of the next long poll after a response with target changes, as a share of `drainMs`, the time within which all instances must stop sending to a leaving target. */
 const targetPauseShare = 0.3
 /** Share of the grace period for which a stopping instance accepts new requests: callers switch to other instances during this time, and the last requests have the rest of the period to complete. */
@@ -220,7 +216,6 @@
 
 /** Starts the replication of all tables. */
 function startReplications ({ store, state, bounds, targetPauseMs, log, getNowMs, getRandom }: StartReplicationsOptions): AsyncDisposable[] {
-  const waitMs = Math.max(minLongPollMs, Math.round(bounds.stableMs + bounds.drainMs - longPollMarginMs))
   const tables = [
     { table: operatorTable, replicated: ReplicatedTable.Operator, pauseMs: 0 },
     { table: targetTable, replicated: ReplicatedTable.Targets, pauseMs: targetPauseMs }
@@ -228,10 +223,9 @@
   return tables.map(({ table, replicated, pauseMs }) => startTableReplication({
     store,
     table,
-    waitMs,
+    schedule: createPollSchedule({ stableMs: bounds.stableMs, getRandom }),
     pauseMs,
     getNowMs,
-    getRandom,
     onContact: state.recordContact,
     onCallFailed: failure => log.info('store_call_failed', { ...failure }),
     onUpdate: update => state.applyUpdate(replicated, update)
--- a/packages/bilberryd/src/edge/table_replication.ts
+++ b/packages/bilberryd/src/edge/table_replication.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { PollSchedule } from '@bilberryworks/steering'
 import type { StoreClient } from '@bilberryworks/users-platform'
 import type { TableUpdate } from './table_replica.ts'
 import { setTimeout } from 'node:timers/promises'
@@ -26,8 +27,8 @@
   store: StoreClient
   /** Name of the table. */
   table: string
-  /** Maximum time that a long poll waits for a change, in milliseconds. */
-  waitMs: number
+  /** Plans the calls. */
+  schedule: PollSchedule
   /** Delay after a response with changes, in milliseconds, so that further changes are returned by a single call. */
   pauseMs: number
   /** Called with the snapshot of the table, and then with the result of each long poll, which may be empty. */
@@ -38,16 +39,8 @@
   onCallFailed: (failure: FailedCall) => void
   /** Returns monotonic time, in milliseconds. */
   getNowMs: () => number
-  /** Returns a random number in [0, 1). */
-  getRandom: () => number
 }
 
-/** Time-out of a call, in milliseconds, to which the time that a long poll waits is added: many times the usual latency of the store, and enough for a slow store. */
-const responseTimeoutMs = 1_000
-/** Initial and maximum backoff after a failed call, in milliseconds: the platform charges for each call, and most outages end within seconds. */
-const initialBackoffMs = 100
-const maxBackoffMs = 600
-
 /**
  * Starts the replication of a table.
  *
@@ -66,15 +59,15 @@
 }
 
 async function watchTable (options: StartTableReplicationOptions, signal: AbortSignal): Promise<void> {
-  const { store, table, waitMs } = options
+  const { store, table, schedule } = options
   let version: number | undefined
-  let failures = 0
   while (!signal.aborted) {
     const after = version
     const calledAtMs = options.getNowMs()
+    const { waitMs, timeoutMs } = schedule.planCall()
     const reply = after === undefined
-      ? await store.readRows(table, { timeoutMs: responseTimeoutMs, signal })
-      : await store.readChanges(table, { after, waitMs, timeoutMs: waitMs + responseTimeoutMs, signal })
+      ? await store.readRows(table, { timeoutMs: timeoutMs - waitMs, signal })
+      : await store.readChanges(table, { after, waitMs, timeoutMs, signal })
     if (signal.aborted) return
     if (reply.isErr()) {
       if (reply.error.kind === StoreFailureKind.HistoryGone) {
@@ -83,14 +76,12 @@
         continue
       }
       options.onContact(reply.error.detail)
-      const backoffMs = Math.min(maxBackoffMs, initialBackoffMs * 2 ** failures)
-      const retryMs = Math.round(backoffMs * (0.5 + options.getRandom() / 2))
-      failures++
+      const retryMs = schedule.recordFailure()
       options.onCallFailed({ table, detail: reply.error.detail, elapsedMs: Math.round(options.getNowMs() - calledAtMs), retryMs })
       await waitUnlessAborted(signal, retryMs)
       continue
     }
-    failures = 0
+    schedule.recordResponse()
     options.onContact(undefined)
     version = reply.value.version
     options.onUpdate({ asOf: version, isSnapshot: after === undefined, changes: reply.value.rows })
