--- a/packages/standins/src/site_target.ts
+++ b/packages/standins/src/site_target.ts
@@ -23,6 +23,8 @@
   timeLeftMs: number
   /** Whether the connection was closed before the response was fully sent. */
   isAborted: boolean
+  /** Monotonic time at which the request started to run, in milliseconds. */
+  startedAtMs: number
 }
 
 /** Fault that a target injects into one request. */
@@ -71,6 +73,8 @@
   register (overrides?: Record<string, unknown>): void
   /** Refuses new connections; open ones stay. */
   stopListening (): void
+  /** Sets header fields that all later responses carry in addition, in place of those set before. */
+  setResponseFields (fields: Record<string, string>): void
   /** Sets the processing time of later requests, in milliseconds. */
   setProcessingMs (processingMs: number): void
 }
@@ -89,12 +93,14 @@
   let processingMs = options.processingMs ?? 5
   let concurrency = 0
   let maxConcurrency = 0
+  let responseFields: Record<string, string> = {}
   let sequence = 0
 
   async function runRequest (message: IncomingMessage, response: ServerResponse): Promise<void> {
     const attemptId = String(message.headers['x-request-id'])
     const body = await buffer(message)
     response.setHeader('X-Request-Id', attemptId)
+    for (const [name, value] of Object.entries(responseFields)) response.setHeader(name, value)
     if (message.headers['x-target-instance'] !== id) {
       response.writeHead(421, { 'X-Instance-Id': id }).end()
       return
@@ -104,7 +110,7 @@
       response.writeHead(503, { 'X-Not-Executed': '1', 'X-Server-Load': `${slots},9,${slots}` }).end()
       return
     }
-    const run = { attemptId, call: `${message.method!} ${message.url!}`, bodyBytes: body.length, timeLeftMs: Number(message.headers['x-timeout-ms']), isAborted: false }
+    const run = { attemptId, call: `${message.method!} ${message.url!}`, bodyBytes: body.length, timeLeftMs: Number(message.headers['x-timeout-ms']), isAborted: false, startedAtMs: performance.now() }
     runs.push(run)
     response.on('close', () => { run.isAborted = !response.writableFinished })
     concurrency++
@@ -139,6 +145,7 @@
     addFaults: added => faults.push(...added),
     dropFaults () { faults.length = 0 },
     stopListening () { server.close() },
+    setResponseFields (next) { responseFields = next },
     setProcessingMs (next) { processingMs = next },
     register (overrides = {}) {
       sequence++
