Divide the request rate that a target names among the instances

Cause: the field of the response was not read. Class: a limit of the whole fleet that each instance has to keep without hearing of the others' requests, as the pace of cold targets and the retry budget.

Change: the adapter reads the field; target_rate (steering, pure) gives each instance a minimum interval between its requests to such a target. Requests in excess go to the object's next target, as with a target that is cold. Responses of another program at the target's address (421) no longer change what is known of the target.

Not done: instances that are not senders learn of the end only by their own next request, minutes later in a large fleet.

--- a/packages/bilberryd/src/edge/dispatcher.ts
+++ b/packages/bilberryd/src/edge/dispatcher.ts
@@ -17,6 +17,7 @@
 import { createTargetSelector } from './target_selector.ts'
 import { ExchangeResult, sendAttempt } from './send_attempt.ts'
 import { createActiveExchanges } from './active_exchanges.ts'
+import { createTargetReportHandler } from './target_reports.ts'
 
 /** Dispatches attempts to targets. */
 export interface Dispatcher {
@@ -93,6 +94,7 @@
   const retryPacers = createLazyMap(() => createRetryPacer(options.getRandom))
   const getRetryAfterMs = (attempt: Attempt): number => retryPacers.get(attempt.service).record({ nowMs: getNowMs(), queued: waitingByService.get(attempt.service).count(), ...targetSelector.measureCapacity(attempt.service) })
   const handleExchangeResult = createExchangeResultHandler({ finisher, log, metrics, getNowMs, getBudget: retryBudgets.get, getRetryAfterMs, requeue: enqueueAttempt })
+  const handleTargetReport = createTargetReportHandler({ log, getNowMs })
   let checkTimer: NodeJS.Timeout | undefined
 
   function enqueueAttempt (attempt: Attempt): void {
@@ -144,7 +146,10 @@
       getNowMs,
       maxBodyBytes: state.getConfig()?.limits.maxBodyBytes ?? Infinity,
       onSendStart: () => metrics.recordStage(RequestStage.Connect, attempt.route.kind, getNowMs() - attempt.dispatchedAtMs),
-      onResponseHead: () => metrics.recordStage(RequestStage.FirstByte, attempt.route.kind, getNowMs() - attempt.dispatchedAtMs),
+      onResponseHead (fields) {
+        metrics.recordStage(RequestStage.FirstByte, attempt.route.kind, getNowMs() - attempt.dispatchedAtMs)
+        handleTargetReport(entry, fields)
+      },
       onBodyTooLarge () {
         exchanges.cancel(attempt, TargetSignal.Ended)
         finisher.refuse(attempt, createUnknownRefusal(RefusalReason.BodyTooLarge, 'Body exceeds the size limit of the routing configuration'))
--- a/packages/bilberryd/src/edge/send_attempt.ts
+++ b/packages/bilberryd/src/edge/send_attempt.ts
@@ -5,9 +5,10 @@
  */
 import type { RegisteredTarget } from '@bilberryworks/steering'
 import type { ResponseHead, TargetPool } from '@bilberryworks/targets'
+import type { ResponseFields } from '@bilberryworks/users-platform'
 import type { ResponseWriter } from './response_writer.ts'
 import type { Attempt } from './attempt.ts'
-import { recordResponseTime, recordTargetLoad, RouteKind } from '@bilberryworks/steering'
+import { recordResponseTime, RouteKind } from '@bilberryworks/steering'
 import { ExchangeFailure } from '@bilberryworks/targets'
 import { readResponseFields } from '@bilberryworks/users-platform'
 import { createResponseWriter } from './response_writer.ts'
@@ -39,8 +40,8 @@
   maxBodyBytes: number
   /** Called immediately before the first byte is sent. */
   onSendStart: () => void
-  /** Called when the response head has been received. */
-  onResponseHead: () => void
+  /** Called with the fields that describe the target when the response head has been received. */
+  onResponseHead: (fields: ResponseFields) => void
   /** Called once when the exchange has ended, with a description of the failure, which is empty if there was none. */
   onEnd: (result: ExchangeResult, detail: string) => void
   /** Called when the request body exceeds `maxBodyBytes`; the exchange continues until it is cancelled. */
@@ -78,9 +79,8 @@
     },
     onHead (head) {
       const fields = readResponseFields(head.status, head.fields)
-      options.onResponseHead()
+      options.onResponseHead(fields)
       recordResponseTime(entry, options.getNowMs() - attempt.dispatchedAtMs)
-      if (fields.load !== undefined) recordTargetLoad(entry, fields.load, options.getNowMs())
       if (fields.isNotRun) {
         withheldResult = ExchangeResult.NotRun
         attempt.mayHaveRun = mayHaveRunBefore
--- /dev/null
+++ b/packages/bilberryd/src/edge/target_reports.ts
@@ -0,0 +1,36 @@
+/**
+ * Records what targets report about themselves in their responses, and logs each change.
+ *
+ * @module
+ */
+import type { RegisteredTarget } from '@bilberryworks/steering'
+import type { ResponseFields } from '@bilberryworks/users-platform'
+import type { EntryLog } from './entry_log.ts'
+import { recordTargetLoad } from '@bilberryworks/steering'
+
+/** Options of {@linkcode createTargetReportHandler}. */
+export interface CreateTargetReportHandlerOptions {
+  /** Structured log. */
+  log: EntryLog
+  /** Returns monotonic time, in milliseconds. */
+  getNowMs: () => number
+}
+
+/** Records the fields of a response of a target; the answered request must still count as in flight. */
+export type HandleTargetReport = (entry: RegisteredTarget, fields: ResponseFields) => void
+
+/**
+ * Creates the handler of targets' reports.
+ *
+ * @param options Log and clock
+ * @returns The handler
+ */
+export function createTargetReportHandler ({ log, getNowMs }: CreateTargetReportHandlerOptions): HandleTargetReport {
+  return (entry, fields) => {
+    if (!fields.isFromTarget) return
+    if (fields.load !== undefined) recordTargetLoad(entry, fields.load, getNowMs())
+    if (fields.acceptedPerSecond === entry.acceptedPerSecond) return
+    log.info('target_rate', { target: entry.target.id, acceptedPerSecond: fields.acceptedPerSecond ?? null, before: entry.acceptedPerSecond ?? null })
+    entry.acceptedPerSecond = fields.acceptedPerSecond
+  }
+}
--- a/packages/bilberryd/src/edge/target_selector.ts
+++ b/packages/bilberryd/src/edge/target_selector.ts
@@ -5,7 +5,7 @@
  */
 import type { RegisteredTarget, EntrySettings, RoutedRequest } from '@bilberryworks/steering'
 import type { EntryState } from './entry_state.ts'
-import { selectTarget, minColdIntervalMs, computeCapacity, isColdSender, isServedInRegion, isTargetUsable, rankByRegion, rankTargets } from '@bilberryworks/steering'
+import { selectTarget, minColdIntervalMs, computeCapacity, computeRateIntervalMs, isColdSender, isServedInRegion, isTargetUsable, rankByRegion, rankTargets } from '@bilberryworks/steering'
 
 /** Selects targets. */
 export interface TargetSelector {
@@ -70,8 +70,15 @@
     return ranked
   }
 
+  /** Returns whether a request now would exceed this instance's part of the rate that the target accepts. */
+  function isAboveRate (entry: RegisteredTarget, nowMs: number): boolean {
+    const { target, acceptedPerSecond } = entry
+    if (acceptedPerSecond === undefined) return false
+    return nowMs - entry.lastRequestAtMs < computeRateIntervalMs(settings.instance, options.listInstances(), { targetId: target.id, perSecond: acceptedPerSecond })
+  }
+
   function isUsable (entry: RegisteredTarget, nowMs: number): boolean {
-    if (!isTargetUsable(entry, nowMs)) return false
+    if (!isTargetUsable(entry, nowMs) || isAboveRate(entry, nowMs)) return false
     if (entry.coldUntilMs <= nowMs) return true
     const perSecond = state.getConfig()?.services.get(entry.target.service)?.coldRequestsPerSecond ?? 0
     const pace = { perSecond, mostInSecond: perSecond * bounds.coldOver + bounds.coldSlack }
--- a/packages/steering/src/target_registry.ts
+++ b/packages/steering/src/target_registry.ts
@@ -25,6 +25,10 @@
   coldUntilMs: number
   /** Monotonic time of the last request sent while the target was cold, in milliseconds. */
   lastColdRequestAtMs: number
+  /** Monotonic time of the last request sent, in milliseconds. */
+  lastRequestAtMs: number
+  /** Rate that the target accepts from all instances together by its last response, in requests per second; `undefined` if it named none. */
+  acceptedPerSecond: number | undefined
   /** Monotonic time since which requests have been in flight without any response, in milliseconds; `Infinity` without requests. */
   silentSinceMs: number
   /** Moving average of the response time, in milliseconds; `undefined` before the first response. */
@@ -97,6 +101,8 @@
       circuit: closedCircuit,
       coldUntilMs: options.nowMs + target.coldLeftMs,
       lastColdRequestAtMs: -Infinity,
+      lastRequestAtMs: -Infinity,
+      acceptedPerSecond: undefined,
       silentSinceMs: Infinity,
       meanResponseMs: undefined
     }
@@ -171,6 +177,7 @@
  */
 export function recordTargetDispatch (entry: RegisteredTarget, nowMs: number): void {
   entry.inFlight++
+  entry.lastRequestAtMs = nowMs
   if (entry.silentSinceMs === Infinity) entry.silentSinceMs = nowMs
   if (entry.coldUntilMs > nowMs) entry.lastColdRequestAtMs = nowMs
 }
