Count the pause before a poll toward the time in which a silent store is noticed

Cause: between two polls of the targets' table an instance pauses for 0.3 of the drain time. A connection that goes silent in the pause, without an outage of the store, swallows the next poll.

Change: poll_schedule takes the time since the last response off the wait of the next poll.

--- a/packages/bilberryd/src/edge/table_replication.ts
+++ b/packages/bilberryd/src/edge/table_replication.ts
@@ -61,10 +61,11 @@
 async function watchTable (options: StartTableReplicationOptions, signal: AbortSignal): Promise<void> {
   const { store, table, schedule } = options
   let version: number | undefined
+  let respondedAtMs = options.getNowMs()
   while (!signal.aborted) {
     const after = version
     const calledAtMs = options.getNowMs()
-    const { waitMs, timeoutMs } = schedule.planCall()
+    const { waitMs, timeoutMs } = schedule.planCall(calledAtMs - respondedAtMs)
     const reply = after === undefined
       ? await store.readRows(table, { timeoutMs: timeoutMs - waitMs, signal })
       : await store.readChanges(table, { after, waitMs, timeoutMs, signal })
@@ -82,6 +83,7 @@
       continue
     }
     schedule.recordResponse()
+    respondedAtMs = options.getNowMs()
     options.onContact(undefined)
     version = reply.value.version
     options.onUpdate({ asOf: version, isSnapshot: after === undefined, changes: reply.value.rows })
--- /dev/null
+++ b/packages/standins/src/leaving_target_test.ts
@@ -0,0 +1,45 @@
+import type { TestEntry, TestSite } from './test_site.ts'
+import { setTimeout as wait } from 'node:timers/promises'
+import test from 'ava'
+import { StoreFault } from './site_store.ts'
+import { createTestSite, waitUntil } from './test_site.ts'
+
+const callIntervalMs = 20
+
+async function startEntry (site: TestSite, targets: number): Promise<TestEntry> {
+  const entry = await site.startEntry(0)
+  await waitUntil(async () => (await site.call(entry)).status === 200)
+  await waitUntil(() => entry.readLog().filter(line => line['event'] === 'target').length === targets)
+  return entry
+}
+
+/** Sends calls for different objects until a time, and waits for their responses. */
+async function sendCallsUntil (site: TestSite, entry: TestEntry, endMs: number): Promise<void> {
+  const calls: Array<Promise<unknown>> = []
+  while (performance.now() < endMs) {
+    calls.push(site.call(entry, { affinityKey: String(calls.length) }))
+    await wait(callIntervalMs)
+  }
+  await Promise.all(calls)
+}
+
+test('sends nothing to a leaving target from the stability window after the connections to the store went silent', async t => {
+  await using site = await createTestSite()
+  site.writeConfig()
+  const leaving = await site.openTarget('t1')
+  await site.openTarget('t2')
+  const entry = await startEntry(site, 2)
+  // Any change ends the open long polls, so that the next ones are silenced at their start.
+  leaving.register()
+  await wait(entry.settings.bounds.drainMs)
+  leaving.register()
+  await wait(100)
+  entry.storeEndpoint.setFault(StoreFault.Unreachable)
+  entry.storeEndpoint.setFault(StoreFault.None)
+  const silencedAtMs = performance.now()
+  leaving.register({ state: 'draining' })
+  const { stableMs } = entry.settings.bounds
+  await sendCallsUntil(site, entry, silencedAtMs + stableMs + 1_500)
+  t.true(leaving.runs.length > 0)
+  t.is(leaving.runs.filter(run => run.startedAtMs > silencedAtMs + stableMs).length, 0)
+})
--- a/packages/steering/src/poll_schedule.ts
+++ b/packages/steering/src/poll_schedule.ts
@@ -3,7 +3,8 @@
  *
  * An outage can silence a call for good: no response and no error arrives, even after the store is back. The instance has to
  * reach the store again within the stability window, after which it must act on what the store has acknowledged. Therefore
- * no call is open for longer than that window less the time of a new call.
+ * no call is open for longer than that window less the time of a new call. The time for which the connection was idle before
+ * counts too, since an outage silences idle connections as well.
  *
  * @module
  */
@@ -18,8 +19,8 @@
 
 /** Plans the calls for one table. */
 export interface PollSchedule {
-  /** Plans the next call. */
-  planCall (): PollPlan
+  /** Plans the next call; `idleMs` is the time since the last response, in milliseconds. */
+  planCall (idleMs: number): PollPlan
   /** Records that the store responded to the last call. */
   recordResponse (): void
   /** Records that the last call failed, and returns the time until the next one, in milliseconds. */
@@ -55,11 +56,12 @@
  * @returns The schedule
  */
 export function createPollSchedule ({ stableMs, getRandom }: CreatePollScheduleOptions): PollSchedule {
-  const waitMs = Math.max(minWaitMs, stableMs - responseTimeoutMs - reconnectMs)
+  const maxWaitMs = stableMs - responseTimeoutMs - reconnectMs
   const maxProbeTimeoutMs = Math.max(responseTimeoutMs, stableMs * probeTimeoutShare)
   let failures = 0
   return {
-    planCall () {
+    planCall (idleMs) {
+      const waitMs = Math.max(minWaitMs, Math.round(maxWaitMs - idleMs))
       if (failures === 0) return { waitMs, timeoutMs: waitMs + responseTimeoutMs }
       return { waitMs: 0, timeoutMs: Math.min(maxProbeTimeoutMs, responseTimeoutMs * failures) }
     },
