Check the target again when its connection is established

A request is bound to its target when it is dispatched, but its first byte is sent only once a connection exists, up to 600 ms later.

Change: the exchange asks right before its first byte whether the target may still be selected. If not, it is withdrawn, and the attempt goes elsewhere without using the retry budget, since no target got it (retry reason target_excluded).

--- a/packages/bilberryd/src/edge/dispatcher.ts
+++ b/packages/bilberryd/src/edge/dispatcher.ts
@@ -74,6 +74,7 @@
   [ExchangeResult.Failed]: TargetSignal.Answered,
   [ExchangeResult.NotRun]: TargetSignal.Refused,
   [ExchangeResult.ConnectFailed]: TargetSignal.ConnectFailed,
+  [ExchangeResult.Withdrawn]: TargetSignal.Ended,
   [ExchangeResult.Lost]: TargetSignal.Lost,
   [ExchangeResult.Truncated]: TargetSignal.Lost
 }
@@ -145,6 +146,7 @@
       pool,
       getNowMs,
       maxBodyBytes: state.getConfig()?.limits.maxBodyBytes ?? Infinity,
+      maySend: () => targetSelector.isSelectable(entry),
       onSendStart: () => metrics.recordStage(RequestStage.Connect, attempt.route.kind, getNowMs() - attempt.dispatchedAtMs),
       onResponseHead (fields) {
         metrics.recordStage(RequestStage.FirstByte, attempt.route.kind, getNowMs() - attempt.dispatchedAtMs)
--- a/packages/bilberryd/src/edge/exchange_results.ts
+++ b/packages/bilberryd/src/edge/exchange_results.ts
@@ -71,6 +71,10 @@
         attempt.lastNotRunReason = RefusalReason.TargetUnreachable
         retryAttempt(attempt, { reason: RetryReason.ConnectFailed, consumesBudget: false, detail })
         break
+      case ExchangeResult.Withdrawn:
+        attempt.lastNotRunReason = RefusalReason.NoUsableTarget
+        retryAttempt(attempt, { reason: RetryReason.TargetExcluded, consumesBudget: false, detail })
+        break
       case ExchangeResult.NotRun:
         attempt.lastNotRunReason = RefusalReason.TargetRefused
         retryAttempt(attempt, { reason: RetryReason.TargetRefused, consumesBudget: true, detail: 'Target stated that it did not run the request' })
--- a/packages/bilberryd/src/edge/send_attempt.ts
+++ b/packages/bilberryd/src/edge/send_attempt.ts
@@ -24,6 +24,8 @@
   NotRun = 'not_run',
   /** The connection was not established, so no byte was sent. */
   ConnectFailed = 'unsent',
+  /** The target was excluded from selection before a byte was sent, for example because it is leaving. */
+  Withdrawn = 'withdrawn',
   /** The response was complete, but must not be forwarded to the caller. */
   Failed = 'failed',
   /** The connection failed before any part of the response was forwarded to the caller. */
@@ -38,6 +40,8 @@
   pool: TargetPool
   /** Maximum size of the request body, in bytes. */
   maxBodyBytes: number
+  /** Returns whether the target may still be sent requests. */
+  maySend: () => boolean
   /** Called immediately before the first byte is sent. */
   onSendStart: () => void
   /** Called with the fields that describe the target when the response head has been received. */
@@ -50,6 +54,13 @@
   getNowMs: () => number
 }
 
+const resultByFailure: Record<ExchangeFailure, ExchangeResult> = {
+  [ExchangeFailure.ConnectFailed]: ExchangeResult.ConnectFailed,
+  [ExchangeFailure.Withdrawn]: ExchangeResult.Withdrawn,
+  [ExchangeFailure.Lost]: ExchangeResult.Lost,
+  [ExchangeFailure.Malformed]: ExchangeResult.Lost
+}
+
 /** Statuses from which a caller concludes that its request did not run; withheld if the target does not state that explicitly. */
 const notRunStatuses = new Set([408, 421, 429, 503])
 
@@ -72,6 +83,7 @@
     ...writeBody,
     isBodiless: attempt.message.method === 'HEAD',
     isOwnResponse: head => readResponseFields(head.status, head.fields).attemptId === attempt.attemptId,
+    maySend: options.maySend,
     onSendStart () {
       attempt.mayHaveRun = true
       attempt.targetsReached++
@@ -96,7 +108,7 @@
       if (writer?.isCommitted() === true) options.onEnd(ExchangeResult.Truncated, detail)
       // The response head is sufficient evidence that the request did not run, even if the body is lost.
       else if (withheldResult === ExchangeResult.NotRun) options.onEnd(ExchangeResult.NotRun, detail)
-      else options.onEnd(failure === ExchangeFailure.ConnectFailed ? ExchangeResult.ConnectFailed : ExchangeResult.Lost, detail)
+      else options.onEnd(resultByFailure[failure], detail)
     }
   })
 }
--- a/packages/bilberryd/src/edge/target_selector.ts
+++ b/packages/bilberryd/src/edge/target_selector.ts
@@ -11,6 +11,8 @@
 export interface TargetSelector {
   /** Selects a target with a free slot for a request; `undefined` if the request has to wait. */
   findTarget (request: RoutedRequest): RegisteredTarget | undefined
+  /** Returns whether a selected target is still registered, not leaving and not in an evacuated failure domain. */
+  isSelectable (entry: RegisteredTarget): boolean
   /** Returns whether there is an available target to which the request was not dispatched before, regardless of free slots. */
   hasUntriedTarget (request: RoutedRequest): boolean
   /** Computes this instance's share of the slots of a service, and the mean time that a request holds a slot, in milliseconds. */
@@ -46,9 +48,13 @@
   const rankings = new Map<string, RegisteredTarget[]>()
   let rankingsRevision = -1
 
+  function isAvailable ({ target }: RegisteredTarget): boolean {
+    return !target.leaving && !state.isEvacuated(target.failureDomain)
+  }
+
   /** Lists the targets of a service that are neither shutting down nor in an evacuated failure domain. */
   function listAvailable (service: string): RegisteredTarget[] {
-    return state.targets.list(service).filter(({ target }) => !target.leaving && !state.isEvacuated(target.failureDomain))
+    return state.targets.list(service).filter(isAvailable)
   }
 
   function rankForRequest (request: RoutedRequest): RegisteredTarget[] {
@@ -95,6 +101,7 @@
       const usable = listAvailable(service).filter(entry => isTargetUsable(entry, nowMs))
       return computeCapacity(usable, { instances: options.listInstances().length, nowMs })
     },
+    isSelectable: entry => state.targets.find(entry.target.id) === entry && isAvailable(entry),
     hasUntriedTarget: request => rankForRequest(request).some(entry => !request.tried.has(entry.target.id))
   }
 }
--- a/packages/steering/src/outcomes.ts
+++ b/packages/steering/src/outcomes.ts
@@ -65,6 +65,7 @@
 /** Reason why an instance retried a request. */
 export enum RetryReason {
   ConnectFailed = 'connect_failed',
+  TargetExcluded = 'target_excluded',
   TargetRefused = 'target_refused',
   IdempotentLost = 'idempotent_lost',
   PeerRefused = 'peer_refused',
--- a/packages/targets/src/response_matching_test.ts
+++ b/packages/targets/src/response_matching_test.ts
@@ -61,6 +61,7 @@
         head: `GET / HTTP/1.1\r\nid: r${index}\r\n\r\n`,
         isBodiless: false,
         isOwnResponse: head => head.fields['id'] === `r${index}`,
+        maySend: () => true,
         onSendStart: () => undefined,
         onHead: () => undefined,
         onBody (part) { body += part.toString() },
--- a/packages/targets/src/target_connection.ts
+++ b/packages/targets/src/target_connection.ts
@@ -11,6 +11,8 @@
 export enum ExchangeFailure {
   /** The connection was not established, so no byte of the request was sent. */
   ConnectFailed = 'connect_failed',
+  /** The request was withdrawn before its first byte was sent. */
+  Withdrawn = 'withdrawn',
   /** The connection broke after the target may have read a part of the request. */
   Lost = 'lost',
   /** The target sent bytes that are not a valid response to the request. */
@@ -32,6 +34,8 @@
   isBodiless: boolean
   /** Returns whether a response with this head belongs to the request. */
   isOwnResponse: (head: ResponseHead) => boolean
+  /** Returns, immediately before the first byte is sent, whether the request may still be sent; otherwise the exchange fails. */
+  maySend: () => boolean
   /** Called immediately before the first byte of the request is sent. */
   onSendStart: () => void
   /** Called with the response head. */
@@ -126,6 +130,7 @@
   }
 
   function startExchange (exchange: Exchange): void {
+    if (!exchange.maySend()) return failConnection(ExchangeFailure.Withdrawn, 'Target was excluded from selection while the connection was established')
     exchange.onSendStart()
     isBodySent = exchange.writeBody === undefined
     socket.write(exchange.head, 'latin1')
--- a/packages/targets/src/target_connection_test.ts
+++ b/packages/targets/src/target_connection_test.ts
@@ -1,9 +1,9 @@
 import type { AddressInfo, Server, Socket } from 'node:net'
-import type { ExchangeFailure } from './target_connection.ts'
 import { once } from 'node:events'
 import { createServer } from 'node:net'
 import { setTimeout as wait } from 'node:timers/promises'
 import test from 'ava'
+import { ExchangeFailure } from './target_connection.ts'
 import { createTargetPool } from './target_pool.ts'
 
 interface Outcome {
@@ -25,13 +25,14 @@
 
 type Pool = ReturnType<typeof createTargetPool>
 
-function sendRequest (pool: Pool, address: { host: string, port: number }, id: string): Promise<Outcome> {
+function sendRequest (pool: Pool, address: { host: string, port: number }, id: string, maySend = () => true): Promise<Outcome> {
   return new Promise(resolve => {
     const outcome: Outcome = { failure: undefined, status: undefined, body: '' }
     pool.send({ id: 'target', address }, {
       head: `GET / HTTP/1.1\r\nid: ${id}\r\n\r\n`,
       isBodiless: false,
       isOwnResponse: head => head.fields['id'] === id,
+      maySend,
       onSendStart: () => undefined,
       onHead (head) { outcome.status = head.status },
       onBody (part) { outcome.body += part.toString() },
@@ -108,3 +109,16 @@
     t.truthy(outcome!.failure)
   })
 }
+
+test('sends nothing to a target that is excluded while the connection is established', async t => {
+  let requests = 0
+  const { server, address } = await listenTarget(() => { requests++ })
+  {
+    await using pool = createTargetPool({ connectTimeoutMs: 5_000 })
+    const { failure } = await sendRequest(pool, address, 'a', () => false)
+    t.is(failure, ExchangeFailure.Withdrawn)
+    t.is(pool.count(), 0)
+  }
+  await new Promise(resolve => server.close(resolve))
+  t.is(requests, 0)
+})
