Stop sending to a target that reports in a response that it is leaving

The code read only the registration, which the store delivers late and in an outage not at all.

Change: the adapter decodes the field; the registry marks the target, which removes it from selection at once and counts as a change, so that cached rankings are dropped. The report holds until the registration goes from leaving to not leaving, or until another run of the target registers; it also holds over a registration that expired and came back. One line target_leaving at the first report.

Measured: the new test through a running instance sends for 1.5 s after the report, while the registration still says ready: no request reaches the target. 38 tests of the registry, the adapter, leaving_target and target_limit pass. Not done in this commit: telling peers.

--- a/packages/bilberryd/src/edge/dispatcher.ts
+++ b/packages/bilberryd/src/edge/dispatcher.ts
@@ -95,7 +95,7 @@
   const retryPacers = createLazyMap(() => createRetryPacer(options.getRandom))
   const getRetryAfterMs = (attempt: Attempt): number => retryPacers.get(attempt.service).record({ nowMs: getNowMs(), queued: waitingByService.get(attempt.service).count(), ...targetSelector.measureCapacity(attempt.service) })
   const handleExchangeResult = createExchangeResultHandler({ finisher, log, metrics, getNowMs, getBudget: retryBudgets.get, getRetryAfterMs, requeue: enqueueAttempt })
-  const handleTargetReport = createTargetReportHandler({ log, getNowMs })
+  const handleTargetReport = createTargetReportHandler({ state, log, getNowMs })
   let checkTimer: NodeJS.Timeout | undefined
 
   function enqueueAttempt (attempt: Attempt): void {
--- a/packages/bilberryd/src/edge/region_shares.ts
+++ b/packages/bilberryd/src/edge/region_shares.ts
@@ -7,7 +7,7 @@
 import type { EntrySettings, RegionRoom, RegionShare } from '@bilberryworks/steering'
 import type { EntryState } from './entry_state.ts'
 import type { PeerHeartbeat } from './peer_view.ts'
-import { createRegionShare, isTargetUsable } from '@bilberryworks/steering'
+import { createRegionShare, isTargetLeaving, isTargetUsable } from '@bilberryworks/steering'
 
 /** Demand and region shares of an instance. */
 export interface RegionShares {
@@ -53,7 +53,7 @@
     const rooms = new Map<string, RegionRoom>([...regionNames].map(name => [name, { targets: 0, slots: 0, demand: 0 }]))
     for (const entry of state.targets.list(service)) {
       const room = rooms.get(entry.region)
-      const isAvailable = !entry.target.leaving && !state.isEvacuated(entry.target.failureDomain) && isTargetUsable(entry, nowMs)
+      const isAvailable = !isTargetLeaving(entry) && !state.isEvacuated(entry.target.failureDomain) && isTargetUsable(entry, nowMs)
       if (room === undefined || !isAvailable) continue
       room.targets++
       room.slots += entry.target.slots
--- a/packages/bilberryd/src/edge/target_reports.ts
+++ b/packages/bilberryd/src/edge/target_reports.ts
@@ -6,10 +6,13 @@
 import type { RegisteredTarget } from '@bilberryworks/steering'
 import type { ResponseFields } from '@bilberryworks/users-platform'
 import type { EntryLog } from './entry_log.ts'
+import type { EntryState } from './entry_state.ts'
 import { recordTargetLoad } from '@bilberryworks/steering'
 
 /** Options of {@linkcode createTargetReportHandler}. */
 export interface CreateTargetReportHandlerOptions {
+  /** Replicated configuration and target registry. */
+  state: EntryState
   /** Structured log. */
   log: EntryLog
   /** Returns monotonic time, in milliseconds. */
@@ -25,10 +28,13 @@
  * @param options Log and clock
  * @returns The handler
  */
-export function createTargetReportHandler ({ log, getNowMs }: CreateTargetReportHandlerOptions): HandleTargetReport {
+export function createTargetReportHandler ({ state, log, getNowMs }: CreateTargetReportHandlerOptions): HandleTargetReport {
   return (entry, fields) => {
     if (!fields.isFromTarget) return
     if (fields.load !== undefined) recordTargetLoad(entry, fields.load, getNowMs())
+    if (fields.isLeaving && state.targets.find(entry.target.id) === entry && state.targets.recordLeaving(entry.target.id)) {
+      log.info('target_leaving', { target: entry.target.id, isRegisteredAsLeaving: entry.target.leaving })
+    }
     if (fields.acceptedPerSecond === entry.acceptedPerSecond) return
     log.info('target_rate', { target: entry.target.id, acceptedPerSecond: fields.acceptedPerSecond ?? null, before: entry.acceptedPerSecond ?? null })
     entry.acceptedPerSecond = fields.acceptedPerSecond
--- a/packages/bilberryd/src/edge/target_selector.ts
+++ b/packages/bilberryd/src/edge/target_selector.ts
@@ -5,7 +5,7 @@
  */
 import type { RegisteredTarget, EntrySettings, RoutedRequest } from '@bilberryworks/steering'
 import type { EntryState } from './entry_state.ts'
-import { selectTarget, minColdIntervalMs, computeCapacity, computeRateIntervalMs, isColdSender, isServedInRegion, isTargetUsable, rankByRegion, rankTargets } from '@bilberryworks/steering'
+import { selectTarget, minColdIntervalMs, computeCapacity, computeRateIntervalMs, isColdSender, isServedInRegion, isTargetLeaving, isTargetUsable, rankByRegion, rankTargets } from '@bilberryworks/steering'
 
 /** Selects targets. */
 export interface TargetSelector {
@@ -48,8 +48,8 @@
   const rankings = new Map<string, RegisteredTarget[]>()
   let rankingsRevision = -1
 
-  function isAvailable ({ target }: RegisteredTarget): boolean {
-    return !target.leaving && !state.isEvacuated(target.failureDomain)
+  function isAvailable (entry: RegisteredTarget): boolean {
+    return !isTargetLeaving(entry) && !state.isEvacuated(entry.target.failureDomain)
   }
 
   /** Lists the targets of a service that are neither shutting down nor in an evacuated failure domain. */
--- a/packages/standins/src/leaving_target_test.ts
+++ b/packages/standins/src/leaving_target_test.ts
@@ -43,3 +43,19 @@
   t.true(leaving.runs.length > 0)
   t.is(leaving.runs.filter(run => run.startedAtMs > silencedAtMs + stableMs).length, 0)
 })
+
+test('sends nothing to a target after passing on its report of leaving, although its registration says otherwise', async t => {
+  await using site = await createTestSite()
+  site.writeConfig()
+  const leaving = await site.openTarget('t1')
+  await site.openTarget('t2')
+  const entry = await startEntry(site, 2)
+  leaving.setResponseFields({ 'Server-Leaving': '1' })
+  await sendCallsUntil(site, entry, performance.now() + 500)
+  const runs = leaving.runs.length
+  leaving.register({ cold_left: '0ms' })
+  await sendCallsUntil(site, entry, performance.now() + 1_500)
+  t.true(runs > 0)
+  t.is(leaving.runs.length, runs)
+  t.is(entry.readLog().filter(line => line['event'] === 'target_leaving').length, 1)
+})
--- a/packages/steering/src/target_registry.ts
+++ b/packages/steering/src/target_registry.ts
@@ -27,6 +27,10 @@
   lastColdRequestAtMs: number
   /** Monotonic time of the last request sent, in milliseconds. */
   lastRequestAtMs: number
+  /** Whether the target itself has reported, by a response, that it is leaving; holds until its registration changes from leaving to not leaving, or until it restarts. */
+  reportsLeaving: boolean
+  /** Monotonic time until which the target has asked this instance to send nothing, in milliseconds. */
+  pausedUntilMs: number
   /** Rate that the target accepts from all instances together by its last response, in requests per second; `undefined` if it named none. */
   acceptedPerSecond: number | undefined
   /** Monotonic time since which requests have been in flight without any response, in milliseconds; `Infinity` without requests. */
@@ -51,6 +55,8 @@
   getRevision (): number
   /** Returns the number of targets. */
   count (): number
+  /** Records that a target has reported, by a response, that it is leaving; returns whether that is news. */
+  recordLeaving (id: string): boolean
   /** Excludes pauses of this process from the time for which targets have been silent, since it reads no responses during a pause. To be called at least every 250 ms, and before targets are selected. */
   observeTime (nowMs: number): void
 }
@@ -67,6 +73,8 @@
 const pauseThresholdMs = 500
 /** Assumed time for which a request holds a slot if no target has responded yet, in milliseconds: the order of magnitude of the routes' latency objectives. */
 const defaultHoldMs = 500
+/** Maximum number of removed targets whose restrictions are kept: more than the targets of a large deployment that leave within an outage. */
+const maxRemovedEntries = 1_000
 /** Weight of the latest response time in the moving average. */
 const latestResponseWeight = 0.2
 
@@ -78,6 +86,8 @@
 export function createTargetRegistry (): TargetRegistry {
   const byId = new Map<string, RegisteredTarget>()
   const byService = new Map<string, RegisteredTarget[]>()
+  /** Removed targets that restricted their requests, oldest first; the restrictions hold if the same run registers again. */
+  const removedEntries = new Map<string, RegisteredTarget>()
   let revision = 0
   let observedAtMs = -Infinity
 
@@ -85,12 +95,31 @@
     const entry = byId.get(id)
     if (entry === undefined) return
     byId.delete(id)
+    if (isRestricted(entry)) retainRemoved(entry)
     const list = byService.get(entry.target.service)!.filter(other => other !== entry)
     if (list.length > 0) byService.set(entry.target.service, list)
     else byService.delete(entry.target.service)
     revision++
   }
 
+  function retainRemoved (entry: RegisteredTarget): void {
+    removedEntries.delete(entry.target.id)
+    removedEntries.set(entry.target.id, entry)
+    for (const id of removedEntries.keys()) {
+      if (removedEntries.size <= maxRemovedEntries) return
+      removedEntries.delete(id)
+    }
+  }
+
+  /** Takes the restrictions of a removed target if it is the same run of the target. */
+  function takeRestrictions (target: ServingTarget): Partial<RegisteredTarget> {
+    const removed = removedEntries.get(target.id)
+    removedEntries.delete(target.id)
+    if (removed === undefined || !isSameRun(removed.target, target)) return {}
+    const { reportsLeaving, pausedUntilMs, acceptedPerSecond, lastRequestAtMs } = removed
+    return { reportsLeaving, pausedUntilMs, acceptedPerSecond, lastRequestAtMs }
+  }
+
   function addTarget (target: ServingTarget, options: { region: string, nowMs: number }): RegisteredTarget {
     const entry: RegisteredTarget = {
       target,
@@ -103,8 +132,11 @@
       lastColdRequestAtMs: -Infinity,
       lastRequestAtMs: -Infinity,
       acceptedPerSecond: undefined,
+      reportsLeaving: false,
+      pausedUntilMs: -Infinity,
       silentSinceMs: Infinity,
-      meanResponseMs: undefined
+      meanResponseMs: undefined,
+      ...takeRestrictions(target)
     }
     byId.set(target.id, entry)
     byService.set(target.service, [...byService.get(target.service) ?? [], entry])
@@ -117,13 +149,12 @@
       const known = byId.get(target.id)
       if (known === undefined) return addTarget(target, options)
       const before = known.target
-      const isSameRun = before.startedAtMs === target.startedAtMs && before.service === target.service &&
-        before.address.host === target.address.host && before.address.port === target.address.port
-      if (!isSameRun) {
+      if (!isSameRun(before, target)) {
         removeTarget(target.id)
         return addTarget(target, options)
       }
       known.target = target
+      if (before.leaving && !target.leaving) known.reportsLeaving = false
       if (before.leaving !== target.leaving || before.failureDomain !== target.failureDomain) revision++
       if (target.coldLeftMs > 0) known.coldUntilMs = Math.max(known.coldUntilMs, options.nowMs + target.coldLeftMs)
       return known
@@ -134,6 +165,13 @@
     listServices: () => [...byService.keys()],
     getRevision: () => revision,
     count: () => byId.size,
+    recordLeaving (id) {
+      const entry = byId.get(id)
+      if (entry === undefined || entry.reportsLeaving) return false
+      entry.reportsLeaving = true
+      revision++
+      return true
+    },
     observeTime (nowMs) {
       const pauseMs = nowMs - observedAtMs
       observedAtMs = nowMs
@@ -143,6 +181,24 @@
   }
 }
 
+function isSameRun (a: ServingTarget, b: ServingTarget): boolean {
+  return a.startedAtMs === b.startedAtMs && a.service === b.service && a.address.host === b.address.host && a.address.port === b.address.port
+}
+
+function isRestricted (entry: RegisteredTarget): boolean {
+  return entry.reportsLeaving || entry.pausedUntilMs > -Infinity || entry.acceptedPerSecond !== undefined
+}
+
+/**
+ * Returns whether a target is leaving, by its registration or by its own report.
+ *
+ * @param entry The target
+ * @returns Whether it must get no new requests
+ */
+export function isTargetLeaving (entry: RegisteredTarget): boolean {
+  return entry.target.leaving || entry.reportsLeaving
+}
+
 /**
  * Computes the number of requests at a target: those of this instance, and an estimate of those of other instances.
  *
--- a/packages/steering/src/target_registry_test.ts
+++ b/packages/steering/src/target_registry_test.ts
@@ -1,7 +1,7 @@
 import type { ServingTarget } from './routing.ts'
 import test from 'ava'
 import { TargetSignal } from './circuit.ts'
-import { computeHoldMs, computeTargetLoad, createTargetRegistry, isTargetSilent, minSilenceMs, recordResponseTime, recordTargetResult, recordTargetLoad, recordTargetDispatch } from './target_registry.ts'
+import { computeHoldMs, computeTargetLoad, createTargetRegistry, isTargetLeaving, isTargetSilent, minSilenceMs, recordResponseTime, recordTargetResult, recordTargetLoad, recordTargetDispatch } from './target_registry.ts'
 
 const target: ServingTarget = { id: 't', service: 's', address: { host: '10.0.0.1', port: 1 }, failureDomain: 'a', slots: 3, leaving: false, coldLeftMs: 0, startedAtMs: 1 }
 const endOptions = { nowMs: 0, getRandom: () => 0.5, coldForMs: 3_000 }
@@ -75,3 +75,28 @@
   observe(6_000, 6_000 + minSilenceMs)
   t.true(isTargetSilent(entry, 6_000 + minSilenceMs))
 })
+
+test('counts a target that reports leaving as leaving until its registration says otherwise', t => {
+  const registry = createTargetRegistry()
+  const entry = registry.register(target, registration)
+  const revision = registry.getRevision()
+  t.true(registry.recordLeaving('t'))
+  t.true(registry.getRevision() > revision)
+  t.false(registry.recordLeaving('t'))
+  registry.register(target, registration)
+  t.true(isTargetLeaving(entry))
+  registry.register({ ...target, leaving: true }, registration)
+  registry.register(target, registration)
+  t.false(isTargetLeaving(entry))
+  t.false(registry.recordLeaving('unknown'))
+})
+
+test('keeps the report of leaving of a target whose registration expired, but not of a restarted one', t => {
+  const registry = createTargetRegistry()
+  registry.register(target, registration)
+  registry.recordLeaving('t')
+  registry.remove('t')
+  t.true(isTargetLeaving(registry.register(target, registration)))
+  registry.remove('t')
+  t.false(isTargetLeaving(registry.register({ ...target, startedAtMs: 2 }, registration)))
+})
