Send nothing to a target for as long as it asks to be left alone

The code read only that the request had not run, and the next request for the same object went there again.

A request for which no untried target accepts before it would have to be refused anyway is refused at once, told to come back after the first pause has ended, spread over half of the pause. The pause is not told to peers, since each target says it to each instance. Reports of targets have a counter, by kind.

--- a/packages/bilberryd/src/edge/dispatcher.ts
+++ b/packages/bilberryd/src/edge/dispatcher.ts
@@ -9,7 +9,7 @@
 import type { EntryLog } from './entry_log.ts'
 import type { EntryMetrics } from './entry_metrics.ts'
 import type { EntryState } from './entry_state.ts'
-import { createNotRunRefusal, createFleetRetryBudget, createRetryPacer, createUnknownRefusal, createWaitingRequests, recordTargetDispatch, RefusalReason, TargetSignal, waitingCheckIntervalMs, waitShare } from '@bilberryworks/steering'
+import { computePauseRetryAfterMs, createNotRunRefusal, createFleetRetryBudget, createRetryPacer, createUnknownRefusal, createWaitingRequests, recordTargetDispatch, RefusalReason, TargetSignal, waitingCheckIntervalMs, waitShare } from '@bilberryworks/steering'
 import { AttemptPhase } from './attempt.ts'
 import { createAttemptFinisher } from './attempt_finisher.ts'
 import { RequestStage } from './entry_metrics.ts'
@@ -95,7 +95,7 @@
   const retryPacers = createLazyMap(() => createRetryPacer(options.getRandom))
   const getRetryAfterMs = (attempt: Attempt): number => retryPacers.get(attempt.service).record({ nowMs: getNowMs(), queued: waitingByService.get(attempt.service).count(), ...targetSelector.measureCapacity(attempt.service) })
   const handleExchangeResult = createExchangeResultHandler({ finisher, log, metrics, getNowMs, getBudget: retryBudgets.get, getRetryAfterMs, requeue: enqueueAttempt })
-  const handleTargetReport = createTargetReportHandler({ state, log, getNowMs })
+  const handleTargetReport = createTargetReportHandler({ state, metrics, log, getNowMs })
   let checkTimer: NodeJS.Timeout | undefined
 
   function enqueueAttempt (attempt: Attempt): void {
@@ -119,10 +119,18 @@
       return entry
     })
     for (const { request, placed: entry } of assignments) dispatchAttempt(request, entry)
+    for (const attempt of waiting.takeMatching(request => targetSelector.findAcceptTimeMs(request) > request.expiresAtMs)) refusePaused(attempt)
     for (const attempt of waiting.takeExpired(getNowMs())) finisher.refuse(attempt, createNotRunRefusal(RefusalReason.Overloaded, 'No target slot became free within the queueing time limit', getRetryAfterMs(attempt)))
     if (countWaiting() > 0) checkTimer ??= setTimeout(checkWaiting, waitingCheckIntervalMs)
   }
 
+  /** Refuses an attempt for which each target wants no requests until after it may have to wait. */
+  function refusePaused (attempt: Attempt): void {
+    const pauseMs = targetSelector.findAcceptTimeMs(attempt) - getNowMs()
+    const retryAfterMs = Math.max(getRetryAfterMs(attempt), computePauseRetryAfterMs(pauseMs, options.getRandom))
+    finisher.refuse(attempt, createNotRunRefusal(RefusalReason.Overloaded, `Each available target wants no requests for ${Math.round(pauseMs)} ms or more`, retryAfterMs))
+  }
+
   function checkWaiting (): void {
     clearTimeout(checkTimer)
     checkTimer = undefined
--- a/packages/bilberryd/src/edge/entry_metrics.ts
+++ b/packages/bilberryd/src/edge/entry_metrics.ts
@@ -27,6 +27,16 @@
   State = 'state'
 }
 
+/** What a target reports about itself in a response, apart from its load. */
+export enum TargetReport {
+  /** It is leaving. */
+  Leaving = 'leaving',
+  /** It wants no requests for some time. */
+  Pause = 'pause',
+  /** It accepts another rate of requests than before. */
+  Rate = 'rate'
+}
+
 /** Records the metrics of an entry instance. */
 export interface EntryMetrics {
   /** Registry with all metrics. */
@@ -43,6 +53,8 @@
   countUndecodable (table: string): void
   /** Counts a response of a target that belongs to a request other than the one in flight on its connection. */
   countMismatchedResponse (): void
+  /** Counts a report of a target. */
+  countTargetReport (report: TargetReport): void
   /** Counts bytes sent to peers, by kind of message. */
   countPeerBytes (traffic: PeerTraffic, bytes: number): void
   /** Records the duration of a request stage, in milliseconds. */
@@ -105,10 +117,12 @@
   const truncatedResponses = new Counter({ name: 'bilberry_answers_broken_total', help: 'Responses to callers that were truncated', registers })
   const undecodableRows = new Counter({ name: 'bilberry_rows_undecodable_total', help: 'Rows that could not be decoded, by table', labelNames: ['table'], registers })
   const mismatchedResponses = new Counter({ name: 'bilberry_stray_answers_total', help: 'Responses of targets to requests other than the one in flight', registers })
+  const targetReports = new Counter({ name: 'bilberry_target_reports_total', help: 'Reports of targets about themselves in responses, by kind', labelNames: ['report'], registers })
   const peerBytes = new Counter({ name: 'bilberry_peer_bytes_total', help: 'Bytes sent to other instances, by kind of message', labelNames: ['message'], registers })
   const stages = new Histogram({ name: 'bilberry_stage_seconds', help: 'Duration of a request stage in seconds, by stage and kind of route', labelNames: ['stage', 'kind'], buckets: latencyBucketsSeconds, registers })
   for (const reason of Object.values(RefusalReason)) refusals.inc({ reason }, 0)
   for (const reason of Object.values(RetryReason)) retries.inc({ reason }, 0)
+  for (const report of Object.values(TargetReport)) targetReports.inc({ report }, 0)
   for (const message of Object.values(PeerTraffic)) peerBytes.inc({ message }, 0)
   for (const name of Object.values(EntryGauge)) {
     registers[0]!.registerMetric(new Gauge({ name, help: gaugeHelp[name], registers: [], collect () { this.set(gauges.readers[name]()) } }))
@@ -124,6 +138,7 @@
     countTruncated: () => truncatedResponses.inc(),
     countUndecodable: table => undecodableRows.inc({ table }),
     countMismatchedResponse: () => mismatchedResponses.inc(),
+    countTargetReport: report => targetReports.inc({ report }),
     countPeerBytes: (message, bytes) => peerBytes.inc({ message }, bytes),
     recordStage: (stage, kind, elapsedMs) => stages.observe({ stage, kind }, elapsedMs / msPerSecond)
   }
--- a/packages/bilberryd/src/edge/target_selector.ts
+++ b/packages/bilberryd/src/edge/target_selector.ts
@@ -5,14 +5,16 @@
  */
 import type { RegisteredTarget, EntrySettings, RoutedRequest } from '@bilberryworks/steering'
 import type { EntryState } from './entry_state.ts'
-import { selectTarget, minColdIntervalMs, computeCapacity, computeRateIntervalMs, isColdSender, isServedInRegion, isTargetLeaving, isTargetUsable, rankByRegion, rankTargets } from '@bilberryworks/steering'
+import { selectTarget, minColdIntervalMs, computeCapacity, computeRateIntervalMs, findPauseEndMs, isColdSender, isServedInRegion, isTargetLeaving, isTargetUsable, rankByRegion, rankTargets } from '@bilberryworks/steering'
 
 /** Selects targets. */
 export interface TargetSelector {
   /** Selects a target with a free slot for a request; `undefined` if the request has to wait. */
   findTarget (request: RoutedRequest): RegisteredTarget | undefined
-  /** Returns whether a selected target is still registered, not leaving and not in an evacuated failure domain. */
+  /** Returns whether a selected target is still registered, wants requests, and is neither leaving nor in an evacuated failure domain. */
   isSelectable (entry: RegisteredTarget): boolean
+  /** Returns the monotonic time in milliseconds at which an available target to which the request was not dispatched before accepts requests; the present time if one does. */
+  findAcceptTimeMs (request: RoutedRequest): number
   /** Returns whether there is an available target to which the request was not dispatched before, regardless of free slots. */
   hasUntriedTarget (request: RoutedRequest): boolean
   /** Computes this instance's share of the slots of a service, and the mean time that a request holds a slot, in milliseconds. */
@@ -101,7 +103,8 @@
       const usable = listAvailable(service).filter(entry => isTargetUsable(entry, nowMs))
       return computeCapacity(usable, { instances: options.listInstances().length, nowMs })
     },
-    isSelectable: entry => state.targets.find(entry.target.id) === entry && isAvailable(entry),
+    isSelectable: entry => state.targets.find(entry.target.id) === entry && isAvailable(entry) && entry.pausedUntilMs <= getNowMs(),
+    findAcceptTimeMs: request => findPauseEndMs(rankForRequest(request), { tried: request.tried, nowMs: getNowMs() }),
     hasUntriedTarget: request => rankForRequest(request).some(entry => !request.tried.has(entry.target.id))
   }
 }
--- a/packages/standins/src/site_target.ts
+++ b/packages/standins/src/site_target.ts
@@ -63,6 +63,8 @@
   address: string
   /** Requests that ran, in the order of their start. */
   runs: TargetRun[]
+  /** Monotonic times at which requests for this target arrived, whether they ran or not, in milliseconds. */
+  arrivalsMs: number[]
   /** Returns the largest number of requests that ran concurrently so far. */
   getMaxConcurrency (): number
   /** Queues faults; each of the next requests takes the first one in the queue. */
@@ -89,6 +91,7 @@
 export async function openSiteTarget (store: SiteStore, options: OpenSiteTargetOptions): Promise<SiteTarget> {
   const { id, slots = 3 } = options
   const runs: TargetRun[] = []
+  const arrivalsMs: number[] = []
   const faults: TargetFault[] = []
   let processingMs = options.processingMs ?? 5
   let concurrency = 0
@@ -105,6 +108,7 @@
       response.writeHead(421, { 'X-Instance-Id': id }).end()
       return
     }
+    arrivalsMs.push(performance.now())
     const fault = faults.shift()
     if (fault === TargetFault.Shed) {
       response.writeHead(503, { 'X-Not-Executed': '1', 'X-Server-Load': `${slots},9,${slots}` }).end()
@@ -141,6 +145,7 @@
   const target: SiteTarget = {
     address: `${socketAddress.host}:${socketAddress.port}`,
     runs,
+    arrivalsMs,
     getMaxConcurrency: () => maxConcurrency,
     addFaults: added => faults.push(...added),
     dropFaults () { faults.length = 0 },
--- a/packages/steering/src/retry_after.ts
+++ b/packages/steering/src/retry_after.ts
@@ -29,6 +29,8 @@
 const refusalDecayMs = 5_000
 /** Shortest delay as a fraction of the mean; the random part adds 0 to 1 times the mean. */
 const minJitterFactor = 0.5
+/** Longest time after the end of a pause at which a refused caller may retry, as a share of the pause. */
+const pauseSpread = 0.5
 
 /**
  * Creates the retry pacer of one queue.
@@ -49,3 +51,14 @@
     }
   }
 }
+
+/**
+ * Computes when a caller may retry that was refused since all targets want no requests for a known time.
+ *
+ * @param pauseMs Time until the first target accepts requests again, in milliseconds
+ * @param getRandom Returns a random number in [0, 1)
+ * @returns Time in milliseconds, never shorter than the pause; callers that were refused together return one after the other
+ */
+export function computePauseRetryAfterMs (pauseMs: number, getRandom: () => number): number {
+  return Math.round(Math.max(minRetryAfterMs, pauseMs) * (1 + getRandom() * pauseSpread))
+}
--- a/packages/steering/src/target_registry.ts
+++ b/packages/steering/src/target_registry.ts
@@ -73,6 +73,8 @@
 const pauseThresholdMs = 500
 /** Assumed time for which a request holds a slot if no target has responded yet, in milliseconds: the order of magnitude of the routes' latency objectives. */
 const defaultHoldMs = 500
+/** Longest pause that a target may ask for, in milliseconds; longer ones are mistakes. */
+const maxPauseMs = 600_000
 /** Maximum number of removed targets whose restrictions are kept: more than the targets of a large deployment that leave within an outage. */
 const maxRemovedEntries = 1_000
 /** Weight of the latest response time in the moving average. */
@@ -257,6 +259,34 @@
   else if (isAlive) entry.silentSinceMs = nowMs
 }
 
+/**
+ * Records that a target wants no request from this instance for some time.
+ *
+ * @param entry The target, which is modified; a longer pause that it asked for before stays in force
+ * @param pauseMs The time, in milliseconds; limited to ten minutes
+ * @param nowMs Monotonic time, in milliseconds
+ */
+export function recordTargetPause (entry: RegisteredTarget, pauseMs: number, nowMs: number): void {
+  entry.pausedUntilMs = Math.max(entry.pausedUntilMs, nowMs + Math.min(maxPauseMs, pauseMs))
+}
+
+/**
+ * Returns when the first of some targets accepts requests of this instance again.
+ *
+ * @param entries The targets
+ * @param options Identifiers of targets that don't count, and the monotonic time in milliseconds
+ * @returns Monotonic time, in milliseconds; `nowMs` if a target accepts requests already, or if there is none
+ */
+export function findPauseEndMs (entries: Iterable<RegisteredTarget>, { tried, nowMs }: { tried: ReadonlySet<string>, nowMs: number }): number {
+  let earliestMs = Infinity
+  for (const entry of entries) {
+    if (tried.has(entry.target.id)) continue
+    if (entry.pausedUntilMs <= nowMs) return nowMs
+    earliestMs = Math.min(earliestMs, entry.pausedUntilMs)
+  }
+  return earliestMs === Infinity ? nowMs : earliestMs
+}
+
 /**
  * Records a response time of a target.
  *
@@ -328,6 +358,7 @@
  * @returns Whether a request may be sent; a target with a half-open circuit gets one request at a time as a probe, a silent one gets none
  */
 export function isTargetUsable (entry: RegisteredTarget, nowMs: number): boolean {
+  if (nowMs < entry.pausedUntilMs) return false
   const state = getCircuitState(entry.circuit, nowMs)
   if (state === CircuitState.Open) return false
   if (state === CircuitState.HalfOpen) return entry.inFlight === 0
--- a/packages/steering/src/target_registry_test.ts
+++ b/packages/steering/src/target_registry_test.ts
@@ -1,7 +1,7 @@
 import type { ServingTarget } from './routing.ts'
 import test from 'ava'
 import { TargetSignal } from './circuit.ts'
-import { computeHoldMs, computeTargetLoad, createTargetRegistry, isTargetLeaving, isTargetSilent, minSilenceMs, recordResponseTime, recordTargetResult, recordTargetLoad, recordTargetDispatch } from './target_registry.ts'
+import { computeHoldMs, computeTargetLoad, createTargetRegistry, findPauseEndMs, isTargetLeaving, isTargetSilent, isTargetUsable, minSilenceMs, recordResponseTime, recordTargetResult, recordTargetLoad, recordTargetDispatch, recordTargetPause } from './target_registry.ts'
 
 const target: ServingTarget = { id: 't', service: 's', address: { host: '10.0.0.1', port: 1 }, failureDomain: 'a', slots: 3, leaving: false, coldLeftMs: 0, startedAtMs: 1 }
 const endOptions = { nowMs: 0, getRandom: () => 0.5, coldForMs: 3_000 }
@@ -100,3 +100,27 @@
   registry.remove('t')
   t.false(isTargetLeaving(registry.register({ ...target, startedAtMs: 2 }, registration)))
 })
+
+test('sends nothing to a target during the longest pause that it asked for, limited to ten minutes', t => {
+  const entry = createTargetRegistry().register(target, registration)
+  recordTargetPause(entry, 2_000, 0)
+  recordTargetPause(entry, 500, 100)
+  t.false(isTargetUsable(entry, 1_999))
+  t.true(isTargetUsable(entry, 2_000))
+  recordTargetPause(entry, 1e12, 0)
+  t.true(isTargetUsable(entry, 600_000))
+})
+
+test('finds when the first target that was not tried accepts requests again', t => {
+  const registry = createTargetRegistry()
+  const entries = ['a', 'b', 'c'].map(id => registry.register({ ...target, id }, registration))
+  const [a, b] = entries
+  recordTargetPause(a!, 2_000, 0)
+  recordTargetPause(b!, 1_000, 0)
+  const find = (tried: string[], nowMs: number): number => findPauseEndMs(entries, { tried: new Set(tried), nowMs })
+  t.is(find([], 100), 100)
+  t.is(find(['c'], 100), 1_000)
+  t.is(find(['b', 'c'], 100), 2_000)
+  t.is(find(['a', 'b', 'c'], 100), 100)
+  t.is(find(['c'], 1_500), 1_500)
+})
--- a/packages/steering/src/waiting_requests.ts
+++ b/packages/steering/src/waiting_requests.ts
@@ -27,6 +27,8 @@
   remove (attemptId: string): boolean
   /** Removes and returns the requests for which `place` returns a value, in order, with that value. */
   takePlaced<P> (place: (request: T) => P | undefined): Array<{ request: T, placed: P }>
+  /** Removes and returns the requests that match. */
+  takeMatching (matches: (request: T) => boolean): T[]
   /** Removes and returns the expired requests. */
   takeExpired (nowMs: number): T[]
   /** Returns the number of requests. */
@@ -48,7 +50,7 @@
 export function createWaitingRequests<T extends WaitingRequest> (): WaitingRequests<T> {
   let waiting: T[] = []
   const computeOrder = (request: T): number => request.arrivedAtMs + request.priority * priorityStepMs
-  const takeWhere = (matches: (request: T) => boolean): T[] => {
+  const takeMatching = (matches: (request: T) => boolean): T[] => {
     const taken = waiting.filter(matches)
     if (taken.length > 0) waiting = waiting.filter(request => !taken.includes(request))
     return taken
@@ -61,7 +63,7 @@
       waiting.splice(index, 0, request)
     },
     remove (attemptId) {
-      return takeWhere(request => request.attemptId === attemptId).length > 0
+      return takeMatching(request => request.attemptId === attemptId).length > 0
     },
     takePlaced (place) {
       const taken = []
@@ -74,7 +76,8 @@
       waiting = remaining
       return taken
     },
-    takeExpired: nowMs => takeWhere(request => request.expiresAtMs <= nowMs),
+    takeMatching,
+    takeExpired: nowMs => takeMatching(request => request.expiresAtMs <= nowMs),
     count: () => waiting.length
   }
 }
