--- a/packages/standins/src/site_store.ts
+++ b/packages/standins/src/site_store.ts
@@ -5,7 +5,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import type { StoreRows, StoreTransaction } from './store_rows.ts'
+import type { StoreRows, StoreRowsCopy, StoreTransaction } from './store_rows.ts'
 import { createServer } from 'node:http'
 import { buffer, text } from 'node:stream/consumers'
 import { setTimeout as wait } from 'node:timers/promises'
@@ -76,6 +76,10 @@
   removeRow (table: string, key: string): void
   /** Returns the parsed value of a row; `undefined` if the row does not exist. */
   getValue (table: string, key: string): unknown
+  /** Copies the rows. */
+  copyRows (): StoreRowsCopy
+  /** Goes back to a copy of the rows, as a store that has lost its latest writes; its era rises by one. */
+  restoreRows (copy: StoreRowsCopy): void
   /** Drops the change history, so that a read of the changes after an earlier version gets status 410. */
   dropHistory (): void
 }
@@ -98,10 +102,11 @@
   const rows = createStoreRows()
   const objects = new Map<string, Uint8Array>()
   const endpoints: StoreEndpoint[] = []
+  let era = 0
 
   return {
     async openEndpoint () {
-      const endpoint = await openStoreEndpoint((message, url) => handleCall({ rows, objects }, message, url), transaction => { rows.apply(transaction) })
+      const endpoint = await openStoreEndpoint(async (message, url) => ({ ...await handleCall({ rows, objects }, message, url), era }), transaction => { rows.apply(transaction) })
       endpoints.push(endpoint)
       return endpoint
     },
@@ -116,6 +121,11 @@
       return row === undefined ? undefined : JSON.parse(Buffer.from(row.value, 'base64').toString('utf8'))
     },
     dropHistory: rows.dropHistory,
+    copyRows: rows.copyState,
+    restoreRows (copy) {
+      era++
+      rows.restoreState(copy)
+    },
     async [Symbol.asyncDispose] () {
       for (const endpoint of endpoints) await endpoint[Symbol.asyncDispose]()
     }
@@ -142,7 +152,7 @@
   return object === undefined ? { status: 404, body: {} } : { status: 200, body: object }
 }
 
-async function openStoreEndpoint (handleRequest: (message: IncomingMessage, url: URL) => Promise<Reply>, applyTransaction: (transaction: StoreTransaction) => void): Promise<StoreEndpoint> {
+async function openStoreEndpoint (handleRequest: (message: IncomingMessage, url: URL) => Promise<Reply & { era: number }>, applyTransaction: (transaction: StoreTransaction) => void): Promise<StoreEndpoint> {
   const faults: EndpointFaults = { delayMs: 0, heldWrites: 0, landAfterMs: 1_000 }
   const counts: EndpointCounts = { calls: 0, reads: 0, writes: 0, targetReads: 0, bytes: 0 }
   const connections = new Set<Socket>()
@@ -179,11 +189,11 @@
       message.socket.destroy()
       return
     }
-    const { status, body } = await handleRequest(message, url)
+    const { status, body, era } = await handleRequest(message, url)
     if (fault === StoreFault.ResponseLost) message.socket.destroy()
     else if (!applyFault(message, response)) {
       const isObject = body instanceof Uint8Array
-      response.writeHead(status, { 'Content-Type': isObject ? 'application/octet-stream' : 'application/json' }).end(isObject ? body : JSON.stringify(body))
+      response.writeHead(status, { 'Store-Era': era, 'Content-Type': isObject ? 'application/octet-stream' : 'application/json' }).end(isObject ? body : JSON.stringify(body))
     }
   }
 
--- a/packages/standins/src/store_rows.ts
+++ b/packages/standins/src/store_rows.ts
@@ -40,6 +40,20 @@
   readFeed (query: URLSearchParams): Promise<object | undefined>
   /** Drops the history of changes. */
   dropHistory (): void
+  /** Copies the current state. */
+  copyState (): StoreRowsCopy
+  /** Goes back to a copied state: later writes are lost, and their versions are given out again. */
+  restoreState (copy: StoreRowsCopy): void
+}
+
+/** A copy of the state of a fake store. */
+export interface StoreRowsCopy {
+  /** Current rows by table. */
+  tables: Map<string, Map<string, Row>>
+  /** Changes that the change feed can deliver. */
+  history: Row[]
+  /** Latest version. */
+  version: number
 }
 
 /** Number of latest changes that the change feed can deliver. */
@@ -52,7 +66,7 @@
  * @returns The rows of the tables
  */
 export function createStoreRows (): StoreRows {
-  const tables = new Map<string, Map<string, Row>>()
+  let tables = new Map<string, Map<string, Row>>()
   let history: Row[] = []
   let lastDroppedVersion = 0
   let version = 0
@@ -111,7 +125,7 @@
       const after = Number(query.get('after'))
       const deadlineMs = performance.now() + Number(query.get('wait_ms') ?? 0)
       for (;;) {
-        if (after < lastDroppedVersion) return undefined
+        if (after < lastDroppedVersion || after > version) return undefined
         const changes = history.filter(change => change.table === query.get('table') && change.row_version > after)
         const remainingMs = deadlineMs - performance.now()
         if (changes.length > 0 || remainingMs <= 0) return { rows: changes, row_version: version, now: '0ms' }
@@ -128,6 +142,17 @@
       history = []
       lastDroppedVersion = version
       releaseFeedReads()
+    },
+    copyState: () => ({ tables: copyTables(tables), history: [...history], version }),
+    restoreState (copy) {
+      tables = copyTables(copy.tables)
+      history = [...copy.history]
+      version = copy.version
+      releaseFeedReads()
     }
   }
 }
+
+function copyTables (tables: Map<string, Map<string, Row>>): Map<string, Map<string, Row>> {
+  return new Map([...tables].map(([name, rows]) => [name, new Map(rows)]))
+}
