Log that a known target is leaving

Cause: the line is written if the leaving state has changed, but the state before was read from the registry's entry after the registry had updated it in place. Only new targets and cold ones had a line. Change: the state is read before the update.

Measured: the new test fails on the code before (1 run: no such line within 5 s), and passes now (0.14 s).

--- a/packages/bilberryd/src/edge/entry_state.ts
+++ b/packages/bilberryd/src/edge/entry_state.ts
@@ -118,9 +118,10 @@
       return
     }
     removalTimesMs.delete(key)
-    const previous = targets.find(key)
+    // The registry updates the entry of a known target in place.
+    const wasLeaving = targets.find(key)?.target.leaving
     targets.register(target, { region: options.regions.get(target.failureDomain) ?? '', nowMs: getNowMs() })
-    if (previous?.target.leaving !== target.leaving || target.coldLeftMs > 0) {
+    if (wasLeaving !== target.leaving || target.coldLeftMs > 0) {
       log.info('target', { target: key, service: target.service, failureDomain: target.failureDomain, leaving: target.leaving, coldLeftMs: target.coldLeftMs, version })
     }
   }
--- a/packages/standins/src/leaving_target_test.ts
+++ b/packages/standins/src/leaving_target_test.ts
@@ -59,3 +59,12 @@
   t.is(leaving.runs.length, runs)
   t.is(entry.readLog().filter(line => line['event'] === 'target_leaving').length, 1)
 })
+
+test('logs that a known target is leaving', async t => {
+  await using site = await createTestSite()
+  site.writeConfig()
+  const target = await site.openTarget('t1')
+  const entry = await startEntry(site, 1)
+  target.register({ state: 'draining' })
+  t.true(await waitUntil(() => entry.readLog().some(line => line['event'] === 'target' && line['leaving'] === true)))
+})
