Keep what is known when the store comes back from an older copy

Peers and starting instances get the kept rows; an instance that starts asks its seeds for all rows. One line store_restored for each table. Removals are kept in a file of their own.

--- a/packages/bilberryd/src/edge/entry_state.ts
+++ b/packages/bilberryd/src/edge/entry_state.ts
@@ -5,18 +5,12 @@
  */
 import type { Route, RoutingConfig, RouteTable, TargetRegistry } from '@bilberryworks/steering'
 import type { EntryLog } from './entry_log.ts'
-import type { RowChange, TableReplica, TableUpdate } from './table_replica.ts'
+import type { RowChange, TableReplica, TableRestoration, TableUpdate } from './table_replica.ts'
 import { createRouteTable, createTargetRegistry } from '@bilberryworks/steering'
-import { decodeRouting, decodeTarget, parseEvacuationKey, parseJsonRow, routingKey } from '@bilberryworks/users-platform'
+import { decodeRouting, decodeTarget, isOutdatedOperatorRow, isOutdatedTargetRow, parseEvacuationKey, parseJsonRow, routingKey } from '@bilberryworks/users-platform'
+import { ReplicatedTable } from './replicated_table.ts'
 import { createTableReplica } from './table_replica.ts'
-
-/** Tables that an instance replicates from the store. */
-export enum ReplicatedTable {
-  /** Routing configuration and evacuations, written by operators. */
-  Operator = 'operator',
-  /** Target registrations. */
-  Targets = 'targets'
-}
+import { createUnconfirmedRows } from './unconfirmed_rows.ts'
 
 /** The replicated state of an instance. */
 export interface EntryState {
@@ -36,7 +30,7 @@
   getTable (table: ReplicatedTable): TableReplica
   /** Records the result of a call to the store: a description of the failure, or `undefined` if the store responded. */
   recordContact (failure: string | undefined): void
-  /** Removes the targets that have not registered again in time after a store outage; `nowMs` is monotonic time. */
+  /** Removes the targets that have not registered again in time after a store outage, and the rows that a restored store still lacks; `nowMs` is monotonic time. */
   removeExpired (nowMs: number): void
   /** Returns the monotonic time of the last response of the store, in milliseconds. */
   getLastContactMs (): number
@@ -69,7 +63,11 @@
  */
 export function createEntryState (options: CreateEntryStateOptions): EntryState {
   const { log, getNowMs } = options
-  const tables = { [ReplicatedTable.Operator]: createTableReplica(), [ReplicatedTable.Targets]: createTableReplica() }
+  const tables = {
+    [ReplicatedTable.Operator]: createTableReplica({ isOutdated: isOutdatedOperatorRow, onRestored: createRestorationHandler(ReplicatedTable.Operator) }),
+    [ReplicatedTable.Targets]: createTableReplica({ isOutdated: isOutdatedTargetRow, onRestored: createRestorationHandler(ReplicatedTable.Targets) })
+  }
+  const unconfirmedRows = createUnconfirmedRows()
   const targets = createTargetRegistry()
   const evacuated = new Set<string>()
   /** Monotonic times at which unregistered targets are removed, in milliseconds, by target identifier. */
@@ -81,6 +79,16 @@
   let isStoreUnreachable = false
   let storeRecoveredAtMs = -Infinity
 
+  function createRestorationHandler (table: ReplicatedTable): (restoration: TableRestoration) => void {
+    return restoration => {
+      const nowMs = getNowMs()
+      log.warn('store_restored', { table, ...restoration })
+      unconfirmedRows.start(table, nowMs)
+      // Registrations that expired in the outage before the restoration are renewed, as after any other outage.
+      storeRecoveredAtMs = nowMs
+    }
+  }
+
   function applyConfig (text: string): void {
     const next = decodeRouting(parseJsonRow(text))
     if (next === undefined) {
@@ -172,6 +180,7 @@
       log.info('store_regained', {})
     },
     removeExpired (nowMs) {
+      for (const table of Object.values(ReplicatedTable)) applyTableChanges(table, unconfirmedRows.expire(table, tables[table], nowMs))
       let hasExpired = false
       for (const [id, removeAtMs] of removalTimesMs) {
         if (removeAtMs > nowMs) continue
--- a/packages/bilberryd/src/edge/peer_link.ts
+++ b/packages/bilberryd/src/edge/peer_link.ts
@@ -12,7 +12,7 @@
 import { createSocket } from 'node:dgram'
 import { createServer } from 'node:http'
 import { createCatchUp } from '@bilberryworks/steering'
-import { ReplicatedTable } from './entry_state.ts'
+import { ReplicatedTable } from './replicated_table.ts'
 import { PeerTraffic } from './entry_metrics.ts'
 import { createStateHandler, fetchPeerState } from './peer_state.ts'
 import { formatUpdate, parseHeartbeat, parseUpdate, UpdateResult } from './peer_view.ts'
--- a/packages/bilberryd/src/edge/peer_state.ts
+++ b/packages/bilberryd/src/edge/peer_state.ts
@@ -9,7 +9,7 @@
 import type { PeerHeartbeat } from './peer_view.ts'
 import type { TableUpdate } from './table_replica.ts'
 import { exchangeHttp } from '@bilberryworks/users-platform'
-import { ReplicatedTable } from './entry_state.ts'
+import { ReplicatedTable } from './replicated_table.ts'
 
 /** State of an instance, sent in response to a call of a peer. */
 export interface PeerState {
@@ -58,7 +58,8 @@
  */
 export async function fetchPeerState (address: SocketAddress, { state, withInstances }: FetchPeerStateOptions): Promise<PeerState> {
   const query = new URLSearchParams()
-  for (const table of Object.values(ReplicatedTable)) query.set(table, String(state.getTable(table).getAsOf()))
+  // At the start all rows are asked for, since a peer may know later states of rows than a store that was restored from a copy.
+  for (const table of Object.values(ReplicatedTable)) query.set(table, String(withInstances ? 0 : state.getTable(table).getAsOf()))
   if (withInstances) query.set(instancesParameter, '1')
   const { status, body } = await exchangeHttp({ address, method: 'GET', path: `${statePath}?${query}`, timeoutMs: callTimeoutMs, maxResponseBytes })
   if (status !== 200) throw new Error(`GET ${statePath} returned status ${status}`)
--- a/packages/bilberryd/src/edge/table_replica.ts
+++ b/packages/bilberryd/src/edge/table_replica.ts
@@ -1,8 +1,13 @@
 /**
  * Replicas of the store's tables, merged from the store and from peers.
  *
+ * The store can come back from an older copy. What it has lost is written again by those who wrote it, but not at once. Until
+ * then a replica keeps what it knows: rows that the copy has in an older state, and for a limited time rows that it lacks.
+ *
  * @module
  */
+import { encodeStoreVersion, getStoreEra } from '@bilberryworks/steering'
+import { createRemovalMemory } from './_removal_memory.ts'
 
 /** A row with its version. All versions come from a single counter of the store. */
 export interface VersionedRow {
@@ -22,6 +27,8 @@
   text?: string | undefined
   /** Version of the change. */
   version: number
+  /** Set if the row is missing in the restored store and may yet be written again. */
+  isUnconfirmed?: true
 }
 
 /** What a replica with an older state needs to reach the state of another one. */
@@ -34,10 +41,29 @@
   changes: RowChange[]
 }
 
+/** What a replica kept when the store came back from an older copy. */
+export interface TableRestoration {
+  /** Era of the store. */
+  era: number
+  /** Version of the store before and after, as far as known. */
+  before: number
+  after: number
+  /** Number of rows that differ from those known, and took effect. */
+  changed: number
+  /** Number of rows of which a later state is known. */
+  kept: number
+  /** Number of known rows that are missing. */
+  unconfirmed: number
+}
+
 /** A replica of one table. */
 export interface TableReplica {
   /** Merges an update, ignoring outdated changes; returns the changes that took effect. */
   merge (update: TableUpdate): RowChange[]
+  /** Removes the rows that are missing since the store was restored; returns their removals. To be called once their writers have had the time to write them again. */
+  dropUnconfirmed (): RowChange[]
+  /** Returns the number of rows that are missing since the store was restored. */
+  countUnconfirmed (): number
   /** Lists the changes since the state of another replica, or all rows if the changes are not known that far back. */
   listSince (asOf: number): TableUpdate
   /** Lists the current rows. */
@@ -52,6 +78,10 @@
 export interface CreateTableReplicaOptions {
   /** Maximum number of removals that are remembered; 4,000 by default. */
   maxRemovals?: number
+  /** Returns whether a row is not newer than another state of it, by what its writer says; by default no row states an order. */
+  isOutdated?: (row: { key: string, text: string }, other: string) => boolean
+  /** Called when the store has been restored from an older copy; not called by default. */
+  onRestored?: (restoration: TableRestoration) => void
 }
 
 /** Several times the targets of a large deployment, so that changes suffice for a peer that missed a replacement of all of them. */
@@ -60,59 +90,127 @@
 /**
  * Creates an empty replica.
  *
- * @param options Limit of the memory
+ * @param options Limit of the memory, and order of the rows
  * @returns The replica
  */
 export function createTableReplica (options: CreateTableReplicaOptions = {}): TableReplica {
-  const { maxRemovals = defaultMaxRemovals } = options
+  const { maxRemovals = defaultMaxRemovals, isOutdated = () => false } = options
   const rows = new Map<string, VersionedRow>()
-  /** Versions of removals by key, oldest first, so that an outdated change does not restore a removed row. */
-  const removalVersions = new Map<string, number>()
+  /** Removals, so that neither an outdated change nor an older copy of the store restores a removed row. */
+  const removals = createRemovalMemory(maxRemovals)
+  /** Keys of the rows of which the store has an older state. */
+  const keptKeys = new Set<string>()
+  /** Keys of the rows that the restored store lacks. */
+  const unconfirmedKeys = new Set<string>()
   let latestVersion = 0
   let asOf = 0
-  /** Version of the store since which all removals are known. */
-  let removalsKnownSince = Infinity
+
+  /** Returns whether a change with the same version as a row has a later state, which its sender kept from before a restoration. */
+  function isLaterState ({ key, text, version }: RowChange, known: VersionedRow | undefined): boolean {
+    return known?.version === version && text !== undefined && text !== known.text && isOutdated({ key, text: known.text }, text)
+  }
 
   function mergeChange (change: RowChange): boolean {
     const { key, text, version } = change
-    if (version <= (rows.get(key)?.version ?? removalVersions.get(key) ?? -1)) return false
+    const known = rows.get(key)
+    if (change.isUnconfirmed === true) return mergeUnconfirmed(key, text!, version)
+    if (version <= (known?.version ?? removals.getVersion(key) ?? -1) && !isLaterState(change, known)) return false
     latestVersion = Math.max(latestVersion, version)
-    removalVersions.delete(key)
-    if (text === undefined) {
-      removalVersions.set(key, version)
-      dropRemovals()
-      return rows.delete(key)
+    unconfirmedKeys.delete(key)
+    if (text === undefined) return removeRow(key, version)
+    removals.remove(key)
+    if (known !== undefined && keptKeys.has(key) && isOutdated({ key, text }, known.text)) {
+      rows.set(key, { ...known, version })
+      return false
     }
+    keptKeys.delete(key)
     rows.set(key, { key, text, version })
     return true
   }
 
-  function dropRemovals (): void {
-    for (const [key, version] of removalVersions) {
-      if (removalVersions.size <= maxRemovals) return
-      removalVersions.delete(key)
-      removalsKnownSince = Math.max(removalsKnownSince, version)
-    }
+  function mergeUnconfirmed (key: string, text: string, version: number): boolean {
+    if (rows.has(key) || removals.getVersion(key) !== undefined) return false
+    unconfirmedKeys.add(key)
+    rows.set(key, { key, text, version })
+    return true
+  }
+
+  function removeRow (key: string, version: number): boolean {
+    const text = rows.get(key)?.text
+    removals.record(key, { version, row: text === undefined ? undefined : { text, isStated: !unconfirmedKeys.has(key) } })
+    keptKeys.delete(key)
+    unconfirmedKeys.delete(key)
+    return rows.delete(key)
   }
 
   /** Lists the rows that a snapshot lacks and that are not newer, as removals. */
   function listMissing (update: TableUpdate): RowChange[] {
-    const present = new Set(update.changes.map(row => row.key))
-    return [...rows.values()].filter(row => !present.has(row.key) && row.version <= update.asOf).map(({ key }) => ({ key, text: undefined, version: update.asOf }))
+    const present = new Set(update.changes.filter(row => row.isUnconfirmed !== true).map(row => row.key))
+    return [...rows.values()].filter(row => !present.has(row.key) && !unconfirmedKeys.has(row.key) && row.version <= update.asOf).map(({ key }) => ({ key, text: undefined, version: update.asOf }))
+  }
+
+  /** Merges one row of the first snapshot after a restoration; returns whether it took effect. */
+  function mergeRestoredRow (row: RowChange & { text: string }): boolean {
+    const known = rows.get(row.key)
+    const removed = removals.getRow(row.key)
+    if (known !== undefined && (known.text === row.text || isOutdated(row, known.text))) {
+      rows.set(row.key, { ...known, version: row.version })
+      if (known.text !== row.text) keptKeys.add(row.key)
+      return false
+    }
+    if (known === undefined && removed !== undefined && isOutdated(row, removed.text) && (removed.isStated || row.text !== removed.text)) {
+      removals.record(row.key, { version: row.version })
+      return false
+    }
+    rows.set(row.key, { key: row.key, text: row.text, version: row.version })
+    return true
+  }
+
+  function mergeRestored (update: TableUpdate): RowChange[] {
+    const era = getStoreEra(update.asOf)
+    const before = asOf
+    const unconfirmedBySender = update.changes.filter(change => change.isUnconfirmed === true)
+    const present = update.changes.filter((change): change is RowChange & { text: string } => change.text !== undefined && change.isUnconfirmed !== true)
+    const presentKeys = new Set(present.map(row => row.key))
+    removals.dropVersions()
+    keptKeys.clear()
+    unconfirmedKeys.clear()
+    // Any change in the new era is later than what is kept from before it.
+    for (const { key, text } of rows.values()) {
+      if (presentKeys.has(key)) continue
+      rows.set(key, { key, text, version: encodeStoreVersion(era, 0) })
+      unconfirmedKeys.add(key)
+    }
+    const changes = [...present.filter(mergeRestoredRow), ...unconfirmedBySender.filter(mergeChange)]
+    asOf = update.asOf
+    latestVersion = update.asOf
+    removals.knownSince = update.asOf
+    options.onRestored?.({ era, before, after: asOf, changed: changes.length, kept: keptKeys.size, unconfirmed: unconfirmedKeys.size })
+    return changes
   }
 
   return {
     merge (update) {
+      const eraRise = getStoreEra(update.asOf) - getStoreEra(asOf)
+      if (eraRise < 0 && update.asOf > 0) return []
+      if (eraRise > 0 && asOf > 0) return update.isSnapshot ? mergeRestored(update) : []
       const changes = update.isSnapshot ? [...update.changes, ...listMissing(update)] : update.changes
       // A row that was both added and removed since the last known state is in no list.
-      if (update.isSnapshot && update.asOf > asOf) removalsKnownSince = update.asOf
+      if (update.isSnapshot && update.asOf > asOf) removals.knownSince = update.asOf
       asOf = Math.max(asOf, update.asOf)
       return changes.filter(mergeChange)
     },
+    dropUnconfirmed () {
+      const dropped = [...unconfirmedKeys].map((key): RowChange => ({ key, text: undefined, version: asOf }))
+      for (const { key, version } of dropped) removeRow(key, version)
+      return dropped
+    },
+    countUnconfirmed: () => unconfirmedKeys.size,
     listSince (otherAsOf) {
-      const isSnapshot = otherAsOf < removalsKnownSince
+      const isSnapshot = otherAsOf < removals.knownSince
       const changes: RowChange[] = [...rows.values()].filter(row => isSnapshot || row.version > otherAsOf)
-      if (!isSnapshot) for (const [key, version] of removalVersions) if (version > otherAsOf) changes.push({ key, version })
+        .map(row => unconfirmedKeys.has(row.key) ? { ...row, isUnconfirmed: true } : row)
+      if (!isSnapshot) changes.push(...removals.listSince(otherAsOf))
       return { asOf, isSnapshot, changes }
     },
     list: () => [...rows.values()],
--- /dev/null
+++ b/packages/bilberryd/src/edge/table_restoration_test.ts
@@ -0,0 +1,129 @@
+import type { RowChange, TableReplica, TableUpdate } from './table_replica.ts'
+import test from 'ava'
+import fc from 'fast-check'
+import { encodeStoreVersion, getStoreCounter, getStoreEra } from '@bilberryworks/steering'
+import { createTableReplica } from './table_replica.ts'
+
+const seed = 20261204
+
+/** A row states its order as a number. */
+const isOutdated = (row: { text: string }, other: string): boolean => Number(row.text) <= Number(other)
+
+/** State of a store: rows by key, with their versions, and the changes of this era. */
+interface StoreState {
+  era: number
+  counter: number
+  rows: Map<string, { text: string, counter: number }>
+  changes: Array<{ key: string, text?: string, counter: number }>
+}
+
+const copyState = (state: StoreState): StoreState => ({ ...state, rows: new Map(state.rows), changes: [...state.changes] })
+
+function writeRow (state: StoreState, key: string, text?: string): void {
+  if (text === undefined && !state.rows.has(key)) return
+  state.counter++
+  if (text === undefined) state.rows.delete(key)
+  else state.rows.set(key, { text, counter: state.counter })
+  state.changes.push({ key, counter: state.counter, ...text === undefined ? {} : { text } })
+}
+
+/** Reads the store as the replication does: the changes since the replica's state, or all rows if the era is another. */
+function readStore (state: StoreState, replica: TableReplica): TableUpdate {
+  const { era, counter } = state
+  const toChange = (row: { key: string, text?: string, counter: number }): RowChange => ({ key: row.key, text: row.text, version: encodeStoreVersion(era, row.counter) })
+  const asOf = replica.getAsOf()
+  const isSnapshot = asOf === 0 || getStoreEra(asOf) !== era
+  const rows = isSnapshot ? [...state.rows].map(([key, row]) => ({ key, ...row })) : state.changes.filter(change => change.counter > getStoreCounter(asOf))
+  return { asOf: encodeStoreVersion(era, counter), isSnapshot, changes: rows.map(toChange) }
+}
+
+/** Steps of a run; `key`, `instance` and `peer` are taken modulo their number. */
+const step = fc.record({
+  kind: fc.constantFrom('write', 'write', 'remove', 'copy', 'restore', 'rewrite', 'read', 'read', 'read', 'fetch', 'restart', 'expire'),
+  key: fc.nat({ max: 2 }),
+  instance: fc.nat({ max: 6 }),
+  peer: fc.nat({ max: 6 })
+})
+
+for (const count of [2, 7]) {
+  test(`no belief of ${count} instances goes back when the store is restored from any copy, and all agree in the end`, t => {
+    fc.assert(fc.property(fc.array(step, { maxLength: 60, size: 'max' }), steps => {
+      const state: StoreState = { era: 0, counter: 1, rows: new Map(), changes: [] }
+      const truth = new Map<string, string>()
+      const copies = [copyState(state)]
+      const replicas = Array.from({ length: count }, () => createTableReplica({ isOutdated }))
+      const beliefs = replicas.map(() => new Map<string, number>())
+      let order = 0
+
+      function writeTruth (): void {
+        for (const key of state.rows.keys()) if (!truth.has(key)) writeRow(state, key)
+        for (const [key, text] of truth) if (state.rows.get(key)?.text !== text) writeRow(state, key, text)
+      }
+
+      function mergeInto (index: number, update: TableUpdate): void {
+        replicas[index]!.merge(update)
+        for (const { key, text } of replicas[index]!.list()) {
+          const before = beliefs[index]!.get(key) ?? 0
+          if (Number(text) < before) throw new Error(`instance ${index} goes back from ${before} to ${text} for ${key}`)
+          beliefs[index]!.set(key, Number(text))
+        }
+      }
+
+      for (const { kind, ...picks } of steps) {
+        const [key, index, peer] = [`k${picks.key}`, picks.instance % count, picks.peer % count]
+        if (kind === 'write') {
+          truth.set(key, String(++order))
+          writeRow(state, key, truth.get(key))
+        } else if (kind === 'remove') {
+          truth.delete(key)
+          writeRow(state, key)
+        } else if (kind === 'copy') copies.push(copyState(state))
+        else if (kind === 'restore') Object.assign(state, copyState(copies[picks.key % copies.length]!), { era: state.era + 1 })
+        else if (kind === 'rewrite') writeTruth()
+        else if (kind === 'read') mergeInto(index, readStore(state, replicas[index]!))
+        else if (kind === 'fetch' && replicas[peer]!.getAsOf() > replicas[index]!.getAsOf()) mergeInto(index, replicas[peer]!.listSince(replicas[index]!.getAsOf()))
+        else if (kind === 'expire') replicas[index]!.dropUnconfirmed()
+        else if (kind === 'restart') {
+          replicas[index] = createTableReplica({ isOutdated })
+          beliefs[index]!.clear()
+          if (replicas[peer]!.getAsOf() > 0) mergeInto(index, replicas[peer]!.listSince(0))
+        }
+      }
+      writeTruth()
+      const expected = JSON.stringify([...truth].toSorted())
+      for (const [index, replica] of replicas.entries()) {
+        mergeInto(index, readStore(state, replica))
+        replica.dropUnconfirmed()
+        const found = JSON.stringify(replica.list().map(({ key, text }) => [key, text]).toSorted())
+        if (found !== expected) throw new Error(`instance ${index} has ${found}, the store ${expected}`)
+      }
+    }), { seed, numRuns: 3_000 })
+    t.pass()
+  })
+}
+
+test('a row that the restored store lacks stays until its writer has had the time to write it again', t => {
+  const replica = createTableReplica({ isOutdated })
+  replica.merge({ asOf: 9, isSnapshot: true, changes: [{ key: 'a', text: '1', version: 5 }, { key: 'b', text: '2', version: 9 }] })
+  const restored = { asOf: encodeStoreVersion(1, 6), isSnapshot: true, changes: [{ key: 'a', text: '1', version: encodeStoreVersion(1, 5) }] }
+  t.deepEqual(replica.merge(restored), [])
+  t.is(replica.countUnconfirmed(), 1)
+  t.deepEqual(replica.list().map(row => row.key), ['a', 'b'])
+  // An instance that starts now learns of the row from this one.
+  const starting = createTableReplica({ isOutdated })
+  starting.merge(restored)
+  starting.merge(replica.listSince(0))
+  t.deepEqual(starting.list().map(row => row.key), ['a', 'b'])
+  for (const each of [replica, starting]) t.deepEqual(each.dropUnconfirmed().map(({ key, text }) => [key, text]), [['b', undefined]])
+})
+
+test('a starting instance prefers a peer that knows a later state to a restored store', t => {
+  const replica = createTableReplica({ isOutdated })
+  replica.merge({ asOf: 9, isSnapshot: true, changes: [{ key: 'a', text: '3', version: 9 }] })
+  const restored = { asOf: encodeStoreVersion(1, 6), isSnapshot: true, changes: [{ key: 'a', text: '1', version: encodeStoreVersion(1, 5) }] }
+  t.deepEqual(replica.merge(restored), [])
+  const starting = createTableReplica({ isOutdated })
+  starting.merge(restored)
+  starting.merge(replica.listSince(0))
+  t.is(starting.list()[0]!.text, '3')
+})
