Tell peers which targets leave or have stopped naming a rate

Cause: an instance heard only what a target said to itself. While the store can't be reached, each instance had to send one more request to a target that leaves before it stopped; and once a target withdraws its rate, the instances that are not among its senders learnt it by their own next request, on average ten minutes later in a fleet of 77, so that the target stayed nearly idle.

Change: heartbeats carry for 10 s the reports of this kind that a target made to the sender itself, at most 30 of a kind, and nothing if there are none (a quiet heartbeat is as long as before). A receiver applies them to the same run of the target only, and the end of a rate only if the target has not named one to it within 5 s, since the news may be older. What was heard from a peer is not passed on. Pauses are not told: each target says them to each instance.

--- a/packages/bilberryd/src/edge/dispatcher.ts
+++ b/packages/bilberryd/src/edge/dispatcher.ts
@@ -5,6 +5,7 @@
  */
 import type { RegisteredTarget, EntrySettings, Refusal, WaitingRequests } from '@bilberryworks/steering'
 import type { TargetPool } from '@bilberryworks/targets'
+import type { ResponseFields } from '@bilberryworks/users-platform'
 import type { Attempt } from './attempt.ts'
 import type { EntryLog } from './entry_log.ts'
 import type { EntryMetrics } from './entry_metrics.ts'
@@ -17,7 +18,6 @@
 import { createTargetSelector } from './target_selector.ts'
 import { ExchangeResult, sendAttempt } from './send_attempt.ts'
 import { createActiveExchanges } from './active_exchanges.ts'
-import { createTargetReportHandler } from './target_reports.ts'
 
 /** Dispatches attempts to targets. */
 export interface Dispatcher {
@@ -53,6 +53,8 @@
   log: EntryLog
   /** Metrics. */
   metrics: EntryMetrics
+  /** Handles what a target reports about itself in a response. */
+  handleTargetResponse: (entry: RegisteredTarget, fields: ResponseFields) => void
   /** Returns the names of the live instances, including this one. */
   listInstances: () => string[]
   /** Returns the share of the objects of callers in this instance's region that targets in the region serve; `undefined` if targets are to be chosen in all regions alike. */
@@ -95,7 +97,6 @@
   const retryPacers = createLazyMap(() => createRetryPacer(options.getRandom))
   const getRetryAfterMs = (attempt: Attempt): number => retryPacers.get(attempt.service).record({ nowMs: getNowMs(), queued: waitingByService.get(attempt.service).count(), ...targetSelector.measureCapacity(attempt.service) })
   const handleExchangeResult = createExchangeResultHandler({ finisher, log, metrics, getNowMs, getBudget: retryBudgets.get, getRetryAfterMs, requeue: enqueueAttempt })
-  const handleTargetReport = createTargetReportHandler({ state, metrics, log, getNowMs })
   let checkTimer: NodeJS.Timeout | undefined
 
   function enqueueAttempt (attempt: Attempt): void {
@@ -158,7 +159,7 @@
       onSendStart: () => metrics.recordStage(RequestStage.Connect, attempt.route.kind, getNowMs() - attempt.dispatchedAtMs),
       onResponseHead (fields) {
         metrics.recordStage(RequestStage.FirstByte, attempt.route.kind, getNowMs() - attempt.dispatchedAtMs)
-        handleTargetReport(entry, fields)
+        options.handleTargetResponse(entry, fields)
       },
       onBodyTooLarge () {
         exchanges.cancel(attempt, TargetSignal.Ended)
--- a/packages/bilberryd/src/edge/peer_link.ts
+++ b/packages/bilberryd/src/edge/peer_link.ts
@@ -5,7 +5,7 @@
  */
 import type { Socket } from 'node:dgram'
 import type { Server } from 'node:http'
-import type { SocketAddress } from '@bilberryworks/steering'
+import type { RecentTargetReports, SocketAddress } from '@bilberryworks/steering'
 import type { EntryLog } from './entry_log.ts'
 import type { EntryState } from './entry_state.ts'
 import type { KnownPeer, PeerHeartbeat, HeartbeatUpdate, PeerView } from './peer_view.ts'
@@ -33,6 +33,8 @@
   remoteIntervals: number
   /** Time for which this instance must have been behind a peer before it fetches from it while the store responds, in milliseconds. */
   storeDelayMs: number
+  /** Handles the reports that targets made to a peer a short time ago. */
+  handleTargetReports: (peer: string, reports: RecentTargetReports) => void
   /** Counts bytes sent to peers. */
   countBytes: (traffic: PeerTraffic, bytes: number) => void
   /** Structured log. */
@@ -98,9 +100,14 @@
     log.info('peer_live', { peer: instance, startedAtMs })
   }
 
+  function handleReports ({ instance, targetReports }: HeartbeatUpdate): void {
+    if (targetReports !== undefined) options.handleTargetReports(instance, targetReports)
+  }
+
   function handleHeartbeat (heartbeat: HeartbeatMessage): void {
     const hasBecomeLive = view.recordHeartbeat(heartbeat, getNowMs())
     if (hasBecomeLive) recordLive(heartbeat.instance, heartbeat.startedAtMs)
+    handleReports(heartbeat)
     // Sent immediately, so that the peer does not have to wait for the next heartbeat to see that this instance is live.
     if (hasBecomeLive || heartbeat.asksForHeartbeat === true) sendText(JSON.stringify(options.getHeartbeat()), heartbeat.heartbeats)
   }
@@ -108,6 +115,7 @@
   function handleUpdate (update: HeartbeatUpdate, from: SocketAddress): void {
     const result = view.recordUpdate(update, getNowMs())
     if (result === UpdateResult.BecameLive) recordLive(update.instance, update.startedAtMs)
+    handleReports(update)
     if (result !== UpdateResult.Unknown) return
     const message: HeartbeatMessage = { ...options.getHeartbeat(), asksForHeartbeat: true }
     sendText(JSON.stringify(message), from)
--- a/packages/bilberryd/src/edge/peer_view.ts
+++ b/packages/bilberryd/src/edge/peer_view.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { SocketAddress } from '@bilberryworks/steering'
+import type { RecentTargetReports, SocketAddress } from '@bilberryworks/steering'
 
 /** The part of a heartbeat that changes during a run. */
 export interface HeartbeatUpdate {
@@ -19,6 +19,8 @@
   versions: Record<string, number>
   /** Slots that the requests of this instance take or wait for, by service. */
   demand: Record<string, number>
+  /** What targets reported to the instance a short time ago; absent if nothing. */
+  targetReports?: RecentTargetReports
 }
 
 /** Heartbeat with the addresses of the instance, sent at its start and whenever a peer asks for it. */
@@ -149,8 +151,10 @@
  * @param update The update, or a heartbeat that contains it
  * @returns JSON text
  */
-export function formatUpdate ({ instance, startedAtMs, sequence, isReady, versions, demand }: HeartbeatUpdate): string {
-  return JSON.stringify([instance, startedAtMs, sequence, isReady, versions, demand])
+export function formatUpdate ({ instance, startedAtMs, sequence, isReady, versions, demand, targetReports }: HeartbeatUpdate): string {
+  const fields: unknown[] = [instance, startedAtMs, sequence, isReady, versions, demand]
+  if (targetReports !== undefined && Object.values(targetReports).some(runs => Object.keys(runs).length > 0)) fields.push(targetReports)
+  return JSON.stringify(fields)
 }
 
 /**
@@ -162,9 +166,10 @@
 export function parseUpdate (text: string): HeartbeatUpdate | undefined {
   const value = parseJson(text)
   if (!Array.isArray(value)) return undefined
-  const [instance, startedAtMs, sequence, isReady, versions, demand] = value as [string, number, number, boolean, Record<string, number>, Record<string, number>]
+  const [instance, startedAtMs, sequence, isReady, versions, demand, targetReports] = value as [string, number, number, boolean, Record<string, number>, Record<string, number>, RecentTargetReports | undefined]
   const isValid = typeof instance === 'string' && typeof startedAtMs === 'number' && typeof sequence === 'number' && typeof isReady === 'boolean' && [versions, demand].every(isNumberRecord)
-  return isValid ? { instance, startedAtMs, sequence, isReady, versions, demand } : undefined
+  if (!isValid) return undefined
+  return { instance, startedAtMs, sequence, isReady, versions, demand, ...isTargetReports(targetReports) ? { targetReports } : {} }
 }
 
 /**
@@ -176,7 +181,13 @@
 export function parseHeartbeat (text: string): PeerHeartbeat | undefined {
   const value = parseJson(text) as PeerHeartbeat | undefined
   const isValid = typeof value?.instance === 'string' && typeof value.heartbeats?.port === 'number' && typeof value.peers?.port === 'number' && isNumberRecord(value.versions) && isNumberRecord(value.demand)
-  return isValid ? value : undefined
+  if (!isValid) return undefined
+  const { targetReports, ...heartbeat } = value
+  return isTargetReports(targetReports) ? { ...heartbeat, targetReports } : heartbeat
+}
+
+function isTargetReports (value: unknown): value is RecentTargetReports {
+  return typeof value === 'object' && value !== null && isNumberRecord((value as RecentTargetReports).leaving) && isNumberRecord((value as RecentTargetReports).rateEnded)
 }
 
 function isNumberRecord (value: unknown): boolean {
--- a/packages/bilberryd/src/edge/peer_view_test.ts
+++ b/packages/bilberryd/src/edge/peer_view_test.ts
@@ -95,3 +95,11 @@
 test('look-up returns only instances in the caller\'s region if one address is enough', t => {
   t.deepEqual(chooseAddresses(instances, { failureDomain: 'c', region: 'q' }, { minAddresses: 1 }), ['far:1'])
 })
+
+test('formats and parses an update with recent reports of targets, and one without', t => {
+  const update = { instance: 'a', startedAtMs: 1, sequence: 2, isReady: true, versions: { operator: 3 }, demand: {} }
+  const withReports = { ...update, targetReports: { leaving: { t: 7 }, rateEnded: {} } }
+  t.deepEqual(parseUpdate(formatUpdate(withReports)), withReports)
+  t.deepEqual(parseUpdate(formatUpdate({ ...update, targetReports: { leaving: {}, rateEnded: {} } })), update)
+  t.deepEqual(parseUpdate(JSON.stringify(['a', 1, 2, true, { operator: 3 }, {}, { leaving: 'x' }])), update)
+})
--- a/packages/bilberryd/src/edge/run_entry.ts
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -28,6 +28,7 @@
 import { createRegionShares } from './region_shares.ts'
 import { ReplicatedTable } from './replicated_table.ts'
 import { startTableReplication } from './table_replication.ts'
+import { createTargetReports } from './target_reports.ts'
 
 /** A running entry instance. */
 export interface RunningEntry extends AsyncDisposable {
@@ -92,6 +93,7 @@
   const view = createPeerView({ instance: settings.instance, evictionMs: peerEvictionMs, getTimeoutMs: heartbeat => heartbeat.region === settings.region ? peerTimeoutMs : remotePeerTimeoutMs })
   const state = createEntryState({ regions: settings.regions, log, getNowMs, countUndecodable: metrics.countUndecodable, onChange: handleChange })
   const pool = cleanup.add(createTargetPool({ connectTimeoutMs, onMismatchedResponse: metrics.countMismatchedResponse }))
+  const targetReports = createTargetReports({ state, metrics, log, getNowMs })
   const dispatcher = createDispatcher({
     settings,
     state,
@@ -100,6 +102,7 @@
     metrics,
     getNowMs,
     getRandom,
+    handleTargetResponse: targetReports.handleResponse,
     listInstances: () => [settings.instance, ...view.listLive(getNowMs()).map(peer => peer.heartbeat.instance)],
     getMaxLiveInstances: view.getMaxLiveInstances,
     getRegionShare: service => regionShares.getShare(service)
@@ -125,7 +128,8 @@
       sequence: sequence++,
       isReady: isReady(),
       versions: Object.fromEntries(Object.values(ReplicatedTable).map(table => [table, state.getTable(table).getVersion()])),
-      demand: regionShares.getDemand()
+      demand: regionShares.getDemand(),
+      targetReports: targetReports.listRecent()
     }
   }
 
@@ -142,7 +146,7 @@
   const { bounds } = settings
   const targetPauseMs = Math.round(bounds.drainMs * targetPauseShare)
   const heartbeatTimes = { intervalMs: heartbeatIntervalMs, remoteIntervals: remoteHeartbeatIntervals, storeDelayMs: targetPauseMs * catchUpPauses }
-  const link = cleanup.add(await startPeerLink({ ...heartbeatTimes, getHeartbeat, view, state, seeds: settings.seeds, countBytes: metrics.countPeerBytes, log, getNowMs, getRandom }))
+  const link = cleanup.add(await startPeerLink({ ...heartbeatTimes, getHeartbeat, view, state, seeds: settings.seeds, countBytes: metrics.countPeerBytes, handleTargetReports: targetReports.handlePeerReports, log, getNowMs, getRandom }))
   const store = cleanup.add(createStoreClient(settings.store))
   for (const replication of startReplications({ store, state, bounds, targetPauseMs, log, getNowMs, getRandom })) cleanup.add(replication)
   const discovery = createPeerDiscovery({ store, view, log })
--- a/packages/bilberryd/src/edge/target_reports.ts
+++ b/packages/bilberryd/src/edge/target_reports.ts
@@ -1,18 +1,18 @@
 /**
- * Records what targets report about themselves in their responses, and logs each change.
+ * Records what targets report about themselves in their responses, to this instance or to a peer, and logs each change.
  *
  * @module
  */
-import type { RegisteredTarget } from '@bilberryworks/steering'
+import type { RecentTargetReports, RegisteredTarget, TargetRuns } from '@bilberryworks/steering'
 import type { ResponseFields } from '@bilberryworks/users-platform'
 import type { EntryLog } from './entry_log.ts'
 import type { EntryMetrics } from './entry_metrics.ts'
 import type { EntryState } from './entry_state.ts'
-import { recordTargetLoad, recordTargetPause } from '@bilberryworks/steering'
+import { createTargetNotices, recordTargetLoad, recordTargetPause } from '@bilberryworks/steering'
 import { TargetReport } from './entry_metrics.ts'
 
-/** Options of {@linkcode createTargetReportHandler}. */
-export interface CreateTargetReportHandlerOptions {
+/** Options of {@linkcode createTargetReports}. */
+export interface CreateTargetReportsOptions {
   /** Replicated configuration and target registry. */
   state: EntryState
   /** Metrics. */
@@ -23,31 +23,73 @@
   getNowMs: () => number
 }
 
-/** Records the fields of a response of a target; the answered request must still count as in flight. */
-export type HandleTargetReport = (entry: RegisteredTarget, fields: ResponseFields) => void
+/** Reports of targets. */
+export interface TargetReports {
+  /** Handles the fields of a response of a target; the answered request must still count as in flight. */
+  handleResponse (entry: RegisteredTarget, fields: ResponseFields): void
+  /** Handles the reports that targets made to a peer. */
+  handlePeerReports (peer: string, reports: RecentTargetReports): void
+  /** Lists the recent reports to this instance, of which its peers are to be told. */
+  listRecent (): RecentTargetReports
+}
+
+/** Time since a target last named a rate to this instance, in milliseconds, before which a peer's news that it has ended is ignored: the news may be older. */
+const minRateAgeMs = 5_000
 
 /**
  * Creates the handler of targets' reports.
  *
- * @param options Log and clock
+ * @param options Registry, metrics, log and clock
  * @returns The handler
  */
-export function createTargetReportHandler ({ state, metrics, log, getNowMs }: CreateTargetReportHandlerOptions): HandleTargetReport {
-  return (entry, fields) => {
-    if (!fields.isFromTarget) return
-    if (fields.load !== undefined) recordTargetLoad(entry, fields.load, getNowMs())
-    if (fields.isLeaving && state.targets.find(entry.target.id) === entry && state.targets.recordLeaving(entry.target.id)) {
-      metrics.countTargetReport(TargetReport.Leaving)
-      log.info('target_leaving', { target: entry.target.id, isRegisteredAsLeaving: entry.target.leaving })
-    }
-    if (fields.pauseMs !== undefined) {
-      recordTargetPause(entry, fields.pauseMs, getNowMs())
-      metrics.countTargetReport(TargetReport.Pause)
-      log.info('target_pause', { target: entry.target.id, pauseMs: fields.pauseMs })
-    }
-    if (fields.acceptedPerSecond === entry.acceptedPerSecond) return
+export function createTargetReports ({ state, metrics, log, getNowMs }: CreateTargetReportsOptions): TargetReports {
+  const { targets } = state
+  const notices = createTargetNotices()
+
+  /** Marks a target as leaving; `peer` is absent if it said so to this instance. */
+  function markLeaving ({ target }: RegisteredTarget, peer?: string): void {
+    if (!targets.recordLeaving(target.id)) return
+    metrics.countTargetReport(TargetReport.Leaving)
+    log.info('target_leaving', { target: target.id, isRegisteredAsLeaving: target.leaving, peer })
+  }
+
+  function recordRate (entry: RegisteredTarget, acceptedPerSecond: number | undefined, peer?: string): void {
+    if (acceptedPerSecond === entry.acceptedPerSecond) return
     metrics.countTargetReport(TargetReport.Rate)
-    log.info('target_rate', { target: entry.target.id, acceptedPerSecond: fields.acceptedPerSecond ?? null, before: entry.acceptedPerSecond ?? null })
-    entry.acceptedPerSecond = fields.acceptedPerSecond
+    log.info('target_rate', { target: entry.target.id, acceptedPerSecond: acceptedPerSecond ?? null, before: entry.acceptedPerSecond ?? null, peer })
+    if (acceptedPerSecond === undefined && peer === undefined) notices.record('rateEnded', entry.target, getNowMs())
+    entry.acceptedPerSecond = acceptedPerSecond
+  }
+
+  /** Lists the registered targets of which a peer told, in the same run. */
+  function listKnown (runs: TargetRuns): RegisteredTarget[] {
+    return Object.entries(runs).flatMap(([id, startedAtMs]) => {
+      const entry = targets.find(id)
+      return entry?.target.startedAtMs === startedAtMs ? [entry] : []
+    })
+  }
+
+  return {
+    handleResponse (entry, fields) {
+      if (!fields.isFromTarget) return
+      const nowMs = getNowMs()
+      if (fields.load !== undefined) recordTargetLoad(entry, fields.load, nowMs)
+      if (fields.isLeaving && targets.find(entry.target.id) === entry) {
+        notices.record('leaving', entry.target, nowMs)
+        markLeaving(entry)
+      }
+      if (fields.pauseMs !== undefined) {
+        recordTargetPause(entry, fields.pauseMs, nowMs)
+        metrics.countTargetReport(TargetReport.Pause)
+        log.info('target_pause', { target: entry.target.id, pauseMs: fields.pauseMs })
+      }
+      if (fields.acceptedPerSecond !== undefined) entry.rateNamedAtMs = nowMs
+      recordRate(entry, fields.acceptedPerSecond)
+    },
+    handlePeerReports (peer, { leaving, rateEnded }) {
+      for (const entry of listKnown(leaving)) markLeaving(entry, peer)
+      for (const entry of listKnown(rateEnded)) if (getNowMs() - entry.rateNamedAtMs >= minRateAgeMs) recordRate(entry, undefined, peer)
+    },
+    listRecent: () => notices.list(getNowMs())
   }
 }
--- /dev/null
+++ b/packages/bilberryd/src/edge/target_reports_test.ts
@@ -0,0 +1,59 @@
+import type { RegisteredTarget, ServingTarget } from '@bilberryworks/steering'
+import type { EntryMetrics } from './entry_metrics.ts'
+import type { EntryState } from './entry_state.ts'
+import type { TargetReports } from './target_reports.ts'
+import { PassThrough } from 'node:stream'
+import { createTargetRegistry, isTargetLeaving } from '@bilberryworks/steering'
+import { readResponseFields } from '@bilberryworks/users-platform'
+import test from 'ava'
+import { createEntryLog } from './entry_log.ts'
+import { createTargetReports } from './target_reports.ts'
+
+const target: ServingTarget = { id: 't', service: 's', address: { host: '10.0.0.1', port: 1 }, failureDomain: 'a', slots: 3, leaving: false, coldLeftMs: 0, startedAtMs: 7 }
+
+interface Instance { entry: RegisteredTarget, reports: TargetReports }
+
+function createInstance (getNowMs: () => number): Instance {
+  const targets = createTargetRegistry()
+  const entry = targets.register(target, { region: 'r', nowMs: 0 })
+  const reports = createTargetReports({
+    state: { targets } as unknown as EntryState,
+    metrics: { countTargetReport: () => undefined } as unknown as EntryMetrics,
+    log: createEntryLog('entry', new PassThrough()),
+    getNowMs
+  })
+  return { entry, reports }
+}
+
+test('learns from a peer that a target is leaving, unless it is another run', t => {
+  const [told, other] = [createInstance(() => 0), createInstance(() => 0)]
+  told.reports.handleResponse(told.entry, readResponseFields(200, { 'server-leaving': '1' }))
+  other.reports.handlePeerReports('told', { leaving: { t: 6, unknown: 7 }, rateEnded: {} })
+  t.false(isTargetLeaving(other.entry))
+  other.reports.handlePeerReports('told', told.reports.listRecent())
+  t.true(isTargetLeaving(other.entry))
+  // Only what a target says to an instance itself is passed on, so that no news is passed on for ever.
+  t.deepEqual(other.reports.listRecent(), { leaving: {}, rateEnded: {} })
+})
+
+test('learns from a peer that a target has stopped naming a rate, unless the target named it a short time ago', t => {
+  let nowMs = 0
+  const [told, other] = [createInstance(() => nowMs), createInstance(() => nowMs)]
+  const limited = readResponseFields(200, { 'server-limit': '1.2' })
+  for (const { entry, reports } of [told, other]) reports.handleResponse(entry, limited)
+  t.deepEqual([told, other].map(({ entry }) => entry.acceptedPerSecond), [1.2, 1.2])
+  told.reports.handleResponse(told.entry, readResponseFields(200, {}))
+  nowMs = 4_000
+  other.reports.handlePeerReports('told', told.reports.listRecent())
+  t.is(other.entry.acceptedPerSecond, 1.2)
+  nowMs = 6_000
+  other.reports.handlePeerReports('told', told.reports.listRecent())
+  t.is(other.entry.acceptedPerSecond, undefined)
+})
+
+test('takes nothing from the response of another program at the address of a target', t => {
+  const { entry, reports } = createInstance(() => 0)
+  reports.handleResponse(entry, readResponseFields(421, { 'server-leaving': '1', 'server-limit': '1', 'x-server-load': '3,9,3' }))
+  t.false(isTargetLeaving(entry))
+  t.like(entry, { acceptedPerSecond: undefined, othersBusy: 0 })
+})
--- a/packages/standins/src/leaving_target_test.ts
+++ b/packages/standins/src/leaving_target_test.ts
@@ -68,3 +68,15 @@
   target.register({ state: 'draining' })
   t.true(await waitUntil(() => entry.readLog().some(line => line['event'] === 'target' && line['leaving'] === true)))
 })
+
+test('tells a peer that a target reports leaving', async t => {
+  await using site = await createTestSite()
+  site.writeConfig()
+  const leaving = await site.openTarget('t1')
+  const entry = await startEntry(site, 1)
+  const peer = await site.startEntry(1, [entry.settings.listen.peers])
+  await waitUntil(() => peer.readLog().some(line => line['event'] === 'target'))
+  leaving.setResponseFields({ 'Server-Leaving': '1' })
+  await site.call(entry)
+  t.true(await waitUntil(() => peer.readLog().some(line => line['event'] === 'target_leaving' && line['peer'] === entry.settings.instance)))
+})
--- a/packages/steering/src/target_registry.ts
+++ b/packages/steering/src/target_registry.ts
@@ -33,6 +33,8 @@
   pausedUntilMs: number
   /** Rate that the target accepts from all instances together by its last response, in requests per second; `undefined` if it named none. */
   acceptedPerSecond: number | undefined
+  /** Monotonic time at which the target last named a rate in a response to this instance, in milliseconds. */
+  rateNamedAtMs: number
   /** Monotonic time since which requests have been in flight without any response, in milliseconds; `Infinity` without requests. */
   silentSinceMs: number
   /** Moving average of the response time, in milliseconds; `undefined` before the first response. */
@@ -118,8 +120,8 @@
     const removed = removedEntries.get(target.id)
     removedEntries.delete(target.id)
     if (removed === undefined || !isSameRun(removed.target, target)) return {}
-    const { reportsLeaving, pausedUntilMs, acceptedPerSecond, lastRequestAtMs } = removed
-    return { reportsLeaving, pausedUntilMs, acceptedPerSecond, lastRequestAtMs }
+    const { reportsLeaving, pausedUntilMs, acceptedPerSecond, rateNamedAtMs, lastRequestAtMs } = removed
+    return { reportsLeaving, pausedUntilMs, acceptedPerSecond, rateNamedAtMs, lastRequestAtMs }
   }
 
   function addTarget (target: ServingTarget, options: { region: string, nowMs: number }): RegisteredTarget {
@@ -134,6 +136,7 @@
       lastColdRequestAtMs: -Infinity,
       lastRequestAtMs: -Infinity,
       acceptedPerSecond: undefined,
+      rateNamedAtMs: -Infinity,
       reportsLeaving: false,
       pausedUntilMs: -Infinity,
       silentSinceMs: Infinity,
