Spread refused callers by the backlog when all targets have become slow

With the same checks and a time-out of 4 s, a fault of the product showed: 6 and 56 refused callers were all told to come back after 0.5 to 1.5 s.

Cause: after 0.6 s without a response a target whose responses were fast counts as silent, and a service without usable targets has no slots, for which the pacer knows one second only. All callers of a slow service came back at once and were refused again.

Change: where no target is usable, the reachable silent ones count as capacity, with the time for which they have been silent. Targets without a connection never do.

The unit test of the choice passes.

--- a/packages/bilberryd/src/edge/target_selector.ts
+++ b/packages/bilberryd/src/edge/target_selector.ts
@@ -5,7 +5,7 @@
  */
 import type { RegisteredTarget, EntrySettings, RoutedRequest } from '@bilberryworks/steering'
 import type { EntryState } from './entry_state.ts'
-import { selectTarget, minColdIntervalMs, computeCapacity, computeRateIntervalMs, findPauseEndMs, isColdSender, isServedInRegion, isTargetLeaving, isTargetUsable, rankByRegion, rankTargets } from '@bilberryworks/steering'
+import { selectTarget, minColdIntervalMs, computeCapacity, computeRateIntervalMs, findPauseEndMs, isColdSender, isServedInRegion, isTargetLeaving, isTargetUsable, listServingTargets, rankByRegion, rankTargets } from '@bilberryworks/steering'
 
 /** Selects targets. */
 export interface TargetSelector {
@@ -100,8 +100,7 @@
     },
     measureCapacity (service) {
       const nowMs = getNowMs()
-      const usable = listAvailable(service).filter(entry => isTargetUsable(entry, nowMs))
-      return computeCapacity(usable, { instances: options.listInstances().length, nowMs })
+      return computeCapacity(listServingTargets(listAvailable(service), nowMs), { instances: options.listInstances().length, nowMs })
     },
     isSelectable: entry => state.targets.find(entry.target.id) === entry && isAvailable(entry) && entry.pausedUntilMs <= getNowMs(),
     findAcceptTimeMs: request => findPauseEndMs(rankForRequest(request), { tried: request.tried, nowMs: getNowMs() }),
--- a/packages/standins/src/site_path_test.ts
+++ b/packages/standins/src/site_path_test.ts
@@ -309,11 +309,11 @@
 test('tells refused callers to come back later the more of them there are', async t => {
   const runBurst = async (calls: number): Promise<number[]> => {
     await using site = await createTestSite()
-    site.writeConfig({ timeout: '400ms' })
+    site.writeConfig({ timeout: '4s' })
     const target = await site.openTarget('t1')
     const entry = await startReady(site)
-    target.setProcessingMs(300)
-    const responses = await Promise.all(Array.from({ length: calls }, () => site.call(entry, { affinityKey: 'same' })))
+    target.setProcessingMs(3_000)
+    const responses = await Promise.all(Array.from({ length: calls }, () => site.call(entry, { affinityKey: 'same', timeLeftMs: 4_000 })))
     return responses.filter(response => response.status === 503).map(response => Number(response.headers['retry-after']))
   }
   const few = await runBurst(10)
--- a/packages/steering/src/target_registry.ts
+++ b/packages/steering/src/target_registry.ts
@@ -328,6 +328,20 @@
   return Math.max(entry.meanResponseMs, silentMs)
 }
 
+/**
+ * Lists the targets that will serve a backlog: the usable ones, or if there is none, those that are silent but reachable.
+ *
+ * If all targets become slow at the same time, they all appear silent for a while, and will still respond.
+ *
+ * @param entries The targets
+ * @param nowMs Monotonic time, in milliseconds
+ * @returns The targets
+ */
+export function listServingTargets (entries: readonly RegisteredTarget[], nowMs: number): RegisteredTarget[] {
+  const usable = entries.filter(entry => isTargetUsable(entry, nowMs))
+  return usable.length > 0 ? usable : entries.filter(entry => entry.pausedUntilMs <= nowMs && getCircuitState(entry.circuit, nowMs) === CircuitState.Closed)
+}
+
 /**
  * Estimates the capacity of a group of targets for one instance.
  *
--- a/packages/steering/src/target_registry_test.ts
+++ b/packages/steering/src/target_registry_test.ts
@@ -1,7 +1,7 @@
 import type { ServingTarget } from './routing.ts'
 import test from 'ava'
 import { TargetSignal } from './circuit.ts'
-import { computeHoldMs, computeTargetLoad, createTargetRegistry, findPauseEndMs, isTargetLeaving, isTargetSilent, isTargetUsable, minSilenceMs, recordResponseTime, recordTargetResult, recordTargetLoad, recordTargetDispatch, recordTargetPause } from './target_registry.ts'
+import { computeHoldMs, computeTargetLoad, createTargetRegistry, findPauseEndMs, isTargetLeaving, isTargetSilent, isTargetUsable, listServingTargets, minSilenceMs, recordResponseTime, recordTargetResult, recordTargetLoad, recordTargetDispatch, recordTargetPause } from './target_registry.ts'
 
 const target: ServingTarget = { id: 't', service: 's', address: { host: '10.0.0.1', port: 1 }, failureDomain: 'a', slots: 3, leaving: false, coldLeftMs: 0, startedAtMs: 1 }
 const endOptions = { nowMs: 0, getRandom: () => 0.5, coldForMs: 3_000 }
@@ -124,3 +124,15 @@
   t.is(find(['a', 'b', 'c'], 100), 100)
   t.is(find(['c'], 1_500), 1_500)
 })
+
+test('counts silent targets as capacity only if no other target is usable, and unreachable ones never', t => {
+  const registry = createTargetRegistry()
+  const [silent, unreachable, idle] = ['a', 'b', 'c'].map(id => registry.register({ ...target, id }, registration))
+  recordTargetDispatch(silent!, 0)
+  recordResponseTime(silent!, 10)
+  recordTargetDispatch(unreachable!, 0)
+  recordTargetResult(unreachable!, TargetSignal.ConnectFailed, { ...endOptions, getRandom: () => 1, nowMs: minSilenceMs - 1 })
+  t.deepEqual(listServingTargets([silent!, unreachable!, idle!], minSilenceMs), [idle])
+  t.deepEqual(listServingTargets([silent!, unreachable!], minSilenceMs), [silent])
+  t.deepEqual(listServingTargets([unreachable!], minSilenceMs), [])
+})
