Keep unconfirmed rows of peers from bringing older states back

A peer that had not heard of a removal kept the row as unconfirmed after a restoration and passed it on in a state older than the one that this instance knew to be removed or had dropped. And a row that a peer had dropped unconfirmed counted here as removed by its writer, so that it was ignored when its writer wrote it again, in a second restoration.

Change: an unconfirmed row of a peer is ignored where a later state of it is known to be removed; a removal of a row that is unconfirmed here is not taken for its writer's.

--- a/packages/bilberryd/src/edge/table_replica.ts
+++ b/packages/bilberryd/src/edge/table_replica.ts
@@ -116,8 +116,8 @@
     if (change.isUnconfirmed === true) return mergeUnconfirmed(key, text!, version)
     if (version <= (known?.version ?? removals.getVersion(key) ?? -1) && !isLaterState(change, known)) return false
     latestVersion = Math.max(latestVersion, version)
-    unconfirmedKeys.delete(key)
     if (text === undefined) return removeRow(key, version)
+    unconfirmedKeys.delete(key)
     removals.remove(key)
     if (known !== undefined && keptKeys.has(key) && isOutdated({ key, text }, known.text)) {
       rows.set(key, { ...known, version })
@@ -128,8 +128,10 @@
     return true
   }
 
+  /** Merges a row that a peer keeps although the restored store lacks it, unless a later state of it is known. */
   function mergeUnconfirmed (key: string, text: string, version: number): boolean {
-    if (rows.has(key) || removals.getVersion(key) !== undefined) return false
+    const removed = removals.getRow(key)
+    if (rows.has(key) || removals.getVersion(key) !== undefined || (removed !== undefined && isOutdated({ key, text }, removed.text))) return false
     unconfirmedKeys.add(key)
     rows.set(key, { key, text, version })
     return true
--- a/packages/bilberryd/src/edge/table_restoration_test.ts
+++ b/packages/bilberryd/src/edge/table_restoration_test.ts
@@ -1,41 +1,13 @@
-import type { RowChange, TableReplica, TableUpdate } from './table_replica.ts'
+import type { StoreState } from './_store_model.ts'
+import type { TableUpdate } from './table_replica.ts'
 import test from 'ava'
 import fc from 'fast-check'
-import { encodeStoreVersion, getStoreCounter, getStoreEra } from '@bilberryworks/steering'
+import { encodeStoreVersion } from '@bilberryworks/steering'
+import { copyState, isOutdated, readStore, writeRow } from './_store_model.ts'
 import { createTableReplica } from './table_replica.ts'
 
-const seed = 20261204
-
-/** A row states its order as a number. */
-const isOutdated = (row: { text: string }, other: string): boolean => Number(row.text) <= Number(other)
-
-/** State of a store: rows by key, with their versions, and the changes of this era. */
-interface StoreState {
-  era: number
-  counter: number
-  rows: Map<string, { text: string, counter: number }>
-  changes: Array<{ key: string, text?: string, counter: number }>
-}
-
-const copyState = (state: StoreState): StoreState => ({ ...state, rows: new Map(state.rows), changes: [...state.changes] })
-
-function writeRow (state: StoreState, key: string, text?: string): void {
-  if (text === undefined && !state.rows.has(key)) return
-  state.counter++
-  if (text === undefined) state.rows.delete(key)
-  else state.rows.set(key, { text, counter: state.counter })
-  state.changes.push({ key, counter: state.counter, ...text === undefined ? {} : { text } })
-}
-
-/** Reads the store as the replication does: the changes since the replica's state, or all rows if the era is another. */
-function readStore (state: StoreState, replica: TableReplica): TableUpdate {
-  const { era, counter } = state
-  const toChange = (row: { key: string, text?: string, counter: number }): RowChange => ({ key: row.key, text: row.text, version: encodeStoreVersion(era, row.counter) })
-  const asOf = replica.getAsOf()
-  const isSnapshot = asOf === 0 || getStoreEra(asOf) !== era
-  const rows = isSnapshot ? [...state.rows].map(([key, row]) => ({ key, ...row })) : state.changes.filter(change => change.counter > getStoreCounter(asOf))
-  return { asOf: encodeStoreVersion(era, counter), isSnapshot, changes: rows.map(toChange) }
-}
+/** Seeds; all but the first one once found a fault. */
+const seeds = [20261204, 99, 1003, 12345]
 
 /** Steps of a run; `key`, `instance` and `peer` are taken modulo their number. */
 const step = fc.record({
@@ -45,8 +17,8 @@
   peer: fc.nat({ max: 6 })
 })
 
-for (const count of [2, 7]) {
-  test(`no belief of ${count} instances goes back when the store is restored from any copy, and all agree in the end`, t => {
+for (const [count, seed] of [2, 7].flatMap(each => seeds.map(seed => [each, seed] as const))) {
+  test(`no belief of ${count} instances goes back when the store is restored from any copy, and all agree in the end, seed ${seed}`, t => {
     fc.assert(fc.property(fc.array(step, { maxLength: 60, size: 'max' }), steps => {
       const state: StoreState = { era: 0, counter: 1, rows: new Map(), changes: [] }
       const truth = new Map<string, string>()
@@ -97,7 +69,7 @@
         const found = JSON.stringify(replica.list().map(({ key, text }) => [key, text]).toSorted())
         if (found !== expected) throw new Error(`instance ${index} has ${found}, the store ${expected}`)
       }
-    }), { seed, numRuns: 3_000 })
+    }), { seed, numRuns: 2_000 })
     t.pass()
   })
 }
