Take no expired request for one whose targets want no requests

Found by reading the diff: the time at which a target accepts requests was the present where one accepts already. A request that had waited for its whole time is past its own limit by then, so that it was refused as if all targets were pausing: a wrong detail in the log, and a Retry-After of at least 200 to 300 ms where the pacer might have said less.

Change: the time is minus infinity where a target accepts already or there is none, so that only known pauses count.

--- a/packages/bilberryd/src/edge/target_selector.ts
+++ b/packages/bilberryd/src/edge/target_selector.ts
@@ -13,7 +13,7 @@
   findTarget (request: RoutedRequest): RegisteredTarget | undefined
   /** Returns whether a selected target is still registered, wants requests, and is neither leaving nor in an evacuated failure domain. */
   isSelectable (entry: RegisteredTarget): boolean
-  /** Returns the monotonic time in milliseconds at which an available target to which the request was not dispatched before accepts requests; the present time if one does. */
+  /** Returns the monotonic time in milliseconds at which an available target to which the request was not dispatched before accepts requests again; `-Infinity` if one does already. */
   findAcceptTimeMs (request: RoutedRequest): number
   /** Returns whether there is an available target to which the request was not dispatched before, regardless of free slots. */
   hasUntriedTarget (request: RoutedRequest): boolean
--- a/packages/steering/src/target_registry.ts
+++ b/packages/steering/src/target_registry.ts
@@ -278,16 +278,16 @@
  *
  * @param entries The targets
  * @param options Identifiers of targets that don't count, and the monotonic time in milliseconds
- * @returns Monotonic time, in milliseconds; `nowMs` if a target accepts requests already, or if there is none
+ * @returns Monotonic time, in milliseconds; `-Infinity` if a target accepts requests already, or if there is none
  */
 export function findPauseEndMs (entries: Iterable<RegisteredTarget>, { tried, nowMs }: { tried: ReadonlySet<string>, nowMs: number }): number {
   let earliestMs = Infinity
   for (const entry of entries) {
     if (tried.has(entry.target.id)) continue
-    if (entry.pausedUntilMs <= nowMs) return nowMs
+    if (entry.pausedUntilMs <= nowMs) return -Infinity
     earliestMs = Math.min(earliestMs, entry.pausedUntilMs)
   }
-  return earliestMs === Infinity ? nowMs : earliestMs
+  return earliestMs === Infinity ? -Infinity : earliestMs
 }
 
 /**
