Bring no removed target back from a peer that is behind

Requests reached a target whose registration had been removed (DRAIN; one way to the case that the users saw on real processes).

Cause: an instance that starts reads the targets from the store and asks its seeds for all they have. The response of a seed that is behind may arrive after the store's. A row that had been removed meanwhile was taken for a new one, since the replica has no removal of it in mind; the store never mentions the row again, so that the target stayed until its process was gone.

Change: a replica that has every change up to a version ignores a row that it lacks with no later version.

--- a/packages/bilberryd/src/edge/table_replica.ts
+++ b/packages/bilberryd/src/edge/table_replica.ts
@@ -110,10 +110,13 @@
     return known?.version === version && text !== undefined && text !== known.text && isOutdated({ key, text: known.text }, text)
   }
 
-  function mergeChange (change: RowChange): boolean {
+  /** Merges a change; `completeTo` is the version up to which the replica has had every change. */
+  function mergeChange (change: RowChange, completeTo: number): boolean {
     const { key, text, version } = change
     const known = rows.get(key)
     if (change.isUnconfirmed === true) return mergeUnconfirmed(key, text!, version)
+    // The sender is behind: the row has been removed since.
+    if (known === undefined && version <= completeTo) return false
     if (version <= (known?.version ?? removals.getVersion(key) ?? -1) && !isLaterState(change, known)) return false
     latestVersion = Math.max(latestVersion, version)
     if (text === undefined) return removeRow(key, version)
@@ -183,7 +186,7 @@
       rows.set(key, { key, text, version: encodeStoreVersion(era, 0) })
       unconfirmedKeys.add(key)
     }
-    const changes = [...present.filter(mergeRestoredRow), ...unconfirmedBySender.filter(mergeChange)]
+    const changes = [...present.filter(mergeRestoredRow), ...unconfirmedBySender.filter(change => mergeChange(change, 0))]
     asOf = update.asOf
     latestVersion = update.asOf
     removals.knownSince = update.asOf
@@ -199,8 +202,9 @@
       const changes = update.isSnapshot ? [...update.changes, ...listMissing(update)] : update.changes
       // A row that was both added and removed since the last known state is in no list.
       if (update.isSnapshot && update.asOf > asOf) removals.knownSince = update.asOf
+      const completeTo = asOf
       asOf = Math.max(asOf, update.asOf)
-      return changes.filter(mergeChange)
+      return changes.filter(change => mergeChange(change, completeTo))
     },
     dropUnconfirmed () {
       const dropped = [...unconfirmedKeys].map((key): RowChange => ({ key, text: undefined, version: asOf }))
--- a/packages/bilberryd/src/edge/table_replica_test.ts
+++ b/packages/bilberryd/src/edge/table_replica_test.ts
@@ -29,6 +29,15 @@
   t.deepEqual(table.list().map(row => row.key).toSorted(), ['b', 'c'])
 })
 
+test('does not bring a removed row back from a peer that is behind', t => {
+  const behind = createTableReplica()
+  behind.merge({ asOf: 5, isSnapshot: true, changes: [createChange('a', 3, 'a'), createChange('b', 5, 'b')] })
+  const starting = createTableReplica()
+  starting.merge({ asOf: 8, isSnapshot: true, changes: [createChange('b', 5, 'b')] })
+  t.deepEqual(starting.merge(behind.listSince(0)), [])
+  t.deepEqual(starting.list().map(row => row.key), ['b'])
+})
+
 test('reaches the same rows for any order of changes and snapshots', t => {
   t.log(`seed ${seed}`)
   const change = fc.record({ key: fc.constantFrom('a', 'b', 'c'), text: fc.option(fc.constantFrom('x', 'y'), { nil: undefined }) })
--- a/packages/standins/src/leaving_target_test.ts
+++ b/packages/standins/src/leaving_target_test.ts
@@ -1,6 +1,8 @@
 import type { TestEntry, TestSite } from './test_site.ts'
+import { createServer, get } from 'node:http'
 import { setTimeout as wait } from 'node:timers/promises'
 import test from 'ava'
+import { closeListener, listenOnLoopback } from './listeners.ts'
 import { StoreFault } from './site_store.ts'
 import { createTestSite, waitUntil } from './test_site.ts'
 
@@ -60,6 +62,27 @@
   t.is(entry.readLog().filter(line => line['event'] === 'target_leaving').length, 1)
 })
 
+test('a starting instance sends nothing to a removed target that a slow peer still has', async t => {
+  await using site = await createTestSite()
+  site.writeConfig()
+  const removed = await site.openTarget('t1')
+  await site.openTarget('t2')
+  const peer = await startEntry(site, 2)
+  peer.storeEndpoint.setFault(StoreFault.Unreachable)
+  site.store.removeRow('servers', 't1')
+  const seed = createServer((message, response) => {
+    // The response of the store arrives first.
+    setTimeout(() => get({ ...peer.settings.listen.peers, path: message.url!, agent: false }, reply => reply.pipe(response)), 500)
+  })
+  const seedAddress = await listenOnLoopback(seed)
+  const starting = await site.startEntry(1, [seedAddress])
+  await waitUntil(() => starting.readLog().filter(line => line['event'] === 'table_from_peer').length === 2)
+  const runs = removed.runs.length
+  await sendCallsUntil(site, starting, performance.now() + 500)
+  t.is(removed.runs.length, runs)
+  await closeListener(seed)
+})
+
 test('logs that a known target is leaving', async t => {
   await using site = await createTestSite()
   site.writeConfig()
