--- a/packages/bilberryd/src/edge/target_reports_test.ts
+++ b/packages/bilberryd/src/edge/target_reports_test.ts
@@ -1,16 +1,18 @@
 import type { RegisteredTarget, ServingTarget } from '@bilberryworks/steering'
+import type { ResponseFields } from '@bilberryworks/users-platform'
 import type { EntryMetrics } from './entry_metrics.ts'
 import type { EntryState } from './entry_state.ts'
 import type { TargetReports } from './target_reports.ts'
 import { PassThrough } from 'node:stream'
 import { createTargetRegistry, isTargetLeaving } from '@bilberryworks/steering'
-import { readResponseFields } from '@bilberryworks/users-platform'
 import test from 'ava'
 import { createEntryLog } from './entry_log.ts'
 import { createTargetReports } from './target_reports.ts'
 
 const target: ServingTarget = { id: 't', service: 's', address: { host: '10.0.0.1', port: 1 }, failureDomain: 'a', slots: 3, leaving: false, coldLeftMs: 0, startedAtMs: 7 }
 
+const response: ResponseFields = { attemptId: 'a', isNotRun: false, isSigned: true, isFromTarget: true, load: undefined, isLeaving: false, pauseMs: undefined, acceptedPerSecond: undefined }
+
 interface Instance { entry: RegisteredTarget, reports: TargetReports }
 
 function createInstance (getNowMs: () => number): Instance {
@@ -27,7 +29,7 @@
 
 test('learns from a peer that a target is leaving, unless it is another run', t => {
   const [told, other] = [createInstance(() => 0), createInstance(() => 0)]
-  told.reports.handleResponse(told.entry, readResponseFields(200, { 'server-leaving': '1' }))
+  told.reports.handleResponse(told.entry, { ...response, isLeaving: true })
   other.reports.handlePeerReports('told', { leaving: { t: 6, unknown: 7 }, rateEnded: {} })
   t.false(isTargetLeaving(other.entry))
   other.reports.handlePeerReports('told', told.reports.listRecent())
@@ -39,10 +41,10 @@
 test('learns from a peer that a target has stopped naming a rate, unless the target named it a short time ago', t => {
   let nowMs = 0
   const [told, other] = [createInstance(() => nowMs), createInstance(() => nowMs)]
-  const limited = readResponseFields(200, { 'server-limit': '1.2' })
+  const limited = { ...response, acceptedPerSecond: 1.2 }
   for (const { entry, reports } of [told, other]) reports.handleResponse(entry, limited)
   t.deepEqual([told, other].map(({ entry }) => entry.acceptedPerSecond), [1.2, 1.2])
-  told.reports.handleResponse(told.entry, readResponseFields(200, {}))
+  told.reports.handleResponse(told.entry, response)
   nowMs = 4_000
   other.reports.handlePeerReports('told', told.reports.listRecent())
   t.is(other.entry.acceptedPerSecond, 1.2)
@@ -53,7 +55,7 @@
 
 test('takes nothing from the response of another program at the address of a target', t => {
   const { entry, reports } = createInstance(() => 0)
-  reports.handleResponse(entry, readResponseFields(421, { 'server-leaving': '1', 'server-limit': '1', 'x-server-load': '3,9,3' }))
+  reports.handleResponse(entry, { ...response, isFromTarget: false, isLeaving: true, acceptedPerSecond: 1, load: { running: 3, waiting: 9, slots: 3 } })
   t.false(isTargetLeaving(entry))
   t.like(entry, { acceptedPerSecond: undefined, othersBusy: 0 })
 })
--- a/packages/standins/src/platform_names_test.ts
+++ b/packages/standins/src/platform_names_test.ts
@@ -6,7 +6,7 @@
 /** Folders under packages/ that may contain names of the platform's protocol: the fakes of the platform. */
 const allowedFolders = ['packages/standins/']
 /** Names of the platform's protocol that have no other meaning in this repository. */
-const platformNames = /x-request-id|x-timeout-ms|x-affinity-key|x-server-signature|x-target-instance|x-server-load|x-not-executed|x-cold-ms|x-instance-id|rows-tx|rows-get|rows-feed|traffic_split|session_affinity|home_regions|cold_left|cold_per_s|latency_slo|BILBERRYWORKS_CONFIG|stable_window|max_stretch|'\/resolve'|'\/ready'/i
+const platformNames = /x-request-id|x-timeout-ms|x-affinity-key|x-server-signature|x-target-instance|x-server-load|x-not-executed|x-cold-ms|x-instance-id|server-limit|server-leaving|store-era|rows-tx|rows-get|rows-feed|traffic_split|session_affinity|home_regions|cold_left|cold_per_s|latency_slo|BILBERRYWORKS_CONFIG|stable_window|max_stretch|'\/resolve'|'\/ready'/i
 
 function listSources (folder: string): string[] {
   return readdirSync(`${root}${folder}`).flatMap(name => {
