Take later states of rows from seeds that have not noticed a restoration

An instance that starts right after the store came back from an older copy reads the copy, and its seeds may still be in the era before for some seconds. What they sent was dropped as outdated, though they know the later states: the instance acted on the older copy alone until the operator and the targets had written again.

Change: all rows of a peer in an earlier era are compared by what their writers say. A later state is kept; a row that the copy lacks is kept as unconfirmed, for the limited time. Removals in an earlier era say nothing here.

--- a/packages/bilberryd/src/edge/table_replica.ts
+++ b/packages/bilberryd/src/edge/table_replica.ts
@@ -140,6 +140,17 @@
     return true
   }
 
+  /** Merges the rows of a peer that has not noticed a restoration: it may know later states than the restored store. */
+  function mergeEarlierEra ({ key, text }: RowChange): boolean {
+    const known = rows.get(key)
+    if (text === undefined || text === known?.text) return false
+    if (known === undefined) return mergeUnconfirmed(key, text, encodeStoreVersion(getStoreEra(asOf), 0))
+    if (!isOutdated({ key, text: known.text }, text)) return false
+    keptKeys.add(key)
+    rows.set(key, { ...known, text })
+    return true
+  }
+
   function removeRow (key: string, version: number): boolean {
     const text = rows.get(key)?.text
     removals.record(key, { version, row: text === undefined ? undefined : { text, isStated: !unconfirmedKeys.has(key) } })
@@ -178,8 +189,7 @@
     const present = update.changes.filter((change): change is RowChange & { text: string } => change.text !== undefined && change.isUnconfirmed !== true)
     const presentKeys = new Set(present.map(row => row.key))
     removals.dropVersions()
-    keptKeys.clear()
-    unconfirmedKeys.clear()
+    for (const keys of [keptKeys, unconfirmedKeys]) keys.clear()
     // Any change in the new era is later than what is kept from before it.
     for (const { key, text } of rows.values()) {
       if (presentKeys.has(key)) continue
@@ -197,7 +207,7 @@
   return {
     merge (update) {
       const eraRise = getStoreEra(update.asOf) - getStoreEra(asOf)
-      if (eraRise < 0 && update.asOf > 0) return []
+      if (eraRise < 0 && update.asOf > 0) return update.isSnapshot ? update.changes.filter(mergeEarlierEra) : []
       if (eraRise > 0 && asOf > 0) return update.isSnapshot ? mergeRestored(update) : []
       const changes = update.isSnapshot ? [...update.changes, ...listMissing(update)] : update.changes
       // A row that was both added and removed since the last known state is in no list.
--- a/packages/bilberryd/src/edge/table_restoration_test.ts
+++ b/packages/bilberryd/src/edge/table_restoration_test.ts
@@ -58,6 +58,7 @@
         else if (kind === 'restart') {
           replicas[index] = createTableReplica({ isOutdated })
           beliefs[index]!.clear()
+          if (picks.key === 1) mergeInto(index, readStore(state, replicas[index]!))
           if (replicas[peer]!.getAsOf() > 0) mergeInto(index, replicas[peer]!.listSince(0))
         }
       }
@@ -99,3 +100,13 @@
   starting.merge(replica.listSince(0))
   t.is(starting.list()[0]!.text, '3')
 })
+
+test('a starting instance takes later states from a peer that has not noticed the restoration', t => {
+  const peer = createTableReplica({ isOutdated })
+  peer.merge({ asOf: 9, isSnapshot: true, changes: [{ key: 'a', text: '3', version: 9 }, { key: 'b', text: '2', version: 8 }] })
+  const starting = createTableReplica({ isOutdated })
+  starting.merge({ asOf: encodeStoreVersion(1, 6), isSnapshot: true, changes: [{ key: 'a', text: '1', version: encodeStoreVersion(1, 5) }] })
+  t.deepEqual(starting.merge(peer.listSince(0)).map(({ key, text }) => [key, text]), [['a', '3'], ['b', '2']])
+  t.is(starting.countUnconfirmed(), 1)
+  t.is(starting.getAsOf(), encodeStoreVersion(1, 6))
+})
