--- a/packages/standins/src/site_connection_test.ts
+++ b/packages/standins/src/site_connection_test.ts
@@ -150,7 +150,7 @@
     for (const target of targets) target.runs.length = 0
     await checkConnection({ site, entry, targets }, input)
     for (const target of targets) target.dropFaults()
-  }), { seed, numRuns: 150, interruptAfterTimeLimit: 60_000, markInterruptAsFailure: false })
+  }), { seed, numRuns: 150, includeErrorInReport: true, interruptAfterTimeLimit: 60_000, markInterruptAsFailure: false })
   t.true(await waitUntil(async () => (await site.call(entry)).status === 200), 'serves requests after all connections')
   t.log(`seed ${seed}`)
 })
