Log what decides on the rate of a target, and rates that can't be read

The line target_rate did not tell whether the response that ended a rate answered a request from before the rate was named, nor how old the naming was; a value that can't be read looked like no value. Both are logged and counted now (target_rate with namedAgoMs and dispatchedAgoMs, target_rate_unreadable).

--- a/packages/bilberryd/src/edge/dispatcher.ts
+++ b/packages/bilberryd/src/edge/dispatcher.ts
@@ -5,11 +5,11 @@
  */
 import type { RegisteredTarget, EntrySettings, Refusal, WaitingRequests } from '@bilberryworks/steering'
 import type { TargetPool } from '@bilberryworks/targets'
-import type { ResponseFields } from '@bilberryworks/users-platform'
 import type { Attempt } from './attempt.ts'
 import type { EntryLog } from './entry_log.ts'
 import type { EntryMetrics } from './entry_metrics.ts'
 import type { EntryState } from './entry_state.ts'
+import type { TargetReports } from './target_reports.ts'
 import { computePauseRetryAfterMs, createNotRunRefusal, createFleetRetryBudget, createRetryPacer, createUnknownRefusal, createWaitingRequests, recordTargetDispatch, RefusalReason, TargetSignal, waitingCheckIntervalMs, waitShare } from '@bilberryworks/steering'
 import { AttemptPhase } from './attempt.ts'
 import { createAttemptFinisher } from './attempt_finisher.ts'
@@ -54,7 +54,7 @@
   /** Metrics. */
   metrics: EntryMetrics
   /** Handles what a target reports about itself in a response. */
-  handleTargetResponse: (entry: RegisteredTarget, fields: ResponseFields) => void
+  handleTargetResponse: TargetReports['handleResponse']
   /** Returns the names of the live instances, including this one. */
   listInstances: () => string[]
   /** Returns the share of the objects of callers in this instance's region that targets in the region serve; `undefined` if targets are to be chosen in all regions alike. */
@@ -159,7 +159,7 @@
       onSendStart: () => metrics.recordStage(RequestStage.Connect, attempt.route.kind, getNowMs() - attempt.dispatchedAtMs),
       onResponseHead (fields) {
         metrics.recordStage(RequestStage.FirstByte, attempt.route.kind, getNowMs() - attempt.dispatchedAtMs)
-        options.handleTargetResponse(entry, fields)
+        options.handleTargetResponse(entry, fields, attempt)
       },
       onBodyTooLarge () {
         exchanges.cancel(attempt, TargetSignal.Ended)
--- a/packages/bilberryd/src/edge/entry_metrics.ts
+++ b/packages/bilberryd/src/edge/entry_metrics.ts
@@ -34,7 +34,9 @@
   /** It wants no requests for some time. */
   Pause = 'pause',
   /** It accepts another rate of requests than before. */
-  Rate = 'rate'
+  Rate = 'rate',
+  /** It names a rate of requests that can't be read. */
+  UnreadableRate = 'unreadable_rate'
 }
 
 /** Records the metrics of an entry instance. */
--- a/packages/bilberryd/src/edge/target_reports.ts
+++ b/packages/bilberryd/src/edge/target_reports.ts
@@ -23,10 +23,16 @@
   getNowMs: () => number
 }
 
+/** The exchange in which a target reports. */
+export interface TargetExchange {
+  /** Monotonic time at which the request was dispatched to the target, in milliseconds. */
+  dispatchedAtMs: number
+}
+
 /** Reports of targets. */
 export interface TargetReports {
   /** Handles the fields of a response of a target; the answered request must still count as in flight. */
-  handleResponse (entry: RegisteredTarget, fields: ResponseFields): void
+  handleResponse (entry: RegisteredTarget, fields: ResponseFields, exchange: TargetExchange): void
   /** Handles the reports that targets made to a peer. */
   handlePeerReports (peer: string, reports: RecentTargetReports): void
   /** Lists the recent reports to this instance, of which its peers are to be told. */
@@ -35,6 +41,8 @@
 
 /** Time since a target last named a rate to this instance, in milliseconds, before which a peer's news that it has ended is ignored: the news may be older. */
 const minRateAgeMs = 5_000
+/** Number of characters of an unreadable value that are logged. */
+const maxLoggedValueLength = 40
 
 /**
  * Creates the handler of targets' reports.
@@ -53,10 +61,16 @@
     log.info('target_leaving', { target: target.id, isRegisteredAsLeaving: target.leaving, peer })
   }
 
-  function recordRate (entry: RegisteredTarget, acceptedPerSecond: number | undefined, peer?: string): void {
+  /** Returns the time since an event, in milliseconds; `undefined` if it has not happened. */
+  function computeAgeMs (atMs = -Infinity): number | undefined {
+    return atMs === -Infinity ? undefined : Math.round(getNowMs() - atMs)
+  }
+
+  function recordRate (entry: RegisteredTarget, acceptedPerSecond: number | undefined, source: { peer?: string, exchange?: TargetExchange }): void {
+    const { peer, exchange } = source
     if (acceptedPerSecond === entry.acceptedPerSecond) return
     metrics.countTargetReport(TargetReport.Rate)
-    log.info('target_rate', { target: entry.target.id, acceptedPerSecond: acceptedPerSecond ?? null, before: entry.acceptedPerSecond ?? null, peer })
+    log.info('target_rate', { target: entry.target.id, acceptedPerSecond: acceptedPerSecond ?? null, before: entry.acceptedPerSecond ?? null, namedAgoMs: computeAgeMs(entry.rateNamedAtMs), dispatchedAgoMs: computeAgeMs(exchange?.dispatchedAtMs), peer })
     if (acceptedPerSecond === undefined && peer === undefined) notices.record('rateEnded', entry.target, getNowMs())
     entry.acceptedPerSecond = acceptedPerSecond
   }
@@ -70,7 +84,7 @@
   }
 
   return {
-    handleResponse (entry, fields) {
+    handleResponse (entry, fields, exchange) {
       if (!fields.isFromTarget) return
       const nowMs = getNowMs()
       if (fields.load !== undefined) recordTargetLoad(entry, fields.load, nowMs)
@@ -83,12 +97,16 @@
         metrics.countTargetReport(TargetReport.Pause)
         log.info('target_pause', { target: entry.target.id, pauseMs: fields.pauseMs })
       }
+      if (fields.unreadableRate !== undefined) {
+        metrics.countTargetReport(TargetReport.UnreadableRate)
+        log.warn('target_rate_unreadable', { target: entry.target.id, value: fields.unreadableRate.slice(0, maxLoggedValueLength) })
+      }
+      recordRate(entry, fields.acceptedPerSecond, { exchange })
       if (fields.acceptedPerSecond !== undefined) entry.rateNamedAtMs = nowMs
-      recordRate(entry, fields.acceptedPerSecond)
     },
     handlePeerReports (peer, { leaving, rateEnded }) {
       for (const entry of listKnown(leaving)) markLeaving(entry, peer)
-      for (const entry of listKnown(rateEnded)) if (getNowMs() - entry.rateNamedAtMs >= minRateAgeMs) recordRate(entry, undefined, peer)
+      for (const entry of listKnown(rateEnded)) if (getNowMs() - entry.rateNamedAtMs >= minRateAgeMs) recordRate(entry, undefined, { peer })
     },
     listRecent: () => notices.list(getNowMs())
   }
--- a/packages/bilberryd/src/edge/target_reports_test.ts
+++ b/packages/bilberryd/src/edge/target_reports_test.ts
@@ -11,7 +11,8 @@
 
 const target: ServingTarget = { id: 't', service: 's', address: { host: '10.0.0.1', port: 1 }, failureDomain: 'a', slots: 3, leaving: false, coldLeftMs: 0, startedAtMs: 7 }
 
-const response: ResponseFields = { attemptId: 'a', isNotRun: false, isSigned: true, isFromTarget: true, load: undefined, isLeaving: false, pauseMs: undefined, acceptedPerSecond: undefined }
+const response: ResponseFields = { attemptId: 'a', isNotRun: false, isSigned: true, isFromTarget: true, load: undefined, isLeaving: false, pauseMs: undefined, acceptedPerSecond: undefined, unreadableRate: undefined }
+const exchange = { dispatchedAtMs: 0 }
 
 interface Instance { entry: RegisteredTarget, reports: TargetReports }
 
@@ -29,7 +30,7 @@
 
 test('learns from a peer that a target is leaving, unless it is another run', t => {
   const [told, other] = [createInstance(() => 0), createInstance(() => 0)]
-  told.reports.handleResponse(told.entry, { ...response, isLeaving: true })
+  told.reports.handleResponse(told.entry, { ...response, isLeaving: true }, exchange)
   other.reports.handlePeerReports('told', { leaving: { t: 6, unknown: 7 }, rateEnded: {} })
   t.false(isTargetLeaving(other.entry))
   other.reports.handlePeerReports('told', told.reports.listRecent())
@@ -42,9 +43,9 @@
   let nowMs = 0
   const [told, other] = [createInstance(() => nowMs), createInstance(() => nowMs)]
   const limited = { ...response, acceptedPerSecond: 1.2 }
-  for (const { entry, reports } of [told, other]) reports.handleResponse(entry, limited)
+  for (const { entry, reports } of [told, other]) reports.handleResponse(entry, limited, exchange)
   t.deepEqual([told, other].map(({ entry }) => entry.acceptedPerSecond), [1.2, 1.2])
-  told.reports.handleResponse(told.entry, response)
+  told.reports.handleResponse(told.entry, response, exchange)
   nowMs = 4_000
   other.reports.handlePeerReports('told', told.reports.listRecent())
   t.is(other.entry.acceptedPerSecond, 1.2)
@@ -55,7 +56,7 @@
 
 test('takes nothing from the response of another program at the address of a target', t => {
   const { entry, reports } = createInstance(() => 0)
-  reports.handleResponse(entry, { ...response, isFromTarget: false, isLeaving: true, acceptedPerSecond: 1, load: { running: 3, waiting: 9, slots: 3 } })
+  reports.handleResponse(entry, { ...response, isFromTarget: false, isLeaving: true, acceptedPerSecond: 1, load: { running: 3, waiting: 9, slots: 3 } }, exchange)
   t.false(isTargetLeaving(entry))
   t.like(entry, { acceptedPerSecond: undefined, othersBusy: 0 })
 })
