--- a/packages/bilberryd/src/edge/target_reports.ts
+++ b/packages/bilberryd/src/edge/target_reports.ts
@@ -100,6 +100,7 @@
       if (fields.unreadableRate !== undefined) {
         metrics.countTargetReport(TargetReport.UnreadableRate)
         log.warn('target_rate_unreadable', { target: entry.target.id, value: fields.unreadableRate.slice(0, maxLoggedValueLength) })
+        return
       }
       recordRate(entry, fields.acceptedPerSecond, { exchange })
       if (fields.acceptedPerSecond !== undefined) entry.rateNamedAtMs = nowMs
--- a/packages/bilberryd/src/edge/target_reports_test.ts
+++ b/packages/bilberryd/src/edge/target_reports_test.ts
@@ -60,3 +60,10 @@
   t.false(isTargetLeaving(entry))
   t.like(entry, { acceptedPerSecond: undefined, othersBusy: 0 })
 })
+
+test('keeps the rate of a target when a response names one that can not be read', t => {
+  const { entry, reports } = createInstance(() => 0)
+  reports.handleResponse(entry, { ...response, acceptedPerSecond: 2 }, exchange)
+  for (let count = 0; count < 9; count++) reports.handleResponse(entry, { ...response, unreadableRate: 'few' }, exchange)
+  t.is(entry.acceptedPerSecond, 2)
+})
