End the rate of a target only by what it said after it last named the rate

A single response without the field ended a rate at all instances: also one begun before the rate was named and overtaken by the response that named it, and news of an end stayed in heartbeats for ten seconds after the target had named a rate again. A target in need then got requests from all instances until each had been told anew. A rate ends now by two signed responses in a row, to requests dispatched after the last naming; peers are told of namings and ends with their age, and take the later one, an end only if it is certainly later. Peers of the earlier version ignore the reports of this one during an upgrade.

--- a/packages/bilberryd/src/edge/_rate_fleet.ts
+++ b/packages/bilberryd/src/edge/_rate_fleet.ts
@@ -169,16 +169,22 @@
     })
   }
 
+  /** Tells an instance of the others, as its seeds do at its start. */
+  function addPeers (receiver: SimulatedInstance): void {
+    for (const peer of fleet) if (peer.isUp && peer !== receiver) receiver.view.recordHeartbeat(describeHeartbeat(peer), nowMs)
+  }
+
   function scheduleRestart (index: number, downMs = restartMs): void {
     const before = fleet[index]!
     before.isUp = false
     events.add(nowMs + downMs, () => {
       const started = startInstance(before.name, before.region)
       fleet[index] = started
-      for (const peer of fleet) if (peer.isUp && peer !== started) started.view.recordHeartbeat(describeHeartbeat(peer), nowMs)
+      addPeers(started)
     })
   }
 
+  for (const receiver of fleet) addPeers(receiver)
   for (const index of fleet.keys()) events.add(getRandom() * heartbeatMs, () => sendHeartbeats(index))
   for (const { atMs, instance, downMs } of options.restarts) events.add(atMs, () => scheduleRestart(instance, downMs))
   events.add(0, sendRequest)
--- a/packages/bilberryd/src/edge/peer_view.ts
+++ b/packages/bilberryd/src/edge/peer_view.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { RecentTargetReports, SocketAddress } from '@bilberryworks/steering'
+import type { RateNotice, RecentTargetReports, SocketAddress } from '@bilberryworks/steering'
 
 /** The part of a heartbeat that changes during a run. */
 export interface HeartbeatUpdate {
@@ -187,7 +187,13 @@
 }
 
 function isTargetReports (value: unknown): value is RecentTargetReports {
-  return typeof value === 'object' && value !== null && isNumberRecord((value as RecentTargetReports).leaving) && isNumberRecord((value as RecentTargetReports).rateEnded)
+  if (typeof value !== 'object' || value === null) return false
+  const { leaving, rates } = value as RecentTargetReports
+  return isNumberRecord(leaving) && typeof rates === 'object' && rates !== null && Object.values(rates).every(isRateNotice)
+}
+
+function isRateNotice ({ startedAtMs, perSecond, ageMs }: Partial<RateNotice>): boolean {
+  return [startedAtMs, ageMs].every(each => typeof each === 'number') && (perSecond === null || typeof perSecond === 'number')
 }
 
 function isNumberRecord (value: unknown): boolean {
--- a/packages/bilberryd/src/edge/target_reports.ts
+++ b/packages/bilberryd/src/edge/target_reports.ts
@@ -3,12 +3,12 @@
  *
  * @module
  */
-import type { RecentTargetReports, RegisteredTarget, TargetRuns } from '@bilberryworks/steering'
+import type { RateNotice, RecentTargetReports, RegisteredTarget } from '@bilberryworks/steering'
 import type { ResponseFields } from '@bilberryworks/users-platform'
 import type { EntryLog } from './entry_log.ts'
 import type { EntryMetrics } from './entry_metrics.ts'
 import type { EntryState } from './entry_state.ts'
-import { createTargetNotices, recordTargetLoad, recordTargetPause } from '@bilberryworks/steering'
+import { createTargetNotices, mergePeerRate, recordNamedRate, recordTargetLoad, recordTargetPause, recordUnnamedResponse } from '@bilberryworks/steering'
 import { TargetReport } from './entry_metrics.ts'
 
 /** Options of {@linkcode createTargetReports}. */
@@ -39,8 +39,6 @@
   listRecent (): RecentTargetReports
 }
 
-/** Time since a target last named a rate to this instance, in milliseconds, before which a peer's news that it has ended is ignored: the news may be older. */
-const minRateAgeMs = 5_000
 /** Number of characters of an unreadable value that are logged. */
 const maxLoggedValueLength = 40
 
@@ -66,21 +64,40 @@
     return atMs === -Infinity ? undefined : Math.round(getNowMs() - atMs)
   }
 
-  function recordRate (entry: RegisteredTarget, acceptedPerSecond: number | undefined, source: { peer?: string, exchange?: TargetExchange }): void {
-    const { peer, exchange } = source
-    if (acceptedPerSecond === entry.acceptedPerSecond) return
+  /** Runs a function that may change the rate of a target, and logs the change. */
+  function applyRate (entry: RegisteredTarget, apply: () => void, source: { peer?: string, exchange?: TargetExchange }): void {
+    const { perSecond: before, namedAtMs } = entry.rate
+    apply()
+    const { perSecond } = entry.rate
+    if (perSecond === before) return
     metrics.countTargetReport(TargetReport.Rate)
-    log.info('target_rate', { target: entry.target.id, acceptedPerSecond: acceptedPerSecond ?? null, before: entry.acceptedPerSecond ?? null, namedAgoMs: computeAgeMs(entry.rateNamedAtMs), dispatchedAgoMs: computeAgeMs(exchange?.dispatchedAtMs), peer })
-    if (acceptedPerSecond === undefined && peer === undefined) notices.record('rateEnded', entry.target, getNowMs())
-    entry.acceptedPerSecond = acceptedPerSecond
+    log.info('target_rate', { target: entry.target.id, acceptedPerSecond: perSecond ?? null, before: before ?? null, namedAgoMs: computeAgeMs(namedAtMs), dispatchedAgoMs: computeAgeMs(source.exchange?.dispatchedAtMs), peer: source.peer })
   }
 
-  /** Lists the registered targets of which a peer told, in the same run. */
-  function listKnown (runs: TargetRuns): RegisteredTarget[] {
-    return Object.entries(runs).flatMap(([id, startedAtMs]) => {
-      const entry = targets.find(id)
-      return entry?.target.startedAtMs === startedAtMs ? [entry] : []
-    })
+  function recordRate (entry: RegisteredTarget, { acceptedPerSecond, isSigned }: ResponseFields, exchange: TargetExchange): void {
+    const nowMs = getNowMs()
+    if (acceptedPerSecond !== undefined) {
+      applyRate(entry, () => recordNamedRate(entry.rate, acceptedPerSecond, nowMs), { exchange })
+      notices.recordRate(entry.target, acceptedPerSecond, nowMs)
+    } else if (isSigned) {
+      applyRate(entry, () => {
+        if (recordUnnamedResponse(entry.rate, exchange.dispatchedAtMs)) notices.recordRate(entry.target, undefined, exchange.dispatchedAtMs)
+      }, { exchange })
+    }
+  }
+
+  function mergeRate (peer: string, entry: RegisteredTarget, { perSecond, ageMs }: RateNotice): void {
+    const { rate, target } = entry
+    applyRate(entry, () => {
+      const hasChanged = mergePeerRate(rate, { perSecond: perSecond ?? undefined, atMs: getNowMs() - ageMs })
+      if (hasChanged && perSecond !== null) notices.dropRate(target.id)
+    }, { peer })
+  }
+
+  /** Finds a registered target by its identifier and the start time of its run. */
+  function findRun (id: string, startedAtMs: number): RegisteredTarget | undefined {
+    const entry = targets.find(id)
+    return entry?.target.startedAtMs === startedAtMs ? entry : undefined
   }
 
   return {
@@ -89,7 +106,7 @@
       const nowMs = getNowMs()
       if (fields.load !== undefined) recordTargetLoad(entry, fields.load, nowMs)
       if (fields.isLeaving && targets.find(entry.target.id) === entry) {
-        notices.record('leaving', entry.target, nowMs)
+        notices.recordLeaving(entry.target, nowMs)
         markLeaving(entry)
       }
       if (fields.pauseMs !== undefined) {
@@ -102,12 +119,17 @@
         log.warn('target_rate_unreadable', { target: entry.target.id, value: fields.unreadableRate.slice(0, maxLoggedValueLength) })
         return
       }
-      recordRate(entry, fields.acceptedPerSecond, { exchange })
-      if (fields.acceptedPerSecond !== undefined) entry.rateNamedAtMs = nowMs
+      recordRate(entry, fields, exchange)
     },
-    handlePeerReports (peer, { leaving, rateEnded }) {
-      for (const entry of listKnown(leaving)) markLeaving(entry, peer)
-      for (const entry of listKnown(rateEnded)) if (getNowMs() - entry.rateNamedAtMs >= minRateAgeMs) recordRate(entry, undefined, { peer })
+    handlePeerReports (peer, { leaving, rates }) {
+      for (const [id, startedAtMs] of Object.entries(leaving)) {
+        const entry = findRun(id, startedAtMs)
+        if (entry !== undefined) markLeaving(entry, peer)
+      }
+      for (const [id, notice] of Object.entries(rates)) {
+        const entry = findRun(id, notice.startedAtMs)
+        if (entry !== undefined) mergeRate(peer, entry, notice)
+      }
     },
     listRecent: () => notices.list(getNowMs())
   }
--- a/packages/bilberryd/src/edge/target_reports_test.ts
+++ b/packages/bilberryd/src/edge/target_reports_test.ts
@@ -4,7 +4,7 @@
 import type { EntryState } from './entry_state.ts'
 import type { TargetReports } from './target_reports.ts'
 import { PassThrough } from 'node:stream'
-import { createTargetRegistry, isTargetLeaving } from '@bilberryworks/steering'
+import { createTargetRegistry, isTargetLeaving, recordNamedRate } from '@bilberryworks/steering'
 import test from 'ava'
 import { createEntryLog } from './entry_log.ts'
 import { createTargetReports } from './target_reports.ts'
@@ -31,12 +31,12 @@
 test('learns from a peer that a target is leaving, unless it is another run', t => {
   const [told, other] = [createInstance(() => 0), createInstance(() => 0)]
   told.reports.handleResponse(told.entry, { ...response, isLeaving: true }, exchange)
-  other.reports.handlePeerReports('told', { leaving: { t: 6, unknown: 7 }, rateEnded: {} })
+  other.reports.handlePeerReports('told', { leaving: { t: 6, unknown: 7 }, rates: {} })
   t.false(isTargetLeaving(other.entry))
   other.reports.handlePeerReports('told', told.reports.listRecent())
   t.true(isTargetLeaving(other.entry))
   // Only what a target says to an instance itself is passed on, so that no news is passed on for ever.
-  t.deepEqual(other.reports.listRecent(), { leaving: {}, rateEnded: {} })
+  t.deepEqual(other.reports.listRecent(), { leaving: {}, rates: {} })
 })
 
 test('learns from a peer that a target has stopped naming a rate, unless the target named it a short time ago', t => {
@@ -44,26 +44,43 @@
   const [told, other] = [createInstance(() => nowMs), createInstance(() => nowMs)]
   const limited = { ...response, acceptedPerSecond: 1.2 }
   for (const { entry, reports } of [told, other]) reports.handleResponse(entry, limited, exchange)
-  t.deepEqual([told, other].map(({ entry }) => entry.acceptedPerSecond), [1.2, 1.2])
-  told.reports.handleResponse(told.entry, response, exchange)
-  nowMs = 4_000
+  t.deepEqual([told, other].map(({ entry }) => entry.rate.perSecond), [1.2, 1.2])
+  nowMs = 1_000
+  for (let count = 0; count < 2; count++) told.reports.handleResponse(told.entry, response, { dispatchedAtMs: nowMs })
+  t.is(told.entry.rate.perSecond, undefined)
   other.reports.handlePeerReports('told', told.reports.listRecent())
-  t.is(other.entry.acceptedPerSecond, 1.2)
+  t.is(other.entry.rate.perSecond, 1.2)
+  recordNamedRate(told.entry.rate, 1.2, nowMs)
   nowMs = 6_000
+  for (let count = 0; count < 2; count++) told.reports.handleResponse(told.entry, response, { dispatchedAtMs: nowMs })
   other.reports.handlePeerReports('told', told.reports.listRecent())
-  t.is(other.entry.acceptedPerSecond, undefined)
+  t.is(other.entry.rate.perSecond, undefined)
+})
+
+test('learns from a peer that a target names a rate, and tells it of no earlier end', t => {
+  let nowMs = 0
+  const [told, other] = [createInstance(() => nowMs), createInstance(() => nowMs)]
+  for (const { entry, reports } of [told, other]) reports.handleResponse(entry, { ...response, acceptedPerSecond: 1.2 }, exchange)
+  nowMs = 1_000
+  for (let count = 0; count < 2; count++) told.reports.handleResponse(told.entry, response, { dispatchedAtMs: nowMs })
+  nowMs = 2_000
+  other.reports.handleResponse(other.entry, { ...response, acceptedPerSecond: 0.5 }, { dispatchedAtMs: nowMs })
+  told.reports.handlePeerReports('other', other.reports.listRecent())
+  t.is(told.entry.rate.perSecond, 0.5)
+  t.deepEqual(told.reports.listRecent().rates, {})
 })
 
 test('takes nothing from the response of another program at the address of a target', t => {
   const { entry, reports } = createInstance(() => 0)
   reports.handleResponse(entry, { ...response, isFromTarget: false, isLeaving: true, acceptedPerSecond: 1, load: { running: 3, waiting: 9, slots: 3 } }, exchange)
   t.false(isTargetLeaving(entry))
-  t.like(entry, { acceptedPerSecond: undefined, othersBusy: 0 })
+  t.is(entry.rate.perSecond, undefined)
+  t.is(entry.othersBusy, 0)
 })
 
 test('keeps the rate of a target when a response names one that can not be read', t => {
   const { entry, reports } = createInstance(() => 0)
   reports.handleResponse(entry, { ...response, acceptedPerSecond: 2 }, exchange)
   for (let count = 0; count < 9; count++) reports.handleResponse(entry, { ...response, unreadableRate: 'few' }, exchange)
-  t.is(entry.acceptedPerSecond, 2)
+  t.is(entry.rate.perSecond, 2)
 })
--- a/packages/bilberryd/src/edge/target_selector.ts
+++ b/packages/bilberryd/src/edge/target_selector.ts
@@ -80,9 +80,9 @@
 
   /** Returns whether a request now would exceed this instance's part of the rate that the target accepts. */
   function isAboveRate (entry: RegisteredTarget, nowMs: number): boolean {
-    const { target, acceptedPerSecond } = entry
-    if (acceptedPerSecond === undefined) return false
-    return nowMs - entry.lastRequestAtMs < computeRateIntervalMs(settings.instance, options.listInstances(), { targetId: target.id, perSecond: acceptedPerSecond })
+    const { target, rate: { perSecond } } = entry
+    if (perSecond === undefined) return false
+    return nowMs - entry.lastRequestAtMs < computeRateIntervalMs(settings.instance, options.listInstances(), { targetId: target.id, perSecond })
   }
 
   function isUsable (entry: RegisteredTarget, nowMs: number): boolean {
--- a/packages/steering/src/target_rate.ts
+++ b/packages/steering/src/target_rate.ts
@@ -1,54 +1,100 @@
 /**
- * Divides the request rate that a target names among the instances, without coordination messages between them.
+ * What an instance knows of the request rate that a target accepts, from the target's responses and from peers.
  *
- * Answers the load of many instances that each hold a few objects of one target: their requests, each one well spaced, must
- * not add up to a burst at the target.
+ * Statements of a target may arrive in another order than it made them: responses come over several connections, and
+ * news from peers takes time. A rate that is believed to have ended leads to many requests within a round trip, so a rate
+ * ends only by responses that the target is known to have sent after it last named the rate.
  *
  * @module
  */
-import { computeHash } from './rendezvous.ts'
-
-/** Options of {@linkcode computeRateIntervalMs}. */
-export interface ComputeRateIntervalOptions {
-  /** Identifier of the target. */
-  targetId: string
-  /** Rate that the target accepts from all instances together, in requests per second. */
-  perSecond: number
+
+/** What an instance knows of the rate that a target accepts from all instances together. */
+export interface TargetRate {
+  /** Rate in force, in requests per second; `undefined` if there is none. */
+  perSecond: number | undefined
+  /** Monotonic time at which the target last named a rate, in milliseconds; `-Infinity` if never. */
+  namedAtMs: number
+  /** Monotonic time at which the target is known to have named none after having named one, in milliseconds; `-Infinity` if never. */
+  endedAtMs: number
+  /** Consecutive responses without a rate to requests that were dispatched after a rate was last named. */
+  unnamedResponses: number
+}
+
+/** A statement of a target that a peer received. */
+export interface PeerRateStatement {
+  /** Rate that the target named, in requests per second; `undefined` if the rate has ended. */
+  perSecond: number | undefined
+  /** Monotonic time of the statement, in milliseconds: the arrival of the news less its age, which is late by the time that the news took. */
+  atMs: number
+}
+
+/** Number of consecutive responses without a rate that end it: one of them may be an exception, as a response that another program at the target made. */
+const responsesToEnd = 2
+/** Time that news of peers may take, in milliseconds: heartbeats are sent every two seconds between regions, and may wait on a slow link. */
+const newsDelayMs = 3_000
+/** Difference from which a naming that a peer received counts as another one, in milliseconds: more than the delays of two heartbeats differ. */
+const sameNamingMs = 500
+
+/**
+ * Creates the state of a target that has named no rate.
+ *
+ * @returns The state
+ */
+export function createTargetRate (): TargetRate {
+  return { perSecond: undefined, namedAtMs: -Infinity, endedAtMs: -Infinity, unnamedResponses: 0 }
+}
+
+/**
+ * Records that a target named a rate in a response to this instance.
+ *
+ * @param rate What is known, which is modified
+ * @param perSecond The rate, in requests per second
+ * @param nowMs Monotonic time, in milliseconds
+ */
+export function recordNamedRate (rate: TargetRate, perSecond: number, nowMs: number): void {
+  rate.perSecond = perSecond
+  rate.namedAtMs = nowMs
+  rate.unnamedResponses = 0
 }
 
-/** Senders beyond one for each request per second. Each sender may send a request at any moment, so their number bounds the burst at the target. */
-const additionalSenders = 3
-/** Share of the rate for the senders if there are other instances; the rest is for the requests by which these learn that the rate has changed. */
-const senderShare = 0.9
-/** Rate that is assumed at least, in requests per second, since an instance learns by a response that the rate has changed. */
-const minPerSecond = 0.05
-const hashRange = 2 ** 32
-const msPerSecond = 1_000
+/**
+ * Records a response that names no rate.
+ *
+ * @param rate What is known, which is modified
+ * @param dispatchedAtMs Monotonic time at which the request was dispatched, in milliseconds
+ * @returns Whether the rate has ended by this response
+ */
+export function recordUnnamedResponse (rate: TargetRate, dispatchedAtMs: number): boolean {
+  if (rate.perSecond === undefined || dispatchedAtMs < rate.namedAtMs) return false
+  rate.unnamedResponses++
+  if (rate.unnamedResponses < responsesToEnd) return false
+  dropRate(rate, dispatchedAtMs)
+  return true
+}
 
 /**
- * Returns the minimum time between two requests of an instance to a target that has named a rate.
+ * Merges a statement that a peer received.
  *
- * Rendezvous hashing selects the same few senders on all instances with the same list of live instances. The other
- * instances send rarely, at intervals that differ between them.
+ * A naming wins unless it is certainly older than the end that is known; an end only if it is certainly newer than the last naming.
  *
- * @param instance Name of the instance
- * @param instances Names of the live instances; may omit `instance`
- * @param options Identifier of the target and its rate
- * @returns Time in milliseconds
+ * @param rate What is known, which is modified
+ * @param statement The statement
+ * @returns Whether the rate in force has changed
  */
-export function computeRateIntervalMs (instance: string, instances: Iterable<string>, options: ComputeRateIntervalOptions): number {
-  const perSecond = Math.max(minPerSecond, options.perSecond)
-  const maxSenders = Math.floor(perSecond) + additionalSenders
-  const ownHash = computeHash(`${instance}\u0000${options.targetId}`)
-  let count = 1
-  let rankedAbove = 0
-  for (const other of instances) {
-    if (other === instance) continue
-    count++
-    if (computeHash(`${other}\u0000${options.targetId}`) > ownHash) rankedAbove++
+export function mergePeerRate (rate: TargetRate, { perSecond, atMs }: PeerRateStatement): boolean {
+  const before = rate.perSecond
+  if (perSecond === undefined) {
+    if (before === undefined || atMs - newsDelayMs <= rate.namedAtMs) return false
+    dropRate(rate, atMs - newsDelayMs)
+    return true
   }
-  if (count <= maxSenders) return count / perSecond * msPerSecond
-  if (rankedAbove < maxSenders) return maxSenders / (perSecond * senderShare) * msPerSecond
-  const spread = 0.5 + ownHash / hashRange
-  return (count - maxSenders) / (perSecond * (1 - senderShare)) * spread * msPerSecond
+  if (atMs < rate.endedAtMs || (before !== undefined && atMs < rate.namedAtMs + sameNamingMs)) return false
+  recordNamedRate(rate, perSecond, Math.max(atMs, rate.namedAtMs))
+  return rate.perSecond !== before
+}
+
+function dropRate (rate: TargetRate, atMs: number): void {
+  rate.perSecond = undefined
+  rate.endedAtMs = Math.max(rate.endedAtMs, atMs)
+  rate.unnamedResponses = 0
 }
--- a/packages/steering/src/target_rate_test.ts
+++ b/packages/steering/src/target_rate_senders_test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import { computeHash } from './rendezvous.ts'
-import { computeRateIntervalMs } from './target_rate.ts'
+import { computeRateIntervalMs } from './target_rate_senders.ts'
 
 const seed = 20261204
 const windowMs = 4_000
--- a/packages/steering/src/target_registry.ts
+++ b/packages/steering/src/target_registry.ts
@@ -5,7 +5,9 @@
  */
 import type { Circuit } from './circuit.ts'
 import type { ServingTarget } from './routing.ts'
+import type { TargetRate } from './target_rate.ts'
 import { advanceCircuit, CircuitState, closedCircuit, getCircuitState, TargetSignal } from './circuit.ts'
+import { createTargetRate } from './target_rate.ts'
 
 /** A registered target, with the state that this instance tracks for it. */
 export interface RegisteredTarget {
@@ -31,10 +33,8 @@
   reportsLeaving: boolean
   /** Monotonic time until which the target has asked this instance to send nothing, in milliseconds. */
   pausedUntilMs: number
-  /** Rate that the target accepts from all instances together by its last response, in requests per second; `undefined` if it named none. */
-  acceptedPerSecond: number | undefined
-  /** Monotonic time at which the target last named a rate in a response to this instance, in milliseconds. */
-  rateNamedAtMs: number
+  /** Rate that the target accepts from all instances together. */
+  rate: TargetRate
   /** Monotonic time since which requests have been in flight without any response, in milliseconds; `Infinity` without requests. */
   silentSinceMs: number
   /** Moving average of the response time, in milliseconds; `undefined` before the first response. */
@@ -120,8 +120,8 @@
     const removed = removedEntries.get(target.id)
     removedEntries.delete(target.id)
     if (removed === undefined || !isSameRun(removed.target, target)) return {}
-    const { reportsLeaving, pausedUntilMs, acceptedPerSecond, rateNamedAtMs, lastRequestAtMs } = removed
-    return { reportsLeaving, pausedUntilMs, acceptedPerSecond, rateNamedAtMs, lastRequestAtMs }
+    const { reportsLeaving, pausedUntilMs, rate, lastRequestAtMs } = removed
+    return { reportsLeaving, pausedUntilMs, rate, lastRequestAtMs }
   }
 
   function addTarget (target: ServingTarget, options: { region: string, nowMs: number }): RegisteredTarget {
@@ -135,8 +135,7 @@
       coldUntilMs: options.nowMs + target.coldLeftMs,
       lastColdRequestAtMs: -Infinity,
       lastRequestAtMs: -Infinity,
-      acceptedPerSecond: undefined,
-      rateNamedAtMs: -Infinity,
+      rate: createTargetRate(),
       reportsLeaving: false,
       pausedUntilMs: -Infinity,
       silentSinceMs: Infinity,
@@ -191,7 +190,7 @@
 }
 
 function isRestricted (entry: RegisteredTarget): boolean {
-  return entry.reportsLeaving || entry.pausedUntilMs > -Infinity || entry.acceptedPerSecond !== undefined
+  return entry.reportsLeaving || entry.pausedUntilMs > -Infinity || entry.rate.perSecond !== undefined
 }
 
 /**
