Divide the rate of a target among the instances that claim a part of it

Each instance took its part of a named rate from its own list of live peers, so instances that saw different peers (starts, lost heartbeats, cuts) sent together more than the rate, and an instance outside the few senders was left with nearly nothing even if it alone had requests. An instance claims a part in its heartbeats and sends 4 s later; of the claimants the first few by rendezvous hashing send. A peer that was not heard of for 3.5 s counts as a claimant, so that no view makes more senders than intended.

--- a/packages/bilberryd/src/edge/_rate_fleet.ts
+++ b/packages/bilberryd/src/edge/_rate_fleet.ts
@@ -111,6 +111,7 @@
       settings: { instance: name, region, bounds: { coldOver: 1.5, coldSlack: 5 } } as EntrySettings,
       state,
       listInstances: () => [name, ...view.listLive(nowMs).map(peer => peer.heartbeat.instance)],
+      listContenders: targetId => view.listKnown().map(({ heartbeat: { instance } }) => ({ instance, mayClaim: reports.mayClaim(instance, targetId) })),
       getRegionShare: () => undefined,
       getNowMs: () => nowMs
     })
@@ -131,7 +132,7 @@
         if (receiver === sender || (receiver.region !== sender.region && heartbeat.sequence % 2 === 1) || getRandom() < (options.lostHeartbeatShare ?? 0)) continue
         events.add(nowMs + 1 + getRandom() * 30, () => {
           receiver.view.recordHeartbeat(heartbeat, nowMs)
-          if (update.targetReports !== undefined) receiver.reports.handlePeerReports(sender.name, update.targetReports)
+          receiver.reports.handlePeerReports(sender.name, update.targetReports)
         })
       }
     }
--- a/packages/bilberryd/src/edge/dispatcher.ts
+++ b/packages/bilberryd/src/edge/dispatcher.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { RegisteredTarget, EntrySettings, Refusal, WaitingRequests } from '@bilberryworks/steering'
+import type { RateContender, RegisteredTarget, EntrySettings, Refusal, WaitingRequests } from '@bilberryworks/steering'
 import type { TargetPool } from '@bilberryworks/targets'
 import type { Attempt } from './attempt.ts'
 import type { EntryLog } from './entry_log.ts'
@@ -57,6 +57,8 @@
   handleTargetResponse: TargetReports['handleResponse']
   /** Returns the names of the live instances, including this one. */
   listInstances: () => string[]
+  /** Lists the other known instances, live or not, and whether each claims a part of the rate of a target. */
+  listContenders: (targetId: string) => RateContender[]
   /** Returns the share of the objects of callers in this instance's region that targets in the region serve; `undefined` if targets are to be chosen in all regions alike. */
   getRegionShare: (service: string) => number | undefined
   /** Returns the largest number of instances seen live at the same time, including this one. */
--- a/packages/bilberryd/src/edge/peer_link.ts
+++ b/packages/bilberryd/src/edge/peer_link.ts
@@ -33,8 +33,8 @@
   remoteIntervals: number
   /** Time for which this instance must have been behind a peer before it fetches from it while the store responds, in milliseconds. */
   storeDelayMs: number
-  /** Handles the reports that targets made to a peer a short time ago. */
-  handleTargetReports: (peer: string, reports: RecentTargetReports) => void
+  /** Handles the reports of targets in each heartbeat of a peer; `undefined` if it has none. */
+  handleTargetReports: (peer: string, reports: RecentTargetReports | undefined) => void
   /** Counts bytes sent to peers. */
   countBytes: (traffic: PeerTraffic, bytes: number) => void
   /** Structured log. */
@@ -100,14 +100,10 @@
     log.info('peer_live', { peer: instance, startedAtMs })
   }
 
-  function handleReports ({ instance, targetReports }: HeartbeatUpdate): void {
-    if (targetReports !== undefined) options.handleTargetReports(instance, targetReports)
-  }
-
   function handleHeartbeat (heartbeat: HeartbeatMessage): void {
     const hasBecomeLive = view.recordHeartbeat(heartbeat, getNowMs())
     if (hasBecomeLive) recordLive(heartbeat.instance, heartbeat.startedAtMs)
-    handleReports(heartbeat)
+    options.handleTargetReports(heartbeat.instance, heartbeat.targetReports)
     // Sent immediately, so that the peer does not have to wait for the next heartbeat to see that this instance is live.
     if (hasBecomeLive || heartbeat.asksForHeartbeat === true) sendText(JSON.stringify(options.getHeartbeat()), heartbeat.heartbeats)
   }
@@ -115,7 +111,7 @@
   function handleUpdate (update: HeartbeatUpdate, from: SocketAddress): void {
     const result = view.recordUpdate(update, getNowMs())
     if (result === UpdateResult.BecameLive) recordLive(update.instance, update.startedAtMs)
-    handleReports(update)
+    options.handleTargetReports(update.instance, update.targetReports)
     if (result !== UpdateResult.Unknown) return
     const message: HeartbeatMessage = { ...options.getHeartbeat(), asksForHeartbeat: true }
     sendText(JSON.stringify(message), from)
--- a/packages/bilberryd/src/edge/peer_view.ts
+++ b/packages/bilberryd/src/edge/peer_view.ts
@@ -188,8 +188,8 @@
 
 function isTargetReports (value: unknown): value is RecentTargetReports {
   if (typeof value !== 'object' || value === null) return false
-  const { leaving, rates } = value as RecentTargetReports
-  return isNumberRecord(leaving) && typeof rates === 'object' && rates !== null && Object.values(rates).every(isRateNotice)
+  const { leaving, rates, claims } = value as RecentTargetReports
+  return Array.isArray(claims) && isNumberRecord(leaving) && typeof rates === 'object' && rates !== null && Object.values(rates).every(isRateNotice)
 }
 
 function isRateNotice ({ startedAtMs, perSecond, ageMs }: Partial<RateNotice>): boolean {
--- a/packages/bilberryd/src/edge/peer_view_test.ts
+++ b/packages/bilberryd/src/edge/peer_view_test.ts
@@ -98,8 +98,8 @@
 
 test('formats and parses an update with recent reports of targets, and one without', t => {
   const update = { instance: 'a', startedAtMs: 1, sequence: 2, isReady: true, versions: { operator: 3 }, demand: {} }
-  const withReports = { ...update, targetReports: { leaving: { t: 7 }, rates: { u: { startedAtMs: 8, perSecond: 1.2, ageMs: 30 }, v: { startedAtMs: 9, perSecond: null, ageMs: 0 } } } }
+  const withReports = { ...update, targetReports: { leaving: { t: 7 }, rates: { u: { startedAtMs: 8, perSecond: 1.2, ageMs: 30 }, v: { startedAtMs: 9, perSecond: null, ageMs: 0 } }, claims: ['u'] } }
   t.deepEqual(parseUpdate(formatUpdate(withReports)), withReports)
-  t.deepEqual(parseUpdate(formatUpdate({ ...update, targetReports: { leaving: {}, rates: {} } })), update)
+  t.deepEqual(parseUpdate(formatUpdate({ ...update, targetReports: { leaving: {}, rates: {}, claims: [] } })), update)
   t.deepEqual(parseUpdate(JSON.stringify(['a', 1, 2, true, { operator: 3 }, {}, { leaving: 'x' }])), update)
 })
--- a/packages/bilberryd/src/edge/run_entry.ts
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -104,6 +104,7 @@
     getRandom,
     handleTargetResponse: targetReports.handleResponse,
     listInstances: () => [settings.instance, ...view.listLive(getNowMs()).map(peer => peer.heartbeat.instance)],
+    listContenders: targetId => view.listKnown().map(({ heartbeat: { instance } }) => ({ instance, mayClaim: targetReports.mayClaim(instance, targetId) })),
     getMaxLiveInstances: view.getMaxLiveInstances,
     getRegionShare: service => regionShares.getShare(service)
   })
--- a/packages/bilberryd/src/edge/target_reports.ts
+++ b/packages/bilberryd/src/edge/target_reports.ts
@@ -8,7 +8,7 @@
 import type { EntryLog } from './entry_log.ts'
 import type { EntryMetrics } from './entry_metrics.ts'
 import type { EntryState } from './entry_state.ts'
-import { createTargetNotices, mergePeerRate, recordNamedRate, recordTargetLoad, recordTargetPause, recordUnnamedResponse } from '@bilberryworks/steering'
+import { claimProofMs, createTargetNotices, isRateClaimed, mergePeerRate, recordNamedRate, recordTargetLoad, recordTargetPause, recordUnnamedResponse } from '@bilberryworks/steering'
 import { TargetReport } from './entry_metrics.ts'
 
 /** Options of {@linkcode createTargetReports}. */
@@ -33,10 +33,12 @@
 export interface TargetReports {
   /** Handles the fields of a response of a target; the answered request must still count as in flight. */
   handleResponse (entry: RegisteredTarget, fields: ResponseFields, exchange: TargetExchange): void
-  /** Handles the reports that targets made to a peer. */
-  handlePeerReports (peer: string, reports: RecentTargetReports): void
-  /** Lists the recent reports to this instance, of which its peers are to be told. */
+  /** Handles the reports of a heartbeat of a peer; `undefined` if it has none. */
+  handlePeerReports (peer: string, reports: RecentTargetReports | undefined): void
+  /** Lists the recent reports to this instance, and its claims on the rates of targets, of which its peers are to be told. */
   listRecent (): RecentTargetReports
+  /** Returns whether a peer claims a part of the rate of a target, or may do so because its last heartbeat is too old. */
+  mayClaim (peer: string, targetId: string): boolean
 }
 
 /** Number of characters of an unreadable value that are logged. */
@@ -51,6 +53,14 @@
 export function createTargetReports ({ state, metrics, log, getNowMs }: CreateTargetReportsOptions): TargetReports {
   const { targets } = state
   const notices = createTargetNotices()
+  /** Claims on the rates of targets in the last heartbeat of each peer, and its monotonic time in milliseconds. */
+  const peerClaims = new Map<string, { claims: string[], heardAtMs: number }>()
+
+  function listClaims (): string[] {
+    const nowMs = getNowMs()
+    const entries = targets.listServices().flatMap(service => targets.list(service))
+    return entries.filter(({ rate, rateClaim }) => rate.perSecond !== undefined && isRateClaimed(rateClaim, nowMs)).map(({ target }) => target.id)
+  }
 
   /** Marks a target as leaving; `peer` is absent if it said so to this instance. */
   function markLeaving ({ target }: RegisteredTarget, peer?: string): void {
@@ -121,7 +131,10 @@
       }
       recordRate(entry, fields, exchange)
     },
-    handlePeerReports (peer, { leaving, rates }) {
+    handlePeerReports (peer, reports) {
+      peerClaims.set(peer, { claims: reports?.claims ?? [], heardAtMs: getNowMs() })
+      if (reports === undefined) return
+      const { leaving, rates } = reports
       for (const [id, startedAtMs] of Object.entries(leaving)) {
         const entry = findRun(id, startedAtMs)
         if (entry !== undefined) markLeaving(entry, peer)
@@ -131,6 +144,10 @@
         if (entry !== undefined) mergeRate(peer, entry, notice)
       }
     },
-    listRecent: () => notices.list(getNowMs())
+    listRecent: () => ({ ...notices.list(getNowMs()), claims: listClaims() }),
+    mayClaim (peer, targetId) {
+      const known = peerClaims.get(peer)
+      return known === undefined || getNowMs() - known.heardAtMs > claimProofMs || known.claims.includes(targetId)
+    }
   }
 }
--- a/packages/bilberryd/src/edge/target_reports_test.ts
+++ b/packages/bilberryd/src/edge/target_reports_test.ts
@@ -31,12 +31,12 @@
 test('learns from a peer that a target is leaving, unless it is another run', t => {
   const [told, other] = [createInstance(() => 0), createInstance(() => 0)]
   told.reports.handleResponse(told.entry, { ...response, isLeaving: true }, exchange)
-  other.reports.handlePeerReports('told', { leaving: { t: 6, unknown: 7 }, rates: {} })
+  other.reports.handlePeerReports('told', { leaving: { t: 6, unknown: 7 }, rates: {}, claims: [] })
   t.false(isTargetLeaving(other.entry))
   other.reports.handlePeerReports('told', told.reports.listRecent())
   t.true(isTargetLeaving(other.entry))
   // Only what a target says to an instance itself is passed on, so that no news is passed on for ever.
-  t.deepEqual(other.reports.listRecent(), { leaving: {}, rates: {} })
+  t.deepEqual(other.reports.listRecent(), { leaving: {}, rates: {}, claims: [] })
 })
 
 test('learns from a peer that a target has stopped naming a rate, unless the target named it a short time ago', t => {
--- a/packages/bilberryd/src/edge/target_selector.ts
+++ b/packages/bilberryd/src/edge/target_selector.ts
@@ -3,9 +3,9 @@
  *
  * @module
  */
-import type { RegisteredTarget, EntrySettings, RoutedRequest } from '@bilberryworks/steering'
+import type { RateContender, RegisteredTarget, EntrySettings, RoutedRequest } from '@bilberryworks/steering'
 import type { EntryState } from './entry_state.ts'
-import { selectTarget, minColdIntervalMs, computeCapacity, computeRateIntervalMs, findPauseEndMs, isColdSender, isServedInRegion, isTargetLeaving, isTargetUsable, listServingTargets, rankByRegion, rankTargets } from '@bilberryworks/steering'
+import { selectTarget, minColdIntervalMs, computeCapacity, computeRateReadyMs, findPauseEndMs, isColdSender, isServedInRegion, isTargetLeaving, isTargetUsable, listServingTargets, rankByRegion, rankTargets, recordRateRequest } from '@bilberryworks/steering'
 
 /** Selects targets. */
 export interface TargetSelector {
@@ -29,6 +29,8 @@
   state: EntryState
   /** Returns the names of the live instances, including this one. */
   listInstances: () => string[]
+  /** Lists the other known instances, live or not, and whether each claims a part of the rate of a target. */
+  listContenders: (targetId: string) => RateContender[]
   /** Returns the share of the objects of callers in this instance's region that targets in the region serve; `undefined` if targets are to be chosen in all regions alike. */
   getRegionShare: (service: string) => number | undefined
   /** Returns monotonic time, in milliseconds. */
@@ -80,9 +82,10 @@
 
   /** Returns whether a request now would exceed this instance's part of the rate that the target accepts. */
   function isAboveRate (entry: RegisteredTarget, nowMs: number): boolean {
-    const { target, rate: { perSecond } } = entry
-    if (perSecond === undefined) return false
-    return nowMs - entry.lastRequestAtMs < computeRateIntervalMs(settings.instance, options.listInstances(), { targetId: target.id, perSecond })
+    const { target, rate, rateClaim: claim, lastRequestAtMs } = entry
+    if (rate.perSecond === undefined) return false
+    recordRateRequest(claim, nowMs)
+    return nowMs < computeRateReadyMs(rate, { targetId: target.id, instance: settings.instance, contenders: options.listContenders(target.id), claim, lastRequestAtMs })
   }
 
   function isUsable (entry: RegisteredTarget, nowMs: number): boolean {
--- a/packages/steering/src/target_notices.ts
+++ b/packages/steering/src/target_notices.ts
@@ -23,6 +23,8 @@
   leaving: TargetRuns
   /** Rates that targets accept, by identifier of the target. */
   rates: Record<string, RateNotice>
+  /** Identifiers of the targets of whose rate the instance claims a part. */
+  claims: string[]
 }
 
 /** A run of a target. */
@@ -42,7 +44,7 @@
   /** Drops what was recorded of the rate of a target, because a peer has received a later statement. */
   dropRate (id: string): void
   /** Lists the recent reports. */
-  list (nowMs: number): RecentTargetReports
+  list (nowMs: number): Omit<RecentTargetReports, 'claims'>
 }
 
 /** Time for which peers are told of a report, in milliseconds: a few heartbeats, also between regions. */
--- a/packages/steering/src/target_registry.ts
+++ b/packages/steering/src/target_registry.ts
@@ -6,8 +6,10 @@
 import type { Circuit } from './circuit.ts'
 import type { ServingTarget } from './routing.ts'
 import type { TargetRate } from './target_rate.ts'
+import type { RateClaim } from './target_rate_senders.ts'
 import { advanceCircuit, CircuitState, closedCircuit, getCircuitState, TargetSignal } from './circuit.ts'
 import { createTargetRate } from './target_rate.ts'
+import { createRateClaim } from './target_rate_senders.ts'
 
 /** A registered target, with the state that this instance tracks for it. */
 export interface RegisteredTarget {
@@ -35,6 +37,8 @@
   pausedUntilMs: number
   /** Rate that the target accepts from all instances together. */
   rate: TargetRate
+  /** Claim of this instance on a part of that rate. */
+  rateClaim: RateClaim
   /** Monotonic time since which requests have been in flight without any response, in milliseconds; `Infinity` without requests. */
   silentSinceMs: number
   /** Moving average of the response time, in milliseconds; `undefined` before the first response. */
@@ -136,6 +140,7 @@
       lastColdRequestAtMs: -Infinity,
       lastRequestAtMs: -Infinity,
       rate: createTargetRate(),
+      rateClaim: createRateClaim(),
       reportsLeaving: false,
       pausedUntilMs: -Infinity,
       silentSinceMs: Infinity,
