Log which requests a target ended under

Logs could not tell a target that ended from one that lost a single response, and no line had an identity that the repeats of a request share. After a connection closed under a request the instance tries one connection: a refusal shows that the process has ended, and the line target_ended names the attempts that were lost there with a fingerprint of method, host, path, caller and body.

--- a/packages/bilberryd/src/edge/dispatcher.ts
+++ b/packages/bilberryd/src/edge/dispatcher.ts
@@ -18,6 +18,7 @@
 import { createTargetSelector } from './target_selector.ts'
 import { ExchangeResult, sendAttempt } from './send_attempt.ts'
 import { createActiveExchanges } from './active_exchanges.ts'
+import { createTargetEndDetector } from './target_end_detector.ts'
 
 /** Dispatches attempts to targets. */
 export interface Dispatcher {
@@ -99,6 +100,7 @@
   const retryPacers = createLazyMap(() => createRetryPacer(options.getRandom))
   const getRetryAfterMs = (attempt: Attempt): number => retryPacers.get(attempt.service).record({ nowMs: getNowMs(), queued: waitingByService.get(attempt.service).count(), ...targetSelector.measureCapacity(attempt.service) })
   const handleExchangeResult = createExchangeResultHandler({ finisher, log, metrics, getNowMs, getBudget: retryBudgets.get, getRetryAfterMs, requeue: enqueueAttempt })
+  const endDetector = createTargetEndDetector({ onRequestLost: () => undefined, log, getNowMs })
   let checkTimer: NodeJS.Timeout | undefined
 
   function enqueueAttempt (attempt: Attempt): void {
@@ -168,6 +170,7 @@
         finisher.refuse(attempt, createUnknownRefusal(RefusalReason.BodyTooLarge, 'Body exceeds the size limit of the routing configuration'))
       },
       onEnd (result, detail) {
+        if (result === ExchangeResult.Lost || result === ExchangeResult.Truncated) endDetector.recordLoss(attempt, entry)
         exchanges.release(attempt, signalByResult[result])
         handleExchangeResult(attempt, result, detail)
         dispatchWaiting(attempt.service)
--- /dev/null
+++ b/packages/bilberryd/src/edge/target_end_detector.ts
@@ -0,0 +1,80 @@
+/**
+ * Detects that the process of a target has ended under the requests that were in flight there.
+ *
+ * A connection that closes before its response may be one lost response. The target has ended if it refuses connections afterwards.
+ *
+ * @module
+ */
+import type { RegisteredTarget } from '@bilberryworks/steering'
+import type { Attempt } from './attempt.ts'
+import type { EntryLog } from './entry_log.ts'
+import { checkListening, ListeningState } from '@bilberryworks/targets'
+import { computeFingerprint } from './request_fingerprint.ts'
+
+/** Options of {@linkcode createTargetEndDetector}. */
+export interface CreateTargetEndDetectorOptions {
+  /** Called for each request that was lost when a run of a target ended, with the fingerprint of the request. */
+  onRequestLost: (fingerprint: string, target: RegisteredTarget['target']) => void
+  /** Structured log. */
+  log: EntryLog
+  /** Returns monotonic time, in milliseconds. */
+  getNowMs: () => number
+}
+
+/** Detects ended targets. */
+export interface TargetEndDetector {
+  /** Records that the connection of an attempt was closed by the target or the network before the response was complete. */
+  recordLoss (attempt: Attempt, entry: RegisteredTarget): void
+}
+
+/** Time limit of the attempt to connect, in milliseconds: a round trip between regions with one lost packet. */
+const checkTimeoutMs = 600
+/** Time for which further losses are ascribed to the end of a target, in milliseconds: they are noticed within a round trip of each other. */
+const endedLifetimeMs = 2_000
+
+interface EndingRun { fingerprints: Map<string, string>, endedAtMs: number | undefined }
+
+/**
+ * Creates a detector.
+ *
+ * @param options Callback, log and clock
+ * @returns The detector
+ */
+export function createTargetEndDetector ({ onRequestLost, log, getNowMs }: CreateTargetEndDetectorOptions): TargetEndDetector {
+  const runs = new Map<RegisteredTarget, EndingRun>()
+
+  async function checkRun (entry: RegisteredTarget, run: EndingRun): Promise<void> {
+    const { target } = entry
+    const state = await checkListening(target.address, { timeoutMs: checkTimeoutMs })
+    if (state !== ListeningState.Refused) {
+      runs.delete(entry)
+      return
+    }
+    run.endedAtMs = getNowMs()
+    log.info('target_ended', { target: target.id, startedAtMs: target.startedAtMs, requests: Object.fromEntries(run.fingerprints) })
+    for (const fingerprint of run.fingerprints.values()) onRequestLost(fingerprint, target)
+  }
+
+  function findRun (entry: RegisteredTarget): EndingRun | undefined {
+    for (const [other, { endedAtMs }] of runs) if (endedAtMs !== undefined && getNowMs() - endedAtMs >= endedLifetimeMs) runs.delete(other)
+    return runs.get(entry)
+  }
+
+  return {
+    recordLoss (attempt, entry) {
+      const fingerprint = computeFingerprint(attempt)
+      const known = findRun(entry)
+      if (known !== undefined) {
+        if (known.fingerprints.has(attempt.attemptId)) return
+        known.fingerprints.set(attempt.attemptId, fingerprint)
+        if (known.endedAtMs === undefined) return
+        log.info('target_ended', { target: entry.target.id, startedAtMs: entry.target.startedAtMs, requests: { [attempt.attemptId]: fingerprint } })
+        onRequestLost(fingerprint, entry.target)
+        return
+      }
+      const run: EndingRun = { fingerprints: new Map([[attempt.attemptId, fingerprint]]), endedAtMs: undefined }
+      runs.set(entry, run)
+      checkRun(entry, run).catch((error: Error) => log.warn('target_check_failed', { target: entry.target.id, detail: error.message }))
+    }
+  }
+}
--- a/packages/targets/src/mod.ts
+++ b/packages/targets/src/mod.ts
@@ -9,6 +9,7 @@
  *
  * @module
  */
+export * from './check_listening.ts'
 export * from './response_parser.ts'
 export * from './http_targets.ts'
 export * from './target_connection.ts'
