--- a/packages/standins/src/site_target.ts
+++ b/packages/standins/src/site_target.ts
@@ -55,6 +55,8 @@
   slots?: number
   /** Processing time of a request, in milliseconds; 5 by default. */
   processingMs?: number
+  /** Path of a request that ends the process of the target while it runs; none by default. */
+  crashPath?: string
 }
 
 /** A running fake target. */
@@ -121,6 +123,11 @@
     maxConcurrency = Math.max(maxConcurrency, concurrency)
     // A request that outlasts its test must not keep the process alive.
     await wait(processingMs, undefined, { ref: false })
+    if (message.url === options.crashPath) {
+      server.close()
+      server.closeAllConnections()
+      return
+    }
     concurrency--
     writeResponse(message, response, fault)
   }
