Send a request that crashes its targets to no further ones

A request that ends each target which runs it was retried elsewhere, and each of its repeats was a new request at any instance, so that it took down most targets of a service. An instance now records which requests were in flight when the process of a target ended, tells its peers within a quarter of a second, and merges their reports. Three ends that no request with more ends explains quarantine a request at all instances for ten minutes after the last end: 503, not run, with the time left in Retry-After. Any response to it clears it, and after the first end a lost attempt is not sent to a second target. Without evidence nothing is computed.

--- a/packages/bilberryd/src/edge/attempt.ts
+++ b/packages/bilberryd/src/edge/attempt.ts
@@ -72,6 +72,8 @@
   dispatchedAtMs: number
   /** Timer that expires the attempt at its deadline. */
   deadlineTimer: NodeJS.Timeout | undefined
+  /** Fingerprint of the request; `undefined` until it is needed. */
+  fingerprint: string | undefined
   /** Refusal reason of the last exchange that failed without running the request; reported if the attempt is refused. */
   lastNotRunReason: RefusalReason | undefined
 }
--- a/packages/bilberryd/src/edge/caller_listener.ts
+++ b/packages/bilberryd/src/edge/caller_listener.ts
@@ -117,6 +117,7 @@
       mayHaveRun: false,
       dispatchedAtMs: nowMs,
       deadlineTimer: undefined,
+      fingerprint: undefined,
       lastNotRunReason: undefined
     }
   }
--- a/packages/bilberryd/src/edge/dispatcher.ts
+++ b/packages/bilberryd/src/edge/dispatcher.ts
@@ -6,6 +6,7 @@
 import type { RateContender, RegisteredTarget, EntrySettings, Refusal, WaitingRequests } from '@bilberryworks/steering'
 import type { TargetPool } from '@bilberryworks/targets'
 import type { Attempt } from './attempt.ts'
+import type { CrashGuard } from './crash_guard.ts'
 import type { EntryLog } from './entry_log.ts'
 import type { EntryMetrics } from './entry_metrics.ts'
 import type { EntryState } from './entry_state.ts'
@@ -18,7 +19,6 @@
 import { createTargetSelector } from './target_selector.ts'
 import { ExchangeResult, sendAttempt } from './send_attempt.ts'
 import { createActiveExchanges } from './active_exchanges.ts'
-import { createTargetEndDetector } from './target_end_detector.ts'
 
 /** Dispatches attempts to targets. */
 export interface Dispatcher {
@@ -56,6 +56,8 @@
   metrics: EntryMetrics
   /** Handles what a target reports about itself in a response. */
   handleTargetResponse: TargetReports['handleResponse']
+  /** Refuses requests that crash targets. */
+  crashGuard: CrashGuard
   /** Returns the names of the live instances, including this one. */
   listInstances: () => string[]
   /** Lists the other known instances, live or not, and whether each claims a part of the rate of a target. */
@@ -91,7 +93,7 @@
  * @returns The dispatcher
  */
 export function createDispatcher (options: CreateDispatcherOptions): Dispatcher {
-  const { settings: { bounds }, state, pool, log, metrics, getNowMs } = options
+  const { settings: { bounds }, state, pool, crashGuard, log, metrics, getNowMs } = options
   const targetSelector = createTargetSelector(options)
   const exchanges = createActiveExchanges(options)
   const finisher = createAttemptFinisher({ log, metrics, getNowMs, describeLoad: () => ({ waiting: countWaiting(), inFlight: exchanges.count() }) })
@@ -99,24 +101,26 @@
   const retryBudgets = createLazyMap(() => createFleetRetryBudget({ ratio: bounds.retryRatio, slack: bounds.retrySlack, windowMs: bounds.budgetWindowMs, getInstanceCount: options.getMaxLiveInstances }))
   const retryPacers = createLazyMap(() => createRetryPacer(options.getRandom))
   const getRetryAfterMs = (attempt: Attempt): number => retryPacers.get(attempt.service).record({ nowMs: getNowMs(), queued: waitingByService.get(attempt.service).count(), ...targetSelector.measureCapacity(attempt.service) })
-  const handleExchangeResult = createExchangeResultHandler({ finisher, log, metrics, getNowMs, getBudget: retryBudgets.get, getRetryAfterMs, requeue: enqueueAttempt })
-  const endDetector = createTargetEndDetector({ onRequestLost: () => undefined, log, getNowMs })
+  const handleExchangeResult = createExchangeResultHandler({ finisher, log, metrics, getNowMs, getBudget: retryBudgets.get, getRetryAfterMs, isSuspect: crashGuard.isSuspect, requeue: enqueueAttempt })
   let checkTimer: NodeJS.Timeout | undefined
 
   function enqueueAttempt (attempt: Attempt): void {
-    if (!targetSelector.hasUntriedTarget(attempt)) {
-      finisher.refuse(attempt, createNotRunRefusal(RefusalReason.NoUsableTarget, `Service "${attempt.service}" has no available target that was not tried before`, noTargetRetryAfterMs))
-      return
-    }
+    const refusal = crashGuard.findRefusal(attempt) ?? findUnavailable(attempt)
+    if (refusal !== undefined) return finisher.refuse(attempt, refusal)
     attempt.phase = AttemptPhase.Waiting
     waitingByService.get(attempt.service).add(attempt)
     dispatchWaiting(attempt.service)
   }
 
+  function findUnavailable (attempt: Attempt): Refusal | undefined {
+    return targetSelector.hasUntriedTarget(attempt) ? undefined : createNotRunRefusal(RefusalReason.NoUsableTarget, `Service "${attempt.service}" has no available target that was not tried before`, noTargetRetryAfterMs)
+  }
+
   function dispatchWaiting (service: string): void {
     const waiting = waitingByService.get(service)
     if (waiting.count() === 0) return
     state.targets.observeTime(getNowMs())
+    for (const attempt of waiting.takeMatching(request => crashGuard.findRefusal(request) !== undefined)) finisher.refuse(attempt, crashGuard.findRefusal(attempt)!)
     const assignments = waiting.takePlaced(attempt => {
       const entry = targetSelector.findTarget(attempt)
       // Counted immediately, so that the selection for the next queued request sees the remaining capacity.
@@ -159,7 +163,7 @@
       pool,
       getNowMs,
       maxBodyBytes: state.getConfig()?.limits.maxBodyBytes ?? Infinity,
-      maySend: () => targetSelector.isSelectable(entry),
+      maySend: () => targetSelector.isSelectable(entry) && crashGuard.findRefusal(attempt) === undefined,
       onSendStart: () => metrics.recordStage(RequestStage.Connect, attempt.route.kind, getNowMs() - attempt.dispatchedAtMs),
       onResponseHead (fields) {
         metrics.recordStage(RequestStage.FirstByte, attempt.route.kind, getNowMs() - attempt.dispatchedAtMs)
@@ -170,7 +174,8 @@
         finisher.refuse(attempt, createUnknownRefusal(RefusalReason.BodyTooLarge, 'Body exceeds the size limit of the routing configuration'))
       },
       onEnd (result, detail) {
-        if (result === ExchangeResult.Lost || result === ExchangeResult.Truncated) endDetector.recordLoss(attempt, entry)
+        if (result === ExchangeResult.Lost || result === ExchangeResult.Truncated) crashGuard.recordLoss(attempt, entry)
+        else if (result === ExchangeResult.Completed) crashGuard.recordResponse(attempt)
         exchanges.release(attempt, signalByResult[result])
         handleExchangeResult(attempt, result, detail)
         dispatchWaiting(attempt.service)
--- a/packages/bilberryd/src/edge/entry_metrics.ts
+++ b/packages/bilberryd/src/edge/entry_metrics.ts
@@ -57,6 +57,8 @@
   countMismatchedResponse (): void
   /** Counts a report of a target. */
   countTargetReport (report: TargetReport): void
+  /** Counts a request that is quarantined because targets ended whenever they ran it. */
+  countQuarantined (): void
   /** Counts bytes sent to peers, by kind of message. */
   countPeerBytes (traffic: PeerTraffic, bytes: number): void
   /** Records the duration of a request stage, in milliseconds. */
@@ -120,6 +122,7 @@
   const undecodableRows = new Counter({ name: 'bilberry_rows_undecodable_total', help: 'Rows that could not be decoded, by table', labelNames: ['table'], registers })
   const mismatchedResponses = new Counter({ name: 'bilberry_stray_answers_total', help: 'Responses of targets to requests other than the one in flight', registers })
   const targetReports = new Counter({ name: 'bilberry_target_reports_total', help: 'Reports of targets about themselves in responses, by kind', labelNames: ['report'], registers })
+  const quarantined = new Counter({ name: 'bilberry_requests_quarantined_total', help: 'Requests that are refused because targets ended whenever they ran them, each counted once', registers })
   const peerBytes = new Counter({ name: 'bilberry_peer_bytes_total', help: 'Bytes sent to other instances, by kind of message', labelNames: ['message'], registers })
   const stages = new Histogram({ name: 'bilberry_stage_seconds', help: 'Duration of a request stage in seconds, by stage and kind of route', labelNames: ['stage', 'kind'], buckets: latencyBucketsSeconds, registers })
   for (const reason of Object.values(RefusalReason)) refusals.inc({ reason }, 0)
@@ -141,6 +144,7 @@
     countUndecodable: table => undecodableRows.inc({ table }),
     countMismatchedResponse: () => mismatchedResponses.inc(),
     countTargetReport: report => targetReports.inc({ report }),
+    countQuarantined: () => quarantined.inc(),
     countPeerBytes: (message, bytes) => peerBytes.inc({ message }, bytes),
     recordStage: (stage, kind, elapsedMs) => stages.observe({ stage, kind }, elapsedMs / msPerSecond)
   }
--- a/packages/bilberryd/src/edge/exchange_results.ts
+++ b/packages/bilberryd/src/edge/exchange_results.ts
@@ -19,6 +19,8 @@
   log: EntryLog
   /** Metrics. */
   metrics: EntryMetrics
+  /** Returns whether a target has ended under the same request before. */
+  isSuspect: (attempt: Attempt) => boolean
   /** Queues an attempt for dispatch to another target. */
   requeue: (attempt: Attempt) => void
   /** Returns the retry budget of a service. */
@@ -38,7 +40,9 @@
   /** The deadline has passed or is too close. */
   Deadline = 'deadline',
   /** The retry budget is exhausted. */
-  Budget = 'budget'
+  Budget = 'budget',
+  /** A target has ended under the same request before, so a further target might end, too. */
+  Suspect = 'suspect'
 }
 
 /** Minimum time to the deadline for dispatching a request, in milliseconds: less would be used up by the network latency to the target. */
@@ -89,7 +93,8 @@
   function retryAttempt (attempt: Attempt, cause: { reason: RetryReason, consumesBudget: boolean, detail: string }): void {
     const nowMs = getNowMs()
     const budget = options.getBudget(attempt.service)
-    const bar = findRetryDenial(attempt, nowMs) ?? (cause.consumesBudget && !budget.take(nowMs) ? RetryDenial.Budget : undefined)
+    const isSuspect = cause.reason === RetryReason.IdempotentLost && options.isSuspect(attempt)
+    const bar = findRetryDenial(attempt, nowMs) ?? (isSuspect ? RetryDenial.Suspect : undefined) ?? (cause.consumesBudget && !budget.take(nowMs) ? RetryDenial.Budget : undefined)
     const retryFields = { id: attempt.attemptId, reason: cause.reason, detail: cause.detail, tried: attempt.tried.size, budgetLeft: Math.floor(budget.computeRemaining(nowMs)), leftMs: Math.round(attempt.deadlineAtMs - nowMs) }
     if (bar === undefined) {
       metrics.countRetry(cause.reason)
--- a/packages/bilberryd/src/edge/peer_link.ts
+++ b/packages/bilberryd/src/edge/peer_link.ts
@@ -5,7 +5,7 @@
  */
 import type { Socket } from 'node:dgram'
 import type { Server } from 'node:http'
-import type { RecentTargetReports, SocketAddress } from '@bilberryworks/steering'
+import type { CrashReport, RecentTargetReports, SocketAddress } from '@bilberryworks/steering'
 import type { EntryLog } from './entry_log.ts'
 import type { EntryState } from './entry_state.ts'
 import type { KnownPeer, PeerHeartbeat, HeartbeatUpdate, PeerView } from './peer_view.ts'
@@ -33,6 +33,10 @@
   remoteIntervals: number
   /** Time for which this instance must have been behind a peer before it fetches from it while the store responds, in milliseconds. */
   storeDelayMs: number
+  /** Returns the current heartbeat for peers that may have started a short time ago. */
+  getIntroduction: () => PeerHeartbeat
+  /** Handles the reports of a peer on requests under which targets ended. */
+  handleCrashReports: (peer: string, reports: CrashReport[]) => void
   /** Handles the reports of targets in each heartbeat of a peer; `undefined` if it has none. */
   handleTargetReports: (peer: string, reports: RecentTargetReports | undefined) => void
   /** Counts bytes sent to peers. */
@@ -49,6 +53,8 @@
 export interface PeerLink extends AsyncDisposable {
   /** Sends a heartbeat with this instance's addresses to all known peers immediately. */
   announce (): void
+  /** Sends what has changed to all known peers, also in other regions, without waiting for the next heartbeat. */
+  sendNow (): void
   /** Fetches the known instances and newer table rows from the seeds; logs a seed that does not respond. */
   fetchFromSeeds (): Promise<void>
   /** Fetches newer table rows from a peer if this instance is behind; to be called at short intervals. */
@@ -86,10 +92,20 @@
   }
 
   function announce (): void {
-    const text = JSON.stringify(options.getHeartbeat())
+    const text = JSON.stringify(options.getIntroduction())
     for (const { heartbeat } of view.listKnown()) sendText(text, heartbeat.heartbeats)
   }
 
+  function sendNow (): void {
+    const text = formatUpdate(options.getHeartbeat())
+    for (const { heartbeat } of view.listKnown()) sendText(text, heartbeat.heartbeats)
+  }
+
+  function handleReports ({ instance, targetReports, crashReports }: HeartbeatUpdate): void {
+    options.handleTargetReports(instance, targetReports)
+    if (crashReports !== undefined) options.handleCrashReports(instance, crashReports)
+  }
+
   function sendUpdates (): void {
     const text = formatUpdate(options.getHeartbeat())
     const isRemoteRound = round++ % options.remoteIntervals === 0
@@ -103,17 +119,17 @@
   function handleHeartbeat (heartbeat: HeartbeatMessage): void {
     const hasBecomeLive = view.recordHeartbeat(heartbeat, getNowMs())
     if (hasBecomeLive) recordLive(heartbeat.instance, heartbeat.startedAtMs)
-    options.handleTargetReports(heartbeat.instance, heartbeat.targetReports)
+    handleReports(heartbeat)
     // Sent immediately, so that the peer does not have to wait for the next heartbeat to see that this instance is live.
-    if (hasBecomeLive || heartbeat.asksForHeartbeat === true) sendText(JSON.stringify(options.getHeartbeat()), heartbeat.heartbeats)
+    if (hasBecomeLive || heartbeat.asksForHeartbeat === true) sendText(JSON.stringify(options.getIntroduction()), heartbeat.heartbeats)
   }
 
   function handleUpdate (update: HeartbeatUpdate, from: SocketAddress): void {
     const result = view.recordUpdate(update, getNowMs())
     if (result === UpdateResult.BecameLive) recordLive(update.instance, update.startedAtMs)
-    options.handleTargetReports(update.instance, update.targetReports)
+    handleReports(update)
     if (result !== UpdateResult.Unknown) return
-    const message: HeartbeatMessage = { ...options.getHeartbeat(), asksForHeartbeat: true }
+    const message: HeartbeatMessage = { ...options.getIntroduction(), asksForHeartbeat: true }
     sendText(JSON.stringify(message), from)
   }
 
@@ -169,6 +185,7 @@
 
   return {
     announce,
+    sendNow,
     catchUp: fetchFromPeer,
     async fetchFromSeeds () {
       await Promise.all(options.seeds.filter(seed => seed.host !== ownHeartbeat.peers.host).map(seed => readState(seed, true).catch(error => log.info('seed_silent', { seed: `${seed.host}:${seed.port}`, detail: (error as Error).message }))))
--- a/packages/bilberryd/src/edge/peer_view.ts
+++ b/packages/bilberryd/src/edge/peer_view.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { RateNotice, RecentTargetReports, SocketAddress } from '@bilberryworks/steering'
+import type { CrashReport, RateNotice, RecentTargetReports, SocketAddress } from '@bilberryworks/steering'
 
 /** The part of a heartbeat that changes during a run. */
 export interface HeartbeatUpdate {
@@ -21,6 +21,8 @@
   demand: Record<string, number>
   /** What targets reported to the instance a short time ago; absent if nothing. */
   targetReports?: RecentTargetReports
+  /** Requests under which targets ended; absent if there are none. */
+  crashReports?: CrashReport[]
 }
 
 /** Heartbeat with the addresses of the instance, sent at its start and whenever a peer asks for it. */
@@ -151,9 +153,11 @@
  * @param update The update, or a heartbeat that contains it
  * @returns JSON text
  */
-export function formatUpdate ({ instance, startedAtMs, sequence, isReady, versions, demand, targetReports }: HeartbeatUpdate): string {
+export function formatUpdate ({ instance, startedAtMs, sequence, isReady, versions, demand, targetReports, crashReports = [] }: HeartbeatUpdate): string {
   const fields: unknown[] = [instance, startedAtMs, sequence, isReady, versions, demand]
-  if (targetReports !== undefined && Object.values(targetReports).some(runs => Object.keys(runs).length > 0)) fields.push(targetReports)
+  const hasTargetReports = targetReports !== undefined && Object.values(targetReports).some(runs => Object.keys(runs).length > 0)
+  if (hasTargetReports || crashReports.length > 0) fields.push(hasTargetReports ? targetReports : null)
+  if (crashReports.length > 0) fields.push(crashReports)
   return JSON.stringify(fields)
 }
 
@@ -166,10 +170,10 @@
 export function parseUpdate (text: string): HeartbeatUpdate | undefined {
   const value = parseJson(text)
   if (!Array.isArray(value)) return undefined
-  const [instance, startedAtMs, sequence, isReady, versions, demand, targetReports] = value as [string, number, number, boolean, Record<string, number>, Record<string, number>, RecentTargetReports | undefined]
+  const [instance, startedAtMs, sequence, isReady, versions, demand, targetReports, crashReports] = value as [string, number, number, boolean, Record<string, number>, Record<string, number>, unknown, unknown]
   const isValid = typeof instance === 'string' && typeof startedAtMs === 'number' && typeof sequence === 'number' && typeof isReady === 'boolean' && [versions, demand].every(isNumberRecord)
   if (!isValid) return undefined
-  return { instance, startedAtMs, sequence, isReady, versions, demand, ...isTargetReports(targetReports) ? { targetReports } : {} }
+  return { instance, startedAtMs, sequence, isReady, versions, demand, ...selectReports(targetReports, crashReports) }
 }
 
 /**
@@ -182,8 +186,22 @@
   const value = parseJson(text) as PeerHeartbeat | undefined
   const isValid = typeof value?.instance === 'string' && typeof value.heartbeats?.port === 'number' && typeof value.peers?.port === 'number' && isNumberRecord(value.versions) && isNumberRecord(value.demand)
   if (!isValid) return undefined
-  const { targetReports, ...heartbeat } = value
-  return isTargetReports(targetReports) ? { ...heartbeat, targetReports } : heartbeat
+  const { targetReports, crashReports, ...heartbeat } = value
+  return { ...heartbeat, ...selectReports(targetReports, crashReports) }
+}
+
+/** Returns those of the optional parts of a heartbeat that are valid. */
+function selectReports (targetReports: unknown, crashReports: unknown): Pick<HeartbeatUpdate, 'targetReports' | 'crashReports'> {
+  return {
+    ...isTargetReports(targetReports) ? { targetReports } : {},
+    ...Array.isArray(crashReports) && crashReports.every(isCrashReport) ? { crashReports } : {}
+  }
+}
+
+function isCrashReport (value: unknown): value is CrashReport {
+  if (typeof value !== 'object' || value === null) return false
+  const { fingerprint, runs, cleared, ageMs } = value as CrashReport
+  return typeof fingerprint === 'string' && typeof ageMs === 'number' && [runs, cleared].every(list => Array.isArray(list) && list.every(run => typeof run === 'string'))
 }
 
 function isTargetReports (value: unknown): value is RecentTargetReports {
--- a/packages/bilberryd/src/edge/peer_view_test.ts
+++ b/packages/bilberryd/src/edge/peer_view_test.ts
@@ -101,5 +101,8 @@
   const withReports = { ...update, targetReports: { leaving: { t: 7 }, rates: { u: { startedAtMs: 8, perSecond: 1.2, ageMs: 30 }, v: { startedAtMs: 9, perSecond: null, ageMs: 0 } }, claims: ['u'] } }
   t.deepEqual(parseUpdate(formatUpdate(withReports)), withReports)
   t.deepEqual(parseUpdate(formatUpdate({ ...update, targetReports: { leaving: {}, rates: {}, claims: [] } })), update)
+  const withCrashes = { ...update, crashReports: [{ fingerprint: 'f', runs: ['1', '2'], cleared: ['3'], ageMs: 40 }] }
+  t.deepEqual(parseUpdate(formatUpdate(withCrashes)), withCrashes)
+  t.deepEqual(parseUpdate(formatUpdate({ ...withReports, ...withCrashes })), { ...withReports, ...withCrashes })
   t.deepEqual(parseUpdate(JSON.stringify(['a', 1, 2, true, { operator: 3 }, {}, { leaving: 'x' }])), update)
 })
--- a/packages/bilberryd/src/edge/request_fingerprint.ts
+++ b/packages/bilberryd/src/edge/request_fingerprint.ts
@@ -12,7 +12,7 @@
 const fingerprintLength = 16
 
 /**
- * Computes the fingerprint of a request from its method, host, path, query, caller and body.
+ * Returns the fingerprint of a request, which is computed on the first call, from its method, host, path, query, caller and body.
  *
  * The caller is identified by `Authorization` and by the object that the request concerns. Only the beginning of a large body
  * is hashed, so that a body need not be retained for it.
@@ -20,7 +20,12 @@
  * @param attempt The attempt, whose buffered body must still be present
  * @returns The fingerprint, the same on all instances
  */
-export function computeFingerprint ({ message, body, objectKey }: Pick<Attempt, 'message' | 'body' | 'objectKey'>): string {
+export function getFingerprint (attempt: Attempt): string {
+  attempt.fingerprint ??= computeFingerprint(attempt)
+  return attempt.fingerprint
+}
+
+function computeFingerprint ({ message, body, objectKey }: Attempt): string {
   const { host, authorization } = message.headers
   const hash = createHash('sha256').update(JSON.stringify([message.method, host, message.url, authorization, objectKey]))
   if (body !== undefined) {
--- a/packages/bilberryd/src/edge/run_entry.ts
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -24,6 +24,7 @@
 import { createLookUpListener, createReadinessListener } from './look_up_listener.ts'
 import { listenOn, startPeerLink } from './peer_link.ts'
 import { createPeerView } from './peer_view.ts'
+import { createCrashGuard } from './crash_guard.ts'
 import { createDispatcher } from './dispatcher.ts'
 import { createRegionShares } from './region_shares.ts'
 import { ReplicatedTable } from './replicated_table.ts'
@@ -94,7 +95,9 @@
   const state = createEntryState({ regions: settings.regions, log, getNowMs, countUndecodable: metrics.countUndecodable, onChange: handleChange })
   const pool = cleanup.add(createTargetPool({ connectTimeoutMs, onMismatchedResponse: metrics.countMismatchedResponse }))
   const targetReports = createTargetReports({ state, metrics, log, getNowMs })
+  const crashGuard = createCrashGuard({ metrics, log, getNowMs })
   const dispatcher = createDispatcher({
+    crashGuard,
     settings,
     state,
     pool,
@@ -130,7 +133,8 @@
       isReady: isReady(),
       versions: Object.fromEntries(Object.values(ReplicatedTable).map(table => [table, state.getTable(table).getVersion()])),
       demand: regionShares.getDemand(),
-      targetReports: targetReports.listRecent()
+      targetReports: targetReports.listRecent(),
+      crashReports: crashGuard.listRecent()
     }
   }
 
@@ -147,7 +151,7 @@
   const { bounds } = settings
   const targetPauseMs = Math.round(bounds.drainMs * targetPauseShare)
   const heartbeatTimes = { intervalMs: heartbeatIntervalMs, remoteIntervals: remoteHeartbeatIntervals, storeDelayMs: targetPauseMs * catchUpPauses }
-  const link = cleanup.add(await startPeerLink({ ...heartbeatTimes, getHeartbeat, view, state, seeds: settings.seeds, countBytes: metrics.countPeerBytes, handleTargetReports: targetReports.handlePeerReports, log, getNowMs, getRandom }))
+  const link = cleanup.add(await startPeerLink({ ...heartbeatTimes, getHeartbeat, getIntroduction: () => ({ ...getHeartbeat(), crashReports: crashGuard.listWorst() }), view, state, seeds: settings.seeds, countBytes: metrics.countPeerBytes, handleTargetReports: targetReports.handlePeerReports, handleCrashReports: crashGuard.mergeReports, log, getNowMs, getRandom }))
   const store = cleanup.add(createStoreClient(settings.store))
   for (const replication of startReplications({ store, state, bounds, targetPauseMs, log, getNowMs, getRandom })) cleanup.add(replication)
   const discovery = createPeerDiscovery({ store, view, log })
@@ -167,6 +171,8 @@
     pool.closeExpired(nowMs)
     state.removeExpired(nowMs)
     dispatcher.retryUnreachable()
+    crashGuard.removeExpired()
+    if (crashGuard.takeNews()) link.sendNow()
     link.catchUp()
   }, maintenanceIntervalMs)
   cleanup.add({ async [Symbol.asyncDispose] () { clearInterval(maintenanceTimer) } })
--- a/packages/bilberryd/src/edge/target_end_detector.ts
+++ b/packages/bilberryd/src/edge/target_end_detector.ts
@@ -9,7 +9,7 @@
 import type { Attempt } from './attempt.ts'
 import type { EntryLog } from './entry_log.ts'
 import { checkListening, ListeningState } from '@bilberryworks/targets'
-import { computeFingerprint } from './request_fingerprint.ts'
+import { getFingerprint } from './request_fingerprint.ts'
 
 /** Options of {@linkcode createTargetEndDetector}. */
 export interface CreateTargetEndDetectorOptions {
@@ -62,7 +62,7 @@
 
   return {
     recordLoss (attempt, entry) {
-      const fingerprint = computeFingerprint(attempt)
+      const fingerprint = getFingerprint(attempt)
       const known = findRun(entry)
       if (known !== undefined) {
         if (known.fingerprints.has(attempt.attemptId)) return
--- a/packages/steering/src/outcomes.ts
+++ b/packages/steering/src/outcomes.ts
@@ -55,6 +55,8 @@
   PeerLost = 'peer_lost',
   TargetUnreachable = 'target_unreachable',
   TargetRefused = 'target_refused',
+  /** Targets have ended whenever they ran the same request. */
+  CrashesTargets = 'crashes_targets',
   /** The exchange with the target was interrupted, so it is unknown whether the request ran. */
   TargetLost = 'target_lost',
   TargetTimeout = 'target_timeout',
