Give up a target that sends bytes without end

Seven of fourteen kinds held an attempt until the route's time-out, and chunk extensions, trailers and bytes behind a chunk grew the parser's line or list without a limit: 1xx responses, chunk extensions (one and many), bytes behind a chunk, trailers, and bodies of responses that are withheld (no signature; a status that may not be passed on). Memory over a minute was not measured.

--- a/packages/bilberryd/src/edge/send_attempt.ts
+++ b/packages/bilberryd/src/edge/send_attempt.ts
@@ -64,6 +64,11 @@
 /** Statuses from which a caller concludes that its request did not run; withheld if the target does not state that explicitly. */
 const notRunStatuses = new Set([408, 421, 429, 503])
 
+/** Maximum size of the body of a withheld response, in bytes; a longer one is not received to its end. */
+const maxWithheldBytes = 65_536
+/** Time within which the body of a withheld response must be complete, in milliseconds: a round trip between regions with a lost packet. */
+const maxWithheldMs = 600
+
 /**
  * Sends an attempt to a target.
  *
@@ -77,8 +82,28 @@
   const mayHaveRunBefore = attempt.mayHaveRun
   let writer: ResponseWriter | undefined
   let withheldResult: ExchangeResult.NotRun | ExchangeResult.Failed | undefined
+  let withheldBytes = 0
+  let withheldTimer: NodeJS.Timeout | undefined
+
+  /** Withholds the response from the caller; its body is received only so that the connection can be used again. */
+  function startWithholding (result: ExchangeResult.NotRun | ExchangeResult.Failed): void {
+    withheldResult = result
+    withheldTimer = setTimeout(dropWithheld, maxWithheldMs, `did not end within ${maxWithheldMs} ms`)
+  }
+
+  function dropWithheld (detail: string): void {
+    if (attempt.exchange !== exchange) return
+    exchange.cancel()
+    finish(withheldResult!, `Withheld response of the target ${detail}`)
+  }
+
+  function finish (result: ExchangeResult, detail: string): void {
+    clearTimeout(withheldTimer)
+    options.onEnd(result, detail)
+  }
+
   const writeBody = attempt.body === undefined ? {} : { writeBody: createBodySender(attempt.message, attempt.body, createBodyOptions(attempt, options)) }
-  attempt.exchange = options.pool.send(target, {
+  const exchange = options.pool.send(target, {
     head: buildRequestHead(attempt, { targetId: target.id, timeLeftMs: attempt.deadlineAtMs - options.getNowMs() }),
     ...writeBody,
     isBodiless: attempt.message.method === 'HEAD',
@@ -94,23 +119,29 @@
       options.onResponseHead(fields)
       recordResponseTime(entry, options.getNowMs() - attempt.dispatchedAtMs)
       if (fields.isNotRun) {
-        withheldResult = ExchangeResult.NotRun
+        startWithholding(ExchangeResult.NotRun)
         attempt.mayHaveRun = mayHaveRunBefore
-      } else if (isWithheld(attempt, head, fields.isSigned)) withheldResult = ExchangeResult.Failed
+      } else if (isWithheld(attempt, head, fields.isSigned)) startWithholding(ExchangeResult.Failed)
       else writer = createResponseWriter(attempt.response, head, createWriterOptions(attempt))
     },
-    onBody: part => writer?.write(part),
+    onBody (part) {
+      writer?.write(part)
+      if (withheldResult === undefined) return
+      withheldBytes += part.length
+      if (withheldBytes > maxWithheldBytes) dropWithheld(`is longer than ${maxWithheldBytes} bytes`)
+    },
     onEnd () {
       writer?.end()
-      options.onEnd(withheldResult ?? ExchangeResult.Completed, withheldResult === undefined ? '' : 'Target sent a failure status or an unsigned response')
+      finish(withheldResult ?? ExchangeResult.Completed, withheldResult === undefined ? '' : 'Target sent a failure status or an unsigned response')
     },
     onFail (failure, detail) {
-      if (writer?.isCommitted() === true) options.onEnd(ExchangeResult.Truncated, detail)
+      if (writer?.isCommitted() === true) finish(ExchangeResult.Truncated, detail)
       // The response head is sufficient evidence that the request did not run, even if the body is lost.
-      else if (withheldResult === ExchangeResult.NotRun) options.onEnd(ExchangeResult.NotRun, detail)
-      else options.onEnd(resultByFailure[failure], detail)
+      else if (withheldResult === ExchangeResult.NotRun) finish(ExchangeResult.NotRun, detail)
+      else finish(resultByFailure[failure], detail)
     }
   })
+  attempt.exchange = exchange
 }
 
 /** Returns whether to withhold a response: a success without the target's signature, a status that would wrongly imply that the request did not run, or a server error on an idempotent route whose limit of targets has not been reached. */
--- a/packages/targets/src/target_connection.ts
+++ b/packages/targets/src/target_connection.ts
@@ -3,8 +3,10 @@
  *
  * @module
  */
+import type { Socket } from 'node:net'
 import type { ResponseHead } from './response_parser.ts'
 import { connect } from 'node:net'
+import { createOverheadLimit } from './_overhead_limit.ts'
 import { createResponseParser } from './response_parser.ts'
 
 /** Why an exchange on a connection failed. */
@@ -106,10 +108,15 @@
   /** Whether the response being parsed is discarded: it belongs to another request or is a 1xx response. */
   let isSkipping = false
   const startedAtMs = performance.now()
+  const overhead = createOverheadLimit()
   const connectTimer = setTimeout(() => failConnection(ExchangeFailure.ConnectFailed, `Connection was not established within ${options.connectTimeoutMs} ms`), options.connectTimeoutMs)
   const parser = createResponseParser({
     onHead: handleHead,
-    onBody: part => isSkipping ? undefined : current?.onBody(part),
+    onBody (part) {
+      if (isSkipping) return
+      overhead.countBody(part.length)
+      current?.onBody(part)
+    },
     onEnd: handleEnd
   })
 
@@ -133,12 +140,7 @@
     if (!exchange.maySend()) return failConnection(ExchangeFailure.Withdrawn, 'Target was excluded from selection while the connection was established')
     exchange.onSendStart()
     isBodySent = exchange.writeBody === undefined
-    socket.write(exchange.head, 'latin1')
-    exchange.writeBody?.((part, isLast) => {
-      if (isClosed || current !== exchange) return true
-      if (isLast) isBodySent = true
-      return part.length === 0 || socket.write(part)
-    }, resume => socket.once('drain', resume))
+    writeRequest(socket, exchange, { isCurrent: () => !isClosed && current === exchange, onBodySent: () => { isBodySent = true } })
   }
 
   function handleHead (head: ResponseHead): boolean {
@@ -157,8 +159,7 @@
       return false
     }
     if (!head.isReusable) isReusable = false
-    const keepAliveSeconds = keepAlivePattern.exec(head.fields['keep-alive'] ?? '')?.[1]
-    if (keepAliveSeconds !== undefined) connection.keepAliveMs = Number(keepAliveSeconds) * msPerSecond
+    connection.keepAliveMs = readKeepAliveMs(head) ?? connection.keepAliveMs
     exchange.onHead(head)
     return exchange.isBodiless
   }
@@ -207,7 +208,7 @@
     if (current !== undefined) startExchange(current)
   })
   socket.on('data', bytes => {
-    const error = parser.read(bytes)
+    const error = parser.read(bytes) ?? overhead.countReceived(bytes.length)
     if (error !== undefined) failConnection(ExchangeFailure.Malformed, error.message)
     settleCompleted()
   })
@@ -221,6 +222,7 @@
     isFree: () => !isClosed && current === undefined && isReusable && socket.readableLength === 0,
     send (exchange) {
       current = exchange
+      overhead.reset()
       if (isEstablished) startExchange(exchange)
     },
     setPaused (paused) {
@@ -231,3 +233,26 @@
   }
   return connection
 }
+
+/** Options of {@linkcode writeRequest}. */
+interface WriteRequestOptions {
+  /** Returns whether the exchange is still in progress. */
+  isCurrent: () => boolean
+  /** Called before the last chunk of the body is sent. */
+  onBodySent: () => void
+}
+
+function writeRequest (socket: Socket, exchange: Exchange, { isCurrent, onBodySent }: WriteRequestOptions): void {
+  socket.write(exchange.head, 'latin1')
+  exchange.writeBody?.((part, isLast) => {
+    if (!isCurrent()) return true
+    if (isLast) onBodySent()
+    return part.length === 0 || socket.write(part)
+  }, resume => socket.once('drain', resume))
+}
+
+/** Returns the idle time-out that a target states, in milliseconds; `undefined` if it states none. */
+function readKeepAliveMs (head: ResponseHead): number | undefined {
+  const seconds = keepAlivePattern.exec(head.fields['keep-alive'] ?? '')?.[1]
+  return seconds === undefined ? undefined : Number(seconds) * msPerSecond
+}
