--- a/packages/bilberryd/src/edge/_rate_fleet.ts
+++ b/packages/bilberryd/src/edge/_rate_fleet.ts
@@ -13,6 +13,7 @@
 import type { TargetSelector } from './target_selector.ts'
 import { PassThrough } from 'node:stream'
 import { createTargetRegistry, recordTargetDispatch, recordTargetResult, TargetSignal } from '@bilberryworks/steering'
+import { createEvents } from './_virtual_events.ts'
 import { createEntryLog } from './entry_log.ts'
 import { createPeerView, formatUpdate, parseUpdate } from './peer_view.ts'
 import { createTargetReports } from './target_reports.ts'
@@ -232,33 +233,3 @@
   }
   return Infinity
 }
-
-interface SimulatedEvent { atMs: number, run: () => void }
-
-/** Creates a queue of events in the order of their times. */
-function createEvents (): { add: (atMs: number, run: () => void) => void, take: () => SimulatedEvent | undefined } {
-  const heap: SimulatedEvent[] = []
-  const isBefore = (a: number, b: number): boolean => heap[a]!.atMs < heap[b]!.atMs
-  const swap = (a: number, b: number): void => { [heap[a], heap[b]] = [heap[b]!, heap[a]!] }
-  return {
-    add (atMs, run) {
-      heap.push({ atMs, run })
-      for (let index = heap.length - 1; index > 0; index = (index - 1) >> 1) {
-        if (!isBefore(index, (index - 1) >> 1)) return
-        swap(index, (index - 1) >> 1)
-      }
-    },
-    take () {
-      if (heap.length === 0) return undefined
-      swap(0, heap.length - 1)
-      const event = heap.pop()
-      for (let index = 0; ;) {
-        let smallest = index
-        for (const child of [2 * index + 1, 2 * index + 2]) if (child < heap.length && isBefore(child, smallest)) smallest = child
-        if (smallest === index) return event
-        swap(index, smallest)
-        index = smallest
-      }
-    }
-  }
-}
