Explain the refusal of a request that crashes targets

The timeline of a refused request had only its own line: the ends of targets that decide lie minutes before it, at other instances and under other attempts.

--- a/packages/bilberryctl/src/describe_request.ts
+++ b/packages/bilberryctl/src/describe_request.ts
@@ -49,6 +49,7 @@
   const instances = new Set(requestLines.map(line => line.instance))
   const steps = requestLines.map(line => createStep(line, StepKind.Decision))
   for (const instance of instances) steps.push(...describeConfig(lines, { instance, ...requestSpan }), ...describeContext(lines, { instance, ...requestSpan }))
+  steps.push(...describeRepeats(lines, lastLine))
   for (const target of listTargets(requestLines)) steps.push(...describeTarget(lines, { id, target, instances, ...requestSpan }))
   return steps.sort((a, b) => a.atMs - b.atMs)
 }
@@ -94,6 +95,19 @@
   return [...steps, createStep(firstFailure, StepKind.Elsewhere, `target ${scope.target} began to fail other requests: ${failureLines.length} at ${new Set(failureLines.map(line => line.instance)).size} instances within ${contextWindowMs / 1_000} s (${signals})`)]
 }
 
+/** Describes the targets that ended under repeats of the request, and the decision to send it to no further ones; both are remembered for longer than other state. */
+function describeRepeats (lines: LogLine[], lastLine: LogLine): TimelineStep[] {
+  const fingerprint = lastLine.fields['fingerprint']
+  if (typeof fingerprint !== 'string') return []
+  const earlierLines = lines.filter(line => line.atMs <= lastLine.atMs)
+  const endLines = earlierLines.filter(line => line.event === 'target_ended' && Object.values(line.fields['requests'] ?? {}).includes(fingerprint))
+  const quarantineLines = earlierLines.filter(line => line.event === 'request_quarantined' && line.fields['fingerprint'] === fingerprint && line.instance === lastLine.instance)
+  return [
+    ...endLines.map(line => createStep(line, StepKind.Elsewhere, `target ${String(line.fields['target'])} ended under the same request`)),
+    ...quarantineLines.map(line => createStep(line, StepKind.Belief))
+  ]
+}
+
 function listTargets (requestLines: LogLine[]): string[] {
   const targets = requestLines.flatMap(({ fields }) => {
     const sends = Array.isArray(fields['sends']) ? fields['sends'] as Array<{ target: string }> : []
--- a/packages/bilberryctl/src/describe_request_test.ts
+++ b/packages/bilberryctl/src/describe_request_test.ts
@@ -37,6 +37,22 @@
   ])
 })
 
+test('describes the targets that ended under repeats of a request that is refused', t => {
+  const lines = [
+    createLine(0, 'entry-0', 'config_in_force', { version: 4 }),
+    createLine(1_000, 'entry-1', 'target_ended', { target: 't1', requests: { first: 'f', innocent: 'g' } }),
+    createLine(2_000, 'entry-0', 'target_ended', { target: 't2', requests: { other: 'g' } }),
+    createLine(3_000, 'entry-0', 'request_quarantined', { fingerprint: 'f', crashes: 3, peer: 'entry-1' }),
+    createLine(50_000, 'entry-0', 'request_ended', { id: 'mine', outcome: 'not-run', reason: 'crashes_targets', fingerprint: 'f', elapsedMs: 1 })
+  ]
+  t.deepEqual(describe('mine', lines), [
+    '0 entry-0 belief: configuration 4 came in force',
+    '1000 entry-1 elsewhere: target t1 ended under the same request',
+    '3000 entry-0 belief: request_quarantined fingerprint=f crashes=3 peer=entry-1',
+    '50000 entry-0 decision: request_ended outcome=not-run reason=crashes_targets fingerprint=f elapsedMs=1'
+  ])
+})
+
 test('describes a request handled under an outdated configuration', t => {
   const lines = [
     createLine(0, 'entry-0', 'config_in_force', { version: 4 }),
--- a/packages/bilberryd/src/edge/attempt_finisher.ts
+++ b/packages/bilberryd/src/edge/attempt_finisher.ts
@@ -58,6 +58,7 @@
       service: attempt.service,
       config: attempt.version,
       object: attempt.objectKey,
+      fingerprint: attempt.fingerprint,
       outcome,
       reason: refusal?.reason,
       detail: refusal?.detail,
