--- a/packages/bilberryd/src/mod.ts
+++ b/packages/bilberryd/src/mod.ts
@@ -9,7 +9,10 @@
  */
 export * from './client_blocks.ts'
 export * from './edge/entry_log.ts'
+export * from './edge/peer_view.ts'
 export * from './edge/run_entry.ts'
+export * from './edge/target_reports.ts'
+export * from './edge/target_selector.ts'
 export * from './idempotency_handler.ts'
 export * from './regions.ts'
 export * from './run_instance.ts'
--- a/packages/bilberryd/src/edge/_rate_fleet.ts
+++ b/packages/standins/src/emulator/rate_fleet.ts
@@ -6,18 +6,11 @@
  */
 import type { EntrySettings, RegisteredTarget, ServingTarget } from '@bilberryworks/steering'
 import type { ResponseFields } from '@bilberryworks/users-platform'
-import type { EntryMetrics } from './entry_metrics.ts'
-import type { EntryState } from './entry_state.ts'
-import type { PeerHeartbeat, PeerView } from './peer_view.ts'
-import type { TargetReports } from './target_reports.ts'
-import type { TargetSelector } from './target_selector.ts'
+import type { CreateTargetReportsOptions, CreateTargetSelectorOptions, PeerHeartbeat, PeerView, TargetReports, TargetSelector } from 'bilberryd'
 import { PassThrough } from 'node:stream'
 import { createTargetRegistry, recordTargetDispatch, recordTargetResult, TargetSignal } from '@bilberryworks/steering'
-import { createEvents } from './_virtual_events.ts'
-import { createEntryLog } from './entry_log.ts'
-import { createPeerView, formatUpdate, parseUpdate } from './peer_view.ts'
-import { createTargetReports } from './target_reports.ts'
-import { createTargetSelector } from './target_selector.ts'
+import { createEntryLog, createPeerView, createTargetReports, createTargetSelector, formatUpdate, parseUpdate } from 'bilberryd'
+import { createEvents } from './virtual_events.ts'
 
 /** A change of what the target names in its responses. */
 export interface RateChange {
@@ -45,6 +38,8 @@
   delayedShare: number
   /** Share of the responses to which a target that names a rate does not add it. */
   omittedShare?: number
+  /** Whether each instance takes itself for the only one, as a fault of the division; false by default. */
+  isUndivided?: boolean
   /** Share of the instances that have all requests; 1 by default. */
   demandShare?: number
   /** Returns a random number in [0, 1). */
@@ -101,10 +96,10 @@
     const targets = createTargetRegistry()
     const view = createPeerView({ instance: name, getTimeoutMs: () => peerTimeoutMs, evictionMs: 120_000 })
     const entry = targets.register(target, { region: 'a', nowMs })
-    const state = { targets, getRevision: () => 0, isEvacuated: () => false, getConfig: () => undefined } as unknown as EntryState
+    const state = { targets, getRevision: () => 0, isEvacuated: () => false, getConfig: () => undefined } as unknown as CreateTargetReportsOptions['state'] & CreateTargetSelectorOptions['state']
     const reports = createTargetReports({
       state,
-      metrics: { countTargetReport: () => undefined } as unknown as EntryMetrics,
+      metrics: { countTargetReport: () => undefined } as unknown as CreateTargetReportsOptions['metrics'],
       log: createEntryLog(name, new PassThrough()),
       getNowMs: () => nowMs
     })
@@ -112,7 +107,7 @@
       settings: { instance: name, region, bounds: { coldOver: 1.5, coldSlack: 5 } } as EntrySettings,
       state,
       listInstances: () => [name, ...view.listLive(nowMs).map(peer => peer.heartbeat.instance)],
-      listContenders: targetId => view.listKnown().map(({ heartbeat: { instance } }) => ({ instance, mayClaim: reports.mayClaim(instance, targetId) })),
+      listContenders: targetId => options.isUndivided === true ? [] : view.listKnown().map(({ heartbeat: { instance } }) => ({ instance, mayClaim: reports.mayClaim(instance, targetId) })),
       getRegionShare: () => undefined,
       getNowMs: () => nowMs
     })
--- a/packages/bilberryd/src/edge/target_rate_fleet_test.ts
+++ b/packages/standins/src/emulator/rate_fleet_test.ts
@@ -1,7 +1,7 @@
-import type { SimulateRateFleetOptions } from './_rate_fleet.ts'
+import type { SimulateRateFleetOptions } from './rate_fleet.ts'
 import { computeHash } from '@bilberryworks/steering'
 import test from 'ava'
-import { simulateRateFleet } from './_rate_fleet.ts'
+import { simulateRateFleet } from './rate_fleet.ts'
 
 const seeds = 20
 const instances = 29
@@ -56,3 +56,14 @@
 test('keeps to a rate that the target names in some responses only', t => {
   t.deepEqual(listBreaches('omitted', () => ({ ...heavy, omittedShare: 0.2 })), [])
 })
+
+test('reports that instances which take themselves for the only one exceed a named rate', t => {
+  t.is(listBreaches('undivided', () => ({ ...heavy, isUndivided: true })).length, seeds)
+})
+
+test('uses most of a named rate, also if a few instances have all requests', t => {
+  for (const demandShare of [1, 0.1]) {
+    const { usedShare } = simulateRateFleet({ ...heavy, demandShare, getRandom: createRandom(`used ${demandShare}`) })
+    t.true(usedShare >= 0.7, `${usedShare.toFixed(2)} of the rate was used by ${demandShare * 100} % of the instances`)
+  }
+})
