--- a/packages/bilberryd/src/edge/crash_guard.ts
+++ b/packages/bilberryd/src/edge/crash_guard.ts
@@ -1,6 +1,6 @@
 /**
  * Keeps requests that crash targets from reaching further ones: collects the evidence of this instance and of its peers,
- * and refuses the requests that it condemns.
+ * and refuses the requests that the evidence quarantines.
  *
  * @module
  */
--- a/packages/bilberryd/src/edge/target_reports.ts
+++ b/packages/bilberryd/src/edge/target_reports.ts
@@ -56,6 +56,7 @@
   /** Claims on the rates of targets in the last heartbeat of each peer, and its monotonic time in milliseconds. */
   const peerClaims = new Map<string, { claims: string[], heardAtMs: number }>()
 
+  /** Lists all claims, since peers take a target that is missing from the list for one to which this instance sends nothing. */
   function listClaims (): string[] {
     const nowMs = getNowMs()
     const entries = targets.listServices().flatMap(service => targets.list(service))
--- a/packages/steering/src/crash_evidence.ts
+++ b/packages/steering/src/crash_evidence.ts
@@ -2,8 +2,8 @@
  * Decides which requests crash the targets that run them, from the requests that were in flight at targets that ended.
  *
  * Answers the load of a request that ends each target which begins to run it, and that its caller repeats at any instance.
- * A target that ends takes all its requests with it, so each of them is a suspect and none is guilty by one end. A request
- * is quarantined after several ends that no stronger suspect explains, and cleared by any response to it.
+ * A target that ends takes all its requests with it, so each of them is a suspect, and a single end proves nothing. A request
+ * is quarantined after several ends that no request with more ends explains, and cleared by any response to it.
  *
  * The evidence of several instances merges in any order: a set of ends for each request, less those that a response has
  * cleared.
