Cut a failure domain off in the property over restorations of the store

A sixth of the instances reach neither the store nor the others from before the outage until up to four seconds after the return; they fetch, restart and hear heartbeats among themselves only. 7 and 77 instances, 20 seeds each: no belief goes back, all agree at the end, and the rows fetched from peers stay within the same bound. The seeds without a cut draw the same numbers as before.

--- a/packages/bilberryd/src/edge/restoration_fleet_test.ts
+++ b/packages/bilberryd/src/edge/restoration_fleet_test.ts
@@ -36,11 +36,18 @@
   wentBack: boolean
   /** Number of instances that differ from what the writers last wrote, at the end. */
   differing: number
-  /** Rows that instances fetched from peers, and the number of instances turned away by the store. */
+  /** Rows that instances fetched from peers, and the number of instances turned away by the store or cut off. */
   fetchedRows: number
   denied: number
 }
 
+/** Options of {@linkcode simulateRestoration}. */
+interface SimulateRestorationOptions {
+  /** Whether a failure domain, a sixth of the instances, is cut off from the store and all others around the restoration. */
+  isCut: boolean
+  getRandom: () => number
+}
+
 function createRandom (start: number): () => number {
   let state = start >>> 0
   return () => {
@@ -50,7 +57,7 @@
 }
 
 /** Simulates a fleet of which the store turns a third away, and then goes away and returns from a copy while rows change and instances restart. */
-function simulateRestoration (instances: number, getRandom: () => number): FleetResult {
+function simulateRestoration (instances: number, { isCut, getRandom }: SimulateRestorationOptions): FleetResult {
   const store: StoreState = { era: 0, counter: 1, rows: new Map(), changes: [] }
   const copies: StoreState[] = []
   const truth = new Map<string, string>()
@@ -58,6 +65,11 @@
   const returnsAtMs = awayAtMs + 500 + getRandom() * 1_000
   const result: FleetResult = { wentBack: false, differing: 0, fetchedRows: 0, denied: 0 }
   let order = 0
+  const cutFromMs = isCut ? awayAtMs - getRandom() * 2_000 : Infinity
+  const cutUntilMs = isCut ? returnsAtMs + getRandom() * 4_000 : -Infinity
+
+  const isCutOff = (index: number): boolean => isCut && index % 6 === 5 && nowMs >= cutFromMs && nowMs < cutUntilMs
+  const canReach = (a: number, b: number): boolean => isCutOff(a) === isCutOff(b)
 
   const createNode = (index: number): Node => {
     const node: Node = {
@@ -76,7 +88,7 @@
   }
   let nowMs = 0
   const nodes = Array.from({ length: instances }, (_, index) => createNode(index))
-  result.denied = nodes.filter(node => node.isDenied).length
+  result.denied = nodes.filter((node, index) => node.isDenied || (isCut && index % 6 === 5)).length
 
   function recordBeliefs (node: Node): void {
     for (const { key, text } of node.replica.list()) {
@@ -106,8 +118,13 @@
     writeRow(store, key, truth.get(key))
   }
 
-  function advanceFetch (node: Node): void {
+  function advanceFetch (node: Node, index: number): void {
     if (node.fetch === undefined || nowMs < node.fetch.endsAtMs) return
+    if (!canReach(index, node.fetch.peer)) {
+      node.fetch = undefined
+      node.catchUp.recordEnd(false, nowMs)
+      return
+    }
     const update = nodes[node.fetch.peer]!.replica.listSince(node.replica.getAsOf())
     node.fetch = undefined
     result.fetchedRows += update.changes.length
@@ -117,28 +134,29 @@
 
   function startFetch (node: Node): void {
     const peersAhead = [...node.seen].filter(([, version]) => version > node.replica.getAsOf()).map(([peer]) => ({ instance: String(peer), distance: nodes[peer]!.region === node.region ? 1 : 2 }))
-    const chosen = node.catchUp.choosePeer({ peersAhead, ownVersion: node.replica.getVersion(), isStoreReachable: !node.isDenied, nowMs })
+    const chosen = node.catchUp.choosePeer({ peersAhead, ownVersion: node.replica.getVersion(), isStoreReachable: !node.isDenied && !isCutOff(nodes.indexOf(node)), nowMs })
     if (chosen !== undefined) node.fetch = { peer: Number(chosen), endsAtMs: nowMs + (nodes[Number(chosen)]!.region === node.region ? 2 : 112) }
   }
 
   function sendHeartbeats (index: number, isRemoteRound: boolean): void {
     const node = nodes[index]!
-    for (const other of nodes) if (other !== node && (isRemoteRound || other.region === node.region)) other.seen.set(index, node.replica.getVersion())
+    for (const [other, peer] of nodes.entries()) if (peer !== node && canReach(index, other) && (isRemoteRound || peer.region === node.region)) peer.seen.set(index, node.replica.getVersion())
   }
 
   /** Restarts an instance, which asks three peers for all rows. */
   function runAgain (index: number): void {
     nodes[index] = { ...createNode(index), isDenied: nodes[index]!.isDenied }
-    for (const peer of [1, 2, 3]) nodes[index]!.replica.merge(nodes[(index + peer) % instances]!.replica.listSince(0))
+    const peers = [1, 2, 3].map(distance => (index + distance) % instances).filter(peer => canReach(index, peer))
+    for (const peer of peers) nodes[index]!.replica.merge(nodes[peer]!.replica.listSince(0))
   }
 
   for (; nowMs < endMs; nowMs += tickMs) {
     advanceStore()
     for (const [index, node] of nodes.entries()) {
       const tick = nowMs / tickMs
-      const isReadable = !node.isDenied && (nowMs < awayAtMs || nowMs >= returnsAtMs)
+      const isReadable = !node.isDenied && !isCutOff(index) && (nowMs < awayAtMs || nowMs >= returnsAtMs)
       if (isReadable && tick % Math.round(node.readLagMs / tickMs) === 0) node.replica.merge(readStore(store, node.replica))
-      advanceFetch(node)
+      advanceFetch(node, index)
       if (node.fetch === undefined && tick % 5 === node.phase % 5) startFetch(node)
       if (tick % 20 === node.phase) sendHeartbeats(index, tick % 40 === node.phase)
       node.unconfirmed.expire(ReplicatedTable.Targets, node.replica, nowMs)
@@ -151,10 +169,10 @@
   return result
 }
 
-for (const instances of [7, 77]) {
-  test(`${instances} instances, some turned away by the store, go back nowhere and agree after it was restored`, t => {
+for (const [instances, isCut] of [[7, false], [77, false], [7, true], [77, true]] as const) {
+  test(`${instances} instances, some turned away by the store${isCut ? ' and some cut off' : ''}, go back nowhere and agree after it was restored`, t => {
     for (let run = 0; run < 20; run++) {
-      const result = simulateRestoration(instances, createRandom(seed + run))
+      const result = simulateRestoration(instances, { isCut, getRandom: createRandom(seed + run) })
       t.like(result, { wentBack: false, differing: 0 }, `run ${run}: ${JSON.stringify(result)}`)
       // Each instance that is turned away gets the changes about once, and all rows after the restoration.
       const changes = endMs / 200
