Tell a peer that has restarted what it can't know

An instance that restarted within the time-out of its peers stayed live for them, so none introduced itself again, and after ten seconds without a new crash no heartbeat had the quarantined requests: each restarted instance would have let three more targets end. A new run of a peer counts as having become live, and is answered at once with the worst evidence.

--- a/packages/bilberryd/src/edge/peer_view.ts
+++ b/packages/bilberryd/src/edge/peer_view.ts
@@ -47,7 +47,7 @@
   Outdated = 'outdated',
   /** The sender was live already. */
   Live = 'live',
-  /** The update made the sender live. */
+  /** The update made the sender, or a new run of it, live. */
   BecameLive = 'became_live'
 }
 
@@ -61,7 +61,7 @@
 
 /** Membership view of the other instances. */
 export interface PeerView {
-  /** Records a heartbeat received from the peer itself, ignoring outdated ones; returns whether it made the peer live. */
+  /** Records a heartbeat received from the peer itself, ignoring outdated ones; returns whether it made the peer, or a new run of it, live. */
   recordHeartbeat (heartbeat: PeerHeartbeat, nowMs: number): boolean
   /** Records an update received from the peer itself. */
   recordUpdate (update: HeartbeatUpdate, nowMs: number): UpdateResult
@@ -106,7 +106,8 @@
 
   function recordLive (heartbeat: PeerHeartbeat, nowMs: number): boolean {
     const known = peers.get(heartbeat.instance)
-    const wasLive = known !== undefined && isLive(known, nowMs)
+    // A peer that has restarted knows nothing, so it counts as having become live although no heartbeat was missed.
+    const wasLive = known !== undefined && isLive(known, nowMs) && known.heartbeat.startedAtMs === heartbeat.startedAtMs
     peers.set(heartbeat.instance, { heartbeat, lastHeartbeatAtMs: nowMs, updatedAtMs: nowMs })
     if (wasLive) return false
     const live = [...peers.values()].filter(peer => isLive(peer, nowMs)).length + 1
--- a/packages/standins/src/crashing_request_test.ts
+++ b/packages/standins/src/crashing_request_test.ts
@@ -8,6 +8,8 @@
 const targets = 6
 const repeatIntervalMs = 120
 const returnMs = 1_500
+/** Time after which a crash is no longer part of each heartbeat. */
+const reportedMs = 11_000
 const targetOptions = { crashPath, processingMs: 30 }
 /** Retries that may reach targets once all instances have had the stability window to learn of the third crash. */
 const maxLateRetries = 3
@@ -67,3 +69,19 @@
     t.deepEqual(unserved.map(({ status, body }) => ({ status, body })), [])
   })
 }
+
+test('an instance that restarts learns from its peers which requests crash targets, long after the last crash', async t => {
+  await using site = await createTestSite()
+  site.writeConfig({ max_attempts: 2 })
+  for (let index = 0; index < targets; index++) await site.openTarget(`t${index}`, targetOptions)
+  const first = await site.startEntry(0)
+  const second = await site.startEntry(1, [first.settings.listen.peers])
+  for (const entry of [first, second]) await waitUntil(async () => (await site.call(entry)).status === 200)
+  for (const entry of [first, second]) await waitUntil(async () => (await site.call(entry, { path: crashPath })).status === 503)
+  await wait(reportedMs)
+  await second.running[Symbol.asyncDispose]()
+  const restarted = await site.startEntry(1, [first.settings.listen.peers])
+  t.true(await waitUntil(() => restarted.readLog().some(line => line['event'] === 'request_quarantined')))
+  await waitUntil(async () => (await site.call(restarted)).status === 200)
+  t.is((await site.call(restarted, { path: crashPath })).status, 503)
+})
