--- a/packages/bilberryd/src/edge/request_fingerprint_test.ts
+++ b/packages/bilberryd/src/edge/request_fingerprint_test.ts
@@ -4,10 +4,13 @@
 
 interface RequestParts { method?: string, host?: string, url?: string, authorization?: string, objectKey?: string, parts?: string[], declaredBytes?: number }
 
+let createdAttempts = 0
+
+/** Creates an attempt with an identifier and a header field that no other attempt has. */
 function createAttempt ({ method = 'POST', host = 'h', url = '/a?b=1', authorization, objectKey = '7', parts, declaredBytes }: RequestParts): Attempt {
   const chunks = parts?.map(part => Buffer.from(part))
   const body = chunks === undefined ? undefined : { parts: chunks, bytes: Buffer.concat(chunks).length, isComplete: declaredBytes === undefined, declaredBytes }
-  return { message: { method, url, headers: { host, authorization, 'x-request-id': String(Math.random()) } }, objectKey, body, fingerprint: undefined } as unknown as Attempt
+  return { attemptId: `attempt-${createdAttempts++}`, message: { method, url, headers: { host, authorization, via: String(createdAttempts) } }, objectKey, body, fingerprint: undefined } as unknown as Attempt
 }
 
 test('gives repeats of a request the same fingerprint, however their body is divided into chunks', t => {
