--- a/packages/standins/src/main_bench.ts
+++ b/packages/standins/src/main_bench.ts
@@ -11,6 +11,7 @@
 import { renderBenchIndex, writeBenchPage } from './bench_part.ts'
 import { capacityPart } from './bench_capacity.ts'
 import { runDistributionBench } from './bench_distribution.ts'
+import { runFleetBench } from './bench_fleet.ts'
 import { runOwnerBench, runTargetBench } from './bench_owner_choice.ts'
 import { runCostBench } from './bench_cost.ts'
 import { runLinkBench } from './bench_links.ts'
@@ -24,6 +25,7 @@
 const parts: BenchPart[] = [
   { name: 'policies', title: 'Target selection on the users\' platform', run: runTargetSelectionBench },
   { name: 'scenarios', title: 'Routing policies under load and faults', run: runScenarioBench },
+  { name: 'fleet', title: 'Bounds of the whole fleet', run: runFleetBench },
   { name: 'distribution', title: 'Distribution of documents', run: runDistributionBench },
   { name: 'feeder', title: 'Choice of the owner in a region', run: runOwnerBench },
   { name: 'target', title: 'Choice of the target by its owner', run: runTargetBench },
