--- a/packages/bilberryd/src/edge/entry_metrics.ts
+++ b/packages/bilberryd/src/edge/entry_metrics.ts
@@ -5,6 +5,7 @@
  */
 import type { RouteKind } from '@bilberryworks/steering'
 import { Outcome, RefusalReason, RetryReason } from '@bilberryworks/steering'
+import { ConnectionEvent } from '@bilberryworks/targets'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 
 /** Stages of a request whose durations are measured. */
@@ -59,6 +60,8 @@
   countTargetReport (report: TargetReport): void
   /** Counts a request that is quarantined because targets ended whenever they ran it. */
   countQuarantined (): void
+  /** Counts an event of a connection to a target. */
+  countConnectionEvent (event: ConnectionEvent): void
   /** Counts bytes sent to peers, by kind of message. */
   countPeerBytes (traffic: PeerTraffic, bytes: number): void
   /** Records the duration of a request stage, in milliseconds. */
@@ -77,6 +80,8 @@
   ConfigVersion = 'bilberry_config_version',
   /** Number of registered targets. */
   Targets = 'bilberry_targets',
+  /** Number of registered targets to which requests are restricted after failed exchanges or connections. */
+  FailingTargets = 'bilberry_failing_targets',
   /** Number of queued requests. */
   Waiting = 'bilberry_queued_requests',
   /** Number of requests in flight to targets. */
@@ -94,6 +99,7 @@
 const gaugeHelp: Record<EntryGauge, string> = {
   [EntryGauge.ConfigVersion]: 'Version of the routing configuration in effect',
   [EntryGauge.Targets]: 'Number of registered targets',
+  [EntryGauge.FailingTargets]: 'Number of registered targets whose circuit is not closed',
   [EntryGauge.Waiting]: 'Number of requests queued for a free target slot',
   [EntryGauge.InFlight]: 'Number of requests in flight to targets',
   [EntryGauge.TargetConnections]: 'Number of open connections to targets',
@@ -123,11 +129,13 @@
   const mismatchedResponses = new Counter({ name: 'bilberry_stray_answers_total', help: 'Responses of targets to requests other than the one in flight', registers })
   const targetReports = new Counter({ name: 'bilberry_target_reports_total', help: 'Reports of targets about themselves in responses, by kind', labelNames: ['report'], registers })
   const quarantined = new Counter({ name: 'bilberry_requests_quarantined_total', help: 'Requests that are refused because targets ended whenever they ran them, each counted once', registers })
+  const connectionEvents = new Counter({ name: 'bilberry_target_connection_events_total', help: 'Events of connections to targets, by kind', labelNames: ['event'], registers })
   const peerBytes = new Counter({ name: 'bilberry_peer_bytes_total', help: 'Bytes sent to other instances, by kind of message', labelNames: ['message'], registers })
   const stages = new Histogram({ name: 'bilberry_stage_seconds', help: 'Duration of a request stage in seconds, by stage and kind of route', labelNames: ['stage', 'kind'], buckets: latencyBucketsSeconds, registers })
   for (const reason of Object.values(RefusalReason)) refusals.inc({ reason }, 0)
   for (const reason of Object.values(RetryReason)) retries.inc({ reason }, 0)
   for (const report of Object.values(TargetReport)) targetReports.inc({ report }, 0)
+  for (const event of Object.values(ConnectionEvent)) connectionEvents.inc({ event }, 0)
   for (const message of Object.values(PeerTraffic)) peerBytes.inc({ message }, 0)
   for (const name of Object.values(EntryGauge)) {
     registers[0]!.registerMetric(new Gauge({ name, help: gaugeHelp[name], registers: [], collect () { this.set(gauges.readers[name]()) } }))
@@ -145,6 +153,7 @@
     countMismatchedResponse: () => mismatchedResponses.inc(),
     countTargetReport: report => targetReports.inc({ report }),
     countQuarantined: () => quarantined.inc(),
+    countConnectionEvent: event => connectionEvents.inc({ event }),
     countPeerBytes: (message, bytes) => peerBytes.inc({ message }, bytes),
     recordStage: (stage, kind, elapsedMs) => stages.observe({ stage, kind }, elapsedMs / msPerSecond)
   }
--- a/packages/bilberryd/src/edge/run_entry.ts
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -26,6 +26,7 @@
 import { createPeerView } from './peer_view.ts'
 import { createCrashGuard } from './crash_guard.ts'
 import { createDispatcher } from './dispatcher.ts'
+import { startMaintenance } from './maintenance.ts'
 import { createRegionShares } from './region_shares.ts'
 import { ReplicatedTable } from './replicated_table.ts'
 import { startTableReplication } from './table_replication.ts'
@@ -50,10 +51,6 @@
 const catchUpPauses = 2
 /** Time after which a silent peer is evicted, in milliseconds; after a longer partition the instances find each other again through the store at the next start. */
 const peerEvictionMs = 120_000
-/** Interval of periodic maintenance, in milliseconds. */
-const maintenanceIntervalMs = 250
-/** Time between two maintenance runs above which the process is considered to have been paused, in milliseconds. */
-const pauseThresholdMs = 1_000
 /** Time limit for connecting to a target, in milliseconds: enough for a connection between regions that loses one packet. */
 const connectTimeoutMs = 600
 /** Delay of the next long poll after a response with target changes, as a share of `drainMs`, the time within which all instances must stop sending to a leaving target. */
@@ -83,6 +80,7 @@
     readers: {
       [EntryGauge.ConfigVersion]: () => state.getConfig()?.version ?? 0,
       [EntryGauge.Targets]: () => state.targets.count(),
+      [EntryGauge.FailingTargets]: () => state.targets.countFailing(getNowMs()),
       [EntryGauge.Waiting]: () => dispatcher.countWaiting(),
       [EntryGauge.InFlight]: () => dispatcher.countInFlight(),
       [EntryGauge.TargetConnections]: () => pool.count(),
@@ -93,7 +91,7 @@
   })
   const view = createPeerView({ instance: settings.instance, evictionMs: peerEvictionMs, getTimeoutMs: heartbeat => heartbeat.region === settings.region ? peerTimeoutMs : remotePeerTimeoutMs })
   const state = createEntryState({ regions: settings.regions, log, getNowMs, countUndecodable: metrics.countUndecodable, onChange: handleChange })
-  const pool = cleanup.add(createTargetPool({ connectTimeoutMs, onMismatchedResponse: metrics.countMismatchedResponse }))
+  const pool = cleanup.add(createTargetPool({ connectTimeoutMs, onMismatchedResponse: metrics.countMismatchedResponse, onConnectionEvent: metrics.countConnectionEvent }))
   const targetReports = createTargetReports({ state, metrics, log, getNowMs })
   const crashGuard = createCrashGuard({ metrics, log, getNowMs })
   const dispatcher = createDispatcher({
@@ -158,24 +156,23 @@
   discovery.join(getHeartbeat()).then(() => link.announce()).catch((error: Error) => log.warn('join_failed', { detail: error.message }))
   link.fetchFromSeeds().then(() => link.announce()).catch((error: Error) => log.warn('seeds_failed', { detail: error.message }))
 
-  let lastMaintenanceMs = getNowMs()
-  const maintenanceTimer = setInterval(() => {
-    const nowMs = getNowMs()
-    if (nowMs - lastMaintenanceMs > pauseThresholdMs) {
-      log.warn('standstill', { durationMs: Math.round(nowMs - lastMaintenanceMs) })
-      view.discountPause(nowMs - lastMaintenanceMs)
+  cleanup.add(startMaintenance({
+    getNowMs,
+    onPause (durationMs) {
+      log.warn('standstill', { durationMs: Math.round(durationMs) })
+      view.discountPause(durationMs)
+    },
+    runTasks (nowMs) {
+      state.targets.observeTime(nowMs)
+      regionShares.advance(nowMs)
+      pool.closeExpired(nowMs)
+      state.removeExpired(nowMs)
+      dispatcher.retryUnreachable()
+      crashGuard.removeExpired()
+      if (crashGuard.takeNews()) link.sendNow()
+      link.catchUp()
     }
-    lastMaintenanceMs = nowMs
-    state.targets.observeTime(nowMs)
-    regionShares.advance(nowMs)
-    pool.closeExpired(nowMs)
-    state.removeExpired(nowMs)
-    dispatcher.retryUnreachable()
-    crashGuard.removeExpired()
-    if (crashGuard.takeNews()) link.sendNow()
-    link.catchUp()
-  }, maintenanceIntervalMs)
-  cleanup.add({ async [Symbol.asyncDispose] () { clearInterval(maintenanceTimer) } })
+  }))
   log.info('started', { failureDomain: settings.failureDomain, region: settings.region, callers: getHeartbeat().callers, cpuMs: Math.round(process.cpuUsage().user / 1_000 + process.cpuUsage().system / 1_000) })
 
   return {
--- a/packages/steering/src/target_registry.ts
+++ b/packages/steering/src/target_registry.ts
@@ -61,6 +61,8 @@
   getRevision (): number
   /** Returns the number of targets. */
   count (): number
+  /** Returns the number of targets whose circuit is not closed. */
+  countFailing (nowMs: number): number
   /** Records that a target has reported, by a response, that it is leaving; returns whether that is news. */
   recordLeaving (id: string): boolean
   /** Excludes pauses of this process from the time for which targets have been silent, since it reads no responses during a pause. To be called at least every 250 ms, and before targets are selected. */
@@ -174,6 +176,7 @@
     listServices: () => [...byService.keys()],
     getRevision: () => revision,
     count: () => byId.size,
+    countFailing: nowMs => [...byId.values()].filter(entry => getCircuitState(entry.circuit, nowMs) !== CircuitState.Closed).length,
     recordLeaving (id) {
       const entry = byId.get(id)
       if (entry === undefined || entry.reportsLeaving) return false
--- a/packages/targets/src/target_pool.ts
+++ b/packages/targets/src/target_pool.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Exchange, TargetConnection } from './target_connection.ts'
-import { openTargetConnection } from './target_connection.ts'
+import { ExchangeFailure, openTargetConnection } from './target_connection.ts'
 
 /** A target to which the pool connects. */
 export interface PooledTarget {
@@ -22,6 +22,22 @@
   setPaused (paused: boolean): void
 }
 
+/** What happened to a connection to a target. */
+export enum ConnectionEvent {
+  /** It was established. */
+  Established = 'established',
+  /** It could not be established. */
+  ConnectFailed = 'connect_failed',
+  /** It was idle and carries another request. */
+  Reused = 'reused',
+  /** It was idle and was closed by the pool because its idle time limit had passed. */
+  Expired = 'expired',
+  /** It was idle and was closed by the pool because a connection to the same target could not be established. */
+  Dropped = 'dropped',
+  /** It was idle and was closed by the target or the network. */
+  ClosedByTarget = 'closed_by_target'
+}
+
 /** A pool of connections to targets. */
 export interface TargetPool extends AsyncDisposable {
   /** Sends a request to a target, on an idle connection if there is one, otherwise on a new one. */
@@ -38,8 +54,8 @@
 export interface CreateTargetPoolOptions {
   /** Time limit for establishing a connection, in milliseconds. */
   connectTimeoutMs: number
-  /** Called when a connection is established, with the time that it took in milliseconds. */
-  onConnect?: (targetId: string, elapsedMs: number) => void
+  /** Called for each event of a connection. */
+  onConnectionEvent?: (event: ConnectionEvent) => void
   /** Called for each response that belongs to a request other than the one in flight on its connection. */
   onMismatchedResponse?: (targetId: string) => void
 }
@@ -58,12 +74,32 @@
 export function createTargetPool (options: CreateTargetPoolOptions): TargetPool {
   const idle = new Map<string, TargetConnection[]>()
   const open = new Set<TargetConnection>()
+  const reportEvent = options.onConnectionEvent ?? (() => {})
+
+  /** Removes a connection from the idle ones; returns whether it was among them. */
+  function removeIdle (targetId: string, connection: TargetConnection): boolean {
+    const list = idle.get(targetId) ?? []
+    const index = list.indexOf(connection)
+    if (index < 0) return false
+    list.splice(index, 1)
+    if (list.length === 0) idle.delete(targetId)
+    return true
+  }
+
+  function closeIdleConnection (targetId: string, connection: TargetConnection, event: ConnectionEvent): void {
+    removeIdle(targetId, connection)
+    connection.close()
+    reportEvent(event)
+  }
 
   function takeIdle (target: PooledTarget): TargetConnection | undefined {
-    const list = idle.get(target.id)
-    for (let connection = list?.pop(); connection !== undefined; connection = list?.pop()) {
-      if (connection.isFree() && performance.now() - connection.idleSinceMs < computeIdleLimitMs(connection)) return connection
-      connection.close()
+    for (const connection of [...idle.get(target.id) ?? []].reverse()) {
+      if (connection.isFree() && performance.now() - connection.idleSinceMs < computeIdleLimitMs(connection)) {
+        removeIdle(target.id, connection)
+        reportEvent(ConnectionEvent.Reused)
+        return connection
+      }
+      closeIdleConnection(target.id, connection, ConnectionEvent.Expired)
     }
     return undefined
   }
@@ -71,14 +107,11 @@
   function openConnection (target: PooledTarget): TargetConnection {
     const connection = openTargetConnection(target.address, {
       connectTimeoutMs: options.connectTimeoutMs,
-      onConnect: elapsedMs => options.onConnect?.(target.id, elapsedMs),
+      onConnect: () => reportEvent(ConnectionEvent.Established),
       onMismatchedResponse: () => options.onMismatchedResponse?.(target.id),
       onClose () {
         open.delete(connection)
-        const list = idle.get(target.id)
-        const index = list?.indexOf(connection) ?? -1
-        if (index >= 0) list!.splice(index, 1)
-        if (list?.length === 0) idle.delete(target.id)
+        if (removeIdle(target.id, connection)) reportEvent(ConnectionEvent.ClosedByTarget)
       }
     })
     open.add(connection)
@@ -105,16 +138,20 @@
           connection.setPaused(false)
           if (open.has(connection)) retainIdle(target, connection)
           exchange.onEnd()
+        },
+        onFail (failure, detail) {
+          if (failure === ExchangeFailure.ConnectFailed) reportEvent(ConnectionEvent.ConnectFailed)
+          exchange.onFail(failure, detail)
         }
       })
       return { cancel: () => connection.close(), setPaused: paused => connection.setPaused(paused) }
     },
     closeIdle (targetId) {
-      for (const connection of [...idle.get(targetId) ?? []]) connection.close()
+      for (const connection of [...idle.get(targetId) ?? []]) closeIdleConnection(targetId, connection, ConnectionEvent.Dropped)
     },
     closeExpired (nowMs) {
-      for (const list of [...idle.values()]) {
-        for (const connection of [...list]) if (nowMs - connection.idleSinceMs >= computeIdleLimitMs(connection)) connection.close()
+      for (const [targetId, list] of [...idle]) {
+        for (const connection of [...list]) if (nowMs - connection.idleSinceMs >= computeIdleLimitMs(connection)) closeIdleConnection(targetId, connection, ConnectionEvent.Expired)
       }
     },
     count: () => open.size,
