Add failing tests of an instance that can't reach any target

A process forwards one instance's connections to targets and refuses them, resets them or hangs (it is stopped, and the queues of its listeners are filled, so that the kernel ignores further connections).

--- a/packages/standins/src/listeners.ts
+++ b/packages/standins/src/listeners.ts
@@ -11,11 +11,12 @@
  *
  * @param server The server
  * @param host IP address to listen on
+ * @param options Length of the queue of connections that are not accepted yet; the default of `node:net` if absent
  */
-export async function listen (server: Server, host: string): Promise<void> {
+export async function listen (server: Server, host: string, options: { backlog?: number } = {}): Promise<void> {
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
-    server.listen(0, host, resolve)
+    server.listen({ port: 0, host, ...options }, resolve)
   })
 }
 
--- /dev/null
+++ b/packages/standins/src/main_path_relay.ts
@@ -0,0 +1,77 @@
+/**
+ * Process that forwards the connections of one instance to targets. The parent process sends commands over the IPC channel.
+ *
+ * @module
+ */
+import type { Server, Socket } from 'node:net'
+import type { PathRelayCommand, PathRelayReply } from './path_relay.ts'
+import { connect, createServer } from 'node:net'
+import { formatServerAddress, listen } from './listeners.ts'
+import { PathState, relayBacklog } from './path_relay.ts'
+
+interface RelayListener {
+  server: Server
+  port: number
+}
+
+const host = '127.0.0.1'
+const listeners = new Map<string, RelayListener>()
+const sockets = new Set<Socket>()
+let state = PathState.Open
+
+function trackSocket (socket: Socket, peer: Socket): void {
+  sockets.add(socket)
+  socket.setNoDelay(true)
+  socket.once('close', hadError => {
+    sockets.delete(socket)
+    if (hadError) peer.resetAndDestroy()
+    else peer.destroy()
+  })
+  socket.on('error', () => {})
+}
+
+function forwardConnection (inbound: Socket, destination: string): void {
+  const [targetHost = '', port = ''] = destination.split(':')
+  const outbound = connect({ host: targetHost, port: Number(port), allowHalfOpen: true })
+  trackSocket(inbound, outbound)
+  trackSocket(outbound, inbound)
+  inbound.pipe(outbound)
+  outbound.pipe(inbound)
+}
+
+async function openListener (destination: string): Promise<string> {
+  const known = listeners.get(destination)
+  if (known !== undefined) return `${host}:${known.port}`
+  const server = createServer({ allowHalfOpen: true }, inbound => forwardConnection(inbound, destination))
+  await listen(server, host, { backlog: relayBacklog })
+  const address = formatServerAddress(server)
+  listeners.set(destination, { server, port: Number(address.split(':')[1]) })
+  if (state !== PathState.Open) server.close()
+  return address
+}
+
+function applyState (next: PathState): void {
+  state = next
+  for (const { server, port } of listeners.values()) {
+    if (next === PathState.Open && !server.listening) server.listen({ port, host, backlog: relayBacklog })
+    if (next !== PathState.Open && server.listening) server.close()
+  }
+  if (next === PathState.Reset) for (const socket of sockets) socket.resetAndDestroy()
+}
+
+async function handleCommand (command: PathRelayCommand): Promise<void> {
+  const address = command.kind === 'open' ? await openListener(command.destination) : ''
+  if (command.kind === 'state') applyState(command.state)
+  const reply: PathRelayReply = { id: command.id, address }
+  process.send?.(reply)
+}
+
+process.on('message', (command: PathRelayCommand) => {
+  handleCommand(command).catch(error => {
+    console.error(error)
+    process.exit(1)
+  })
+})
+process.on('SIGINT', () => {})
+process.once('disconnect', () => process.exit(0))
+console.log(JSON.stringify({ ready: true }))
--- a/packages/standins/src/site_store.ts
+++ b/packages/standins/src/site_store.ts
@@ -68,8 +68,8 @@
 
 /** A fake store, shared by all its endpoints. */
 export interface SiteStore extends AsyncDisposable {
-  /** Opens a further address on a free loopback port. */
-  openEndpoint (): Promise<StoreEndpoint>
+  /** Opens a further address on a free loopback port; `mapTargetAddress` replaces the `host:port` in each row of a target that is read there. */
+  openEndpoint (mapTargetAddress?: (address: string) => Promise<string>): Promise<StoreEndpoint>
   /** Writes a row with a JSON value, as the operator or a target would. */
   writeRow (table: string, key: string, value: unknown): void
   /** Removes a row, if it exists. */
@@ -105,8 +105,13 @@
   let era = 0
 
   return {
-    async openEndpoint () {
-      const endpoint = await openStoreEndpoint(async (message, url) => ({ ...await handleCall({ rows, objects }, message, url), era }), transaction => { rows.apply(transaction) })
+    async openEndpoint (mapTargetAddress) {
+      const handleMappedCall = async (message: IncomingMessage, url: URL): Promise<Reply & { era: number }> => {
+        const reply = await handleCall({ rows, objects }, message, url)
+        if (mapTargetAddress !== undefined && url.searchParams.get('table') === targetTable) await mapRows(reply.body as { rows?: TableRow[] }, mapTargetAddress)
+        return { ...reply, era }
+      }
+      const endpoint = await openStoreEndpoint(handleMappedCall, transaction => { rows.apply(transaction) })
       endpoints.push(endpoint)
       return endpoint
     },
@@ -132,6 +137,19 @@
   }
 }
 
+type TableRow = { value: string, deleted?: true }
+
+/** Replaces the addresses in rows of targets by those that lead there from one instance. */
+async function mapRows (body: { rows?: TableRow[] }, mapTargetAddress: (address: string) => Promise<string>): Promise<void> {
+  if (body.rows === undefined) return
+  body.rows = await Promise.all(body.rows.map(async row => {
+    if (row.deleted === true) return row
+    const value = JSON.parse(Buffer.from(row.value, 'base64').toString('utf8')) as { address: string }
+    const mapped = { ...value, address: await mapTargetAddress(value.address) }
+    return { ...row, value: Buffer.from(JSON.stringify(mapped)).toString('base64') }
+  }))
+}
+
 async function handleCall (stored: { rows: StoreRows, objects: Map<string, Uint8Array> }, message: IncomingMessage, url: URL): Promise<Reply> {
   const { rows, objects } = stored
   if (url.pathname === '/rows-get') return { status: 200, body: rows.read(url.searchParams) }
--- a/packages/standins/src/site_target.ts
+++ b/packages/standins/src/site_target.ts
@@ -55,6 +55,8 @@
   slots?: number
   /** Processing time of a request, in milliseconds; 5 by default. */
   processingMs?: number
+  /** Number of responses after which one closes its connection; none does by default. */
+  responsesPerClose?: number
   /** Path of a request that ends the process of the target while it runs; none by default. */
   crashPath?: string
 }
@@ -100,6 +102,7 @@
   let maxConcurrency = 0
   let responseFields: Record<string, string> = {}
   let sequence = 0
+  let responses = 0
 
   async function runRequest (message: IncomingMessage, response: ServerResponse): Promise<void> {
     const attemptId = String(message.headers['x-request-id'])
@@ -134,7 +137,9 @@
 
   function writeResponse (message: IncomingMessage, response: ServerResponse, fault: TargetFault | undefined): void {
     const body = `answer of ${id}`
-    const fields = { 'X-Server-Signature': `signed-${id}`, 'X-Server-Load': `${concurrency + 1},0,${slots}`, 'Content-Length': body.length }
+    responses++
+    const closes = responses % (options.responsesPerClose ?? Infinity) === 0
+    const fields = { 'X-Server-Signature': `signed-${id}`, 'X-Server-Load': `${concurrency + 1},0,${slots}`, 'Content-Length': body.length, ...closes ? { Connection: 'close' } : {} }
     if (fault === TargetFault.ResponseLost) message.socket.destroy()
     else if (fault === TargetFault.Failed) response.writeHead(500, fields).end(body)
     else if (fault === TargetFault.UnmarkedRefusal) response.writeHead(503, fields).end(body)
--- a/packages/standins/src/test_site.ts
+++ b/packages/standins/src/test_site.ts
@@ -7,6 +7,7 @@
 import type { EntrySettings } from '@bilberryworks/steering'
 import type { RunningEntry } from 'bilberryd'
 import type { StoreEndpoint } from './site_store.ts'
+import type { PathRelay } from './path_relay.ts'
 import type { OpenSiteTargetOptions, SiteTarget } from './site_target.ts'
 import type { Agent } from 'node:http'
 import { request } from 'node:http'
@@ -110,8 +111,8 @@
     return version
   }
 
-  async function startEntry (index: number, seeds: Array<{ host: string, port: number }> = []): Promise<TestEntry> {
-    const storeEndpoint = await store.openEndpoint()
+  async function startEntry (index: number, seeds: Array<{ host: string, port: number }> = [], path?: PathRelay): Promise<TestEntry> {
+    const storeEndpoint = await store.openEndpoint(path?.mapAddress)
     const host = `127.${100 + process.pid % 100}.${siteIndex}.${index + 1}`
     const settings: EntrySettings = {
       instance: `entry-${index}`,
