--- a/packages/bilberryd/src/edge/active_exchanges.ts
+++ b/packages/bilberryd/src/edge/active_exchanges.ts
@@ -3,8 +3,7 @@
  *
  * @module
  */
-import type { RegisteredTarget } from '@bilberryworks/steering'
-import type { TargetPool } from '@bilberryworks/targets'
+import type { PendingExchange, RegisteredTarget } from '@bilberryworks/steering'
 import type { Attempt, AttemptDispatch } from './attempt.ts'
 import type { EntryLog } from './entry_log.ts'
 import type { EntryState } from './entry_state.ts'
@@ -23,18 +22,20 @@
   releaseUnused (entry: RegisteredTarget): void
   /** Lists the attempts on idempotent routes that wait for a response of a target which sends none and accepts no connections. */
   listUnreachable (): Attempt[]
+  /** Lists the attempts on idempotent routes that wait for a response of a target which matches. */
+  listWaitingFor (matches: (entry: RegisteredTarget) => boolean): Attempt[]
+  /** Lists the attempts that wait for a response. */
+  listPending (): PendingExchange[]
   /** Returns the number of exchanges in progress. */
   count (): number
-  /** Returns the number of exchanges in progress for a service. */
-  countByService (service: string): number
+  /** Returns the number of attempts with an exchange in progress that match. */
+  countMatching (matches: (attempt: Attempt) => boolean): number
 }
 
 /** Options of {@linkcode createActiveExchanges}. */
 export interface CreateActiveExchangesOptions {
   /** Replicated configuration and target registry. */
   state: EntryState
-  /** Connections to targets. */
-  pool: TargetPool
   /** Structured log. */
   log: EntryLog
   /** Returns monotonic time, in milliseconds. */
@@ -50,7 +51,7 @@
  * @returns The tracker
  */
 export function createActiveExchanges (options: CreateActiveExchangesOptions): ActiveExchanges {
-  const { state, pool, log, getNowMs, getRandom } = options
+  const { state, log, getNowMs, getRandom } = options
   const activeAttempts = new Set<Attempt>()
 
   function recordSignal (entry: RegisteredTarget, signal: TargetSignal): void {
@@ -64,11 +65,14 @@
     attempt.exchange = undefined
     attempt.currentTarget = undefined
     recordSignal(entry, signal)
-    if (signal === TargetSignal.ConnectFailed) pool.closeIdle(entry.target.id)
     if (signal === TargetSignal.Answered) return
     log.info('exchange_failed', { id: attempt.attemptId, target: entry.target.id, signal, elapsedMs: Math.round(getNowMs() - attempt.dispatchedAtMs), inFlight: entry.inFlight, othersBusy: entry.othersBusy })
   }
 
+  function listWaitingFor (matches: (entry: RegisteredTarget) => boolean): Attempt[] {
+    return [...activeAttempts].filter(attempt => attempt.phase === AttemptPhase.Dispatched && attempt.route.kind === RouteKind.Safe && matches(attempt.currentTarget!))
+  }
+
   return {
     add (attempt, entry) {
       attempt.phase = AttemptPhase.Dispatched
@@ -85,9 +89,15 @@
       release(attempt, signal)
     },
     releaseUnused: entry => recordSignal(entry, TargetSignal.Ended),
-    listUnreachable: () => [...activeAttempts].filter(attempt => attempt.phase === AttemptPhase.Dispatched && attempt.route.kind === RouteKind.Safe && isTargetUnreachable(attempt.currentTarget!, getNowMs())),
+    listUnreachable: () => listWaitingFor(entry => isTargetUnreachable(entry, getNowMs())),
+    listWaitingFor,
+    listPending: () => [...activeAttempts].filter(attempt => attempt.phase === AttemptPhase.Dispatched).map(({ currentTarget, dispatchedAtMs }) => ({ targetId: currentTarget!.target.id, sentAtMs: dispatchedAtMs })),
     count: () => activeAttempts.size,
-    countByService: service => [...activeAttempts].filter(attempt => attempt.service === service).length
+    countMatching (matches) {
+      let count = 0
+      for (const attempt of activeAttempts) if (matches(attempt)) count++
+      return count
+    }
   }
 }
 
--- a/packages/bilberryd/src/edge/attempt.ts
+++ b/packages/bilberryd/src/edge/attempt.ts
@@ -7,6 +7,7 @@
 import type { RunningExchange } from '@bilberryworks/targets'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { CollectedBody } from './collect_body.ts'
+import type { RelayOrigin } from './relay_message.ts'
 
 /** Phase of an attempt. */
 export enum AttemptPhase {
@@ -24,14 +25,16 @@
 
 /** A dispatch of an attempt to a target, with the target's load that the selection was based on. */
 export interface AttemptDispatch {
-  /** Identifier of the target. */
-  target: string
+  /** Identifier of the target; absent if it was dispatched through another instance. */
+  target?: string
+  /** Name of the instance through which it was dispatched; absent if it was dispatched to a target. */
+  peer?: string
   /** Time from the attempt's arrival to the dispatch, in milliseconds. */
   afterMs: number
-  /** Number of requests of this instance in flight to the target, this one included. */
+  /** Number of requests of this instance in flight to the target or through the instance, this one included. */
   inFlight: number
-  /** Number of requests of other instances at the target, according to its last load report. */
-  othersBusy: number
+  /** Number of requests of other instances at the target, according to its last load report; absent if it was dispatched through another instance. */
+  othersBusy?: number
   /** Age of that load report, in milliseconds; absent if there is none. */
   reportAgeMs?: number
   /** Set if the target was cold, that is in a warm-up phase in which it gets fewer requests. */
@@ -64,6 +67,12 @@
   isBodyConsumed: boolean
   /** Exchange in progress with a target. */
   exchange: RunningExchange | undefined
+  /** The instance that relays the attempt to this one; `undefined` if it came from a caller. */
+  relay: RelayOrigin | undefined
+  /** Names of the instances through which the attempt was sent. */
+  triedPeers: Set<string>
+  /** Name of the instance through which it is being sent. */
+  currentPeer: string | undefined
   /** Target of the exchange in progress. */
   currentTarget: RegisteredTarget | undefined
   /** Whether a target may have run the request: it may have received a byte and has not stated that it did not run it. */
--- a/packages/bilberryd/src/edge/attempt_finisher.ts
+++ b/packages/bilberryd/src/edge/attempt_finisher.ts
@@ -12,6 +12,7 @@
 import { formatRetryAfter } from '@bilberryworks/users-platform'
 import { AttemptPhase } from './attempt.ts'
 import { RequestStage } from './entry_metrics.ts'
+import { writeRelayFields } from './relay_message.ts'
 
 /** Finishes attempts. */
 export interface AttemptFinisher {
@@ -56,6 +57,7 @@
       id: attempt.attemptId,
       route: attempt.route.name,
       service: attempt.service,
+      relayedBy: attempt.relay?.instance,
       config: attempt.version,
       object: attempt.objectKey,
       fingerprint: attempt.fingerprint,
@@ -80,7 +82,10 @@
       // After a "not run" refusal the caller may retry, which could run the request twice if a target may have run it.
       const reported = attempt.mayHaveRun && refusal.outcome === Outcome.NotRun ? createUnknownRefusal(refusal.reason === RefusalReason.CallerGone ? RefusalReason.CallerGone : RefusalReason.TargetLost, refusal.detail) : refusal
       metrics.countRefused(attempt.route.name, reported.outcome, reported.reason)
-      if (!attempt.response.headersSent) writeRefusal(attempt.response, reported, formatRetryAfter)
+      if (!attempt.response.headersSent) {
+        if (attempt.relay !== undefined) writeRelayFields(attempt.response, { attemptId: attempt.attemptId, targetsReached: attempt.targetsReached - attempt.relay.targetsReached })
+        writeRefusal(attempt.response, reported, formatRetryAfter)
+      }
       recordEnd(attempt, reported.outcome, reported)
     },
     abort (attempt, refusal) {
--- a/packages/bilberryd/src/edge/caller_listener.ts
+++ b/packages/bilberryd/src/edge/caller_listener.ts
@@ -1,167 +1,42 @@
 /**
- * The HTTP listener for callers: validates each request, buffers its body and submits it to the dispatcher.
+ * The HTTP listener for callers.
  *
  * @module
  */
-import type { CallerLimits, Refusal } from '@bilberryworks/steering'
-import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import type { AttemptFields } from '@bilberryworks/users-platform'
-import type { Attempt } from './attempt.ts'
-import type { EntryLog } from './entry_log.ts'
+import type { CallerLimits } from '@bilberryworks/steering'
+import type { IncomingMessage, Server, ServerOptions, ServerResponse } from 'node:http'
 import type { EntryMetrics } from './entry_metrics.ts'
-import type { EntryState } from './entry_state.ts'
-import type { Dispatcher } from './dispatcher.ts'
+import type { RequestHandler } from './request_handler.ts'
 import { createServer } from 'node:http'
-import { checkFraming, createPipelineScheduler, handleClientErrors, hasBody, watchResponse, writeRefusal } from '@bilberryworks/callers'
-import { createNotRunRefusal, Outcome, RefusalReason, RouteKind } from '@bilberryworks/steering'
-import { formatRetryAfter, readAttemptFields } from '@bilberryworks/users-platform'
-import { AttemptPhase } from './attempt.ts'
-import { collectBody } from './collect_body.ts'
-
-/** Phase of a graceful shutdown. */
-export enum StopPhase {
-  /** No shutdown has begun. */
-  Running = 'running',
-  /** Requests are accepted, and each connection is closed after its next response. */
-  Leaving = 'leaving',
-  /** Requests are refused, since they could not be completed before the process is killed. */
-  Closing = 'closing'
-}
+import { handleClientErrors } from '@bilberryworks/callers'
+import { createNotRunRefusal, Outcome, RefusalReason } from '@bilberryworks/steering'
 
 /** Options of {@linkcode createCallerListener}. */
 export interface CreateCallerListenerOptions {
-  /** Replicated configuration and target registry. */
-  state: EntryState
-  /** Dispatcher that valid requests are submitted to. */
-  dispatcher: Dispatcher
-  /** Structured log. */
-  log: EntryLog
+  /** Handles the requests. */
+  requestHandler: RequestHandler
   /** Metrics. */
   metrics: EntryMetrics
-  /** Selects the service for the next request of a route. */
-  chooseService: (route: Attempt['route']) => string
-  /** Returns the phase of the shutdown. */
-  getStopPhase: () => StopPhase
-  /** Returns monotonic time, in milliseconds. */
-  getNowMs: () => number
 }
 
 /** Interval at which `node:http` checks connections for expired time limits, in milliseconds. */
 const connectionCheckIntervalMs = 500
 /** Hard limit of the header section, in bytes; the routing configuration sets a lower one, which is checked separately. */
 const maxHeaderBytes = 65_536
-/** Body bytes that are buffered before the request is dispatched, so that it can be retried; limits the memory of an upload. */
-const maxBufferedBodyBytes = 262_144
-/** Time reserved for sending the response to the caller before the caller's own time-out, in milliseconds. */
-const responseTransitMs = 20
-/** `Retry-After` of a refusal while the instance has no routing configuration, in milliseconds. */
-const noConfigRetryAfterMs = 500
-/** `Retry-After` of a refusal during shutdown, in milliseconds; short, since other instances can serve the request immediately. */
-const stoppingRetryAfterMs = 50
-/** Bytes of the separators in a header field: colon, space and CRLF. */
-const fieldSeparatorBytes = 4
+
+/** Options of the servers that receive requests of callers, directly or through other instances. */
+export const requestServerOptions: ServerOptions = { maxHeaderSize: maxHeaderBytes, requestTimeout: 0, connectionsCheckingInterval: connectionCheckIntervalMs, keepAlive: true, noDelay: true, requireHostHeader: false }
 
 /**
  * Creates the listener for callers.
  *
- * @param options Dispatcher, state, log and metrics
+ * @param options Handler and metrics
  * @returns The server, which is not listening yet
  */
-export function createCallerListener (options: CreateCallerListenerOptions): Server {
-  const { state, dispatcher, log, metrics, getNowMs } = options
-  const server = createServer({ maxHeaderSize: maxHeaderBytes, requestTimeout: 0, connectionsCheckingInterval: connectionCheckIntervalMs, keepAlive: true, noDelay: true, requireHostHeader: false })
+export function createCallerListener ({ requestHandler: { handleRequest, refuseRequest }, metrics }: CreateCallerListenerOptions): Server {
+  const server = createServer(requestServerOptions)
   server.maxHeadersCount = 0
-  const pipeline = createPipelineScheduler()
-
-  function refuseRequest (message: IncomingMessage, response: ServerResponse, refusal: Refusal): void {
-    metrics.countRefused('', refusal.outcome, refusal.reason)
-    log.info('request_refused', { id: readFields(message).attemptId, reason: refusal.reason, detail: refusal.detail, url: message.url, config: state.getConfig()?.version })
-    writeRefusal(response, refusal, formatRetryAfter)
-  }
-
-  function createAttempt (message: IncomingMessage, response: ServerResponse): Attempt | Refusal {
-    const nowMs = getNowMs()
-    const framing = checkFraming(message)
-    if (framing.isErr()) return framing.error
-    const config = state.getConfig()
-    if (config === undefined) return createNotRunRefusal(RefusalReason.NoDocument, 'Instance has not received a routing configuration yet', noConfigRetryAfterMs)
-    const { limits } = config
-    if (countHeaderBytes(message) > limits.maxHeaderBytes) return createNotRunRefusal(RefusalReason.HeadersTooLarge, `Header section exceeds the limit of ${limits.maxHeaderBytes} bytes`)
-    const route = state.findRoute(readHost(message), message.url!.split('?', 1)[0]!)
-    if (route === undefined) return createNotRunRefusal(RefusalReason.UnknownService, `No route matches the host and path of "${message.url!}"`)
-    const fields = readFields(message)
-    if (fields.attemptId === undefined) return createNotRunRefusal(RefusalReason.BadRequest, 'Request has no identifier')
-    const length = Number(message.headers['content-length'] ?? 0)
-    if (length > limits.maxBodyBytes) return createNotRunRefusal(RefusalReason.BodyTooLarge, `Body of ${length} bytes exceeds the limit of ${limits.maxBodyBytes} bytes`)
-    return {
-      attemptId: fields.attemptId,
-      service: options.chooseService(route),
-      objectKey: route.hasAffinity ? fields.objectKey : undefined,
-      homeRegions: route.homeRegions,
-      priority: route.priority,
-      arrivedAtMs: nowMs,
-      expiresAtMs: nowMs,
-      message,
-      response,
-      route,
-      version: config.version,
-      deadlineAtMs: nowMs + Math.min(route.timeoutMs, (fields.timeLeftMs ?? Infinity) - responseTransitMs),
-      tried: new Set(),
-      targetsReached: 0,
-      dispatches: [],
-      phase: AttemptPhase.Arriving,
-      body: undefined,
-      isBodyConsumed: false,
-      exchange: undefined,
-      currentTarget: undefined,
-      mayHaveRun: false,
-      dispatchedAtMs: nowMs,
-      deadlineTimer: undefined,
-      fingerprint: undefined,
-      lastNotRunReason: undefined
-    }
-  }
-
-  function submitAttempt (attempt: Attempt): void {
-    const { message } = attempt
-    if (attempt.phase !== AttemptPhase.Arriving) return
-    if (!hasBody(message)) {
-      message.resume()
-      dispatcher.submit(attempt)
-      return
-    }
-    collectBody(message, {
-      maxBufferedBytes: maxBufferedBodyBytes,
-      maxBytes: state.getConfig()?.limits.maxBodyBytes ?? Infinity,
-      onCollected (body) {
-        if (attempt.phase !== AttemptPhase.Arriving) return
-        attempt.body = body
-        dispatcher.submit(attempt)
-      },
-      onTooLarge: () => dispatcher.refuse(attempt, createNotRunRefusal(RefusalReason.BodyTooLarge, 'Body exceeds the size limit of the routing configuration'))
-    })
-  }
-
-  function handleRequest (message: IncomingMessage, response: ServerResponse): void {
-    // The caller counts a request behind a response that closes the connection as not read, and sends it again.
-    if (pipeline.isClosing(message.socket)) return
-    const phase = options.getStopPhase()
-    if (phase !== StopPhase.Running) response.shouldKeepAlive = false
-    const attempt = phase === StopPhase.Closing
-      ? createNotRunRefusal(RefusalReason.Stopping, 'Instance is shutting down', stoppingRetryAfterMs)
-      : createAttempt(message, response)
-    if ('outcome' in attempt) {
-      pipeline.schedule({ message, response, isSafe: true, start: () => refuseRequest(message, response, attempt) })
-      return
-    }
-    attempt.deadlineTimer = setTimeout(() => dispatcher.expire(attempt), Math.max(0, attempt.deadlineAtMs - getNowMs()))
-    watchResponse(message, response, isComplete => {
-      if (!isComplete) dispatcher.abandon(attempt)
-    })
-    pipeline.schedule({ message, response, isSafe: attempt.route.kind === RouteKind.Safe, start: () => submitAttempt(attempt) })
-  }
-
-  server.on('request', handleRequest)
+  server.on('request', (message: IncomingMessage, response: ServerResponse) => handleRequest(message, response))
   server.on('checkContinue', (message: IncomingMessage, response: ServerResponse) => {
     response.writeContinue()
     handleRequest(message, response)
@@ -184,18 +59,3 @@
   server.headersTimeout = limits.headerTimeoutMs
   server.keepAliveTimeout = limits.idleTimeoutMs
 }
-
-function readFields (message: IncomingMessage): AttemptFields {
-  return readAttemptFields(message.headers as Record<string, string | undefined>)
-}
-
-/** Returns the `Host` header without the port. */
-function readHost (message: IncomingMessage): string {
-  return (message.headers.host ?? '').replace(/:\d+$/, '')
-}
-
-function countHeaderBytes (message: IncomingMessage): number {
-  let bytes = 0
-  for (const text of message.rawHeaders) bytes += text.length
-  return bytes + message.rawHeaders.length / 2 * fieldSeparatorBytes
-}
--- a/packages/bilberryd/src/edge/dispatcher.ts
+++ b/packages/bilberryd/src/edge/dispatcher.ts
@@ -3,22 +3,28 @@
  *
  * @module
  */
-import type { RateContender, RegisteredTarget, EntrySettings, Refusal, WaitingRequests } from '@bilberryworks/steering'
-import type { TargetPool } from '@bilberryworks/targets'
+import type { RateContender, RegisteredTarget, EntrySettings, PendingExchange, Refusal, WaitingRequests } from '@bilberryworks/steering'
+import type { ResponseHead, TargetPool } from '@bilberryworks/targets'
 import type { Attempt } from './attempt.ts'
 import type { CrashGuard } from './crash_guard.ts'
 import type { EntryLog } from './entry_log.ts'
 import type { EntryMetrics } from './entry_metrics.ts'
 import type { EntryState } from './entry_state.ts'
+import type { ExchangeResult } from './send_attempt.ts'
+import type { ReachMonitor } from './reach_monitor.ts'
+import type { RelayPeers } from './relay_peers.ts'
 import type { TargetReports } from './target_reports.ts'
-import { computePauseRetryAfterMs, createNotRunRefusal, createFleetRetryBudget, createRetryPacer, createUnknownRefusal, createWaitingRequests, recordTargetDispatch, RefusalReason, TargetSignal, waitingCheckIntervalMs, waitShare } from '@bilberryworks/steering'
+import { computePauseRetryAfterMs, createNotRunRefusal, createFleetRetryBudget, createRetryPacer, createWaitingRequests, recordTargetDispatch, RefusalReason, TargetSignal, waitingCheckIntervalMs, waitShare } from '@bilberryworks/steering'
 import { AttemptPhase } from './attempt.ts'
 import { createAttemptFinisher } from './attempt_finisher.ts'
-import { RequestStage } from './entry_metrics.ts'
 import { createExchangeResultHandler, minTimeLeftMs } from './exchange_results.ts'
 import { createTargetSelector } from './target_selector.ts'
-import { ExchangeResult, sendAttempt } from './send_attempt.ts'
 import { createActiveExchanges } from './active_exchanges.ts'
+import { createAttemptWithdrawal } from './attempt_withdrawal.ts'
+import { createRelayAdmission } from './relay_admission.ts'
+import { createRelayer } from './relayer.ts'
+import { createUnreachableRetries } from './unreachable_retries.ts'
+import { createTargetSender } from './target_sender.ts'
 
 /** Dispatches attempts to targets. */
 export interface Dispatcher {
@@ -40,6 +46,8 @@
   countInFlight (): number
   /** Returns the number of requests of a service that are queued or in flight to a target. */
   countRequests (service: string): number
+  /** Lists the requests that wait for the response of a target. */
+  listPending (): PendingExchange[]
 }
 
 /** Options of {@linkcode createDispatcher}. */
@@ -58,6 +66,16 @@
   handleTargetResponse: TargetReports['handleResponse']
   /** Refuses requests that crash targets. */
   crashGuard: CrashGuard
+  /** Network paths to targets. */
+  reach: ReachMonitor
+  /** Connections to other instances. */
+  peerPool: TargetPool
+  /** The other instances, through which requests are sent while this one has no path to their targets. */
+  relayPeers: RelayPeers
+  /** Maximum number of relayed requests of other instances, waiting or in flight. */
+  maxRelayed: number
+  /** Handles the response of a target to a request that another instance dispatched. */
+  handleRelayedResponse: (targetId: string, head: ResponseHead, attempt: Attempt) => void
   /** Returns the names of the live instances, including this one. */
   listInstances: () => string[]
   /** Lists the other known instances, live or not, and whether each claims a part of the rate of a target. */
@@ -75,17 +93,6 @@
 /** `Retry-After` of a refusal if no target is available, in milliseconds: about the time that a target takes to register. */
 const noTargetRetryAfterMs = 1_000
 
-/** Health signal that each result of an exchange gives about the target. */
-const signalByResult: Record<ExchangeResult, TargetSignal> = {
-  [ExchangeResult.Completed]: TargetSignal.Answered,
-  [ExchangeResult.Failed]: TargetSignal.Answered,
-  [ExchangeResult.NotRun]: TargetSignal.Refused,
-  [ExchangeResult.ConnectFailed]: TargetSignal.ConnectFailed,
-  [ExchangeResult.Withdrawn]: TargetSignal.Ended,
-  [ExchangeResult.Lost]: TargetSignal.Lost,
-  [ExchangeResult.Truncated]: TargetSignal.Lost
-}
-
 /**
  * Creates a dispatcher.
  *
@@ -93,7 +100,7 @@
  * @returns The dispatcher
  */
 export function createDispatcher (options: CreateDispatcherOptions): Dispatcher {
-  const { settings: { bounds }, state, pool, crashGuard, log, metrics, getNowMs } = options
+  const { settings: { bounds, instance }, state, crashGuard, reach, log, metrics, getNowMs } = options
   const targetSelector = createTargetSelector(options)
   const exchanges = createActiveExchanges(options)
   const finisher = createAttemptFinisher({ log, metrics, getNowMs, describeLoad: () => ({ waiting: countWaiting(), inFlight: exchanges.count() }) })
@@ -101,12 +108,29 @@
   const retryBudgets = createLazyMap(() => createFleetRetryBudget({ ratio: bounds.retryRatio, slack: bounds.retrySlack, windowMs: bounds.budgetWindowMs, getInstanceCount: options.getMaxLiveInstances }))
   const retryPacers = createLazyMap(() => createRetryPacer(options.getRandom))
   const getRetryAfterMs = (attempt: Attempt): number => retryPacers.get(attempt.service).record({ nowMs: getNowMs(), queued: waitingByService.get(attempt.service).count(), ...targetSelector.measureCapacity(attempt.service) })
-  const handleExchangeResult = createExchangeResultHandler({ finisher, log, metrics, getNowMs, getBudget: retryBudgets.get, getRetryAfterMs, isSuspect: crashGuard.isSuspect, requeue: enqueueAttempt })
+  const relayOptions = { finisher, getRetryAfterMs, getBudget: retryBudgets.get, listGroups: targetSelector.listGroups, requeue: enqueueAttempt }
+  const relayer = createRelayer({ ...options, ...relayOptions, maySend: attempt => crashGuard.findRefusal(attempt) === undefined })
+  const handleExchangeResult = createExchangeResultHandler({ finisher, log, metrics, getNowMs, getBudget: retryBudgets.get, getRetryAfterMs, isSuspect: crashGuard.isSuspect, requeue: enqueueAttempt, relay: sendThroughPeer })
+  const sendToTarget = createTargetSender({ ...options, targetSelector, exchanges, finisher, onResult: handleResult })
+  const retryUnreachable = createUnreachableRetries({ exchanges, reach, getNowMs, getBudget: retryBudgets.get, handleExchangeResult })
+  const findRelayRefusal = createRelayAdmission({ instance, maxRelayed: options.maxRelayed, exchanges, getRetryAfterMs, getWaiting: waitingByService.get, countWaitingRelayed: () => countWaiting(attempt => attempt.relay !== undefined) })
+  const withdrawal = createAttemptWithdrawal({ finisher, getRetryAfterMs, detach: detachAttempt, onEnd: attempt => dispatchWaiting(attempt.service) })
   let checkTimer: NodeJS.Timeout | undefined
 
+  function handleResult (attempt: Attempt, result: ExchangeResult, detail: string): void {
+    handleExchangeResult(attempt, result, detail)
+    dispatchWaiting(attempt.service)
+  }
+
   function enqueueAttempt (attempt: Attempt): void {
-    const refusal = crashGuard.findRefusal(attempt) ?? findUnavailable(attempt)
+    const refusal = crashGuard.findRefusal(attempt)
     if (refusal !== undefined) return finisher.refuse(attempt, refusal)
+    const unavailable = findUnavailable(attempt)
+    if (unavailable !== undefined) {
+      if (!hasConnectFailures(attempt) || !sendThroughPeer(attempt)) finisher.refuse(attempt, unavailable)
+      return
+    }
+    if (isOutOfReach(attempt)) return sendThroughPeerOrRefuse(attempt)
     attempt.phase = AttemptPhase.Waiting
     waitingByService.get(attempt.service).add(attempt)
     dispatchWaiting(attempt.service)
@@ -116,11 +140,27 @@
     return targetSelector.hasUntriedTarget(attempt) ? undefined : createNotRunRefusal(RefusalReason.NoUsableTarget, `Service "${attempt.service}" has no available target that was not tried before`, noTargetRetryAfterMs)
   }
 
+  function isOutOfReach (attempt: Attempt): boolean {
+    return reach.hasLost() && !targetSelector.hasPath(attempt)
+  }
+
+  /** Sends an attempt of a caller through another instance; returns whether there is one that may and can relay it. */
+  function sendThroughPeer (attempt: Attempt): boolean {
+    const peer = attempt.relay === undefined ? relayer.findPeer(attempt) : undefined
+    if (peer !== undefined) relayer.send(attempt, peer)
+    return peer !== undefined
+  }
+
+  function sendThroughPeerOrRefuse (attempt: Attempt): void {
+    if (!sendThroughPeer(attempt)) finisher.refuse(attempt, createNotRunRefusal(RefusalReason.TargetUnreachable, `Instance "${instance}" has no network path to targets of service "${attempt.service}"`, getRetryAfterMs(attempt)))
+  }
+
   function dispatchWaiting (service: string): void {
     const waiting = waitingByService.get(service)
     if (waiting.count() === 0) return
     state.targets.observeTime(getNowMs())
     for (const attempt of waiting.takeMatching(request => crashGuard.findRefusal(request) !== undefined)) finisher.refuse(attempt, crashGuard.findRefusal(attempt)!)
+    if (reach.hasLost()) for (const attempt of waiting.takeMatching(isOutOfReach)) sendThroughPeerOrRefuse(attempt)
     const assignments = waiting.takePlaced(attempt => {
       const entry = targetSelector.findTarget(attempt)
       // Counted immediately, so that the selection for the next queued request sees the remaining capacity.
@@ -146,86 +186,55 @@
     for (const service of waitingByService.list()) dispatchWaiting(service)
   }
 
-  function countWaiting (): number {
-    return waitingByService.list().reduce((sum, service) => sum + waitingByService.get(service).count(), 0)
+  function countWaiting (matches: (attempt: Attempt) => boolean = () => true): number {
+    return waitingByService.list().reduce((sum, service) => sum + waitingByService.get(service).countMatching(matches), 0)
   }
 
   function dispatchAttempt (attempt: Attempt, entry: RegisteredTarget): void {
-    const nowMs = getNowMs()
-    if (attempt.deadlineAtMs - nowMs < minTimeLeftMs) {
+    if (attempt.deadlineAtMs - getNowMs() < minTimeLeftMs) {
       exchanges.releaseUnused(entry)
       finisher.refuse(attempt, createNotRunRefusal(RefusalReason.DeadlinePassed, 'Deadline is too close to send the request to a target', getRetryAfterMs(attempt)))
-      return
-    }
-    exchanges.add(attempt, entry)
-    metrics.recordStage(RequestStage.Queue, attempt.route.kind, nowMs - attempt.arrivedAtMs)
-    sendAttempt(attempt, entry, {
-      pool,
-      getNowMs,
-      maxBodyBytes: state.getConfig()?.limits.maxBodyBytes ?? Infinity,
-      maySend: () => targetSelector.isSelectable(entry) && crashGuard.findRefusal(attempt) === undefined,
-      onSendStart: () => metrics.recordStage(RequestStage.Connect, attempt.route.kind, getNowMs() - attempt.dispatchedAtMs),
-      onResponseHead (fields) {
-        metrics.recordStage(RequestStage.FirstByte, attempt.route.kind, getNowMs() - attempt.dispatchedAtMs)
-        options.handleTargetResponse(entry, fields, attempt)
-      },
-      onBodyTooLarge () {
-        exchanges.cancel(attempt, TargetSignal.Ended)
-        finisher.refuse(attempt, createUnknownRefusal(RefusalReason.BodyTooLarge, 'Body exceeds the size limit of the routing configuration'))
-      },
-      onEnd (result, detail) {
-        if (result === ExchangeResult.Lost || result === ExchangeResult.Truncated) crashGuard.recordLoss(attempt, entry)
-        else if (result === ExchangeResult.Completed) crashGuard.recordResponse(attempt)
-        exchanges.release(attempt, signalByResult[result])
-        handleExchangeResult(attempt, result, detail)
-        dispatchWaiting(attempt.service)
-      }
-    })
-  }
-
-  function retryUnreachable (): void {
-    for (const attempt of exchanges.listUnreachable()) {
-      exchanges.cancel(attempt, TargetSignal.Lost)
-      handleExchangeResult(attempt, ExchangeResult.Lost, 'Target sends no responses and accepts no connections')
-    }
+    } else if (reach.needsConnection(entry) && attempt.relay === undefined && relayer.findPeer(attempt) !== undefined) {
+      exchanges.releaseUnused(entry)
+      sendThroughPeer(attempt)
+    } else sendToTarget(attempt, entry)
   }
 
   /** Removes an attempt from the queue, and cancels its exchange if one is in progress. */
   function detachAttempt (attempt: Attempt): void {
     if (attempt.phase === AttemptPhase.Waiting) waitingByService.get(attempt.service).remove(attempt.attemptId)
-    exchanges.cancel(attempt, TargetSignal.Ended)
+    if (attempt.currentPeer === undefined) exchanges.cancel(attempt, TargetSignal.Ended)
+    else relayer.cancel(attempt)
   }
 
   return {
     submit (attempt) {
-      retryBudgets.get(attempt.service).recordRequest(getNowMs())
       attempt.expiresAtMs = attempt.arrivedAtMs + (attempt.deadlineAtMs - attempt.arrivedAtMs) * waitShare
-      enqueueAttempt(attempt)
+      // The instance that received a relayed request from its caller has counted it.
+      if (attempt.relay === undefined) retryBudgets.get(attempt.service).recordRequest(getNowMs())
+      const refusal = attempt.relay === undefined ? undefined : findRelayRefusal(attempt)
+      if (refusal === undefined) enqueueAttempt(attempt)
+      else finisher.refuse(attempt, refusal)
     },
     refuse: finisher.refuse,
-    abandon (attempt) {
-      if (attempt.phase === AttemptPhase.Ended) return
-      detachAttempt(attempt)
-      finisher.refuse(attempt, createNotRunRefusal(RefusalReason.CallerGone, 'Caller closed the connection'))
-      dispatchWaiting(attempt.service)
-    },
-    expire (attempt) {
-      if (attempt.phase === AttemptPhase.Ended) return
-      const isResponding = attempt.phase === AttemptPhase.Responding
-      detachAttempt(attempt)
-      if (isResponding) finisher.abort(attempt, createUnknownRefusal(RefusalReason.TargetTimeout, 'Deadline passed before the response was complete'))
-      else if (attempt.mayHaveRun) finisher.refuse(attempt, createUnknownRefusal(RefusalReason.TargetTimeout, 'Deadline passed after the request was sent to a target'))
-      else finisher.refuse(attempt, createNotRunRefusal(RefusalReason.DeadlinePassed, 'Deadline passed before a target accepted the request', getRetryAfterMs(attempt)))
-      dispatchWaiting(attempt.service)
-    },
+    ...withdrawal,
     dispatchWaiting: checkWaiting,
-    retryUnreachable,
-    countWaiting,
-    countInFlight: exchanges.count,
-    countRequests: service => waitingByService.get(service).count() + exchanges.countByService(service)
+    retryUnreachable () {
+      retryUnreachable()
+      relayer.retryUnreachable()
+    },
+    countWaiting: () => countWaiting(),
+    countInFlight: () => exchanges.count() + relayer.count(),
+    countRequests: service => waitingByService.get(service).count() + exchanges.countMatching(attempt => attempt.service === service),
+    listPending: exchanges.listPending
   }
 }
 
+/** Returns whether no connection was established to a target of the attempt. */
+function hasConnectFailures ({ tried, targetsReached }: Attempt): boolean {
+  return tried.size > targetsReached
+}
+
 /** Creates a map that creates each item on first access. */
 function createLazyMap<T> (create: () => T): { get: (name: string) => T, list: () => string[] } {
   const items = new Map<string, T>()
--- a/packages/bilberryd/src/edge/entry_metrics.ts
+++ b/packages/bilberryd/src/edge/entry_metrics.ts
@@ -6,6 +6,7 @@
 import type { RouteKind } from '@bilberryworks/steering'
 import { Outcome, RefusalReason, RetryReason } from '@bilberryworks/steering'
 import { ConnectionEvent } from '@bilberryworks/targets'
+import { RelayResultKind } from './send_relayed.ts'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 
 /** Stages of a request whose durations are measured. */
@@ -16,6 +17,8 @@
   Connect = 'connect',
   /** From the dispatch to the response head. */
   FirstByte = 'first_byte',
+  /** From the dispatch through another instance to the head of the target's response. */
+  Relay = 'relay',
   /** From arrival to the end of the attempt. */
   Total = 'whole'
 }
@@ -62,6 +65,8 @@
   countQuarantined (): void
   /** Counts an event of a connection to a target. */
   countConnectionEvent (event: ConnectionEvent): void
+  /** Counts a request that was sent through another instance, by result. */
+  countRelayed (result: RelayResultKind): void
   /** Counts bytes sent to peers, by kind of message. */
   countPeerBytes (traffic: PeerTraffic, bytes: number): void
   /** Records the duration of a request stage, in milliseconds. */
@@ -82,6 +87,8 @@
   Targets = 'bilberry_targets',
   /** Number of registered targets to which requests are restricted after failed exchanges or connections. */
   FailingTargets = 'bilberry_failing_targets',
+  /** Number of groups of targets, by service and failure domain, to which this instance has no network path. */
+  UnreachedGroups = 'bilberry_unreached_target_groups',
   /** Number of queued requests. */
   Waiting = 'bilberry_queued_requests',
   /** Number of requests in flight to targets. */
@@ -100,6 +107,7 @@
   [EntryGauge.ConfigVersion]: 'Version of the routing configuration in effect',
   [EntryGauge.Targets]: 'Number of registered targets',
   [EntryGauge.FailingTargets]: 'Number of registered targets whose circuit is not closed',
+  [EntryGauge.UnreachedGroups]: 'Number of groups of targets, by service and failure domain, to which this instance has no network path',
   [EntryGauge.Waiting]: 'Number of requests queued for a free target slot',
   [EntryGauge.InFlight]: 'Number of requests in flight to targets',
   [EntryGauge.TargetConnections]: 'Number of open connections to targets',
@@ -130,12 +138,14 @@
   const targetReports = new Counter({ name: 'bilberry_target_reports_total', help: 'Reports of targets about themselves in responses, by kind', labelNames: ['report'], registers })
   const quarantined = new Counter({ name: 'bilberry_requests_quarantined_total', help: 'Requests that are refused because targets ended whenever they ran them, each counted once', registers })
   const connectionEvents = new Counter({ name: 'bilberry_target_connection_events_total', help: 'Events of connections to targets, by kind', labelNames: ['event'], registers })
+  const relayed = new Counter({ name: 'bilberry_relayed_requests_total', help: 'Requests sent through another instance, by result', labelNames: ['result'], registers })
   const peerBytes = new Counter({ name: 'bilberry_peer_bytes_total', help: 'Bytes sent to other instances, by kind of message', labelNames: ['message'], registers })
   const stages = new Histogram({ name: 'bilberry_stage_seconds', help: 'Duration of a request stage in seconds, by stage and kind of route', labelNames: ['stage', 'kind'], buckets: latencyBucketsSeconds, registers })
   for (const reason of Object.values(RefusalReason)) refusals.inc({ reason }, 0)
   for (const reason of Object.values(RetryReason)) retries.inc({ reason }, 0)
   for (const report of Object.values(TargetReport)) targetReports.inc({ report }, 0)
   for (const event of Object.values(ConnectionEvent)) connectionEvents.inc({ event }, 0)
+  for (const result of Object.values(RelayResultKind)) relayed.inc({ result }, 0)
   for (const message of Object.values(PeerTraffic)) peerBytes.inc({ message }, 0)
   for (const name of Object.values(EntryGauge)) {
     registers[0]!.registerMetric(new Gauge({ name, help: gaugeHelp[name], registers: [], collect () { this.set(gauges.readers[name]()) } }))
@@ -154,6 +164,7 @@
     countTargetReport: report => targetReports.inc({ report }),
     countQuarantined: () => quarantined.inc(),
     countConnectionEvent: event => connectionEvents.inc({ event }),
+    countRelayed: result => relayed.inc({ result }),
     countPeerBytes: (message, bytes) => peerBytes.inc({ message }, bytes),
     recordStage: (stage, kind, elapsedMs) => stages.observe({ stage, kind }, elapsedMs / msPerSecond)
   }
--- a/packages/bilberryd/src/edge/exchange_results.ts
+++ b/packages/bilberryd/src/edge/exchange_results.ts
@@ -21,6 +21,8 @@
   metrics: EntryMetrics
   /** Returns whether a target has ended under the same request before. */
   isSuspect: (attempt: Attempt) => boolean
+  /** Sends an attempt through another instance; returns whether there is one that may and can relay it. */
+  relay: (attempt: Attempt) => boolean
   /** Queues an attempt for dispatch to another target. */
   requeue: (attempt: Attempt) => void
   /** Returns the retry budget of a service. */
@@ -32,7 +34,7 @@
 }
 
 /** Why an attempt is not retried. */
-enum RetryDenial {
+export enum RetryDenial {
   /** Unbuffered body bytes were forwarded. */
   BodySpent = 'body_spent',
   /** The route's maximum number of targets, or the limit on failed connections, has been reached. */
@@ -102,6 +104,8 @@
       options.requeue(attempt)
       return
     }
+    // Connections to several targets failed, so the path of this instance may have.
+    if (bar === RetryDenial.Attempts && cause.reason === RetryReason.ConnectFailed && attempt.targetsReached < attempt.route.maxAttempts && options.relay(attempt)) return
     log.info('retry_barred', { ...retryFields, bar })
     if (attempt.mayHaveRun) finisher.refuse(attempt, createUnknownRefusal(RefusalReason.TargetLost, cause.detail))
     else finisher.refuse(attempt, createNotRunRefusal(attempt.lastNotRunReason ?? RefusalReason.Overloaded, cause.detail, options.getRetryAfterMs(attempt)))
@@ -110,8 +114,14 @@
   return handleExchangeResult
 }
 
-/** Returns why the attempt must not be retried, apart from the retry budget. */
-function findRetryDenial (attempt: Attempt, nowMs: number): RetryDenial | undefined {
+/**
+ * Returns why an attempt must not be retried, apart from the retry budget.
+ *
+ * @param attempt The attempt
+ * @param nowMs Monotonic time, in milliseconds
+ * @returns The reason, or `undefined` if it may be retried
+ */
+export function findRetryDenial (attempt: Attempt, nowMs: number): RetryDenial | undefined {
   if (attempt.isBodyConsumed) return RetryDenial.BodySpent
   if (attempt.targetsReached >= attempt.route.maxAttempts || attempt.tried.size - attempt.targetsReached >= maxConnectFailures) return RetryDenial.Attempts
   return attempt.deadlineAtMs - nowMs <= minTimeLeftMs ? RetryDenial.Deadline : undefined
--- a/packages/bilberryd/src/edge/look_up_listener.ts
+++ b/packages/bilberryd/src/edge/look_up_listener.ts
@@ -8,6 +8,7 @@
 import type { LookUp } from '@bilberryworks/users-platform'
 import type { PeerHeartbeat, PeerView } from './peer_view.ts'
 import { createServer } from 'node:http'
+import { allGroupsUnreached } from '@bilberryworks/steering'
 import { formatLookUpResponse, maxLookUpAddresses, parseLookUp, readinessPath } from '@bilberryworks/users-platform'
 
 /** Options of {@linkcode createLookUpListener}. */
@@ -50,7 +51,7 @@
 }
 
 /**
- * Selects the addresses for a look-up response: ready instances in the caller's region, those in its failure domain first.
+ * Selects the addresses for a look-up response: ready instances in the caller's region that reach targets, those in its failure domain first.
  *
  * @param instances Live instances, this one first
  * @param lookUp Location of the caller
@@ -58,7 +59,7 @@
  * @returns At most {@linkcode maxLookUpAddresses} addresses in the form `host:port`; only that of this instance if no instance is ready
  */
 export function chooseAddresses (instances: PeerHeartbeat[], lookUp: LookUp, options: { minAddresses: number }): string[] {
-  const ready = instances.filter(instance => instance.isReady)
+  const ready = selectReaching(instances.filter(instance => instance.isReady))
   const computeDistance = (instance: PeerHeartbeat): number => instance.failureDomain === lookUp.failureDomain ? 0 : instance.region === lookUp.region ? 1 : 2
   const ranked = ready.toSorted((a, b) => computeDistance(a) - computeDistance(b))
   const sameRegion = ranked.filter(instance => computeDistance(instance) < 2)
@@ -67,6 +68,12 @@
   return listed.slice(0, maxLookUpAddresses).map(instance => instance.callers)
 }
 
+/** Leaves out the instances that reach no target, as long as others do; while callers still use them, they relay requests. */
+function selectReaching (instances: PeerHeartbeat[]): PeerHeartbeat[] {
+  const reaching = instances.filter(({ unreached }) => unreached?.includes(allGroupsUnreached) !== true)
+  return reaching.length > 0 ? reaching : instances
+}
+
 /**
  * Creates the listener for readiness checks.
  *
--- a/packages/bilberryd/src/edge/peer_link.ts
+++ b/packages/bilberryd/src/edge/peer_link.ts
@@ -4,17 +4,21 @@
  * @module
  */
 import type { Socket } from 'node:dgram'
-import type { Server } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { CrashReport, RecentTargetReports, SocketAddress } from '@bilberryworks/steering'
 import type { EntryLog } from './entry_log.ts'
 import type { EntryState } from './entry_state.ts'
+import type { RelayOrigin } from './relay_message.ts'
 import type { KnownPeer, PeerHeartbeat, HeartbeatUpdate, PeerView } from './peer_view.ts'
 import { createSocket } from 'node:dgram'
 import { createServer } from 'node:http'
+import { countOpenResponses } from '@bilberryworks/callers'
 import { createCatchUp } from '@bilberryworks/steering'
+import { requestServerOptions } from './caller_listener.ts'
 import { ReplicatedTable } from './replicated_table.ts'
 import { PeerTraffic } from './entry_metrics.ts'
 import { createStateHandler, fetchPeerState } from './peer_state.ts'
+import { parseRelayOrigin, relayField } from './relay_message.ts'
 import { formatUpdate, parseHeartbeat, parseUpdate, UpdateResult } from './peer_view.ts'
 
 /** Options of {@linkcode startPeerLink}. */
@@ -41,6 +45,8 @@
   handleTargetReports: (peer: string, reports: RecentTargetReports | undefined) => void
   /** Counts bytes sent to peers. */
   countBytes: (traffic: PeerTraffic, bytes: number) => void
+  /** Handles a request that another instance relays. */
+  handleRelayed: (message: IncomingMessage, response: ServerResponse, origin: RelayOrigin) => void
   /** Structured log. */
   log: EntryLog
   /** Returns monotonic time, in milliseconds. */
@@ -57,6 +63,8 @@
   sendNow (): void
   /** Fetches the known instances and newer table rows from the seeds; logs a seed that does not respond. */
   fetchFromSeeds (): Promise<void>
+  /** Returns the number of requests of other instances whose responses have not ended. */
+  countOpen (): number
   /** Fetches newer table rows from a peer if this instance is behind; to be called at short intervals. */
   catchUp (): void
 }
@@ -175,11 +183,23 @@
   })
   socket.on('error', error => log.warn('heartbeat_socket', { detail: error.message }))
   await openSocket(socket, ownHeartbeat.heartbeats)
-  const server = createServer(createStateHandler({
+  const handleStateCall = createStateHandler({
     state,
     listInstances: () => [options.getHeartbeat(), ...view.listLive(getNowMs()).map(peer => peer.heartbeat)],
     countBytes: bytes => options.countBytes(PeerTraffic.State, bytes)
-  }))
+  })
+  const server = createServer(requestServerOptions, (message, response) => {
+    const relay = message.headers[relayField]
+    const origin = parseRelayOrigin(typeof relay === 'string' ? relay : undefined)
+    if (origin !== undefined) options.handleRelayed(message, response, origin)
+    else if (relay === undefined) handleStateCall(message, response)
+    else {
+      log.warn('relayed_request_invalid', { from: message.socket.remoteAddress, field: String(relay) })
+      response.writeHead(400, { 'Content-Length': 0 }).end()
+    }
+  })
+  server.maxHeadersCount = 0
+  const countOpen = countOpenResponses(server)
   await listenOn(server, ownHeartbeat.peers)
   const timer = setInterval(sendUpdates, options.intervalMs)
 
@@ -187,6 +207,7 @@
     announce,
     sendNow,
     catchUp: fetchFromPeer,
+    countOpen,
     async fetchFromSeeds () {
       await Promise.all(options.seeds.filter(seed => seed.host !== ownHeartbeat.peers.host).map(seed => readState(seed, true).catch(error => log.info('seed_silent', { seed: `${seed.host}:${seed.port}`, detail: (error as Error).message }))))
     },
--- a/packages/bilberryd/src/edge/peer_view.ts
+++ b/packages/bilberryd/src/edge/peer_view.ts
@@ -23,6 +23,8 @@
   targetReports?: RecentTargetReports
   /** Requests under which targets ended; absent if there are none. */
   crashReports?: CrashReport[]
+  /** Keys of the groups of targets to which the instance has no network path; absent if there are none. */
+  unreached?: string[]
 }
 
 /** Heartbeat with the addresses of the instance, sent at its start and whenever a peer asks for it. */
@@ -127,7 +129,7 @@
       const known = peers.get(update.instance)
       if (known === undefined || update.startedAtMs > known.heartbeat.startedAtMs || isLaterRun(update, known, nowMs)) return UpdateResult.Unknown
       if (!isNewer(update, known.heartbeat)) return UpdateResult.Outdated
-      return recordLive({ ...known.heartbeat, ...update }, nowMs) ? UpdateResult.BecameLive : UpdateResult.Live
+      return recordLive(mergeUpdate(known.heartbeat, update), nowMs) ? UpdateResult.BecameLive : UpdateResult.Live
     },
     addReported (heartbeat, nowMs) {
       if (heartbeat.instance === options.instance) return
@@ -147,6 +149,11 @@
   }
 }
 
+/** Replaces all that changes in a heartbeat; what the update lacks no longer holds. */
+function mergeUpdate ({ targetReports, crashReports, unreached, ...heartbeat }: PeerHeartbeat, update: HeartbeatUpdate): PeerHeartbeat {
+  return { ...heartbeat, ...update }
+}
+
 /**
  * Formats an update for a datagram, without names of fields, since it is the most frequent message between
  * instances.
@@ -154,12 +161,11 @@
  * @param update The update, or a heartbeat that contains it
  * @returns JSON text
  */
-export function formatUpdate ({ instance, startedAtMs, sequence, isReady, versions, demand, targetReports, crashReports = [] }: HeartbeatUpdate): string {
-  const fields: unknown[] = [instance, startedAtMs, sequence, isReady, versions, demand]
+export function formatUpdate ({ instance, startedAtMs, sequence, isReady, versions, demand, targetReports, crashReports = [], unreached = [] }: HeartbeatUpdate): string {
   const hasTargetReports = targetReports !== undefined && Object.values(targetReports).some(runs => Object.keys(runs).length > 0)
-  if (hasTargetReports || crashReports.length > 0) fields.push(hasTargetReports ? targetReports : null)
-  if (crashReports.length > 0) fields.push(crashReports)
-  return JSON.stringify(fields)
+  const optional = [hasTargetReports ? targetReports : null, crashReports.length > 0 ? crashReports : null, unreached.length > 0 ? unreached : null]
+  while (optional.at(-1) === null) optional.pop()
+  return JSON.stringify([instance, startedAtMs, sequence, isReady, versions, demand, ...optional])
 }
 
 /**
@@ -171,10 +177,10 @@
 export function parseUpdate (text: string): HeartbeatUpdate | undefined {
   const value = parseJson(text)
   if (!Array.isArray(value)) return undefined
-  const [instance, startedAtMs, sequence, isReady, versions, demand, targetReports, crashReports] = value as [string, number, number, boolean, Record<string, number>, Record<string, number>, unknown, unknown]
+  const [instance, startedAtMs, sequence, isReady, versions, demand, targetReports, crashReports, unreached] = value as [string, number, number, boolean, Record<string, number>, Record<string, number>, unknown, unknown, unknown]
   const isValid = typeof instance === 'string' && typeof startedAtMs === 'number' && typeof sequence === 'number' && typeof isReady === 'boolean' && [versions, demand].every(isNumberRecord)
   if (!isValid) return undefined
-  return { instance, startedAtMs, sequence, isReady, versions, demand, ...selectReports(targetReports, crashReports) }
+  return { instance, startedAtMs, sequence, isReady, versions, demand, ...selectOptional({ targetReports, crashReports, unreached }) }
 }
 
 /**
@@ -187,15 +193,16 @@
   const value = parseJson(text) as PeerHeartbeat | undefined
   const isValid = typeof value?.instance === 'string' && typeof value.heartbeats?.port === 'number' && typeof value.peers?.port === 'number' && isNumberRecord(value.versions) && isNumberRecord(value.demand)
   if (!isValid) return undefined
-  const { targetReports, crashReports, ...heartbeat } = value
-  return { ...heartbeat, ...selectReports(targetReports, crashReports) }
+  const { targetReports, crashReports, unreached, ...heartbeat } = value
+  return { ...heartbeat, ...selectOptional({ targetReports, crashReports, unreached }) }
 }
 
 /** Returns those of the optional parts of a heartbeat that are valid. */
-function selectReports (targetReports: unknown, crashReports: unknown): Pick<HeartbeatUpdate, 'targetReports' | 'crashReports'> {
+function selectOptional ({ targetReports, crashReports, unreached }: Record<'targetReports' | 'crashReports' | 'unreached', unknown>): Pick<HeartbeatUpdate, 'targetReports' | 'crashReports' | 'unreached'> {
   return {
     ...isTargetReports(targetReports) ? { targetReports } : {},
-    ...Array.isArray(crashReports) && crashReports.every(isCrashReport) ? { crashReports } : {}
+    ...Array.isArray(crashReports) && crashReports.every(isCrashReport) ? { crashReports } : {},
+    ...Array.isArray(unreached) && unreached.every(group => typeof group === 'string') ? { unreached } : {}
   }
 }
 
--- /dev/null
+++ b/packages/bilberryd/src/edge/request_handler.ts
@@ -0,0 +1,197 @@
+/**
+ * Handles requests of callers, and requests that other instances relay: validates each, buffers its body and submits it to
+ * the dispatcher.
+ *
+ * @module
+ */
+import type { Refusal } from '@bilberryworks/steering'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { AttemptFields } from '@bilberryworks/users-platform'
+import type { Attempt } from './attempt.ts'
+import type { EntryLog } from './entry_log.ts'
+import type { EntryMetrics } from './entry_metrics.ts'
+import type { EntryState } from './entry_state.ts'
+import type { Dispatcher } from './dispatcher.ts'
+import type { RelayOrigin } from './relay_message.ts'
+import { checkFraming, createPipelineScheduler, hasBody, watchResponse, writeRefusal } from '@bilberryworks/callers'
+import { createNotRunRefusal, RefusalReason, RouteKind } from '@bilberryworks/steering'
+import { formatRetryAfter, readAttemptFields } from '@bilberryworks/users-platform'
+import { AttemptPhase } from './attempt.ts'
+import { collectBody } from './collect_body.ts'
+import { writeRelayFields } from './relay_message.ts'
+
+/** Phase of a graceful shutdown. */
+export enum StopPhase {
+  /** No shutdown has begun. */
+  Running = 'running',
+  /** Requests are accepted, and each connection is closed after its next response. */
+  Leaving = 'leaving',
+  /** Requests are refused, since they could not be completed before the process is killed. */
+  Closing = 'closing'
+}
+
+/** Options of {@linkcode createRequestHandler}. */
+export interface CreateRequestHandlerOptions {
+  /** Replicated configuration and target registry. */
+  state: EntryState
+  /** Dispatcher that valid requests are submitted to. */
+  dispatcher: Dispatcher
+  /** Structured log. */
+  log: EntryLog
+  /** Metrics. */
+  metrics: EntryMetrics
+  /** Selects the service for the next request of a route. */
+  chooseService: (route: Attempt['route']) => string
+  /** Returns the phase of the shutdown. */
+  getStopPhase: () => StopPhase
+  /** Returns monotonic time, in milliseconds. */
+  getNowMs: () => number
+}
+
+/** Body bytes that are buffered before the request is dispatched, so that it can be retried; limits the memory of an upload. */
+const maxBufferedBodyBytes = 262_144
+/** Time reserved for sending the response to the caller before the caller's own time-out, in milliseconds. */
+const responseTransitMs = 20
+/** `Retry-After` of a refusal while the instance has no routing configuration, in milliseconds. */
+const noConfigRetryAfterMs = 500
+/** `Retry-After` of a refusal during shutdown, in milliseconds; short, since other instances can serve the request immediately. */
+const stoppingRetryAfterMs = 50
+/** Bytes of the separators in a header field: colon, space and CRLF. */
+const fieldSeparatorBytes = 4
+
+/** Handles requests. */
+export interface RequestHandler {
+  /** Handles a request; `relay` is set if another instance relays it. */
+  handleRequest (message: IncomingMessage, response: ServerResponse, relay?: RelayOrigin): void
+  /** Refuses a request of a caller before its route is known. */
+  refuseRequest (message: IncomingMessage, response: ServerResponse, refusal: Refusal): void
+}
+
+/**
+ * Creates the handler of requests.
+ *
+ * @param options Dispatcher, state, log and metrics
+ * @returns The handler
+ */
+export function createRequestHandler (options: CreateRequestHandlerOptions): RequestHandler {
+  const { state, dispatcher, log, metrics, getNowMs } = options
+  const pipeline = createPipelineScheduler()
+
+  function writeEarlyRefusal (message: IncomingMessage, response: ServerResponse, { refusal, relay }: { refusal: Refusal, relay?: RelayOrigin | undefined }): void {
+    if (relay !== undefined) writeRelayFields(response, { attemptId: readFields(message).attemptId ?? '', targetsReached: 0 })
+    metrics.countRefused('', refusal.outcome, refusal.reason)
+    log.info('request_refused', { id: readFields(message).attemptId, reason: refusal.reason, detail: refusal.detail, url: message.url, config: state.getConfig()?.version, relayedBy: relay?.instance })
+    writeRefusal(response, refusal, formatRetryAfter)
+  }
+
+  function createAttempt (message: IncomingMessage, response: ServerResponse, relay: RelayOrigin | undefined): Attempt | Refusal {
+    const nowMs = getNowMs()
+    const framing = checkFraming(message)
+    if (framing.isErr()) return framing.error
+    const config = state.getConfig()
+    if (config === undefined) return createNotRunRefusal(RefusalReason.NoDocument, 'Instance has not received a routing configuration yet', noConfigRetryAfterMs)
+    const { limits } = config
+    if (countHeaderBytes(message) > limits.maxHeaderBytes) return createNotRunRefusal(RefusalReason.HeadersTooLarge, `Header section exceeds the limit of ${limits.maxHeaderBytes} bytes`)
+    const route = state.findRoute(readHost(message), message.url!.split('?', 1)[0]!)
+    if (route === undefined) return createNotRunRefusal(RefusalReason.UnknownService, `No route matches the host and path of "${message.url!}"`)
+    const fields = readFields(message)
+    if (fields.attemptId === undefined) return createNotRunRefusal(RefusalReason.BadRequest, 'Request has no identifier')
+    const length = Number(message.headers['content-length'] ?? 0)
+    if (length > limits.maxBodyBytes) return createNotRunRefusal(RefusalReason.BodyTooLarge, `Body of ${length} bytes exceeds the limit of ${limits.maxBodyBytes} bytes`)
+    return {
+      attemptId: fields.attemptId,
+      service: selectService(route, relay),
+      objectKey: route.hasAffinity ? fields.objectKey : undefined,
+      homeRegions: route.homeRegions,
+      priority: route.priority,
+      arrivedAtMs: nowMs,
+      expiresAtMs: nowMs,
+      message,
+      response,
+      route,
+      version: config.version,
+      deadlineAtMs: nowMs + Math.min(route.timeoutMs, (fields.timeLeftMs ?? Infinity) - responseTransitMs),
+      tried: new Set(),
+      targetsReached: relay?.targetsReached ?? 0,
+      dispatches: [],
+      phase: AttemptPhase.Arriving,
+      body: undefined,
+      isBodyConsumed: false,
+      relay,
+      triedPeers: new Set(),
+      currentPeer: undefined,
+      exchange: undefined,
+      currentTarget: undefined,
+      mayHaveRun: false,
+      dispatchedAtMs: nowMs,
+      deadlineTimer: undefined,
+      fingerprint: undefined,
+      lastNotRunReason: undefined
+    }
+  }
+
+  /** Selects the service that the relaying instance has selected, if the route leads to it here too. */
+  function selectService (route: Attempt['route'], relay: RelayOrigin | undefined): string {
+    const isOnRoute = relay !== undefined && route.weightedServices.some(({ service }) => service === relay.service)
+    return isOnRoute ? relay.service : options.chooseService(route)
+  }
+
+  function submitAttempt (attempt: Attempt): void {
+    const { message } = attempt
+    if (attempt.phase !== AttemptPhase.Arriving) return
+    if (!hasBody(message)) {
+      message.resume()
+      dispatcher.submit(attempt)
+      return
+    }
+    collectBody(message, {
+      maxBufferedBytes: maxBufferedBodyBytes,
+      maxBytes: state.getConfig()?.limits.maxBodyBytes ?? Infinity,
+      onCollected (body) {
+        if (attempt.phase !== AttemptPhase.Arriving) return
+        attempt.body = body
+        dispatcher.submit(attempt)
+      },
+      onTooLarge: () => dispatcher.refuse(attempt, createNotRunRefusal(RefusalReason.BodyTooLarge, 'Body exceeds the size limit of the routing configuration'))
+    })
+  }
+
+  function handleRequest (message: IncomingMessage, response: ServerResponse, relay?: RelayOrigin): void {
+    // The caller counts a request behind a response that closes the connection as not read, and sends it again.
+    if (pipeline.isClosing(message.socket)) return
+    const phase = options.getStopPhase()
+    if (phase !== StopPhase.Running) response.shouldKeepAlive = false
+    const attempt = phase === StopPhase.Closing
+      ? createNotRunRefusal(RefusalReason.Stopping, 'Instance is shutting down', stoppingRetryAfterMs)
+      : createAttempt(message, response, relay)
+    if ('outcome' in attempt) {
+      pipeline.schedule({ message, response, isSafe: true, start: () => writeEarlyRefusal(message, response, { refusal: attempt, relay }) })
+      return
+    }
+    attempt.deadlineTimer = setTimeout(() => dispatcher.expire(attempt), Math.max(0, attempt.deadlineAtMs - getNowMs()))
+    watchResponse(message, response, isComplete => {
+      if (!isComplete) dispatcher.abandon(attempt)
+    })
+    pipeline.schedule({ message, response, isSafe: attempt.route.kind === RouteKind.Safe, start: () => submitAttempt(attempt) })
+  }
+
+  return {
+    handleRequest,
+    refuseRequest: (message, response, refusal) => writeEarlyRefusal(message, response, { refusal })
+  }
+}
+
+function readFields (message: IncomingMessage): AttemptFields {
+  return readAttemptFields(message.headers as Record<string, string | undefined>)
+}
+
+/** Returns the `Host` header without the port. */
+function readHost (message: IncomingMessage): string {
+  return (message.headers.host ?? '').replace(/:\d+$/, '')
+}
+
+function countHeaderBytes (message: IncomingMessage): number {
+  let bytes = 0
+  for (const text of message.rawHeaders) bytes += text.length
+  return bytes + message.rawHeaders.length / 2 * fieldSeparatorBytes
+}
--- a/packages/bilberryd/src/edge/response_writer.ts
+++ b/packages/bilberryd/src/edge/response_writer.ts
@@ -7,6 +7,7 @@
 import type { ResponseHead } from '@bilberryworks/targets'
 import type { ServerResponse } from 'node:http'
 import { hopByHopFields } from '@bilberryworks/callers'
+import { relayField } from './relay_message.ts'
 
 /** Writes a response to the caller. */
 export interface ResponseWriter {
@@ -24,6 +25,8 @@
   onCommit: () => void
   /** Pauses or resumes reading the response from the target. */
   setPaused: (paused: boolean) => void
+  /** Names and values of header fields to add; none by default. */
+  addedFields?: string[]
 }
 
 /** Size up to which a response is buffered until it is complete, in bytes; limits the memory per response if the caller reads slowly. */
@@ -46,7 +49,7 @@
     isCommitted = true
     options.onCommit()
     response.sendDate = false
-    const fields = listEndToEndFields(head)
+    const fields = [...listEndToEndFields(head), ...options.addedFields ?? []]
     const length = head.contentLength ?? totalBytes
     if (length !== undefined && isContentLengthAllowed(head.status)) fields.push('Content-Length', String(length))
     response.writeHead(head.status, fields)
@@ -85,7 +88,7 @@
   for (let index = 0; index < head.rawHeaders.length; index += 2) {
     const name = head.rawHeaders[index]!
     const lower = name.toLowerCase()
-    if (lower === 'content-length' || connectionFields.has(lower) || hopByHopFields.has(lower)) continue
+    if (lower === 'content-length' || lower === relayField || connectionFields.has(lower) || hopByHopFields.has(lower)) continue
     fields.push(name, head.rawHeaders[index + 1]!)
   }
   return fields
--- a/packages/bilberryd/src/edge/run_entry.ts
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -6,18 +6,20 @@
  */
 import type { EntrySettings, SocketAddress } from '@bilberryworks/steering'
 import type { Server } from 'node:http'
+import type { ConnectionEvent, TargetPool } from '@bilberryworks/targets'
 import type { StoreClient } from '@bilberryworks/users-platform'
 import type { EntryLog } from './entry_log.ts'
 import type { EntryMetrics } from './entry_metrics.ts'
 import type { EntryState } from './entry_state.ts'
-import type { PeerHeartbeat } from './peer_view.ts'
+import type { Dispatcher } from './dispatcher.ts'
+import type { PeerHeartbeat, PeerView } from './peer_view.ts'
+import type { ReachMonitor } from './reach_monitor.ts'
 import { createServer } from 'node:http'
-import { setTimeout as wait } from 'node:timers/promises'
 import { countOpenResponses } from '@bilberryworks/callers'
 import { createCleanupStack, createPollSchedule, createWeightedRoundRobin } from '@bilberryworks/steering'
 import { createTargetPool } from '@bilberryworks/targets'
 import { createStoreClient, operatorTable, targetTable } from '@bilberryworks/users-platform'
-import { applyCallerLimits, createCallerListener, StopPhase } from './caller_listener.ts'
+import { applyCallerLimits, createCallerListener } from './caller_listener.ts'
 import { createEntryMetrics, EntryGauge } from './entry_metrics.ts'
 import { createEntryState } from './entry_state.ts'
 import { createPeerDiscovery } from './peer_discovery.ts'
@@ -26,7 +28,11 @@
 import { createPeerView } from './peer_view.ts'
 import { createCrashGuard } from './crash_guard.ts'
 import { createDispatcher } from './dispatcher.ts'
+import { drainRequests } from './drain_requests.ts'
 import { startMaintenance } from './maintenance.ts'
+import { createReachMonitor } from './reach_monitor.ts'
+import { createRelayPeers } from './relay_peers.ts'
+import { createRequestHandler, StopPhase } from './request_handler.ts'
 import { createRegionShares } from './region_shares.ts'
 import { ReplicatedTable } from './replicated_table.ts'
 import { startTableReplication } from './table_replication.ts'
@@ -53,13 +59,12 @@
 const peerEvictionMs = 120_000
 /** Time limit for connecting to a target, in milliseconds: enough for a connection between regions that loses one packet. */
 const connectTimeoutMs = 600
+/** Time limit for connecting to another instance, in milliseconds: three round trips between regions, after which another one is tried. */
+const peerConnectTimeoutMs = 350
+/** Maximum number of requests that other instances relay to this one, waiting or in flight; limits the memory that they take. */
+const maxRelayed = 256
 /** Delay of the next long poll after a response with target changes, as a share of `drainMs`, the time within which all instances must stop sending to a leaving target. */
 const targetPauseShare = 0.3
-/** Share of the grace period for which a stopping instance accepts new requests: callers switch to other instances during this time, and the last requests have the rest of the period to complete. */
-const acceptShare = 0.42
-/** Share of the grace period, counted from its start, for which a stopping instance waits for requests in flight. */
-const drainShare = 0.97
-const drainPollIntervalMs = 20
 
 /**
  * Starts an entry instance, which runs until it is stopped or disposed.
@@ -76,51 +81,54 @@
   const startedAtMs = Date.now()
   let [phase, sequence] = [StopPhase.Running, 0]
 
-  const metrics = createEntryMetrics({
-    readers: {
-      [EntryGauge.ConfigVersion]: () => state.getConfig()?.version ?? 0,
-      [EntryGauge.Targets]: () => state.targets.count(),
-      [EntryGauge.FailingTargets]: () => state.targets.countFailing(getNowMs()),
-      [EntryGauge.Waiting]: () => dispatcher.countWaiting(),
-      [EntryGauge.InFlight]: () => dispatcher.countInFlight(),
-      [EntryGauge.TargetConnections]: () => pool.count(),
-      [EntryGauge.Peers]: () => view.listLive(getNowMs()).length,
-      [EntryGauge.StoreAge]: () => (getNowMs() - state.getLastContactMs()) / 1_000,
-      [EntryGauge.DroppedLines]: () => log.countDropped()
-    }
-  })
+  const metrics = createEntryMetrics({ readers: createGaugeReaders(() => ({ state, dispatcher, pool, view, reach, log }), getNowMs) })
   const view = createPeerView({ instance: settings.instance, evictionMs: peerEvictionMs, getTimeoutMs: heartbeat => heartbeat.region === settings.region ? peerTimeoutMs : remotePeerTimeoutMs })
+  const listPeers = (): PeerHeartbeat[] => view.listLive(getNowMs()).map(peer => peer.heartbeat)
   const state = createEntryState({ regions: settings.regions, log, getNowMs, countUndecodable: metrics.countUndecodable, onChange: handleChange })
-  const pool = cleanup.add(createTargetPool({ connectTimeoutMs, onMismatchedResponse: metrics.countMismatchedResponse, onConnectionEvent: metrics.countConnectionEvent }))
+  const pool = cleanup.add(createTargetPool({ connectTimeoutMs, onMismatchedResponse: metrics.countMismatchedResponse, onConnectionEvent: handleConnectionEvent }))
   const targetReports = createTargetReports({ state, metrics, log, getNowMs })
+  const relayPeers = createRelayPeers({ region: settings.region, view, isEnabled: true, getNowMs, getRandom })
+  const peerPool = cleanup.add(createTargetPool({ connectTimeoutMs: peerConnectTimeoutMs }))
+  const reach = cleanup.add(createReachMonitor({ state, getPool: () => pool, isReachedByPeers: relayPeers.isReached, listPending: () => dispatcher.listPending(), onChange: handleReachChange, log, getNowMs }))
   const crashGuard = createCrashGuard({ metrics, log, getNowMs })
   const dispatcher = createDispatcher({
     crashGuard,
+    reach,
+    relayPeers,
+    maxRelayed,
     settings,
     state,
     pool,
+    peerPool,
     log,
     metrics,
     getNowMs,
     getRandom,
     handleTargetResponse: targetReports.handleResponse,
-    listInstances: () => [settings.instance, ...view.listLive(getNowMs()).map(peer => peer.heartbeat.instance)],
+    handleRelayedResponse: targetReports.handleRelayedResponse,
+    listInstances: () => [settings.instance, ...listPeers().map(peer => peer.instance)],
     listContenders: targetId => view.listKnown().map(({ heartbeat: { instance } }) => ({ instance, mayClaim: targetReports.mayClaim(instance, targetId) })),
     getMaxLiveInstances: view.getMaxLiveInstances,
     getRegionShare: service => regionShares.getShare(service)
   })
-  const regionShares = createRegionShares({
-    settings,
-    state,
-    countRequests: dispatcher.countRequests,
-    listPeers: () => view.listLive(getNowMs()).map(peer => peer.heartbeat)
-  })
+  const regionShares = createRegionShares({ settings, state, countRequests: dispatcher.countRequests, listPeers })
 
   function handleChange (): void {
     applyCallerLimits(callers, state.getConfig()?.limits)
     dispatcher.dispatchWaiting()
   }
 
+  function handleReachChange (): void {
+    link.sendNow()
+    dispatcher.retryUnreachable()
+    dispatcher.dispatchWaiting()
+  }
+
+  function handleConnectionEvent (event: ConnectionEvent, targetId: string): void {
+    metrics.countConnectionEvent(event)
+    reach.handleConnectionEvent(event, targetId)
+  }
+
   const isReady = (): boolean => phase === StopPhase.Running && state.getConfig() !== undefined
 
   function getHeartbeat (): PeerHeartbeat {
@@ -132,13 +140,16 @@
       versions: Object.fromEntries(Object.values(ReplicatedTable).map(table => [table, state.getTable(table).getVersion()])),
       demand: regionShares.getDemand(),
       targetReports: targetReports.listRecent(),
-      crashReports: crashGuard.listRecent()
+      crashReports: crashGuard.listRecent(),
+      unreached: reach.listUnreached()
     }
   }
 
   const serviceSelector = createWeightedRoundRobin(getRandom)
-  const callers = createCallerListener({ state, dispatcher, log, metrics, getNowMs, chooseService: serviceSelector.choose, getStopPhase: () => phase })
+  const requestHandler = createRequestHandler({ state, dispatcher, log, metrics, getNowMs, chooseService: serviceSelector.choose, getStopPhase: () => phase })
+  const callers = createCallerListener({ requestHandler, metrics })
   const countOpen = countOpenResponses(callers)
+  const describeLoad = (): Record<string, number> => ({ open: countOpen() + link.countOpen(), inFlight: dispatcher.countInFlight(), waiting: dispatcher.countWaiting() })
   const hasHomeRegions = (): boolean => state.getConfig()?.routes.some(route => route.homeRegions.length > 0) ?? false
   const lookUps = createLookUpListener({ settings, view, getHeartbeat, getNowMs, hasHomeRegions })
   const readiness = createReadinessListener(isReady)
@@ -149,7 +160,7 @@
   const { bounds } = settings
   const targetPauseMs = Math.round(bounds.drainMs * targetPauseShare)
   const heartbeatTimes = { intervalMs: heartbeatIntervalMs, remoteIntervals: remoteHeartbeatIntervals, storeDelayMs: targetPauseMs * catchUpPauses }
-  const link = cleanup.add(await startPeerLink({ ...heartbeatTimes, getHeartbeat, getIntroduction: () => ({ ...getHeartbeat(), crashReports: crashGuard.listWorst() }), view, state, seeds: settings.seeds, countBytes: metrics.countPeerBytes, handleTargetReports: targetReports.handlePeerReports, handleCrashReports: crashGuard.mergeReports, log, getNowMs, getRandom }))
+  const link = cleanup.add(await startPeerLink({ ...heartbeatTimes, getHeartbeat, getIntroduction: () => ({ ...getHeartbeat(), crashReports: crashGuard.listWorst() }), view, state, seeds: settings.seeds, countBytes: metrics.countPeerBytes, handleTargetReports: targetReports.handlePeerReports, handleCrashReports: crashGuard.mergeReports, handleRelayed: requestHandler.handleRequest, log, getNowMs, getRandom }))
   const store = cleanup.add(createStoreClient(settings.store))
   for (const replication of startReplications({ store, state, bounds, targetPauseMs, log, getNowMs, getRandom })) cleanup.add(replication)
   const discovery = createPeerDiscovery({ store, view, log })
@@ -166,7 +177,9 @@
       state.targets.observeTime(nowMs)
       regionShares.advance(nowMs)
       pool.closeExpired(nowMs)
+      peerPool.closeExpired(nowMs)
       state.removeExpired(nowMs)
+      reach.advance()
       dispatcher.retryUnreachable()
       crashGuard.removeExpired()
       if (crashGuard.takeNews()) link.sendNow()
@@ -177,19 +190,11 @@
 
   return {
     async stop () {
-      const stopRequestedAtMs = getNowMs()
+      log.info('stopping', describeLoad())
       phase = StopPhase.Leaving
-      log.info('stopping', { open: countOpen(), inFlight: dispatcher.countInFlight(), waiting: dispatcher.countWaiting() })
       link.announce()
-      await wait(bounds.graceMs * acceptShare)
-      phase = StopPhase.Closing
-      callers.close()
-      const drainDeadlineMs = stopRequestedAtMs + bounds.graceMs * drainShare
-      while (getNowMs() < drainDeadlineMs && countOpen() > 0) {
-        callers.closeIdleConnections()
-        await wait(drainPollIntervalMs)
-      }
-      log.info('stopped', { open: countOpen(), inFlight: dispatcher.countInFlight(), waiting: dispatcher.countWaiting() })
+      await drainRequests({ graceMs: bounds.graceMs, callers, countOpen: () => countOpen() + link.countOpen(), getNowMs, onClosing: () => { phase = StopPhase.Closing } })
+      log.info('stopped', describeLoad())
       await cleanup[Symbol.asyncDispose]()
     },
     reload (next) {
@@ -199,6 +204,32 @@
   }
 }
 
+/** The parts of an instance that its gauges describe. */
+interface GaugeSources {
+  state: EntryState
+  dispatcher: Dispatcher
+  pool: TargetPool
+  view: PeerView
+  reach: ReachMonitor
+  log: EntryLog
+}
+
+/** Creates the functions that read the gauges; `getSources` is called at each reading only, since the parts are created after the metrics. */
+function createGaugeReaders (getSources: () => GaugeSources, getNowMs: () => number): Record<EntryGauge, () => number> {
+  return {
+    [EntryGauge.ConfigVersion]: () => getSources().state.getConfig()?.version ?? 0,
+    [EntryGauge.Targets]: () => getSources().state.targets.count(),
+    [EntryGauge.FailingTargets]: () => getSources().state.targets.countFailing(getNowMs()),
+    [EntryGauge.UnreachedGroups]: () => getSources().reach.countLost(),
+    [EntryGauge.Waiting]: () => getSources().dispatcher.countWaiting(),
+    [EntryGauge.InFlight]: () => getSources().dispatcher.countInFlight(),
+    [EntryGauge.TargetConnections]: () => getSources().pool.count(),
+    [EntryGauge.Peers]: () => getSources().view.listLive(getNowMs()).length,
+    [EntryGauge.StoreAge]: () => (getNowMs() - getSources().state.getLastContactMs()) / 1_000,
+    [EntryGauge.DroppedLines]: () => getSources().log.countDropped()
+  }
+}
+
 /** Returns the part of this instance's heartbeats that does not change. */
 function describeInstance (settings: EntrySettings): Pick<PeerHeartbeat, 'instance' | 'failureDomain' | 'region' | 'callers' | 'heartbeats' | 'peers'> {
   const { instance, failureDomain, region, listen, heartbeatPort } = settings
--- a/packages/bilberryd/src/edge/send_attempt.ts
+++ b/packages/bilberryd/src/edge/send_attempt.ts
@@ -6,7 +6,8 @@
 import type { RegisteredTarget } from '@bilberryworks/steering'
 import type { ResponseHead, TargetPool } from '@bilberryworks/targets'
 import type { ResponseFields } from '@bilberryworks/users-platform'
-import type { ResponseWriter } from './response_writer.ts'
+import type { CreateResponseWriterOptions, ResponseWriter } from './response_writer.ts'
+import type { CreateBodySenderOptions } from './send_body.ts'
 import type { Attempt } from './attempt.ts'
 import { recordResponseTime, RouteKind } from '@bilberryworks/steering'
 import { ExchangeFailure } from '@bilberryworks/targets'
@@ -15,6 +16,7 @@
 import { AttemptPhase } from './attempt.ts'
 import { buildRequestHead } from './request_head.ts'
 import { createBodySender } from './send_body.ts'
+import { formatRelayResult, relayHeader } from './relay_message.ts'
 
 /** Result of an exchange with a target. */
 export enum ExchangeResult {
@@ -46,6 +48,8 @@
   onSendStart: () => void
   /** Called with the fields that describe the target when the response head has been received. */
   onResponseHead: (fields: ResponseFields) => void
+  /** Called for each part of the response body. */
+  onResponsePart: () => void
   /** Called once when the exchange has ended, with a description of the failure, which is empty if there was none. */
   onEnd: (result: ExchangeResult, detail: string) => void
   /** Called when the request body exceeds `maxBodyBytes`; the exchange continues until it is cancelled. */
@@ -122,9 +126,10 @@
         startWithholding(ExchangeResult.NotRun)
         attempt.mayHaveRun = mayHaveRunBefore
       } else if (isWithheld(attempt, head, fields.isSigned)) startWithholding(ExchangeResult.Failed)
-      else writer = createResponseWriter(attempt.response, head, createWriterOptions(attempt))
+      else writer = createResponseWriter(attempt.response, head, { ...createWriterOptions(attempt), addedFields: listRelayFields(attempt, target.id) })
     },
     onBody (part) {
+      options.onResponsePart()
       writer?.write(part)
       if (withheldResult === undefined) return
       withheldBytes += part.length
@@ -151,7 +156,18 @@
   return head.status >= 500 && attempt.route.kind === RouteKind.Safe && attempt.targetsReached < attempt.route.maxAttempts
 }
 
-function createWriterOptions (attempt: Attempt): { onCommit: () => void, setPaused: (paused: boolean) => void } {
+/** Lists the fields that tell the instance which relays the request of the target. */
+function listRelayFields ({ relay, targetsReached }: Attempt, targetId: string): string[] {
+  return relay === undefined ? [] : [relayHeader, formatRelayResult({ targetId, targetsReached: targetsReached - relay.targetsReached })]
+}
+
+/**
+ * Creates the options of the writer of an attempt's response.
+ *
+ * @param attempt The attempt
+ * @returns The options
+ */
+export function createWriterOptions (attempt: Attempt): CreateResponseWriterOptions {
   return {
     onCommit () {
       attempt.phase = AttemptPhase.Responding
@@ -160,7 +176,14 @@
   }
 }
 
-function createBodyOptions (attempt: Attempt, options: SendAttemptOptions): { onConsumed: () => void, onTooLarge: () => void, maxBytes: number } {
+/**
+ * Creates the options of the sender of an attempt's body.
+ *
+ * @param attempt The attempt
+ * @param options Limit of the body, in bytes, and what to do with a longer one
+ * @returns The options
+ */
+export function createBodyOptions (attempt: Attempt, options: Pick<SendAttemptOptions, 'maxBodyBytes' | 'onBodyTooLarge'>): CreateBodySenderOptions {
   return {
     maxBytes: options.maxBodyBytes,
     onConsumed () {
--- a/packages/bilberryd/src/edge/target_reports.ts
+++ b/packages/bilberryd/src/edge/target_reports.ts
@@ -4,11 +4,13 @@
  * @module
  */
 import type { RateNotice, RecentTargetReports, RegisteredTarget } from '@bilberryworks/steering'
+import type { ResponseHead } from '@bilberryworks/targets'
 import type { ResponseFields } from '@bilberryworks/users-platform'
 import type { EntryLog } from './entry_log.ts'
 import type { EntryMetrics } from './entry_metrics.ts'
 import type { EntryState } from './entry_state.ts'
 import { claimProofMs, createTargetNotices, isRateClaimed, mergePeerRate, recordNamedRate, recordTargetLoad, recordTargetPause, recordUnnamedResponse } from '@bilberryworks/steering'
+import { readResponseFields } from '@bilberryworks/users-platform'
 import { TargetReport } from './entry_metrics.ts'
 
 /** Options of {@linkcode createTargetReports}. */
@@ -33,6 +35,8 @@
 export interface TargetReports {
   /** Handles the fields of a response of a target; the answered request must still count as in flight. */
   handleResponse (entry: RegisteredTarget, fields: ResponseFields, exchange: TargetExchange): void
+  /** Handles the fields of a response of a target to another instance, which relayed a request of this one. */
+  handleRelayedResponse (targetId: string, head: ResponseHead, exchange: TargetExchange): void
   /** Handles the reports of a heartbeat of a peer; `undefined` if it has none. */
   handlePeerReports (peer: string, reports: RecentTargetReports | undefined): void
   /** Lists the recent reports to this instance, and its claims on the rates of targets, of which its peers are to be told. */
@@ -111,26 +115,32 @@
     return entry?.target.startedAtMs === startedAtMs ? entry : undefined
   }
 
+  function handleResponse (entry: RegisteredTarget, fields: ResponseFields, exchange: TargetExchange): void {
+    if (!fields.isFromTarget) return
+    const nowMs = getNowMs()
+    if (fields.load !== undefined) recordTargetLoad(entry, fields.load, nowMs)
+    if (fields.isLeaving && targets.find(entry.target.id) === entry) {
+      notices.recordLeaving(entry.target, nowMs)
+      markLeaving(entry)
+    }
+    if (fields.pauseMs !== undefined) {
+      recordTargetPause(entry, fields.pauseMs, nowMs)
+      metrics.countTargetReport(TargetReport.Pause)
+      log.info('target_pause', { target: entry.target.id, pauseMs: fields.pauseMs })
+    }
+    if (fields.unreadableRate !== undefined) {
+      metrics.countTargetReport(TargetReport.UnreadableRate)
+      log.warn('target_rate_unreadable', { target: entry.target.id, value: fields.unreadableRate.slice(0, maxLoggedValueLength) })
+      return
+    }
+    recordRate(entry, fields, exchange)
+  }
+
   return {
-    handleResponse (entry, fields, exchange) {
-      if (!fields.isFromTarget) return
-      const nowMs = getNowMs()
-      if (fields.load !== undefined) recordTargetLoad(entry, fields.load, nowMs)
-      if (fields.isLeaving && targets.find(entry.target.id) === entry) {
-        notices.recordLeaving(entry.target, nowMs)
-        markLeaving(entry)
-      }
-      if (fields.pauseMs !== undefined) {
-        recordTargetPause(entry, fields.pauseMs, nowMs)
-        metrics.countTargetReport(TargetReport.Pause)
-        log.info('target_pause', { target: entry.target.id, pauseMs: fields.pauseMs })
-      }
-      if (fields.unreadableRate !== undefined) {
-        metrics.countTargetReport(TargetReport.UnreadableRate)
-        log.warn('target_rate_unreadable', { target: entry.target.id, value: fields.unreadableRate.slice(0, maxLoggedValueLength) })
-        return
-      }
-      recordRate(entry, fields, exchange)
+    handleResponse,
+    handleRelayedResponse (targetId, { status, fields }, exchange) {
+      const entry = targets.find(targetId)
+      if (entry !== undefined) handleResponse(entry, readResponseFields(status, fields), exchange)
     },
     handlePeerReports (peer, reports) {
       peerClaims.set(peer, { claims: reports?.claims ?? [], heardAtMs: getNowMs() })
--- a/packages/bilberryd/src/edge/target_selector.ts
+++ b/packages/bilberryd/src/edge/target_selector.ts
@@ -5,7 +5,8 @@
  */
 import type { RateContender, RegisteredTarget, EntrySettings, RoutedRequest } from '@bilberryworks/steering'
 import type { EntryState } from './entry_state.ts'
-import { selectTarget, minColdIntervalMs, computeCapacity, computeRateReadyMs, findPauseEndMs, isColdSender, isServedInRegion, isTargetLeaving, isTargetUsable, listServingTargets, rankByRegion, rankTargets, recordRateRequest } from '@bilberryworks/steering'
+import type { ReachMonitor } from './reach_monitor.ts'
+import { formatReachGroup, selectTarget, minColdIntervalMs, computeCapacity, computeRateReadyMs, findPauseEndMs, isColdSender, isServedInRegion, isTargetLeaving, isTargetUsable, listServingTargets, rankByRegion, rankTargets, recordRateRequest } from '@bilberryworks/steering'
 
 /** Selects targets. */
 export interface TargetSelector {
@@ -15,6 +16,10 @@
   isSelectable (entry: RegisteredTarget): boolean
   /** Returns the monotonic time in milliseconds at which an available target to which the request was not dispatched before accepts requests again; `-Infinity` if one does already. */
   findAcceptTimeMs (request: RoutedRequest): number
+  /** Returns whether this instance is to send the request to a target itself: there is an available one to which it was not dispatched before and that this instance reaches. */
+  hasPath (request: RoutedRequest): boolean
+  /** Lists the keys of the groups of available targets, whether the request was dispatched to them before or not. */
+  listGroups (request: RoutedRequest): string[]
   /** Returns whether there is an available target to which the request was not dispatched before, regardless of free slots. */
   hasUntriedTarget (request: RoutedRequest): boolean
   /** Computes this instance's share of the slots of a service, and the mean time that a request holds a slot, in milliseconds. */
@@ -27,6 +32,8 @@
   settings: EntrySettings
   /** Replicated configuration and target registry. */
   state: EntryState
+  /** Network paths to targets. */
+  reach: Pick<ReachMonitor, 'isUsable'>
   /** Returns the names of the live instances, including this one. */
   listInstances: () => string[]
   /** Lists the other known instances, live or not, and whether each claims a part of the rate of a target. */
@@ -89,7 +96,7 @@
   }
 
   function isUsable (entry: RegisteredTarget, nowMs: number): boolean {
-    if (!isTargetUsable(entry, nowMs) || isAboveRate(entry, nowMs)) return false
+    if (!isTargetUsable(entry, nowMs) || !options.reach.isUsable(entry) || isAboveRate(entry, nowMs)) return false
     if (entry.coldUntilMs <= nowMs) return true
     const perSecond = state.getConfig()?.services.get(entry.target.service)?.coldRequestsPerSecond ?? 0
     const pace = { perSecond, mostInSecond: perSecond * bounds.coldOver + bounds.coldSlack }
@@ -107,6 +114,8 @@
     },
     isSelectable: entry => state.targets.find(entry.target.id) === entry && isAvailable(entry) && entry.pausedUntilMs <= getNowMs(),
     findAcceptTimeMs: request => findPauseEndMs(rankForRequest(request), { tried: request.tried, nowMs: getNowMs() }),
+    hasPath: request => rankForRequest(request).some(entry => !request.tried.has(entry.target.id) && options.reach.isUsable(entry)),
+    listGroups: request => [...new Set(rankForRequest(request).map(({ target }) => formatReachGroup(target)))],
     hasUntriedTarget: request => rankForRequest(request).some(entry => !request.tried.has(entry.target.id))
   }
 }
--- a/packages/steering/src/outcomes.ts
+++ b/packages/steering/src/outcomes.ts
@@ -51,6 +51,8 @@
   /** The request was forwarded more often than allowed. */
   ForwardLoop = 'forward_loop',
   PeerUnreachable = 'peer_unreachable',
+  /** The instance has no room for another request that a peer relays. */
+  RelayLimit = 'relay_limit',
   /** The exchange with the peer was interrupted, so it is unknown whether the request ran. */
   PeerLost = 'peer_lost',
   TargetUnreachable = 'target_unreachable',
--- /dev/null
+++ b/packages/steering/src/reach.ts
@@ -0,0 +1,316 @@
+/**
+ * Tells which targets an instance has a network path to, apart from the health of each target.
+ *
+ * Targets are grouped by service and failure domain. A group is lost when connections to three of its targets, or to all
+ * of them if they are fewer, have failed since one to any of them was established: targets that were not tried are then
+ * taken for out of reach, too. Each failed connection asks for checks of further targets of the group, each of which is a
+ * connection without a request, so that a target that is down by itself does not make its group lost. A group that becomes lost
+ * asks for checks of the groups that have sent nothing for a while, and silence of all targets asks for checks of all groups.
+ *
+ * Worst case of detection: from the first failed connection, the time limit of a check, and once more for groups without
+ * requests of their own. A lost group is reached again after two connections in a row; it is checked every 0.5 s
+ * at first, and every 2 s at last.
+ *
+ * @module
+ */
+import type { RegisteredTarget } from './target_registry.ts'
+import { isTargetLeaving } from './target_registry.ts'
+
+/** Change of the state of a group of targets. */
+export interface ReachChange {
+  /** Service of the group. */
+  service: string
+  /** Failure domain of the group. */
+  failureDomain: string
+  /** Whether the group is lost now. */
+  isLost: boolean
+  /** Targets of the group. */
+  entries: RegisteredTarget[]
+  /** Monotonic time of the first failed connection since one was established, in milliseconds. */
+  failingSinceMs: number
+}
+
+/** What is to be done after evidence was recorded. */
+export interface ReachPlan {
+  /** Targets to which a connection is to be opened now; the result is to be recorded for each. */
+  checks: RegisteredTarget[]
+  /** Groups that have become lost or are reached again. */
+  changes: ReachChange[]
+}
+
+/** Reach of an instance. */
+export interface Reach {
+  /** Records that a connection to a target was established; returns the identifiers of the targets of its group to which connections had failed, which are down by themselves. */
+  recordEstablished (entry: RegisteredTarget, nowMs: number): string[]
+  /** Records that a connection to a target could not be established. */
+  recordConnectFailure (entry: RegisteredTarget, nowMs: number): void
+  /** Records that a target has sent a part of a response. */
+  recordResponse (entry: RegisteredTarget, nowMs: number): void
+  /** Records that a connection broke while a target had a request. */
+  recordLoss (entry: RegisteredTarget, nowMs: number): void
+  /** Records that no target responds although several have requests. */
+  recordSilence (nowMs: number): void
+  /** Evaluates the evidence; to be called after failures, at the end of each check, and at short intervals while a group is lost. */
+  advance (entries: readonly RegisteredTarget[], nowMs: number): ReachPlan
+  /** Returns whether any group is lost. */
+  hasLost (): boolean
+  /** Lists the keys of the lost groups. */
+  listLost (): string[]
+  /** Returns whether no connection to a target can be established. */
+  isLost (entry: RegisteredTarget): boolean
+  /** Returns whether connections to the group of a target that were open before it was lost still carry responses. */
+  isOpenWorking (entry: RegisteredTarget): boolean
+  /** Returns whether a request that was sent to a target before its group was lost can't be expected to get a response. */
+  isStalled (entry: RegisteredTarget, nowMs: number): boolean
+}
+
+/** Number of targets of a group to which connections must fail before it is lost; all of them if they are fewer. */
+const decidingTargets = 3
+/** Number of failed connections before a group is lost, if it has fewer targets. */
+const minFailures = 2
+/** Number of connections in a row by which a lost group is reached again. */
+const decidingConnections = 2
+/** Time after which a failed connection is no longer evidence, in milliseconds: several times what a check takes. */
+const evidenceLifetimeMs = 5_000
+/** Minimum time between two checks of a group that is reached, in milliseconds. */
+const minCheckPauseMs = 500
+/** Maximum time between two checks of a lost group, in milliseconds. */
+const maxCheckPauseMs = 2_000
+/** Factor by which the time between checks of a lost group grows. */
+const checkPauseGrowth = 1.5
+/** Age of the last response or connection above which a group is checked when another one has become lost, in milliseconds. */
+const staleMs = 300
+/** Time after the first failed connection within which responses may still be in transit, in milliseconds: more than the latency between regions. */
+const inTransitMs = 150
+
+interface GroupState {
+  service: string
+  failureDomain: string
+  isLost: boolean
+  /** Targets whose connections have failed since one to the group was established. */
+  failed: Set<string>
+  failures: number
+  failingSinceMs: number
+  lastFailureAtMs: number
+  establishedAtMs: number
+  respondedAtMs: number
+  /** Time of the last loss of a connection under a request, or silence. */
+  brokenAtMs: number
+  silentAtMs: number
+  /** Targets that are being checked. */
+  checking: Set<string>
+  /** Whether checks are to be started as soon as possible. */
+  wantsChecks: boolean
+  checkedAtMs: number
+  checkPauseMs: number
+  /** Target to which the last connection was established while the group was lost. */
+  passedTarget: string | undefined
+  /** Number of connections that were established in a row while the group was lost. */
+  passes: number
+  /** Number of checks so far, which selects the next target. */
+  checkCount: number
+}
+
+/**
+ * Formats the key of the group that a target belongs to.
+ *
+ * @param target The target
+ * @returns Service and failure domain, separated by a slash
+ */
+export function formatReachGroup ({ service, failureDomain }: { service: string, failureDomain: string }): string {
+  return `${service}/${failureDomain}`
+}
+
+/**
+ * Creates the reach of an instance that has just started, which counts all groups as reached.
+ *
+ * @returns The reach
+ */
+export function createReach (): Reach {
+  const groups = new Map<string, GroupState>()
+  let isSilent = false
+  let lostCount = 0
+
+  function getGroup ({ target: { service, failureDomain } }: RegisteredTarget): GroupState {
+    const key = formatReachGroup({ service, failureDomain })
+    let group = groups.get(key)
+    if (group === undefined) {
+      group = createGroup(service, failureDomain)
+      groups.set(key, group)
+    }
+    return group
+  }
+
+  function markStaleGroups (lost: GroupState, nowMs: number): void {
+    for (const group of groups.values()) {
+      if (group === lost || group.isLost || Math.max(group.establishedAtMs, group.respondedAtMs) >= nowMs - staleMs) continue
+      group.wantsChecks = true
+    }
+  }
+
+  function advanceGroup (group: GroupState, entries: RegisteredTarget[], nowMs: number): ReachPlan {
+    const wasLost = group.isLost
+    if (!wasLost && group.failures >= minFailures && group.failed.size >= Math.min(decidingTargets, entries.length)) {
+      group.isLost = true
+      group.checkPauseMs = minCheckPauseMs
+      markStaleGroups(group, nowMs)
+    } else if (wasLost && group.passes >= decidingConnections) {
+      group.isLost = false
+      dropFailures(group)
+    } else if (!wasLost && group.failures > 0 && nowMs - group.lastFailureAtMs > evidenceLifetimeMs) {
+      dropFailures(group)
+    }
+    const checks = takeChecks(group, entries, nowMs)
+    if (group.isLost === wasLost) return { checks, changes: [] }
+    lostCount += group.isLost ? 1 : -1
+    const { service, failureDomain, isLost, failingSinceMs } = group
+    return { checks, changes: [{ service, failureDomain, isLost, entries, failingSinceMs }] }
+  }
+
+  function removeGroupsExcept (present: ReadonlyMap<GroupState, unknown>): void {
+    for (const [key, group] of groups) {
+      if (present.has(group)) continue
+      groups.delete(key)
+      if (group.isLost) lostCount--
+    }
+  }
+
+  return {
+    recordEstablished (entry, nowMs) {
+      const group = getGroup(entry)
+      group.establishedAtMs = nowMs
+      group.checking.delete(entry.target.id)
+      if (!group.isLost) {
+        const failed = [...group.failed]
+        dropFailures(group)
+        return failed
+      }
+      group.passedTarget = entry.target.id
+      group.passes++
+      group.wantsChecks = true
+      return []
+    },
+    recordConnectFailure (entry, nowMs) {
+      const group = getGroup(entry)
+      group.checking.delete(entry.target.id)
+      if (group.failures === 0) group.failingSinceMs = nowMs
+      group.failures++
+      group.failed.add(entry.target.id)
+      group.lastFailureAtMs = nowMs
+      if (!group.isLost) group.wantsChecks = true
+      else if (group.passedTarget === entry.target.id) dropPasses(group)
+    },
+    recordResponse (entry, nowMs) {
+      getGroup(entry).respondedAtMs = nowMs
+    },
+    recordLoss (entry, nowMs) {
+      const group = getGroup(entry)
+      group.brokenAtMs = nowMs
+      if (!group.isLost) group.wantsChecks = true
+    },
+    recordSilence (nowMs) {
+      isSilent = true
+      for (const group of groups.values()) {
+        group.brokenAtMs = nowMs
+        group.silentAtMs = nowMs
+      }
+    },
+    advance (entries, nowMs) {
+      const members = new Map<GroupState, RegisteredTarget[]>()
+      for (const entry of entries) {
+        if (isTargetLeaving(entry)) continue
+        const group = getGroup(entry)
+        const list = members.get(group)
+        if (list === undefined) members.set(group, [entry])
+        else list.push(entry)
+        if (isSilent && !group.isLost) group.wantsChecks = true
+      }
+      isSilent = false
+      removeGroupsExcept(members)
+      const plans = [...members].map(([group, list]) => advanceGroup(group, list, nowMs))
+      // A group that has become lost asks for checks of groups before it in the order, too.
+      const later = plans.some(plan => plan.changes.length > 0) ? [...members].flatMap(([group, list]) => takeChecks(group, list, nowMs)) : []
+      return { checks: [...plans.flatMap(plan => plan.checks), ...later], changes: plans.flatMap(plan => plan.changes) }
+    },
+    hasLost: () => lostCount > 0,
+    listLost: () => [...groups.values()].filter(group => group.isLost).map(formatReachGroup),
+    isLost: entry => lostCount > 0 && getGroup(entry).isLost,
+    isOpenWorking: entry => isOpenWorking(getGroup(entry)),
+    isStalled (entry, nowMs) {
+      const group = getGroup(entry)
+      return group.isLost && !isOpenWorking(group) && (group.silentAtMs > group.respondedAtMs || nowMs - group.failingSinceMs >= staleMs)
+    }
+  }
+}
+
+function createGroup (service: string, failureDomain: string): GroupState {
+  return {
+    service,
+    failureDomain,
+    isLost: false,
+    failed: new Set(),
+    failures: 0,
+    failingSinceMs: Infinity,
+    lastFailureAtMs: -Infinity,
+    establishedAtMs: -Infinity,
+    respondedAtMs: -Infinity,
+    brokenAtMs: -Infinity,
+    silentAtMs: -Infinity,
+    checking: new Set(),
+    wantsChecks: false,
+    checkedAtMs: -Infinity,
+    checkPauseMs: minCheckPauseMs,
+    passedTarget: undefined,
+    passes: 0,
+    checkCount: 0
+  }
+}
+
+function isOpenWorking ({ respondedAtMs, failingSinceMs, brokenAtMs }: GroupState): boolean {
+  return respondedAtMs > failingSinceMs + inTransitMs && respondedAtMs > brokenAtMs
+}
+
+function dropFailures (group: GroupState): void {
+  group.failed.clear()
+  group.failures = 0
+  group.failingSinceMs = Infinity
+  group.wantsChecks = false
+  dropPasses(group)
+}
+
+function dropPasses (group: GroupState): void {
+  group.passedTarget = undefined
+  group.passes = 0
+}
+
+/** Selects the targets of a group to be checked now, and marks them as being checked. */
+function takeChecks (group: GroupState, entries: RegisteredTarget[], nowMs: number): RegisteredTarget[] {
+  if (group.checking.size > 0 || !isCheckDue(group, nowMs)) return []
+  const checks = group.isLost ? selectRepeatedCheck(group, entries) : selectFirstChecks(group, entries)
+  group.checkCount += checks.length
+  group.wantsChecks = false
+  group.checkedAtMs = nowMs
+  if (group.isLost) group.checkPauseMs = Math.min(maxCheckPauseMs, group.checkPauseMs * checkPauseGrowth)
+  for (const { target } of checks) group.checking.add(target.id)
+  return checks
+}
+
+function isCheckDue (group: GroupState, nowMs: number): boolean {
+  const elapsedMs = nowMs - group.checkedAtMs
+  if (group.isLost) return group.passes > 0 || elapsedMs >= group.checkPauseMs
+  // A failed connection is checked on at once; other suspicions are not evidence, and may recur often.
+  return group.wantsChecks && (group.failures > 0 || elapsedMs >= minCheckPauseMs)
+}
+
+/** Selects as many targets as have to fail before the group is lost. */
+function selectFirstChecks ({ failed, checkCount }: GroupState, entries: RegisteredTarget[]): RegisteredTarget[] {
+  const untried = entries.filter(({ target }) => !failed.has(target.id))
+  const eligible = untried.length > 0 ? untried : entries
+  const missing = Math.max(1, Math.min(decidingTargets, entries.length) - failed.size)
+  return Array.from({ length: Math.min(missing, eligible.length) }, (_, index) => eligible[(checkCount + index) % eligible.length]!)
+}
+
+/** Selects the target to which a connection was just established, otherwise the next one. */
+function selectRepeatedCheck ({ passedTarget, checkCount }: GroupState, entries: RegisteredTarget[]): RegisteredTarget[] {
+  return [entries.find(({ target }) => target.id === passedTarget) ?? entries[checkCount % entries.length]!]
+}
--- a/packages/steering/src/target_registry.ts
+++ b/packages/steering/src/target_registry.ts
@@ -25,6 +25,8 @@
   reportedAtMs: number
   /** Circuit breaker of the target. */
   circuit: Circuit
+  /** Monotonic time of the last failed exchange or connection, in milliseconds. */
+  failedAtMs: number
   /** Monotonic time until which the target counts as cold, in milliseconds. */
   coldUntilMs: number
   /** Monotonic time of the last request sent while the target was cold, in milliseconds. */
@@ -138,6 +140,7 @@
       othersBusy: 0,
       reportedAtMs: -Infinity,
       circuit: closedCircuit,
+      failedAtMs: -Infinity,
       coldUntilMs: options.nowMs + target.coldLeftMs,
       lastColdRequestAtMs: -Infinity,
       lastRequestAtMs: -Infinity,
@@ -262,6 +265,7 @@
   entry.inFlight = Math.max(0, entry.inFlight - 1)
   const isAlive = signal === TargetSignal.Answered || signal === TargetSignal.Refused
   const wasOpen = getCircuitState(entry.circuit, nowMs) !== CircuitState.Closed
+  if (signal === TargetSignal.ConnectFailed || signal === TargetSignal.Lost) entry.failedAtMs = nowMs
   entry.circuit = advanceCircuit(entry.circuit, signal, { ...options, opensOnFirstFailure: signal === TargetSignal.ConnectFailed })
   // A target that was unreachable may have restarted at the same address, and is then cold.
   if (isAlive && wasOpen) entry.coldUntilMs = Math.max(entry.coldUntilMs, nowMs + options.coldForMs)
@@ -269,6 +273,20 @@
   else if (isAlive) entry.silentSinceMs = nowMs
 }
 
+/**
+ * Closes the circuits of targets that have failed only because this instance had no network path to them, and does not count
+ * the time without responses.
+ *
+ * @param entries The targets, which are modified
+ * @param options Monotonic times in milliseconds: when the path failed, and now
+ */
+export function closeCircuits (entries: Iterable<RegisteredTarget>, { sinceMs, nowMs }: { sinceMs: number, nowMs: number }): void {
+  for (const entry of entries) {
+    if (entry.failedAtMs >= sinceMs) entry.circuit = closedCircuit
+    if (entry.silentSinceMs < Infinity) entry.silentSinceMs = nowMs
+  }
+}
+
 /**
  * Records that a target wants no request from this instance for some time.
  *
--- a/packages/steering/src/waiting_requests.ts
+++ b/packages/steering/src/waiting_requests.ts
@@ -33,6 +33,8 @@
   takeExpired (nowMs: number): T[]
   /** Returns the number of requests. */
   count (): number
+  /** Returns the number of requests that match. */
+  countMatching (matches: (request: T) => boolean): number
 }
 
 /** Share of the time until its deadline that a request may wait; the rest is for processing it. */
@@ -78,6 +80,7 @@
     },
     takeMatching,
     takeExpired: nowMs => takeMatching(request => request.expiresAtMs <= nowMs),
-    count: () => waiting.length
+    count: () => waiting.length,
+    countMatching: matches => waiting.filter(matches).length
   }
 }
--- a/packages/targets/src/target_pool.ts
+++ b/packages/targets/src/target_pool.ts
@@ -42,6 +42,10 @@
 export interface TargetPool extends AsyncDisposable {
   /** Sends a request to a target, on an idle connection if there is one, otherwise on a new one. */
   send (target: PooledTarget, exchange: Exchange): RunningExchange
+  /** Opens a connection to a target and keeps it idle, without a request; returns whether it was established. */
+  openIdle (target: PooledTarget, options: { timeoutMs: number }): Promise<boolean>
+  /** Returns whether there is an idle connection to a target. */
+  hasIdle (targetId: string): boolean
   /** Closes the idle connections of a target. */
   closeIdle (targetId: string): void
   /** Closes the connections whose idle time limit has passed; `nowMs` is monotonic time. */
@@ -54,8 +58,8 @@
 export interface CreateTargetPoolOptions {
   /** Time limit for establishing a connection, in milliseconds. */
   connectTimeoutMs: number
-  /** Called for each event of a connection. */
-  onConnectionEvent?: (event: ConnectionEvent) => void
+  /** Called for each event of a connection to a target. */
+  onConnectionEvent?: (event: ConnectionEvent, targetId: string) => void
   /** Called for each response that belongs to a request other than the one in flight on its connection. */
   onMismatchedResponse?: (targetId: string) => void
 }
@@ -89,14 +93,14 @@
   function closeIdleConnection (targetId: string, connection: TargetConnection, event: ConnectionEvent): void {
     removeIdle(targetId, connection)
     connection.close()
-    reportEvent(event)
+    reportEvent(event, targetId)
   }
 
   function takeIdle (target: PooledTarget): TargetConnection | undefined {
     for (const connection of [...idle.get(target.id) ?? []].reverse()) {
       if (connection.isFree() && performance.now() - connection.idleSinceMs < computeIdleLimitMs(connection)) {
         removeIdle(target.id, connection)
-        reportEvent(ConnectionEvent.Reused)
+        reportEvent(ConnectionEvent.Reused, target.id)
         return connection
       }
       closeIdleConnection(target.id, connection, ConnectionEvent.Expired)
@@ -104,14 +108,18 @@
     return undefined
   }
 
-  function openConnection (target: PooledTarget): TargetConnection {
+  function openConnection (target: PooledTarget, { connectTimeoutMs, onConnect, onClose }: { connectTimeoutMs: number, onConnect?: () => void, onClose?: () => void }): TargetConnection {
     const connection = openTargetConnection(target.address, {
-      connectTimeoutMs: options.connectTimeoutMs,
-      onConnect: () => reportEvent(ConnectionEvent.Established),
+      connectTimeoutMs,
+      onConnect () {
+        reportEvent(ConnectionEvent.Established, target.id)
+        onConnect?.()
+      },
       onMismatchedResponse: () => options.onMismatchedResponse?.(target.id),
       onClose () {
         open.delete(connection)
-        if (removeIdle(target.id, connection)) reportEvent(ConnectionEvent.ClosedByTarget)
+        if (removeIdle(target.id, connection)) reportEvent(ConnectionEvent.ClosedByTarget, target.id)
+        onClose?.()
       }
     })
     open.add(connection)
@@ -130,7 +138,7 @@
 
   return {
     send (target, exchange) {
-      const connection = takeIdle(target) ?? openConnection(target)
+      const connection = takeIdle(target) ?? openConnection(target, options)
       connection.send({
         ...exchange,
         onEnd () {
@@ -140,12 +148,30 @@
           exchange.onEnd()
         },
         onFail (failure, detail) {
-          if (failure === ExchangeFailure.ConnectFailed) reportEvent(ConnectionEvent.ConnectFailed)
+          if (failure === ExchangeFailure.ConnectFailed) reportEvent(ConnectionEvent.ConnectFailed, target.id)
           exchange.onFail(failure, detail)
         }
       })
       return { cancel: () => connection.close(), setPaused: paused => connection.setPaused(paused) }
     },
+    openIdle (target, { timeoutMs }) {
+      return new Promise(resolve => {
+        let isEstablished = false
+        const connection = openConnection(target, {
+          connectTimeoutMs: timeoutMs,
+          onConnect () {
+            isEstablished = true
+            retainIdle(target, connection)
+            resolve(true)
+          },
+          onClose () {
+            if (!isEstablished) reportEvent(ConnectionEvent.ConnectFailed, target.id)
+            resolve(false)
+          }
+        })
+      })
+    },
+    hasIdle: targetId => idle.has(targetId),
     closeIdle (targetId) {
       for (const connection of [...idle.get(targetId) ?? []]) closeIdleConnection(targetId, connection, ConnectionEvent.Dropped)
     },
