Take no request for one that crashes targets while the network refuses connections

A connection that is reset under a request, and refused afterwards, counted as the end of the target's process under that request. During a cut with resets each request in flight thus became a suspect at all instances, and one that was repeated was quarantined for ten minutes, also where targets could be reached.

Change: before a refused connection counts as the end of a target, a connection to another target of its failure domain must be established (to any other, if it has none there).

--- a/packages/bilberryd/src/edge/crash_guard.ts
+++ b/packages/bilberryd/src/edge/crash_guard.ts
@@ -16,6 +16,8 @@
 export interface CreateCrashGuardOptions {
   /** Metrics. */
   metrics: EntryMetrics
+  /** Returns whether the network path to a target that refuses connections works. */
+  confirmPath: (entry: RegisteredTarget) => Promise<boolean>
   /** Structured log. */
   log: EntryLog
   /** Returns monotonic time, in milliseconds. */
@@ -53,9 +55,9 @@
  * @param options Metrics, log and clock
  * @returns The guard
  */
-export function createCrashGuard ({ metrics, log, getNowMs }: CreateCrashGuardOptions): CrashGuard {
+export function createCrashGuard ({ confirmPath, metrics, log, getNowMs }: CreateCrashGuardOptions): CrashGuard {
   const evidence = createCrashEvidence()
-  const detector = createTargetEndDetector({ onRequestLost: recordCrash, log, getNowMs })
+  const detector = createTargetEndDetector({ onRequestLost: recordCrash, confirmPath, log, getNowMs })
   /** Fingerprints of the quarantined requests that have been logged. */
   const reported = new Set<string>()
   let knownRevision = 0
--- a/packages/bilberryd/src/edge/reach_monitor.ts
+++ b/packages/bilberryd/src/edge/reach_monitor.ts
@@ -53,10 +53,14 @@
   countLost (): number
   /** Lists the groups without a path, for heartbeats. */
   listUnreached (): string[]
+  /** Opens a connection to another target, in the failure domain of one that refuses connections if there is one, and returns whether that shows that the path works. */
+  confirmPath (entry: RegisteredTarget): Promise<boolean>
 }
 
 /** Time limit of a check, in milliseconds: three times the round trip between regions. */
 const checkTimeoutMs = 350
+/** Number of other targets that are checked before a refused connection is ascribed to the path. */
+const maxPathChecks = 3
 /** Time by which a timer may be late before the process counts as paused, in milliseconds; responses may then wait to be read. */
 const maxTimerDelayMs = 150
 
@@ -148,6 +152,13 @@
       const groups = new Set(listTargets().map(({ target }) => formatReachGroup(target)))
       return lost.length === groups.size ? [allGroupsUnreached] : lost
     },
+    async confirmPath (entry) {
+      const others = listTargets().filter(other => other !== entry)
+      const nearby = others.filter(({ target }) => target.failureDomain === entry.target.failureDomain)
+      const compared = nearby.length > 0 ? nearby : others
+      for (const { target } of compared.slice(0, maxPathChecks)) if (await options.getPool().openIdle(target, { timeoutMs: checkTimeoutMs })) return true
+      return compared.length === 0
+    },
     async [Symbol.asyncDispose] () {
       clearTimeout(silenceTimer)
     }
--- a/packages/bilberryd/src/edge/run_entry.ts
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -90,7 +90,7 @@
   const relayPeers = createRelayPeers({ region: settings.region, view, isEnabled: true, getNowMs, getRandom })
   const peerPool = cleanup.add(createTargetPool({ connectTimeoutMs: peerConnectTimeoutMs }))
   const reach = cleanup.add(createReachMonitor({ state, getPool: () => pool, isReachedByPeers: relayPeers.isReached, listPending: () => dispatcher.listPending(), onChange: handleReachChange, log, getNowMs }))
-  const crashGuard = createCrashGuard({ metrics, log, getNowMs })
+  const crashGuard = createCrashGuard({ confirmPath: reach.confirmPath, metrics, log, getNowMs })
   const dispatcher = createDispatcher({
     crashGuard,
     reach,
--- a/packages/bilberryd/src/edge/target_end_detector.ts
+++ b/packages/bilberryd/src/edge/target_end_detector.ts
@@ -1,7 +1,8 @@
 /**
  * Detects that the process of a target has ended under the requests that were in flight there.
  *
- * A connection that closes before its response may be one lost response. The target has ended if it refuses connections afterwards.
+ * A connection that closes before its response may be one lost response. The target has ended if it refuses connections
+ * afterwards while others nearby accept them; otherwise the network of this instance may refuse them.
  *
  * @module
  */
@@ -15,6 +16,8 @@
 export interface CreateTargetEndDetectorOptions {
   /** Called for each request that was lost when a run of a target ended, with the fingerprint of the request. */
   onRequestLost: (fingerprint: string, target: RegisteredTarget['target']) => void
+  /** Returns whether the network path to a target that refuses connections works. */
+  confirmPath: (entry: RegisteredTarget) => Promise<boolean>
   /** Structured log. */
   log: EntryLog
   /** Returns monotonic time, in milliseconds. */
@@ -40,13 +43,13 @@
  * @param options Callback, log and clock
  * @returns The detector
  */
-export function createTargetEndDetector ({ onRequestLost, log, getNowMs }: CreateTargetEndDetectorOptions): TargetEndDetector {
+export function createTargetEndDetector ({ onRequestLost, confirmPath, log, getNowMs }: CreateTargetEndDetectorOptions): TargetEndDetector {
   const runs = new Map<RegisteredTarget, EndingRun>()
 
   async function checkRun (entry: RegisteredTarget, run: EndingRun): Promise<void> {
     const { target } = entry
     const state = await checkListening(target.address, { timeoutMs: checkTimeoutMs })
-    if (state !== ListeningState.Refused) {
+    if (state !== ListeningState.Refused || !await confirmPath(entry)) {
       runs.delete(entry)
       return
     }
--- a/packages/standins/src/unreachable_targets_test.ts
+++ b/packages/standins/src/unreachable_targets_test.ts
@@ -80,3 +80,24 @@
     t.deepEqual(findUntruth(tries, opened), [])
   })
 }
+
+test('a request that is repeated at an instance without a path to targets is not taken for one that crashes them', async t => {
+  await using site = await createTestSite()
+  await using path = await startPathRelay()
+  site.writeConfig()
+  for (let index = 0; index < targets; index++) await site.openTarget(`t${index}`, { ...targetOptions, failureDomain: failureDomains[index % failureDomains.length]! })
+  const entries = [await site.startEntry(0, [], path), await site.startEntry(1)]
+  for (const entry of entries) t.true(await waitUntil(async () => (await site.call(entry)).status === 200))
+  // Each reset ends the connections of requests in flight, and refused connections then look like the end of the targets.
+  for (let round = 0; round < 4; round++) {
+    const calls = Array.from({ length: 8 }, (_, index) => site.call(entries[0]!, { method: 'POST', path: '/unsafe/same', body: 'same', affinityKey: String(index % 2) }))
+    await wait(targetOptions.processingMs / 2)
+    await path.setState(PathState.Reset)
+    await Promise.all(calls)
+    await wait(400)
+    await path.setState(PathState.Open)
+    t.true(await waitUntil(async () => (await site.call(entries[0]!)).status === 200))
+    await wait(1_000)
+  }
+  for (const entry of entries) t.deepEqual(entry.readLog().filter(line => line['event'] === 'target_ended' || line['event'] === 'request_quarantined'), [])
+})
