Add a failing test of a target that asks for a pause while its registration has expired

Looking for the same fault elsewhere found one case on today's code: the registration of a target expires while it runs a request, it then refuses the request and asks for 3 s of rest, and registers again: 16 requests reach it between half a second and the end.

--- a/packages/standins/src/site_target.ts
+++ b/packages/standins/src/site_target.ts
@@ -33,6 +33,8 @@
   ResponseLost = 'answer_lost',
   /** The request is refused with status 503 and `X-Not-Executed`. */
   Shed = 'shed',
+  /** The request is refused as by `Shed`, after the processing time of a request. */
+  LateShed = 'late_shed',
   /** The request runs and ends with status 500. */
   Failed = 'failed',
   /** The request runs, and the connection is closed after the first 4 bytes of the response body. */
@@ -115,7 +117,8 @@
     }
     arrivalsMs.push(performance.now())
     const fault = faults.shift()
-    if (fault === TargetFault.Shed) {
+    if (fault === TargetFault.LateShed) await wait(processingMs, undefined, { ref: false })
+    if (fault === TargetFault.Shed || fault === TargetFault.LateShed) {
       response.writeHead(503, { 'X-Not-Executed': '1', 'X-Server-Load': `${slots},9,${slots}` }).end()
       return
     }
--- a/packages/standins/src/target_pause_test.ts
+++ b/packages/standins/src/target_pause_test.ts
@@ -51,3 +51,23 @@
     t.is((await site.call(entry, { affinityKey: '1' })).status, 200)
   })
 }
+
+test('sends nothing to a target that asked for a pause while its registration had expired, and has registered again', async t => {
+  await using site = await createTestSite()
+  site.writeConfig()
+  const target = await site.openTarget('t1', { processingMs: 600 })
+  const entry = await site.startEntry(0)
+  t.true(await waitUntil(async () => (await site.call(entry)).status === 200))
+  const countLines = (event: string): number => entry.readLog().filter(line => line['event'] === event).length
+  target.setResponseFields({ 'Retry-After': String(pauseSeconds) })
+  target.addFaults([TargetFault.LateShed])
+  const refused = site.call(entry)
+  t.true(await waitUntil(() => target.arrivalsMs.length === 2))
+  site.store.removeRow('servers', 't1')
+  t.true(await waitUntil(() => countLines('target_gone') === 1))
+  t.is((await refused).status, 503)
+  const pausedAtMs = performance.now()
+  target.register()
+  await sendCallsUntil(site, entry, pausedAtMs + pauseSeconds * 1_000 - inTransitMs)
+  t.deepEqual(target.arrivalsMs.filter(timeMs => timeMs > pausedAtMs + inTransitMs), [])
+})
