Keep the pause that a target asks for after its registration has expired

What targets saw: requests in a pause that they had asked for. Cause: a removed target was remembered only if it had restricted its requests before its removal; a request in flight that brought the restriction afterwards changed an entry that nobody would find again. Change: all removed targets are remembered, a thousand at most, as restricted ones were.

--- a/packages/steering/src/target_registry.ts
+++ b/packages/steering/src/target_registry.ts
@@ -98,7 +98,7 @@
 export function createTargetRegistry (): TargetRegistry {
   const byId = new Map<string, RegisteredTarget>()
   const byService = new Map<string, RegisteredTarget[]>()
-  /** Removed targets that restricted their requests, oldest first; the restrictions hold if the same run registers again. */
+  /** Removed targets, oldest first. Requests in flight may still bring restrictions, which hold if the same run registers again. */
   const removedEntries = new Map<string, RegisteredTarget>()
   let revision = 0
   let observedAtMs = -Infinity
@@ -107,7 +107,7 @@
     const entry = byId.get(id)
     if (entry === undefined) return
     byId.delete(id)
-    if (isRestricted(entry)) retainRemoved(entry)
+    retainRemoved(entry)
     const list = byService.get(entry.target.service)!.filter(other => other !== entry)
     if (list.length > 0) byService.set(entry.target.service, list)
     else byService.delete(entry.target.service)
@@ -200,10 +200,6 @@
   return a.startedAtMs === b.startedAtMs && a.service === b.service && a.address.host === b.address.host && a.address.port === b.address.port
 }
 
-function isRestricted (entry: RegisteredTarget): boolean {
-  return entry.reportsLeaving || entry.pausedUntilMs > -Infinity || entry.rate.perSecond !== undefined
-}
-
 /**
  * Returns whether a target is leaving, by its registration or by its own report.
  *
--- a/packages/steering/src/target_registry_test.ts
+++ b/packages/steering/src/target_registry_test.ts
@@ -136,3 +136,19 @@
   t.deepEqual(listServingTargets([silent!, unreachable!], minSilenceMs), [silent])
   t.deepEqual(listServingTargets([unreachable!], minSilenceMs), [])
 })
+
+test('a pause that a removed target asks for holds when the same run registers again', t => {
+  const registry = createTargetRegistry()
+  const before = registry.register(target, registration)
+  registry.remove('t')
+  recordTargetPause(before, 3_000, 0)
+  t.is(registry.register(target, registration).pausedUntilMs, 3_000)
+})
+
+test('a pause that a removed target asks for does not hold for a later run', t => {
+  const registry = createTargetRegistry()
+  const before = registry.register(target, registration)
+  registry.remove('t')
+  recordTargetPause(before, 3_000, 0)
+  t.is(registry.register({ ...target, startedAtMs: 2 }, registration).pausedUntilMs, -Infinity)
+})
