Decide on the path of an instance by a sample of targets

A zone without power, which all instances lose, had its circuits closed by those that noticed first, and requests whose four connections failed went through peers although other targets could be reached.

Change: silence, or the loss of one group, leads to checks of three targets in different failure domains; only if all of them fail are the silent groups lost. Silence is eight mean times between responses. Lost groups are tried only where no other target of the request can be reached and no instance reaches them; circuits are closed only where the others still reach the group 1.5 s later. A request whose connections failed goes through a peer only if every group of its targets is in doubt.

--- a/packages/bilberryd/src/edge/dispatcher.ts
+++ b/packages/bilberryd/src/edge/dispatcher.ts
@@ -110,7 +110,7 @@
   const getRetryAfterMs = (attempt: Attempt): number => retryPacers.get(attempt.service).record({ nowMs: getNowMs(), queued: waitingByService.get(attempt.service).count(), ...targetSelector.measureCapacity(attempt.service) })
   const relayOptions = { finisher, getRetryAfterMs, getBudget: retryBudgets.get, listGroups: targetSelector.listGroups, requeue: enqueueAttempt }
   const relayer = createRelayer({ ...options, ...relayOptions, maySend: attempt => crashGuard.findRefusal(attempt) === undefined })
-  const handleExchangeResult = createExchangeResultHandler({ finisher, log, metrics, getNowMs, getBudget: retryBudgets.get, getRetryAfterMs, isSuspect: crashGuard.isSuspect, requeue: enqueueAttempt, relay: sendThroughPeer })
+  const handleExchangeResult = createExchangeResultHandler({ finisher, log, metrics, getNowMs, getBudget: retryBudgets.get, getRetryAfterMs, isSuspect: crashGuard.isSuspect, requeue: enqueueAttempt, relay: attempt => isUnderDoubt(attempt) && sendThroughPeer(attempt) })
   const sendToTarget = createTargetSender({ ...options, targetSelector, exchanges, finisher, onResult: handleResult })
   const retryUnreachable = createUnreachableRetries({ exchanges, reach, getNowMs, getBudget: retryBudgets.get, handleExchangeResult })
   const findRelayRefusal = createRelayAdmission({ instance, maxRelayed: options.maxRelayed, exchanges, getRetryAfterMs, getWaiting: waitingByService.get, countWaitingRelayed: () => countWaiting(attempt => attempt.relay !== undefined) })
@@ -127,7 +127,7 @@
     if (refusal !== undefined) return finisher.refuse(attempt, refusal)
     const unavailable = findUnavailable(attempt)
     if (unavailable !== undefined) {
-      if (!hasConnectFailures(attempt) || !sendThroughPeer(attempt)) finisher.refuse(attempt, unavailable)
+      if (!isUnderDoubt(attempt) || !sendThroughPeer(attempt)) finisher.refuse(attempt, unavailable)
       return
     }
     if (isOutOfReach(attempt)) return sendThroughPeerOrRefuse(attempt)
@@ -140,6 +140,11 @@
     return targetSelector.hasUntriedTarget(attempt) ? undefined : createNotRunRefusal(RefusalReason.NoUsableTarget, `Service "${attempt.service}" has no available target that was not tried before`, noTargetRetryAfterMs)
   }
 
+  /** Returns whether no connection was established for an attempt, or for any other request that the same targets may serve. */
+  function isUnderDoubt (attempt: Attempt): boolean {
+    return attempt.tried.size > attempt.targetsReached && targetSelector.isPathDoubtful(attempt)
+  }
+
   function isOutOfReach (attempt: Attempt): boolean {
     return reach.hasLost() && !targetSelector.hasPath(attempt)
   }
@@ -230,11 +235,6 @@
   }
 }
 
-/** Returns whether no connection was established to a target of the attempt. */
-function hasConnectFailures ({ tried, targetsReached }: Attempt): boolean {
-  return tried.size > targetsReached
-}
-
 /** Creates a map that creates each item on first access. */
 function createLazyMap<T> (create: () => T): { get: (name: string) => T, list: () => string[] } {
   const items = new Map<string, T>()
--- a/packages/bilberryd/src/edge/exchange_results.ts
+++ b/packages/bilberryd/src/edge/exchange_results.ts
@@ -104,7 +104,6 @@
       options.requeue(attempt)
       return
     }
-    // Connections to several targets failed, so the path of this instance may have.
     if (bar === RetryDenial.Attempts && cause.reason === RetryReason.ConnectFailed && attempt.targetsReached < attempt.route.maxAttempts && options.relay(attempt)) return
     log.info('retry_barred', { ...retryFields, bar })
     if (attempt.mayHaveRun) finisher.refuse(attempt, createUnknownRefusal(RefusalReason.TargetLost, cause.detail))
--- a/packages/bilberryd/src/edge/reach_monitor.ts
+++ b/packages/bilberryd/src/edge/reach_monitor.ts
@@ -43,8 +43,12 @@
   advance (): void
   /** Returns whether any group is lost. */
   hasLost (): boolean
-  /** Returns whether this instance is to send requests to a target itself: it reaches the group of the target, by open connections at least, or no other instance does. */
-  isUsable (entry: RegisteredTarget): boolean
+  /** Returns whether this instance reaches the group of a target, by open connections at least. */
+  isReached (entry: RegisteredTarget): boolean
+  /** Returns whether another live instance reaches the group of a target. */
+  isReachedByPeers (entry: RegisteredTarget): boolean
+  /** Returns whether a connection to the group of a target has failed since one was established. */
+  isDoubtful (entry: RegisteredTarget): boolean
   /** Returns whether a request to a target has to wait for a connection that can't be established. */
   needsConnection (entry: RegisteredTarget): boolean
   /** Returns whether an exchange in progress with a target can't be expected to end. */
@@ -59,6 +63,8 @@
 
 /** Time limit of a check, in milliseconds: three times the round trip between regions. */
 const checkTimeoutMs = 350
+/** Time after which a lost group that other instances still reach is ascribed to the path of this instance, in milliseconds: the others have then had time to notice a loss of the targets, and to tell. */
+const ownLossMs = 1_500
 /** Number of other targets that are checked before a refused connection is ascribed to the path. */
 const maxPathChecks = 3
 /** Time by which a timer may be late before the process counts as paused, in milliseconds; responses may then wait to be read. */
@@ -74,6 +80,8 @@
   const { state, log, getNowMs } = options
   const reach = createReach()
   const silence = createResponseSilence(getNowMs())
+  /** Groups that are lost here and, as far as is known, not at other instances. */
+  const ownLosses = new Map<string, { entries: RegisteredTarget[], failingSinceMs: number, lostAtMs: number, areCircuitsClosed: boolean }>()
   let silenceTimer: NodeJS.Timeout | undefined
 
   function listTargets (): RegisteredTarget[] {
@@ -88,12 +96,32 @@
     if (changes.length > 0) setImmediate(options.onChange)
   }
 
-  /** Logs a change, and drops what was learnt of the targets while the path was down, if other instances reach them. */
+  function isReachedByPeers ({ target }: RegisteredTarget): boolean {
+    return options.isReachedByPeers(formatReachGroup(target))
+  }
+
   function applyChange ({ service, failureDomain, isLost, entries, failingSinceMs }: ReachChange): void {
     const nowMs = getNowMs()
-    const isReachedByPeers = options.isReachedByPeers(formatReachGroup({ service, failureDomain }))
-    log.info(isLost ? 'targets_unreached' : 'targets_reached', { service, failureDomain, targets: entries.length, failingForMs: Math.round(nowMs - failingSinceMs), isReachedByPeers })
-    if (isReachedByPeers) closeCircuits(entries, { sinceMs: failingSinceMs, nowMs })
+    log.info(isLost ? 'targets_unreached' : 'targets_reached', { service, failureDomain, targets: entries.length, failingForMs: Math.round(nowMs - failingSinceMs), isReachedByPeers: isReachedByPeers(entries[0]!) })
+    const key = formatReachGroup({ service, failureDomain })
+    if (isLost) ownLosses.set(key, { entries, failingSinceMs, lostAtMs: nowMs, areCircuitsClosed: false })
+    else {
+      confirmOwnLosses(nowMs)
+      const loss = ownLosses.get(key)
+      if (loss !== undefined) closeCircuits(entries, { sinceMs: loss.failingSinceMs, nowMs })
+      ownLosses.delete(key)
+    }
+  }
+
+  /** Drops the losses that other instances have as well, which are those of the targets, and what was learnt of targets during the others. */
+  function confirmOwnLosses (nowMs: number): void {
+    for (const [key, loss] of ownLosses) {
+      if (!options.isReachedByPeers(key)) ownLosses.delete(key)
+      else if (!loss.areCircuitsClosed && nowMs - loss.lostAtMs >= ownLossMs) {
+        loss.areCircuitsClosed = true
+        closeCircuits(loss.entries, { sinceMs: loss.failingSinceMs, nowMs })
+      }
+    }
   }
 
   function checkSilence (plannedAtMs: number): void {
@@ -101,9 +129,10 @@
     const nowMs = getNowMs()
     const pending = options.listPending()
     if (pending.length === 0) return
+    const limitMs = silence.getLimitMs()
     const isLate = nowMs - plannedAtMs > maxTimerDelayMs
     if (!isLate && silence.isSilent(pending, nowMs)) {
-      log.info('targets_silent', { pending: pending.length, limitMs: Math.round(silence.getLimitMs()) })
+      log.info('targets_silent', { pending: pending.length, limitMs: Math.round(limitMs) })
       reach.recordSilence(nowMs)
       advance()
     }
@@ -111,8 +140,8 @@
   }
 
   function startSilenceTimer (): void {
-    const limitMs = silence.getLimitMs()
-    silenceTimer = setTimeout(checkSilence, limitMs, getNowMs() + limitMs)
+    const waitMs = silence.computeWaitMs(getNowMs())
+    silenceTimer = setTimeout(checkSilence, waitMs, getNowMs() + waitMs)
   }
 
   return {
@@ -139,10 +168,14 @@
       advance()
     },
     advance () {
-      if (reach.hasLost()) advance()
+      if (!reach.hasLost()) return
+      confirmOwnLosses(getNowMs())
+      advance()
     },
     hasLost: reach.hasLost,
-    isUsable: entry => !reach.isLost(entry) || reach.isOpenWorking(entry) || !options.isReachedByPeers(formatReachGroup(entry.target)),
+    isReached: entry => !reach.isLost(entry) || reach.isOpenWorking(entry),
+    isReachedByPeers,
+    isDoubtful: reach.isDoubtful,
     needsConnection: entry => reach.isLost(entry) && !options.getPool().hasIdle(entry.target.id),
     isStalled: entry => reach.isStalled(entry, getNowMs()),
     countLost: () => reach.listLost().length,
--- a/packages/bilberryd/src/edge/target_selector.ts
+++ b/packages/bilberryd/src/edge/target_selector.ts
@@ -16,8 +16,10 @@
   isSelectable (entry: RegisteredTarget): boolean
   /** Returns the monotonic time in milliseconds at which an available target to which the request was not dispatched before accepts requests again; `-Infinity` if one does already. */
   findAcceptTimeMs (request: RoutedRequest): number
-  /** Returns whether this instance is to send the request to a target itself: there is an available one to which it was not dispatched before and that this instance reaches. */
+  /** Returns whether this instance is to send the request to a target itself: it reaches an available one to which the request was not dispatched before, or no instance reaches any. */
   hasPath (request: RoutedRequest): boolean
+  /** Returns whether connections to each group of available targets have failed since one was established. */
+  isPathDoubtful (request: RoutedRequest): boolean
   /** Lists the keys of the groups of available targets, whether the request was dispatched to them before or not. */
   listGroups (request: RoutedRequest): string[]
   /** Returns whether there is an available target to which the request was not dispatched before, regardless of free slots. */
@@ -33,7 +35,7 @@
   /** Replicated configuration and target registry. */
   state: EntryState
   /** Network paths to targets. */
-  reach: Pick<ReachMonitor, 'isUsable'>
+  reach: Pick<ReachMonitor, 'hasLost' | 'isReached' | 'isReachedByPeers' | 'isDoubtful'>
   /** Returns the names of the live instances, including this one. */
   listInstances: () => string[]
   /** Lists the other known instances, live or not, and whether each claims a part of the rate of a target. */
@@ -54,7 +56,7 @@
  * @returns The selector
  */
 export function createTargetSelector (options: CreateTargetSelectorOptions): TargetSelector {
-  const { settings, state, getNowMs } = options
+  const { settings, state, reach, getNowMs } = options
   const { bounds } = settings
   const rankings = new Map<string, RegisteredTarget[]>()
   let rankingsRevision = -1
@@ -96,17 +98,24 @@
   }
 
   function isUsable (entry: RegisteredTarget, nowMs: number): boolean {
-    if (!isTargetUsable(entry, nowMs) || !options.reach.isUsable(entry) || isAboveRate(entry, nowMs)) return false
+    if (!isTargetUsable(entry, nowMs) || isAboveRate(entry, nowMs)) return false
     if (entry.coldUntilMs <= nowMs) return true
     const perSecond = state.getConfig()?.services.get(entry.target.service)?.coldRequestsPerSecond ?? 0
     const pace = { perSecond, mostInSecond: perSecond * bounds.coldOver + bounds.coldSlack }
     return nowMs - entry.lastColdRequestAtMs >= minColdIntervalMs && isColdSender(settings.instance, options.listInstances(), { targetId: entry.target.id, pace })
   }
 
+  /** Returns whether this instance reaches an available target to which a request was not dispatched before. */
+  function hasReachedTarget (request: RoutedRequest): boolean {
+    return rankForRequest(request).some(entry => !request.tried.has(entry.target.id) && reach.isReached(entry))
+  }
+
   return {
     findTarget (request) {
       const nowMs = getNowMs()
-      return selectTarget(request, { ranked: rankForRequest(request), isUsable: entry => isUsable(entry, nowMs), region: settings.region, nowMs })
+      // If no instance reaches any of the targets, all of them are tried.
+      const mayTry = reach.hasLost() && hasReachedTarget(request) ? reach.isReached : () => true
+      return selectTarget(request, { ranked: rankForRequest(request), isUsable: entry => mayTry(entry) && isUsable(entry, nowMs), region: settings.region, nowMs })
     },
     measureCapacity (service) {
       const nowMs = getNowMs()
@@ -114,7 +123,8 @@
     },
     isSelectable: entry => state.targets.find(entry.target.id) === entry && isAvailable(entry) && entry.pausedUntilMs <= getNowMs(),
     findAcceptTimeMs: request => findPauseEndMs(rankForRequest(request), { tried: request.tried, nowMs: getNowMs() }),
-    hasPath: request => rankForRequest(request).some(entry => !request.tried.has(entry.target.id) && options.reach.isUsable(entry)),
+    hasPath: request => hasReachedTarget(request) || !rankForRequest(request).some(reach.isReachedByPeers),
+    isPathDoubtful: request => rankForRequest(request).every(reach.isDoubtful),
     listGroups: request => [...new Set(rankForRequest(request).map(({ target }) => formatReachGroup(target)))],
     hasUntriedTarget: request => rankForRequest(request).some(entry => !request.tried.has(entry.target.id))
   }
--- a/packages/steering/src/reach.ts
+++ b/packages/steering/src/reach.ts
@@ -4,12 +4,14 @@
  * Targets are grouped by service and failure domain. A group is lost when connections to three of its targets, or to all
  * of them if they are fewer, have failed since one to any of them was established: targets that were not tried are then
  * taken for out of reach, too. Each failed connection asks for checks of further targets of the group, each of which is a
- * connection without a request, so that a target that is down by itself does not make its group lost. A group that becomes lost
- * asks for checks of the groups that have sent nothing for a while, and silence of all targets asks for checks of all groups.
+ * connection without a request, so that a target that is down by itself does not make its group lost.
  *
- * Worst case of detection: from the first failed connection, the time limit of a check, and once more for groups without
- * requests of their own. A lost group is reached again after two connections in a row; it is checked every 0.5 s
- * at first, and every 2 s at last.
+ * When a group becomes lost, or no target responds any more, a sample of targets in other failure domains is checked. If all of
+ * them fail, the path of this instance is down, and the groups that have sent nothing since are lost without checks of their own.
+ *
+ * Worst case of detection: the time limit of a check after the first failed connection for its group, and that time once more
+ * for all others; after silence, the time limit of a check. A lost group is reached again after two connections in a row;
+ * it is checked every 0.5 s at first, and every 2 s at last.
  *
  * @module
  */
@@ -50,6 +52,8 @@
   recordLoss (entry: RegisteredTarget, nowMs: number): void
   /** Records that no target responds although several have requests. */
   recordSilence (nowMs: number): void
+  /** Returns whether a connection to the group of a target has failed since one was established. */
+  isDoubtful (entry: RegisteredTarget): boolean
   /** Evaluates the evidence; to be called after failures, at the end of each check, and at short intervals while a group is lost. */
   advance (entries: readonly RegisteredTarget[], nowMs: number): ReachPlan
   /** Returns whether any group is lost. */
@@ -78,15 +82,24 @@
 const maxCheckPauseMs = 2_000
 /** Factor by which the time between checks of a lost group grows. */
 const checkPauseGrowth = 1.5
-/** Age of the last response or connection above which a group is checked when another one has become lost, in milliseconds. */
+/** Number of targets in a sample. */
+const sampleSize = 3
+/** Minimum time between two samples, in milliseconds. */
+const minSamplePauseMs = 1_000
+/** Time for which a request for a sample holds while no group is silent, in milliseconds. */
+const sampleRequestMs = 1_500
+/** Age of the last response or connection above which a group counts as silent when another one has become lost, in milliseconds. */
 const staleMs = 300
 /** Time after the first failed connection within which responses may still be in transit, in milliseconds: more than the latency between regions. */
 const inTransitMs = 150
 
 interface GroupState {
+  key: string
   service: string
   failureDomain: string
   isLost: boolean
+  /** Whether a sample has shown that the path of this instance is down. */
+  isPathDown: boolean
   /** Targets whose connections have failed since one to the group was established. */
   failed: Set<string>
   failures: number
@@ -128,32 +141,37 @@
  */
 export function createReach (): Reach {
   const groups = new Map<string, GroupState>()
-  let isSilent = false
+  const groupsByEntry = new WeakMap<RegisteredTarget, GroupState>()
+  const sampler = createPathSampler()
   let lostCount = 0
 
-  function getGroup ({ target: { service, failureDomain } }: RegisteredTarget): GroupState {
+  function getGroup (entry: RegisteredTarget): GroupState {
+    const { service, failureDomain } = entry.target
+    const known = groupsByEntry.get(entry)
+    if (known?.failureDomain === failureDomain && groups.get(known.key) === known) return known
     const key = formatReachGroup({ service, failureDomain })
-    let group = groups.get(key)
-    if (group === undefined) {
-      group = createGroup(service, failureDomain)
-      groups.set(key, group)
-    }
+    const group = groups.get(key) ?? createGroup(key, { service, failureDomain })
+    groups.set(key, group)
+    groupsByEntry.set(entry, group)
     return group
   }
 
-  function markStaleGroups (lost: GroupState, nowMs: number): void {
+  /** Marks the groups that have been silent since the sample, all of which failed. */
+  function markPathDown (nowMs: number): void {
     for (const group of groups.values()) {
-      if (group === lost || group.isLost || Math.max(group.establishedAtMs, group.respondedAtMs) >= nowMs - staleMs) continue
-      group.wantsChecks = true
+      if (group.isLost || !isSilentSince(group, sampler.getStartMs())) continue
+      if (group.failures === 0) group.failingSinceMs = nowMs
+      group.isPathDown = true
     }
   }
 
   function advanceGroup (group: GroupState, entries: RegisteredTarget[], nowMs: number): ReachPlan {
     const wasLost = group.isLost
-    if (!wasLost && group.failures >= minFailures && group.failed.size >= Math.min(decidingTargets, entries.length)) {
+    if (!wasLost && (group.isPathDown || (group.failures >= minFailures && group.failed.size >= Math.min(decidingTargets, entries.length)))) {
+      if (!group.isPathDown) sampler.request(nowMs)
       group.isLost = true
+      group.isPathDown = false
       group.checkPauseMs = minCheckPauseMs
-      markStaleGroups(group, nowMs)
     } else if (wasLost && group.passes >= decidingConnections) {
       group.isLost = false
       dropFailures(group)
@@ -180,6 +198,8 @@
       const group = getGroup(entry)
       group.establishedAtMs = nowMs
       group.checking.delete(entry.target.id)
+      group.isPathDown = false
+      sampler.drop()
       if (!group.isLost) {
         const failed = [...group.failed]
         dropFailures(group)
@@ -199,6 +219,7 @@
       group.lastFailureAtMs = nowMs
       if (!group.isLost) group.wantsChecks = true
       else if (group.passedTarget === entry.target.id) dropPasses(group)
+      if (sampler.recordFailure(entry.target.id)) markPathDown(nowMs)
     },
     recordResponse (entry, nowMs) {
       getGroup(entry).respondedAtMs = nowMs
@@ -209,7 +230,7 @@
       if (!group.isLost) group.wantsChecks = true
     },
     recordSilence (nowMs) {
-      isSilent = true
+      sampler.request(nowMs)
       for (const group of groups.values()) {
         group.brokenAtMs = nowMs
         group.silentAtMs = nowMs
@@ -223,17 +244,14 @@
         const list = members.get(group)
         if (list === undefined) members.set(group, [entry])
         else list.push(entry)
-        if (isSilent && !group.isLost) group.wantsChecks = true
       }
-      isSilent = false
       removeGroupsExcept(members)
       const plans = [...members].map(([group, list]) => advanceGroup(group, list, nowMs))
-      // A group that has become lost asks for checks of groups before it in the order, too.
-      const later = plans.some(plan => plan.changes.length > 0) ? [...members].flatMap(([group, list]) => takeChecks(group, list, nowMs)) : []
-      return { checks: [...plans.flatMap(plan => plan.checks), ...later], changes: plans.flatMap(plan => plan.changes) }
+      return { checks: [...plans.flatMap(plan => plan.checks), ...sampler.take(members, nowMs)], changes: plans.flatMap(plan => plan.changes) }
     },
+    isDoubtful: entry => getGroup(entry).failures > 0 || getGroup(entry).isLost,
     hasLost: () => lostCount > 0,
-    listLost: () => [...groups.values()].filter(group => group.isLost).map(formatReachGroup),
+    listLost: () => [...groups.values()].filter(group => group.isLost).map(group => group.key),
     isLost: entry => lostCount > 0 && getGroup(entry).isLost,
     isOpenWorking: entry => isOpenWorking(getGroup(entry)),
     isStalled (entry, nowMs) {
@@ -243,11 +261,69 @@
   }
 }
 
-function createGroup (service: string, failureDomain: string): GroupState {
+/** Takes samples of targets in several failure domains, to tell whether the path of this instance is down. */
+interface PathSampler {
+  /** Requests a sample, which is taken as soon as there are silent groups. */
+  request (nowMs: number): void
+  /** Selects the targets of a sample that was requested, and marks them as being checked. */
+  take (members: ReadonlyMap<GroupState, RegisteredTarget[]>, nowMs: number): RegisteredTarget[]
+  /** Records a failed check; returns whether that was the last one of the sample. */
+  recordFailure (targetId: string): boolean
+  /** Drops the sample, since a connection was established. */
+  drop (): void
+  /** Returns the monotonic time at which the last sample was taken, in milliseconds. */
+  getStartMs (): number
+}
+
+function createPathSampler (): PathSampler {
+  /** Targets of the sample whose checks have not ended. */
+  const pending = new Set<string>()
+  let requestedAtMs = -Infinity
+  let startedAtMs = -Infinity
+  let count = 0
+
+  /** Selects targets of silent groups, no two of which are in the same failure domain. */
+  function selectTargets (members: ReadonlyMap<GroupState, RegisteredTarget[]>, nowMs: number): RegisteredTarget[] {
+    const silent = [...members].filter(([group]) => !group.isLost && group.checking.size === 0 && isSilentSince(group, nowMs - staleMs))
+    const selected = new Map<string, RegisteredTarget>()
+    for (let index = 0; index < silent.length && selected.size < sampleSize; index++) {
+      const [group, entries] = silent[(count + index) % silent.length]!
+      if (selected.has(group.failureDomain)) continue
+      const entry = entries[count % entries.length]!
+      selected.set(group.failureDomain, entry)
+      group.checking.add(entry.target.id)
+    }
+    return [...selected.values()]
+  }
+
+  return {
+    request (nowMs) {
+      requestedAtMs = nowMs
+    },
+    take (members, nowMs) {
+      if (nowMs - requestedAtMs > sampleRequestMs || nowMs - startedAtMs < minSamplePauseMs) return []
+      const checks = selectTargets(members, nowMs)
+      if (checks.length === 0) return checks
+      count++
+      startedAtMs = nowMs
+      requestedAtMs = -Infinity
+      pending.clear()
+      for (const { target } of checks) pending.add(target.id)
+      return checks
+    },
+    recordFailure: targetId => pending.delete(targetId) && pending.size === 0,
+    drop: () => pending.clear(),
+    getStartMs: () => startedAtMs
+  }
+}
+
+function createGroup (key: string, { service, failureDomain }: { service: string, failureDomain: string }): GroupState {
   return {
+    key,
     service,
     failureDomain,
     isLost: false,
+    isPathDown: false,
     failed: new Set(),
     failures: 0,
     failingSinceMs: Infinity,
@@ -266,6 +342,10 @@
   }
 }
 
+function isSilentSince ({ establishedAtMs, respondedAtMs }: GroupState, sinceMs: number): boolean {
+  return Math.max(establishedAtMs, respondedAtMs) < sinceMs
+}
+
 function isOpenWorking ({ respondedAtMs, failingSinceMs, brokenAtMs }: GroupState): boolean {
   return respondedAtMs > failingSinceMs + inTransitMs && respondedAtMs > brokenAtMs
 }
@@ -285,6 +365,7 @@
 
 /** Selects the targets of a group to be checked now, and marks them as being checked. */
 function takeChecks (group: GroupState, entries: RegisteredTarget[], nowMs: number): RegisteredTarget[] {
+  for (const id of group.checking) if (!entries.some(({ target }) => target.id === id)) group.checking.delete(id)
   if (group.checking.size > 0 || !isCheckDue(group, nowMs)) return []
   const checks = group.isLost ? selectRepeatedCheck(group, entries) : selectFirstChecks(group, entries)
   group.checkCount += checks.length
--- a/packages/steering/src/reach_test.ts
+++ b/packages/steering/src/reach_test.ts
@@ -48,6 +48,21 @@
   t.true(reach.isStalled(targets[0]!, 1_000))
 })
 
+test('a sample of three targets decides on all groups that are silent', t => {
+  const reach = createReach()
+  const targets = createTargets({ a: 3, b: 3, c: 3, d: 3, e: 3 })
+  reach.advance(targets, 0)
+  reach.recordSilence(1_000)
+  const { checks } = reach.advance(targets, 1_000)
+  t.is(checks.length, 3)
+  t.is(new Set(checks.map(({ target }) => target.failureDomain)).size, 3)
+  // A group that responds meanwhile is not silent.
+  reach.recordResponse(targets.at(-1)!, 1_100)
+  for (const entry of checks) reach.recordConnectFailure(entry, 1_200)
+  reach.advance(targets, 1_200)
+  t.deepEqual(reach.listLost(), ['s/a', 's/b', 's/c', 's/d'])
+})
+
 test('silence of targets that accept connections makes none of them lost', t => {
   const reach = createReach()
   const targets = createTargets({ a: 3, b: 3 })
--- a/packages/steering/src/response_silence.ts
+++ b/packages/steering/src/response_silence.ts
@@ -18,17 +18,21 @@
   recordResponse (nowMs: number): void
   /** Returns the time without any response that counts as silence, in milliseconds. */
   getLimitMs (): number
+  /** Returns the time until targets may be silent if none responds, in milliseconds. */
+  computeWaitMs (nowMs: number): number
   /** Returns whether all targets are silent; if so, it counts anew with twice the limit, until the next response, since a check of the paths follows. */
   isSilent (pending: Iterable<PendingExchange>, nowMs: number): boolean
 }
 
 /** Number of targets that must owe a response. */
 const minTargets = 2
-/** Mean times between responses without one after which targets count as silent; a response time that is spread exponentially exceeds that once in 400 times. */
-const silentGaps = 6
+/** Mean times between responses without one after which targets count as silent; a response time that is spread exponentially exceeds that once in 3,000 times. */
+const silentGaps = 8
 const minLimitMs = 300
 const maxLimitMs = 1_500
 const maxBackoff = 8
+/** Minimum time between two looks at requests that were sent a short time ago, in milliseconds. */
+const minWaitMs = 50
 /** Weight of the latest time between responses in their moving average. */
 const latestGapWeight = 0.1
 
@@ -54,6 +58,7 @@
       backoff = 1
     },
     getLimitMs,
+    computeWaitMs: nowMs => Math.max(minWaitMs, getLimitMs() - (nowMs - Math.max(lastResponseAtMs, reportedAtMs))),
     isSilent (pending, checkedAtMs) {
       const limitMs = getLimitMs()
       if (checkedAtMs - Math.max(lastResponseAtMs, reportedAtMs) < limitMs) return false
