--- a/packages/bilberryd/src/edge/crash_guard.ts
+++ b/packages/bilberryd/src/edge/crash_guard.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { CrashReport, Refusal, RegisteredTarget } from '@bilberryworks/steering'
+import type { checkListening } from '@bilberryworks/targets'
 import type { Attempt } from './attempt.ts'
 import type { EntryLog } from './entry_log.ts'
 import type { EntryMetrics } from './entry_metrics.ts'
@@ -18,6 +19,8 @@
   metrics: EntryMetrics
   /** Returns whether the network path to a target that refuses connections works. */
   confirmPath: (entry: RegisteredTarget) => Promise<boolean>
+  /** Connects to an address, to tell whether a process listens there. */
+  checkListening: typeof checkListening
   /** Structured log. */
   log: EntryLog
   /** Returns monotonic time, in milliseconds. */
@@ -55,9 +58,9 @@
  * @param options Metrics, log and clock
  * @returns The guard
  */
-export function createCrashGuard ({ confirmPath, metrics, log, getNowMs }: CreateCrashGuardOptions): CrashGuard {
+export function createCrashGuard ({ confirmPath, checkListening, metrics, log, getNowMs }: CreateCrashGuardOptions): CrashGuard {
   const evidence = createCrashEvidence()
-  const detector = createTargetEndDetector({ onRequestLost: recordCrash, confirmPath, log, getNowMs })
+  const detector = createTargetEndDetector({ onRequestLost: recordCrash, confirmPath, checkListening, log, getNowMs })
   /** Fingerprints of the quarantined requests that have been logged. */
   const reported = new Set<string>()
   let knownRevision = 0
--- /dev/null
+++ b/packages/bilberryd/src/edge/entry_components.ts
@@ -0,0 +1,194 @@
+/**
+ * The parts of an entry instance that decide: what it knows, where each request goes, and what it tells its peers.
+ *
+ * They reach targets and peers by the pools that are given, and tell time by the clock that is given, so that they also run in simulations.
+ *
+ * @module
+ */
+import type { EntrySettings } from '@bilberryworks/steering'
+import type { checkListening, ConnectionEvent, TargetPool } from '@bilberryworks/targets'
+import type { CrashGuard } from './crash_guard.ts'
+import type { Dispatcher } from './dispatcher.ts'
+import type { EntryLog } from './entry_log.ts'
+import type { EntryMetrics } from './entry_metrics.ts'
+import type { EntryState } from './entry_state.ts'
+import type { PeerHeartbeat, PeerView } from './peer_view.ts'
+import type { ReachMonitor } from './reach_monitor.ts'
+import type { RequestHandler } from './request_handler.ts'
+import type { TargetReports } from './target_reports.ts'
+import { createWeightedRoundRobin } from '@bilberryworks/steering'
+import { createCrashGuard } from './crash_guard.ts'
+import { createDispatcher } from './dispatcher.ts'
+import { createEntryState } from './entry_state.ts'
+import { createPeerView } from './peer_view.ts'
+import { createReachMonitor } from './reach_monitor.ts'
+import { createRegionShares } from './region_shares.ts'
+import { createRelayPeers } from './relay_peers.ts'
+import { ReplicatedTable } from './replicated_table.ts'
+import { createRequestHandler, StopPhase } from './request_handler.ts'
+import { createTargetReports } from './target_reports.ts'
+
+/** The deciding parts of an entry instance. */
+export interface EntryComponents extends AsyncDisposable {
+  /** Replicated configuration and target registry. */
+  state: EntryState
+  /** View of the other instances. */
+  view: PeerView
+  /** Network paths to targets. */
+  reach: ReachMonitor
+  /** What targets report about themselves. */
+  targetReports: TargetReports
+  /** Evidence on requests that crash targets. */
+  crashGuard: CrashGuard
+  /** Dispatches requests. */
+  dispatcher: Dispatcher
+  /** Handles requests of callers and relayed ones. */
+  requestHandler: RequestHandler
+  /** Connections to targets. */
+  pool: TargetPool
+  /** Lists the latest heartbeats of the other live instances. */
+  listPeers (): PeerHeartbeat[]
+  /** Returns whether the instance accepts new requests. */
+  isReady (): boolean
+  /** Returns the next heartbeat of this instance. */
+  getHeartbeat (): PeerHeartbeat
+  /** Runs what is to be done at short intervals. */
+  runMaintenance (nowMs: number): void
+}
+
+/** Options of {@linkcode createEntryComponents}. */
+export interface CreateEntryComponentsOptions {
+  /** Settings of the instance. */
+  settings: EntrySettings
+  /** Start time of the process, in Unix milliseconds. */
+  startedAtMs: number
+  /** Structured log. */
+  log: EntryLog
+  /** Metrics. */
+  metrics: EntryMetrics
+  /** Creates the connections to targets; the callback is to be called with each event of a connection. */
+  createPool: (onConnectionEvent: (event: ConnectionEvent, targetId: string) => void) => TargetPool
+  /** Connections to other instances. */
+  peerPool: TargetPool
+  /** Connects to an address, to tell whether a process listens there. */
+  checkListening: typeof checkListening
+  /** Returns the phase of the shutdown. */
+  getStopPhase: () => StopPhase
+  /** Called after each change that can affect target selection. */
+  onStateChange: () => void
+  /** Sends a heartbeat to all peers without waiting for the next one. */
+  sendNow: () => void
+  /** Returns monotonic time, in milliseconds. */
+  getNowMs: () => number
+  /** Returns a random number in [0, 1). */
+  getRandom: () => number
+}
+
+/** Time without a heartbeat after which a peer is not live, in milliseconds: three consecutive lost heartbeats within a region, two between regions, each loss being rare. */
+const peerTimeoutMs = 3_300
+const remotePeerTimeoutMs = 5_200
+/** Time after which a silent peer is evicted, in milliseconds; after a longer partition the instances find each other again through the store at the next start. */
+const peerEvictionMs = 120_000
+/** Maximum number of requests that other instances relay to this one, waiting or in flight; limits the memory that they take. */
+const maxRelayed = 256
+
+/**
+ * Creates the deciding parts of an instance that has just started.
+ *
+ * @param options Settings, connections, log and clock
+ * @returns The parts; dispose them to stop their timers
+ */
+export function createEntryComponents (options: CreateEntryComponentsOptions): EntryComponents {
+  const { settings, log, metrics, peerPool, getNowMs, getRandom } = options
+  let sequence = 0
+  const view = createPeerView({ instance: settings.instance, evictionMs: peerEvictionMs, getTimeoutMs: heartbeat => heartbeat.region === settings.region ? peerTimeoutMs : remotePeerTimeoutMs })
+  const listPeers = (): PeerHeartbeat[] => view.listLive(getNowMs()).map(peer => peer.heartbeat)
+  const state = createEntryState({ regions: settings.regions, log, getNowMs, countUndecodable: metrics.countUndecodable, onChange: handleChange })
+  const pool = options.createPool(handleConnectionEvent)
+  const targetReports = createTargetReports({ state, metrics, log, getNowMs })
+  const relayPeers = createRelayPeers({ region: settings.region, view, isEnabled: true, getNowMs, getRandom })
+  const reach = createReachMonitor({ state, getPool: () => pool, isReachedByPeers: relayPeers.isReached, listPending: () => dispatcher.listPending(), onChange: handleReachChange, log, getNowMs })
+  const crashGuard = createCrashGuard({ confirmPath: reach.confirmPath, checkListening: options.checkListening, metrics, log, getNowMs })
+  const dispatcher = createDispatcher({
+    crashGuard,
+    reach,
+    relayPeers,
+    maxRelayed,
+    settings,
+    state,
+    pool,
+    peerPool,
+    log,
+    metrics,
+    getNowMs,
+    getRandom,
+    handleTargetResponse: targetReports.handleResponse,
+    handleRelayedResponse: targetReports.handleRelayedResponse,
+    listInstances: () => [settings.instance, ...listPeers().map(peer => peer.instance)],
+    listContenders: targetId => view.listKnown().map(({ heartbeat: { instance } }) => ({ instance, mayClaim: targetReports.mayClaim(instance, targetId) })),
+    getMaxLiveInstances: view.getMaxLiveInstances,
+    getRegionShare: service => regionShares.getShare(service)
+  })
+  const regionShares = createRegionShares({ settings, state, countRequests: dispatcher.countRequests, listPeers })
+  const serviceSelector = createWeightedRoundRobin(getRandom)
+  const requestHandler = createRequestHandler({ state, dispatcher, log, metrics, getNowMs, chooseService: serviceSelector.choose, getStopPhase: options.getStopPhase })
+  const isReady = (): boolean => options.getStopPhase() === StopPhase.Running && state.getConfig() !== undefined
+
+  function handleChange (): void {
+    options.onStateChange()
+    dispatcher.dispatchWaiting()
+  }
+
+  function handleReachChange (): void {
+    options.sendNow()
+    dispatcher.retryUnreachable()
+    dispatcher.dispatchWaiting()
+  }
+
+  function handleConnectionEvent (event: ConnectionEvent, targetId: string): void {
+    metrics.countConnectionEvent(event)
+    reach.handleConnectionEvent(event, targetId)
+  }
+
+  return {
+    state,
+    view,
+    reach,
+    targetReports,
+    crashGuard,
+    dispatcher,
+    requestHandler,
+    pool,
+    listPeers,
+    isReady,
+    getHeartbeat: () => ({
+      ...describeInstance(settings),
+      startedAtMs: options.startedAtMs,
+      sequence: sequence++,
+      isReady: isReady(),
+      versions: Object.fromEntries(Object.values(ReplicatedTable).map(table => [table, state.getTable(table).getVersion()])),
+      demand: regionShares.getDemand(),
+      targetReports: targetReports.listRecent(),
+      crashReports: crashGuard.listRecent(),
+      unreached: reach.listUnreached()
+    }),
+    runMaintenance (nowMs) {
+      state.targets.observeTime(nowMs)
+      regionShares.advance(nowMs)
+      pool.closeExpired(nowMs)
+      peerPool.closeExpired(nowMs)
+      state.removeExpired(nowMs)
+      reach.advance()
+      dispatcher.retryUnreachable()
+      crashGuard.removeExpired()
+      if (crashGuard.takeNews()) options.sendNow()
+    },
+    [Symbol.asyncDispose]: () => reach[Symbol.asyncDispose]()
+  }
+}
+
+/** Returns the part of this instance's heartbeats that does not change. */
+function describeInstance (settings: EntrySettings): Pick<PeerHeartbeat, 'instance' | 'failureDomain' | 'region' | 'callers' | 'heartbeats' | 'peers'> {
+  const { instance, failureDomain, region, listen, heartbeatPort } = settings
+  return { instance, failureDomain, region, callers: `${listen.callers.host}:${listen.callers.port}`, heartbeats: { host: listen.peers.host, port: heartbeatPort }, peers: listen.peers }
+}
--- a/packages/bilberryd/src/edge/target_end_detector.ts
+++ b/packages/bilberryd/src/edge/target_end_detector.ts
@@ -7,9 +7,10 @@
  * @module
  */
 import type { RegisteredTarget } from '@bilberryworks/steering'
+import type { checkListening } from '@bilberryworks/targets'
 import type { Attempt } from './attempt.ts'
 import type { EntryLog } from './entry_log.ts'
-import { checkListening, ListeningState } from '@bilberryworks/targets'
+import { ListeningState } from '@bilberryworks/targets'
 import { getFingerprint } from './request_fingerprint.ts'
 
 /** Options of {@linkcode createTargetEndDetector}. */
@@ -18,6 +19,8 @@
   onRequestLost: (fingerprint: string, target: RegisteredTarget['target']) => void
   /** Returns whether the network path to a target that refuses connections works. */
   confirmPath: (entry: RegisteredTarget) => Promise<boolean>
+  /** Connects to an address, to tell whether a process listens there. */
+  checkListening: typeof checkListening
   /** Structured log. */
   log: EntryLog
   /** Returns monotonic time, in milliseconds. */
@@ -43,7 +46,7 @@
  * @param options Callback, log and clock
  * @returns The detector
  */
-export function createTargetEndDetector ({ onRequestLost, confirmPath, log, getNowMs }: CreateTargetEndDetectorOptions): TargetEndDetector {
+export function createTargetEndDetector ({ onRequestLost, confirmPath, checkListening, log, getNowMs }: CreateTargetEndDetectorOptions): TargetEndDetector {
   const runs = new Map<RegisteredTarget, EndingRun>()
 
   async function checkRun (entry: RegisteredTarget, run: EndingRun): Promise<void> {
--- a/packages/bilberryd/src/mod.ts
+++ b/packages/bilberryd/src/mod.ts
@@ -8,8 +8,13 @@
  * @module
  */
 export * from './client_blocks.ts'
+export * from './edge/entry_components.ts'
 export * from './edge/entry_log.ts'
+export * from './edge/entry_metrics.ts'
+export * from './edge/look_up_listener.ts'
 export * from './edge/peer_view.ts'
+export * from './edge/replicated_table.ts'
+export * from './edge/request_handler.ts'
 export * from './edge/run_entry.ts'
 export * from './edge/target_reports.ts'
 export * from './edge/target_selector.ts'
