Simulate fleets on a network that is partitioned in part, with the product's own parts

What it found, and what was mended here: a sample in one failure domain only, the dark one, made all groups lost for an instance whose others were healthy; three of five targets that restart in turn made their group lost. A sample covers two failure domains now and decides on groups that were silent before it; a group is lost when five of its targets fail, or all if fewer.

--- /dev/null
+++ b/packages/standins/src/emulator/fleet_store.ts
@@ -0,0 +1,56 @@
+/**
+ * The rows of the targets of a simulated fleet, and their delivery to the instances.
+ *
+ * @module
+ */
+import type { FleetTarget } from './fleet_target.ts'
+import type { FleetInstance, FleetRow, FleetWorld } from './fleet_world.ts'
+import { ReplicatedTable } from 'bilberryd'
+import { createTargetRow } from '../target_rows.ts'
+import { fleetHost, fleetService } from './fleet_world.ts'
+
+const deliveryMs = 60
+const slots = 3
+const firstPort = 1_000
+
+/**
+ * Writes the row of a target, as it does itself, and delivers the change to the instances.
+ *
+ * @param world The fleet
+ * @param target The target
+ * @param overrides Fields of the row that differ from those of a target that is ready
+ */
+export function writeTargetRow (world: FleetWorld, target: FleetTarget, overrides: Record<string, unknown> = {}): void {
+  const version = Math.max(1, ...[...world.rows.values()].map(row => row.version)) + 1
+  const address = `10.0.0.1:${firstPort + Number(target.id.slice(1))}`
+  const value = createTargetRow({ service: fleetService, address, failureDomain: target.failureDomain, slots }, { seq: version, born: target.getRun(), ...overrides })
+  const row: FleetRow = { key: target.id, text: JSON.stringify(value), version }
+  world.rows.set(target.id, row)
+  for (const instance of world.instances.values()) {
+    world.clock.schedule(deliveryMs * (0.5 + world.getRandom()), () => {
+      if (instance.isUp) instance.components.state.applyUpdate(ReplicatedTable.Targets, { asOf: version, isSnapshot: false, changes: [row] })
+    })
+  }
+}
+
+/**
+ * Delivers the configuration and all rows to an instance that has started.
+ *
+ * @param world The fleet
+ * @param instance The instance
+ */
+export function applySnapshot (world: FleetWorld, { components }: FleetInstance): void {
+  const changes = [...world.rows.values()]
+  components.state.applyUpdate(ReplicatedTable.Operator, { asOf: 1, isSnapshot: true, changes: [{ key: 'config', text: JSON.stringify(createConfig(world.plan.homeRegions)), version: 1 }] })
+  components.state.applyUpdate(ReplicatedTable.Targets, { asOf: Math.max(1, ...changes.map(row => row.version)), isSnapshot: true, changes })
+}
+
+function createConfig (homeRegions: string[]): object {
+  const createRoute = (kind: string): object => ({ host: fleetHost, prefix: `/${kind}/`, kind, timeout: '4000ms', latency_slo: '800ms', priority: 1, service: fleetService, max_attempts: 3, session_affinity: true, home_regions: homeRegions })
+  return {
+    version: 'r1',
+    routes: { safe: createRoute('safe'), unsafe: createRoute('unsafe') },
+    services: { [fleetService]: { health_path: '/health', max_conns: 330, cold_start: '0s', cold_per_s: 100 } },
+    limits: { max_header_bytes: 16_384, max_body_bytes: 1_048_576, header_timeout: '3000ms', idle_timeout: '15000ms' }
+  }
+}
--- a/packages/steering/src/reach.ts
+++ b/packages/steering/src/reach.ts
@@ -1,7 +1,7 @@
 /**
  * Tells which targets an instance has a network path to, apart from the health of each target.
  *
- * Targets are grouped by service and failure domain. A group is lost when connections to three of its targets, or to all
+ * Targets are grouped by service and failure domain. A group is lost when connections to five of its targets, or to all
  * of them if they are fewer, have failed since one to any of them was established: targets that were not tried are then
  * taken for out of reach, too. Each failed connection asks for checks of further targets of the group, each of which is a
  * connection without a request, so that a target that is down by itself does not make its group lost.
@@ -69,7 +69,7 @@
 }
 
 /** Number of targets of a group to which connections must fail before it is lost; all of them if they are fewer. */
-const decidingTargets = 3
+const decidingTargets = 5
 /** Number of failed connections before a group is lost, if it has fewer targets. */
 const minFailures = 2
 /** Number of connections in a row by which a lost group is reached again. */
@@ -84,6 +84,8 @@
 const checkPauseGrowth = 1.5
 /** Number of targets in a sample. */
 const sampleSize = 3
+/** Number of failure domains that a sample must cover, if there are that many. */
+const minSampledDomains = 2
 /** Minimum time between two samples, in milliseconds. */
 const minSamplePauseMs = 1_000
 /** Time for which a request for a sample holds while no group is silent, in milliseconds. */
@@ -156,9 +158,9 @@
     return group
   }
 
-  /** Marks the groups that have been silent since the sample, all of which failed. */
+  /** Marks the groups that have been silent since before the sample, all of which failed. */
   function markPathDown (nowMs: number): void {
-    for (const group of groups.values()) {
+    for (const group of sampler.listSilent()) {
       if (group.isLost || !isSilentSince(group, sampler.getStartMs())) continue
       if (group.failures === 0) group.failingSinceMs = nowMs
       group.isPathDown = true
@@ -273,6 +275,8 @@
   drop (): void
   /** Returns the monotonic time at which the last sample was taken, in milliseconds. */
   getStartMs (): number
+  /** Lists the groups that were silent then. */
+  listSilent (): GroupState[]
 }
 
 function createPathSampler (): PathSampler {
@@ -280,20 +284,19 @@
   const pending = new Set<string>()
   let requestedAtMs = -Infinity
   let startedAtMs = -Infinity
+  let silentGroups: GroupState[] = []
   let count = 0
 
-  /** Selects targets of silent groups, no two of which are in the same failure domain. */
-  function selectTargets (members: ReadonlyMap<GroupState, RegisteredTarget[]>, nowMs: number): RegisteredTarget[] {
-    const silent = [...members].filter(([group]) => !group.isLost && group.checking.size === 0 && isSilentSince(group, nowMs - staleMs))
-    const selected = new Map<string, RegisteredTarget>()
+  /** Selects targets of silent groups, no two of which are in the same failure domain; none if they are in one of several failure domains only. */
+  function selectTargets (members: ReadonlyMap<GroupState, RegisteredTarget[]>, silent: GroupState[]): Array<[GroupState, RegisteredTarget]> {
+    const selected = new Map<string, [GroupState, RegisteredTarget]>()
     for (let index = 0; index < silent.length && selected.size < sampleSize; index++) {
-      const [group, entries] = silent[(count + index) % silent.length]!
-      if (selected.has(group.failureDomain)) continue
-      const entry = entries[count % entries.length]!
-      selected.set(group.failureDomain, entry)
-      group.checking.add(entry.target.id)
+      const group = silent[(count + index) % silent.length]!
+      const entries = members.get(group)!
+      if (group.checking.size === 0 && !selected.has(group.failureDomain)) selected.set(group.failureDomain, [group, entries[count % entries.length]!])
     }
-    return [...selected.values()]
+    const failureDomains = new Set([...members.keys()].map(group => group.failureDomain)).size
+    return selected.size < Math.min(minSampledDomains, failureDomains) ? [] : [...selected.values()]
   }
 
   return {
@@ -302,18 +305,24 @@
     },
     take (members, nowMs) {
       if (nowMs - requestedAtMs > sampleRequestMs || nowMs - startedAtMs < minSamplePauseMs) return []
-      const checks = selectTargets(members, nowMs)
-      if (checks.length === 0) return checks
+      const silent = [...members.keys()].filter(group => !group.isLost && isSilentSince(group, nowMs - staleMs))
+      const selected = selectTargets(members, silent)
+      if (selected.length === 0) return []
+      silentGroups = silent
       count++
       startedAtMs = nowMs
       requestedAtMs = -Infinity
       pending.clear()
-      for (const { target } of checks) pending.add(target.id)
-      return checks
+      for (const [group, { target }] of selected) {
+        pending.add(target.id)
+        group.checking.add(target.id)
+      }
+      return selected.map(([, entry]) => entry)
     },
     recordFailure: targetId => pending.delete(targetId) && pending.size === 0,
     drop: () => pending.clear(),
-    getStartMs: () => startedAtMs
+    getStartMs: () => startedAtMs,
+    listSilent: () => silentGroups
   }
 }
 
--- a/packages/steering/src/reach_test.ts
+++ b/packages/steering/src/reach_test.ts
@@ -25,7 +25,7 @@
 
 for (const [title, down, lost] of [
   ['one target is down', ['a0'], []],
-  ['two of four targets are down', ['a0', 'a1'], []],
+  ['all targets but one of a failure domain are down', ['a0', 'a1', 'a2'], []],
   ['a failure domain is down', ['a0', 'a1', 'a2', 'a3'], ['s/a']],
   ['all targets are out of reach', ['a0', 'a1', 'a2', 'a3', 'b0', 'b1', 'c0'], ['s/a', 's/b', 's/c']]
 ] as const) {
