Measure callers at instances without a path, by seeds in several processes

npm run bench -- reach [--instances N] [--seeds N] [--jobs N] [--seed S]: rules broken, shares served, times, detection and false verdicts with and without relays, a plot by kind of cut, the cost of a relay on real sockets; a line for each seed that breaks a rule while it runs, exit status 1 if any did, and for one seed the shortest schedule that still breaks it with a trace.

--- a/packages/standins/src/bench_part.ts
+++ b/packages/standins/src/bench_part.ts
@@ -23,6 +23,22 @@
   markdown: string
   /** Plots that the Markdown embeds; none by default. */
   plots?: BenchPlot[]
+  /** Whether a measured rule was broken, so that the command fails; false by default. */
+  hasFailed?: boolean
+  /** Whether this is a trace for whoever ran the command, so that no page is written; false by default. */
+  isTrace?: boolean
+}
+
+/** Options of the command, which parts that simulate fleets take. */
+export interface BenchOptions {
+  /** Number of instances; each part has sizes of its own by default. */
+  instances?: number | undefined
+  /** Number of seeds; each part has numbers of its own by default. */
+  seeds?: number | undefined
+  /** Number of processes at a time; 4 by default. */
+  jobs?: number | undefined
+  /** The only seed to run, of which a trace is printed; none by default. */
+  seed?: number | undefined
 }
 
 /** A part of the benchmark. */
@@ -32,7 +48,7 @@
   /** Heading of the page. */
   title: string
   /** Runs the measurements and returns their results. */
-  run: () => BenchReport | Promise<BenchReport>
+  run: (options: BenchOptions) => BenchReport | Promise<BenchReport>
 }
 
 const summaryLineIndex = 2
