Set relays by checked flags of the command

They are flags, as the settings file has the format of the users' platform. Each is checked, and every finding is reported at once, where an unknown flag was ignored before.

--- a/packages/bilberryd/src/edge/entry_components.ts
+++ b/packages/bilberryd/src/edge/entry_components.ts
@@ -14,6 +14,7 @@
 import type { EntryState } from './entry_state.ts'
 import type { PeerHeartbeat, PeerView } from './peer_view.ts'
 import type { ReachMonitor } from './reach_monitor.ts'
+import type { RelaySettings } from './entry_options.ts'
 import type { RequestHandler } from './request_handler.ts'
 import type { TargetReports } from './target_reports.ts'
 import { createWeightedRoundRobin } from '@bilberryworks/steering'
@@ -72,6 +73,8 @@
   peerPool: TargetPool
   /** Connects to an address, to tell whether a process listens there. */
   checkListening: typeof checkListening
+  /** Whether and how much instances relay for each other. */
+  relays: RelaySettings
   /** Returns the phase of the shutdown. */
   getStopPhase: () => StopPhase
   /** Called after each change that can affect target selection. */
@@ -89,8 +92,6 @@
 const remotePeerTimeoutMs = 5_200
 /** Time after which a silent peer is evicted, in milliseconds; after a longer partition the instances find each other again through the store at the next start. */
 const peerEvictionMs = 120_000
-/** Maximum number of requests that other instances relay to this one, waiting or in flight; limits the memory that they take. */
-const maxRelayed = 256
 
 /**
  * Creates the deciding parts of an instance that has just started.
@@ -106,14 +107,14 @@
   const state = createEntryState({ regions: settings.regions, log, getNowMs, countUndecodable: metrics.countUndecodable, onChange: handleChange })
   const pool = options.createPool(handleConnectionEvent)
   const targetReports = createTargetReports({ state, metrics, log, getNowMs })
-  const relayPeers = createRelayPeers({ region: settings.region, view, isEnabled: true, getNowMs, getRandom })
+  const relayPeers = createRelayPeers({ region: settings.region, view, isEnabled: options.relays.isEnabled, getNowMs, getRandom })
   const reach = createReachMonitor({ state, getPool: () => pool, isReachedByPeers: relayPeers.isReached, listPending: () => dispatcher.listPending(), onChange: handleReachChange, log, getNowMs })
   const crashGuard = createCrashGuard({ confirmPath: reach.confirmPath, checkListening: options.checkListening, metrics, log, getNowMs })
   const dispatcher = createDispatcher({
     crashGuard,
     reach,
     relayPeers,
-    maxRelayed,
+    maxRelayed: options.relays.maxRelayed,
     settings,
     state,
     pool,
--- a/packages/bilberryd/src/edge/main.ts
+++ b/packages/bilberryd/src/edge/main.ts
@@ -6,17 +6,17 @@
  */
 import type { EntrySettings, SettingsFinding } from '@bilberryworks/steering'
 import type { Result } from 'neverthrow'
-import type { EntryLog } from './entry_log.ts'
+import type { EntryOptions } from './entry_options.ts'
 import { readFileSync, watchFile } from 'node:fs'
 import { decodeSettings, settingsPathVariable } from '@bilberryworks/users-platform'
 import { err } from 'neverthrow'
 import { createEntryLog } from './entry_log.ts'
+import { parseEntryOptions } from './entry_options.ts'
 import { runEntry } from './run_entry.ts'
 
 const exitFailure = 1
 /** Interval at which the settings file is checked for changes, in milliseconds, since it may change without a SIGHUP. */
 const settingsPollIntervalMs = 2_000
-const metricsPortFlag = '--metrics-port='
 
 function readSettings (path: string): Result<EntrySettings, SettingsFinding[]> {
   try {
@@ -26,13 +26,9 @@
   }
 }
 
-function readMetricsPort (): { metricsPort?: number } {
-  const flag = process.argv.find(argument => argument.startsWith(metricsPortFlag))
-  return flag === undefined ? {} : { metricsPort: Number(flag.slice(metricsPortFlag.length)) }
-}
-
-async function runUntilStopped (path: string, settings: EntrySettings, log: EntryLog): Promise<void> {
-  const entry = await runEntry(settings, log, readMetricsPort())
+async function runUntilStopped (path: string, { settings, options }: { settings: EntrySettings, options: EntryOptions }): Promise<void> {
+  const log = createEntryLog(settings.instance)
+  const entry = await runEntry(settings, log, options)
   const reload = (): void => {
     const next = readSettings(path)
     if (next.isErr()) log.warn('settings_kept', { findings: next.error })
@@ -52,9 +48,10 @@
 
 const path = process.env[settingsPathVariable] ?? ''
 const settings = readSettings(path)
-if (settings.isErr()) {
-  for (const finding of settings.error) console.error(`${finding.pointer || '/'}: ${finding.message}`)
+const options = parseEntryOptions(process.argv.slice(2))
+if (settings.isOk() && options.isOk()) await runUntilStopped(path, { settings: settings.value, options: options.value })
+else {
+  const findings = [settings, options].flatMap(result => result.isErr() ? result.error : [])
+  for (const finding of findings) console.error(`${finding.pointer || '/'}: ${finding.message}`)
   process.exitCode = exitFailure
-} else {
-  await runUntilStopped(path, settings.value, createEntryLog(settings.value.instance))
 }
--- a/packages/bilberryd/src/edge/run_entry.ts
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -9,6 +9,7 @@
 import type { StoreClient } from '@bilberryworks/users-platform'
 import type { EntryComponents } from './entry_components.ts'
 import type { EntryLog } from './entry_log.ts'
+import type { EntryOptions } from './entry_options.ts'
 import type { EntryMetrics } from './entry_metrics.ts'
 import type { EntryState } from './entry_state.ts'
 import { createServer } from 'node:http'
@@ -18,6 +19,7 @@
 import { createStoreClient, operatorTable, targetTable } from '@bilberryworks/users-platform'
 import { applyCallerLimits, createCallerListener } from './caller_listener.ts'
 import { createEntryComponents } from './entry_components.ts'
+import { defaultEntryOptions } from './entry_options.ts'
 import { createEntryMetrics, EntryGauge } from './entry_metrics.ts'
 import { createPeerDiscovery } from './peer_discovery.ts'
 import { createLookUpListener, createReadinessListener } from './look_up_listener.ts'
@@ -54,11 +56,11 @@
  *
  * @param settings Settings of the instance
  * @param log Log of the instance
- * @param options Port of the metrics listener, which is not opened by default
+ * @param options Options of the command line
  * @returns The running instance
  * @throws {Error} If an address can't be listened on
  */
-export async function runEntry (settings: EntrySettings, log: EntryLog, options: { metricsPort?: number } = {}): Promise<RunningEntry> {
+export async function runEntry (settings: EntrySettings, log: EntryLog, options: EntryOptions = defaultEntryOptions): Promise<RunningEntry> {
   const cleanup = createCleanupStack()
   const [getNowMs, getRandom] = [() => performance.now(), Math.random]
   let phase = StopPhase.Running
@@ -71,6 +73,7 @@
     createPool: onConnectionEvent => cleanup.add(createTargetPool({ connectTimeoutMs, onMismatchedResponse: metrics.countMismatchedResponse, onConnectionEvent })),
     peerPool: cleanup.add(createTargetPool({ connectTimeoutMs: peerConnectTimeoutMs })),
     checkListening,
+    relays: options.relays,
     getStopPhase: () => phase,
     onStateChange: () => applyCallerLimits(callers, state.getConfig()?.limits),
     sendNow: () => link.sendNow(),
--- a/packages/standins/src/emulator/fleet_instance.ts
+++ b/packages/standins/src/emulator/fleet_instance.ts
@@ -22,6 +22,7 @@
 const peerConnectTimeoutMs = 350
 const maintenanceMs = 250
 const restartMs = 800
+const maxRelayed = 256
 /** Share of the relayed requests that a mutant delivers twice. */
 const resentShare = 0.05
 const manyRetries = 100_000
@@ -57,6 +58,7 @@
       return mutant === FleetMutant.IgnorePauses || mutant === FleetMutant.IgnoreLeaving ? dropFields(pool, mutant) : pool
     },
     peerPool,
+    relays: { isEnabled: true, maxRelayed },
     checkListening: async () => ListeningState.Unknown,
     getStopPhase: () => StopPhase.Running,
     onStateChange: () => {},
--- a/packages/standins/src/main_bench.ts
+++ b/packages/standins/src/main_bench.ts
@@ -46,7 +46,8 @@
     const report = await part.run(options)
     console.log(`\n# ${part.title}\n\n${report.summary}\n\n${report.markdown}`)
     if (report.hasFailed === true) process.exitCode = exitFailure
-    if (report.isTrace !== true) await writeBenchPage(part, { report, folder })
+    if (report.isTrace === true) return
+    await writeBenchPage(part, { report, folder })
   }
   await writeFile(join(docsFolder, 'MEASUREMENTS.md'), await renderBenchIndex(parts, folder))
 }
