Soak real instances under faults from outside, with a schedule, a recorder and checks

Instances are the real program in processes of their own, each behind a process that resets, refuses or hangs its connections to targets, and with an address of the store of its own; they are paused, killed, stopped and told to reload by signals, while configurations change and targets are replaced, drained and faulty. Callers keep their connections until the process is gone. Checks from what callers and targets saw: runs of unsafe requests, true refusals, whole responses to the right request, RECOVER during cuts and in the calm at the end, drains, planned stops, retries, versions of the configuration.

The ports that a path closes were given to other listeners on the same address, so that a path led to another target, whose 421 was returned, or did not open again. Each path has a loopback address of its own now, and listen() no longer swallows later errors.

--- a/packages/standins/src/listeners.ts
+++ b/packages/standins/src/listeners.ts
@@ -16,7 +16,10 @@
 export async function listen (server: Server, host: string, options: { backlog?: number } = {}): Promise<void> {
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
-    server.listen({ port: 0, host, ...options }, resolve)
+    server.listen({ port: 0, host, ...options }, () => {
+      server.off('error', reject)
+      resolve()
+    })
   })
 }
 
--- a/packages/standins/src/main_path_relay.ts
+++ b/packages/standins/src/main_path_relay.ts
@@ -14,7 +14,8 @@
   port: number
 }
 
-const host = '127.0.0.1'
+/** Address of the listeners, which no other program uses: a closed port must not be given to another one. */
+const host = process.argv[2]!
 const listeners = new Map<string, RelayListener>()
 const sockets = new Set<Socket>()
 let state = PathState.Open
--- a/packages/standins/src/path_relay.ts
+++ b/packages/standins/src/path_relay.ts
@@ -45,16 +45,27 @@
 export const relayBacklog = 1
 /** Connections that fill the queue of a listener: Linux keeps one more than the stated length. */
 const fillingConnections = relayBacklog + 1
+const addressesPerBlock = 250
+const firstBlock = 16
+const blocks = 200
+let relayCount = 0
+
 /** Time for a connection to be queued, in milliseconds. */
 const fillTimeoutMs = 200
 
+/** Creates a loopback address that no other relay of this process has, and with all likelihood none of another process. */
+function createHost (): string {
+  const { pid } = process
+  return `127.${firstBlock + Math.floor(pid / addressesPerBlock) % 64}.${pid % blocks}.${relayCount++ % addressesPerBlock + 1}`
+}
+
 /**
  * Starts the path of an instance.
  *
  * @returns The path, which is open; dispose it to end its process
  */
 export async function startPathRelay (): Promise<PathRelay> {
-  const child = await startChild<object>(fileURLToPath(new URL('main_path_relay.js', import.meta.url)), [])
+  const child = await startChild<object>(fileURLToPath(new URL('main_path_relay.js', import.meta.url)), [createHost()])
   const pendingReplies = new Map<number, (reply: PathRelayReply) => void>()
   const addresses = new Map<string, string>()
   let fillers: Socket[] = []
--- /dev/null
+++ b/packages/standins/src/soak/soak_callers.ts
@@ -0,0 +1,125 @@
+/**
+ * Callers of a soak, which keep using their connections until the process at the other end is gone, and record what they get.
+ *
+ * @module
+ */
+import type { SoakInstance } from './soak_instance.ts'
+import { Agent, request } from 'node:http'
+import { setTimeout as wait } from 'node:timers/promises'
+import { testSiteHost } from '../test_site.ts'
+
+/** Kind of a request. */
+export enum SoakRequestKind {
+  Safe = 'safe',
+  Unsafe = 'unsafe',
+  Upload = 'upload'
+}
+
+/** A call, with what the caller got. */
+export interface SoakCall {
+  /** Identifier of the attempt. */
+  id: string
+  /** Name of the instance. */
+  instance: string
+  /** Kind of the request. */
+  kind: SoakRequestKind
+  /** Monotonic times at which it was sent and ended, in milliseconds. */
+  sentAtMs: number
+  endedAtMs: number
+  /** Status; `undefined` if there was no whole response. */
+  status: number | undefined
+  /** Header fields and body of the response. */
+  headers: Record<string, unknown>
+  body: string
+  /** Whether a connection was established or reused, so that the request may have been read. */
+  wasConnected: boolean
+}
+
+/** Changes what a caller sends and gets, as a faulty program would. */
+export interface SoakSabotage {
+  /** Returns the instances to which the request is sent; all but the first one are sent copies of it. */
+  addCopies (instance: SoakInstance, all: readonly SoakInstance[]): SoakInstance[]
+  /** Changes a call that has ended. */
+  changeCall (call: SoakCall): void
+}
+
+/** Options of {@linkcode runSoakCallers}. */
+export interface RunSoakCallersOptions {
+  /** The instances. */
+  instances: readonly SoakInstance[]
+  /** Monotonic time at which the callers stop, in milliseconds. */
+  endMs: number
+  /** Number of callers of each instance. */
+  callersPerInstance: number
+  /** Mean time between two requests of a caller, in milliseconds. */
+  meanPauseMs: number
+  /** Fault that is put in between; none by default. */
+  sabotage?: SoakSabotage | undefined
+  /** Returns a random number in [0, 1). */
+  getRandom: () => number
+}
+
+const timeLeftMs = 2_000
+const uploadBytes = 300_000
+const objects = 60
+
+/**
+ * Runs callers until the end, and returns all calls.
+ *
+ * @param options Instances, load and end
+ * @returns The calls
+ */
+export async function runSoakCallers (options: RunSoakCallersOptions): Promise<SoakCall[]> {
+  const { instances, endMs, callersPerInstance, meanPauseMs, getRandom, sabotage } = options
+  const calls: Array<Promise<SoakCall>> = []
+  let count = 0
+  await Promise.all(instances.flatMap(instance => Array.from({ length: callersPerInstance }, async () => {
+    const agent = new Agent({ keepAlive: true, maxSockets: 2 })
+    while (performance.now() < endMs) {
+      await wait(-Math.log(1 - getRandom()) * meanPauseMs)
+      const id = `soak-${count++}`
+      const draw = getRandom()
+      const kind = draw < 0.6 ? SoakRequestKind.Safe : draw < 0.95 ? SoakRequestKind.Unsafe : SoakRequestKind.Upload
+      const affinityKey = String(Math.floor(getRandom() * objects))
+      const [first, ...copies] = sabotage?.addCopies(instance, instances) ?? [instance]
+      for (const copy of copies) sendCall(copy, { id, kind, affinityKey, agent: new Agent() }).catch(() => {})
+      calls.push(sendCall(first!, { id, kind, affinityKey, agent }).then(call => {
+        sabotage?.changeCall(call)
+        return call
+      }))
+    }
+  })))
+  return Promise.all(calls)
+}
+
+function sendCall (instance: SoakInstance, { id, kind, affinityKey, agent }: { id: string, kind: SoakRequestKind, affinityKey: string, agent: Agent }): Promise<SoakCall> {
+  const body = kind === SoakRequestKind.Safe ? undefined : kind === SoakRequestKind.Unsafe ? 'order' : Buffer.alloc(uploadBytes, 'x')
+  const call: SoakCall = { id, instance: instance.name, kind, sentAtMs: performance.now(), endedAtMs: Infinity, status: undefined, headers: {}, body: '', wasConnected: false }
+  return new Promise(resolve => {
+    const finish = (): void => {
+      clearTimeout(timer)
+      call.endedAtMs = Math.min(call.endedAtMs, performance.now())
+      resolve(call)
+    }
+    const message = request({
+      ...instance.address,
+      path: `/${kind}/x`,
+      method: body === undefined ? 'GET' : 'POST',
+      agent,
+      headers: { Host: testSiteHost, 'X-Request-Id': id, 'X-Timeout-Ms': String(timeLeftMs), Cookie: `X-Affinity-Key=${affinityKey}`, ...body === undefined ? {} : { 'Content-Length': body.length } }
+    }, response => {
+      let text = ''
+      response.on('data', (part: Buffer) => { text += part.toString('utf8') })
+      response.on('end', () => Object.assign(call, { status: response.statusCode, headers: response.headers, body: text }))
+      response.on('error', finish)
+      response.on('close', finish)
+    })
+    const timer = setTimeout(() => message.destroy(), timeLeftMs + 1_000)
+    message.on('socket', socket => {
+      if (!socket.connecting) call.wasConnected = true
+      else socket.once('connect', () => { call.wasConnected = true })
+    })
+    message.on('error', finish)
+    message.end(body)
+  })
+}
--- /dev/null
+++ b/packages/standins/src/soak/soak_checks.ts
@@ -0,0 +1,170 @@
+/**
+ * Checks of a soak: what callers and targets saw, against the promises of the users' pages.
+ *
+ * @module
+ */
+import type { SiteTarget, TargetRun } from '../site_target.ts'
+import type { SoakCall } from './soak_callers.ts'
+import type { SoakInstance, TimeSpan } from './soak_instance.ts'
+import type { SoakPlan } from './soak_plan.ts'
+import { SoakRequestKind } from './soak_callers.ts'
+
+/** What was recorded in a soak. */
+export interface SoakRecord {
+  /** The plan. */
+  plan: SoakPlan
+  /** Monotonic time of the begin of the load, in milliseconds. */
+  startMs: number
+  /** All calls. */
+  calls: SoakCall[]
+  /** All targets that were opened, by identifier. */
+  targets: ReadonlyMap<string, SiteTarget>
+  /** Times at which the store had accepted that a target leaves, by identifier, in milliseconds. */
+  drainedAtMs: ReadonlyMap<string, number>
+  /** The instances. */
+  instances: readonly SoakInstance[]
+  /** Times in which the store did not serve all instances. */
+  storeFaults: TimeSpan[]
+  /** Log lines of each instance, by name. */
+  logs: ReadonlyMap<string, Array<Record<string, unknown>>>
+  /** Whether each instance counted as ready at the end. */
+  areReady: boolean[]
+}
+
+const stableMs = 4_000
+const drainMs = 2_500
+const drainToleranceMs = 500
+const lossToleranceMs = 1_000
+const minServedRatio = 2 / 3
+const minFailures = 10
+const failureShare = 0.02
+const calmSettleMs = 5_000
+const minCalmShare = 0.95
+const budgetWindowMs = 10_000
+const retryRatio = 0.2
+const retrySlack = 56
+const refusals = new Set([408, 421, 429, 503])
+
+/**
+ * Lists the promises that were broken, each with what was seen.
+ *
+ * @param record What was recorded
+ * @returns One text for each
+ */
+export function listSoakBreaches (record: SoakRecord): string[] {
+  const runs = groupRuns(record)
+  return [
+    ...checkRuns(record, runs),
+    ...checkResponses(record, runs),
+    ...checkPaths(record),
+    ...checkDrains(record),
+    ...checkStops(record, runs),
+    ...checkRetries(record),
+    ...checkVersions(record),
+    ...checkCalm(record)
+  ]
+}
+
+interface RunAtTarget extends TargetRun { target: string }
+
+function groupRuns ({ targets }: SoakRecord): Map<string, RunAtTarget[]> {
+  const runs = new Map<string, RunAtTarget[]>()
+  for (const [target, { runs: all }] of targets) for (const run of all) runs.set(run.attemptId, [...runs.get(run.attemptId) ?? [], { ...run, target }])
+  return runs
+}
+
+function checkRuns ({ calls }: SoakRecord, runs: ReadonlyMap<string, RunAtTarget[]>): string[] {
+  return calls.filter(({ kind }) => kind !== SoakRequestKind.Safe).flatMap(({ id, instance, status }) => {
+    const count = runs.get(id)?.length ?? 0
+    return [
+      ...count > 1 ? [`TWICE: ${id} at ${instance} ran ${count} times, answered ${status}`] : [],
+      ...count > 0 && status !== undefined && refusals.has(status) ? [`REFUSED: ${id} at ${instance} ran and was answered ${status}`] : []
+    ]
+  })
+}
+
+/** Checks that each success is the whole response of a target that ran the request. */
+function checkResponses ({ calls }: SoakRecord, runs: ReadonlyMap<string, RunAtTarget[]>): string[] {
+  return calls.filter(({ status }) => status !== undefined && status < 300).flatMap(({ id, instance, headers, body }) => {
+    const isTrue = headers['x-request-id'] === id && runs.get(id)?.some(({ target }) => body === `answer of ${target}` && headers['x-server-signature'] === `signed-${target}`) === true
+    return isTrue ? [] : [`MIXED: ${id} at ${instance} got "${body.slice(0, 40)}" for ${String(headers['x-request-id'])}`]
+  })
+}
+
+function isWithin (spans: readonly TimeSpan[], fromMs: number, toMs: number): boolean {
+  return spans.some(span => span.fromMs <= toMs && span.toMs >= fromMs)
+}
+
+/** Checks that callers of instances without a path to targets are not served much worse than others. */
+function checkPaths ({ calls, instances }: SoakRecord): string[] {
+  const byName = new Map(instances.map(instance => [instance.name, instance]))
+  const counts = { cut: 0, cutServed: 0, others: 0, othersServed: 0 }
+  for (const { instance: name, sentAtMs, status } of calls) {
+    const instance = byName.get(name)!
+    const isCut = instance.cuts.some(({ fromMs, toMs }) => sentAtMs >= fromMs + stableMs && sentAtMs < toMs)
+    const isOther = !isWithin(instance.cuts, sentAtMs - stableMs, sentAtMs) && instances.some(({ cuts }) => cuts.some(({ fromMs, toMs }) => sentAtMs >= fromMs + stableMs && sentAtMs < toMs))
+    if ((!isCut && !isOther) || isWithin(instance.disturbances, sentAtMs - stableMs, sentAtMs + lossToleranceMs)) continue
+    const isServed = status === 200
+    counts[isCut ? 'cut' : 'others']++
+    if (isServed) counts[isCut ? 'cutServed' : 'othersServed']++
+  }
+  const { cut, cutServed, others, othersServed } = counts
+  const isWorse = cut > 0 && others > 0 && cutServed / cut < minServedRatio * othersServed / others && cut - cutServed > minFailures + failureShare * (cut + others)
+  return isWorse ? [`RECOVER: instances without a path served ${cutServed} of ${cut} first attempts, the others ${othersServed} of ${others}`] : []
+}
+
+/** Checks that no request reaches a target long after it was registered as leaving, unless instances could not know. */
+function checkDrains ({ targets, drainedAtMs, instances, storeFaults, calls }: SoakRecord): string[] {
+  const sentAtMs = new Map(calls.map(call => [call.id, call.sentAtMs]))
+  return [...drainedAtMs].flatMap(([id, atMs]) => {
+    const boundMs = atMs + drainMs + drainToleranceMs
+    const late = targets.get(id)!.runs.filter(({ attemptId, startedAtMs }) => startedAtMs > boundMs && (sentAtMs.get(attemptId) ?? 0) > atMs)
+    const isExcused = isWithin(storeFaults, atMs - stableMs, boundMs) || instances.some(({ disturbances }) => isWithin(disturbances, atMs - stableMs, boundMs))
+    return late.length > 0 && !isExcused ? [`DRAIN: ${late.length} requests, the first ${late[0]!.attemptId}, reached ${id} ${Math.round(late[0]!.startedAtMs - atMs)} ms after it was registered as leaving`] : []
+  })
+}
+
+/** Checks that a planned stop loses no request that a target ran. */
+function checkStops ({ calls, instances, targets, startMs, plan }: SoakRecord, runs: ReadonlyMap<string, RunAtTarget[]>): string[] {
+  const targetFaults = plan.events.filter(({ fault }) => fault === 'target_faults' || fault === 'replace_target').map(({ atMs, durationMs }) => ({ fromMs: startMs + atMs - lossToleranceMs, toMs: startMs + atMs + durationMs + lossToleranceMs }))
+  return instances.flatMap(({ name, stops, cuts, disturbances }) => stops.flatMap(stop => {
+    const isAlone = !isWithin(cuts, stop.fromMs - stableMs, stop.toMs) && disturbances.filter(({ fromMs, toMs }) => fromMs <= stop.toMs && toMs >= stop.fromMs - stableMs).length === 1
+    if (!isAlone || isWithin(targetFaults, stop.fromMs - stableMs, stop.toMs)) return []
+    const lost = calls.filter(call => call.instance === name && call.status === undefined && call.sentAtMs > stop.fromMs - stableMs && call.sentAtMs < stop.fromMs + drainMs && runs.has(call.id))
+    return lost.length > 0 ? [`LOST: ${lost.length} requests, the first ${lost[0]!.id}, ran and got no response around the stop of ${name} (${targets.size} targets)`] : []
+  }))
+}
+
+function checkRetries ({ calls, targets }: SoakRecord): string[] {
+  const arrivals = [...targets.values()].flatMap(({ runs }) => runs).toSorted((a, b) => a.startedAtMs - b.startedAtMs)
+  const seen = new Set<string>()
+  const repeats = arrivals.filter(({ attemptId }) => seen.has(attemptId) || !seen.add(attemptId)).map(({ startedAtMs }) => startedAtMs)
+  return repeats.flatMap((endMs, index) => {
+    const count = repeats.slice(0, index + 1).filter(atMs => atMs > endMs - budgetWindowMs).length
+    const requests = calls.filter(({ sentAtMs }) => sentAtMs > endMs - budgetWindowMs && sentAtMs <= endMs).length
+    return count > retryRatio * requests + retrySlack ? [`BUDGET: ${count} repeated runs for ${requests} requests within ${budgetWindowMs} ms`] : []
+  }).slice(0, 1)
+}
+
+/** Checks that no run of an instance goes back to an earlier configuration. */
+function checkVersions ({ logs }: SoakRecord): string[] {
+  return [...logs].flatMap(([name, lines]) => {
+    const latest = new Map<unknown, number>()
+    return lines.filter(({ event }) => event === 'config_in_force').flatMap(({ pid, version }) => {
+      const before = latest.get(pid) ?? 0
+      latest.set(pid, Number(version))
+      return Number(version) <= before ? [`CONFIG: ${name} went from version ${before} to ${String(version)}`] : []
+    })
+  })
+}
+
+/** Checks that all instances serve again when the faults are over. */
+function checkCalm ({ calls, plan, startMs, areReady }: SoakRecord): string[] {
+  const fromMs = startMs + plan.durationMs - plan.calmMs + calmSettleMs
+  const calm = calls.filter(({ sentAtMs }) => sentAtMs >= fromMs)
+  const served = calm.filter(({ status }) => status === 200).length
+  return [
+    ...served < calm.length * minCalmShare ? [`RECOVER: ${served} of ${calm.length} requests served in the calm at the end`] : [],
+    ...areReady.every(Boolean) ? [] : [`RECOVER: instances ${areReady.flatMap((isReady, index) => isReady ? [] : [index]).join(', ')} are not ready at the end`]
+  ]
+}
--- /dev/null
+++ b/packages/standins/src/soak/soak_instance.ts
@@ -0,0 +1,205 @@
+/**
+ * An entry instance of a soak: the real program in a process of its own, with its path to the targets and its address of the store.
+ *
+ * @module
+ */
+import type { ChildProcess } from 'node:child_process'
+import type { PathRelay } from '../path_relay.ts'
+import type { SiteStore, StoreEndpoint } from '../site_store.ts'
+import { spawn } from 'node:child_process'
+import { closeSync, openSync } from 'node:fs'
+import { readFile, writeFile } from 'node:fs/promises'
+import { createRequire } from 'node:module'
+import { get } from 'node:http'
+import { join } from 'node:path'
+import { setTimeout as wait } from 'node:timers/promises'
+import { startPathRelay } from '../path_relay.ts'
+import { waitUntil } from '../test_site.ts'
+
+/** A time, from its begin to its end, in milliseconds. */
+export interface TimeSpan {
+  /** Begin, monotonic. */
+  fromMs: number
+  /** End, monotonic; `Infinity` while it goes on. */
+  toMs: number
+}
+
+/** An instance of a soak. */
+export interface SoakInstance extends AsyncDisposable {
+  /** Name. */
+  name: string
+  /** Address of its listener for callers. */
+  address: { host: string, port: number }
+  /** Its path to targets. */
+  path: PathRelay
+  /** Its address of the store. */
+  storeEndpoint: StoreEndpoint
+  /** Times in which it was paused, killed, stopping or starting. */
+  disturbances: TimeSpan[]
+  /** Times of planned stops, from SIGTERM to the end of the process. */
+  stops: TimeSpan[]
+  /** Times without a path to any target. */
+  cuts: TimeSpan[]
+  /** Sends a signal to the process, if it runs. */
+  sendSignal (signal: NodeJS.Signals): void
+  /** Kills the process and starts it again. */
+  restart (): Promise<void>
+  /** Stops the process by SIGTERM, kills it after the grace period, and starts it again. */
+  stopAndStart (): Promise<void>
+  /** Pauses the process. */
+  pause (durationMs: number): Promise<void>
+  /** Returns whether its process counts as ready. */
+  isReady (): Promise<boolean>
+  /** Reads the log lines of all its runs. */
+  readLog (): Promise<Array<Record<string, unknown>>>
+}
+
+/** Options of {@linkcode startSoakInstance}. */
+export interface StartSoakInstanceOptions {
+  /** Number of the instance. */
+  index: number
+  /** Number of the site, so that several may run on one machine. */
+  site: number
+  /** Failure domains. */
+  failureDomains: string[]
+  /** The store. */
+  store: SiteStore
+  /** Folder for settings and logs. */
+  folder: string
+  /** Flags of the program; none by default. */
+  flags?: string[]
+}
+
+/** Bounds of a soak, in the format of the platform's settings. */
+export const soakBounds = { stable_window: '4000ms', drain: '2500ms', grace: '6s', config: '2500ms', retry_ratio: 0.2, retry_slack: 56, budget_window: '10s', cold_over: 1.5, cold_slack: 5, ttl_max: '5s' }
+
+const graceMs = 6_000
+const restartDelayMs = 300
+const ports = { front: 20_001, directory: 20_002, ready: 20_003, control: 20_004, internal: 20_005 }
+const readyTimeoutMs = 500
+
+/**
+ * Starts an instance.
+ *
+ * @param options Number, store and folder
+ * @returns The instance; dispose it to end its processes
+ */
+export async function startSoakInstance ({ index, site, failureDomains, store, folder, flags = [] }: StartSoakInstanceOptions): Promise<SoakInstance> {
+  const name = `entry-${index}`
+  const host = `127.${200 + site % 50}.${Math.floor(index / 200)}.${index % 200 + 1}`
+  const failureDomain = failureDomains[index % failureDomains.length]!
+  const path = await startPathRelay()
+  const storeEndpoint = await store.openEndpoint(path.mapAddress)
+  const settingsFile = join(folder, `${name}.json`)
+  const logFile = join(folder, `${name}.log`)
+  const program = join(createRequire(import.meta.url).resolve('bilberryd'), '..', 'edge', 'main.js')
+  const settings = {
+    node_name: name,
+    zone: failureDomain,
+    region: getRegion(failureDomain),
+    listen: { front: `${host}:${ports.front}`, directory: `${host}:${ports.directory}`, ready: `${host}:${ports.ready}`, control: `${host}:${ports.control}` },
+    internal_ports: [ports.internal, ports.internal],
+    seeds: [],
+    zones: Object.fromEntries(failureDomains.map(each => [each, getRegion(each)])),
+    platform: { address: `${storeEndpoint.socketAddress.host}:${storeEndpoint.socketAddress.port}` },
+    bounds: soakBounds
+  }
+  await writeFile(settingsFile, JSON.stringify(settings))
+  let child: ChildProcess | undefined
+  let exited: Promise<unknown> = Promise.resolve()
+  let isDisposed = false
+  const instance: SoakInstance = {
+    name,
+    address: { host, port: ports.front },
+    path,
+    storeEndpoint,
+    disturbances: [],
+    stops: [],
+    cuts: [],
+    sendSignal: signal => { child?.kill(signal) },
+    async restart () {
+      await startAgain(async () => {
+        child?.kill('SIGKILL')
+        await exited
+      })
+    },
+    async stopAndStart () {
+      const span: TimeSpan = { fromMs: performance.now(), toMs: Infinity }
+      instance.stops.push(span)
+      await startAgain(async () => {
+        const stopping = child
+        stopping?.kill('SIGTERM')
+        const timer = setTimeout(() => stopping?.kill('SIGKILL'), graceMs)
+        await exited
+        clearTimeout(timer)
+        span.toMs = performance.now()
+      })
+    },
+    async pause (durationMs) {
+      const span: TimeSpan = { fromMs: performance.now(), toMs: Infinity }
+      instance.disturbances.push(span)
+      child?.kill('SIGSTOP')
+      await wait(durationMs)
+      child?.kill('SIGCONT')
+      span.toMs = performance.now()
+    },
+    isReady: () => new Promise(resolve => {
+      get({ host, port: ports.ready, path: '/ready', agent: false, timeout: readyTimeoutMs }, response => {
+        response.resume()
+        resolve(response.statusCode === 200)
+      }).on('timeout', () => resolve(false)).on('error', () => resolve(false))
+    }),
+    async readLog () {
+      const text = await readFile(logFile, 'utf8')
+      return text.split('\n').filter(line => line.startsWith('{')).flatMap(line => parseLine(line))
+    },
+    async [Symbol.asyncDispose] () {
+      isDisposed = true
+      child?.kill('SIGCONT')
+      child?.kill('SIGKILL')
+      await exited
+      await path[Symbol.asyncDispose]()
+      await storeEndpoint[Symbol.asyncDispose]()
+    }
+  }
+
+  function startProcess (): void {
+    if (isDisposed) return
+    const log = openSync(logFile, 'a')
+    const started = spawn(process.execPath, ['--max-old-space-size=96', program, ...flags], { env: { PATH: process.env['PATH'], BILBERRYWORKS_CONFIG: settingsFile }, stdio: ['ignore', log, log] })
+    closeSync(log)
+    child = started
+    exited = new Promise(resolve => {
+      started.once('exit', resolve)
+      started.once('error', resolve)
+    })
+  }
+
+  /** Ends the process, and starts it again after a delay; a process that is being restarted already is left alone. */
+  async function startAgain (endProcess: () => Promise<void>): Promise<void> {
+    if (instance.disturbances.some(({ toMs }) => toMs === Infinity)) return
+    const span: TimeSpan = { fromMs: performance.now(), toMs: Infinity }
+    instance.disturbances.push(span)
+    await endProcess()
+    await wait(restartDelayMs)
+    startProcess()
+    await waitUntil(() => isDisposed || instance.isReady())
+    span.toMs = performance.now()
+  }
+
+  startProcess()
+  return instance
+}
+
+function getRegion (failureDomain: string): string {
+  return failureDomain.slice(0, failureDomain.lastIndexOf('-'))
+}
+
+/** Parses a log line; a process that is killed may leave a part of one. */
+function parseLine (line: string): Array<Record<string, unknown>> {
+  try {
+    return [JSON.parse(line) as Record<string, unknown>]
+  } catch {
+    return []
+  }
+}
--- /dev/null
+++ b/packages/standins/src/soak/soak_plan.ts
@@ -0,0 +1,129 @@
+/**
+ * Plans the faults of a soak: what happens to real processes, and when, as a seed determines.
+ *
+ * @module
+ */
+import { createSeededRandom } from '../emulator/seeded_random.ts'
+
+/** Kind of a fault. */
+export enum SoakFault {
+  /** Connections of instances to targets are reset, and new ones refused. */
+  PathReset = 'path_reset',
+  /** Connections of instances to targets hang. */
+  PathHanging = 'path_hanging',
+  /** New connections of instances to targets are refused, open ones live on. */
+  PathRefusing = 'path_refusing',
+  /** Instances are paused by SIGSTOP. */
+  Pause = 'pause',
+  /** Instances are killed, and started again. */
+  Kill = 'kill',
+  /** Instances are stopped by SIGTERM, and started again. */
+  Stop = 'stop',
+  /** Instances get SIGHUP. */
+  Reload = 'reload',
+  /** The store refuses calls of instances. */
+  StoreBusy = 'store_busy',
+  /** The store does not respond to instances. */
+  StoreSilent = 'store_silent',
+  /** The store resets connections of instances. */
+  StoreReset = 'store_reset',
+  /** The configuration changes. */
+  Configure = 'configure',
+  /** A target ends, and another one takes its place. */
+  ReplaceTarget = 'replace_target',
+  /** A target is registered as leaving, and ends some seconds later. */
+  DrainTarget = 'drain_target',
+  /** Targets lose responses, refuse requests, or send wrong ones. */
+  TargetFaults = 'target_faults'
+}
+
+/** A fault of a plan. */
+export interface SoakEvent {
+  /** Time from the begin of the load, in milliseconds. */
+  atMs: number
+  /** Duration, in milliseconds; 0 for a fault that has none. */
+  durationMs: number
+  /** Kind of the fault. */
+  fault: SoakFault
+  /** Numbers of the instances that it concerns. */
+  instances: number[]
+  /** Number of the target that it concerns, counted from the oldest live one. */
+  target: number
+}
+
+/** The faults of a soak. */
+export interface SoakPlan {
+  /** Seed. */
+  seed: number
+  /** Number of instances. */
+  instances: number
+  /** Duration of the load, in milliseconds. */
+  durationMs: number
+  /** Time before the end from which no fault is in force, in milliseconds. */
+  calmMs: number
+  /** The faults, in the order of their begin. */
+  events: SoakEvent[]
+}
+
+/** Options of {@linkcode createSoakPlan}. */
+export interface CreateSoakPlanOptions {
+  /** Seed. */
+  seed: number
+  /** Number of instances. */
+  instances: number
+  /** Duration of the load, in milliseconds. */
+  durationMs: number
+}
+
+const firstFaultMs = 2_000
+const calmMs = 8_000
+const meanPauseMs = 900
+const instanceFaults = new Set([SoakFault.PathReset, SoakFault.PathHanging, SoakFault.PathRefusing, SoakFault.Pause, SoakFault.Kill, SoakFault.Stop, SoakFault.Reload, SoakFault.StoreBusy, SoakFault.StoreSilent, SoakFault.StoreReset])
+const durationsMs: Partial<Record<SoakFault, [from: number, to: number]>> = {
+  [SoakFault.PathReset]: [5_000, 9_000],
+  [SoakFault.PathHanging]: [5_000, 9_000],
+  [SoakFault.PathRefusing]: [5_000, 9_000],
+  [SoakFault.Pause]: [300, 2_500],
+  [SoakFault.StoreBusy]: [1_000, 6_000],
+  [SoakFault.StoreSilent]: [1_000, 6_000],
+  [SoakFault.StoreReset]: [1_000, 6_000],
+  [SoakFault.TargetFaults]: [1_000, 3_000]
+}
+const maxTargetNumber = 1_000
+
+/**
+ * Creates the plan of a seed. Faults come in series and overlap; the last seconds are calm.
+ *
+ * @param options Seed, size and duration
+ * @returns The plan
+ */
+export function createSoakPlan ({ seed, instances, durationMs }: CreateSoakPlanOptions): SoakPlan {
+  const getRandom = createSeededRandom(`soak ${seed}`)
+  const draw = (fromMs: number, toMs: number): number => fromMs + getRandom() * (toMs - fromMs)
+  const faults = Object.values(SoakFault)
+  const events: SoakEvent[] = []
+  for (let atMs = firstFaultMs; atMs < durationMs - calmMs; atMs += -Math.log(1 - getRandom()) * meanPauseMs) {
+    const fault = faults[Math.floor(getRandom() * faults.length)]!
+    const [fromMs, toMs] = durationsMs[fault] ?? [0, 0]
+    const end = Math.min(atMs + draw(fromMs, toMs), durationMs - calmMs)
+    const share = getRandom() < 0.15 ? 0.6 : 0.2
+    events.push({ atMs: Math.round(atMs), durationMs: Math.round(end - atMs), fault, instances: instanceFaults.has(fault) ? selectInstances(instances, { share, getRandom }) : [], target: Math.floor(getRandom() * maxTargetNumber) })
+  }
+  return { seed, instances, durationMs, calmMs, events }
+}
+
+/** Selects a share of the instances, one at least. */
+function selectInstances (instances: number, { share, getRandom }: { share: number, getRandom: () => number }): number[] {
+  const selected = Array.from({ length: instances }, (_, index) => index).filter(() => getRandom() < share)
+  return selected.length > 0 ? selected : [Math.floor(getRandom() * instances)]
+}
+
+/**
+ * Formats a plan for whoever runs it.
+ *
+ * @param plan The plan
+ * @returns A line for each fault
+ */
+export function formatSoakPlan ({ events }: SoakPlan): string {
+  return events.map(({ atMs, durationMs, fault, instances }) => `${String(atMs).padStart(6)} ms ${fault}${durationMs > 0 ? ` for ${durationMs} ms` : ''}${instances.length > 0 ? ` on ${instances.join(', ')}` : ''}`).join('\n')
+}
