Explain a request that went through another instance

bilberryctl explain shows to which groups of targets an instance had no path at the end of the request, however long before it lost them, beside the lines of both instances, which share the identifier.

--- a/packages/bilberryctl/src/describe_request.ts
+++ b/packages/bilberryctl/src/describe_request.ts
@@ -30,7 +30,9 @@
 /** Time before and after a request within which events of its targets and instances are included, in milliseconds: several times the longest silence after which an instance or target counts as failed. */
 const contextWindowMs = 10_000
 /** Events of an instance that are included if they occur near a request, because they change the state on which the instance decides. */
-const contextEvents = new Set(['evacuation', 'reloaded', 'settings_kept', 'standstill', 'started', 'stopping', 'stopped', 'store_lost', 'store_regained', 'table_from_peer', 'log_dropped'])
+const contextEvents = new Set(['evacuation', 'reloaded', 'settings_kept', 'standstill', 'started', 'stopping', 'stopped', 'store_lost', 'store_regained', 'table_from_peer', 'targets_silent', 'log_dropped'])
+const unreachedEvent = 'targets_unreached'
+const reachedEvent = 'targets_reached'
 const configEvent = 'config_in_force'
 
 /**
@@ -48,7 +50,7 @@
   const requestSpan = { fromMs: firstLine.atMs - readNumber(lastLine.fields['elapsedMs']), toMs: lastLine.atMs }
   const instances = new Set(requestLines.map(line => line.instance))
   const steps = requestLines.map(line => createStep(line, StepKind.Decision))
-  for (const instance of instances) steps.push(...describeConfig(lines, { instance, ...requestSpan }), ...describeContext(lines, { instance, ...requestSpan }))
+  for (const instance of instances) steps.push(...describeConfig(lines, { instance, ...requestSpan }), ...describeContext(lines, { instance, ...requestSpan }), ...describeReach(lines, { instance, ...requestSpan }))
   steps.push(...describeRepeats(lines, lastLine))
   for (const target of listTargets(requestLines)) steps.push(...describeTarget(lines, { id, target, instances, ...requestSpan }))
   return steps.sort((a, b) => a.atMs - b.atMs)
@@ -82,6 +84,16 @@
   return nearbyLines.map(line => createStep(line, StepKind.Belief))
 }
 
+/** Describes to which groups of targets the instance had no network path at the end of the request. */
+function describeReach (lines: LogLine[], scope: TimeSpan & { instance: string }): TimelineStep[] {
+  const latest = new Map<string, LogLine>()
+  for (const line of lines) {
+    const isVerdict = line.event === unreachedEvent || line.event === reachedEvent
+    if (isVerdict && line.instance === scope.instance && line.atMs <= scope.toMs) latest.set(`${String(line.fields['service'])}/${String(line.fields['failureDomain'])}`, line)
+  }
+  return [...latest.values()].filter(line => line.event === unreachedEvent).map(line => createStep(line, StepKind.Belief))
+}
+
 /** Describes the state of a target as the instances that handled the request knew it, and how the target failed other requests. */
 function describeTarget (lines: LogLine[], scope: TimeSpan & { id: string, target: string, instances: Set<string> }): TimelineStep[] {
   const targetLines = lines.filter(line => line.fields['target'] === scope.target && line.fields['id'] !== scope.id)
--- a/packages/bilberryctl/src/describe_request_test.ts
+++ b/packages/bilberryctl/src/describe_request_test.ts
@@ -82,6 +82,27 @@
   t.deepEqual(steps.filter(step => step.kind === StepKind.Belief).map(step => step.text), ['no configuration was in force', 'no configuration was in force'])
 })
 
+test('describes a request that went through another instance, and since when the first one had no path', t => {
+  const lines = [
+    createLine(0, 'entry-0', 'config_in_force', { version: 4 }),
+    createLine(0, 'entry-1', 'config_in_force', { version: 4 }),
+    createLine(1_000, 'entry-0', 'targets_unreached', { service: 's', failureDomain: 'a' }),
+    createLine(1_001, 'entry-0', 'targets_unreached', { service: 's', failureDomain: 'b' }),
+    createLine(2_000, 'entry-0', 'targets_reached', { service: 's', failureDomain: 'b' }),
+    createLine(40_000, 'entry-1', 'request_ended', { id: 'mine', relayedBy: 'entry-0', outcome: 'unknown', reason: 'target_lost', elapsedMs: 90 }),
+    createLine(40_003, 'entry-0', 'relay_failed', { id: 'mine', peer: 'entry-1', result: 'refused', reason: 'target_lost' }),
+    createLine(40_003, 'entry-0', 'request_ended', { id: 'mine', outcome: 'unknown', reason: 'target_lost', sends: [{ peer: 'entry-1', afterMs: 0, inFlight: 1 }], elapsedMs: 95 })
+  ]
+  t.deepEqual(describe('mine', lines), [
+    '0 entry-1 belief: configuration 4 came in force',
+    '0 entry-0 belief: configuration 4 came in force',
+    '1000 entry-0 belief: targets_unreached service=s failureDomain=a',
+    '40000 entry-1 decision: request_ended relayedBy=entry-0 outcome=unknown reason=target_lost elapsedMs=90',
+    '40003 entry-0 decision: relay_failed peer=entry-1 result=refused reason=target_lost',
+    '40003 entry-0 decision: request_ended outcome=unknown reason=target_lost sends=[{"peer":"entry-1","afterMs":0,"inFlight":1}] elapsedMs=95'
+  ])
+})
+
 test('returns no steps for an unknown request', t => {
   t.deepEqual(describeRequest('absent', [createLine(0, 'entry-0', 'started')]), [])
 })
