Compare relays and look-ups in the measurement of instances without a path

The page on the design states figures for the ways that were weighed: neither, look-ups that leave out instances which reach nothing, relays, and both. Simulated callers can be made to ignore what instances tell of their reach.

--- a/packages/standins/src/bench_reach.ts
+++ b/packages/standins/src/bench_reach.ts
@@ -29,7 +29,15 @@
 const links = [LinkState.Reset, LinkState.Hanging, LinkState.RefusingNew, LinkState.LosingResponses]
 const progressInterval = 20
 
-interface RowOptions { instances: number, seeds: number[], jobs: number, trouble: FleetTrouble, mutant?: FleetMutant }
+interface RowOptions { instances: number, seeds: number[], jobs: number, trouble: FleetTrouble, mutant?: FleetMutant, isSteered: boolean }
+
+/** Ways to serve callers of instances without a path, which are compared on cuts alone. */
+const ways: Array<{ name: string, mutant?: FleetMutant, isSteered: boolean }> = [
+  { name: 'neither', mutant: FleetMutant.NoRelay, isSteered: false },
+  { name: 'look-ups', mutant: FleetMutant.NoRelay, isSteered: true },
+  { name: 'relays', isSteered: false },
+  { name: 'both', isSteered: true }
+]
 
 /**
  * Simulates partial partitions, and measures the cost of a relay on real sockets.
@@ -45,12 +53,11 @@
   let breaches = 0
   for (const { instances, seeds } of sizes) {
     const list = Array.from({ length: options.seeds ?? seeds }, (_, seed) => seed)
-    for (const mutant of [FleetMutant.NoRelay, undefined]) {
-      for (const trouble of Object.values(FleetTrouble)) {
-        if (mutant !== undefined && trouble !== FleetTrouble.PartitionsAlone) continue
-        const results = await runRow({ instances, seeds: list, jobs, trouble, ...mutant === undefined ? {} : { mutant } })
-        if (mutant === undefined) breaches += results.filter(result => result.breaches.length > 0).length
-        rows.push([instances, trouble, mutant === undefined ? 'yes' : 'no', ...describeResults(results)])
+    for (const trouble of Object.values(FleetTrouble)) {
+      for (const { name, ...way } of trouble === FleetTrouble.PartitionsAlone ? ways : ways.slice(-1)) {
+        const results = await runRow({ instances, seeds: list, jobs, trouble, ...way })
+        if (way.mutant === undefined) breaches += results.filter(result => result.breaches.length > 0).length
+        rows.push([instances, trouble, name, ...describeResults(results)])
       }
     }
   }
@@ -58,7 +65,7 @@
   const plots = [{ fileName: 'reach-served.svg', svg: renderLinePlot('Share of first attempts served at a cut instance', await measurePlotLines()) }]
   const markdown = [
     'Simulated fleets with the product\'s own parts on a virtual clock. Shares and times are those of first attempts from 1.5 s after the begin of a cut, at instances without a path to any target and at the others meanwhile. Detection is the time from the begin of a cut to the first group judged to be out of reach. False verdicts are groups judged so although connections to one of their targets had been possible for a second.',
-    renderTable(['instances', 'trouble', 'relays', 'seeds', 'seeds that broke a rule', 'served, cut', 'served, others', 'p50, p99 cut (ms)', 'p50, p99 others (ms)', 'detection p50, p99 (ms)', 'false verdicts', 'longest (ms)'], rows),
+    renderTable(['instances', 'trouble', 'relays, look-ups', 'seeds', 'seeds that broke a rule', 'served, cut', 'served, others', 'p50, p99 cut (ms)', 'p50, p99 others (ms)', 'detection p50, p99 (ms)', 'false verdicts', 'longest (ms)'], rows),
     '## One instance of seven loses its path for 12 s',
     '![](reach-served.svg)',
     `Each line is the share of first attempts served by second, over ${plotSeeds} seeds, by what happens to connections. The cut is from 10 to 22 s.`,
@@ -68,11 +75,11 @@
   return { summary: `${rows.reduce((sum, row) => sum + Number(row[3]), 0)} simulated runs, ${breaches} of those with relays broke a rule.`, markdown, plots, hasFailed: breaches > 0 }
 }
 
-async function runRow ({ instances, seeds, jobs, trouble, mutant }: RowOptions): Promise<PartitionResult[]> {
+async function runRow ({ instances, seeds, jobs, trouble, mutant, isSteered }: RowOptions): Promise<PartitionResult[]> {
   let count = 0
   return runSeeds<PartitionResult>({
     script,
-    options: { instances, trouble, ...mutant === undefined ? {} : { mutant } },
+    options: { instances, trouble, isSteered, ...mutant === undefined ? {} : { mutant } },
     seeds,
     jobs,
     onResult ({ seed, breaches }) {
--- a/packages/standins/src/emulator/fleet_callers.ts
+++ b/packages/standins/src/emulator/fleet_callers.ts
@@ -49,7 +49,8 @@
     if (known !== undefined && (isSticky || clock.getNowMs() < known.untilMs)) return known.names
     const asked = choose([...world.instances.values()].filter(({ isUp }) => isUp))
     const failureDomain = plan.failureDomains[caller % plan.failureDomains.length]!
-    const addresses = chooseAddresses([asked.components.getHeartbeat(), ...asked.components.listPeers()], { failureDomain, region: getRegion(failureDomain) }, { minAddresses })
+    const heartbeats = [asked.components.getHeartbeat(), ...asked.components.listPeers()]
+    const addresses = chooseAddresses(world.isSteered ? heartbeats : heartbeats.map(heartbeat => ({ ...heartbeat, unreached: [] })), { failureDomain, region: getRegion(failureDomain) }, { minAddresses })
     const names = addresses.map(address => address.split(':')[0]!)
     lookUps.set(caller, { names: isSticky ? [choose(names)] : names, untilMs: clock.getNowMs() + choose([lookUpTtlMs, longLookUpTtlMs]) })
     return lookUps.get(caller)!.names
--- a/packages/standins/src/emulator/fleet_world.ts
+++ b/packages/standins/src/emulator/fleet_world.ts
@@ -68,6 +68,8 @@
   mutant: FleetMutant | undefined
   /** Prefix of the identifiers of attempts whose log lines are kept. */
   traceId: string | undefined
+  /** Whether look-ups leave out instances that reach no target. */
+  isSteered: boolean
   /** Returns a random number in [0, 1). */
   getRandom: () => number
   /** What has been recorded. */
@@ -101,7 +103,7 @@
  * @param options Clock, plan, random source and fault
  * @returns The world
  */
-export function createFleetWorld (options: Pick<FleetWorld, 'clock' | 'plan' | 'mutant' | 'traceId' | 'getRandom'>): FleetWorld {
+export function createFleetWorld (options: Pick<FleetWorld, 'clock' | 'plan' | 'mutant' | 'traceId' | 'isSteered' | 'getRandom'>): FleetWorld {
   const links = new Map<string, LinkState>()
   const openSinceMs = new Map<string, number>()
   const instances = new Map<string, FleetInstance>()
--- a/packages/standins/src/emulator/partition_fleet.ts
+++ b/packages/standins/src/emulator/partition_fleet.ts
@@ -26,6 +26,8 @@
   mutant?: FleetMutant
   /** Prefix of the identifiers of attempts whose log lines are kept; none by default. */
   traceId?: string
+  /** Whether look-ups leave out instances that reach no target; true by default. */
+  isSteered?: boolean
 }
 
 /** Time after its start in which a target registers, in milliseconds. */
@@ -40,9 +42,9 @@
  * @param options What happens, random source and fault
  * @returns What was recorded
  */
-export async function simulatePartitions ({ plan, getRandom, mutant, traceId }: SimulatePartitionsOptions): Promise<FleetRecord> {
+export async function simulatePartitions ({ plan, getRandom, mutant, traceId, isSteered = true }: SimulatePartitionsOptions): Promise<FleetRecord> {
   using clock = startVirtualTimers()
-  const world = createFleetWorld({ clock, plan, getRandom, mutant, traceId })
+  const world = createFleetWorld({ clock, plan, getRandom, mutant, traceId, isSteered })
   const callers = createFleetCallers(world)
   for (let index = 0; index < plan.targets; index++) openTarget(world, index)
   for (let index = 0; index < plan.instances; index++) startInstance(world, index)
--- a/packages/standins/src/emulator/partition_run.ts
+++ b/packages/standins/src/emulator/partition_run.ts
@@ -22,6 +22,8 @@
   seed: number
   /** Fault of the fleet; none by default. */
   mutant?: FleetMutant
+  /** Whether look-ups leave out instances that reach no target; true by default. */
+  isSteered?: boolean
 }
 
 /** Result of one seed. */
@@ -63,8 +65,8 @@
  * @param options Seed and fault, and the attempt to trace; none by default
  * @returns What was recorded
  */
-export async function simulatePlan (plan: FleetPlan, { seed, mutant, traceId }: Pick<PartitionRunOptions, 'seed' | 'mutant'> & { traceId?: string }): Promise<FleetRecord> {
-  return simulatePartitions({ plan, getRandom: createSeededRandom(`run ${seed}`), ...mutant === undefined ? {} : { mutant }, ...traceId === undefined ? {} : { traceId } })
+export async function simulatePlan (plan: FleetPlan, { seed, mutant, traceId, isSteered }: Pick<PartitionRunOptions, 'seed' | 'mutant' | 'isSteered'> & { traceId?: string }): Promise<FleetRecord> {
+  return simulatePartitions({ plan, getRandom: createSeededRandom(`run ${seed}`), ...mutant === undefined ? {} : { mutant }, ...traceId === undefined ? {} : { traceId }, ...isSteered === undefined ? {} : { isSteered } })
 }
 
 /**
