Keep an instance alive that is told to reload while it starts

Callers saw a machine that was away for another start.

The soak starts processes again that end by themselves, as the platform does, and reports each end.

Node.js itself takes some 40 ms before any handler can be registered; a signal in that time still ends the process.

--- a/packages/standins/src/soak/soak_instance.ts
+++ b/packages/standins/src/soak/soak_instance.ts
@@ -40,7 +40,9 @@
   stops: TimeSpan[]
   /** Times without a path to any target. */
   cuts: TimeSpan[]
-  /** Sends a signal to the process, if it runs. */
+  /** Ends of the process that nothing of the soak caused, each as one text. */
+  unexpectedEnds: string[]
+  /** Sends a signal to the process, if it runs and Node.js has started. */
   sendSignal (signal: NodeJS.Signals): void
   /** Kills the process and starts it again. */
   restart (): Promise<void>
@@ -58,7 +60,7 @@
 export interface StartSoakInstanceOptions {
   /** Number of the instance. */
   index: number
-  /** Number of the site, so that several may run on one machine. */
+  /** Number of the site, so that several may run in one process. */
   site: number
   /** Failure domains. */
   failureDomains: string[]
@@ -68,25 +70,37 @@
   folder: string
   /** Flags of the program; none by default. */
   flags?: string[]
+  /** Flags of Node.js; none by default. */
+  nodeFlags?: string[]
 }
 
 /** Bounds of a soak, in the format of the platform's settings. */
 export const soakBounds = { stable_window: '4000ms', drain: '2500ms', grace: '6s', config: '2500ms', retry_ratio: 0.2, retry_slack: 56, budget_window: '10s', cold_over: 1.5, cold_slack: 5, ttl_max: '5s' }
 
 const graceMs = 6_000
+const firstBlock = 100
+const blocks = 64
+const addressesPerBlock = 240
+const instancesPerSite = 30
 const restartDelayMs = 300
+/** Time that Node.js takes until it runs the program, in milliseconds; signals before that end any process. */
+const bootstrapMs = 250
 const ports = { front: 20_001, directory: 20_002, ready: 20_003, control: 20_004, internal: 20_005 }
 const readyTimeoutMs = 500
 
+/** Running processes of all instances, which must not outlive this process. */
+const children = new Set<ChildProcess>()
+process.once('exit', () => { for (const child of children) child.kill('SIGKILL') })
+
 /**
  * Starts an instance.
  *
  * @param options Number, store and folder
  * @returns The instance; dispose it to end its processes
  */
-export async function startSoakInstance ({ index, site, failureDomains, store, folder, flags = [] }: StartSoakInstanceOptions): Promise<SoakInstance> {
+export async function startSoakInstance ({ index, site, failureDomains, store, folder, flags = [], nodeFlags = [] }: StartSoakInstanceOptions): Promise<SoakInstance> {
   const name = `entry-${index}`
-  const host = `127.${200 + site % 50}.${Math.floor(index / 200)}.${index % 200 + 1}`
+  const host = createHost(site, index)
   const failureDomain = failureDomains[index % failureDomains.length]!
   const path = await startPathRelay()
   const storeEndpoint = await store.openEndpoint(path.mapAddress)
@@ -108,6 +122,8 @@
   let child: ChildProcess | undefined
   let exited: Promise<unknown> = Promise.resolve()
   let isDisposed = false
+  let isEnding = false
+  let startedAtMs = -Infinity
   const instance: SoakInstance = {
     name,
     address: { host, port: ports.front },
@@ -116,7 +132,10 @@
     disturbances: [],
     stops: [],
     cuts: [],
-    sendSignal: signal => { child?.kill(signal) },
+    unexpectedEnds: [],
+    sendSignal (signal) {
+      if (performance.now() - startedAtMs > bootstrapMs) child?.kill(signal)
+    },
     async restart () {
       await startAgain(async () => {
         child?.kill('SIGKILL')
@@ -166,21 +185,33 @@
   function startProcess (): void {
     if (isDisposed) return
     const log = openSync(logFile, 'a')
-    const started = spawn(process.execPath, ['--max-old-space-size=96', program, ...flags], { env: { PATH: process.env['PATH'], BILBERRYWORKS_CONFIG: settingsFile }, stdio: ['ignore', log, log] })
+    const started = spawn(process.execPath, ['--max-old-space-size=96', ...nodeFlags, program, ...flags], { env: { PATH: process.env['PATH'], BILBERRYWORKS_CONFIG: settingsFile }, stdio: ['ignore', log, log] })
     closeSync(log)
     child = started
+    children.add(started)
+    started.once('exit', () => children.delete(started))
+    startedAtMs = performance.now()
+    started.once('exit', (code, signal) => { if (!isEnding && !isDisposed) handleUnexpectedEnd(`${name} ended with ${signal ?? code}`) })
     exited = new Promise(resolve => {
       started.once('exit', resolve)
       started.once('error', resolve)
     })
   }
 
+  /** Starts the process again, as the platform does. */
+  function handleUnexpectedEnd (text: string): void {
+    instance.unexpectedEnds.push(text)
+    setTimeout(startProcess, restartDelayMs)
+  }
+
   /** Ends the process, and starts it again after a delay; a process that is being restarted already is left alone. */
   async function startAgain (endProcess: () => Promise<void>): Promise<void> {
     if (instance.disturbances.some(({ toMs }) => toMs === Infinity)) return
     const span: TimeSpan = { fromMs: performance.now(), toMs: Infinity }
     instance.disturbances.push(span)
+    isEnding = true
     await endProcess()
+    isEnding = false
     await wait(restartDelayMs)
     startProcess()
     await waitUntil(() => isDisposed || instance.isReady())
@@ -191,6 +222,12 @@
   return instance
 }
 
+/** Creates a loopback address that no other instance of this process has, and with all likelihood none of another process. */
+function createHost (site: number, index: number): string {
+  const { pid } = process
+  return `127.${firstBlock + Math.floor(pid / addressesPerBlock) % blocks}.${pid % addressesPerBlock}.${(site * instancesPerSite + index) % addressesPerBlock + 1}`
+}
+
 function getRegion (failureDomain: string): string {
   return failureDomain.slice(0, failureDomain.lastIndexOf('-'))
 }
