Show how long requests are held while no instance reaches a target

New test on real processes: two instances whose paths to all targets hang for 8 s. Requests should be refused at once and served within 3 s of the return.

--- a/packages/standins/src/unreachable_targets_test.ts
+++ b/packages/standins/src/unreachable_targets_test.ts
@@ -11,6 +11,11 @@
 const callIntervalMs = 60
 const targetOptions = { processingMs: 60, responsesPerClose: 10 }
 const observedMs = 4_000
+/** Time for instances to notice, duration of an outage after that, and time in which instances serve again, in milliseconds. */
+const settleMs = 2_500
+const outageMs = 8_000
+const returnMs = 3_000
+const atOnceMs = 300
 
 interface FirstTry {
   entry: TestEntry
@@ -40,7 +45,7 @@
   return tries
 }
 
-function computeServedShare (tries: FirstTry[]): number {
+function computeServedShare (tries: Array<{ status: number | undefined }>): number {
   return tries.filter(({ status }) => status === 200).length / tries.length
 }
 
@@ -101,3 +106,32 @@
   }
   for (const entry of entries) t.deepEqual(entry.readLog().filter(line => line['event'] === 'target_ended' || line['event'] === 'request_quarantined'), [])
 })
+
+test('while no instance reaches any target, requests are refused at once, and served soon after the targets are back', async t => {
+  await using site = await createTestSite()
+  await using firstPath = await startPathRelay()
+  await using secondPath = await startPathRelay()
+  const paths = [firstPath, secondPath]
+  site.writeConfig({ timeout: '4000ms' })
+  for (let index = 0; index < targets; index++) await site.openTarget(`t${index}`, { ...targetOptions, failureDomain: failureDomains[index % failureDomains.length]! })
+  const entries: TestEntry[] = []
+  for (const [index, path] of paths.entries()) entries.push(await site.startEntry(index, [], path))
+  for (const entry of entries) t.true(await waitUntil(async () => (await site.call(entry)).status === 200))
+  const load = async (endMs: number): Promise<Array<{ status: number | undefined, elapsedMs: number }>> => {
+    const calls: Array<Promise<{ status: number | undefined, elapsedMs: number }>> = []
+    while (performance.now() < endMs) {
+      for (const entry of entries) calls.push(site.call(entry, { affinityKey: String(calls.length % 40), timeLeftMs: 4_000 }))
+      await wait(callIntervalMs)
+    }
+    return Promise.all(calls)
+  }
+  for (const path of paths) await path.setState(PathState.Hanging)
+  await load(performance.now() + settleMs)
+  const refused = await load(performance.now() + outageMs)
+  t.deepEqual([...new Set(refused.map(({ status }) => status))], [503])
+  t.true(Math.max(...refused.map(({ elapsedMs }) => elapsedMs)) < atOnceMs, String(Math.max(...refused.map(({ elapsedMs }) => elapsedMs))))
+  for (const path of paths) await path.setState(PathState.Open)
+  await load(performance.now() + returnMs)
+  const served = await load(performance.now() + settleMs)
+  t.true(computeServedShare(served) >= 0.97, String(computeServedShare(served)))
+})
