Believe an instance that refuses a relayed request for want of a path

Cause: when all instances lost their targets at the same moment, each sent its requests to the other for as long as the other's heartbeat was missing, and refused them, although they could have waited (3 to 4 requests in the log of a 0.6 s outage of two instances).

Change: a refusal as target_unreachable counts for 0.5 s as that instance's word that it does not reach the targets of the request, beside its heartbeats.

--- a/packages/bilberryd/src/edge/relay_peers.ts
+++ b/packages/bilberryd/src/edge/relay_peers.ts
@@ -20,6 +20,8 @@
   recordEnd (instance: string): void
   /** Records that an instance has just refused a request for want of room, or could not be connected to. */
   recordBusy (instance: string): void
+  /** Records that an instance has just refused a request because it reaches none of some groups of targets, which its heartbeats may not tell yet. */
+  recordUnreached (instance: string, groups: string[]): void
 }
 
 /** Options of {@linkcode createRelayPeers}. */
@@ -38,6 +40,8 @@
 
 /** Time for which an instance that refused a request for want of room is not chosen, in milliseconds: about the time in which it ends some requests. */
 const busyMs = 250
+/** Time for which the word of an instance that it does not reach some targets goes before its heartbeats, in milliseconds: it announces changes at once, but their datagram may be lost. */
+const unreachedMs = 500
 /** Time for which the list of live instances is kept, in milliseconds: short compared with the interval of heartbeats. */
 const listLifetimeMs = 100
 
@@ -50,6 +54,7 @@
 export function createRelayPeers ({ region, view, isEnabled, getNowMs, getRandom }: CreateRelayPeersOptions): RelayPeers {
   const inFlight = new Map<string, number>()
   const busyUntilMs = new Map<string, number>()
+  const unreachedUntilMs = new Map<string, Map<string, number>>()
   let candidates: Array<PeerHeartbeat & { unreached: string[] }> = []
   let reachedGroups = new Map<string, boolean>()
   let listedAtMs = -Infinity
@@ -58,11 +63,17 @@
     const nowMs = getNowMs()
     if (nowMs - listedAtMs < listLifetimeMs) return candidates
     listedAtMs = nowMs
-    candidates = isEnabled ? view.listLive(nowMs).map(({ heartbeat }) => ({ ...heartbeat, unreached: heartbeat.unreached ?? [] })) : []
+    candidates = isEnabled ? view.listLive(nowMs).map(({ heartbeat }) => ({ ...heartbeat, unreached: [...heartbeat.unreached ?? [], ...listToldUnreached(heartbeat.instance, nowMs)] })) : []
     reachedGroups = new Map()
     return candidates
   }
 
+  function listToldUnreached (instance: string, nowMs: number): string[] {
+    const groups = unreachedUntilMs.get(instance) ?? new Map<string, number>()
+    for (const [group, untilMs] of groups) if (untilMs <= nowMs) groups.delete(group)
+    return [...groups.keys()]
+  }
+
   return {
     isReached (group) {
       const peers = listCandidates()
@@ -91,6 +102,12 @@
     },
     recordBusy (instance) {
       busyUntilMs.set(instance, getNowMs() + busyMs)
+    },
+    recordUnreached (instance, groups) {
+      const known = unreachedUntilMs.get(instance) ?? new Map<string, number>()
+      for (const group of groups) known.set(group, getNowMs() + unreachedMs)
+      unreachedUntilMs.set(instance, known)
+      listedAtMs = -Infinity
     }
   }
 }
--- a/packages/bilberryd/src/edge/relayer.ts
+++ b/packages/bilberryd/src/edge/relayer.ts
@@ -151,6 +151,7 @@
       onEnd (result, end) {
         release(attempt)
         metrics.countRelayed(result)
+        if (end.refusal?.reason === RefusalReason.TargetUnreachable) relayPeers.recordUnreached(peer.instance, options.listGroups(attempt))
         if (end.refusal?.reason === RefusalReason.RelayLimit || result === RelayResultKind.Unsent) relayPeers.recordBusy(peer.instance)
         if (result !== RelayResultKind.Answered) log.info('relay_failed', { id: attempt.attemptId, peer: peer.instance, result, reason: end.refusal?.reason, detail: end.detail, elapsedMs: Math.round(getNowMs() - attempt.dispatchedAtMs) })
         handleResult(attempt, result, end)
