Fail a test of an outage whose instances never serve

The set-up of the tests on outages of all instances waited for each instance to serve a request, and went on if none did, so that refusals for another cause could have passed as those of the outage. It throws now. No check changed; the test passes.

--- a/packages/standins/src/unreachable_targets_test.ts
+++ b/packages/standins/src/unreachable_targets_test.ts
@@ -125,7 +125,9 @@
   site.writeConfig({ timeout: `${requestTimeMs}ms` })
   for (let index = 0; index < targets; index++) await site.openTarget(`t${index}`, { ...targetOptions, failureDomain: failureDomains[index % failureDomains.length]! })
   const entries = await Promise.all(paths.map((path, index) => site.startEntry(index, [], path)))
-  for (const entry of entries) await waitUntil(async () => (await site.call(entry)).status === 200)
+  for (const entry of entries) {
+    if (!await waitUntil(async () => (await site.call(entry)).status === 200)) throw new Error(`Instance "${entry.settings.instance}" serves no request`)
+  }
   return entries
 }
 
