--- a/packages/standins/src/bench_fleet.ts
+++ b/packages/standins/src/bench_fleet.ts
@@ -6,10 +6,10 @@
 import type { BenchReport } from './bench_part.ts'
 import type { SimulateCrashFleetOptions } from './emulator/crash_fleet.ts'
 import type { SimulateRateFleetOptions } from './emulator/rate_fleet.ts'
-import { computeHash } from '@bilberryworks/steering'
 import { renderTable } from './bench_part.ts'
 import { simulateCrashFleet } from './emulator/crash_fleet.ts'
 import { simulateRateFleet } from './emulator/rate_fleet.ts'
+import { createSeededRandom } from './emulator/seeded_random.ts'
 
 type RateScenario = Omit<SimulateRateFleetOptions, 'getRandom' | 'instances' | 'restarts'> & { createRestarts?: (instances: number, getRandom: () => number) => SimulateRateFleetOptions['restarts'] }
 
@@ -65,14 +65,9 @@
   return { summary: `${sumRuns(rateRows)} runs with named rates, ${rateBreaches} above the allowance; ${sumRuns(crashRows)} runs with requests that crash targets or with lost targets, ${crashBreaches} with more retries than allowed, ${sumColumn(crashRows, 7)} other requests refused.`, markdown }
 }
 
-function createRandom (seed: string): () => number {
-  let draws = 0
-  return () => computeHash(`${seed} ${draws++}`) / 2 ** 32
-}
-
 function measureRate (title: string, { size: { instances, seeds }, scenario: { createRestarts, ...scenario } }: { size: FleetSize, scenario: RateScenario }): Array<string | number> {
   const results = Array.from({ length: seeds }, (_, seed) => {
-    const getRandom = createRandom(`${title} ${instances} ${seed}`)
+    const getRandom = createSeededRandom(`${title} ${instances} ${seed}`)
     return simulateRateFleet({ ...scenario, instances, restarts: createRestarts?.(instances, getRandom) ?? [], getRandom })
   })
   const shares = results.map(({ worstShare }) => worstShare).toSorted((a, b) => a - b)
@@ -83,7 +78,7 @@
 
 function measureCrashes (title: string, { size, scenario }: { size: FleetSize, scenario: typeof crashScenarios[string] }): Array<string | number> {
   const { seeds } = size
-  const results = Array.from({ length: seeds }, (_, seed) => simulateCrashFleet({ ...size, ...scenario, getRandom: createRandom(`${title} ${size.instances} ${seed}`) }))
+  const results = Array.from({ length: seeds }, (_, seed) => simulateCrashFleet({ ...size, ...scenario, getRandom: createSeededRandom(`${title} ${size.instances} ${seed}`) }))
   const sum = (read: (result: typeof results[number]) => number): number => results.reduce((total, result) => total + read(result), 0)
   const retries = results.map(({ lateRetries }) => lateRetries)
   return [size.instances, seeds, title, Math.max(...retries), retries.filter(count => count > 3).length, (sum(({ crashes }) => crashes) / seeds).toFixed(1), sum(({ sent }) => sent), sum(({ refused }) => refused)]
--- a/packages/standins/src/emulator/crash_fleet_test.ts
+++ b/packages/standins/src/emulator/crash_fleet_test.ts
@@ -1,15 +1,10 @@
 import type { CrashFleetResult, SimulateCrashFleetOptions } from './crash_fleet.ts'
-import { computeHash } from '@bilberryworks/steering'
 import test from 'ava'
 import { simulateCrashFleet } from './crash_fleet.ts'
-
-function createRandom (seed: string): () => number {
-  let draws = 0
-  return () => computeHash(`${seed} ${draws++}`) / 2 ** 32
-}
+import { createSeededRandom } from './seeded_random.ts'
 
 function runSeeds (title: string, seeds: number, options: Omit<SimulateCrashFleetOptions, 'getRandom'>): CrashFleetResult[] {
-  return Array.from({ length: seeds }, (_, index) => simulateCrashFleet({ ...options, getRandom: createRandom(`${title} ${index}`) }))
+  return Array.from({ length: seeds }, (_, index) => simulateCrashFleet({ ...options, getRandom: createSeededRandom(`${title} ${index}`) }))
 }
 
 for (const [title, size] of [['7 instances', { instances: 7, targets: 20, requestIntervalMs: 25 }], ['29 instances', { instances: 29, targets: 120, requestIntervalMs: 8 }]] as const) {
--- a/packages/standins/src/emulator/rate_fleet_test.ts
+++ b/packages/standins/src/emulator/rate_fleet_test.ts
@@ -1,20 +1,15 @@
 import type { SimulateRateFleetOptions } from './rate_fleet.ts'
-import { computeHash } from '@bilberryworks/steering'
 import test from 'ava'
 import { simulateRateFleet } from './rate_fleet.ts'
+import { createSeededRandom } from './seeded_random.ts'
 
 const seeds = 20
 const instances = 29
 
-function createRandom (seed: string): () => number {
-  let draws = 0
-  return () => computeHash(`${seed} ${draws++}`) / 2 ** 32
-}
-
 /** Simulates the fleet with each seed and lists the seeds with which more requests than allowed arrived. */
 function listBreaches (title: string, createOptions: (getRandom: () => number) => Omit<SimulateRateFleetOptions, 'getRandom'>): string[] {
   return Array.from({ length: seeds }, (_, index) => `${title} ${index}`).flatMap(seed => {
-    const getRandom = createRandom(seed)
+    const getRandom = createSeededRandom(seed)
     const { worstShare } = simulateRateFleet({ ...createOptions(getRandom), getRandom })
     return worstShare > 1 ? [`seed "${seed}": ${worstShare.toFixed(2)} of what is allowed`] : []
   })
@@ -63,7 +58,7 @@
 
 test('uses most of a named rate, also if a few instances have all requests', t => {
   for (const demandShare of [1, 0.1]) {
-    const { usedShare } = simulateRateFleet({ ...heavy, demandShare, getRandom: createRandom(`used ${demandShare}`) })
+    const { usedShare } = simulateRateFleet({ ...heavy, demandShare, getRandom: createSeededRandom(`used ${demandShare}`) })
     t.true(usedShare >= 0.7, `${usedShare.toFixed(2)} of the rate was used by ${demandShare * 100} % of the instances`)
   }
 })
--- a/packages/standins/src/main_path_relay.ts
+++ b/packages/standins/src/main_path_relay.ts
@@ -7,6 +7,7 @@
 import type { PathRelayCommand, PathRelayReply } from './path_relay.ts'
 import { connect, createServer } from 'node:net'
 import { formatServerAddress, listen } from './listeners.ts'
+import { listenToParent } from './parent_commands.ts'
 import { PathState, relayBacklog } from './path_relay.ts'
 
 interface RelayListener {
@@ -67,12 +68,4 @@
   process.send?.(reply)
 }
 
-process.on('message', (command: PathRelayCommand) => {
-  handleCommand(command).catch(error => {
-    console.error(error)
-    process.exit(1)
-  })
-})
-process.on('SIGINT', () => {})
-process.once('disconnect', () => process.exit(0))
-console.log(JSON.stringify({ ready: true }))
+listenToParent(handleCommand)
--- a/packages/standins/src/main_relay.ts
+++ b/packages/standins/src/main_relay.ts
@@ -6,6 +6,7 @@
 import type { LinkProfile, RelayRoute } from './link_relay.ts'
 import type { NetworkLocation } from './loopback_addresses.ts'
 import { createLinkRelay } from './link_relay.ts'
+import { listenToParent } from './parent_commands.ts'
 
 /** Command from the parent process; `open` and `report` get a {@linkcode RelayReply} with the same `id`. */
 export type RelayCommand =
@@ -54,12 +55,4 @@
   process.send?.(message)
 }
 
-process.on('message', (command: RelayCommand) => {
-  handleCommand(command).catch(error => {
-    console.error(error)
-    process.exit(1)
-  })
-})
-process.on('SIGINT', () => {})
-process.once('disconnect', () => process.exit(0))
-console.log(JSON.stringify({ ready: true }))
+listenToParent(handleCommand)
