Send nothing to a target whose address another target has taken

Cause: a response that another target sent counted as an answer, which closed the circuit, and since it came at once the target always seemed free. Change: such a response is a signal of its own, Misdirected, which opens the circuit as a failed connection does; the budget is charged as before. Hypothesis: fewer refused where addresses are reused.

--- a/packages/bilberryd/src/edge/exchange_results.ts
+++ b/packages/bilberryd/src/edge/exchange_results.ts
@@ -82,6 +82,7 @@
         retryAttempt(attempt, { reason: RetryReason.TargetExcluded, consumesBudget: false, detail })
         break
       case ExchangeResult.NotRun:
+      case ExchangeResult.Misdirected:
         attempt.lastNotRunReason = RefusalReason.TargetRefused
         retryAttempt(attempt, { reason: RetryReason.TargetRefused, consumesBudget: true, detail: 'Target stated that it did not run the request' })
         break
--- a/packages/bilberryd/src/edge/send_attempt.ts
+++ b/packages/bilberryd/src/edge/send_attempt.ts
@@ -24,6 +24,8 @@
   Completed = 'answered',
   /** The target stated that it did not run the request and will not run it. */
   NotRun = 'not_run',
+  /** Another target responded at the address of the target, and stated that it did not run the request. */
+  Misdirected = 'misdirected',
   /** The connection was not established, so no byte was sent. */
   ConnectFailed = 'unsent',
   /** The target was excluded from selection before a byte was sent, for example because it is leaving. */
@@ -58,6 +60,9 @@
   getNowMs: () => number
 }
 
+/** Results of exchanges whose response is not forwarded to the caller. */
+type WithheldResult = ExchangeResult.NotRun | ExchangeResult.Misdirected | ExchangeResult.Failed
+
 const resultByFailure: Record<ExchangeFailure, ExchangeResult> = {
   [ExchangeFailure.ConnectFailed]: ExchangeResult.ConnectFailed,
   [ExchangeFailure.Withdrawn]: ExchangeResult.Withdrawn,
@@ -85,12 +90,12 @@
   /** Whether a target that received the request before may have run it; a "not run" response of this target does not change that. */
   const mayHaveRunBefore = attempt.mayHaveRun
   let writer: ResponseWriter | undefined
-  let withheldResult: ExchangeResult.NotRun | ExchangeResult.Failed | undefined
+  let withheldResult: WithheldResult | undefined
   let withheldBytes = 0
   let withheldTimer: NodeJS.Timeout | undefined
 
   /** Withholds the response from the caller; its body is received only so that the connection can be used again. */
-  function startWithholding (result: ExchangeResult.NotRun | ExchangeResult.Failed): void {
+  function startWithholding (result: WithheldResult): void {
     withheldResult = result
     withheldTimer = setTimeout(dropWithheld, maxWithheldMs, `did not end within ${maxWithheldMs} ms`)
   }
@@ -123,7 +128,7 @@
       options.onResponseHead(fields)
       recordResponseTime(entry, options.getNowMs() - attempt.dispatchedAtMs)
       if (fields.isNotRun) {
-        startWithholding(ExchangeResult.NotRun)
+        startWithholding(fields.isFromTarget ? ExchangeResult.NotRun : ExchangeResult.Misdirected)
         attempt.mayHaveRun = mayHaveRunBefore
       } else if (isWithheld(attempt, head, fields.isSigned)) startWithholding(ExchangeResult.Failed)
       else writer = createResponseWriter(attempt.response, head, { ...createWriterOptions(attempt), addedFields: listRelayFields(attempt, target.id) })
@@ -142,7 +147,7 @@
     onFail (failure, detail) {
       if (writer?.isCommitted() === true) finish(ExchangeResult.Truncated, detail)
       // The response head is sufficient evidence that the request did not run, even if the body is lost.
-      else if (withheldResult === ExchangeResult.NotRun) finish(ExchangeResult.NotRun, detail)
+      else if (withheldResult !== undefined && withheldResult !== ExchangeResult.Failed) finish(withheldResult, detail)
       else finish(resultByFailure[failure], detail)
     }
   })
--- a/packages/bilberryd/src/edge/target_sender.ts
+++ b/packages/bilberryd/src/edge/target_sender.ts
@@ -49,6 +49,7 @@
   [ExchangeResult.Completed]: TargetSignal.Answered,
   [ExchangeResult.Failed]: TargetSignal.Answered,
   [ExchangeResult.NotRun]: TargetSignal.Refused,
+  [ExchangeResult.Misdirected]: TargetSignal.Misdirected,
   [ExchangeResult.ConnectFailed]: TargetSignal.ConnectFailed,
   [ExchangeResult.Withdrawn]: TargetSignal.Ended,
   [ExchangeResult.Lost]: TargetSignal.Lost,
--- a/packages/standins/src/site_target.ts
+++ b/packages/standins/src/site_target.ts
@@ -71,6 +71,8 @@
   runs: TargetRun[]
   /** Monotonic times at which requests for this target arrived, whether they ran or not, in milliseconds. */
   arrivalsMs: number[]
+  /** Monotonic times at which requests for another target arrived, in milliseconds. */
+  misdirectedMs: number[]
   /** Returns the largest number of requests that ran concurrently so far. */
   getMaxConcurrency (): number
   /** Queues faults; each of the next requests takes the first one in the queue. */
@@ -98,6 +100,7 @@
   const { id, slots = 3 } = options
   const runs: TargetRun[] = []
   const arrivalsMs: number[] = []
+  const misdirectedMs: number[] = []
   const faults: TargetFault[] = []
   let processingMs = options.processingMs ?? 5
   let concurrency = 0
@@ -112,6 +115,7 @@
     response.setHeader('X-Request-Id', attemptId)
     for (const [name, value] of Object.entries(responseFields)) response.setHeader(name, value)
     if (message.headers['x-target-instance'] !== id) {
+      misdirectedMs.push(performance.now())
       response.writeHead(421, { 'X-Instance-Id': id }).end()
       return
     }
@@ -161,6 +165,7 @@
     address: `${socketAddress.host}:${socketAddress.port}`,
     runs,
     arrivalsMs,
+    misdirectedMs,
     getMaxConcurrency: () => maxConcurrency,
     addFaults: added => faults.push(...added),
     dropFaults () { faults.length = 0 },
--- a/packages/steering/src/circuit.ts
+++ b/packages/steering/src/circuit.ts
@@ -13,6 +13,8 @@
   ConnectFailed = 'connect_failed',
   /** The target responded that it did not run the request. */
   Refused = 'refused',
+  /** Another target responded at the address, so the target has ended. */
+  Misdirected = 'misdirected',
   /** The connection broke during the exchange. */
   Lost = 'lost',
   /** The instance ended the exchange, which is no evidence of the health of the target. */
@@ -53,13 +55,13 @@
  *
  * @param circuit The circuit before the exchange
  * @param signal Outcome of the exchange
- * @param options The monotonic time, in milliseconds; a random source that returns [0, 1); whether a single failure opens the circuit
+ * @param options The monotonic time, in milliseconds; a random source that returns [0, 1); whether a single failure opens the circuit, as a response of another target always does
  * @returns The circuit after the exchange
  */
 export function advanceCircuit (circuit: Circuit, signal: TargetSignal, options: { nowMs: number, getRandom: () => number, opensOnFirstFailure?: boolean }): Circuit {
   if (signal === TargetSignal.Ended) return circuit
   if (signal === TargetSignal.Answered || signal === TargetSignal.Refused) return closedCircuit
-  const failures = Math.max(circuit.failures + 1, options.opensOnFirstFailure === true ? failureThreshold : 0)
+  const failures = Math.max(circuit.failures + 1, options.opensOnFirstFailure === true || signal === TargetSignal.Misdirected ? failureThreshold : 0)
   if (failures < failureThreshold) return { failures, probeAtMs: 0 }
   const openMs = Math.min(maxOpenMs, initialOpenMs * 2 ** (failures - failureThreshold))
   return { failures, probeAtMs: options.nowMs + openMs * (0.5 + options.getRandom() / 2) }
