Spend nearly the whole retry budget that an instance's own requests allow

Cause: half of the whole part was left unused, since a restarted instance has its slack again; but the part that follows from its requests starts at zero with it. Change: 0.9 of the ratio and half of the slack. Hypothesis: fewer refused where targets refuse at random. The new test fails on the code before.

--- a/packages/steering/src/fleet_retry_budget.ts
+++ b/packages/steering/src/fleet_retry_budget.ts
@@ -26,8 +26,10 @@
   computeRemaining (nowMs: number): number
 }
 
-/** Fraction of its part that an instance uses: a restarted instance has its full slack again, although its earlier retries are still within the window. */
-const usedShare = 0.5
+/** Fraction of the retries for its own requests that an instance uses; the rest covers windows that begin within one of its buckets. */
+const usedRatioShare = 0.9
+/** Fraction of its part of the slack that an instance uses: a restarted instance has its full slack again, although its earlier retries are still within the window. */
+const usedSlackShare = 0.5
 /** Number of buckets into which a window is divided for counting. */
 const bucketsPerWindow = 10
 
@@ -47,7 +49,7 @@
   const retries = createWindowCounter(bucketMs)
 
   function computeLeft (nowMs: number): number {
-    const allowed = usedShare * (ratio * requests.sum(nowMs) + slack / Math.max(1, getInstanceCount()))
+    const allowed = usedRatioShare * ratio * requests.sum(nowMs) + usedSlackShare * slack / Math.max(1, getInstanceCount())
     return Math.max(0, allowed - retries.sum(nowMs))
   }
 
--- a/packages/steering/src/fleet_retry_budget_test.ts
+++ b/packages/steering/src/fleet_retry_budget_test.ts
@@ -38,6 +38,18 @@
   t.is(taken, 4)
 })
 
+// All targets refuse 45 % of their requests for some seconds: two of five such requests may be retried.
+test('retries nearly a fifth of the requests while targets refuse many', t => {
+  const budget = createFleetRetryBudget({ ratio, slack, windowMs, getInstanceCount: () => 7 })
+  let retried = 0
+  const requests = 400
+  for (let request = 0; request < requests; request++) {
+    budget.recordRequest(request * 20)
+    if (request % 20 < 9 && budget.take(request * 20)) retried++
+  }
+  t.true(retried >= 0.17 * requests, `${retried} of ${requests} requests were retried`)
+})
+
 test('counts a request only within the window', t => {
   const budget = createFleetRetryBudget({ ratio, slack: 0, windowMs, getInstanceCount: () => 1 })
   for (let count = 0; count < 100; count++) budget.recordRequest(0)
