Tell callers to return soon when a target with free slots refused them

Change: where the load in the refusal shows free slots and the request may not be sent on, Retry-After is 25 to 75 ms; such refusals do not count into the backlog. Hypothesis: more in aim where targets refuse at random, no change elsewhere.

--- a/packages/bilberryd/src/edge/attempt.ts
+++ b/packages/bilberryd/src/edge/attempt.ts
@@ -85,4 +85,6 @@
   fingerprint: string | undefined
   /** Refusal reason of the last exchange that failed without running the request; reported if the attempt is refused. */
   lastNotRunReason: RefusalReason | undefined
+  /** Whether the last target that refused it had free slots, according to the load in its response. */
+  wasRefusedWithRoom: boolean
 }
--- a/packages/bilberryd/src/edge/dispatcher.ts
+++ b/packages/bilberryd/src/edge/dispatcher.ts
@@ -110,7 +110,7 @@
   const getRetryAfterMs = (attempt: Attempt): number => retryPacers.get(attempt.service).record({ nowMs: getNowMs(), queued: waitingByService.get(attempt.service).count(), ...targetSelector.measureCapacity(attempt.service) })
   const relayOptions = { finisher, getRetryAfterMs, getBudget: retryBudgets.get, listGroups: targetSelector.listGroups, requeue: enqueueAttempt }
   const relayer = createRelayer({ ...options, ...relayOptions, maySend: attempt => crashGuard.findRefusal(attempt) === undefined })
-  const handleExchangeResult = createExchangeResultHandler({ finisher, log, metrics, getNowMs, getBudget: retryBudgets.get, getRetryAfterMs, isSuspect: crashGuard.isSuspect, requeue: enqueueAttempt, relay: attempt => isUnderDoubt(attempt) && sendThroughPeer(attempt) })
+  const handleExchangeResult = createExchangeResultHandler({ finisher, log, metrics, getNowMs, getRandom: options.getRandom, getBudget: retryBudgets.get, getRetryAfterMs, isSuspect: crashGuard.isSuspect, requeue: enqueueAttempt, relay: attempt => isUnderDoubt(attempt) && sendThroughPeer(attempt) })
   const sendToTarget = createTargetSender({ ...options, targetSelector, exchanges, finisher, onResult: handleResult })
   const retryUnreachable = createUnreachableRetries({ exchanges, reach, getNowMs, getBudget: retryBudgets.get, handleExchangeResult })
   const findRelayRefusal = createRelayAdmission({ instance, maxRelayed: options.maxRelayed, exchanges, getRetryAfterMs, getWaiting: waitingByService.get, countWaitingRelayed: () => countWaiting(attempt => attempt.relay !== undefined) })
--- a/packages/bilberryd/src/edge/exchange_results.ts
+++ b/packages/bilberryd/src/edge/exchange_results.ts
@@ -8,7 +8,7 @@
 import type { AttemptFinisher } from './attempt_finisher.ts'
 import type { EntryLog } from './entry_log.ts'
 import type { EntryMetrics } from './entry_metrics.ts'
-import { createNotRunRefusal, createUnknownRefusal, RefusalReason, RetryReason, RouteKind } from '@bilberryworks/steering'
+import { computeRoomRetryAfterMs, createNotRunRefusal, createUnknownRefusal, RefusalReason, RetryReason, RouteKind } from '@bilberryworks/steering'
 import { ExchangeResult } from './send_attempt.ts'
 
 /** Options of {@linkcode createExchangeResultHandler}. */
@@ -31,6 +31,8 @@
   getRetryAfterMs: (attempt: Attempt) => number
   /** Returns monotonic time, in milliseconds. */
   getNowMs: () => number
+  /** Returns a random number in [0, 1). */
+  getRandom: () => number
 }
 
 /** Why an attempt is not retried. */
@@ -108,7 +110,12 @@
     if (bar === RetryDenial.Attempts && cause.reason === RetryReason.ConnectFailed && attempt.targetsReached < attempt.route.maxAttempts && options.relay(attempt)) return
     log.info('retry_barred', { ...retryFields, bar })
     if (attempt.mayHaveRun) finisher.refuse(attempt, createUnknownRefusal(RefusalReason.TargetLost, cause.detail))
-    else finisher.refuse(attempt, createNotRunRefusal(attempt.lastNotRunReason ?? RefusalReason.Overloaded, cause.detail, options.getRetryAfterMs(attempt)))
+    else finisher.refuse(attempt, createNotRunRefusal(attempt.lastNotRunReason ?? RefusalReason.Overloaded, cause.detail, getRetryAfterMs(attempt, cause.reason)))
+  }
+
+  function getRetryAfterMs (attempt: Attempt, reason: RetryReason): number {
+    const hasRoom = reason === RetryReason.TargetRefused && attempt.wasRefusedWithRoom
+    return hasRoom ? computeRoomRetryAfterMs(options.getRandom) : options.getRetryAfterMs(attempt)
   }
 
   return handleExchangeResult
--- a/packages/bilberryd/src/edge/request_handler.ts
+++ b/packages/bilberryd/src/edge/request_handler.ts
@@ -126,7 +126,8 @@
       dispatchedAtMs: nowMs,
       deadlineTimer: undefined,
       fingerprint: undefined,
-      lastNotRunReason: undefined
+      lastNotRunReason: undefined,
+      wasRefusedWithRoom: false
     }
   }
 
--- a/packages/bilberryd/src/edge/send_attempt.ts
+++ b/packages/bilberryd/src/edge/send_attempt.ts
@@ -130,6 +130,7 @@
       if (fields.isNotRun) {
         startWithholding(fields.isFromTarget ? ExchangeResult.NotRun : ExchangeResult.Misdirected)
         attempt.mayHaveRun = mayHaveRunBefore
+        attempt.wasRefusedWithRoom = fields.load !== undefined && fields.load.running + fields.load.waiting < fields.load.slots
       } else if (isWithheld(attempt, head, fields.isSigned)) startWithholding(ExchangeResult.Failed)
       else writer = createResponseWriter(attempt.response, head, { ...createWriterOptions(attempt), addedFields: listRelayFields(attempt, target.id) })
     },
--- a/packages/standins/src/site_target.ts
+++ b/packages/standins/src/site_target.ts
@@ -33,6 +33,8 @@
   ResponseLost = 'answer_lost',
   /** The request is refused with status 503 and `X-Not-Executed`. */
   Shed = 'shed',
+  /** The request is refused as by `Shed`, though the response states that no request is there. */
+  ShedWithRoom = 'shed_with_room',
   /** The request is refused as by `Shed`, after the processing time of a request. */
   LateShed = 'late_shed',
   /** The request runs and ends with status 500. */
@@ -122,8 +124,8 @@
     arrivalsMs.push(performance.now())
     const fault = faults.shift()
     if (fault === TargetFault.LateShed) await wait(processingMs, undefined, { ref: false })
-    if (fault === TargetFault.Shed || fault === TargetFault.LateShed) {
-      response.writeHead(503, { 'X-Not-Executed': '1', 'X-Server-Load': `${slots},9,${slots}` }).end()
+    if (fault === TargetFault.Shed || fault === TargetFault.LateShed || fault === TargetFault.ShedWithRoom) {
+      response.writeHead(503, { 'X-Not-Executed': '1', 'X-Server-Load': fault === TargetFault.ShedWithRoom ? `0,0,${slots}` : `${slots},9,${slots}` }).end()
       return
     }
     const run = { attemptId, call: `${message.method!} ${message.url!}`, bodyBytes: body.length, timeLeftMs: Number(message.headers['x-timeout-ms']), isAborted: false, startedAtMs: performance.now() }
--- a/packages/steering/src/retry_after.ts
+++ b/packages/steering/src/retry_after.ts
@@ -29,6 +29,8 @@
 const refusalDecayMs = 5_000
 /** Shortest delay as a fraction of the mean; the random part adds 0 to 1 times the mean. */
 const minJitterFactor = 0.5
+/** Mean delay after a refusal by a target with free slots, in milliseconds: about the time in which a caller opens a connection. */
+const roomRetryAfterMs = 50
 /** Longest time after the end of a pause at which a refused caller may retry, as a share of the pause. */
 const pauseSpread = 0.5
 
@@ -62,3 +64,17 @@
 export function computePauseRetryAfterMs (pauseMs: number, getRandom: () => number): number {
   return Math.round(Math.max(minRetryAfterMs, pauseMs) * (1 + getRandom() * pauseSpread))
 }
+
+/**
+ * Computes when a caller may retry that was refused by a target although it had free slots, as by one that fails part of its
+ * requests.
+ *
+ * Answers the load of a service whose targets refuse requests at random: there is no backlog to wait for, and a caller that
+ * returns soon may still be served within its objective.
+ *
+ * @param getRandom Returns a random number in [0, 1)
+ * @returns Time in milliseconds, with jitter
+ */
+export function computeRoomRetryAfterMs (getRandom: () => number): number {
+  return Math.round(roomRetryAfterMs * (minJitterFactor + getRandom()))
+}
