Fail a test of a false refusal after a lost relay

Change: two instances that lose a safe request the first time and refuse it the second; its outcome must be unknown. No product code changed.

--- a/packages/standins/src/relay_path_test.ts
+++ b/packages/standins/src/relay_path_test.ts
@@ -212,7 +212,7 @@
 }
 
 /** Starts a program that announces itself as an instance, and that treats relayed requests as given. */
-async function startFakePeer (site: TestSite, cut: TestEntry, handleRelayed: (message: IncomingMessage, response: ServerResponse) => void): Promise<AsyncDisposable & { countRequests: () => number }> {
+async function startFakePeer (site: TestSite, cut: TestEntry, handleRelayed: (message: IncomingMessage, response: ServerResponse) => void, instance = 'fake'): Promise<AsyncDisposable & { countRequests: () => number }> {
   let requests = 0
   const server = createServer((message, response) => {
     if (message.headers['bilberry-relay'] !== undefined) requests++
@@ -224,12 +224,12 @@
   const { heartbeatPort, listen } = cut.settings
   let sequence = 0
   const announce = (): void => {
-    const heartbeat = { instance: 'fake', startedAtMs: 1, sequence: sequence++, isReady: true, versions: {}, demand: {}, failureDomain: 'a-2', region: 'a', callers: '127.0.0.1:1', heartbeats: { host: '127.0.0.1', port: socket.address().port }, peers }
+    const heartbeat = { instance, startedAtMs: 1, sequence: sequence++, isReady: true, versions: {}, demand: {}, failureDomain: 'a-2', region: 'a', callers: '127.0.0.1:1', heartbeats: { host: '127.0.0.1', port: socket.address().port }, peers }
     socket.send(JSON.stringify(heartbeat), heartbeatPort, listen.peers.host)
   }
   const timer = setInterval(announce, 200)
   announce()
-  await waitUntil(() => cut.readLog().some(line => line['event'] === 'peer_live' && line['peer'] === 'fake'))
+  await waitUntil(() => cut.readLog().some(line => line['event'] === 'peer_live' && line['peer'] === instance))
   // The instance lists its peers anew at short intervals, and refuses requests meanwhile.
   await waitUntil(async () => {
     await site.call(cut)
@@ -268,3 +268,29 @@
     t.deepEqual(targets.flatMap(target => target.runs), [])
   })
 }
+
+test('a safe request that may have run through one instance is not said to be not run since a second one refuses it', async t => {
+  await using cutSite = await createCutSite({ peers: [] })
+  const { site, cut } = cutSite
+  const lost = new Set<string>()
+  let refusals = 0
+  const handleRelayed = (message: IncomingMessage, response: ServerResponse): void => {
+    const id = String(message.headers['x-request-id'])
+    if (!lost.has(id)) {
+      lost.add(id)
+      message.socket.destroy()
+      return
+    }
+    refusals++
+    response.writeHead(503, { ...echoId(message), 'Bilberry-Relay': '- 0', 'Bilberry-Outcome': 'not-run', 'Bilberry-Reason': 'overloaded', 'Retry-After': '0.1' }).end()
+  }
+  await using first = await startFakePeer(site, cut, handleRelayed, 'fake-1')
+  await using second = await startFakePeer(site, cut, handleRelayed, 'fake-2')
+  for (let count = 0; count < 5; count++) {
+    const refusalsBefore = refusals
+    const response = await site.call(cut, { id: `call-${count}`, affinityKey: String(count) })
+    if (refusals > refusalsBefore) t.is(response.headers['bilberry-outcome'], 'unknown')
+  }
+  t.true(refusals > 0)
+  t.true(first.countRequests() > 0 && second.countRequests() > 0)
+})
