Count instances and targets for the speed of a target only where it is slow

Cause: the number of live instances and the list of the service's targets were computed for each candidate of each request, though only a slow target needs them; with 77 instances that walks over all peers several times a request. Change: both are functions passed as arguments, called for a slow target. Result: 7 tests of target_speed pass, decisions are the same; the cost of a selection was not measured apart.

--- a/packages/bilberryd/src/edge/target_selector.ts
+++ b/packages/bilberryd/src/edge/target_selector.ts
@@ -108,7 +108,7 @@
   }
 
   function isAvoided (entry: RegisteredTarget, nowMs: number): boolean {
-    return options.speeds.isAvoided(entry, { targets: state.targets.list(entry.target.service), instances: options.listInstances().length, nowMs })
+    return options.speeds.isAvoided(entry, { listTargets: () => state.targets.list(entry.target.service), getInstanceCount: () => options.listInstances().length, nowMs })
   }
 
   /** Returns whether this instance reaches an available target to which a request was not dispatched before. */
--- a/packages/standins/src/emulator/emulated_instance.ts
+++ b/packages/standins/src/emulator/emulated_instance.ts
@@ -119,7 +119,7 @@
 
   function describeAvoidance (nowMs: number): Pick<SelectTargetOptions, 'isAvoided'> {
     if (policy.avoidsSlowTargets !== true) return {}
-    return { isAvoided: entry => speeds.isAvoided(entry, { targets: registry.list(service), instances: options.instances, nowMs }) }
+    return { isAvoided: entry => speeds.isAvoided(entry, { listTargets: () => registry.list(service), getInstanceCount: () => options.instances, nowMs }) }
   }
 
   function dispatchWaiting (): void {
--- a/packages/steering/src/target_speed.ts
+++ b/packages/steering/src/target_speed.ts
@@ -21,10 +21,10 @@
 
 /** Options of {@linkcode TargetSpeeds.isAvoided}. */
 export interface IsAvoidedOptions {
-  /** All targets of the service. */
-  targets: readonly RegisteredTarget[]
-  /** Number of instances that share the targets. */
-  instances: number
+  /** Lists all targets of the service. */
+  listTargets: () => readonly RegisteredTarget[]
+  /** Returns the number of instances that share the targets. */
+  getInstanceCount: () => number
   /** Monotonic time, in milliseconds. */
   nowMs: number
 }
@@ -119,9 +119,11 @@
       const usual = usualMs.get(formatKey(entry, kind))
       if (usual !== undefined && elapsedMs / usual > speed.slowness) update(speed, usual, elapsedMs)
     },
-    isAvoided (entry, { targets, instances, nowMs }) {
-      if (!isSlow(entry) || targets.filter(isSlow).length > maxSlowShare * targets.length) return false
-      const probeIntervalMs = getSpeed(entry).meanMs * instances / (probedSlotShare * entry.target.slots)
+    isAvoided (entry, { listTargets, getInstanceCount, nowMs }) {
+      if (!isSlow(entry)) return false
+      const targets = listTargets()
+      if (targets.filter(isSlow).length > maxSlowShare * targets.length) return false
+      const probeIntervalMs = getSpeed(entry).meanMs * getInstanceCount() / (probedSlotShare * entry.target.slots)
       return nowMs - entry.lastRequestAtMs < Math.min(maxProbeIntervalMs, Math.max(minProbeIntervalMs, probeIntervalMs))
     }
   }
--- a/packages/steering/src/target_speed_test.ts
+++ b/packages/steering/src/target_speed_test.ts
@@ -31,7 +31,7 @@
   const speeds = createUsualSpeeds(targets)
   const [slow] = targets as [RegisteredTarget]
   slow.lastRequestAtMs = 0
-  const isAvoided = (nowMs: number): boolean => speeds.isAvoided(slow, { targets, instances, nowMs })
+  const isAvoided = (nowMs: number): boolean => speeds.isAvoided(slow, { listTargets: () => targets, getInstanceCount: () => instances, nowMs })
   record(speeds, slow, { elapsedMs: slowMs, count: 1 })
   t.false(isAvoided(10))
   record(speeds, slow, { elapsedMs: slowMs, count: 1 })
@@ -46,7 +46,7 @@
   record(speeds, targets[0]!, { elapsedMs: slowMs, count: 20 })
   record(speeds, targets[0]!, { elapsedMs: usualMs, count: 2 })
   targets[0]!.lastRequestAtMs = 0
-  t.false(speeds.isAvoided(targets[0]!, { targets, instances, nowMs: 1 }))
+  t.false(speeds.isAvoided(targets[0]!, { listTargets: () => targets, getInstanceCount: () => instances, nowMs: 1 }))
 })
 
 test('avoids none if all targets are slow, or half of them', t => {
@@ -57,7 +57,7 @@
       record(speeds, entry, { elapsedMs: slowMs, count: 5 })
       entry.lastRequestAtMs = 0
     }
-    t.deepEqual(targets.filter(entry => speeds.isAvoided(entry, { targets, instances, nowMs: 1 })), [])
+    t.deepEqual(targets.filter(entry => speeds.isAvoided(entry, { listTargets: () => targets, getInstanceCount: () => instances, nowMs: 1 })), [])
   }
 })
 
@@ -66,7 +66,7 @@
   const speeds = createUsualSpeeds(targets)
   for (let object = 0; object < 100; object++) speeds.recordResponse(targets[0]!, { kind: 'k', objectKey: `o${object}`, elapsedMs: slowMs })
   targets[0]!.lastRequestAtMs = 0
-  t.false(speeds.isAvoided(targets[0]!, { targets, instances, nowMs: 1 }))
+  t.false(speeds.isAvoided(targets[0]!, { listTargets: () => targets, getInstanceCount: () => instances, nowMs: 1 }))
 })
 
 test('a kind of request that takes longer at all targets does not count as slow', t => {
@@ -74,7 +74,7 @@
   const speeds = createUsualSpeeds(targets)
   for (const entry of targets) record(speeds, entry, { elapsedMs: 10 * usualMs, count: 10, kind: 'long' })
   targets[0]!.lastRequestAtMs = 0
-  t.false(speeds.isAvoided(targets[0]!, { targets, instances, nowMs: 1 }))
+  t.false(speeds.isAvoided(targets[0]!, { listTargets: () => targets, getInstanceCount: () => instances, nowMs: 1 }))
 })
 
 test('requests that end without a response make a target slow, however soon their callers leave', t => {
@@ -86,8 +86,8 @@
     speeds.recordTimeout(left, { kind: 'k', objectKey: 'o', elapsedMs: usualMs })
   }
   for (const entry of [slow, left]) entry.lastRequestAtMs = 0
-  t.true(speeds.isAvoided(slow, { targets, instances, nowMs: 1 }))
-  t.false(speeds.isAvoided(left, { targets, instances, nowMs: 1 }))
+  t.true(speeds.isAvoided(slow, { listTargets: () => targets, getInstanceCount: () => instances, nowMs: 1 }))
+  t.false(speeds.isAvoided(left, { listTargets: () => targets, getInstanceCount: () => instances, nowMs: 1 }))
 })
 
 test('selects an avoided target if no other one is usable, whatever the response times', t => {
@@ -99,7 +99,7 @@
       speeds.recordTimeout(targets[index]!, { kind: 'k', objectKey: undefined, elapsedMs })
     }
     const selected = selectTarget({ attemptId: 'x', service: 's', objectKey: 'o', homeRegions: [], tried: new Set() }, {
-      ranked: targets, region: 'r', nowMs: 1, isUsable: entry => entry === targets[usable], isAvoided: entry => speeds.isAvoided(entry, { targets, instances, nowMs: 1 })
+      ranked: targets, region: 'r', nowMs: 1, isUsable: entry => entry === targets[usable], isAvoided: entry => speeds.isAvoided(entry, { listTargets: () => targets, getInstanceCount: () => instances, nowMs: 1 })
     })
     return selected === targets[usable]
   }), { seed: 20261204, numRuns: 500 })
