--- a/packages/bilberryd/src/edge/entry_components.ts
+++ b/packages/bilberryd/src/edge/entry_components.ts
@@ -68,7 +68,7 @@
   /** Metrics. */
   metrics: EntryMetrics
   /** Creates the connections to targets; the callback is to be called with each event of a connection. */
-  createPool: (onConnectionEvent: (event: ConnectionEvent, targetId: string, elapsedMs?: number) => void) => TargetPool
+  createPool: (onConnectionEvent: (event: ConnectionEvent, targetId: string) => void) => TargetPool
   /** Connections to other instances. */
   peerPool: TargetPool
   /** Connects to an address, to tell whether a process listens there. */
@@ -146,10 +146,8 @@
     dispatcher.dispatchWaiting()
   }
 
-  function handleConnectionEvent (event: ConnectionEvent, targetId: string, elapsedMs?: number): void {
+  function handleConnectionEvent (event: ConnectionEvent, targetId: string): void {
     metrics.countConnectionEvent(event)
-    const target = state.targets.find(targetId)
-    if (elapsedMs !== undefined && target !== undefined) regionShares.recordConnect(target.region, elapsedMs)
     reach.handleConnectionEvent(event, targetId)
   }
 
--- a/packages/bilberryd/src/edge/region_shares.ts
+++ b/packages/bilberryd/src/edge/region_shares.ts
@@ -13,8 +13,6 @@
 export interface RegionShares {
   /** Returns the share of the objects of callers in this instance's region that targets in the region serve; `undefined` if targets are to be chosen in all regions alike. */
   getShare (service: string): number | undefined
-  /** Records the time in which a connection to a target in a region was established, in milliseconds. */
-  recordConnect (region: string, elapsedMs: number): void
   /** Returns the smoothed demand of this instance by service, in slots. */
   getDemand (): Record<string, number>
   /** Measures the demand and advances the shares; to be called at short intervals. */
@@ -49,8 +47,6 @@
   const regionNames = new Set([...regions.values(), region])
   const shares = new Map<string, RegionShare>()
   const demand = new Map<string, number>()
-  /** Shortest time in which a connection to a target was established, in milliseconds, by region. */
-  const connectMs = new Map<string, number>()
   let advancedAtMs: number | undefined
 
   function listRooms (service: string, peers: PeerHeartbeat[], nowMs: number): Map<string, RegionRoom> {
@@ -70,15 +66,7 @@
     return rooms
   }
 
-  /** Returns the part of the shortest latency objective of a service that the latency to other regions takes; 0 while it is not known. */
-  function computeDistance (service: string): number {
-    const objectiveMs = Math.min(...(state.getConfig()?.routes ?? []).filter(route => route.weightedServices.some(each => each.service === service)).map(route => route.latencyObjectiveMs))
-    const othersMs = Math.min(...[...connectMs].filter(([name]) => name !== region).map(([, elapsedMs]) => elapsedMs))
-    return Number.isFinite(othersMs) ? Math.max(0, othersMs - (connectMs.get(region) ?? 0)) / objectiveMs : 0
-  }
-
   return {
-    recordConnect (name, elapsedMs) { connectMs.set(name, Math.min(elapsedMs, connectMs.get(name) ?? Infinity)) },
     getShare: service => shares.get(service)?.get(),
     getDemand: () => Object.fromEntries([...demand].map(([service, slots]) => [service, Math.round(slots * stepsPerSlot) / stepsPerSlot])),
     advance (nowMs) {
@@ -90,7 +78,7 @@
         demand.set(service, before + (options.countRequests(service) - before) * weight)
         const share = shares.get(service) ?? createRegionShare(region)
         shares.set(service, share)
-        share.advance(listRooms(service, peers, nowMs), { distance: computeDistance(service), nowMs })
+        share.advance(listRooms(service, peers, nowMs), nowMs)
       }
     }
   }
--- a/packages/standins/src/emulator/simulate_site.ts
+++ b/packages/standins/src/emulator/simulate_site.ts
@@ -109,7 +109,7 @@
       demandByRegion.set(region, before + (requests - before) * heartbeatIntervalMs / demandSmoothingMs)
       rooms.set(region, { targets: site.targetsByRegion[region]!, slots: site.targetsByRegion[region]! * site.slots, demand: demandByRegion.get(region)! })
     }
-    for (const share of regionShares.values()) share.advance(rooms, { distance: 0, nowMs: clock.getNowMs() })
+    for (const share of regionShares.values()) share.advance(rooms, clock.getNowMs())
     if (clock.getNowMs() < load.durationSeconds * msPerSecond) clock.schedule(heartbeatIntervalMs, advanceRegionShares)
   }
 
--- a/packages/steering/src/region_share.ts
+++ b/packages/steering/src/region_share.ts
@@ -20,20 +20,12 @@
   demand: number
 }
 
-/** Options of {@linkcode RegionShare.advance}. */
-export interface AdvanceRegionShareOptions {
-  /** Part of the latency objective that the latency to other regions takes. */
-  distance: number
-  /** Monotonic time, in milliseconds. */
-  nowMs: number
-}
-
 /** The share of one region and service. */
 export interface RegionShare {
   /** Returns the share of the objects of callers in the region that targets in the region serve; `undefined` if targets are to be chosen in all regions alike. */
   get (): number | undefined
   /** Moves the share toward the one that the room allows. */
-  advance (rooms: ReadonlyMap<string, RegionRoom>, options: AdvanceRegionShareOptions): void
+  advance (rooms: ReadonlyMap<string, RegionRoom>, nowMs: number): void
 }
 
 /** Part of a region's slots up to which it serves all objects of its callers, also while other regions are less loaded; the rest is for bursts and cold objects. */
@@ -41,11 +33,6 @@
 /** Number of targets from which a region serves objects of its callers by itself, and number below which it no longer does: objects load a smaller number of targets too unevenly. */
 const minTargets = 20
 const minTargetsOnceChosen = 10
-/** Part of the latency objective from which other regions are far: a request that is slow for another reason would miss it there. */
-const farDistance = 0.2
-/** The same numbers of targets while other regions are far. */
-const minTargetsIfFar = 2
-const minTargetsOnceChosenIfFar = 1
 /** Difference from the share that the room allows up to which the share stays. */
 const minChange = 0.1
 /** Maximum change of the share per second; well below what a site may move between regions within 2 s. */
@@ -86,13 +73,12 @@
   let isMoving = false
   return {
     get: () => share,
-    advance (rooms, { distance, nowMs }) {
-      const [minToBegin, minToStay] = distance >= farDistance ? [minTargetsIfFar, minTargetsOnceChosenIfFar] : [minTargets, minTargetsOnceChosen]
+    advance (rooms, nowMs) {
       const wanted = computeRegionShare(region, rooms)
       const targets = rooms.get(region)?.targets ?? 0
       const maxChange = maxChangePerSecond * (nowMs - advancedAtMs) / msPerSecond
       advancedAtMs = nowMs
-      if (targets < (share === undefined ? minToBegin : minToStay)) {
+      if (targets < (share === undefined ? minTargets : minTargetsOnceChosen)) {
         share = undefined
         return
       }
@@ -124,9 +110,6 @@
 /**
  * Orders an object's ranked targets so that those of its callers' region come first, or last.
  *
- * If the region has few targets, only the best one in it, or the best one elsewhere, is moved to the front, so that the
- * object's other target may be in any region and takes what the region lacks room for.
- *
  * @param ranked Targets as ranked for the object
  * @param options Region of the instance, and whether its targets come first
  * @returns The targets, best first
@@ -134,7 +117,5 @@
 export function rankByRegion (ranked: readonly RegisteredTarget[], options: { region: string, isOwnFirst: boolean }): RegisteredTarget[] {
   const own = ranked.filter(entry => entry.region === options.region)
   const others = ranked.filter(entry => entry.region !== options.region)
-  const [first, last] = options.isOwnFirst ? [own, others] : [others, own]
-  if (own.length >= minTargetsOnceChosen) return [...first, ...last]
-  return [...first.slice(0, 1), ...ranked.filter(entry => entry !== first[0])]
+  return options.isOwnFirst ? [...own, ...others] : [...others, ...own]
 }
--- a/packages/steering/src/region_share_test.ts
+++ b/packages/steering/src/region_share_test.ts
@@ -34,14 +34,14 @@
 
 test('moves at most 4 % of the objects per second, and none for a small difference', t => {
   const share = createRegionShare('a')
-  share.advance(toRooms({ a: [100, 0], b: [100, 0] }), { distance: 0, nowMs: 0 })
+  share.advance(toRooms({ a: [100, 0], b: [100, 0] }), 0)
   t.is(share.get(), 1)
-  share.advance(toRooms({ a: [100, 104], b: [100, 90] }), { distance: 0, nowMs: 250 })
+  share.advance(toRooms({ a: [100, 104], b: [100, 90] }), 250)
   t.is(share.get(), 1)
   const crowded = toRooms({ a: [100, 400], b: [100, 0] })
   let before = share.get()!
   for (let nowMs = 500; nowMs <= 20_000; nowMs += 250) {
-    share.advance(crowded, { distance: 0, nowMs })
+    share.advance(crowded, nowMs)
     t.true(before - share.get()! <= 0.04 * 0.25 + 1e-9)
     before = share.get()!
   }
@@ -51,38 +51,18 @@
 test('chooses targets in all regions alike while the region has few of them', t => {
   const share = createRegionShare('a')
   const advance = (targets: number, nowMs: number): number | undefined => {
-    share.advance(new Map([['a', { targets, slots: 3 * targets, demand: 1 }], ['b', { targets: 90, slots: 270, demand: 1 }]]), { distance: 0, nowMs })
+    share.advance(new Map([['a', { targets, slots: 3 * targets, demand: 1 }], ['b', { targets: 90, slots: 270, demand: 1 }]]), nowMs)
     return share.get()
   }
   t.deepEqual([19, 20, 12, 10, 9, 19, 20].map((targets, index) => advance(targets, index) !== undefined), [false, true, true, true, false, false, true])
 })
 
-test('serves objects in a region with few targets if other regions are far for the latency objective', t => {
-  const isChosen = (targets: number, distance: number): boolean => {
-    const share = createRegionShare('a')
-    share.advance(new Map([['a', { targets, slots: 3 * targets, demand: 1 }], ['b', { targets: 6, slots: 18, demand: 1 }]]), { distance, nowMs: 0 })
-    return share.get() !== undefined
-  }
-  // 110 ms of an objective of 400 ms, and 24 ms of one of 300 ms.
-  t.deepEqual([isChosen(2, 0.275), isChosen(1, 0.275), isChosen(4, 0.08), isChosen(20, 0.08)], [true, false, false, true])
-})
-
-function rankTargetsByRegion (regions: string[], isOwnFirst: boolean): string[] {
+test('puts the targets of the region that serves the object first, and keeps their ranks', t => {
   const registry = createTargetRegistry()
-  const ranked = regions.map((region, index) => registry.register({ id: `t${index}`, service: 's', address: { host: '10.0.0.1', port: 1 }, failureDomain: region, slots: 3, leaving: false, coldLeftMs: 0, startedAtMs: 1 }, { region, nowMs: 0 }))
-  return rankByRegion(ranked, { region: 'a', isOwnFirst }).map(entry => entry.target.id)
-}
-
-test('puts the best target of the region that serves the object first if the region has few, and keeps the ranks of the others', t => {
-  t.deepEqual(rankTargetsByRegion(['b', 'b', 'a', 'a'], true), ['t2', 't0', 't1', 't3'])
-  t.deepEqual(rankTargetsByRegion(['a', 'a', 'b', 'b'], false), ['t2', 't0', 't1', 't3'])
-  t.deepEqual(rankTargetsByRegion(['b', 'b'], true), ['t0', 't1'])
-})
-
-test('puts all targets of the region that serves the object first if the region has many, and keeps their ranks', t => {
-  const regions = Array.from({ length: 20 }, (_, index) => index % 2 === 0 ? 'b' : 'a')
-  t.deepEqual(rankTargetsByRegion(regions, true).slice(0, 10), [1, 3, 5, 7, 9, 11, 13, 15, 17, 19].map(index => `t${index}`))
-  t.deepEqual(rankTargetsByRegion(regions, false).slice(0, 10), [0, 2, 4, 6, 8, 10, 12, 14, 16, 18].map(index => `t${index}`))
+  const ranked = ['a', 'b', 'a', 'b'].map((region, index) => registry.register({ id: `t${index}`, service: 's', address: { host: '10.0.0.1', port: 1 }, failureDomain: region, slots: 3, leaving: false, coldLeftMs: 0, startedAtMs: 1 }, { region, nowMs: 0 }))
+  const list = (isOwnFirst: boolean): string[] => rankByRegion(ranked, { region: 'a', isOwnFirst }).map(entry => entry.target.id)
+  t.deepEqual(list(true), ['t0', 't2', 't1', 't3'])
+  t.deepEqual(list(false), ['t1', 't3', 't0', 't2'])
 })
 
 test('a smaller share moves only objects that the region served before', t => {
--- a/packages/targets/src/target_pool.ts
+++ b/packages/targets/src/target_pool.ts
@@ -58,8 +58,8 @@
 export interface CreateTargetPoolOptions {
   /** Time limit for establishing a connection, in milliseconds. */
   connectTimeoutMs: number
-  /** Called for each event of a connection to a target; `elapsedMs` is the time in which an established connection was opened, in milliseconds. */
-  onConnectionEvent?: (event: ConnectionEvent, targetId: string, elapsedMs?: number) => void
+  /** Called for each event of a connection to a target. */
+  onConnectionEvent?: (event: ConnectionEvent, targetId: string) => void
   /** Called for each response that belongs to a request other than the one in flight on its connection. */
   onMismatchedResponse?: (targetId: string) => void
 }
@@ -109,11 +109,10 @@
   }
 
   function openConnection (target: PooledTarget, { connectTimeoutMs, onConnect, onClose }: { connectTimeoutMs: number, onConnect?: () => void, onClose?: () => void }): TargetConnection {
-    const startedAtMs = performance.now()
     const connection = openTargetConnection(target.address, {
       connectTimeoutMs,
       onConnect () {
-        reportEvent(ConnectionEvent.Established, target.id, performance.now() - startedAtMs)
+        reportEvent(ConnectionEvent.Established, target.id)
         onConnect?.()
       },
       onMismatchedResponse: () => options.onMismatchedResponse?.(target.id),
