--- a/packages/bilberryctl/src/mod.ts
+++ b/packages/bilberryctl/src/mod.ts
@@ -10,5 +10,6 @@
 export * from './api_client.ts'
 export * from './apply_document.ts'
 export * from './exit_status.ts'
+export * from './log_lines.ts'
 export * from './read_document.ts'
 export * from './render.ts'
--- a/packages/bilberryd/src/edge/active_exchanges.ts
+++ b/packages/bilberryd/src/edge/active_exchanges.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { PendingExchange, RegisteredTarget } from '@bilberryworks/steering'
+import type { PendingExchange, RegisteredTarget, TargetSpeeds } from '@bilberryworks/steering'
 import type { Attempt, AttemptDispatch } from './attempt.ts'
 import type { EntryLog } from './entry_log.ts'
 import type { EntryState } from './entry_state.ts'
@@ -36,6 +36,8 @@
 export interface CreateActiveExchangesOptions {
   /** Replicated configuration and target registry. */
   state: EntryState
+  /** Objects that the targets have handled. */
+  speeds: Pick<TargetSpeeds, 'hasHandled'>
   /** Structured log. */
   log: EntryLog
   /** Returns monotonic time, in milliseconds. */
@@ -79,7 +81,7 @@
       attempt.currentTarget = entry
       attempt.dispatchedAtMs = getNowMs()
       attempt.tried.add(entry.target.id)
-      attempt.dispatches.push(describeDispatch(attempt, entry))
+      attempt.dispatches.push(describeDispatch(attempt, entry, options.speeds.hasHandled))
       activeAttempts.add(attempt)
     },
     release,
@@ -101,14 +103,17 @@
   }
 }
 
-function describeDispatch (attempt: Attempt, entry: RegisteredTarget): AttemptDispatch {
+function describeDispatch (attempt: Attempt, entry: RegisteredTarget, hasHandled: TargetSpeeds['hasHandled']): AttemptDispatch {
   const { inFlight, othersBusy, reportedAtMs } = entry
+  const isFirst = attempt.objectKey !== undefined && !hasHandled(entry, attempt.objectKey)
   return {
     target: entry.target.id,
     afterMs: Math.round(attempt.dispatchedAtMs - attempt.arrivedAtMs),
     inFlight,
     othersBusy,
+    slots: entry.target.slots,
     ...Number.isFinite(reportedAtMs) ? { reportAgeMs: Math.round(attempt.dispatchedAtMs - reportedAtMs) } : {},
-    ...entry.coldUntilMs > attempt.dispatchedAtMs ? { cold: true } : {}
+    ...entry.coldUntilMs > attempt.dispatchedAtMs ? { cold: true } : {},
+    ...isFirst ? { first: true } : {}
   }
 }
--- a/packages/bilberryd/src/edge/attempt.ts
+++ b/packages/bilberryd/src/edge/attempt.ts
@@ -35,10 +35,14 @@
   inFlight: number
   /** Number of requests of other instances at the target, according to its last load report; absent if it was dispatched through another instance. */
   othersBusy?: number
+  /** Number of slots of the target; absent if it was dispatched through another instance. */
+  slots?: number
   /** Age of that load report, in milliseconds; absent if there is none. */
   reportAgeMs?: number
   /** Set if the target was cold, that is in a warm-up phase in which it gets fewer requests. */
   cold?: true
+  /** Set if the target has not responded to a request for the object before, as far as this instance knows; such a request takes longer. */
+  first?: true
 }
 
 /** An attempt of a caller to have a request served. A caller that retries makes a new attempt. */
--- a/packages/bilberryd/src/edge/attempt_finisher.ts
+++ b/packages/bilberryd/src/edge/attempt_finisher.ts
@@ -67,6 +67,7 @@
       retryAfterMs: refusal?.retryAfterMs,
       sends: attempt.dispatches,
       elapsedMs: Math.round(elapsedMs),
+      objectiveMs: attempt.route.latencyObjectiveMs,
       leftMs: Math.round(attempt.deadlineAtMs - nowMs),
       ...options.describeLoad()
     })
--- a/packages/bilberryd/src/edge/dispatcher.ts
+++ b/packages/bilberryd/src/edge/dispatcher.ts
@@ -103,7 +103,7 @@
   const { settings: { bounds, instance }, state, crashGuard, reach, log, metrics, getNowMs } = options
   const speeds = createTargetSpeeds()
   const targetSelector = createTargetSelector({ ...options, speeds })
-  const exchanges = createActiveExchanges(options)
+  const exchanges = createActiveExchanges({ ...options, speeds })
   const finisher = createAttemptFinisher({ log, metrics, getNowMs, describeLoad: () => ({ waiting: countWaiting(), inFlight: exchanges.count() }) })
   const waitingByService = createLazyMap<WaitingRequests<Attempt>>(createWaitingRequests)
   const retryBudgets = createLazyMap(() => createFleetRetryBudget({ ratio: bounds.retryRatio, slack: bounds.retrySlack, windowMs: bounds.budgetWindowMs, getInstanceCount: options.getMaxLiveInstances }))
--- a/packages/bilberryd/src/edge/entry_state.ts
+++ b/packages/bilberryd/src/edge/entry_state.ts
@@ -130,7 +130,7 @@
     const wasLeaving = targets.find(key)?.target.leaving
     targets.register(target, { region: options.regions.get(target.failureDomain) ?? '', nowMs: getNowMs() })
     if (wasLeaving !== target.leaving || target.coldLeftMs > 0) {
-      log.info('target', { target: key, service: target.service, failureDomain: target.failureDomain, leaving: target.leaving, coldLeftMs: target.coldLeftMs, version })
+      log.info('target', { target: key, service: target.service, failureDomain: target.failureDomain, region: options.regions.get(target.failureDomain), leaving: target.leaving, coldLeftMs: target.coldLeftMs, version })
     }
   }
 
--- a/packages/standins/src/bench_part.ts
+++ b/packages/standins/src/bench_part.ts
@@ -39,6 +39,8 @@
   jobs?: number | undefined
   /** The only seed to run, of which a trace is printed; none by default. */
   seed?: number | undefined
+  /** Log files to read; none by default. */
+  files?: string[] | undefined
 }
 
 /** A part of the benchmark. */
--- a/packages/standins/src/main_bench.ts
+++ b/packages/standins/src/main_bench.ts
@@ -7,13 +7,14 @@
 import { writeFile } from 'node:fs/promises'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { command, number, option, optional, positional, run, string } from 'cmd-ts'
+import { command, number, option, optional, positional, restPositionals, run, string } from 'cmd-ts'
 import { renderBenchIndex, writeBenchPage } from './bench_part.ts'
 import { capacityPart } from './bench_capacity.ts'
 import { runDistributionBench } from './bench_distribution.ts'
 import { runFleetBench } from './bench_fleet.ts'
 import { runOwnerBench, runTargetBench } from './bench_owner_choice.ts'
 import { runCostBench } from './bench_cost.ts'
+import { runLossesBench } from './bench_losses.ts'
 import { runLinkBench } from './bench_links.ts'
 import { runPathBench } from './bench_path.ts'
 import { runReachBench } from './bench_reach.ts'
@@ -21,6 +22,8 @@
 import { runScenarioBench } from './bench_scenarios.ts'
 
 const exitFailure = 1
+/** Reads logs instead of measuring, so that it is not a part of the index. */
+const lossesName = 'losses'
 const docsFolder = fileURLToPath(new URL('../../../docs', import.meta.url))
 
 /** Parts of the benchmark, in the order of the index. */
@@ -39,6 +42,11 @@
 ]
 
 async function runParts (name: string | undefined, options: BenchOptions): Promise<void> {
+  if (name === lossesName) {
+    const { summary, markdown } = await runLossesBench(options)
+    console.log(`${summary}\n\n${markdown}`)
+    return
+  }
   const selected = name === undefined ? parts : parts.filter(part => part.name === name)
   if (selected.length === 0) throw new Error(`Unknown part of the benchmark "${name}"; the parts are ${parts.map(part => part.name).join(', ')}`)
   const folder = join(docsFolder, 'measurements')
@@ -57,6 +65,7 @@
   description: 'Measures routing decisions, real instances and capacity, and writes docs/MEASUREMENTS.md',
   args: {
     part: positional({ type: optional(string), displayName: 'part', description: 'Part of the benchmark to run; all by default' }),
+    files: restPositionals({ type: string, displayName: 'files', description: 'Log files, for "losses" only' }),
     instances: option({ long: 'instances', type: optional(number), description: 'Number of instances of a simulated fleet' }),
     seeds: option({ long: 'seeds', type: optional(number), description: 'Number of seeds to simulate' }),
     jobs: option({ long: 'jobs', type: optional(number), description: 'Number of processes that simulate at the same time; 4 by default' }),
