Show that an early answer to a long upload leaves its connection unread

A server that answers an upload of 6 MB before reading it leaves the caller's message paused for good, so that the next order on that connection is never read.

--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -60,7 +60,7 @@
       version: `r${version}`,
       routes: complete,
       services: Object.fromEntries(services.map(name => [name, { health_path: '/health', max_conns: 330, cold_start: '3s', cold_per_s: 2.4 }])),
-      limits: { max_header_bytes: 16_384, max_body_bytes: 8_388_608, header_timeout: '3000ms', idle_timeout: '15000ms' }
+      limits: { max_header_bytes: 16_384, max_body_bytes: 67_108_864, header_timeout: '3000ms', idle_timeout: '15000ms' }
     })
     record(`config r${version}`)
   }
