Show that a relayed request goes back to the service of an older config

A machine without a path to the servers relays through one that is cut off from the store; that one chooses the service by its own, older config.

--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -90,13 +90,14 @@
     record(`process ${instance.name} started`)
   }
 
-  async function startInstance (zone) {
+  /** Starts an instance; `endpoint` sets how it reaches the store, `seeds` which machines, by their numbers, its settings name. */
+  async function startInstance (zone, { endpoint, seeds = [1, 2, 3] } = {}) {
     const index = instances.length + 1
     const ip = `${network}.${index}`
     const name = `edge-${zone}-${index}`
     const settingsPath = join(folder, `${name}.json`)
     const instance = { name, ip, zone, front: `${ip}:${ports.front}`, ready: `${ip}:${ports.ready}`, directory: `${ip}:${ports.directory}`, settingsPath, logPath: join(folder, `${name}.log`) }
-    const seeds = [1, 2, 3].map(number => `${network}.${number}:${ports.control}`)
+    const storeAddress = await store.openEndpoint(endpoint)
     writeFileSync(settingsPath, JSON.stringify({
       node_name: name,
       role: 'entry',
@@ -110,12 +111,12 @@
       limits: { cpu_share: 0.54, cpu_cores: 1, memory_mb: 350, max_fds: 4100, link_mbps: 1000, disk_mb: 0 },
       listen: { front: instance.front, ready: instance.ready, control: `${ip}:${ports.control}`, directory: instance.directory },
       internal_ports: ports.internal,
-      seeds,
+      seeds: seeds.map(number => `${network}.${number}:${ports.control}`),
       zones,
       discovery: 'platform',
       entry: 'directory',
       heartbeat: '1500ms',
-      platform: { address: store.address, form: 'table', writes_per_s: 400, reads_per_s: 2000, tx: '3ms', part_writes_s: 300, row_bytes: 65_536, across: true, history: '20s', blob_bytes: 8_388_608, blob: '25ms', blob_mb_s: 80 },
+      platform: { address: storeAddress, form: 'table', writes_per_s: 400, reads_per_s: 2000, tx: '3ms', part_writes_s: 300, row_bytes: 65_536, across: true, history: '20s', blob_bytes: 8_388_608, blob: '25ms', blob_mb_s: 80 },
       contracts: ['base', 'drain', 'config', 'cost', 'retry', 'recover', 'places', 'platform'],
       tolerate: { machines: 2, zones: 1, regions: 1 },
       bounds
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -39,20 +39,26 @@
     notifyWaiting()
   }
 
-  function sendJson (response, status, body) {
-    const text = JSON.stringify(body)
+  function sendJson ({ response, mapRow, isSilent }, status, body) {
+    if (isSilent() || response.destroyed) return
+    const text = JSON.stringify(mapRow === undefined || body.rows === undefined ? body : { ...body, rows: body.rows.map(row => row.value === undefined ? row : { ...row, value: mapValue(row, mapRow) }) })
     response.writeHead(status, { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(text) }).end(text)
   }
 
-  function readRows (query, response) {
+  function mapValue (row, mapRow) {
+    const text = Buffer.from(row.value, 'base64').toString('utf8')
+    return Buffer.from(JSON.stringify(mapRow(row.table, JSON.parse(text)))).toString('base64')
+  }
+
+  function readRows (query, endpoint) {
     const [table, from, to] = [query.get('table'), query.get('from') ?? '', query.get('to')]
     const limit = Math.min(maxPageRows, Number(query.get('limit') ?? maxPageRows))
     const found = [...rows.values()].filter(row => row.table === table && row.key >= from && (to === null || row.key < to))
     found.sort((a, b) => Buffer.compare(Buffer.from(a.key), Buffer.from(b.key)))
-    sendJson(response, 200, { ...describeState(), rows: found.slice(0, limit), has_more: found.length > limit })
+    sendJson(endpoint, 200, { ...describeState(), rows: found.slice(0, limit), has_more: found.length > limit })
   }
 
-  function readChanges (query, response) {
+  function readChanges (query, endpoint) {
     const [table, after, waitMs] = [query.get('table'), Number(query.get('after')), Number(query.get('wait_ms') ?? 0)]
     const listChanges = () => {
       const latest = new Map()
@@ -62,52 +68,64 @@
     const finish = () => {
       clearTimeout(timer)
       waiting.delete(check)
-      if (!response.destroyed) sendJson(response, 200, { ...describeState(), rows: listChanges() })
+      sendJson(endpoint, 200, { ...describeState(), rows: listChanges() })
     }
     const check = () => { if (listChanges().length > 0) finish() }
     const timer = setTimeout(finish, waitMs)
     waiting.add(check)
-    response.once('close', () => {
+    endpoint.response.once('close', () => {
       clearTimeout(timer)
       waiting.delete(check)
     })
     check()
   }
 
-  function writeTransaction (body, response) {
+  function writeTransaction (body, endpoint) {
     const { precondition = [], upserts = [], remove = [] } = JSON.parse(body)
-    if ([...upserts, ...remove].some(({ table }) => table === 'op' || table === 'servers')) return sendJson(response, 403, describeState())
+    if ([...upserts, ...remove].some(({ table }) => table === 'op' || table === 'servers')) return sendJson(endpoint, 403, describeState())
     const failed = precondition.filter(({ table, key, row_version: expected }) => (rows.get(describeKey(table, key))?.row_version ?? 0) !== expected)
-    if (failed.length > 0) return sendJson(response, 412, { ...describeState(), rows: failed.flatMap(({ table, key }) => rows.get(describeKey(table, key)) ?? []) })
+    if (failed.length > 0) return sendJson(endpoint, 412, { ...describeState(), rows: failed.flatMap(({ table, key }) => rows.get(describeKey(table, key)) ?? []) })
     version++
     for (const { table, key, value } of upserts) applyChange(table, key, Buffer.from(value, 'base64').toString('utf8'))
     for (const { table, key } of remove) applyChange(table, key, undefined)
-    sendJson(response, 200, describeState())
+    sendJson(endpoint, 200, describeState())
     notifyWaiting()
   }
 
-  const server = createServer((message, response) => {
-    const [path, query = ''] = message.url.split('?', 2)
-    const parts = []
-    message.on('data', part => parts.push(part))
-    message.on('end', () => {
-      const parameters = new URLSearchParams(query)
-      if (path === '/rows-get') readRows(parameters, response)
-      else if (path === '/rows-feed') readChanges(parameters, response)
-      else if (path === '/rows-tx') writeTransaction(Buffer.concat(parts).toString('utf8'), response)
-      else sendJson(response, 404, describeState())
+  const servers = []
+
+  /**
+   * Opens an address of the store. `mapRow` may replace the value of a row for the machine that uses this address, for paths of
+   * its own; `isSilent` tells whether the machine is cut off from the store, so that it gets no answer.
+   */
+  async function openEndpoint ({ mapRow, isSilent = () => false } = {}) {
+    const server = createServer((message, response) => {
+      const [path, query = ''] = message.url.split('?', 2)
+      const parts = []
+      const endpoint = { response, mapRow, isSilent }
+      message.on('data', part => parts.push(part))
+      message.on('end', () => {
+        const parameters = new URLSearchParams(query)
+        if (path === '/rows-get') readRows(parameters, endpoint)
+        else if (path === '/rows-feed') readChanges(parameters, endpoint)
+        else if (path === '/rows-tx') writeTransaction(Buffer.concat(parts).toString('utf8'), endpoint)
+        else sendJson(endpoint, 404, describeState())
+      })
     })
-  })
-  await new Promise((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(0, host, resolve)
-  })
+    await new Promise((resolve, reject) => {
+      server.once('error', reject)
+      server.listen(0, host, resolve)
+    })
+    servers.push(server)
+    return `${host}:${server.address().port}`
+  }
+
   return {
-    address: `${host}:${server.address().port}`,
+    openEndpoint,
     writeRow,
     async stop () {
-      server.closeAllConnections()
-      await new Promise(resolve => server.close(resolve))
+      for (const server of servers) server.closeAllConnections()
+      await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))))
     }
   }
 }
