Close the paths of case 3 in its run without the disruption

Without the disruption nothing cut the paths to the servers, so their listeners kept the script from ending: it printed its verdict and was stopped after 100 s.

--- a/review/3/play.mjs
+++ b/review/3/play.mjs
@@ -40,7 +40,9 @@
         answer: (request, socket) => setTimeout(() => socket.write(formatAnswer(request, { body: 'menu' })), 30)
       })
       site.addServer(server)
-      paths.set(server.address, await openPath(host, server.address))
+      const path = await openPath(host, server.address)
+      paths.set(server.address, path)
+      site.addServer({ stop: path.cut })
     }
   }
   const mapRow = (table, value) => table === 'servers' ? { ...value, address: paths.get(value.address).address } : value
--- a/review/lib/path.mjs
+++ b/review/lib/path.mjs
@@ -29,6 +29,7 @@
     address: `${host}:${listener.address().port}`,
     /** Cuts the path: open connections are reset, new ones are refused. */
     async cut () {
+      if (!listener.listening) return
       const closed = new Promise(resolve => listener.close(resolve))
       for (const socket of sockets) socket.resetAndDestroy()
       await closed
