--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -40,5 +40,5 @@
   }
   writeFileSync(join(folder, 'record.txt'), `${lines.join('\n')}\n`)
   console.log(lines.filter(line => /BROKEN|HELD|COULD NOT RUN/.test(line)).join('\n'))
-  process.exitCode = exitCode
+  process.exit(exitCode)
 }
--- a/review/lib/client.mjs
+++ b/review/lib/client.mjs
@@ -15,7 +15,8 @@
   const fields = Object.fromEntries(fieldLines.map(text => [text.slice(0, text.indexOf(':')).toLowerCase(), text.slice(text.indexOf(':') + 1).trim()]))
   const length = Number(fields['content-length'] ?? NaN)
   const bodyBytes = bytes.length - end - headEnd.length
-  return { status: Number(line.split(' ')[1]), id: fields['x-request-id'], isSigned: fields['x-server-signature'] !== undefined, retryAfter: fields['retry-after'], closes: fields['connection'] === 'close', declaredBytes: length, bodyBytes, isComplete: bodyBytes >= length }
+  const body = bytes.subarray(end + headEnd.length, end + headEnd.length + (length || 0)).toString('utf8')
+  return { status: Number(line.split(' ')[1]), body, id: fields['x-request-id'], isSigned: fields['x-server-signature'] !== undefined, retryAfter: fields['retry-after'], closes: fields['connection'] === 'close', declaredBytes: length, bodyBytes, isComplete: bodyBytes >= length }
 }
 
 /** Opens a connection to an instance. */
