Show that a machine started after a restoration serves by the older config

After the store has come back from an older copy, a killed machine whose seeds are gone starts with the config of the copy and keeps it, since its peers' heartbeats do not look ahead.

--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -52,9 +52,9 @@
   const servers = []
   let version = 0
 
-  /** Writes the next configuration; each service has the routes that `routes` names. */
-  function writeConfig (routes, services) {
-    version += 3
+  /** Writes a configuration, by default under the next version. */
+  function writeConfig (routes, services, nextVersion = version + 3) {
+    version = nextVersion
     const complete = Object.fromEntries(Object.entries(routes).map(([name, route]) => [name, { host: clientHost, prefix: `/${name}/`, timeout: '4000ms', latency_slo: '600ms', priority: 1, max_attempts: 2, session_affinity: false, home_regions: [], ...route }]))
     store.writeRow('op', 'config', {
       version: `r${version}`,
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -16,6 +16,9 @@
   const changes = []
   const waiting = new Set()
   let version = 0
+  /** Number of times that the store has come back from an older copy; stated in all answers once it has. */
+  let era = 0
+  let isAway = false
 
   const describeKey = (table, key) => `${table}\u0000${key}`
   const describeState = () => ({ row_version: version, now: `${Math.round(performance.now())}ms` })
@@ -42,7 +45,7 @@
   function sendJson ({ response, mapRow, isSilent }, status, body) {
     if (isSilent() || response.destroyed) return
     const text = JSON.stringify(mapRow === undefined || body.rows === undefined ? body : { ...body, rows: body.rows.map(row => row.value === undefined ? row : { ...row, value: mapValue(row, mapRow) }) })
-    response.writeHead(status, { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(text) }).end(text)
+    response.writeHead(status, { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(text), ...era > 0 ? { 'Store-Era': String(era) } : {} }).end(text)
   }
 
   function mapValue (row, mapRow) {
@@ -60,6 +63,7 @@
 
   function readChanges (query, endpoint) {
     const [table, after, waitMs] = [query.get('table'), Number(query.get('after')), Number(query.get('wait_ms') ?? 0)]
+    if (after > version) return sendJson(endpoint, 410, describeState())
     const listChanges = () => {
       const latest = new Map()
       for (const row of changes) if (row.table === table && row.row_version > after) latest.set(row.key, row)
@@ -106,6 +110,7 @@
       message.on('data', part => parts.push(part))
       message.on('end', () => {
         const parameters = new URLSearchParams(query)
+        if (isAway) return sendJson(endpoint, 503, {})
         if (path === '/rows-get') readRows(parameters, endpoint)
         else if (path === '/rows-feed') readChanges(parameters, endpoint)
         else if (path === '/rows-tx') writeTransaction(Buffer.concat(parts).toString('utf8'), endpoint)
@@ -123,6 +128,22 @@
   return {
     openEndpoint,
     writeRow,
+    /** Returns a copy of all rows as they are now. */
+    takeCopy: () => ({ rows: [...rows], changes: [...changes], version }),
+    /** Turns all calls away, until the store is restored. */
+    leave () {
+      isAway = true
+      for (const server of servers) server.closeAllConnections()
+    },
+    /** Comes back with the rows of a copy. */
+    restore (copy) {
+      rows.clear()
+      for (const [key, row] of copy.rows) rows.set(key, row)
+      changes.splice(0, Infinity, ...copy.changes)
+      version = copy.version
+      era++
+      isAway = false
+    },
     async stop () {
       for (const server of servers) server.closeAllConnections()
       await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))))
