--- a/review/1/play.mjs
+++ b/review/1/play.mjs
@@ -4,7 +4,7 @@
  */
 import { setTimeout as wait } from 'node:timers/promises'
 import { fileURLToPath } from 'node:url'
-import { hasTrouble, runCase } from '../lib/case.mjs'
+import { hasTrouble, recordRequests, runCase } from '../lib/case.mjs'
 import { openConnection } from '../lib/client.mjs'
 import { formatAnswer, startServer } from '../lib/server.mjs'
 import { clientHost } from '../lib/site.mjs'
@@ -87,7 +87,7 @@
       const id = `c${number}-${count}`
       const method = count % 3 === 0 ? 'POST' : 'GET'
       const result = await connection.sendRequest({ id, method, host: clientHost, path: method === 'POST' ? '/orders/1' : `/menu/${count % 24}`, timeoutMs, ...method === 'POST' ? { body: Buffer.from('{"box":1}') } : {} })
-      results.push({ id, method, isKept: answered > 0, ...result })
+      results.push({ ...result, id, method, isKept: answered > 0 })
       if (result.isClosed || result.status !== 200) record(`request ${id} ${method}: ${result.isClosed ? 'connection closed without an answer' : `status ${result.status}`}; ran at ${runs.get(id) ?? 'no server'}`)
       if (result.isComplete) answered++
       else connection.close()
@@ -104,6 +104,7 @@
   await wait(3_000)
   phase.isDone = true
   await Promise.all(running)
+  recordRequests(record, results, runs)
   const lost = results.filter(({ id, isKept, isClosed }) => isKept && isClosed && runs.has(id) && Number(runs.get(id).slice(2)) % 2 === 0)
   const served = results.filter(({ status, isComplete }) => status === 200 && isComplete).length
   const endedThrice = [...ends].filter(([, count]) => count >= 3).map(([name]) => name)
--- a/review/3/play.mjs
+++ b/review/3/play.mjs
@@ -4,7 +4,7 @@
  */
 import { setTimeout as wait } from 'node:timers/promises'
 import { fileURLToPath } from 'node:url'
-import { hasTrouble, runCase } from '../lib/case.mjs'
+import { hasTrouble, recordRequests, runCase } from '../lib/case.mjs'
 import { openConnection } from '../lib/client.mjs'
 import { openPath } from '../lib/path.mjs'
 import { formatAnswer, startServer } from '../lib/server.mjs'
@@ -59,7 +59,7 @@
       const id = `c${number}-${count}`
       const sentAtMs = getNowMs()
       const result = await connection.sendRequest({ id, host: clientHost, path: '/menu/1', timeoutMs })
-      results.push({ id, sentAtMs, ...result })
+      results.push({ ...result, id, sentAtMs })
       if (!result.isComplete) connection.close()
       await wait(40)
     }
@@ -80,6 +80,7 @@
   await wait(5_000)
   phase.isDone = true
   await Promise.all(running)
+  recordRequests(record, results, new Map([...runs].map(([id, { service }]) => [id, service])))
   const ran = results.flatMap(({ id, sentAtMs, status }) => runs.has(id) ? [{ id, sentAtMs, status, ...runs.get(id) }] : [])
   const seenAtMs = Math.min(...ran.filter(({ service }) => service === 'menu-new').map(({ atMs }) => atMs))
   const reverted = ran.filter(({ service, sentAtMs }) => service === 'menu-old' && sentAtMs > seenAtMs + revertSlackMs)
--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+cd "$(dirname "$0")" && exec node play.mjs
--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -15,6 +15,20 @@
 /** Whether the disruption takes place. */
 export const hasTrouble = process.env.TROUBLE !== '0'
 
+/**
+ * Records what became of each request that was sent.
+ *
+ * @param record Writes a line
+ * @param results What the client saw of each request
+ * @param runs Where each request ran, by its identifier; requests that didn't run are missing
+ */
+export function recordRequests (record, results, runs) {
+  for (const { id, status, isComplete, isClosed, elapsedMs } of results) {
+    const answer = isComplete ? `answered ${status}` : isClosed ? 'connection closed without a complete answer' : 'no complete answer'
+    record(`sent ${id}: ${answer} after ${elapsedMs} ms; ${runs.has(id) ? `ran at ${runs.get(id)}` : 'did not run'}`)
+  }
+}
+
 /**
  * Runs `play` with an empty deployment; it returns whether the rule was broken, and a sentence with the figures.
  *
--- a/review/lib/server.mjs
+++ b/review/lib/server.mjs
@@ -9,8 +9,8 @@
 const headEnd = '\r\n\r\n'
 
 /** Formats a complete and correct answer; `fields` are added to the head. */
-export function formatAnswer (request, { status = 200, body = '', fields = [] } = {}) {
-  const head = [`HTTP/1.1 ${status} Status`, `X-Request-Id: ${request.id}`, `X-Server-Signature: signed.${request.id}`, 'X-Server-Load: 1,0,3', `Content-Length: ${Buffer.byteLength(body)}`, ...fields]
+export function formatAnswer (request, { status = 200, body = '', fields = [], load = '1,0,3' } = {}) {
+  const head = [`HTTP/1.1 ${status} Status`, `X-Request-Id: ${request.id}`, `X-Server-Signature: signed.${request.id}`, `X-Server-Load: ${load}`, `Content-Length: ${Buffer.byteLength(body)}`, ...fields]
   return Buffer.concat([Buffer.from(head.join('\r\n') + headEnd, 'latin1'), Buffer.from(body)])
 }
 
