Say in run.sh of case 5 what it writes and reads

The script of the case passed TROUBLE on and wrote record.txt without saying so; it names both now, and sets TROUBLE to 1 where it is unset, which the case took for the same before.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,2 +1,3 @@
 #!/usr/bin/env bash
-cd "$(dirname "$0")" && exec node play.mjs
+# Writes record.txt into this folder. TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")" && TROUBLE="${TROUBLE:-1}" exec node play.mjs
