--- a/review/3/play.mjs
+++ b/review/3/play.mjs
@@ -71,13 +71,13 @@
     record(`zones ${cutZone} and ${serverZone} can't reach each other from now on: connections are refused`)
     for (const path of paths.values()) await path.cut()
   }
-  await wait(8_000)
+  await wait(2_000)
   phase.isStoreCut = hasTrouble
   if (phase.isStoreCut) record(`${staleMachine.name} is cut off from the store from now on, silently`)
   await wait(300)
   writeRoute('menu-new')
   record('the route moves from menu-old to menu-new')
-  await wait(5_000)
+  await wait(3_000)
   phase.isDone = true
   await Promise.all(running)
   recordRequests(record, results, new Map([...runs].map(([id, { service }]) => [id, service])))
