Log what makes a target cold, and when a request's first byte was sent

A change of belief that a target is cold now has a line (target_cold) and a counter with its evidence; each dispatch in request_ended has the time to its first byte, and the attempt how much of its body is buffered.

--- a/packages/bilberryd/src/edge/active_exchanges.ts
+++ b/packages/bilberryd/src/edge/active_exchanges.ts
@@ -7,7 +7,8 @@
 import type { Attempt, AttemptDispatch } from './attempt.ts'
 import type { EntryLog } from './entry_log.ts'
 import type { EntryState } from './entry_state.ts'
-import { isTargetUnreachable, recordTargetResult, RouteKind, TargetSignal } from '@bilberryworks/steering'
+import type { ReportCold } from './report_cold.ts'
+import { ColdEvidence, isTargetCold, isTargetUnreachable, recordTargetResult, RouteKind, TargetSignal } from '@bilberryworks/steering'
 import { AttemptPhase } from './attempt.ts'
 
 /** The exchanges in progress with targets. */
@@ -40,6 +41,8 @@
   speeds: Pick<TargetSpeeds, 'hasHandled'>
   /** Structured log. */
   log: EntryLog
+  /** Reports that there is evidence that a target is cold. */
+  reportCold: ReportCold
   /** Returns monotonic time, in milliseconds. */
   getNowMs: () => number
   /** Returns a random number in [0, 1). */
@@ -58,7 +61,10 @@
 
   function recordSignal (entry: RegisteredTarget, signal: TargetSignal): void {
     const coldForMs = state.getConfig()?.services.get(entry.target.service)?.coldForMs ?? 0
-    recordTargetResult(entry, signal, { nowMs: getNowMs(), getRandom, coldForMs })
+    const nowMs = getNowMs()
+    const wasCold = isTargetCold(entry, nowMs)
+    recordTargetResult(entry, signal, { nowMs, getRandom, coldForMs })
+    if (!wasCold && isTargetCold(entry, nowMs)) options.reportCold(entry, ColdEvidence.Returned)
   }
 
   function release (attempt: Attempt, signal: TargetSignal): void {
@@ -113,7 +119,7 @@
     othersBusy,
     slots: entry.target.slots,
     ...Number.isFinite(reportedAtMs) ? { reportAgeMs: Math.round(attempt.dispatchedAtMs - reportedAtMs) } : {},
-    ...entry.coldUntilMs > attempt.dispatchedAtMs ? { cold: true } : {},
+    ...isTargetCold(entry, attempt.dispatchedAtMs) ? { cold: true } : {},
     ...isFirst ? { first: true } : {}
   }
 }
--- a/packages/bilberryd/src/edge/attempt.ts
+++ b/packages/bilberryd/src/edge/attempt.ts
@@ -37,6 +37,8 @@
   othersBusy?: number
   /** Number of slots of the target; absent if it was dispatched through another instance. */
   slots?: number
+  /** Time from the dispatch until the first byte was sent, in milliseconds; absent if none was. */
+  sentAfterMs?: number
   /** Age of that load report, in milliseconds; absent if there is none. */
   reportAgeMs?: number
   /** Set if the target was cold, that is in a warm-up phase in which it gets fewer requests. */
--- a/packages/bilberryd/src/edge/attempt_finisher.ts
+++ b/packages/bilberryd/src/edge/attempt_finisher.ts
@@ -66,6 +66,8 @@
       detail: refusal?.detail,
       retryAfterMs: refusal?.retryAfterMs,
       sends: attempt.dispatches,
+      bufferedBytes: attempt.body?.bytes,
+      isBodyBuffered: attempt.body?.isComplete,
       elapsedMs: Math.round(elapsedMs),
       objectiveMs: attempt.route.latencyObjectiveMs,
       leftMs: Math.round(attempt.deadlineAtMs - nowMs),
--- a/packages/bilberryd/src/edge/dispatcher.ts
+++ b/packages/bilberryd/src/edge/dispatcher.ts
@@ -12,6 +12,7 @@
 import type { EntryState } from './entry_state.ts'
 import type { ExchangeResult } from './send_attempt.ts'
 import type { ReachMonitor } from './reach_monitor.ts'
+import type { ReportCold } from './report_cold.ts'
 import type { RelayPeers } from './relay_peers.ts'
 import type { TargetReports } from './target_reports.ts'
 import { computePauseRetryAfterMs, createNotRunRefusal, createFleetRetryBudget, createRetryPacer, createTargetSpeeds, createWaitingRequests, recordTargetDispatch, RefusalReason, TargetSignal, waitingCheckIntervalMs, waitShare } from '@bilberryworks/steering'
@@ -82,6 +83,8 @@
   listContenders: (targetId: string) => RateContender[]
   /** Returns the share of the objects of callers in this instance's region that targets in the region serve; `undefined` if targets are to be chosen in all regions alike. */
   getRegionShare: (service: string) => number | undefined
+  /** Reports that there is evidence that a target is cold. */
+  reportCold: ReportCold
   /** Returns the largest number of instances seen live at the same time, including this one. */
   getMaxLiveInstances: () => number
   /** Returns monotonic time, in milliseconds. */
--- a/packages/bilberryd/src/edge/entry_components.ts
+++ b/packages/bilberryd/src/edge/entry_components.ts
@@ -25,6 +25,7 @@
 import { createReachMonitor } from './reach_monitor.ts'
 import { createRegionShares } from './region_shares.ts'
 import { createRelayPeers } from './relay_peers.ts'
+import { createColdReporter } from './report_cold.ts'
 import { ReplicatedTable } from './replicated_table.ts'
 import { createRequestHandler, StopPhase } from './request_handler.ts'
 import { createTargetReports } from './target_reports.ts'
@@ -104,7 +105,8 @@
   let sequence = 0
   const view = createPeerView({ instance: settings.instance, evictionMs: peerEvictionMs, getTimeoutMs: heartbeat => heartbeat.region === settings.region ? peerTimeoutMs : remotePeerTimeoutMs })
   const listPeers = (): PeerHeartbeat[] => view.listLive(getNowMs()).map(peer => peer.heartbeat)
-  const state = createEntryState({ regions: settings.regions, log, getNowMs, countUndecodable: metrics.countUndecodable, onChange: handleChange })
+  const reportCold = createColdReporter({ log, metrics, getNowMs })
+  const state = createEntryState({ regions: settings.regions, log, reportCold, getNowMs, countUndecodable: metrics.countUndecodable, onChange: handleChange })
   const pool = options.createPool(handleConnectionEvent)
   const targetReports = createTargetReports({ state, metrics, log, getNowMs })
   const relayPeers = createRelayPeers({ region: settings.region, view, isEnabled: options.relays.isEnabled, getNowMs, getRandom })
@@ -121,6 +123,7 @@
     peerPool,
     log,
     metrics,
+    reportCold,
     getNowMs,
     getRandom,
     handleTargetResponse: targetReports.handleResponse,
--- a/packages/bilberryd/src/edge/entry_metrics.ts
+++ b/packages/bilberryd/src/edge/entry_metrics.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { RouteKind } from '@bilberryworks/steering'
-import { Outcome, RefusalReason, RetryReason } from '@bilberryworks/steering'
+import { ColdEvidence, Outcome, RefusalReason, RetryReason } from '@bilberryworks/steering'
 import { ConnectionEvent } from '@bilberryworks/targets'
 import { RelayResultKind } from './send_relayed.ts'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
@@ -61,6 +61,8 @@
   countMismatchedResponse (): void
   /** Counts a report of a target. */
   countTargetReport (report: TargetReport): void
+  /** Counts evidence that a target is cold. */
+  countColdEvidence (evidence: ColdEvidence): void
   /** Counts a request that is quarantined because targets ended whenever they ran it. */
   countQuarantined (): void
   /** Counts an event of a connection to a target. */
@@ -136,6 +138,7 @@
   const undecodableRows = new Counter({ name: 'bilberry_rows_undecodable_total', help: 'Rows that could not be decoded, by table', labelNames: ['table'], registers })
   const mismatchedResponses = new Counter({ name: 'bilberry_stray_answers_total', help: 'Responses of targets to requests other than the one in flight', registers })
   const targetReports = new Counter({ name: 'bilberry_target_reports_total', help: 'Reports of targets about themselves in responses, by kind', labelNames: ['report'], registers })
+  const coldEvidence = new Counter({ name: 'bilberry_cold_targets_total', help: 'Evidence that a target is cold, by kind', labelNames: ['evidence'], registers })
   const quarantined = new Counter({ name: 'bilberry_requests_quarantined_total', help: 'Requests that are refused because targets ended whenever they ran them, each counted once', registers })
   const connectionEvents = new Counter({ name: 'bilberry_target_connection_events_total', help: 'Events of connections to targets, by kind', labelNames: ['event'], registers })
   const relayed = new Counter({ name: 'bilberry_relayed_requests_total', help: 'Requests sent through another instance, by result', labelNames: ['result'], registers })
@@ -144,6 +147,7 @@
   for (const reason of Object.values(RefusalReason)) refusals.inc({ reason }, 0)
   for (const reason of Object.values(RetryReason)) retries.inc({ reason }, 0)
   for (const report of Object.values(TargetReport)) targetReports.inc({ report }, 0)
+  for (const evidence of Object.values(ColdEvidence)) coldEvidence.inc({ evidence }, 0)
   for (const event of Object.values(ConnectionEvent)) connectionEvents.inc({ event }, 0)
   for (const result of Object.values(RelayResultKind)) relayed.inc({ result }, 0)
   for (const message of Object.values(PeerTraffic)) peerBytes.inc({ message }, 0)
@@ -162,6 +166,7 @@
     countUndecodable: table => undecodableRows.inc({ table }),
     countMismatchedResponse: () => mismatchedResponses.inc(),
     countTargetReport: report => targetReports.inc({ report }),
+    countColdEvidence: evidence => coldEvidence.inc({ evidence }),
     countQuarantined: () => quarantined.inc(),
     countConnectionEvent: event => connectionEvents.inc({ event }),
     countRelayed: result => relayed.inc({ result }),
--- a/packages/bilberryd/src/edge/entry_state.ts
+++ b/packages/bilberryd/src/edge/entry_state.ts
@@ -5,11 +5,13 @@
  */
 import type { Route, RoutingConfig, RouteTable, TargetRegistry } from '@bilberryworks/steering'
 import type { EntryLog } from './entry_log.ts'
+import type { ReportCold } from './report_cold.ts'
 import type { RowChange, TableReplica, TableRestoration, TableUpdate } from './table_replica.ts'
 import { createRouteTable, createTargetRegistry } from '@bilberryworks/steering'
-import { decodeRouting, decodeTarget, isOutdatedOperatorRow, isOutdatedTargetRow, parseEvacuationKey, parseJsonRow, routingKey } from '@bilberryworks/users-platform'
+import { decodeRouting, isOutdatedOperatorRow, isOutdatedTargetRow, parseEvacuationKey, parseJsonRow, routingKey } from '@bilberryworks/users-platform'
 import { ReplicatedTable } from './replicated_table.ts'
 import { createTableReplica } from './table_replica.ts'
+import { createTargetRegistrations } from './target_registrations.ts'
 import { createUnconfirmedRows } from './unconfirmed_rows.ts'
 
 /** The replicated state of an instance. */
@@ -46,15 +48,14 @@
   log: EntryLog
   /** Returns monotonic time, in milliseconds. */
   getNowMs: () => number
+  /** Reports that there is evidence that a target is cold. */
+  reportCold: ReportCold
   /** Called after each change that can affect target selection. */
   onChange: () => void
   /** Counts a row that can't be decoded. */
   countUndecodable: (table: ReplicatedTable) => void
 }
 
-/** Time within which live targets register again after a store outage, in milliseconds: about two seconds on this platform, plus network latency. */
-const reregistrationMs = 2_200
-
 /**
  * Creates the empty state of an instance that has just started.
  *
@@ -70,8 +71,7 @@
   const unconfirmedRows = createUnconfirmedRows()
   const targets = createTargetRegistry()
   const evacuated = new Set<string>()
-  /** Monotonic times at which unregistered targets are removed, in milliseconds, by target identifier. */
-  const removalTimesMs = new Map<string, number>()
+  const registrations = createTargetRegistrations({ ...options, targets, getStoreRecoveredAtMs: () => storeRecoveredAtMs })
   let config: RoutingConfig | undefined
   let routes: RouteTable | undefined
   let revision = 0
@@ -114,45 +114,11 @@
     log.info('evacuation', { failureDomain, evacuated: text !== undefined })
   }
 
-  function applyTargetChange ({ key, text, version }: RowChange): void {
-    if (text === undefined) {
-      handleUnregistration(key)
-      return
-    }
-    const target = decodeTarget(key, parseJsonRow(text))
-    if (target === undefined) {
-      options.countUndecodable(ReplicatedTable.Targets)
-      log.warn('target_undecodable', { target: key, version })
-      return
-    }
-    removalTimesMs.delete(key)
-    // The registry updates the entry of a known target in place.
-    const wasLeaving = targets.find(key)?.target.leaving
-    targets.register(target, { region: options.regions.get(target.failureDomain) ?? '', nowMs: getNowMs() })
-    if (wasLeaving !== target.leaving || target.coldLeftMs > 0) {
-      log.info('target', { target: key, service: target.service, failureDomain: target.failureDomain, region: options.regions.get(target.failureDomain), leaving: target.leaving, coldLeftMs: target.coldLeftMs, version })
-    }
-  }
-
-  /** Removes an unregistered target; after a store outage with a delay, since registrations expire during the outage and live targets renew them. */
-  function handleUnregistration (id: string): void {
-    if (targets.find(id) === undefined) return
-    const removeAtMs = storeRecoveredAtMs + reregistrationMs
-    if (removeAtMs <= getNowMs()) removeTarget(id)
-    else removalTimesMs.set(id, removeAtMs)
-  }
-
-  function removeTarget (id: string): void {
-    removalTimesMs.delete(id)
-    targets.remove(id)
-    log.info('target_gone', { target: id })
-  }
-
   function applyTableChanges (table: ReplicatedTable, changes: RowChange[]): void {
     if (changes.length === 0) return
     for (const change of changes) {
       if (table === ReplicatedTable.Operator) applyOperatorChange(change)
-      else applyTargetChange(change)
+      else registrations.applyChange(change)
     }
     revision++
     options.onChange()
@@ -181,13 +147,7 @@
     },
     removeExpired (nowMs) {
       for (const table of Object.values(ReplicatedTable)) applyTableChanges(table, unconfirmedRows.expire(table, tables[table], nowMs))
-      let hasExpired = false
-      for (const [id, removeAtMs] of removalTimesMs) {
-        if (removeAtMs > nowMs) continue
-        removeTarget(id)
-        hasExpired = true
-      }
-      if (hasExpired) options.onChange()
+      if (registrations.removeExpired(nowMs)) options.onChange()
     },
     getLastContactMs: () => lastContactMs,
     isStoreReachable: () => !isStoreUnreachable
--- a/packages/bilberryd/src/edge/send_attempt.ts
+++ b/packages/bilberryd/src/edge/send_attempt.ts
@@ -121,6 +121,7 @@
     onSendStart () {
       attempt.mayHaveRun = true
       attempt.targetsReached++
+      recordSendStart(attempt, options.getNowMs())
       options.onSendStart()
     },
     onHead (head) {
@@ -155,6 +156,16 @@
   attempt.exchange = exchange
 }
 
+/**
+ * Records in the last dispatch of an attempt that its first byte is being sent.
+ *
+ * @param attempt The attempt
+ * @param nowMs Monotonic time, in milliseconds
+ */
+export function recordSendStart (attempt: Attempt, nowMs: number): void {
+  attempt.dispatches.at(-1)!.sentAfterMs = Math.round(nowMs - attempt.dispatchedAtMs)
+}
+
 /** Returns whether to withhold a response: a success without the target's signature, a status that would wrongly imply that the request did not run, or a server error on an idempotent route whose limit of targets has not been reached. */
 function isWithheld (attempt: Attempt, head: ResponseHead, isSigned: boolean): boolean {
   if (head.status < 300) return !isSigned
--- a/packages/bilberryd/src/edge/send_relayed.ts
+++ b/packages/bilberryd/src/edge/send_relayed.ts
@@ -12,7 +12,7 @@
 import { ExchangeFailure } from '@bilberryworks/targets'
 import { attemptIdHeader } from '@bilberryworks/users-platform'
 import { buildRelayHead } from './request_head.ts'
-import { createWriterOptions, createBodyOptions } from './send_attempt.ts'
+import { createWriterOptions, createBodyOptions, recordSendStart } from './send_attempt.ts'
 import { createResponseWriter } from './response_writer.ts'
 import { createBodySender } from './send_body.ts'
 import { parseRelayResult, readRelayRefusal, relayField } from './relay_message.ts'
@@ -108,6 +108,7 @@
     onSendStart () {
       attempt.mayHaveRun = true
       attempt.targetsReached++
+      recordSendStart(attempt, options.getNowMs())
     },
     onHead: readHead,
     onBody (part) {
--- a/packages/steering/src/target_registry.ts
+++ b/packages/steering/src/target_registry.ts
@@ -49,6 +49,14 @@
   meanResponseMs: number | undefined
 }
 
+/** Why an instance counts a target as cold. */
+export enum ColdEvidence {
+  /** Its registration states how long it stays cold. */
+  Registered = 'registered',
+  /** It responds again after this instance could not reach it, so it may have restarted. */
+  Returned = 'returned'
+}
+
 /** Registered targets by service. */
 export interface TargetRegistry {
   /** Adds or updates a target; a restarted target loses its recorded state and is cold for the time that its registration states. */
@@ -69,6 +77,8 @@
   countFailing (nowMs: number): number
   /** Records that a target has reported, by a response, that it is leaving; returns whether that is news. */
   recordLeaving (id: string): boolean
+  /** Counts the cold targets of a service. */
+  countCold (service: string, nowMs: number): number
   /** Excludes pauses of this process from the time for which targets have been silent, since it reads no responses during a pause. To be called at least every 250 ms, and before targets are selected. */
   observeTime (nowMs: number): void
 }
@@ -185,6 +195,7 @@
     getRevision: () => revision,
     count: () => byId.size,
     countFailing: nowMs => [...byId.values()].filter(entry => getCircuitState(entry.circuit, nowMs) !== CircuitState.Closed).length,
+    countCold: (service, nowMs) => (byService.get(service) ?? []).filter(entry => isTargetCold(entry, nowMs)).length,
     recordLeaving (id) {
       const entry = byId.get(id)
       if (entry === undefined || entry.reportsLeaving) return false
@@ -215,6 +226,17 @@
   return entry.target.leaving || entry.reportsLeaving
 }
 
+/**
+ * Returns whether a target is cold as far as this instance knows, so that it gets fewer requests.
+ *
+ * @param entry The target
+ * @param nowMs Monotonic time, in milliseconds
+ * @returns Whether it is cold
+ */
+export function isTargetCold (entry: RegisteredTarget, nowMs: number): boolean {
+  return entry.coldUntilMs > nowMs
+}
+
 /**
  * Computes the number of requests at a target: those of this instance, and an estimate of those of other instances.
  *
@@ -252,7 +274,7 @@
   entry.inFlight++
   entry.lastRequestAtMs = nowMs
   if (entry.silentSinceMs === Infinity) entry.silentSinceMs = nowMs
-  if (entry.coldUntilMs > nowMs) entry.lastColdRequestAtMs = nowMs
+  if (isTargetCold(entry, nowMs)) entry.lastColdRequestAtMs = nowMs
 }
 
 /**
