--- a/packages/standins/src/main_path_relay.ts
+++ b/packages/standins/src/main_path_relay.ts
@@ -19,6 +19,8 @@
 const host = process.argv[2]!
 const listeners = new Map<string, RelayListener>()
 const sockets = new Set<Socket>()
+/** One function for each direction of each open connection, which holds its bytes, or delivers those that are held. */
+const directions = new Map<Socket, (isHeld: boolean) => void>()
 let state = PathState.Open
 
 function trackSocket (socket: Socket, peer: Socket): void {
@@ -26,6 +28,7 @@
   socket.setNoDelay(true)
   socket.once('close', hadError => {
     sockets.delete(socket)
+    directions.delete(socket)
     if (hadError) peer.resetAndDestroy()
     else peer.destroy()
   })
@@ -37,8 +40,32 @@
   const outbound = connect({ host: targetHost, port: Number(port), allowHalfOpen: true })
   trackSocket(inbound, outbound)
   trackSocket(outbound, inbound)
-  inbound.pipe(outbound)
-  outbound.pipe(inbound)
+  directions.set(inbound, createDirection(inbound, outbound))
+  directions.set(outbound, createDirection(outbound, inbound))
+}
+
+/** Forwards the bytes of a socket to its peer; returns a function that holds them, or delivers those that are held. */
+function createDirection (from: Socket, to: Socket): (isHeld: boolean) => void {
+  let held: Buffer[] = []
+  let hasEnded = false
+  let isHolding = false
+  const retainPart = (part: Buffer): void => { held.push(part) }
+  from.once('end', () => { hasEnded = true })
+  from.pipe(to)
+  return isHeld => {
+    if (isHeld === isHolding) return
+    isHolding = isHeld
+    if (isHeld) {
+      from.unpipe(to)
+      from.on('data', retainPart)
+      return
+    }
+    from.off('data', retainPart)
+    for (const part of held) to.write(part)
+    held = []
+    if (hasEnded) to.end()
+    else from.pipe(to)
+  }
 }
 
 async function openListener (destination: string): Promise<string> {
@@ -58,6 +85,7 @@
     if (next === PathState.Open && !server.listening) server.listen({ port, host, backlog: relayBacklog })
     if (next !== PathState.Open && server.listening) server.close()
   }
+  for (const setHeld of directions.values()) setHeld(next === PathState.Holding)
   if (next === PathState.Reset) for (const socket of sockets) socket.resetAndDestroy()
 }
 
--- a/packages/standins/src/path_relay.ts
+++ b/packages/standins/src/path_relay.ts
@@ -17,7 +17,9 @@
   /** Open connections are reset, and new ones refused. */
   Reset = 'reset',
   /** Nothing is forwarded or acknowledged: open connections go silent, and new ones are not established. */
-  Hanging = 'hanging'
+  Hanging = 'hanging',
+  /** Open connections go silent until the path is open again, which delivers the bytes sent meanwhile on those that were not reset; new ones are refused. */
+  Holding = 'holding'
 }
 
 /** Command of the parent process; each gets a {@linkcode PathRelayReply} with the same `id`. */
--- a/packages/standins/src/site_target.ts
+++ b/packages/standins/src/site_target.ts
@@ -71,6 +71,8 @@
   address: string
   /** Requests that ran, in the order of their start. */
   runs: TargetRun[]
+  /** Identifiers of the attempts whose header sections arrived, whether their bodies followed or not. */
+  receivedIds: string[]
   /** Monotonic times at which requests for this target arrived, whether they ran or not, in milliseconds. */
   arrivalsMs: number[]
   /** Monotonic times at which requests for another target arrived, in milliseconds. */
@@ -101,6 +103,7 @@
 export async function openSiteTarget (store: SiteStore, options: OpenSiteTargetOptions): Promise<SiteTarget> {
   const { id, slots = 3 } = options
   const runs: TargetRun[] = []
+  const receivedIds: string[] = []
   const arrivalsMs: number[] = []
   const misdirectedMs: number[] = []
   const faults: TargetFault[] = []
@@ -113,6 +116,7 @@
 
   async function runRequest (message: IncomingMessage, response: ServerResponse): Promise<void> {
     const attemptId = String(message.headers['x-request-id'])
+    receivedIds.push(attemptId)
     const body = await buffer(message)
     response.setHeader('X-Request-Id', attemptId)
     for (const [name, value] of Object.entries(responseFields)) response.setHeader(name, value)
@@ -166,6 +170,7 @@
   const target: SiteTarget = {
     address: `${socketAddress.host}:${socketAddress.port}`,
     runs,
+    receivedIds,
     arrivalsMs,
     misdirectedMs,
     getMaxConcurrency: () => maxConcurrency,
