Reset the connection of an exchange that is given up

What targets saw: requests arrived seconds after their callers had left (GONE), when a path that had gone silent opened again. Cause: a cancelled exchange closed its socket, which leaves the bytes that the network holds on their way; retransmissions deliver them when the path is back. A reset discards them, also on the hop between instances, which uses the same connections. The path relay also reads on while it holds bytes, so that it sees a reset. Idle connections are closed as before, since nothing is under way on them.

--- a/packages/standins/src/main_path_relay.ts
+++ b/packages/standins/src/main_path_relay.ts
@@ -57,7 +57,7 @@
     isHolding = isHeld
     if (isHeld) {
       from.unpipe(to)
-      from.on('data', retainPart)
+      from.on('data', retainPart).resume()
       return
     }
     from.off('data', retainPart)
--- a/packages/targets/src/target_connection.ts
+++ b/packages/targets/src/target_connection.ts
@@ -62,7 +62,7 @@
   keepAliveMs: number | undefined
   /** Pauses or resumes reading. */
   setPaused (paused: boolean): void
-  /** Closes the connection; no callback of the exchange in progress is called afterwards. */
+  /** Closes the connection; no callback of the exchange in progress is called afterwards. Resets it if there is one, so that the target does not receive bytes that have not arrived yet. */
   close (): void
 }
 
@@ -124,16 +124,27 @@
     if (isClosed) return
     isClosed = true
     clearTimeout(connectTimer)
-    socket.destroy()
     const exchange = current
     current = undefined
+    closeSocket(exchange !== undefined)
     options.onClose()
     exchange?.onFail(isEstablished ? failure : ExchangeFailure.ConnectFailed, detail)
   }
 
+  /** Closes the socket. A reset discards what is still on its way, which a network that was interrupted would deliver long after the exchange was given up. */
+  function closeSocket (isExchangeOpen: boolean): void {
+    if (isExchangeOpen && isEstablished) socket.resetAndDestroy()
+    else socket.destroy()
+  }
+
   function closeConnection (): void {
+    if (isClosed) return
+    isClosed = true
+    clearTimeout(connectTimer)
+    const isExchangeOpen = current !== undefined
     current = undefined
-    failConnection(ExchangeFailure.Lost, '')
+    closeSocket(isExchangeOpen)
+    options.onClose()
   }
 
   function startExchange (exchange: Exchange): void {
--- a/packages/targets/src/target_pool.ts
+++ b/packages/targets/src/target_pool.ts
@@ -16,7 +16,7 @@
 
 /** Controls an exchange in progress. */
 export interface RunningExchange {
-  /** Cancels the exchange by closing its connection; no callback of the exchange is called afterwards. */
+  /** Cancels the exchange by resetting its connection; no callback of the exchange is called afterwards. */
   cancel (): void
   /** Pauses or resumes reading the response. */
   setPaused (paused: boolean): void
