Close target connections in one function

Closing and failing a connection share one function now, without a change of what they do: the tests of targets and of relaying pass, and those of left_callers_test as before, two of five red.

--- a/packages/targets/src/target_connection.ts
+++ b/packages/targets/src/target_connection.ts
@@ -120,31 +120,20 @@
     onEnd: handleEnd
   })
 
-  function failConnection (failure: ExchangeFailure, detail: string): void {
-    if (isClosed) return
+  /** Closes the connection and returns the exchange that was in progress. */
+  function closeConnection (): Exchange | undefined {
+    if (isClosed) return undefined
     isClosed = true
     clearTimeout(connectTimer)
     const exchange = current
     current = undefined
-    closeSocket(exchange !== undefined)
+    closeSocket(socket, { discardsUnsent: exchange !== undefined && isEstablished })
     options.onClose()
-    exchange?.onFail(isEstablished ? failure : ExchangeFailure.ConnectFailed, detail)
-  }
-
-  /** Closes the socket. A reset discards what is still on its way, which a network that was interrupted would deliver long after the exchange was given up. */
-  function closeSocket (isExchangeOpen: boolean): void {
-    if (isExchangeOpen && isEstablished) socket.resetAndDestroy()
-    else socket.destroy()
+    return exchange
   }
 
-  function closeConnection (): void {
-    if (isClosed) return
-    isClosed = true
-    clearTimeout(connectTimer)
-    const isExchangeOpen = current !== undefined
-    current = undefined
-    closeSocket(isExchangeOpen)
-    options.onClose()
+  function failConnection (failure: ExchangeFailure, detail: string): void {
+    closeConnection()?.onFail(isEstablished ? failure : ExchangeFailure.ConnectFailed, detail)
   }
 
   function startExchange (exchange: Exchange): void {
@@ -240,11 +229,17 @@
       if (paused) socket.pause()
       else socket.resume()
     },
-    close: closeConnection
+    close () { closeConnection() }
   }
   return connection
 }
 
+/** Closes a socket. With a reset, a network that is interrupted does not deliver what it still holds, long after the exchange was given up. */
+function closeSocket (socket: Socket, { discardsUnsent }: { discardsUnsent: boolean }): void {
+  if (discardsUnsent) socket.resetAndDestroy()
+  else socket.destroy()
+}
+
 /** Options of {@linkcode writeRequest}. */
 interface WriteRequestOptions {
   /** Returns whether the exchange is still in progress. */
