Reset connections without waiting for their writes

Cause: resetAndDestroy of Node first waits for all writes and shuts the sending side down, so that an upload whose bytes fill the buffers of a silent path was not reset until the path was back. Calling destroy right after it resets at once.

--- a/packages/standins/src/main_path_relay.ts
+++ b/packages/standins/src/main_path_relay.ts
@@ -19,6 +19,7 @@
 const host = process.argv[2]!
 const listeners = new Map<string, RelayListener>()
 const sockets = new Set<Socket>()
+const emptyBuffer = Buffer.alloc(0)
 /** One function for each direction of each open connection, which holds its bytes, or delivers those that are held. */
 const directions = new Map<Socket, (isHeld: boolean) => void>()
 let state = PathState.Open
@@ -61,6 +62,13 @@
       return
     }
     from.off('data', retainPart)
+    // After a reset that was received together with bytes, a socket reports the end of its input; only a write fails.
+    from.write(emptyBuffer, error => {
+      if (error === null || error === undefined) forwardHeld()
+    })
+  }
+
+  function forwardHeld (): void {
     for (const part of held) to.write(part)
     held = []
     if (hasEnded) to.end()
--- a/packages/targets/src/target_connection.ts
+++ b/packages/targets/src/target_connection.ts
@@ -236,8 +236,9 @@
 
 /** Closes a socket. With a reset, a network that is interrupted does not deliver what it still holds, long after the exchange was given up. */
 function closeSocket (socket: Socket, { discardsUnsent }: { discardsUnsent: boolean }): void {
+  // By itself `resetAndDestroy` first waits for all writes and shuts the sending side down; `destroy` makes it reset at once.
   if (discardsUnsent) socket.resetAndDestroy()
-  else socket.destroy()
+  socket.destroy()
 }
 
 /** Options of {@linkcode writeRequest}. */
