Read uploads that wait, so that the leaving of their callers is seen

Cause: the message was paused above 256 KiB until its dispatch, and the close of a connection is read behind its bytes. A waiting upload is now read on, up to 1 MiB each and 32 MiB in all, and what its connection holds is read once more before it is sent; a caller that closes its side counts as gone at once, not when node:http has closed the connection some turns later. A body above the size limit that is found so late ends its request. The test sent four requests to three slots for 900 ms, so that three uploads went out before their callers left and the others expired; three requests of 300 ms keep the uploads waiting until after their callers have left.

--- a/packages/bilberryd/src/edge/attempt.ts
+++ b/packages/bilberryd/src/edge/attempt.ts
@@ -15,6 +15,8 @@
   Arriving = 'arriving',
   /** It waits for a target with a free slot. */
   Waiting = 'waiting',
+  /** A target was selected for it, and it is being confirmed that its caller has not left. */
+  Confirming = 'confirming',
   /** It was dispatched to a target. */
   Dispatched = 'sent',
   /** Its response is being sent to the caller. */
--- a/packages/bilberryd/src/edge/attempt_withdrawal.ts
+++ b/packages/bilberryd/src/edge/attempt_withdrawal.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { Refusal } from '@bilberryworks/steering'
 import type { Attempt } from './attempt.ts'
 import type { AttemptFinisher } from './attempt_finisher.ts'
 import { createNotRunRefusal, createUnknownRefusal, RefusalReason } from '@bilberryworks/steering'
@@ -12,6 +13,8 @@
 export interface AttemptWithdrawal {
   /** Finishes an attempt whose caller has disconnected. */
   abandon (attempt: Attempt): void
+  /** Finishes an attempt that waits or is being sent, with a refusal. */
+  cancel (attempt: Attempt, refusal: Refusal): void
   /** Finishes an attempt whose deadline has passed. */
   expire (attempt: Attempt): void
 }
@@ -35,13 +38,16 @@
  * @returns The functions
  */
 export function createAttemptWithdrawal ({ finisher, detach, onEnd, getRetryAfterMs }: CreateAttemptWithdrawalOptions): AttemptWithdrawal {
+  function cancelAttempt (attempt: Attempt, refusal: Refusal): void {
+    if (attempt.phase === AttemptPhase.Ended) return
+    detach(attempt)
+    finisher.refuse(attempt, refusal)
+    onEnd(attempt)
+  }
+
   return {
-    abandon (attempt) {
-      if (attempt.phase === AttemptPhase.Ended) return
-      detach(attempt)
-      finisher.refuse(attempt, createNotRunRefusal(RefusalReason.CallerGone, 'Caller closed the connection'))
-      onEnd(attempt)
-    },
+    cancel: cancelAttempt,
+    abandon: attempt => cancelAttempt(attempt, createNotRunRefusal(RefusalReason.CallerGone, 'Caller closed the connection')),
     expire (attempt) {
       if (attempt.phase === AttemptPhase.Ended) return
       const isResponding = attempt.phase === AttemptPhase.Responding
--- a/packages/bilberryd/src/edge/collect_body.ts
+++ b/packages/bilberryd/src/edge/collect_body.ts
@@ -1,64 +1,122 @@
 /**
- * Buffers the body of a request up to a limit before it is dispatched, so that the request can be retried.
+ * Receives the body of a request before it is sent on, so that the request can be retried, and so that the close of the
+ * caller's connection, which is read behind the body, is noticed while the request waits.
  *
  * @module
  */
 import type { IncomingMessage } from 'node:http'
+import type { BufferAllowance } from './buffer_allowance.ts'
+import { waitForReads } from '@bilberryworks/callers'
 
-/** A request body, buffered completely or up to the limit. */
+/** A request body that is being received. */
 export interface CollectedBody {
-  /** Buffered chunks. */
+  /** Received chunks. */
   parts: Buffer[]
-  /** Number of buffered bytes. */
+  /** Number of received bytes. */
   bytes: number
-  /** Whether the buffered bytes are the complete body. */
+  /** Whether the received bytes are the complete body. */
   isComplete: boolean
   /** Value of the request's `Content-Length` in bytes; `undefined` if it has none. */
   declaredBytes: number | undefined
+  /** Receives what the connection holds of the rest; resolves when nothing more is at hand, and never rejects. */
+  readAhead (): Promise<void>
+  /** Stops receiving, so that the rest can be read from the message. */
+  release (): void
+  /** Returns to the allowance what was received beyond `maxBufferedBytes`. */
+  free (): void
 }
 
 /** Options of {@linkcode collectBody}. */
 export interface CollectBodyOptions {
-  /** Number of bytes to buffer before the rest of the body is streamed. */
+  /** Number of bytes after which the request need not wait for the rest of its body. */
   maxBufferedBytes: number
   /** Maximum size of the body, in bytes. */
   maxBytes: number
-  /** Called once, when the body is complete or exceeds `maxBufferedBytes`; in the latter case the message is paused. */
+  /** Memory for what is received beyond `maxBufferedBytes`. */
+  allowance: BufferAllowance
+  /** Called once, when the body is complete or exceeds `maxBufferedBytes`. */
   onCollected: (body: CollectedBody) => void
-  /** Called instead of `onCollected` if the buffered bytes exceed `maxBytes`. */
+  /** Called when more than `maxBytes` are received, also after `onCollected`. */
   onTooLarge: () => void
 }
 
+/** Maximum number of bytes that are received of a body while its request waits: the usual size of what a connection holds unread. */
+const maxReadAheadBytes = 1_048_576
+/** Number of turns without bytes after which none are at hand: `node:http` reads on from the socket one turn after a message has been resumed or is complete. */
+const maxQuietTurns = 2
+
 /**
- * Buffers the body of a message.
+ * Receives the body of a message.
  *
  * @param message The message
  * @param options Limits and callbacks
  */
 export function collectBody (message: IncomingMessage, options: CollectBodyOptions): void {
   const contentLength = message.headers['content-length']
-  const body: CollectedBody = { parts: [], bytes: 0, isComplete: false, declaredBytes: contentLength === undefined ? undefined : Number(contentLength) }
-  const stop = (): void => {
+  let hasCollected = false
+  let reservedBytes = 0
+  let limitBytes = maxReadAheadBytes
+  const body: CollectedBody = {
+    parts: [],
+    bytes: 0,
+    isComplete: false,
+    declaredBytes: contentLength === undefined ? undefined : Number(contentLength),
+    async readAhead () {
+      if (body.isComplete) return waitForReads()
+      limitBytes = body.bytes + maxReadAheadBytes
+      addListeners()
+      message.resume()
+      for (let quietTurns = 0; quietTurns < maxQuietTurns && body.bytes < limitBytes;) {
+        const bytesBefore = body.bytes
+        await waitForReads()
+        quietTurns = body.bytes > bytesBefore ? 0 : quietTurns + 1
+      }
+    },
+    release () {
+      dropListeners()
+      if (!body.isComplete) message.pause()
+    },
+    free () {
+      options.allowance.release(reservedBytes)
+      reservedBytes = 0
+    }
+  }
+
+  function addListeners (): void {
+    dropListeners()
+    message.on('data', readPart)
+    message.on('end', finishBody)
+  }
+
+  function dropListeners (): void {
     message.off('data', readPart)
     message.off('end', finishBody)
   }
+
   function readPart (part: Buffer): void {
     body.parts.push(part)
     body.bytes += part.length
     if (body.bytes > options.maxBytes) {
-      stop()
+      dropListeners()
       options.onTooLarge()
     } else if (body.bytes > options.maxBufferedBytes) {
-      stop()
-      message.pause()
-      options.onCollected(body)
+      reservedBytes += part.length
+      if (!options.allowance.reserve(part.length) || body.bytes >= limitBytes) message.pause()
+      reportCollected()
     }
   }
+
   function finishBody (): void {
-    stop()
+    dropListeners()
     body.isComplete = true
+    reportCollected()
+  }
+
+  function reportCollected (): void {
+    if (hasCollected) return
+    hasCollected = true
     options.onCollected(body)
   }
-  message.on('data', readPart)
-  message.on('end', finishBody)
+
+  addListeners()
 }
--- a/packages/bilberryd/src/edge/dispatcher.ts
+++ b/packages/bilberryd/src/edge/dispatcher.ts
@@ -17,11 +17,14 @@
 import type { TargetReports } from './target_reports.ts'
 import { computePauseRetryAfterMs, createNotRunRefusal, createFleetRetryBudget, createRetryPacer, createTargetSpeeds, createWaitingRequests, recordTargetDispatch, RefusalReason, TargetSignal, waitingCheckIntervalMs, waitShare } from '@bilberryworks/steering'
 import { AttemptPhase, describeTiming } from './attempt.ts'
+import { createLazyMap } from './_lazy_map.ts'
 import { createAttemptFinisher } from './attempt_finisher.ts'
+import { confirmUpload } from './confirm_caller.ts'
 import { createExchangeResultHandler, minTimeLeftMs } from './exchange_results.ts'
 import { createTargetSelector } from './target_selector.ts'
 import { createActiveExchanges } from './active_exchanges.ts'
 import { createAttemptWithdrawal } from './attempt_withdrawal.ts'
+import { createPeerDispatch } from './peer_dispatch.ts'
 import { createRelayAdmission } from './relay_admission.ts'
 import { createRelayer } from './relayer.ts'
 import { createUnreachableRetries } from './unreachable_retries.ts'
@@ -35,6 +38,8 @@
   refuse (attempt: Attempt, refusal: Refusal): void
   /** Finishes an attempt whose caller has disconnected. */
   abandon (attempt: Attempt): void
+  /** Finishes an attempt that waits or is being sent, with a refusal. */
+  cancel (attempt: Attempt, refusal: Refusal): void
   /** Finishes an attempt whose deadline has passed. */
   expire (attempt: Attempt): void
   /** Dispatches the queued requests for which a target has a free slot, and refuses those that have waited too long. */
@@ -114,7 +119,8 @@
   const getRetryAfterMs = (attempt: Attempt): number => retryPacers.get(attempt.service).record({ nowMs: getNowMs(), queued: waitingByService.get(attempt.service).count(), ...targetSelector.measureCapacity(attempt.service) })
   const relayOptions = { finisher, getRetryAfterMs, getBudget: retryBudgets.get, listGroups: targetSelector.listGroups, requeue: enqueueAttempt }
   const relayer = createRelayer({ ...options, ...relayOptions, maySend: attempt => crashGuard.findRefusal(attempt) === undefined })
-  const handleExchangeResult = createExchangeResultHandler({ finisher, log, metrics, getNowMs, getRandom: options.getRandom, getBudget: retryBudgets.get, getRetryAfterMs, isSuspect: crashGuard.isSuspect, requeue: enqueueAttempt, relay: attempt => isUnderDoubt(attempt) && sendThroughPeer(attempt) })
+  const handleExchangeResult = createExchangeResultHandler({ finisher, log, metrics, getNowMs, getRandom: options.getRandom, getBudget: retryBudgets.get, getRetryAfterMs, isSuspect: crashGuard.isSuspect, requeue: enqueueAttempt, relay: attempt => peerDispatch.isUnderDoubt(attempt) && peerDispatch.sendThroughPeer(attempt) })
+  const peerDispatch = createPeerDispatch({ instance, relayer, reach, targetSelector, finisher, getRetryAfterMs })
   const sendToTarget = createTargetSender({ ...options, targetSelector, speeds, exchanges, finisher, onResult: handleResult })
   const retryUnreachable = createUnreachableRetries({ exchanges, reach, getNowMs, getBudget: retryBudgets.get, handleExchangeResult })
   const findRelayRefusal = createRelayAdmission({ instance, maxRelayed: options.maxRelayed, exchanges, getRetryAfterMs, getWaiting: waitingByService.get, countWaitingRelayed: () => countWaiting(attempt => attempt.relay !== undefined) })
@@ -131,10 +137,10 @@
     if (refusal !== undefined) return finisher.refuse(attempt, refusal)
     const unavailable = findUnavailable(attempt)
     if (unavailable !== undefined) {
-      if (!isUnderDoubt(attempt) || !sendThroughPeer(attempt)) finisher.refuse(attempt, unavailable)
+      if (!peerDispatch.isUnderDoubt(attempt) || !peerDispatch.sendThroughPeer(attempt)) finisher.refuse(attempt, unavailable)
       return
     }
-    if (isOutOfReach(attempt)) return sendThroughPeerOrRefuse(attempt)
+    if (peerDispatch.isOutOfReach(attempt)) return peerDispatch.sendThroughPeerOrRefuse(attempt)
     attempt.phase = AttemptPhase.Waiting
     waitingByService.get(attempt.service).add(attempt)
     dispatchWaiting(attempt.service)
@@ -144,32 +150,12 @@
     return targetSelector.hasUntriedTarget(attempt) ? undefined : createNotRunRefusal(RefusalReason.NoUsableTarget, `Service "${attempt.service}" has no available target that was not tried before`, noTargetRetryAfterMs)
   }
 
-  /** Returns whether no connection was established for an attempt, or for any other request that the same targets may serve. */
-  function isUnderDoubt (attempt: Attempt): boolean {
-    return attempt.tried.size > attempt.targetsReached && targetSelector.isPathDoubtful(attempt)
-  }
-
-  function isOutOfReach (attempt: Attempt): boolean {
-    return reach.hasLost() && !targetSelector.hasPath(attempt)
-  }
-
-  /** Sends an attempt of a caller through another instance; returns whether there is one that may and can relay it. */
-  function sendThroughPeer (attempt: Attempt): boolean {
-    const peer = attempt.relay === undefined ? relayer.findPeer(attempt) : undefined
-    if (peer !== undefined) relayer.send(attempt, peer)
-    return peer !== undefined
-  }
-
-  function sendThroughPeerOrRefuse (attempt: Attempt): void {
-    if (!sendThroughPeer(attempt)) finisher.refuse(attempt, createNotRunRefusal(RefusalReason.TargetUnreachable, `Instance "${instance}" has no network path to targets of service "${attempt.service}", and no other instance can relay the request now`, getRetryAfterMs(attempt)))
-  }
-
   function dispatchWaiting (service: string): void {
     const waiting = waitingByService.get(service)
     if (waiting.count() === 0) return
     state.targets.observeTime(getNowMs())
     for (const attempt of waiting.takeMatching(request => crashGuard.findRefusal(request) !== undefined)) finisher.refuse(attempt, crashGuard.findRefusal(attempt)!)
-    if (reach.hasLost()) for (const attempt of waiting.takeMatching(isOutOfReach)) sendThroughPeerOrRefuse(attempt)
+    if (reach.hasLost()) for (const attempt of waiting.takeMatching(peerDispatch.isOutOfReach)) peerDispatch.sendThroughPeerOrRefuse(attempt)
     const assignments = waiting.takePlaced(attempt => {
       const entry = targetSelector.findTarget(attempt)
       // Counted immediately, so that the selection for the next queued request sees the remaining capacity.
@@ -200,12 +186,19 @@
   }
 
   function dispatchAttempt (attempt: Attempt, entry: RegisteredTarget): void {
+    confirmUpload(attempt, () => sendAttempt(attempt, entry), () => {
+      exchanges.releaseUnused(entry)
+      dispatchWaiting(attempt.service)
+    })
+  }
+
+  function sendAttempt (attempt: Attempt, entry: RegisteredTarget): void {
     if (attempt.deadlineAtMs - getNowMs() < minTimeLeftMs) {
       exchanges.releaseUnused(entry)
       finisher.refuse(attempt, createNotRunRefusal(RefusalReason.DeadlinePassed, 'Deadline is too close to send the request to a target', getRetryAfterMs(attempt)))
     } else if (reach.needsConnection(entry) && attempt.relay === undefined && relayer.findPeer(attempt) !== undefined) {
       exchanges.releaseUnused(entry)
-      sendThroughPeer(attempt)
+      peerDispatch.sendThroughPeer(attempt)
     } else sendToTarget(attempt, entry)
   }
 
@@ -240,16 +233,3 @@
     listPending: exchanges.listPending
   }
 }
-
-/** Creates a map that creates each item on first access. */
-function createLazyMap<T> (create: () => T): { get: (name: string) => T, list: () => string[] } {
-  const items = new Map<string, T>()
-  return {
-    get (name) {
-      const item = items.get(name) ?? create()
-      items.set(name, item)
-      return item
-    },
-    list: () => [...items.keys()]
-  }
-}
--- a/packages/bilberryd/src/edge/request_handler.ts
+++ b/packages/bilberryd/src/edge/request_handler.ts
@@ -13,10 +13,11 @@
 import type { EntryState } from './entry_state.ts'
 import type { Dispatcher } from './dispatcher.ts'
 import type { RelayOrigin } from './relay_message.ts'
-import { checkFraming, createPipelineScheduler, hasBody, watchResponse, writeRefusal } from '@bilberryworks/callers'
+import { checkFraming, createPipelineScheduler, hasBody, watchCaller, watchResponse, writeRefusal } from '@bilberryworks/callers'
 import { createNotRunRefusal, RefusalReason, RouteKind } from '@bilberryworks/steering'
 import { formatRetryAfter, readAttemptFields } from '@bilberryworks/users-platform'
 import { AttemptPhase } from './attempt.ts'
+import { createBufferAllowance } from './buffer_allowance.ts'
 import { collectBody } from './collect_body.ts'
 import { writeRelayFields } from './relay_message.ts'
 
@@ -50,6 +51,8 @@
 
 /** Body bytes that are buffered before the request is dispatched, so that it can be retried; limits the memory of an upload. */
 const maxBufferedBodyBytes = 262_144
+/** Memory for the bodies of all waiting requests beyond that, in bytes. */
+const maxReadAheadBytes = 33_554_432
 /** Time reserved for sending the response to the caller before the caller's own time-out, in milliseconds. */
 const responseTransitMs = 20
 /** `Retry-After` of a refusal while the instance has no routing configuration, in milliseconds. */
@@ -76,6 +79,7 @@
 export function createRequestHandler (options: CreateRequestHandlerOptions): RequestHandler {
   const { state, dispatcher, log, metrics, getNowMs } = options
   const pipeline = createPipelineScheduler()
+  const allowance = createBufferAllowance(maxReadAheadBytes)
 
   function writeEarlyRefusal (message: IncomingMessage, response: ServerResponse, { refusal, relay }: { refusal: Refusal, relay?: RelayOrigin | undefined }): void {
     if (relay !== undefined) writeRelayFields(response, { attemptId: readFields(message).attemptId ?? '', targetsReached: 0 })
@@ -147,13 +151,14 @@
     }
     collectBody(message, {
       maxBufferedBytes: maxBufferedBodyBytes,
+      allowance,
       maxBytes: state.getConfig()?.limits.maxBodyBytes ?? Infinity,
       onCollected (body) {
         if (attempt.phase !== AttemptPhase.Arriving) return
         attempt.body = body
         dispatcher.submit(attempt)
       },
-      onTooLarge: () => dispatcher.refuse(attempt, createNotRunRefusal(RefusalReason.BodyTooLarge, 'Body exceeds the size limit of the routing configuration'))
+      onTooLarge: () => dispatcher.cancel(attempt, createNotRunRefusal(RefusalReason.BodyTooLarge, 'Body exceeds the size limit of the routing configuration'))
     })
   }
 
@@ -170,9 +175,8 @@
       return
     }
     attempt.deadlineTimer = setTimeout(() => dispatcher.expire(attempt), Math.max(0, attempt.deadlineAtMs - getNowMs()))
-    watchResponse(message, response, isComplete => {
-      if (!isComplete) dispatcher.abandon(attempt)
-    })
+    watchCaller(message, response, () => dispatcher.abandon(attempt))
+    watchResponse(message, response, () => attempt.body?.free())
     pipeline.schedule({ message, response, isSafe: attempt.route.kind === RouteKind.Safe, start: () => submitAttempt(attempt) })
   }
 
--- a/packages/callers/src/watch_response.ts
+++ b/packages/callers/src/watch_response.ts
@@ -33,6 +33,31 @@
   response.once('close', finish)
 }
 
+/**
+ * Calls a function once when the caller closes its side of the connection, or the connection closes, before a response was
+ * written completely.
+ *
+ * `node:http` ends a connection whose caller has closed its side, but reports that some turns of the event loop later.
+ *
+ * @param message The request
+ * @param response The response to the request
+ * @param onLeave Called when the caller has left
+ */
+export function watchCaller (message: IncomingMessage, response: ServerResponse, onLeave: () => void): void {
+  const { socket } = message
+  let hasLeft = false
+  const leave = (): void => {
+    if (hasLeft) return
+    hasLeft = true
+    onLeave()
+  }
+  socket.once('end', leave)
+  watchResponse(message, response, isComplete => {
+    socket.off('end', leave)
+    if (!isComplete) leave()
+  })
+}
+
 /**
  * Counts the requests of a server whose responses have not ended, including requests whose bodies are still being received.
  *
--- a/packages/standins/src/left_callers_test.ts
+++ b/packages/standins/src/left_callers_test.ts
@@ -56,8 +56,8 @@
 test('does not send an upload that waits for a target after its caller has left', async t => {
   await using site = await createTestSite()
   const { entry, opened } = await startSite(site, { targets: 1 })
-  opened[0]!.setProcessingMs(900)
-  const busy = Array.from({ length: 4 }, (_, index) => site.call(entry, { id: `busy-${index}`, path: '/unsafe/x', method: 'POST', body: 'order' }))
+  opened[0]!.setProcessingMs(300)
+  const busy = Array.from({ length: 3 }, (_, index) => site.call(entry, { id: `busy-${index}`, path: '/unsafe/x', method: 'POST', body: 'order' }))
   await waitUntil(() => opened[0]!.runs.filter(run => run.attemptId.startsWith('busy-')).length === busy.length)
   await Promise.all(Array.from({ length: calls }, (_, index) => sendAndLeave(site, entry, { id: `left-${index}`, path: '/upload/x', method: 'POST', body: Buffer.alloc(uploadBytes, 'x') })))
   await Promise.all(busy)
