--- a/packages/standins/src/emulator/fleet_instance.ts
+++ b/packages/standins/src/emulator/fleet_instance.ts
@@ -144,7 +144,7 @@
     seeds: [],
     regions: new Map(plan.failureDomains.map(each => [each, getRegion(each)])),
     store: address,
-    bounds: mutant === FleetMutant.NoRetryBudget ? { ...fleetBounds, retrySlack: manyRetries } : fleetBounds
+    bounds: { ...fleetBounds, coldSlack: plan.cold?.slack ?? fleetBounds.coldSlack, ...mutant === FleetMutant.NoRetryBudget ? { retrySlack: manyRetries } : {} }
   }
 }
 
--- a/packages/standins/src/emulator/fleet_target.ts
+++ b/packages/standins/src/emulator/fleet_target.ts
@@ -24,6 +24,8 @@
   timeLeftMs: number
   /** Whether the target ran it. */
   hasRun: boolean
+  /** Whether the target was cold. */
+  isCold: boolean
 }
 
 /** A response by which a target asked an instance to send nothing for some time. */
@@ -54,6 +56,10 @@
   setPause (seconds: number | undefined): void
   /** Sets the share of the requests that it runs and whose connections it breaks in place of a response. */
   setLossShare (share: number): void
+  /** Makes it cold from now on. */
+  chill (): void
+  /** Returns the virtual time until which it is cold, in milliseconds. */
+  getColdUntilMs (): number
   /** Makes it state in all responses that it leaves. */
   leave (): void
 }
@@ -68,6 +74,8 @@
   slots: number
   /** Mean time of a request, in milliseconds. */
   meanProcessingMs: number
+  /** Time for which it is cold after it has started, in milliseconds, and by which factor requests take longer then. */
+  cold: { forMs: number, slowness: number }
   /** The clock. */
   clock: VirtualTimers
   /** Records what reaches the target. */
@@ -96,7 +104,7 @@
  * @param options Identity, capacity, clock and records
  * @returns The target
  */
-export function createFleetTarget ({ id, failureDomain, slots, clock, arrivals, pauses, getRandom, meanProcessingMs }: CreateFleetTargetOptions): FleetTarget {
+export function createFleetTarget ({ id, failureDomain, slots, cold, clock, arrivals, pauses, getRandom, meanProcessingMs }: CreateFleetTargetOptions): FleetTarget {
   const running = new Set<Work>()
   let waiting: Work[] = []
   let state = EndpointState.Listening
@@ -106,6 +114,7 @@
   let listeningSinceMs = 0
   let lossShare = 0
   let isLeaving = false
+  let coldUntilMs = -Infinity
   let responses = 0
 
   function sendResponse (work: Work, status: number, fields: Record<string, string> = {}): void {
@@ -130,7 +139,8 @@
     running.add(work)
     work.arrival.hasRun = true
     const workRun = run
-    clock.schedule(meanProcessingMs * slowness * (0.4 + 1.2 * getRandom()), () => {
+    const coldFactor = clock.getNowMs() < coldUntilMs ? cold.slowness : 1
+    clock.schedule(meanProcessingMs * slowness * coldFactor * (0.4 + 1.2 * getRandom()), () => {
       if (workRun !== run || !running.delete(work)) return
       if (getRandom() < lossShare) work.request.reset()
       else sendResponse(work, 200, { 'X-Server-Signature': `${id} ${run}` })
@@ -154,7 +164,7 @@
     getListeningSinceMs: () => listeningSinceMs,
     receive (request) {
       const fields = parseFields(request.head)
-      const arrival: Arrival = { attemptId: fields['x-request-id']!, target: id, run, sender: request.sender, atMs: clock.getNowMs(), sentAtMs: request.sentAtMs, timeLeftMs: Number(fields['x-timeout-ms']), hasRun: false }
+      const arrival: Arrival = { attemptId: fields['x-request-id']!, target: id, run, sender: request.sender, atMs: clock.getNowMs(), sentAtMs: request.sentAtMs, timeLeftMs: Number(fields['x-timeout-ms']), hasRun: false, isCold: clock.getNowMs() < coldUntilMs }
       const work: Work = { request, arrival, fields, isAborted: false }
       arrivals.push(arrival)
       request.onAbort = () => {
@@ -172,6 +182,7 @@
       if (next === EndpointState.Listening) {
         run++
         listeningSinceMs = clock.getNowMs()
+        coldUntilMs = clock.getNowMs() + cold.forMs
         isLeaving = false
       }
       const ended = [...running, ...waiting]
@@ -182,6 +193,8 @@
     setSlowness (factor) { slowness = factor },
     setPause (seconds) { pauseSeconds = seconds },
     setLossShare (share) { lossShare = share },
+    chill () { coldUntilMs = clock.getNowMs() + cold.forMs },
+    getColdUntilMs: () => coldUntilMs,
     leave () { isLeaving = true }
   }
 }
--- a/packages/standins/src/emulator/fleet_world.ts
+++ b/packages/standins/src/emulator/fleet_world.ts
@@ -80,6 +80,10 @@
   instances: Map<string, FleetInstance>
   /** Rows of the targets. */
   rows: Map<string, FleetRow>
+  /** Version of the store of the last removal of a row, or change of another table. */
+  removedVersion: number
+  /** Time by which rows of targets reach the instances later than usual, in milliseconds. */
+  rowDelayMs: number
   /** Returns the state of the path from an instance to a target or another instance. */
   getLink (from: string, to: string): LinkState
   /** Returns the time at which that path was opened again, in milliseconds; 0 if it was never cut. */
@@ -113,6 +117,8 @@
     targets: new Map(),
     instances,
     rows: new Map(),
+    removedVersion: 0,
+    rowDelayMs: 0,
     getLink: (from, to) => links.get(`${from}>${to}`) ?? LinkState.Open,
     getOpenSinceMs: (from, to) => openSinceMs.get(`${from}>${to}`) ?? 0,
     changeLinks (from, to, state) {
--- a/packages/standins/src/emulator/partition_checks.ts
+++ b/packages/standins/src/emulator/partition_checks.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import type { FleetRecord } from './fleet_record.ts'
-import type { FleetPlan } from './partition_plan.ts'
+import type { Arrival } from './fleet_target.ts'
+import type { ColdPlan, FleetPlan } from './partition_plan.ts'
 import { fleetBounds, getRegion } from './fleet_world.ts'
 
 /** Attempts at instances without a path to any target, and at the others at the same time. */
@@ -24,6 +25,7 @@
 const pauseTransitMs = 500
 const maxPausedArrivals = 2
 const timeToleranceMs = 500
+const coldWindowMs = 1_000
 const maxAttempts = 3
 
 /**
@@ -40,6 +42,7 @@
     ...checkRetries(record),
     ...checkPauses(record),
     ...checkLeavings(record),
+    ...checkColdTargets(plan, record),
     ...checkTimes(record),
     ...checkHomes(plan, record)
   ]
@@ -138,6 +141,41 @@
   })
 }
 
+function checkColdTargets (plan: FleetPlan, record: FleetRecord): string[] {
+  if (plan.cold === undefined) return []
+  const allowed = computeColdAllowance(plan.cold)
+  return listColdPeaks(record).filter(({ count }) => count > allowed).map(({ target, count, atMs }) => `FAILBACK: cold target ${target} got ${count} requests in the second from ${Math.round(atMs)}; ${allowed} are allowed`)
+}
+
+/**
+ * Computes the number of requests that may be sent to a cold target and arrive there within one second.
+ *
+ * @param cold Limits of cold targets
+ * @returns The number, which may be fractional
+ */
+export function computeColdAllowance ({ perSecond, slack }: ColdPlan): number {
+  return perSecond * fleetBounds.coldOver + slack
+}
+
+/**
+ * Finds for each cold time of a target the second in which most requests were sent to it and arrived.
+ *
+ * @param record What the fleet did
+ * @returns The targets with the number of requests and the begin of the second in virtual time, in milliseconds
+ */
+export function listColdPeaks (record: FleetRecord): Array<{ target: string, count: number, atMs: number }> {
+  const byTarget = new Map<string, Arrival[]>()
+  for (const arrival of record.arrivals) if (arrival.isCold) byTarget.set(arrival.target, [...byTarget.get(arrival.target) ?? [], arrival])
+  return [...byTarget].map(([target, arrivals]) => {
+    let peak = { target, count: 0, atMs: 0 }
+    for (const { sentAtMs: fromMs } of arrivals) {
+      const count = arrivals.filter(({ sentAtMs, atMs }) => sentAtMs >= fromMs && atMs < fromMs + coldWindowMs).length
+      if (count > peak.count) peak = { target, count, atMs: fromMs }
+    }
+    return peak
+  })
+}
+
 function checkTimes (record: FleetRecord): string[] {
   const attempts = new Map(record.attempts.map(attempt => [attempt.id, attempt]))
   return record.arrivals.flatMap(({ attemptId, target, timeLeftMs, sentAtMs }) => {
--- a/packages/standins/src/emulator/partition_fleet.ts
+++ b/packages/standins/src/emulator/partition_fleet.ts
@@ -5,12 +5,13 @@
  */
 import type { FleetCallers } from './fleet_callers.ts'
 import type { FleetRecord } from './fleet_record.ts'
+import type { FleetTarget } from './fleet_target.ts'
 import type { FleetMutant, FleetWorld } from './fleet_world.ts'
 import type { FleetEvent, FleetPlan } from './partition_plan.ts'
 import { createFleetCallers } from './fleet_callers.ts'
 import { startInstance, stopInstance } from './fleet_instance.ts'
 import { EndpointState } from './fleet_connection.ts'
-import { writeTargetRow } from './fleet_store.ts'
+import { removeTargetRow, writeEvacuation, writeTargetRow } from './fleet_store.ts'
 import { createFleetTarget } from './fleet_target.ts'
 import { createFleetWorld } from './fleet_world.ts'
 import { FleetEventKind } from './partition_plan.ts'
@@ -35,6 +36,9 @@
 /** Time after which the registration of a target that leaves says so, in milliseconds. */
 const lateLeavingMs = 6_000
 const slots = 3
+/** Time after which a target registers that it has become cold, in milliseconds. */
+const heartbeatMs = 1_500
+const warm = { forMs: 0, slowness: 1 }
 
 /**
  * Simulates a fleet.
@@ -57,7 +61,7 @@
 function openTarget (world: FleetWorld, index: number): void {
   const { clock, plan, record, getRandom } = world
   const failureDomain = plan.failureDomains[index % plan.failureDomains.length]!
-  const target = createFleetTarget({ id: `t${index}`, failureDomain, slots, meanProcessingMs: plan.meanProcessingMs, clock, arrivals: record.arrivals, pauses: record.pauses, getRandom })
+  const target = createFleetTarget({ id: `t${index}`, failureDomain, slots, cold: plan.cold ?? warm, meanProcessingMs: plan.meanProcessingMs, clock, arrivals: record.arrivals, pauses: record.pauses, getRandom })
   world.targets.set(target.id, target)
   writeTargetRow(world, target)
 }
@@ -99,7 +103,32 @@
         clock.schedule(lateLeavingMs, () => writeTargetRow(world, target, { state: 'draining' }))
       }
       break
+    case FleetEventKind.ChillTargets:
+      markCold(world, affected)
+      break
+    case FleetEventKind.LapseTargets:
+      for (const target of affected) removeTargetRow(world, target)
+      break
+    case FleetEventKind.RegisterTargets:
+      for (const target of affected) writeTargetRow(world, target)
+      break
+    case FleetEventKind.Evacuate:
+    case FleetEventKind.Restore:
+      if (event.isDark) markCold(world, [...world.targets.values()].filter(({ failureDomain }) => event.peers.includes(failureDomain)))
+      for (const failureDomain of event.peers) writeEvacuation(world, failureDomain, event.kind === FleetEventKind.Evacuate)
+      break
+    case FleetEventKind.DelayRows:
+      world.rowDelayMs = event.factor
+      break
     case FleetEventKind.Load:
       callers.changeLoad(event.factor)
   }
 }
+
+/** Makes targets cold, which register that with their next heartbeats. */
+function markCold (world: FleetWorld, targets: FleetTarget[]): void {
+  for (const target of targets) {
+    target.chill()
+    world.clock.schedule(heartbeatMs * world.getRandom(), () => writeTargetRow(world, target))
+  }
+}
--- a/packages/standins/src/emulator/partition_plan.ts
+++ b/packages/standins/src/emulator/partition_plan.ts
@@ -23,6 +23,18 @@
   LossyTargets = 'lossy_targets',
   /** Targets say in their responses that they leave, some seconds before their registration does. */
   LeaveTargets = 'leave_targets',
+  /** Targets become cold while they run, and register it with their next heartbeat. */
+  ChillTargets = 'chill_targets',
+  /** The registrations of targets lapse although they run. */
+  LapseTargets = 'lapse_targets',
+  /** Targets register again, as they are. */
+  RegisterTargets = 'register_targets',
+  /** A failure domain, the only one in `peers`, is evacuated; its targets are cold from then on if `isDark`. */
+  Evacuate = 'evacuate',
+  /** The failure domain is taken back, and its targets become cold if `isDark`. */
+  Restore = 'restore',
+  /** The rows of targets reach the instances later by `factor` milliseconds from now on. */
+  DelayRows = 'delay_rows',
   /** Callers send more or fewer requests. */
   Load = 'load'
 }
@@ -58,6 +70,18 @@
   toMs: number
 }
 
+/** How cold targets are limited. */
+export interface ColdPlan {
+  /** Time for which a target that has started is cold, in milliseconds. */
+  forMs: number
+  /** Factor by which requests at a cold target take longer. */
+  slowness: number
+  /** Rate that a cold target accepts, in requests per second. */
+  perSecond: number
+  /** Requests in a second that are allowed beyond 1.5 times that rate. */
+  slack: number
+}
+
 /** What happens in a simulation. */
 export interface FleetPlan {
   /** Number of instances, which are named `entry-0` and so on. */
@@ -80,6 +104,8 @@
   durationMs: number
   /** Regions in which requests may be served; empty if any region may. */
   homeRegions: string[]
+  /** Limits of cold targets; targets that start are not cold if `undefined`. */
+  cold?: ColdPlan
   /** Events, in any order. */
   events: FleetEvent[]
   /** Times without a path to any target. */
