Keep the cold state of a target whose registration lapses

Both are kept now, like its pauses and rates; a later run begins without them. The unit test failed before (coldUntilMs 1000 in place of 3000).

--- a/packages/steering/src/target_registry.ts
+++ b/packages/steering/src/target_registry.ts
@@ -138,12 +138,12 @@
   }
 
   /** Takes the restrictions of a removed target if it is the same run of the target. */
-  function takeRestrictions (target: ServingTarget): Partial<RegisteredTarget> {
+  function takeRestrictions (target: ServingTarget, nowMs: number): Partial<RegisteredTarget> {
     const removed = removedEntries.get(target.id)
     removedEntries.delete(target.id)
     if (removed === undefined || !isSameRun(removed.target, target)) return {}
-    const { reportsLeaving, pausedUntilMs, rate, lastRequestAtMs } = removed
-    return { reportsLeaving, pausedUntilMs, rate, lastRequestAtMs }
+    const { reportsLeaving, pausedUntilMs, rate, lastRequestAtMs, coldUntilMs, lastColdRequestAtMs } = removed
+    return { reportsLeaving, pausedUntilMs, rate, lastRequestAtMs, lastColdRequestAtMs, coldUntilMs: Math.max(coldUntilMs, nowMs + target.coldLeftMs) }
   }
 
   function addTarget (target: ServingTarget, options: { region: string, nowMs: number }): RegisteredTarget {
@@ -165,7 +165,7 @@
       pausedUntilMs: -Infinity,
       silentSinceMs: Infinity,
       meanResponseMs: undefined,
-      ...takeRestrictions(target)
+      ...takeRestrictions(target, options.nowMs)
     }
     byId.set(target.id, entry)
     byService.set(target.service, [...byService.get(target.service) ?? [], entry])
--- a/packages/steering/src/target_registry_test.ts
+++ b/packages/steering/src/target_registry_test.ts
@@ -167,3 +167,12 @@
   recordTargetPause(before, 3_000, 0)
   t.is(registry.register({ ...target, startedAtMs: 2 }, registration).pausedUntilMs, -Infinity)
 })
+
+test('a target whose registration lapses while it is cold is still cold when the same run registers again', t => {
+  const registry = createTargetRegistry()
+  recordTargetDispatch(registry.register({ ...target, coldLeftMs: 3_000 }, registration), 500)
+  registry.remove('t')
+  t.like(registry.register(target, { region: 'r', nowMs: 1_000 }), { coldUntilMs: 3_000, lastColdRequestAtMs: 500 })
+  registry.remove('t')
+  t.like(registry.register({ ...target, startedAtMs: 2 }, { region: 'r', nowMs: 1_000 }), { coldUntilMs: 1_000, lastColdRequestAtMs: -Infinity })
+})
