Count the targets of a failure domain that is taken back as cold

What targets saw: 15 to 17 requests in the second after an evacuation ended, where 8.6 are allowed (FAILBACK). Cause: the operator's row that ends the evacuation and the targets' rows that say they are cold come by two feeds, and the first is often earlier; the targets may also have become cold at that moment. They count as cold for the service's cold start from then on.

--- a/packages/bilberryd/src/edge/active_exchanges.ts
+++ b/packages/bilberryd/src/edge/active_exchanges.ts
@@ -41,7 +41,7 @@
   speeds: Pick<TargetSpeeds, 'hasHandled'>
   /** Structured log. */
   log: EntryLog
-  /** Reports that there is evidence that a target is cold. */
+  /** Reports that a target counts as cold from now on. */
   reportCold: ReportCold
   /** Returns monotonic time, in milliseconds. */
   getNowMs: () => number
--- a/packages/bilberryd/src/edge/dispatcher.ts
+++ b/packages/bilberryd/src/edge/dispatcher.ts
@@ -88,7 +88,7 @@
   listContenders: (targetId: string) => RateContender[]
   /** Returns the share of the objects of callers in this instance's region that targets in the region serve; `undefined` if targets are to be chosen in all regions alike. */
   getRegionShare: (service: string) => number | undefined
-  /** Reports that there is evidence that a target is cold. */
+  /** Reports that a target counts as cold from now on. */
   reportCold: ReportCold
   /** Returns the largest number of instances seen live at the same time, including this one. */
   getMaxLiveInstances: () => number
--- a/packages/bilberryd/src/edge/entry_state.ts
+++ b/packages/bilberryd/src/edge/entry_state.ts
@@ -7,7 +7,7 @@
 import type { EntryLog } from './entry_log.ts'
 import type { ReportCold } from './report_cold.ts'
 import type { RowChange, TableReplica, TableRestoration, TableUpdate } from './table_replica.ts'
-import { createRouteTable, createTargetRegistry } from '@bilberryworks/steering'
+import { ColdEvidence, createRouteTable, createTargetRegistry, recordCold } from '@bilberryworks/steering'
 import { decodeRouting, isOutdatedOperatorRow, isOutdatedTargetRow, parseEvacuationKey, parseJsonRow, routingKey } from '@bilberryworks/users-platform'
 import { ReplicatedTable } from './replicated_table.ts'
 import { createTableReplica } from './table_replica.ts'
@@ -48,7 +48,7 @@
   log: EntryLog
   /** Returns monotonic time, in milliseconds. */
   getNowMs: () => number
-  /** Reports that there is evidence that a target is cold. */
+  /** Reports that a target counts as cold from now on. */
   reportCold: ReportCold
   /** Called after each change that can affect target selection. */
   onChange: () => void
@@ -102,6 +102,15 @@
     routes = createRouteTable(next)
   }
 
+  /** Counts the targets of a failure domain that is taken back as cold: they may be, and their rows may say so later than the operator's row arrives. */
+  function countCold (failureDomain: string): void {
+    const nowMs = getNowMs()
+    for (const service of targets.listServices()) {
+      const coldForMs = config?.services.get(service)?.coldForMs ?? 0
+      for (const entry of targets.list(service)) if (entry.target.failureDomain === failureDomain && recordCold(entry, coldForMs, nowMs)) options.reportCold(entry, ColdEvidence.TakenBack)
+    }
+  }
+
   function applyOperatorChange ({ key, text }: RowChange): void {
     if (key === routingKey) {
       if (text !== undefined) applyConfig(text)
@@ -109,8 +118,8 @@
     }
     const failureDomain = parseEvacuationKey(key)
     if (failureDomain === undefined) return
-    if (text === undefined) evacuated.delete(failureDomain)
-    else evacuated.add(failureDomain)
+    if (text !== undefined) evacuated.add(failureDomain)
+    else if (evacuated.delete(failureDomain)) countCold(failureDomain)
     log.info('evacuation', { failureDomain, evacuated: text !== undefined })
   }
 
--- a/packages/bilberryd/src/edge/report_cold.ts
+++ b/packages/bilberryd/src/edge/report_cold.ts
@@ -7,7 +7,7 @@
 import type { EntryLog } from './entry_log.ts'
 import type { EntryMetrics } from './entry_metrics.ts'
 
-/** Reports that there is evidence that a target is cold; `coldUntilMs` of the target is set already. */
+/** Reports that a target counts as cold from now on. */
 export type ReportCold = (entry: RegisteredTarget, evidence: ColdEvidence) => void
 
 /** Options of {@linkcode createColdReporter}. */
--- a/packages/bilberryd/src/edge/target_registrations.ts
+++ b/packages/bilberryd/src/edge/target_registrations.ts
@@ -21,7 +21,7 @@
   log: EntryLog
   /** Counts a row that can't be decoded. */
   countUndecodable: (table: ReplicatedTable) => void
-  /** Reports that there is evidence that a target is cold. */
+  /** Reports that a target counts as cold from now on. */
   reportCold: ReportCold
   /** Returns the monotonic time at which the store last came back, in milliseconds; `-Infinity` if it was never away. */
   getStoreRecoveredAtMs: () => number
--- a/packages/steering/src/target_registry.ts
+++ b/packages/steering/src/target_registry.ts
@@ -54,7 +54,11 @@
   /** Its registration states how long it stays cold. */
   Registered = 'registered',
   /** It responds again after this instance could not reach it, so it may have restarted. */
-  Returned = 'returned'
+  Returned = 'returned',
+  /** Its failure domain was evacuated, and is taken back. */
+  TakenBack = 'taken_back',
+  /** Its failure domain was out of reach of all instances, and is reached again. */
+  Reached = 'reached'
 }
 
 /** Registered targets by service. */
@@ -292,11 +296,25 @@
   if (signal === TargetSignal.ConnectFailed || signal === TargetSignal.Lost) entry.failedAtMs = nowMs
   entry.circuit = advanceCircuit(entry.circuit, signal, { ...options, opensOnFirstFailure: signal === TargetSignal.ConnectFailed })
   // A target that was unreachable may have restarted at the same address, and is then cold.
-  if (isAlive && wasOpen) entry.coldUntilMs = Math.max(entry.coldUntilMs, nowMs + options.coldForMs)
+  if (isAlive && wasOpen) recordCold(entry, options.coldForMs, nowMs)
   if (entry.inFlight === 0) entry.silentSinceMs = Infinity
   else if (isAlive) entry.silentSinceMs = nowMs
 }
 
+/**
+ * Counts a target as cold for some time, unless it does already for longer.
+ *
+ * @param entry The target, which is modified
+ * @param coldForMs The time, in milliseconds
+ * @param nowMs Monotonic time, in milliseconds
+ * @returns Whether it has not counted as cold before
+ */
+export function recordCold (entry: RegisteredTarget, coldForMs: number, nowMs: number): boolean {
+  const wasCold = isTargetCold(entry, nowMs)
+  entry.coldUntilMs = Math.max(entry.coldUntilMs, nowMs + coldForMs)
+  return !wasCold && isTargetCold(entry, nowMs)
+}
+
 /**
  * Closes the circuits of targets that have failed only because this instance had no network path to them, and does not count
  * the time without responses.
