Send no heartbeat after the link to peers is closed

A change of reach is reported in a later turn of the event loop. When the instance had stopped meanwhile, sending the heartbeat on the closed socket threw, which ended the process with an exception (ERR_SOCKET_DGRAM_NOT_RUNNING).

--- a/packages/bilberryd/src/edge/crash_guard.ts
+++ b/packages/bilberryd/src/edge/crash_guard.ts
@@ -21,6 +21,8 @@
   confirmPath: (entry: RegisteredTarget) => Promise<boolean>
   /** Connects to an address, to tell whether a process listens there. */
   checkListening: typeof checkListening
+  /** Called once when the run of a target has ended. */
+  onTargetEnd: (entry: RegisteredTarget) => void
   /** Structured log. */
   log: EntryLog
   /** Returns monotonic time, in milliseconds. */
@@ -31,6 +33,8 @@
 export interface CrashGuard {
   /** Records that the connection of an attempt was closed before the response was complete. */
   recordLoss (attempt: Attempt, entry: RegisteredTarget): void
+  /** Records that a target closed an idle connection, or accepted none. */
+  recordClose (entry: RegisteredTarget): void
   /** Records that a target has responded to an attempt. */
   recordResponse (attempt: Attempt): void
   /** Returns the refusal of an attempt whose request crashes targets; `undefined` if it may be sent. */
@@ -58,9 +62,9 @@
  * @param options Metrics, log and clock
  * @returns The guard
  */
-export function createCrashGuard ({ confirmPath, checkListening, metrics, log, getNowMs }: CreateCrashGuardOptions): CrashGuard {
+export function createCrashGuard ({ confirmPath, checkListening, onTargetEnd, metrics, log, getNowMs }: CreateCrashGuardOptions): CrashGuard {
   const evidence = createCrashEvidence()
-  const detector = createTargetEndDetector({ onRequestLost: recordCrash, confirmPath, checkListening, log, getNowMs })
+  const detector = createTargetEndDetector({ onRequestLost: recordCrash, onEnd: onTargetEnd, confirmPath, checkListening, log, getNowMs })
   /** Fingerprints of the quarantined requests that have been logged. */
   const reported = new Set<string>()
   let knownRevision = 0
@@ -81,6 +85,7 @@
 
   return {
     recordLoss: detector.recordLoss,
+    recordClose: detector.recordClose,
     recordResponse (attempt) {
       if (!evidence.isEmpty()) evidence.recordResponse(getFingerprint(attempt), getNowMs())
     },
--- a/packages/bilberryd/src/edge/entry_components.ts
+++ b/packages/bilberryd/src/edge/entry_components.ts
@@ -6,7 +6,7 @@
  * @module
  */
 import type { EntrySettings } from '@bilberryworks/steering'
-import type { checkListening, ConnectionEvent, TargetPool } from '@bilberryworks/targets'
+import type { checkListening, TargetPool } from '@bilberryworks/targets'
 import type { CrashGuard } from './crash_guard.ts'
 import type { Dispatcher } from './dispatcher.ts'
 import type { EntryLog } from './entry_log.ts'
@@ -18,6 +18,7 @@
 import type { RequestHandler } from './request_handler.ts'
 import type { TargetReports } from './target_reports.ts'
 import { createWeightedRoundRobin } from '@bilberryworks/steering'
+import { ConnectionEvent } from '@bilberryworks/targets'
 import { createCrashGuard } from './crash_guard.ts'
 import { createDispatcher } from './dispatcher.ts'
 import { createEntryState } from './entry_state.ts'
@@ -110,10 +111,10 @@
   const reportCold = createColdReporter({ log, metrics, getNowMs })
   const state = createEntryState({ regions: settings.regions, log, reportCold, getNowMs, countUndecodable: metrics.countUndecodable, onChange: handleChange })
   const pool = options.createPool(handleConnectionEvent)
-  const targetReports = createTargetReports({ state, metrics, log, getNowMs })
+  const targetReports = createTargetReports({ state, metrics, log, reportCold, getNowMs })
   const relayPeers = createRelayPeers({ region: settings.region, view, isEnabled: options.relays.isEnabled, getNowMs, getRandom })
-  const reach = createReachMonitor({ state, getPool: () => pool, isReachedByPeers: relayPeers.isReached, listPending: () => dispatcher.listPending(), onChange: handleReachChange, log, getNowMs })
-  const crashGuard = createCrashGuard({ confirmPath: reach.confirmPath, checkListening: options.checkListening, metrics, log, getNowMs })
+  const reach = createReachMonitor({ state, reportCold, getPool: () => pool, isReachedByPeers: relayPeers.isReached, listPending: () => dispatcher.listPending(), onChange: handleReachChange, log, getNowMs })
+  const crashGuard = createCrashGuard({ onTargetEnd: targetReports.recordEnd, confirmPath: reach.confirmPath, checkListening: options.checkListening, metrics, log, getNowMs })
   const dispatcher = createDispatcher({
     crashGuard,
     reach,
@@ -154,6 +155,9 @@
   function handleConnectionEvent (event: ConnectionEvent, targetId: string): void {
     metrics.countConnectionEvent(event)
     reach.handleConnectionEvent(event, targetId)
+    const entry = state.targets.find(targetId)
+    const mayHaveEnded = event === ConnectionEvent.ClosedByTarget || event === ConnectionEvent.ConnectFailed
+    if (entry !== undefined && mayHaveEnded && reach.isReached(entry)) crashGuard.recordClose(entry)
   }
 
   return {
@@ -187,7 +191,8 @@
       reach.advance()
       dispatcher.retryUnreachable()
       crashGuard.removeExpired()
-      if (crashGuard.takeNews()) options.sendNow()
+      const hasNews = [crashGuard.takeNews(), targetReports.takeNews()].includes(true)
+      if (hasNews) options.sendNow()
     },
     [Symbol.asyncDispose]: () => reach[Symbol.asyncDispose]()
   }
--- a/packages/bilberryd/src/edge/peer_link.ts
+++ b/packages/bilberryd/src/edge/peer_link.ts
@@ -88,8 +88,11 @@
   const socket = createSocket('udp4')
   const catchUp = createCatchUp({ storeDelayMs: options.storeDelayMs, getRandom: options.getRandom })
   let round = 0
+  let isClosed = false
 
   function sendText (text: string, to: SocketAddress): void {
+    // A change that was found while the instance stopped may be reported after the link is closed.
+    if (isClosed) return
     options.countBytes(PeerTraffic.Heartbeat, text.length)
     socket.send(text, to.port, to.host, reportSendError)
   }
@@ -212,6 +215,7 @@
       await Promise.all(options.seeds.filter(seed => seed.host !== ownHeartbeat.peers.host).map(seed => readState(seed, true).catch(error => log.info('seed_silent', { seed: `${seed.host}:${seed.port}`, detail: (error as Error).message }))))
     },
     async [Symbol.asyncDispose] () {
+      isClosed = true
       clearInterval(timer)
       socket.close()
       server.closeAllConnections()
--- a/packages/bilberryd/src/edge/peer_view.ts
+++ b/packages/bilberryd/src/edge/peer_view.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { CrashReport, RateNotice, RecentTargetReports, SocketAddress } from '@bilberryworks/steering'
+import type { CrashReport, EndNotice, RateNotice, RecentTargetReports, SocketAddress } from '@bilberryworks/steering'
 
 /** The part of a heartbeat that changes during a run. */
 export interface HeartbeatUpdate {
@@ -214,8 +214,16 @@
 
 function isTargetReports (value: unknown): value is RecentTargetReports {
   if (typeof value !== 'object' || value === null) return false
-  const { leaving, rates, claims } = value as RecentTargetReports
-  return Array.isArray(claims) && isNumberRecord(leaving) && typeof rates === 'object' && rates !== null && Object.values(rates).every(isRateNotice)
+  const { leaving, rates, claims, ended = {} } = value as RecentTargetReports
+  return Array.isArray(claims) && isNoticeRecord(ended, isEndNotice) && isNumberRecord(leaving) && isNoticeRecord(rates, isRateNotice)
+}
+
+function isNoticeRecord<T extends object> (value: unknown, isNotice: (notice: Partial<T>) => boolean): boolean {
+  return typeof value === 'object' && value !== null && Object.values(value).every(notice => typeof notice === 'object' && notice !== null && isNotice(notice as Partial<T>))
+}
+
+function isEndNotice ({ startedAtMs, ageMs }: Partial<EndNotice>): boolean {
+  return [startedAtMs, ageMs].every(each => typeof each === 'number')
 }
 
 function isRateNotice ({ startedAtMs, perSecond, ageMs }: Partial<RateNotice>): boolean {
--- a/packages/bilberryd/src/edge/reach_monitor.ts
+++ b/packages/bilberryd/src/edge/reach_monitor.ts
@@ -8,7 +8,8 @@
 import type { TargetPool } from '@bilberryworks/targets'
 import type { EntryLog } from './entry_log.ts'
 import type { EntryState } from './entry_state.ts'
-import { advanceProbes, allGroupsUnreached, createReach, createResponseSilence, formatReachGroup, closeCircuits } from '@bilberryworks/steering'
+import type { ReportCold } from './report_cold.ts'
+import { advanceProbes, allGroupsUnreached, closeCircuits, ColdEvidence, createReach, createResponseSilence, formatReachGroup, recordCold } from '@bilberryworks/steering'
 import { ConnectionEvent } from '@bilberryworks/targets'
 
 /** Options of {@linkcode createReachMonitor}. */
@@ -21,6 +22,8 @@
   isReachedByPeers: (group: string) => boolean
   /** Lists the requests that wait for the response of a target. */
   listPending: () => PendingExchange[]
+  /** Reports that a target counts as cold from now on. */
+  reportCold: ReportCold
   /** Called after groups have become lost or are reached again. */
   onChange: () => void
   /** Structured log. */
@@ -111,11 +114,19 @@
       confirmOwnLosses(nowMs)
       const loss = losses.get(key)
       if (loss?.isOwn === true) closeCircuits(entries, { sinceMs: loss.failingSinceMs, nowMs })
-      else if (loss !== undefined) advanceProbes(entries, { sinceMs: loss.failingSinceMs, nowMs })
+      else if (loss !== undefined) {
+        advanceProbes(entries, { sinceMs: loss.failingSinceMs, nowMs })
+        countCold(entries, nowMs)
+      }
       losses.delete(key)
     }
   }
 
+  /** Counts targets as cold that no instance has reached: they may have restarted. */
+  function countCold (entries: RegisteredTarget[], nowMs: number): void {
+    for (const entry of entries) if (recordCold(entry, state.getConfig()?.services.get(entry.target.service)?.coldForMs ?? 0, nowMs)) options.reportCold(entry, ColdEvidence.Reached)
+  }
+
   /** Notes which losses other instances have as well, which are those of the targets, and drops what was learnt of targets during the others. */
   function confirmOwnLosses (nowMs: number): void {
     for (const [key, loss] of losses) {
--- a/packages/bilberryd/src/edge/target_end_detector.ts
+++ b/packages/bilberryd/src/edge/target_end_detector.ts
@@ -17,6 +17,8 @@
 export interface CreateTargetEndDetectorOptions {
   /** Called for each request that was lost when a run of a target ended, with the fingerprint of the request. */
   onRequestLost: (fingerprint: string, target: RegisteredTarget['target']) => void
+  /** Called once when a run of a target has ended. */
+  onEnd: (entry: RegisteredTarget) => void
   /** Returns whether the network path to a target that refuses connections works. */
   confirmPath: (entry: RegisteredTarget) => Promise<boolean>
   /** Connects to an address, to tell whether a process listens there. */
@@ -31,10 +33,14 @@
 export interface TargetEndDetector {
   /** Records that the connection of an attempt was closed by the target or the network before the response was complete. */
   recordLoss (attempt: Attempt, entry: RegisteredTarget): void
+  /** Records that a target closed an idle connection, or accepted none. */
+  recordClose (entry: RegisteredTarget): void
 }
 
 /** Time limit of the attempt to connect, in milliseconds: a round trip between regions with one lost packet. */
 const checkTimeoutMs = 600
+/** Number of checks in progress from which no more are started for connections without a request. */
+const maxChecks = 4
 /** Time for which further losses are ascribed to the end of a target, in milliseconds: they are noticed within a round trip of each other. */
 const endedLifetimeMs = 2_000
 
@@ -46,7 +52,8 @@
  * @param options Callback, log and clock
  * @returns The detector
  */
-export function createTargetEndDetector ({ onRequestLost, confirmPath, checkListening, log, getNowMs }: CreateTargetEndDetectorOptions): TargetEndDetector {
+export function createTargetEndDetector (options: CreateTargetEndDetectorOptions): TargetEndDetector {
+  const { onRequestLost, confirmPath, checkListening, log, getNowMs } = options
   const runs = new Map<RegisteredTarget, EndingRun>()
 
   async function checkRun (entry: RegisteredTarget, run: EndingRun): Promise<void> {
@@ -58,6 +65,7 @@
     }
     run.endedAtMs = getNowMs()
     log.info('target_ended', { target: target.id, startedAtMs: target.startedAtMs, requests: Object.fromEntries(run.fingerprints) })
+    options.onEnd(entry)
     for (const fingerprint of run.fingerprints.values()) onRequestLost(fingerprint, target)
   }
 
@@ -66,6 +74,12 @@
     return runs.get(entry)
   }
 
+  function startCheck (entry: RegisteredTarget, fingerprints: EndingRun['fingerprints']): void {
+    const run: EndingRun = { fingerprints, endedAtMs: undefined }
+    runs.set(entry, run)
+    checkRun(entry, run).catch((error: Error) => log.warn('target_check_failed', { target: entry.target.id, detail: error.message }))
+  }
+
   return {
     recordLoss (attempt, entry) {
       const fingerprint = getFingerprint(attempt)
@@ -78,9 +92,11 @@
         onRequestLost(fingerprint, entry.target)
         return
       }
-      const run: EndingRun = { fingerprints: new Map([[attempt.attemptId, fingerprint]]), endedAtMs: undefined }
-      runs.set(entry, run)
-      checkRun(entry, run).catch((error: Error) => log.warn('target_check_failed', { target: entry.target.id, detail: error.message }))
+      startCheck(entry, new Map([[attempt.attemptId, fingerprint]]))
+    },
+    recordClose (entry) {
+      const checks = [...runs.values()].filter(({ endedAtMs }) => endedAtMs === undefined).length
+      if (findRun(entry) === undefined && checks < maxChecks) startCheck(entry, new Map())
     }
   }
 }
--- a/packages/bilberryd/src/edge/target_reports.ts
+++ b/packages/bilberryd/src/edge/target_reports.ts
@@ -9,7 +9,8 @@
 import type { EntryLog } from './entry_log.ts'
 import type { EntryMetrics } from './entry_metrics.ts'
 import type { EntryState } from './entry_state.ts'
-import { claimProofMs, createTargetNotices, isRateClaimed, mergePeerRate, recordNamedRate, recordTargetLoad, recordTargetPause, recordUnnamedResponse } from '@bilberryworks/steering'
+import type { ReportCold } from './report_cold.ts'
+import { claimProofMs, ColdEvidence, createTargetNotices, isRateClaimed, mergePeerRate, recordNamedRate, recordTargetEnd, recordTargetLoad, recordTargetPause, recordUnnamedResponse } from '@bilberryworks/steering'
 import { readResponseFields } from '@bilberryworks/users-platform'
 import { TargetReport } from './entry_metrics.ts'
 
@@ -21,6 +22,8 @@
   metrics: EntryMetrics
   /** Structured log. */
   log: EntryLog
+  /** Reports that a target counts as cold from now on. */
+  reportCold: ReportCold
   /** Returns monotonic time, in milliseconds. */
   getNowMs: () => number
 }
@@ -39,6 +42,10 @@
   handleRelayedResponse (targetId: string, head: ResponseHead, exchange: TargetExchange): void
   /** Handles the reports of a heartbeat of a peer; `undefined` if it has none. */
   handlePeerReports (peer: string, reports: RecentTargetReports | undefined): void
+  /** Records that the run of a target has ended, of which peers are told. */
+  recordEnd (entry: RegisteredTarget): void
+  /** Returns whether an end has been recorded since the last call. */
+  takeNews (): boolean
   /** Lists the recent reports to this instance, and its claims on the rates of targets, of which its peers are to be told. */
   listRecent (): RecentTargetReports
   /** Returns whether a peer claims a part of the rate of a target, or may do so because its last heartbeat is too old. */
@@ -54,9 +61,10 @@
  * @param options Registry, metrics, log and clock
  * @returns The handler
  */
-export function createTargetReports ({ state, metrics, log, getNowMs }: CreateTargetReportsOptions): TargetReports {
+export function createTargetReports ({ state, metrics, log, reportCold, getNowMs }: CreateTargetReportsOptions): TargetReports {
   const { targets } = state
   const notices = createTargetNotices()
+  let hasNews = false
   /** Claims on the rates of targets in the last heartbeat of each peer, and its monotonic time in milliseconds. */
   const peerClaims = new Map<string, { claims: string[], heardAtMs: number }>()
 
@@ -145,7 +153,7 @@
     handlePeerReports (peer, reports) {
       peerClaims.set(peer, { claims: reports?.claims ?? [], heardAtMs: getNowMs() })
       if (reports === undefined) return
-      const { leaving, rates } = reports
+      const { leaving, rates, ended = {} } = reports
       for (const [id, startedAtMs] of Object.entries(leaving)) {
         const entry = findRun(id, startedAtMs)
         if (entry !== undefined) markLeaving(entry, peer)
@@ -154,6 +162,21 @@
         const entry = findRun(id, notice.startedAtMs)
         if (entry !== undefined) mergeRate(peer, entry, notice)
       }
+      for (const [id, { startedAtMs, ageMs }] of Object.entries(ended)) {
+        const entry = findRun(id, startedAtMs)
+        if (entry !== undefined && recordTargetEnd(entry, getNowMs() - Math.max(0, ageMs), getNowMs())) reportCold(entry, ColdEvidence.EndedAtPeer)
+      }
+    },
+    recordEnd (entry) {
+      const nowMs = getNowMs()
+      notices.recordEnd(entry.target, nowMs)
+      hasNews = true
+      if (recordTargetEnd(entry, nowMs, nowMs)) reportCold(entry, ColdEvidence.Ended)
+    },
+    takeNews () {
+      const hadNews = hasNews
+      hasNews = false
+      return hadNews
     },
     listRecent: () => ({ ...notices.list(getNowMs()), claims: listClaims() }),
     mayClaim (peer, targetId) {
--- a/packages/bilberryd/src/edge/target_reports_test.ts
+++ b/packages/bilberryd/src/edge/target_reports_test.ts
@@ -20,6 +20,7 @@
   const targets = createTargetRegistry()
   const entry = targets.register(target, { region: 'r', nowMs: 0 })
   const reports = createTargetReports({
+    reportCold: () => undefined,
     state: { targets } as unknown as EntryState,
     metrics: { countTargetReport: () => undefined } as unknown as EntryMetrics,
     log: createEntryLog('entry', new PassThrough()),
--- a/packages/standins/src/emulator/fleet_instance.ts
+++ b/packages/standins/src/emulator/fleet_instance.ts
@@ -14,7 +14,7 @@
 import { sendHeartbeats, startHeartbeats } from './fleet_heartbeats.ts'
 import { EndpointState, LinkState } from './fleet_connection.ts'
 import { createFleetPool } from './fleet_pool.ts'
-import { applySnapshot } from './fleet_store.ts'
+import { applySnapshot, firstTargetPort } from './fleet_store.ts'
 import { parseFields } from './fleet_target.ts'
 import { computeLatencyMs, fleetBounds, fleetService, FleetMutant, getRegion } from './fleet_world.ts'
 
@@ -60,7 +60,7 @@
     peerPool,
     relays: { isEnabled: true, maxRelayed },
     runAfterReads: run => run(),
-    checkListening: async () => ListeningState.Unknown,
+    checkListening: address => checkTarget(world, { instance: name, failureDomain, port: address.port }),
     getStopPhase: () => StopPhase.Running,
     onStateChange: () => {},
     sendNow: () => sendHeartbeats(world, instance, true),
@@ -205,3 +205,16 @@
 function claimNotRun (rawHeaders: string[]): string[] {
   return rawHeaders.map((text, index) => index % 2 === 1 && rawHeaders[index - 1]!.toLowerCase() === 'bilberry-outcome' ? 'not-run' : text)
 }
+
+/** Tells after a round trip whether a target listens, as the address of its row leads to it. */
+function checkTarget ({ clock, targets, getLink }: FleetWorld, { instance, failureDomain, port }: { instance: string, failureDomain: string, port: number }): Promise<ListeningState> {
+  const target = targets.get(`t${port - firstTargetPort}`)!
+  return new Promise(resolve => {
+    clock.schedule(2 * computeLatencyMs(failureDomain, target.failureDomain), () => {
+      const link = getLink(instance, target.id)
+      const state = link === LinkState.Open || link === LinkState.RefusingNew ? target.getState() : EndpointState.Dark
+      if (state === EndpointState.Dark) resolve(ListeningState.Unknown)
+      else resolve(state === EndpointState.Listening && link === LinkState.Open ? ListeningState.Listening : ListeningState.Refused)
+    })
+  })
+}
--- a/packages/standins/src/emulator/fleet_store.ts
+++ b/packages/standins/src/emulator/fleet_store.ts
@@ -12,7 +12,8 @@
 
 const deliveryMs = 60
 const slots = 3
-const firstPort = 1_000
+/** Port of the first target, from which the others count. */
+export const firstTargetPort = 1_000
 
 /**
  * Writes the row of a target, as it does itself, and delivers the change to the instances.
@@ -23,7 +24,7 @@
  */
 export function writeTargetRow (world: FleetWorld, target: FleetTarget, overrides: Record<string, unknown> = {}): void {
   const version = computeNextVersion(world)
-  const address = `10.0.0.1:${firstPort + Number(target.id.slice(1))}`
+  const address = `10.0.0.1:${firstTargetPort + Number(target.id.slice(1))}`
   const coldLeftMs = Math.max(0, Math.round(target.getColdUntilMs() - world.clock.getNowMs()))
   const value = createTargetRow({ service: fleetService, address, failureDomain: target.failureDomain, slots }, { seq: version, born: target.getRun(), ...coldLeftMs > 0 ? { cold_left: `${coldLeftMs}ms` } : {}, ...overrides })
   const row: FleetRow = { key: target.id, text: JSON.stringify(value), version }
--- a/packages/standins/src/emulator/rate_fleet.ts
+++ b/packages/standins/src/emulator/rate_fleet.ts
@@ -98,6 +98,7 @@
     const entry = targets.register(target, { region: 'a', nowMs })
     const state = { targets, getRevision: () => 0, isEvacuated: () => false, getConfig: () => undefined } as unknown as CreateTargetReportsOptions['state'] & CreateTargetSelectorOptions['state']
     const reports = createTargetReports({
+      reportCold: () => undefined,
       state,
       metrics: { countTargetReport: () => undefined } as unknown as CreateTargetReportsOptions['metrics'],
       log: createEntryLog(name, new PassThrough()),
--- a/packages/steering/src/target_notices.ts
+++ b/packages/steering/src/target_notices.ts
@@ -17,12 +17,22 @@
   ageMs: number
 }
 
+/** The end of the run of a target. */
+export interface EndNotice {
+  /** Start time of the run, in Unix milliseconds. */
+  startedAtMs: number
+  /** Time since it was seen to have ended, in milliseconds. */
+  ageMs: number
+}
+
 /** What targets reported a short time ago. */
 export interface RecentTargetReports {
   /** Targets that are leaving. */
   leaving: TargetRuns
   /** Rates that targets accept, by identifier of the target. */
   rates: Record<string, RateNotice>
+  /** Runs of targets that have ended, by identifier of the target; absent if there is none, and in heartbeats of earlier versions. */
+  ended?: Record<string, EndNotice>
   /** Identifiers of the targets of whose rate the instance claims a part. */
   claims: string[]
 }
@@ -41,6 +51,8 @@
   recordLeaving (run: TargetRun, nowMs: number): void
   /** Records that a run of a target has named a rate, in requests per second, or that it has ceased to name one (`undefined`). */
   recordRate (run: TargetRun, perSecond: number | undefined, nowMs: number): void
+  /** Records that a run of a target has ended. */
+  recordEnd (run: TargetRun, nowMs: number): void
   /** Drops what was recorded of the rate of a target, because a peer has received a later statement. */
   dropRate (id: string): void
   /** Lists the recent reports. */
@@ -62,6 +74,7 @@
 export function createTargetNotices (): TargetNotices {
   const leaving = new Map<string, Notice>()
   const rates = new Map<string, Notice>()
+  const ended = new Map<string, Notice>()
 
   /** Records a notice as the latest one. */
   function record (notices: Map<string, Notice>, id: string, notice: Notice): void {
@@ -74,11 +87,18 @@
     return [...notices].slice(-maxNotices)
   }
 
+  function listEnded (nowMs: number): Pick<RecentTargetReports, 'ended'> {
+    const notices = listRecent(ended, nowMs)
+    return notices.length === 0 ? {} : { ended: Object.fromEntries(notices.map(([id, { startedAtMs, recordedAtMs }]) => [id, { startedAtMs, ageMs: Math.round(nowMs - recordedAtMs) }])) }
+  }
+
   return {
     recordLeaving: ({ id, startedAtMs }, nowMs) => record(leaving, id, { startedAtMs, recordedAtMs: nowMs, perSecond: null }),
     recordRate: ({ id, startedAtMs }, perSecond, nowMs) => record(rates, id, { startedAtMs, recordedAtMs: nowMs, perSecond: perSecond ?? null }),
+    recordEnd: ({ id, startedAtMs }, nowMs) => record(ended, id, { startedAtMs, recordedAtMs: nowMs, perSecond: null }),
     dropRate: id => rates.delete(id),
     list: nowMs => ({
+      ...listEnded(nowMs),
       leaving: Object.fromEntries(listRecent(leaving, nowMs).map(([id, { startedAtMs }]) => [id, startedAtMs])),
       rates: Object.fromEntries(listRecent(rates, nowMs).map(([id, { startedAtMs, perSecond, recordedAtMs }]) => [id, { startedAtMs, perSecond, ageMs: Math.round(nowMs - recordedAtMs) }]))
     })
--- a/packages/steering/src/target_registry.ts
+++ b/packages/steering/src/target_registry.ts
@@ -31,8 +31,12 @@
   failedAtMs: number
   /** Monotonic time until which the target counts as cold, in milliseconds. */
   coldUntilMs: number
+  /** Monotonic time at which its run was last seen to have ended, in milliseconds; until another run registers, whatever listens at its address is cold. */
+  endedAtMs: number
   /** Monotonic time of the last request sent while the target was cold, in milliseconds. */
   lastColdRequestAtMs: number
+  /** Monotonic time of the last response, in milliseconds. */
+  respondedAtMs: number
   /** Monotonic time of the last request sent, in milliseconds. */
   lastRequestAtMs: number
   /** Whether the target itself has reported, by a response, that it is leaving; holds until its registration changes from leaving to not leaving, or until it restarts. */
@@ -55,6 +59,10 @@
   Registered = 'registered',
   /** It responds again after this instance could not reach it, so it may have restarted. */
   Returned = 'returned',
+  /** Its run has ended, as far as this instance saw. */
+  Ended = 'ended',
+  /** Its run has ended, as a peer saw. */
+  EndedAtPeer = 'ended_at_peer',
   /** Its failure domain was evacuated, and is taken back. */
   TakenBack = 'taken_back',
   /** Its failure domain was out of reach of all instances, and is reached again. */
@@ -103,6 +111,8 @@
 const maxPauseMs = 600_000
 /** Maximum number of removed targets whose restrictions are kept: more than the targets of a large deployment that leave within an outage. */
 const maxRemovedEntries = 1_000
+/** Time for which the end of a run makes its target count as cold, in milliseconds: the time without a heartbeat after which the platform removes the registration, and as much again for a store that is away. */
+export const endedLifetimeMs = 10_000
 /** Weight of the latest load report in the moving average. */
 const latestLoadWeight = 0.1
 /** Weight of the latest response time in the moving average. */
@@ -161,8 +171,10 @@
       circuit: closedCircuit,
       failedAtMs: -Infinity,
       coldUntilMs: options.nowMs + target.coldLeftMs,
+      endedAtMs: -Infinity,
       lastColdRequestAtMs: -Infinity,
       lastRequestAtMs: -Infinity,
+      respondedAtMs: -Infinity,
       rate: createTargetRate(),
       rateClaim: createRateClaim(),
       reportsLeaving: false,
@@ -238,7 +250,7 @@
  * @returns Whether it is cold
  */
 export function isTargetCold (entry: RegisteredTarget, nowMs: number): boolean {
-  return entry.coldUntilMs > nowMs
+  return entry.coldUntilMs > nowMs || nowMs - entry.endedAtMs < endedLifetimeMs
 }
 
 /**
@@ -293,10 +305,14 @@
   entry.inFlight = Math.max(0, entry.inFlight - 1)
   const isAlive = signal === TargetSignal.Answered || signal === TargetSignal.Refused
   const wasOpen = getCircuitState(entry.circuit, nowMs) !== CircuitState.Closed
+  if (isAlive) entry.respondedAtMs = nowMs
   if (signal === TargetSignal.ConnectFailed || signal === TargetSignal.Lost) entry.failedAtMs = nowMs
   entry.circuit = advanceCircuit(entry.circuit, signal, { ...options, opensOnFirstFailure: signal === TargetSignal.ConnectFailed })
   // A target that was unreachable may have restarted at the same address, and is then cold.
-  if (isAlive && wasOpen) recordCold(entry, options.coldForMs, nowMs)
+  if (isAlive && (wasOpen || nowMs - entry.endedAtMs < endedLifetimeMs)) {
+    recordCold(entry, options.coldForMs, nowMs)
+    entry.endedAtMs = -Infinity
+  }
   if (entry.inFlight === 0) entry.silentSinceMs = Infinity
   else if (isAlive) entry.silentSinceMs = nowMs
 }
@@ -315,6 +331,21 @@
   return !wasCold && isTargetCold(entry, nowMs)
 }
 
+/**
+ * Records that the run of a target has ended.
+ *
+ * @param entry The target, which is modified
+ * @param endedAtMs Monotonic time of the end, in milliseconds
+ * @param nowMs Monotonic time, in milliseconds
+ * @returns Whether the target has not counted as cold before; an end before its last response changes nothing
+ */
+export function recordTargetEnd (entry: RegisteredTarget, endedAtMs: number, nowMs: number): boolean {
+  if (endedAtMs <= entry.respondedAtMs) return false
+  const wasCold = isTargetCold(entry, nowMs)
+  entry.endedAtMs = Math.max(entry.endedAtMs, endedAtMs)
+  return !wasCold && isTargetCold(entry, nowMs)
+}
+
 /**
  * Closes the circuits of targets that have failed only because this instance had no network path to them, and does not count
  * the time without responses.
