Tell peers of targets that have ended

What targets saw: after a restart, up to 14 requests in a second where 8.6 are allowed (FAILBACK). An instance that finds that a target has ended, by a lost request, a refused connection or an idle connection that the target closed, confirms it as for crash evidence, and tells its peers in an optional part of the target reports, which earlier builds ignore. The target counts as cold until another run registers, for ten seconds at most, or until it responds and for its cold start from then on.

--- a/packages/bilberryd/src/edge/target_reports_test.ts
+++ b/packages/bilberryd/src/edge/target_reports_test.ts
@@ -4,7 +4,7 @@
 import type { EntryState } from './entry_state.ts'
 import type { TargetReports } from './target_reports.ts'
 import { PassThrough } from 'node:stream'
-import { createTargetRegistry, isTargetLeaving, recordNamedRate } from '@bilberryworks/steering'
+import { createTargetRegistry, isTargetCold, isTargetLeaving, recordNamedRate, recordTargetDispatch, recordTargetResult, TargetSignal } from '@bilberryworks/steering'
 import test from 'ava'
 import { createEntryLog } from './entry_log.ts'
 import { createTargetReports } from './target_reports.ts'
@@ -85,3 +85,20 @@
   for (let count = 0; count < 9; count++) reports.handleResponse(entry, { ...response, unreadableRate: 'few' }, exchange)
   t.is(entry.rate.perSecond, 2)
 })
+
+test('counts a target as cold whose end a peer has seen, unless it has responded since or is another run', t => {
+  let nowMs = 1_000
+  const [told, other, served] = [createInstance(() => nowMs), createInstance(() => nowMs), createInstance(() => nowMs)]
+  told.reports.recordEnd(told.entry)
+  t.true(told.reports.takeNews())
+  nowMs = 1_300
+  recordTargetDispatch(served.entry, nowMs)
+  recordTargetResult(served.entry, TargetSignal.Answered, { nowMs, getRandom: () => 0.5, coldForMs: 3_000 })
+  other.reports.handlePeerReports('told', { leaving: {}, rates: {}, claims: [], ended: { t: { startedAtMs: 6, ageMs: 0 } } })
+  t.false(isTargetCold(other.entry, nowMs))
+  for (const { reports } of [other, served]) reports.handlePeerReports('told', told.reports.listRecent())
+  t.deepEqual([told, other, served].map(({ entry }) => isTargetCold(entry, nowMs)), [true, true, false])
+  recordTargetDispatch(other.entry, nowMs)
+  recordTargetResult(other.entry, TargetSignal.Answered, { nowMs, getRandom: () => 0.5, coldForMs: 3_000 })
+  t.deepEqual([4_200, 4_400].map(atMs => isTargetCold(other.entry, atMs)), [true, false])
+})
