--- a/packages/bilberryd/src/edge/peer_link.ts
+++ b/packages/bilberryd/src/edge/peer_link.ts
@@ -102,13 +102,7 @@
     if (error !== null) log.warn('heartbeat_unsent', { detail: error.message })
   }
 
-  function announce (): void {
-    const text = JSON.stringify(options.getIntroduction())
-    for (const { heartbeat } of view.listKnown()) sendText(text, heartbeat.heartbeats)
-  }
-
-  function sendNow (): void {
-    const text = formatUpdate(options.getHeartbeat())
+  function sendToAll (text: string): void {
     for (const { heartbeat } of view.listKnown()) sendText(text, heartbeat.heartbeats)
   }
 
@@ -207,8 +201,8 @@
   const timer = setInterval(sendUpdates, options.intervalMs)
 
   return {
-    announce,
-    sendNow,
+    announce: () => sendToAll(JSON.stringify(options.getIntroduction())),
+    sendNow: () => sendToAll(formatUpdate(options.getHeartbeat())),
     catchUp: fetchFromPeer,
     countOpen,
     async fetchFromSeeds () {
