Take no refusal of another request for the response of the own interface's target

On the product's own interface a 503 with bilberry-outcome: not-run was believed before its request identifier was compared, so that a caller would be told that a request had not run which had. The new case of http_targets_test failed (refused in place of lost) and passes. On the users' path every response is matched by its identifier already.

--- a/packages/targets/src/http_targets.ts
+++ b/packages/targets/src/http_targets.ts
@@ -62,7 +62,8 @@
         })
         const headers = collectHeaders(response.headers)
         const leaving = headers[stateHeader] === 'leaving'
-        if (response.statusCode === 503 && headers[outcomeHeader] === 'not-run') {
+        const isOwn = isOwnResponse(request, headers)
+        if (isOwn && response.statusCode === 503 && headers[outcomeHeader] === 'not-run') {
           response.body.dump().catch(() => {})
           return err({ kind: TargetFailureKind.Refused, detail: `Target "${target.target}" refused the request`, leaving })
         }
@@ -90,10 +91,14 @@
   }
 }
 
+/** Returns whether a response names its request, or none: a target may write an earlier response once more. */
+function isOwnResponse ({ requestId }: TargetRequest, headers: HeaderFields): boolean {
+  return headers[requestIdHeader] === undefined || headers[requestIdHeader] === requestId
+}
+
 /** Returns why a response can't be forwarded, or `undefined` if it belongs to the request and states where its body ends. */
 function findFault (request: TargetRequest, status: number, headers: HeaderFields): string | undefined {
-  const responseRequestId = headers[requestIdHeader]
-  if (responseRequestId !== undefined && responseRequestId !== request.requestId) return `Response has the identifier "${String(responseRequestId)}" of another request`
+  if (!isOwnResponse(request, headers)) return `Response has the identifier "${String(headers[requestIdHeader])}" of another request`
   const isBodiless = request.method === 'HEAD' || status === 204 || status === 304
   const isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
   return isBodiless || isFramed ? undefined : 'Response has neither Content-Length nor Transfer-Encoding, so a truncated body can\'t be detected'
--- a/packages/targets/src/http_targets_test.ts
+++ b/packages/targets/src/http_targets_test.ts
@@ -59,6 +59,7 @@
   ['reports a body as truncated if the target stops sending until the deadline', replyWith(`${status}content-length: 9\r\n\r\nhello`), 'cut'],
   ['reports a reset before the response as a lost request', socket => { socket.once('data', () => socket.resetAndDestroy()) }, TargetFailureKind.Lost],
   ['reports a 503 response with bilberry-outcome: not-run as refused', replyWith('HTTP/1.1 503 Busy\r\nbilberry-outcome: not-run\r\ncontent-length: 0\r\n\r\n'), TargetFailureKind.Refused],
+  ['rejects a refusal with the identifier of another request', replyWith('HTTP/1.1 503 Busy\r\nbilberry-request-id: other\r\nbilberry-outcome: not-run\r\ncontent-length: 0\r\n\r\n'), TargetFailureKind.Lost],
   ['returns a 503 response without bilberry-outcome', replyWith('HTTP/1.1 503 Busy\r\ncontent-length: 4\r\n\r\nbusy'), 'busy']
 ]
 for (const [title, handle, expected] of cases) {
@@ -96,3 +97,10 @@
   t.is(await text(response._unsafeUnwrap().body), 'big')
   t.false(body.destroyed)
 })
+
+test('send() rejects a response head that ends at any byte', async t => {
+  const head = `${status}content-type: text/plain\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`
+  const lengths = Array.from({ length: head.length - 1 }, (_, index) => index + 1)
+  const results = await Promise.all(lengths.map(length => describeExchange(replyWith(head.slice(0, length), 'fin'))))
+  t.deepEqual([...new Set(results)], [TargetFailureKind.Lost])
+})
