--- a/packages/targets/src/target_connection_test.ts
+++ b/packages/targets/src/target_connection_test.ts
@@ -122,3 +122,27 @@
   await new Promise(resolve => server.close(resolve))
   t.is(requests, 0)
 })
+
+test('fails an exchange on a response head that ends at any byte', async t => {
+  const head = 'HTTP/1.1 200 OK\r\nid: a\r\nServer-Leaving: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n'
+  const lengths = Array.from({ length: head.length - 1 }, (_, index) => index + 1)
+  for (const end of ['fin', 'reset'] as const) {
+    const outcomes = await Promise.all(lengths.map(length => runRequests(socket => {
+      if (end === 'fin') socket.end(head.slice(0, length))
+      else socket.write(head.slice(0, length), () => socket.resetAndDestroy())
+    }, ['a'])))
+    t.deepEqual(outcomes.flat().filter(({ failure }) => failure === undefined), [])
+  }
+})
+
+for (const delayMs of [0, 1, 10, 30]) {
+  test(`gives no request an earlier refusal that the target writes again ${delayMs} ms later`, async t => {
+    const refusal = 'HTTP/1.1 503 Busy\r\nid: a\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+    const outcomes = await runRequests((socket, index) => {
+      socket.write(index === 0 ? refusal : formatResponse('b', 'own'))
+      if (index === 0) setTimeout(() => socket.write(refusal), delayMs)
+    }, ['a', 'b'])
+    t.is(outcomes[0]!.status, 503)
+    t.true(outcomes[1]!.failure === undefined ? outcomes[1]!.body === 'own' : outcomes[1]!.status === undefined, JSON.stringify(outcomes[1]))
+  })
+}
