Reject heartbeats with ports out of range

Heartbeats from all three ways are checked by one function. The new test of peer_view_test failed before; tests of the edge, of relaying and of restorations pass.

--- a/packages/bilberryd/src/edge/peer_link.ts
+++ b/packages/bilberryd/src/edge/peer_link.ts
@@ -19,7 +19,7 @@
 import { PeerTraffic } from './entry_metrics.ts'
 import { createStateHandler, fetchPeerState } from './peer_state.ts'
 import { parseRelayOrigin, relayField } from './relay_message.ts'
-import { formatUpdate, parseHeartbeat, parseUpdate, UpdateResult } from './peer_view.ts'
+import { formatUpdate, isPeerHeartbeat, parseHeartbeat, parseUpdate, UpdateResult } from './peer_view.ts'
 
 /** Options of {@linkcode startPeerLink}. */
 export interface StartPeerLinkOptions {
@@ -140,7 +140,7 @@
 
   async function readState (address: SocketAddress, withInstances: boolean): Promise<void> {
     const peerState = await fetchPeerState(address, { state, withInstances })
-    for (const heartbeat of peerState.instances) view.addReported(heartbeat, getNowMs())
+    for (const heartbeat of peerState.instances.filter(isPeerHeartbeat)) view.addReported(heartbeat, getNowMs())
     if (withInstances) view.markComplete()
     for (const [table, update] of Object.entries(peerState.tables)) {
       log.info('table_from_peer', { table, from: `${address.host}:${address.port}`, asOf: update.asOf, isSnapshot: update.isSnapshot, changes: update.changes.length })
--- a/packages/bilberryd/src/edge/peer_view.ts
+++ b/packages/bilberryd/src/edge/peer_view.ts
@@ -99,6 +99,8 @@
   evictionMs: number
 }
 
+const maxPort = 65_535
+
 /**
  * Creates a view without peers.
  *
@@ -206,12 +208,25 @@
  */
 export function parseHeartbeat (text: string): PeerHeartbeat | undefined {
   const value = parseJson(text) as PeerHeartbeat | undefined
-  const isValid = typeof value?.instance === 'string' && typeof value.heartbeats?.port === 'number' && typeof value.peers?.port === 'number' && isNumberRecord(value.versions) && isNumberRecord(value.demand)
-  if (!isValid) return undefined
+  if (!isPeerHeartbeat(value)) return undefined
   const { targetReports, crashReports, unreached, ...heartbeat } = value
   return { ...heartbeat, ...selectOptional({ targetReports, crashReports, unreached }) }
 }
 
+/**
+ * Returns whether a value that was received has the required fields of a heartbeat, with ports that can be used.
+ *
+ * @param value The value
+ * @returns Whether it is a heartbeat
+ */
+export function isPeerHeartbeat (value: PeerHeartbeat | undefined): value is PeerHeartbeat {
+  return typeof value?.instance === 'string' && [value.heartbeats, value.peers].every(isSocketAddress) && isNumberRecord(value.versions) && isNumberRecord(value.demand)
+}
+
+function isSocketAddress (value: SocketAddress | undefined): boolean {
+  return typeof value?.host === 'string' && Number.isInteger(value.port) && value.port > 0 && value.port <= maxPort
+}
+
 /** Returns those of the optional parts of a heartbeat that are valid. */
 function selectOptional ({ targetReports, crashReports, unreached }: Record<'targetReports' | 'crashReports' | 'unreached', unknown>): Pick<HeartbeatUpdate, 'targetReports' | 'crashReports' | 'unreached'> {
   return {
--- a/packages/bilberryd/src/edge/peer_view_test.ts
+++ b/packages/bilberryd/src/edge/peer_view_test.ts
@@ -1,7 +1,7 @@
 import type { PeerHeartbeat } from './peer_view.ts'
 import test from 'ava'
 import { chooseAddresses } from './look_up_listener.ts'
-import { createPeerView, formatUpdate, parseUpdate, UpdateResult } from './peer_view.ts'
+import { createPeerView, formatUpdate, parseHeartbeat, parseUpdate, UpdateResult } from './peer_view.ts'
 
 function createHeartbeat (instance: string, overrides: Partial<PeerHeartbeat> = {}): PeerHeartbeat {
   const address = { host: '10.0.0.1', port: 1 }
@@ -106,3 +106,12 @@
   t.deepEqual(parseUpdate(formatUpdate({ ...withReports, ...withCrashes })), { ...withReports, ...withCrashes })
   t.deepEqual(parseUpdate(JSON.stringify(['a', 1, 2, true, { operator: 3 }, {}, { leaving: 'x' }])), update)
 })
+
+test('parses no heartbeat with a port out of range', t => {
+  const heartbeat = createHeartbeat('p')
+  t.deepEqual(parseHeartbeat(JSON.stringify(heartbeat)), heartbeat)
+  for (const port of [-1, 0, 1.5, 65_536, 1e9]) {
+    t.is(parseHeartbeat(JSON.stringify({ ...heartbeat, heartbeats: { host: '127.0.0.1', port } })), undefined)
+    t.is(parseHeartbeat(JSON.stringify({ ...heartbeat, peers: { host: '127.0.0.1', port } })), undefined)
+  }
+})
