Check the header fields of responses where they are parsed

Names and values are checked by node:http's own rules when the head is complete; such a response fails its exchange as malformed, so that a safe request goes to another target and an unsafe one is answered 502.

--- a/packages/targets/src/response_parser.ts
+++ b/packages/targets/src/response_parser.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { validateHeaderName, validateHeaderValue } from 'node:http'
 import { HTTPParser } from 'http-parser-js'
 
 /** Status line and header section of a response. */
@@ -65,6 +66,7 @@
   const parserState = parser as unknown as ParserState
   checkChunkSizes(parserState)
   parser[HTTPParser.kOnHeadersComplete] = info => {
+    checkFields(info.headers)
     const fields = collectFields(info.headers)
     const contentLength = checkFraming(info.headers, fields)
     const head = { status: info.statusCode, rawHeaders: info.headers, fields, isReusable: info.shouldKeepAlive, contentLength }
@@ -94,6 +96,14 @@
   return fields
 }
 
+/** Throws if a field can't be forwarded: its name is not a token, or its value has a control character (RFC 9110, section 5). */
+function checkFields (rawHeaders: string[]): void {
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    validateHeaderName(rawHeaders[index]!)
+    validateHeaderValue(rawHeaders[index]!, rawHeaders[index + 1]!)
+  }
+}
+
 /** Returns the content length; throws if the framing is ambiguous, since the end of the response is then uncertain. */
 function checkFraming (rawHeaders: string[], fields: Record<string, string | undefined>): number | undefined {
   const coding = fields['transfer-encoding']
--- a/packages/targets/src/target_connection_test.ts
+++ b/packages/targets/src/target_connection_test.ts
@@ -146,3 +146,17 @@
     t.true(outcomes[1]!.failure === undefined ? outcomes[1]!.body === 'own' : outcomes[1]!.status === undefined, JSON.stringify(outcomes[1]))
   })
 }
+
+test('fails an exchange on a response head with one wrong byte in a field', async t => {
+  const head = 'HTTP/1.1 200 OK\r\nid: a\r\nX-Server-Signature: 3e1b\r\nContent-Length: 0\r\n\r\n'
+  const [from, to] = [head.indexOf('X-Server'), head.indexOf('\r\nContent-Length')]
+  // Without its colon a line is no field, and is dropped.
+  const colon = head.indexOf(':', from)
+  for (const byte of ['\0', '\x01', '\x0b', '\x1f', '\x7f']) {
+    const positions = Array.from({ length: to - from }, (_, offset) => from + offset).filter(position => position !== colon)
+    const outcomes = await Promise.all(positions.map(position => runRequests(socket => {
+      socket.write(`${head.slice(0, position)}${byte}${head.slice(position + 1)}`, 'latin1')
+    }, ['a'])))
+    t.deepEqual([...new Set(outcomes.flat().map(({ failure }) => failure))], ['malformed' as ExchangeFailure])
+  }
+})
