Read on after a target has answered an upload early

After each response the rest of its request is read and discarded now, for five seconds at most, as after refusals; what buffered it before lets go of it.

--- a/packages/bilberryd/src/edge/response_writer.ts
+++ b/packages/bilberryd/src/edge/response_writer.ts
@@ -6,7 +6,7 @@
  */
 import type { ResponseHead } from '@bilberryworks/targets'
 import type { ServerResponse } from 'node:http'
-import { hopByHopFields } from '@bilberryworks/callers'
+import { drainRequestBody, hopByHopFields } from '@bilberryworks/callers'
 import { relayField } from './relay_message.ts'
 
 /** Writes a response to the caller. */
@@ -72,6 +72,7 @@
     end () {
       if (!isCommitted) startResponse(bufferedBytes)
       response.end(buffered.length > 0 ? Buffer.concat(buffered) : undefined)
+      drainRequestBody(response)
     },
     isCommitted: () => isCommitted
   }
--- a/packages/callers/src/write_response.ts
+++ b/packages/callers/src/write_response.ts
@@ -73,13 +73,18 @@
   return String(Math.max(1, Math.ceil(retryAfterMs / 1000)))
 }
 
-/** Reads and discards the rest of a request for a limited time, so that the caller can read the response. */
-function drainRequestBody (response: ServerResponse): void {
+/**
+ * Reads and discards the rest of a request, so that the caller can read the response, and its next request is read; closes
+ * the connection if the rest takes longer than five seconds.
+ *
+ * @param response The response to the request, which has been written
+ */
+export function drainRequestBody (response: ServerResponse): void {
   const { req } = response
   if (req.complete || req.destroyed) return
   const timer = setTimeout(() => req.socket.destroy(), lingerTimeoutMs)
   timer.unref()
   req.once('close', () => clearTimeout(timer))
   req.unpipe()
-  req.removeAllListeners('readable').resume()
+  req.removeAllListeners('readable').removeAllListeners('data').resume()
 }
--- a/packages/standins/src/test_site.ts
+++ b/packages/standins/src/test_site.ts
@@ -100,13 +100,13 @@
   }
 
   /** Writes the next version of the configuration and returns the number of the version. */
-  function writeConfig (routeOverrides: Record<string, unknown> = {}, additionalRoutes: Record<string, unknown> = {}): number {
+  function writeConfig (routeOverrides: Record<string, unknown> = {}, additionalRoutes: Record<string, unknown> = {}, limitOverrides: Record<string, unknown> = {}): number {
     version += 3
     store.writeRow('op', 'config', {
       version: `r${version}`,
       routes: { safe: createRoute('safe', routeOverrides), unsafe: createRoute('unsafe', routeOverrides), upload: createRoute('upload', routeOverrides), ...additionalRoutes },
       services: { [testSiteService]: { health_path: '/health', max_conns: 330, cold_start: '3s', cold_per_s: 2.4 } },
-      limits: { max_header_bytes: 16_384, max_body_bytes: 1_048_576, header_timeout: '3000ms', idle_timeout: '15000ms' }
+      limits: { max_header_bytes: 16_384, max_body_bytes: 1_048_576, header_timeout: '3000ms', idle_timeout: '15000ms', ...limitOverrides }
     })
     return version
   }
