Run relayed requests by the later of two configurations

The hop now carries the version of the configuration in a header field of its own (Bilberry-Relay-Version), and a service that was chosen by a later one is used as given; one from an earlier one, or without a version, only if the route leads there here too. Builds before pass the field on to targets and otherwise behave as they did; a changed form of the field that they read would have been refused.

--- a/packages/bilberryd/src/edge/peer_link.ts
+++ b/packages/bilberryd/src/edge/peer_link.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Socket } from 'node:dgram'
-import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http'
 import type { CrashReport, RecentTargetReports, SocketAddress } from '@bilberryworks/steering'
 import type { EntryLog } from './entry_log.ts'
 import type { EntryState } from './entry_state.ts'
@@ -18,7 +18,7 @@
 import { ReplicatedTable } from './replicated_table.ts'
 import { PeerTraffic } from './entry_metrics.ts'
 import { createStateHandler, fetchPeerState } from './peer_state.ts'
-import { parseRelayOrigin, relayField } from './relay_message.ts'
+import { parseRelayOrigin, relayField, relayVersionField } from './relay_message.ts'
 import { formatUpdate, isPeerHeartbeat, parseHeartbeat, parseUpdate, UpdateResult } from './peer_view.ts'
 
 /** Options of {@linkcode startPeerLink}. */
@@ -186,16 +186,7 @@
     listInstances: () => [options.getHeartbeat(), ...view.listLive(getNowMs()).map(peer => peer.heartbeat)],
     countBytes: bytes => options.countBytes(PeerTraffic.State, bytes)
   })
-  const server = createServer(requestServerOptions, (message, response) => {
-    const relay = message.headers[relayField]
-    const origin = parseRelayOrigin(typeof relay === 'string' ? relay : undefined)
-    if (origin !== undefined) options.handleRelayed(message, response, origin)
-    else if (relay === undefined) handleStateCall(message, response)
-    else {
-      log.warn('relayed_request_invalid', { from: message.socket.remoteAddress, field: String(relay) })
-      response.writeHead(400, { 'Content-Length': 0 }).end()
-    }
-  })
+  const server = createServer(requestServerOptions, createPeerHandler({ handleRelayed: options.handleRelayed, handleStateCall, log }))
   server.maxHeadersCount = 0
   const countOpen = countOpenResponses(server)
   await listenOn(server, ownHeartbeat.peers)
@@ -219,6 +210,20 @@
   }
 }
 
+/** Creates the handler of the requests of peers: relayed ones, and calls for rows. */
+function createPeerHandler ({ handleRelayed, handleStateCall, log }: Pick<StartPeerLinkOptions, 'handleRelayed' | 'log'> & { handleStateCall: RequestListener }): RequestListener {
+  return (message, response) => {
+    const relay = message.headers[relayField]
+    const origin = parseRelayOrigin(typeof relay === 'string' ? relay : undefined, String(message.headers[relayVersionField] ?? ''))
+    if (origin !== undefined) handleRelayed(message, response, origin)
+    else if (relay === undefined) handleStateCall(message, response)
+    else {
+      log.warn('relayed_request_invalid', { from: message.socket.remoteAddress, field: String(relay) })
+      response.writeHead(400, { 'Content-Length': 0 }).end()
+    }
+  }
+}
+
 function openSocket (socket: Socket, address: SocketAddress): Promise<void> {
   return new Promise((resolve, reject) => {
     socket.once('error', reject)
--- a/packages/bilberryd/src/edge/relay_message.ts
+++ b/packages/bilberryd/src/edge/relay_message.ts
@@ -17,6 +17,8 @@
   service: string
   /** Number of targets that may have received the request before. */
   targetsReached: number
+  /** Version of the routing configuration by which it selected the service; 0 if it does not say, as an earlier build. */
+  version: number
 }
 
 /** What an instance states about its response to a relayed request. */
@@ -32,6 +34,12 @@
 /** Lower-case name of the header field. */
 export const relayField = relayHeader.toLowerCase()
 
+/** Name of the header field with the version of the routing configuration, which earlier builds do not read. */
+export const relayVersionHeader = 'Bilberry-Relay-Version'
+/** Lower-case name of that header field. */
+export const relayVersionField = relayVersionHeader.toLowerCase()
+
+const versionPattern = /^\d{1,15}$/
 const noTarget = '-'
 const originPattern = /^(\S+) (\S+) (\d{1,4})$/
 const resultPattern = /^(\S+) (\d{1,4})$/
@@ -43,7 +51,7 @@
  * @param origin What to state
  * @returns Value of the field
  */
-export function formatRelayOrigin ({ instance, service, targetsReached }: RelayOrigin): string {
+export function formatRelayOrigin ({ instance, service, targetsReached }: Omit<RelayOrigin, 'version'>): string {
   return `${encodeURIComponent(instance)} ${encodeURIComponent(service)} ${targetsReached}`
 }
 
@@ -51,12 +59,13 @@
  * Parses the field of a relayed request.
  *
  * @param value Value of the field
- * @returns What it states, or `undefined` if it is missing or invalid
+ * @param version Value of the field with the version, if there is one
+ * @returns What they state, or `undefined` if the first one is missing or invalid
  */
-export function parseRelayOrigin (value: string | undefined): RelayOrigin | undefined {
+export function parseRelayOrigin (value: string | undefined, version = ''): RelayOrigin | undefined {
   const match = originPattern.exec(value ?? '')
   const [instance, service] = [decodeName(match?.[1]), decodeName(match?.[2])]
-  return instance === undefined || service === undefined ? undefined : { instance, service, targetsReached: Number(match![3]) }
+  return instance === undefined || service === undefined ? undefined : { instance, service, targetsReached: Number(match![3]), version: versionPattern.test(version) ? Number(version) : 0 }
 }
 
 /**
--- a/packages/bilberryd/src/edge/request_handler.ts
+++ b/packages/bilberryd/src/edge/request_handler.ts
@@ -106,7 +106,7 @@
     if (length > limits.maxBodyBytes) return createNotRunRefusal(RefusalReason.BodyTooLarge, `Body of ${length} bytes exceeds the limit of ${limits.maxBodyBytes} bytes`)
     return {
       attemptId: fields.attemptId,
-      service: selectService(route, relay),
+      service: selectService(route, { relay, version: config.version }),
       objectKey: route.hasAffinity ? fields.objectKey : undefined,
       homeRegions: route.homeRegions,
       priority: route.priority,
@@ -137,10 +137,11 @@
     }
   }
 
-  /** Selects the service that the relaying instance has selected, if the route leads to it here too. */
-  function selectService (route: Attempt['route'], relay: RelayOrigin | undefined): string {
-    const isOnRoute = relay !== undefined && route.weightedServices.some(({ service }) => service === relay.service)
-    return isOnRoute ? relay.service : options.chooseService(route)
+  /** Selects the service that the relaying instance has selected, if the route leads to it here too, or did so in a later configuration than the one here. */
+  function selectService (route: Attempt['route'], { relay, version }: { relay: RelayOrigin | undefined, version: number }): string {
+    if (relay === undefined) return options.chooseService(route)
+    const isOnRoute = route.weightedServices.some(({ service }) => service === relay.service)
+    return isOnRoute || relay.version > version ? relay.service : options.chooseService(route)
   }
 
   /** Submits an attempt unless its caller turns out to have left already. */
--- a/packages/bilberryd/src/edge/request_head.ts
+++ b/packages/bilberryd/src/edge/request_head.ts
@@ -6,9 +6,9 @@
 import type { Attempt } from './attempt.ts'
 import { hopByHopFields } from '@bilberryworks/callers'
 import { attemptIdHeader, targetIdHeader, timeLeftHeader } from '@bilberryworks/users-platform'
-import { formatRelayOrigin, relayField, relayHeader } from './relay_message.ts'
+import { formatRelayOrigin, relayField, relayHeader, relayVersionField, relayVersionHeader } from './relay_message.ts'
 
-const replacedFields = new Set([targetIdHeader.toLowerCase(), timeLeftHeader.toLowerCase(), relayField, 'content-length', 'expect'])
+const replacedFields = new Set([targetIdHeader.toLowerCase(), timeLeftHeader.toLowerCase(), relayField, relayVersionField, 'content-length', 'expect'])
 
 /**
  * Builds the head of a request to a target: the caller's header fields without hop-by-hop fields, and those that the instance sets.
@@ -29,8 +29,8 @@
  * @returns The head, including the empty line at its end
  */
 export function buildRelayHead (attempt: Attempt, { instance, timeLeftMs }: { instance: string, timeLeftMs: number }): string {
-  const { service, targetsReached } = attempt
-  return buildHead(attempt, [[relayHeader, formatRelayOrigin({ instance, service, targetsReached })], [timeLeftHeader, formatTimeLeft(timeLeftMs)]])
+  const { service, targetsReached, version } = attempt
+  return buildHead(attempt, [[relayHeader, formatRelayOrigin({ instance, service, targetsReached })], [relayVersionHeader, String(version)], [timeLeftHeader, formatTimeLeft(timeLeftMs)]])
 }
 
 function formatTimeLeft (timeLeftMs: number): string {
--- a/packages/standins/src/emulator/fleet_instance.ts
+++ b/packages/standins/src/emulator/fleet_instance.ts
@@ -182,7 +182,7 @@
   })
   request.onAbort = call.abort
   if (mutant === FleetMutant.ResendLost && world.getRandom() < resentShare) sendAgain(world, { method, path, rawHeaders })
-  instance.components.requestHandler.handleRequest(call.message, call.response, { instance: decodeURIComponent(origin!), service: decodeURIComponent(relayedService!), targetsReached: Number(targetsReached) })
+  instance.components.requestHandler.handleRequest(call.message, call.response, { instance: decodeURIComponent(origin!), service: decodeURIComponent(relayedService!), targetsReached: Number(targetsReached), version: Number(fields['bilberry-relay-version'] ?? 0) })
 }
 
 /** Hands a request over to any other instance as well. */
@@ -190,7 +190,7 @@
   const instances = [...world.instances.values()]
   const other = instances[Math.floor(world.getRandom() * instances.length)]!
   const { message, response } = createFakeCall({ ...call, onEnd: () => {} })
-  if (other.isUp) other.components.requestHandler.handleRequest(message, response, { instance: `${namePrefix}0`, service: fleetService, targetsReached: 0 })
+  if (other.isUp) other.components.requestHandler.handleRequest(message, response, { instance: `${namePrefix}0`, service: fleetService, targetsReached: 0, version: 0 })
 }
 
 /** Removes from responses what a mutant does not read. */
--- a/packages/standins/src/relay_path_test.ts
+++ b/packages/standins/src/relay_path_test.ts
@@ -211,6 +211,20 @@
   })
 }
 
+for (const [title, version, expected] of [['by a later configuration than its own', '99', 'other'], ['by an earlier one', '1', 'svc'], ['by one that is not stated', undefined, 'svc']] as const) {
+  test(`an instance runs a relayed request at the service that was chosen ${title} only if that is known to be later`, async t => {
+    await using site = await createTestSite()
+    site.writeConfig()
+    const targets = [await site.openTarget('t0'), await site.openTarget('t1', { service: 'other' })]
+    const entry = await site.startEntry(0)
+    t.true(await waitUntil(async () => (await site.call(entry)).status === 200))
+    for (const target of targets) target.runs.length = 0
+    t.like(await sendToPeerListener(entry, { 'Bilberry-Relay': 'entry-9 other 0', ...version === undefined ? {} : { 'Bilberry-Relay-Version': version } }), { status: 200 })
+    t.is(targets[0]!.runs.length === 1 ? 'svc' : 'other', expected)
+    t.is(targets[0]!.runs.length + targets[1]!.runs.length, 1)
+  })
+}
+
 /** Starts a program that announces itself as an instance, and that treats relayed requests as given. */
 async function startFakePeer (site: TestSite, cut: TestEntry, handleRelayed: (message: IncomingMessage, response: ServerResponse) => void, instance = 'fake'): Promise<AsyncDisposable & { countRequests: () => number }> {
   let requests = 0
