--- a/packages/bilberryd/src/edge/entry_state.ts
+++ b/packages/bilberryd/src/edge/entry_state.ts
@@ -103,7 +103,7 @@
   }
 
   /** Counts the targets of a failure domain that is taken back as cold: they may be, and their rows may say so later than the operator's row arrives. */
-  function countCold (failureDomain: string): void {
+  function markCold (failureDomain: string): void {
     const nowMs = getNowMs()
     for (const service of targets.listServices()) {
       const coldForMs = config?.services.get(service)?.coldForMs ?? 0
@@ -119,7 +119,7 @@
     const failureDomain = parseEvacuationKey(key)
     if (failureDomain === undefined) return
     if (text !== undefined) evacuated.add(failureDomain)
-    else if (evacuated.delete(failureDomain)) countCold(failureDomain)
+    else if (evacuated.delete(failureDomain)) markCold(failureDomain)
     log.info('evacuation', { failureDomain, evacuated: text !== undefined })
   }
 
--- a/packages/bilberryd/src/edge/reach_monitor.ts
+++ b/packages/bilberryd/src/edge/reach_monitor.ts
@@ -116,14 +116,14 @@
       if (loss?.isOwn === true) closeCircuits(entries, { sinceMs: loss.failingSinceMs, nowMs })
       else if (loss !== undefined) {
         advanceProbes(entries, { sinceMs: loss.failingSinceMs, nowMs })
-        countCold(entries, nowMs)
+        markCold(entries, nowMs)
       }
       losses.delete(key)
     }
   }
 
   /** Counts targets as cold that no instance has reached: they may have restarted. */
-  function countCold (entries: RegisteredTarget[], nowMs: number): void {
+  function markCold (entries: RegisteredTarget[], nowMs: number): void {
     for (const entry of entries) if (recordCold(entry, state.getConfig()?.services.get(entry.target.service)?.coldForMs ?? 0, nowMs)) options.reportCold(entry, ColdEvidence.Reached)
   }
 
--- a/packages/bilberryd/src/edge/report_cold.ts
+++ b/packages/bilberryd/src/edge/report_cold.ts
@@ -33,7 +33,7 @@
     log.info('target_cold', {
       target: target.id,
       evidence,
-      coldForMs: Math.round(coldUntilMs - nowMs),
+      coldForMs: coldUntilMs > nowMs ? Math.round(coldUntilMs - nowMs) : undefined,
       lastRequestAgoMs: lastRequestAtMs === -Infinity ? undefined : Math.round(nowMs - lastRequestAtMs),
       failures: circuit.failures
     })
--- a/packages/steering/src/target_registry.ts
+++ b/packages/steering/src/target_registry.ts
@@ -89,8 +89,6 @@
   countFailing (nowMs: number): number
   /** Records that a target has reported, by a response, that it is leaving; returns whether that is news. */
   recordLeaving (id: string): boolean
-  /** Counts the cold targets of a service. */
-  countCold (service: string, nowMs: number): number
   /** Excludes pauses of this process from the time for which targets have been silent, since it reads no responses during a pause. To be called at least every 250 ms, and before targets are selected. */
   observeTime (nowMs: number): void
 }
@@ -211,7 +209,6 @@
     getRevision: () => revision,
     count: () => byId.size,
     countFailing: nowMs => [...byId.values()].filter(entry => getCircuitState(entry.circuit, nowMs) !== CircuitState.Closed).length,
-    countCold: (service, nowMs) => (byService.get(service) ?? []).filter(entry => isTargetCold(entry, nowMs)).length,
     recordLeaving (id) {
       const entry = byId.get(id)
       if (entry === undefined || entry.reportsLeaving) return false
