Send an upload on at once while its connection is being read

It runs only where reading has been paused, by a limit or after a failed connection, since only then a close can be unseen.

--- a/packages/bilberryd/src/edge/confirm_caller.ts
+++ b/packages/bilberryd/src/edge/confirm_caller.ts
@@ -7,8 +7,8 @@
 import { AttemptPhase } from './attempt.ts'
 
 /**
- * Calls `send` at once, or for an upload of which not all is received, after its connection has been read as far as bytes
- * are at hand. A caller that has left has then abandoned the attempt.
+ * Calls `send` at once, or for an upload whose connection is not being read since enough of its body is buffered, after the
+ * connection has been read as far as bytes are at hand. A caller that has left has then abandoned the attempt.
  *
  * @param attempt The attempt
  * @param send Sends the attempt
@@ -17,6 +17,10 @@
 export function confirmUpload (attempt: Attempt, send: () => void, onEnded: () => void = () => {}): void {
   const { body } = attempt
   if (body === undefined || body.isComplete) return send()
+  if (!attempt.message.isPaused()) {
+    body.release()
+    return send()
+  }
   attempt.phase = AttemptPhase.Confirming
   const finish = (): void => {
     body.release()
