Take a target that accepts no connection for ended, as to its cold state

What callers saw: nothing. A target that goes dark and comes back is cold, and each instance that had no request for it meanwhile sends to it as to a warm one.

Cause: the check after a failed connection told the end of a run only if the target refused connections. One that does not respond, as a machine without power, left the evidence with the instance that had the failed connection.

The message between instances is the same.

--- a/packages/bilberryd/src/edge/target_end_detector.ts
+++ b/packages/bilberryd/src/edge/target_end_detector.ts
@@ -2,7 +2,8 @@
  * Detects that the process of a target has ended under the requests that were in flight there.
  *
  * A connection that closes before its response may be one lost response. The target has ended if it refuses connections
- * afterwards while others nearby accept them; otherwise the network of this instance may refuse them.
+ * afterwards, or does not respond to them, while others nearby accept them; otherwise the network of this instance may be
+ * the cause.
  *
  * @module
  */
@@ -19,7 +20,7 @@
   onRequestLost: (fingerprint: string, target: RegisteredTarget['target']) => void
   /** Called once when a run of a target has ended. */
   onEnd: (entry: RegisteredTarget) => void
-  /** Returns whether the network path to a target that refuses connections works. */
+  /** Returns whether the network path to a target that accepts no connection works. */
   confirmPath: (entry: RegisteredTarget) => Promise<boolean>
   /** Connects to an address, to tell whether a process listens there. */
   checkListening: typeof checkListening
@@ -44,7 +45,14 @@
 /** Time for which further losses are ascribed to the end of a target, in milliseconds: they are noticed within a round trip of each other. */
 const endedLifetimeMs = 2_000
 
-interface EndingRun { fingerprints: Map<string, string>, endedAtMs: number | undefined }
+interface EndingRun {
+  /** Fingerprints of the requests that were lost, by identifier of the attempt. */
+  fingerprints: Map<string, string>
+  /** Monotonic time at which the run was found to have ended, in milliseconds; `undefined` before. */
+  endedAtMs: number | undefined
+  /** Whether the target refused connections then; otherwise it did not respond. */
+  isRefused: boolean
+}
 
 /**
  * Creates a detector.
@@ -59,14 +67,16 @@
   async function checkRun (entry: RegisteredTarget, run: EndingRun): Promise<void> {
     const { target } = entry
     const state = await checkListening(target.address, { timeoutMs: checkTimeoutMs })
-    if (state !== ListeningState.Refused || !await confirmPath(entry)) {
+    if (state === ListeningState.Listening || !await confirmPath(entry)) {
       runs.delete(entry)
       return
     }
     run.endedAtMs = getNowMs()
-    log.info('target_ended', { target: target.id, startedAtMs: target.startedAtMs, requests: Object.fromEntries(run.fingerprints) })
+    run.isRefused = state === ListeningState.Refused
+    log.info('target_ended', { target: target.id, startedAtMs: target.startedAtMs, state, requests: Object.fromEntries(run.fingerprints) })
     options.onEnd(entry)
-    for (const fingerprint of run.fingerprints.values()) onRequestLost(fingerprint, target)
+    // A target that does not respond may have lost its machine or its network, which is no evidence against its requests.
+    if (run.isRefused) for (const fingerprint of run.fingerprints.values()) onRequestLost(fingerprint, target)
   }
 
   function findRun (entry: RegisteredTarget): EndingRun | undefined {
@@ -75,7 +85,7 @@
   }
 
   function startCheck (entry: RegisteredTarget, fingerprints: EndingRun['fingerprints']): void {
-    const run: EndingRun = { fingerprints, endedAtMs: undefined }
+    const run: EndingRun = { fingerprints, endedAtMs: undefined, isRefused: false }
     runs.set(entry, run)
     checkRun(entry, run).catch((error: Error) => log.warn('target_check_failed', { target: entry.target.id, detail: error.message }))
   }
@@ -87,7 +97,7 @@
       if (known !== undefined) {
         if (known.fingerprints.has(attempt.attemptId)) return
         known.fingerprints.set(attempt.attemptId, fingerprint)
-        if (known.endedAtMs === undefined) return
+        if (known.endedAtMs === undefined || !known.isRefused) return
         log.info('target_ended', { target: entry.target.id, startedAtMs: entry.target.startedAtMs, requests: { [attempt.attemptId]: fingerprint } })
         onRequestLost(fingerprint, entry.target)
         return
--- /dev/null
+++ b/packages/bilberryd/src/edge/target_end_detector_test.ts
@@ -0,0 +1,42 @@
+import type { RegisteredTarget } from '@bilberryworks/steering'
+import type { Attempt } from './attempt.ts'
+import test from 'ava'
+import { ListeningState } from '@bilberryworks/targets'
+import { createTargetEndDetector } from './target_end_detector.ts'
+
+const entry = { target: { id: 't', startedAtMs: 1, address: { host: '10.0.0.1', port: 80 } } } as RegisteredTarget
+const silentLog = { info: () => {}, warn: () => {}, takeSample: () => false, countDropped: () => 0 }
+const createAttempt = (attemptId: string): Attempt => ({ attemptId, fingerprint: `f-${attemptId}` }) as Attempt
+
+for (const [title, state, isPathConfirmed, ends, lost] of [
+  ['refuses connections', ListeningState.Refused, true, 1, ['f-a', 'f-b', 'f-c']],
+  ['does not respond, which is no evidence against its requests', ListeningState.Unknown, true, 1, []],
+  ['accepts connections', ListeningState.Listening, true, 0, []],
+  ['does not respond, as others nearby', ListeningState.Unknown, false, 0, []],
+  ['refuses connections, as others nearby', ListeningState.Refused, false, 0, []]
+] as const) {
+  test(`end of a target that ${title}`, async t => {
+    const lostRequests: string[] = []
+    let endCount = 0
+    const checks: Array<Promise<unknown>> = []
+    const detector = createTargetEndDetector({
+      onRequestLost: fingerprint => { lostRequests.push(fingerprint) },
+      onEnd: () => { endCount++ },
+      confirmPath: async () => isPathConfirmed,
+      checkListening: () => {
+        const check = Promise.resolve(state)
+        checks.push(check)
+        return check
+      },
+      log: silentLog,
+      getNowMs: () => 0
+    })
+    detector.recordLoss(createAttempt('a'), entry)
+    detector.recordLoss(createAttempt('b'), entry)
+    await new Promise(resolve => setImmediate(resolve))
+    if (ends > 0) detector.recordLoss(createAttempt('c'), entry)
+    t.is(endCount, ends)
+    t.is(checks.length, 1)
+    t.deepEqual(lostRequests, [...lost])
+  })
+}
