Count targets as cold that no instance vouches for

Cause: when a failure domain loses power, the instances that have requests for it find it lost. The others say nothing of it, and were taken for instances that reach it.

Change: an instance whose contact with a group that a peer does not reach has gone on vouches for it, in an optional part of heartbeats (`reached`) that is sent only while a peer reports a loss. A group that was lost and for which no instance vouches is cold when it is reached again; and a group that a peer has lost is cold for an instance without contact for 0.6 s, until a response, ten seconds, or an instance that vouches. A path of one's own that is cut therefore costs no cold time while others serve.

Older builds ignore the part, and send none, so that a group that is lost next to them only counts as cold for the cold start.

--- a/packages/bilberryd/src/edge/entry_components.ts
+++ b/packages/bilberryd/src/edge/entry_components.ts
@@ -115,7 +115,7 @@
   const pool = options.createPool(handleConnectionEvent)
   const targetReports = createTargetReports({ state, metrics, log, reportCold, getNowMs })
   const relayPeers = createRelayPeers({ region: settings.region, view, isEnabled: options.relays.isEnabled, getNowMs, getRandom })
-  const reach = createReachMonitor({ state, reportCold, getPool: () => pool, isReachedByPeers: relayPeers.isReached, listPending: () => dispatcher.listPending(), onChange: handleReachChange, log, getNowMs })
+  const reach = createReachMonitor({ state, reportCold, getPool: () => pool, isReachedByPeers: relayPeers.isReached, listReports: listPeers, listPending: () => dispatcher.listPending(), onChange: handleReachChange, log, getNowMs })
   const crashGuard = createCrashGuard({ onTargetEnd: targetReports.recordEnd, confirmPath: reach.confirmPath, checkListening: options.checkListening, metrics, log, getNowMs })
   const dispatcher = createDispatcher({
     crashGuard,
@@ -184,7 +184,8 @@
       demand: regionShares.getDemand(),
       targetReports: targetReports.listRecent(),
       crashReports: crashGuard.listRecent(),
-      unreached: reach.listUnreached()
+      unreached: reach.listUnreached(),
+      reached: reach.doubts.listVouched()
     }),
     runMaintenance (nowMs) {
       state.targets.observeTime(nowMs)
@@ -195,7 +196,7 @@
       reach.advance()
       dispatcher.retryUnreachable()
       crashGuard.removeExpired()
-      const hasNews = [crashGuard.takeNews(), targetReports.takeNews()].includes(true)
+      const hasNews = [crashGuard.takeNews(), targetReports.takeNews(), reach.doubts.advance()].includes(true)
       if (hasNews) options.sendNow()
     },
     [Symbol.asyncDispose]: () => reach[Symbol.asyncDispose]()
--- a/packages/bilberryd/src/edge/peer_view.ts
+++ b/packages/bilberryd/src/edge/peer_view.ts
@@ -25,6 +25,8 @@
   crashReports?: CrashReport[]
   /** Keys of the groups of targets to which the instance has no network path; absent if there are none. */
   unreached?: string[]
+  /** Keys of the groups to which another instance has no path and with which this one has had contact since; absent if there are none, and in heartbeats of earlier versions. */
+  reached?: string[]
 }
 
 /** Heartbeat with the addresses of the instance, sent at its start and whenever a peer asks for it. */
@@ -99,6 +101,9 @@
   evictionMs: number
 }
 
+/** Parts of a heartbeat that are absent if there is nothing to say. */
+type OptionalPart = 'targetReports' | 'crashReports' | 'unreached' | 'reached'
+
 const maxPort = 65_535
 
 /**
@@ -167,7 +172,7 @@
 }
 
 /** Replaces all that changes in a heartbeat; what the update lacks no longer holds. */
-function mergeUpdate ({ targetReports, crashReports, unreached, ...heartbeat }: PeerHeartbeat, update: HeartbeatUpdate): PeerHeartbeat {
+function mergeUpdate ({ targetReports, crashReports, unreached, reached, ...heartbeat }: PeerHeartbeat, update: HeartbeatUpdate): PeerHeartbeat {
   return { ...heartbeat, ...update }
 }
 
@@ -178,9 +183,9 @@
  * @param update The update, or a heartbeat that contains it
  * @returns JSON text
  */
-export function formatUpdate ({ instance, startedAtMs, sequence, isReady, versions, demand, targetReports, crashReports = [], unreached = [] }: HeartbeatUpdate): string {
+export function formatUpdate ({ instance, startedAtMs, sequence, isReady, versions, demand, targetReports, crashReports = [], unreached = [], reached = [] }: HeartbeatUpdate): string {
   const hasTargetReports = targetReports !== undefined && Object.values(targetReports).some(runs => Object.keys(runs).length > 0)
-  const optional = [hasTargetReports ? targetReports : null, crashReports.length > 0 ? crashReports : null, unreached.length > 0 ? unreached : null]
+  const optional = [hasTargetReports ? targetReports : null, ...[crashReports, unreached, reached].map(list => list.length > 0 ? list : null)]
   while (optional.at(-1) === null) optional.pop()
   return JSON.stringify([instance, startedAtMs, sequence, isReady, versions, demand, ...optional])
 }
@@ -194,10 +199,10 @@
 export function parseUpdate (text: string): HeartbeatUpdate | undefined {
   const value = parseJson(text)
   if (!Array.isArray(value)) return undefined
-  const [instance, startedAtMs, sequence, isReady, versions, demand, targetReports, crashReports, unreached] = value as [string, number, number, boolean, Record<string, number>, Record<string, number>, unknown, unknown, unknown]
+  const [instance, startedAtMs, sequence, isReady, versions, demand, targetReports, crashReports, unreached, reached] = value as [string, number, number, boolean, Record<string, number>, Record<string, number>, ...unknown[]]
   const isValid = typeof instance === 'string' && typeof startedAtMs === 'number' && typeof sequence === 'number' && typeof isReady === 'boolean' && [versions, demand].every(isNumberRecord)
   if (!isValid) return undefined
-  return { instance, startedAtMs, sequence, isReady, versions, demand, ...selectOptional({ targetReports, crashReports, unreached }) }
+  return { instance, startedAtMs, sequence, isReady, versions, demand, ...selectOptional({ targetReports, crashReports, unreached, reached }) }
 }
 
 /**
@@ -209,8 +214,8 @@
 export function parseHeartbeat (text: string): PeerHeartbeat | undefined {
   const value = parseJson(text) as PeerHeartbeat | undefined
   if (!isPeerHeartbeat(value)) return undefined
-  const { targetReports, crashReports, unreached, ...heartbeat } = value
-  return { ...heartbeat, ...selectOptional({ targetReports, crashReports, unreached }) }
+  const { targetReports, crashReports, unreached, reached, ...heartbeat } = value
+  return { ...heartbeat, ...selectOptional({ targetReports, crashReports, unreached, reached }) }
 }
 
 /**
@@ -228,14 +233,19 @@
 }
 
 /** Returns those of the optional parts of a heartbeat that are valid. */
-function selectOptional ({ targetReports, crashReports, unreached }: Record<'targetReports' | 'crashReports' | 'unreached', unknown>): Pick<HeartbeatUpdate, 'targetReports' | 'crashReports' | 'unreached'> {
+function selectOptional ({ targetReports, crashReports, unreached, reached }: Record<OptionalPart, unknown>): Pick<HeartbeatUpdate, OptionalPart> {
   return {
     ...isTargetReports(targetReports) ? { targetReports } : {},
     ...Array.isArray(crashReports) && crashReports.every(isCrashReport) ? { crashReports } : {},
-    ...Array.isArray(unreached) && unreached.every(group => typeof group === 'string') ? { unreached } : {}
+    ...isTextList(unreached) ? { unreached } : {},
+    ...isTextList(reached) ? { reached } : {}
   }
 }
 
+function isTextList (value: unknown): value is string[] {
+  return Array.isArray(value) && value.every(text => typeof text === 'string')
+}
+
 function isCrashReport (value: unknown): value is CrashReport {
   if (typeof value !== 'object' || value === null) return false
   const { fingerprint, runs, cleared, ageMs } = value as CrashReport
--- a/packages/bilberryd/src/edge/reach_monitor.ts
+++ b/packages/bilberryd/src/edge/reach_monitor.ts
@@ -4,13 +4,15 @@
  *
  * @module
  */
-import type { PendingExchange, ReachChange, RegisteredTarget } from '@bilberryworks/steering'
+import type { PendingExchange, ReachChange, ReachReport, RegisteredTarget } from '@bilberryworks/steering'
 import type { TargetPool } from '@bilberryworks/targets'
 import type { EntryLog } from './entry_log.ts'
 import type { EntryState } from './entry_state.ts'
+import type { GroupDoubts } from './group_doubts.ts'
 import type { ReportCold } from './report_cold.ts'
-import { advanceProbes, allGroupsUnreached, closeCircuits, ColdEvidence, createReach, createResponseSilence, formatReachGroup, recordCold } from '@bilberryworks/steering'
+import { advanceProbes, allGroupsUnreached, closeCircuits, createReach, createResponseSilence, formatReachGroup } from '@bilberryworks/steering'
 import { ConnectionEvent } from '@bilberryworks/targets'
+import { createGroupDoubts } from './group_doubts.ts'
 
 /** Options of {@linkcode createReachMonitor}. */
 export interface CreateReachMonitorOptions {
@@ -18,8 +20,10 @@
   state: EntryState
   /** Returns the connections to targets. */
   getPool: () => TargetPool
-  /** Returns whether another live instance has a path to a group of targets. */
+  /** Returns whether another live instance has a path to a group of targets, as far as is known. */
   isReachedByPeers: (group: string) => boolean
+  /** Lists what the other live instances say of groups of targets. */
+  listReports: () => ReachReport[]
   /** Lists the requests that wait for the response of a target. */
   listPending: () => PendingExchange[]
   /** Reports that a target counts as cold from now on. */
@@ -62,6 +66,8 @@
   countLost (): number
   /** Lists the groups without a path, for heartbeats. */
   listUnreached (): string[]
+  /** Groups that other instances do not reach. */
+  doubts: GroupDoubts
   /** Opens a connection to another target, in the failure domain of one that refuses connections if there is one, and returns whether that shows that the path works. */
   confirmPath (entry: RegisteredTarget): Promise<boolean>
 }
@@ -87,6 +93,7 @@
   const silence = createResponseSilence(getNowMs())
   /** Groups that are lost here; `isOwn` as long as they are, as far as is known, not at other instances. */
   const losses = new Map<string, { entries: RegisteredTarget[], failingSinceMs: number, lostAtMs: number, isOwn: boolean, areCircuitsClosed: boolean }>()
+  const doubts = createGroupDoubts({ ...options, listGroups, listTargets: listGroup, getContactMs: reach.getContactMs, isLost: group => losses.has(group), getColdForMs: ({ target }) => state.getConfig()?.services.get(target.service)?.coldForMs ?? 0 })
   let silenceTimer: NodeJS.Timeout | undefined
 
   function listTargets (): RegisteredTarget[] {
@@ -114,19 +121,12 @@
       confirmOwnLosses(nowMs)
       const loss = losses.get(key)
       if (loss?.isOwn === true) closeCircuits(entries, { sinceMs: loss.failingSinceMs, nowMs })
-      else if (loss !== undefined) {
-        advanceProbes(entries, { sinceMs: loss.failingSinceMs, nowMs })
-        markCold(entries, nowMs)
-      }
+      else if (loss !== undefined) advanceProbes(entries, { sinceMs: loss.failingSinceMs, nowMs })
+      if (loss !== undefined) doubts.recordReturn(key)
       losses.delete(key)
     }
   }
 
-  /** Counts targets as cold that no instance has reached: they may have restarted. */
-  function markCold (entries: RegisteredTarget[], nowMs: number): void {
-    for (const entry of entries) if (recordCold(entry, state.getConfig()?.services.get(entry.target.service)?.coldForMs ?? 0, nowMs)) options.reportCold(entry, ColdEvidence.Reached)
-  }
-
   /** Notes which losses other instances have as well, which are those of the targets, and drops what was learnt of targets during the others. */
   function confirmOwnLosses (nowMs: number): void {
     for (const [key, loss] of losses) {
@@ -138,6 +138,14 @@
     }
   }
 
+  function listGroups (): string[] {
+    return [...new Set(listTargets().map(({ target }) => formatReachGroup(target)))]
+  }
+
+  function listGroup (group: string): RegisteredTarget[] {
+    return listTargets().filter(({ target }) => formatReachGroup(target) === group)
+  }
+
   function checkSilence (plannedAtMs: number): void {
     silenceTimer = undefined
     const nowMs = getNowMs()
@@ -197,9 +205,9 @@
     listUnreached () {
       const lost = reach.listLost()
       if (lost.length === 0) return lost
-      const groups = new Set(listTargets().map(({ target }) => formatReachGroup(target)))
-      return lost.length === groups.size ? [allGroupsUnreached] : lost
+      return lost.length === listGroups().length ? [allGroupsUnreached] : lost
     },
+    doubts,
     async confirmPath (entry) {
       const others = listTargets().filter(other => other !== entry)
       const nearby = others.filter(({ target }) => target.failureDomain === entry.target.failureDomain)
--- a/packages/steering/src/reach.ts
+++ b/packages/steering/src/reach.ts
@@ -68,6 +68,8 @@
   isOpenWorking (entry: RegisteredTarget): boolean
   /** Returns whether a request that was sent to a target before its group was lost can't be expected to get a response. */
   isStalled (entry: RegisteredTarget, nowMs: number): boolean
+  /** Returns the monotonic time at which a target of a group last accepted a connection or sent a part of a response, in milliseconds; `-Infinity` if none has. */
+  getContactMs (group: string): number
 }
 
 /** Number of targets of a group to which connections must fail before it is lost; all of them if they are fewer. */
@@ -274,6 +276,10 @@
     isStalled (entry, nowMs) {
       const group = getGroup(entry)
       return group.isLost && !isOpenWorking(group) && (group.silentAtMs > group.respondedAtMs || nowMs - group.failingSinceMs >= staleMs)
+    },
+    getContactMs (key) {
+      const group = groups.get(key)
+      return group === undefined ? -Infinity : Math.max(group.establishedAtMs, group.respondedAtMs)
     }
   }
 }
--- a/packages/steering/src/target_registry.ts
+++ b/packages/steering/src/target_registry.ts
@@ -65,8 +65,10 @@
   EndedAtPeer = 'ended_at_peer',
   /** Its failure domain was evacuated, and is taken back. */
   TakenBack = 'taken_back',
-  /** Its failure domain was out of reach of all instances, and is reached again. */
-  Reached = 'reached'
+  /** It was out of reach with its failure domain, of all instances as far as is known, and is reached again. */
+  Reached = 'reached',
+  /** A peer does not reach its failure domain, and no instance vouches for it. */
+  Doubted = 'doubted'
 }
 
 /** Registered targets by service. */
@@ -343,6 +345,16 @@
   return !wasCold && isTargetCold(entry, nowMs)
 }
 
+/**
+ * Drops the end of the run of a target, since it was wrong; does nothing if another end was recorded later.
+ *
+ * @param entry The target, which is modified
+ * @param endedAtMs Monotonic time that was recorded as the end, in milliseconds
+ */
+export function dropTargetEnd (entry: RegisteredTarget, endedAtMs: number): void {
+  if (entry.endedAtMs === endedAtMs) entry.endedAtMs = -Infinity
+}
+
 /**
  * Closes the circuits of targets that have failed only because this instance had no network path to them, and does not count
  * the time without responses.
