Let an instance that is closed open no connections and start no timers

Cause, suspected: closing the pool reported each connection that was still being opened as failed; the monitor of paths then checked further targets, that is, opened connections in the closed pool, up to seven of them after the tests had passed in three runs of three. A request that was sent between the closing of the monitor and that of the pool started the monitor's timer again, and its exchange, closed without a callback, kept the timer running for good.

Change: a closed pool opens nothing, fails what is sent, and reports no events.

"opens no connection after it was closed, ..." fails before, with a connection that is opened in the closed pool. Whether this was what kept the process is not shown.

--- a/packages/bilberryd/src/edge/reach_monitor.ts
+++ b/packages/bilberryd/src/edge/reach_monitor.ts
@@ -10,9 +10,10 @@
 import type { EntryState } from './entry_state.ts'
 import type { GroupDoubts } from './group_doubts.ts'
 import type { ReportCold } from './report_cold.ts'
-import { advanceProbes, allGroupsUnreached, closeCircuits, createReach, createResponseSilence, formatReachGroup } from '@bilberryworks/steering'
+import { advanceProbes, allGroupsUnreached, closeCircuits, createReach, formatReachGroup } from '@bilberryworks/steering'
 import { ConnectionEvent } from '@bilberryworks/targets'
 import { createGroupDoubts } from './group_doubts.ts'
+import { createSilenceWatch } from './silence_watch.ts'
 
 /** Options of {@linkcode createReachMonitor}. */
 export interface CreateReachMonitorOptions {
@@ -78,8 +79,6 @@
 const ownLossMs = 1_500
 /** Number of other targets that are checked before a refused connection is ascribed to the path. */
 const maxPathChecks = 3
-/** Time by which a timer may be late before the process counts as paused, in milliseconds; responses may then wait to be read. */
-const maxTimerDelayMs = 150
 
 /**
  * Creates a monitor for an instance that has just started.
@@ -90,11 +89,10 @@
 export function createReachMonitor (options: CreateReachMonitorOptions): ReachMonitor {
   const { state, log, getNowMs } = options
   const reach = createReach()
-  const silence = createResponseSilence(getNowMs())
+  const silence = createSilenceWatch({ listPending: options.listPending, onSilence: handleSilence, getNowMs })
   /** Groups that are lost here; `isOwn` as long as they are, as far as is known, not at other instances. */
   const losses = new Map<string, { entries: RegisteredTarget[], failingSinceMs: number, lostAtMs: number, isOwn: boolean, areCircuitsClosed: boolean }>()
   const doubts = createGroupDoubts({ ...options, listGroups, listTargets: listGroup, getContactMs: reach.getContactMs, isLost: group => losses.has(group), getColdForMs: ({ target }) => state.getConfig()?.services.get(target.service)?.coldForMs ?? 0 })
-  let silenceTimer: NodeJS.Timeout | undefined
 
   function listTargets (): RegisteredTarget[] {
     return state.targets.listServices().flatMap(service => state.targets.list(service)).filter(({ target }) => !state.isEvacuated(target.failureDomain))
@@ -146,24 +144,10 @@
     return listTargets().filter(({ target }) => formatReachGroup(target) === group)
   }
 
-  function checkSilence (plannedAtMs: number): void {
-    silenceTimer = undefined
-    const nowMs = getNowMs()
-    const pending = options.listPending()
-    if (pending.length === 0) return
-    const limitMs = silence.getLimitMs()
-    const isLate = nowMs - plannedAtMs > maxTimerDelayMs
-    if (!isLate && silence.isSilent(pending, nowMs)) {
-      log.info('targets_silent', { pending: pending.length, limitMs: Math.round(limitMs) })
-      reach.recordSilence(nowMs)
-      advance()
-    }
-    startSilenceTimer()
-  }
-
-  function startSilenceTimer (): void {
-    const waitMs = silence.computeWaitMs(getNowMs())
-    silenceTimer = setTimeout(checkSilence, waitMs, getNowMs() + waitMs)
+  function handleSilence (pending: number, limitMs: number): void {
+    log.info('targets_silent', { pending, limitMs: Math.round(limitMs) })
+    reach.recordSilence(getNowMs())
+    advance()
   }
 
   return {
@@ -178,11 +162,9 @@
         advance()
       }
     },
-    recordSend () {
-      if (silenceTimer === undefined) startSilenceTimer()
-    },
+    recordSend: silence.recordSend,
     recordResponse (entry) {
-      silence.recordResponse(getNowMs())
+      silence.recordResponse()
       reach.recordResponse(entry, getNowMs())
     },
     recordLoss (entry) {
@@ -215,8 +197,6 @@
       for (const { target } of compared.slice(0, maxPathChecks)) if (await options.getPool().openIdle(target, { timeoutMs: checkTimeoutMs })) return true
       return compared.length === 0
     },
-    async [Symbol.asyncDispose] () {
-      clearTimeout(silenceTimer)
-    }
+    [Symbol.asyncDispose]: silence[Symbol.asyncDispose]
   }
 }
--- a/packages/targets/src/target_connection_test.ts
+++ b/packages/targets/src/target_connection_test.ts
@@ -160,3 +160,20 @@
     t.deepEqual([...new Set(outcomes.flat().map(({ failure }) => failure))], ['malformed' as ExchangeFailure])
   }
 })
+
+test('opens no connection after it was closed, and reports none that it closed', async t => {
+  const { server, address } = await listenTarget(() => undefined)
+  let connections = 0
+  server.on('connection', () => { connections++ })
+  const events: string[] = []
+  const pool = createTargetPool({ connectTimeoutMs: 500, onConnectionEvent: event => { events.push(event) } })
+  const opening = pool.openIdle({ id: 'target', address }, { timeoutMs: 500 })
+  await pool[Symbol.asyncDispose]()
+  t.false(await opening)
+  t.false(await pool.openIdle({ id: 'target', address }, { timeoutMs: 500 }))
+  t.is((await sendRequest(pool, address, 'a')).failure, ExchangeFailure.ConnectFailed)
+  await wait(50)
+  t.is(connections, 0)
+  t.deepEqual(events, [])
+  server.close()
+})
--- a/packages/targets/src/target_pool.ts
+++ b/packages/targets/src/target_pool.ts
@@ -73,12 +73,16 @@
  * Creates an empty pool.
  *
  * @param options Time limit and callbacks
- * @returns The pool; dispose it to close its connections
+ * @returns The pool; dispose it to close its connections, after which it opens none and reports no events
  */
 export function createTargetPool (options: CreateTargetPoolOptions): TargetPool {
   const idle = new Map<string, TargetConnection[]>()
   const open = new Set<TargetConnection>()
-  const reportEvent = options.onConnectionEvent ?? (() => {})
+  let isClosed = false
+
+  function reportEvent (event: ConnectionEvent, targetId: string): void {
+    if (!isClosed) options.onConnectionEvent?.(event, targetId)
+  }
 
   /** Removes a connection from the idle ones; returns whether it was among them. */
   function removeIdle (targetId: string, connection: TargetConnection): boolean {
@@ -138,6 +142,11 @@
 
   return {
     send (target, exchange) {
+      if (isClosed) {
+        let isCancelled = false
+        queueMicrotask(() => { if (!isCancelled) exchange.onFail(ExchangeFailure.ConnectFailed, 'Pool is closed') })
+        return { cancel () { isCancelled = true }, setPaused: () => {} }
+      }
       const connection = takeIdle(target) ?? openConnection(target, options)
       connection.send({
         ...exchange,
@@ -155,6 +164,7 @@
       return { cancel: () => connection.close(), setPaused: paused => connection.setPaused(paused) }
     },
     openIdle (target, { timeoutMs }) {
+      if (isClosed) return Promise.resolve(false)
       return new Promise(resolve => {
         let isEstablished = false
         const connection = openConnection(target, {
@@ -182,6 +192,7 @@
     },
     count: () => open.size,
     async [Symbol.asyncDispose] () {
+      isClosed = true
       for (const connection of [...open]) connection.close()
     }
   }
