Fetch the rows that peers kept over a restoration of the store

Cause: all rows were asked of seeds only. Peers that keep a later state number it by the restored store's versions, so that they do not look ahead, and an instance asks nothing of one that is not ahead.

Change: heartbeats state how many operators' rows the sender knows more of than the restored store (key `kept` of the versions; absent if there are none). An instance in the same era that has kept fewer fetches all rows from the nearest such peer, one at a time and once from each run. What it takes over counts as kept, so that it asks no further one. Builds before ignore the key and send none; an instance next to such peers only is as before.

--- a/packages/bilberryd/src/edge/entry_components.ts
+++ b/packages/bilberryd/src/edge/entry_components.ts
@@ -23,11 +23,11 @@
 import { createDispatcher } from './dispatcher.ts'
 import { createEntryState } from './entry_state.ts'
 import { createPeerView } from './peer_view.ts'
+import { describeTables } from './kept_rows.ts'
 import { createReachMonitor } from './reach_monitor.ts'
 import { createRegionShares } from './region_shares.ts'
 import { createRelayPeers } from './relay_peers.ts'
 import { createColdReporter } from './report_cold.ts'
-import { ReplicatedTable } from './replicated_table.ts'
 import { createRequestHandler, StopPhase } from './request_handler.ts'
 import { createTargetReports } from './target_reports.ts'
 
@@ -180,7 +180,7 @@
       startedAtMs: options.startedAtMs,
       sequence: sequence++,
       isReady: isReady(),
-      versions: Object.fromEntries(Object.values(ReplicatedTable).map(table => [table, state.getTable(table).getVersion()])),
+      versions: describeTables(state),
       demand: regionShares.getDemand(),
       targetReports: targetReports.listRecent(),
       crashReports: crashGuard.listRecent(),
--- a/packages/bilberryd/src/edge/peer_link.ts
+++ b/packages/bilberryd/src/edge/peer_link.ts
@@ -15,8 +15,10 @@
 import { countOpenResponses } from '@bilberryworks/callers'
 import { createCatchUp } from '@bilberryworks/steering'
 import { requestServerOptions } from './caller_listener.ts'
+import { createKeptRowsFetch } from './kept_rows.ts'
 import { ReplicatedTable } from './replicated_table.ts'
 import { PeerTraffic } from './entry_metrics.ts'
+import type { FetchPeerStateOptions } from './peer_state.ts'
 import { createStateHandler, fetchPeerState } from './peer_state.ts'
 import { parseRelayOrigin, relayField, relayVersionField } from './relay_message.ts'
 import { formatUpdate, isPeerHeartbeat, parseHeartbeat, parseUpdate, UpdateResult } from './peer_view.ts'
@@ -138,8 +140,8 @@
     sendText(JSON.stringify(message), from)
   }
 
-  async function readState (address: SocketAddress, withInstances: boolean): Promise<void> {
-    const peerState = await fetchPeerState(address, { state, withInstances })
+  async function readState (address: SocketAddress, { withInstances = false, withAllRows = false }: Partial<FetchPeerStateOptions>): Promise<void> {
+    const peerState = await fetchPeerState(address, { state, withInstances, withAllRows })
     for (const heartbeat of peerState.instances.filter(isPeerHeartbeat)) view.addReported(heartbeat, getNowMs())
     if (withInstances) view.markComplete()
     for (const [table, update] of Object.entries(peerState.tables)) {
@@ -157,6 +159,14 @@
     return region === ownHeartbeat.region ? 1 : 2
   }
 
+  const reportCallFailure = (peer: string) => (error: Error): void => log.warn('peer_call_failed', { peer, detail: error.message })
+
+  const fetchKeptRows = createKeptRowsFetch({
+    state,
+    listPeers: () => view.listLive(getNowMs()).map(peer => peer.heartbeat).sort((a, b) => computeDistance(a) - computeDistance(b)),
+    fetchRows: ({ instance, peers }) => readState(peers, { withAllRows: true }).catch(reportCallFailure(instance))
+  })
+
   function fetchFromPeer (): void {
     const nowMs = getNowMs()
     const ahead = view.listLive(nowMs).filter(isAhead).map(peer => peer.heartbeat)
@@ -165,8 +175,8 @@
     const chosen = catchUp.choosePeer({ peersAhead, ownVersion, isStoreReachable: state.isStoreReachable(), nowMs })
     if (chosen === undefined) return
     const { peers } = ahead.find(heartbeat => heartbeat.instance === chosen)!
-    readState(peers, false).then(() => catchUp.recordEnd(true, getNowMs()), (error: Error) => {
-      log.warn('peer_call_failed', { peer: chosen, detail: error.message })
+    readState(peers, {}).then(() => catchUp.recordEnd(true, getNowMs()), (error: Error) => {
+      reportCallFailure(chosen)(error)
       catchUp.recordEnd(false, getNowMs())
     })
   }
@@ -195,10 +205,13 @@
   return {
     announce: () => sendToAll(JSON.stringify(options.getIntroduction())),
     sendNow: () => sendToAll(formatUpdate(options.getHeartbeat())),
-    catchUp: fetchFromPeer,
+    catchUp () {
+      fetchFromPeer()
+      fetchKeptRows()
+    },
     countOpen,
     async fetchFromSeeds () {
-      await Promise.all(options.seeds.filter(seed => seed.host !== ownHeartbeat.peers.host).map(seed => readState(seed, true).catch(error => log.info('seed_silent', { seed: `${seed.host}:${seed.port}`, detail: (error as Error).message }))))
+      await Promise.all(options.seeds.filter(seed => seed.host !== ownHeartbeat.peers.host).map(seed => readState(seed, { withInstances: true, withAllRows: true }).catch(error => log.info('seed_silent', { seed: `${seed.host}:${seed.port}`, detail: (error as Error).message }))))
     },
     async [Symbol.asyncDispose] () {
       isClosed = true
--- a/packages/bilberryd/src/edge/peer_state.ts
+++ b/packages/bilberryd/src/edge/peer_state.ts
@@ -25,6 +25,8 @@
   state: EntryState
   /** Whether to fetch the heartbeats of the live instances too. */
   withInstances: boolean
+  /** Whether to fetch all rows instead of later changes only: a peer may know later states of rows than a store that was restored from a copy. */
+  withAllRows: boolean
 }
 
 /** Options of {@linkcode createStateHandler}. */
@@ -56,10 +58,9 @@
  * @returns The state of the peer
  * @throws {Error} If the call fails, the peer refuses it, or the response is invalid
  */
-export async function fetchPeerState (address: SocketAddress, { state, withInstances }: FetchPeerStateOptions): Promise<PeerState> {
+export async function fetchPeerState (address: SocketAddress, { state, withInstances, withAllRows }: FetchPeerStateOptions): Promise<PeerState> {
   const query = new URLSearchParams()
-  // At the start all rows are asked for, since a peer may know later states of rows than a store that was restored from a copy.
-  for (const table of Object.values(ReplicatedTable)) query.set(table, String(withInstances ? 0 : state.getTable(table).getAsOf()))
+  for (const table of Object.values(ReplicatedTable)) query.set(table, String(withAllRows ? 0 : state.getTable(table).getAsOf()))
   if (withInstances) query.set(instancesParameter, '1')
   const { status, body } = await exchangeHttp({ address, method: 'GET', path: `${statePath}?${query}`, timeoutMs: callTimeoutMs, maxResponseBytes })
   if (status !== 200) throw new Error(`GET ${statePath} returned status ${status}`)
--- a/packages/bilberryd/src/edge/table_replica.ts
+++ b/packages/bilberryd/src/edge/table_replica.ts
@@ -64,6 +64,8 @@
   dropUnconfirmed (): RowChange[]
   /** Returns the number of rows that are missing since the store was restored. */
   countUnconfirmed (): number
+  /** Returns the number of rows of which the replica knows more than the restored store: later states, and missing rows. */
+  countKept (): number
   /** Lists the changes since the state of another replica, or all rows if the changes are not known that far back. */
   listSince (asOf: number): TableUpdate
   /** Lists the current rows. */
@@ -87,6 +89,11 @@
 /** Several times the targets of a large deployment, so that changes suffice for a peer that missed a replacement of all of them. */
 const defaultMaxRemovals = 4_000
 
+/** Returns whether a change with the same version as a row has a later state, which its sender kept from before a restoration. */
+function isLaterState ({ key, text, version }: RowChange, known: VersionedRow | undefined, isOutdated: Required<CreateTableReplicaOptions>['isOutdated']): boolean {
+  return known?.version === version && text !== undefined && text !== known.text && isOutdated({ key, text: known.text }, text)
+}
+
 /**
  * Creates an empty replica.
  *
@@ -105,11 +112,6 @@
   let latestVersion = 0
   let asOf = 0
 
-  /** Returns whether a change with the same version as a row has a later state, which its sender kept from before a restoration. */
-  function isLaterState ({ key, text, version }: RowChange, known: VersionedRow | undefined): boolean {
-    return known?.version === version && text !== undefined && text !== known.text && isOutdated({ key, text: known.text }, text)
-  }
-
   /** Merges a change; `completeTo` is the version up to which the replica has had every change. */
   function mergeChange (change: RowChange, completeTo: number): boolean {
     const { key, text, version } = change
@@ -117,7 +119,8 @@
     if (change.isUnconfirmed === true) return mergeUnconfirmed(key, text!, version)
     // The sender is behind: the row has been removed since.
     if (known === undefined && version <= completeTo) return false
-    if (version <= (known?.version ?? removals.getVersion(key) ?? -1) && !isLaterState(change, known)) return false
+    const isLater = isLaterState(change, known, isOutdated)
+    if (version <= (known?.version ?? removals.getVersion(key) ?? -1) && !isLater) return false
     latestVersion = Math.max(latestVersion, version)
     if (text === undefined) return removeRow(key, version)
     unconfirmedKeys.delete(key)
@@ -126,7 +129,8 @@
       rows.set(key, { ...known, version })
       return false
     }
-    keptKeys.delete(key)
+    if (isLater) keptKeys.add(key)
+    else keptKeys.delete(key)
     rows.set(key, { key, text, version })
     return true
   }
@@ -222,6 +226,7 @@
       return dropped
     },
     countUnconfirmed: () => unconfirmedKeys.size,
+    countKept: () => keptKeys.size + unconfirmedKeys.size,
     listSince (otherAsOf) {
       const isSnapshot = otherAsOf < removals.knownSince
       const changes: RowChange[] = [...rows.values()].filter(row => isSnapshot || row.version > otherAsOf)
--- a/packages/standins/src/store_restoration_test.ts
+++ b/packages/standins/src/store_restoration_test.ts
@@ -45,3 +45,25 @@
   await wait(1_000)
   t.is((await site.call(entries[0]!, { path: '/added/x', headers: { Host: testSiteHost } })).status, 200)
 })
+
+test('an instance without a seed that starts after the store came back from an older copy serves by the later configuration and evacuation of its peers', async t => {
+  await using site = await createTestSite()
+  site.writeConfig()
+  await site.openTarget('t1')
+  const evacuated = await site.openTarget('t2', { failureDomain: 'b-1' })
+  const entries = [await site.startEntry(0), await site.startEntry(1)]
+  for (const entry of entries) t.true(await waitUntil(async () => (await site.call(entry)).status === 200))
+  const copy = site.store.copyRows()
+  const version = site.writeConfig({}, { added: site.createRoute('safe', { prefix: '/added/' }) })
+  site.store.writeRow('op', 'evacuate/b-1', {})
+  for (const entry of entries) t.true(await waitUntil(() => hasLine(entry, { event: 'config_in_force', version }) && hasLine(entry, { event: 'evacuation', evacuated: true })))
+  site.store.restoreRows(copy)
+  for (const entry of entries) t.true(await waitUntil(() => hasLine(entry, { event: 'store_restored', table: 'operator', era: 1 })))
+
+  const starting = await site.startEntry(2)
+  t.true(await waitUntil(() => hasLine(starting, { event: 'config_in_force', version }) && hasLine(starting, { event: 'evacuation', evacuated: true })))
+  t.is((await site.call(starting, { path: '/added/x' })).status, 200)
+  const runsBefore = evacuated.runs.length
+  for (let index = 0; index < 20; index++) await site.call(starting, { affinityKey: String(index) })
+  t.is(evacuated.runs.length, runsBefore)
+})
