Tell others of each loss of a group, and doubt its targets for a cold start

Change: a loss is told for a second at least. Doubt is a state of its own in the registry, for the time of a cold start, which responses do not prolong; it is dropped when an instance vouches for the group, or when each peer that named it reaches no group at all by now. It begins only 0.2 s after the report. An instance that has lost a group itself is in doubt in the same way.

--- a/packages/bilberryd/src/edge/group_doubts.ts
+++ b/packages/bilberryd/src/edge/group_doubts.ts
@@ -1,12 +1,12 @@
 /**
- * Keeps in doubt the groups of targets that another instance does not reach and no instance vouches for: their targets
- * count as ended until they respond, since they may have restarted when they are back.
+ * Keeps in doubt the groups of targets that an instance does not reach, or has just not reached, and no instance vouches for:
+ * their targets count as cold for the time of a cold start, since they may have restarted.
  *
  * @module
  */
 import type { ReachReport, RegisteredTarget } from '@bilberryworks/steering'
 import type { ReportCold } from './report_cold.ts'
-import { ColdEvidence, createReachClaims, dropTargetEnd, endedLifetimeMs, isVouched, recordCold, recordTargetEnd } from '@bilberryworks/steering'
+import { ColdEvidence, createReachClaims, dropTargetDoubt, isVouched, recordTargetDoubt } from '@bilberryworks/steering'
 
 /** Options of {@linkcode createGroupDoubts}. */
 export interface CreateGroupDoubtsOptions {
@@ -34,7 +34,7 @@
   advance (): boolean
   /** Lists the groups that another instance does not reach and for which this one vouches. */
   listVouched (): string[]
-  /** Records that this instance reaches a group again: unless another one vouches for it, its targets count as cold, since they may have restarted. */
+  /** Records that this instance reaches a group again, whose targets may have restarted; it is in doubt until another instance vouches for it. */
   recordReturn (group: string): void
 }
 
@@ -47,16 +47,18 @@
 export function createGroupDoubts (options: CreateGroupDoubtsOptions): GroupDoubts {
   const { listGroups, listTargets, listReports, getContactMs, isLost, reportCold, getNowMs } = options
   const claims = createReachClaims()
-  /** Monotonic times at which the targets of groups were last counted as ended, in milliseconds. */
-  const doubtedAtMs = new Map<string, number>()
+  const doubted = new Set<string>()
   let vouched: string[] = []
 
-  function dropDoubts (reports: ReachReport[], nowMs: number): void {
-    for (const [group, atMs] of doubtedAtMs) {
-      const isWrong = isVouched(reports, group)
-      if (isWrong) for (const entry of listTargets(group)) dropTargetEnd(entry, atMs)
-      if (isWrong || nowMs - atMs >= endedLifetimeMs) doubtedAtMs.delete(group)
-    }
+  function addDoubt (group: string, evidence: ColdEvidence): void {
+    const nowMs = getNowMs()
+    doubted.add(group)
+    for (const entry of listTargets(group)) if (recordTargetDoubt(entry, nowMs + options.getColdForMs(entry), nowMs)) reportCold(entry, evidence)
+  }
+
+  function dropDoubt (group: string): void {
+    if (!doubted.delete(group)) return
+    for (const entry of listTargets(group)) dropTargetDoubt(entry)
   }
 
   return {
@@ -65,18 +67,14 @@
       const reports = listReports()
       const before = vouched
       const verdicts = claims.weigh({ reports, listGroups, getContactMs, isLost, nowMs })
-      dropDoubts(reports, nowMs)
-      for (const group of verdicts.doubtful) {
-        doubtedAtMs.set(group, nowMs)
-        for (const entry of listTargets(group)) if (recordTargetEnd(entry, nowMs, nowMs)) reportCold(entry, ColdEvidence.Doubted)
-      }
+      for (const group of doubted) if (isVouched(reports, group) || verdicts.excused.includes(group)) dropDoubt(group)
+      for (const group of verdicts.doubtful) addDoubt(group, ColdEvidence.Doubted)
       vouched = verdicts.vouched
       return vouched.some(group => !before.includes(group))
     },
     listVouched: () => vouched,
     recordReturn (group) {
-      if (isVouched(listReports(), group)) return
-      for (const entry of listTargets(group)) if (recordCold(entry, options.getColdForMs(entry), getNowMs())) reportCold(entry, ColdEvidence.Reached)
+      if (!isVouched(listReports(), group)) addDoubt(group, ColdEvidence.Reached)
     }
   }
 }
--- a/packages/bilberryd/src/edge/reach_monitor.ts
+++ b/packages/bilberryd/src/edge/reach_monitor.ts
@@ -77,6 +77,8 @@
 const checkTimeoutMs = 350
 /** Time after which a lost group that other instances still reach is ascribed to the path of this instance, in milliseconds: the others have then had time to notice a loss of the targets, and to tell. */
 const ownLossMs = 1_500
+/** Time for which the other instances are told of the loss of a group, in milliseconds: a heartbeat within a region. */
+const minReportMs = 1_000
 /** Number of other targets that are checked before a refused connection is ascribed to the path. */
 const maxPathChecks = 3
 
@@ -92,6 +94,8 @@
   const silence = createSilenceWatch({ listPending: options.listPending, onSilence: handleSilence, getNowMs })
   /** Groups that are lost here; `isOwn` as long as they are, as far as is known, not at other instances. */
   const losses = new Map<string, { entries: RegisteredTarget[], failingSinceMs: number, lostAtMs: number, isOwn: boolean, areCircuitsClosed: boolean }>()
+  /** Monotonic times at which groups were lost a short time ago, in milliseconds. */
+  const recentLosses = new Map<string, number>()
   const doubts = createGroupDoubts({ ...options, listGroups, listTargets: listGroup, getContactMs: reach.getContactMs, isLost: group => losses.has(group), getColdForMs: ({ target }) => state.getConfig()?.services.get(target.service)?.coldForMs ?? 0 })
 
   function listTargets (): RegisteredTarget[] {
@@ -114,6 +118,7 @@
     const nowMs = getNowMs()
     log.info(isLost ? 'targets_unreached' : 'targets_reached', { service, failureDomain, targets: entries.length, failingForMs: Math.round(nowMs - failingSinceMs), isReachedByPeers: isReachedByPeers(entries[0]!) })
     const key = formatReachGroup({ service, failureDomain })
+    if (isLost) recentLosses.set(key, nowMs)
     if (isLost) losses.set(key, { entries, failingSinceMs, lostAtMs: nowMs, isOwn: true, areCircuitsClosed: false })
     else {
       confirmOwnLosses(nowMs)
@@ -136,6 +141,12 @@
     }
   }
 
+  /** Lists the groups that were lost a short time ago, so that the others hear of a loss however short it was. */
+  function listRecentLosses (): string[] {
+    for (const [group, lostAtMs] of recentLosses) if (getNowMs() - lostAtMs >= minReportMs) recentLosses.delete(group)
+    return [...recentLosses.keys()]
+  }
+
   function listGroups (): string[] {
     return [...new Set(listTargets().map(({ target }) => formatReachGroup(target)))]
   }
@@ -185,9 +196,9 @@
     isStalled: entry => reach.isStalled(entry, getNowMs()),
     countLost: () => reach.listLost().length,
     listUnreached () {
-      const lost = reach.listLost()
-      if (lost.length === 0) return lost
-      return lost.length === listGroups().length ? [allGroupsUnreached] : lost
+      const lost = new Set([...reach.listLost(), ...listRecentLosses()])
+      if (lost.size === 0) return []
+      return listGroups().every(group => lost.has(group)) ? [allGroupsUnreached] : [...lost]
     },
     doubts,
     async confirmPath (entry) {
--- a/packages/steering/src/reach_claims.ts
+++ b/packages/steering/src/reach_claims.ts
@@ -11,6 +11,8 @@
 
 /** What a peer says of groups of targets. */
 export interface ReachReport {
+  /** Name of the peer. */
+  instance: string
   /** Keys of the groups that it does not reach, or {@linkcode allGroupsUnreached}. */
   unreached?: readonly string[]
   /** Keys of the groups that it vouches for. */
@@ -23,6 +25,8 @@
   vouched: string[]
   /** Keys of the groups that a peer does not reach, for which no instance vouches, and of which this instance has no sign of life either. */
   doubtful: string[]
+  /** Keys of the groups of which only peers said that they do not reach them that by now reach none at all, and have most likely lost their own paths. */
+  excused: string[]
 }
 
 /** Options of {@linkcode ReachClaims.weigh}. */
@@ -50,6 +54,9 @@
 /** Age of the last contact above which a group that a peer does not reach is doubtful, in milliseconds: less than machines and targets take to start again. */
 const doubtAfterMs = 600
 
+/** Time for which a report must stand before its group is doubtful, in milliseconds: an instance that loses its own path notices that for one group after the other. */
+const settleMs = 200
+
 /** What an instance can tell of a group that a peer does not reach. */
 enum Evidence {
   /** It had contact a short time before it heard of the outage, and none since. */
@@ -60,7 +67,12 @@
   Doubtful = 'doubtful'
 }
 
-interface Claim { heardAtMs: number, evidence: Evidence }
+interface Claim {
+  heardAtMs: number
+  evidence: Evidence
+  /** Names of the peers that have named the group. */
+  claimants: Set<string>
+}
 
 /**
  * Creates the weighing of an instance that has heard of no group out of reach.
@@ -71,16 +83,17 @@
   /** Groups that a live peer does not reach. */
   const claims = new Map<string, Claim>()
 
-  function updateEvidence (group: string, { getContactMs, isLost, nowMs }: WeighOptions): Evidence {
-    const claim = claims.get(group) ?? { heardAtMs: nowMs, evidence: Evidence.Undecided }
+  function updateClaim (group: string, { reports, getContactMs, isLost, nowMs }: WeighOptions): Claim {
+    const claim = claims.get(group) ?? { heardAtMs: nowMs, evidence: Evidence.Undecided, claimants: new Set() }
     claims.set(group, claim)
+    for (const { instance, unreached = [] } of reports) if (unreached.includes(group)) claim.claimants.add(instance)
     if (isLost(group)) claim.evidence = Evidence.Doubtful
     else if (claim.evidence === Evidence.Undecided) {
       const contactMs = getContactMs(group)
       if (contactMs > claim.heardAtMs) claim.evidence = Evidence.Alive
-      else if (nowMs - contactMs > doubtAfterMs) claim.evidence = Evidence.Doubtful
+      else if (nowMs - claim.heardAtMs >= settleMs && nowMs - contactMs > doubtAfterMs) claim.evidence = Evidence.Doubtful
     }
-    return claim.evidence
+    return claim
   }
 
   return {
@@ -89,12 +102,13 @@
       const unreached = new Set(reports.flatMap(report => report.unreached ?? []))
       const isClaimed = (group: string): boolean => unreached.has(group) || unreached.has(allGroupsUnreached)
       for (const group of claims.keys()) if (!isClaimed(group)) claims.delete(group)
-      if (unreached.size === 0) return { vouched: [], doubtful: [] }
-      const weighed = options.listGroups().filter(isClaimed).map(group => ({ group, evidence: updateEvidence(group, options) }))
+      if (unreached.size === 0) return { vouched: [], doubtful: [], excused: [] }
+      const weighed = options.listGroups().filter(isClaimed).map(group => ({ group, ...updateClaim(group, options) }))
+      const pathless = new Set(reports.filter(report => report.unreached?.includes(allGroupsUnreached)).map(({ instance }) => instance))
       return {
         vouched: weighed.filter(({ group, evidence }) => evidence === Evidence.Alive && nowMs - getContactMs(group) <= contactLifetimeMs).map(({ group }) => group),
-        // An instance that reaches no group at all has most likely lost its own path.
-        doubtful: weighed.filter(({ group, evidence }) => evidence === Evidence.Doubtful && unreached.has(group) && !isVouched(reports, group)).map(({ group }) => group)
+        doubtful: weighed.filter(({ group, evidence }) => evidence === Evidence.Doubtful && unreached.has(group) && !isVouched(reports, group)).map(({ group }) => group),
+        excused: weighed.filter(({ claimants }) => claimants.size > 0 && [...claimants].every(instance => pathless.has(instance))).map(({ group }) => group)
       }
     }
   }
--- a/packages/steering/src/target_registry.ts
+++ b/packages/steering/src/target_registry.ts
@@ -33,6 +33,8 @@
   coldUntilMs: number
   /** Monotonic time at which its run was last seen to have ended, in milliseconds; until another run registers, whatever listens at its address is cold. */
   endedAtMs: number
+  /** Monotonic time until which the target counts as cold because it may have restarted, in milliseconds. */
+  doubtedUntilMs: number
   /** Monotonic time of the last request sent while the target was cold, in milliseconds. */
   lastColdRequestAtMs: number
   /** Monotonic time of the last response, in milliseconds. */
@@ -112,7 +114,7 @@
 /** Maximum number of removed targets whose restrictions are kept: more than the targets of a large deployment that leave within an outage. */
 const maxRemovedEntries = 1_000
 /** Time for which the end of a run makes its target count as cold, in milliseconds: the time without a heartbeat after which the platform removes the registration, and as much again for a store that is away. */
-export const endedLifetimeMs = 10_000
+const endedLifetimeMs = 10_000
 /** Weight of the latest load report in the moving average. */
 const latestLoadWeight = 0.1
 /** Weight of the latest response time in the moving average. */
@@ -156,8 +158,8 @@
     const removed = removedEntries.get(target.id)
     removedEntries.delete(target.id)
     if (removed === undefined || !isSameRun(removed.target, target)) return {}
-    const { reportsLeaving, pausedUntilMs, rate, lastRequestAtMs, coldUntilMs, lastColdRequestAtMs } = removed
-    return { reportsLeaving, pausedUntilMs, rate, lastRequestAtMs, lastColdRequestAtMs, coldUntilMs: Math.max(coldUntilMs, nowMs + target.coldLeftMs) }
+    const { reportsLeaving, pausedUntilMs, rate, lastRequestAtMs, coldUntilMs, doubtedUntilMs, lastColdRequestAtMs } = removed
+    return { reportsLeaving, pausedUntilMs, rate, lastRequestAtMs, lastColdRequestAtMs, doubtedUntilMs, coldUntilMs: Math.max(coldUntilMs, nowMs + target.coldLeftMs) }
   }
 
   function addTarget (target: ServingTarget, options: { region: string, nowMs: number }): RegisteredTarget {
@@ -172,6 +174,7 @@
       failedAtMs: -Infinity,
       coldUntilMs: options.nowMs + target.coldLeftMs,
       endedAtMs: -Infinity,
+      doubtedUntilMs: -Infinity,
       lastColdRequestAtMs: -Infinity,
       lastRequestAtMs: -Infinity,
       respondedAtMs: -Infinity,
@@ -249,7 +252,7 @@
  * @returns Whether it is cold
  */
 export function isTargetCold (entry: RegisteredTarget, nowMs: number): boolean {
-  return entry.coldUntilMs > nowMs || nowMs - entry.endedAtMs < endedLifetimeMs
+  return entry.coldUntilMs > nowMs || entry.doubtedUntilMs > nowMs || nowMs - entry.endedAtMs < endedLifetimeMs
 }
 
 /**
@@ -346,13 +349,26 @@
 }
 
 /**
- * Drops the end of the run of a target, since it was wrong; does nothing if another end was recorded later.
+ * Counts a target as cold for some time because it may have restarted, until the doubt is dropped.
+ *
+ * @param entry The target, which is modified
+ * @param doubtedUntilMs Monotonic time until which it counts as cold, in milliseconds
+ * @param nowMs Monotonic time, in milliseconds
+ * @returns Whether it has not counted as cold before
+ */
+export function recordTargetDoubt (entry: RegisteredTarget, doubtedUntilMs: number, nowMs: number): boolean {
+  const wasCold = isTargetCold(entry, nowMs)
+  entry.doubtedUntilMs = doubtedUntilMs
+  return !wasCold && isTargetCold(entry, nowMs)
+}
+
+/**
+ * Drops the doubt on a target, which has not restarted.
  *
  * @param entry The target, which is modified
- * @param endedAtMs Monotonic time that was recorded as the end, in milliseconds
  */
-export function dropTargetEnd (entry: RegisteredTarget, endedAtMs: number): void {
-  if (entry.endedAtMs === endedAtMs) entry.endedAtMs = -Infinity
+export function dropTargetDoubt (entry: RegisteredTarget): void {
+  entry.doubtedUntilMs = -Infinity
 }
 
 /**
