Send one first request at a time to a target while the store is away

What callers saw: nothing.

Cause: without the store an instance can't know of a restart that nobody met.

Change: while the store does not respond, the first request to a target that has not responded for two seconds is awaited for a second, or until its response, before another follows. The simulation tells its instances that the store is away, which it did not before.

Ruled out: the same rule at any time.

--- a/packages/bilberryd/src/edge/target_selector.ts
+++ b/packages/bilberryd/src/edge/target_selector.ts
@@ -6,7 +6,7 @@
 import type { KnownInstance, RateContender, RegisteredTarget, EntrySettings, RoutedRequest, TargetSpeeds } from '@bilberryworks/steering'
 import type { EntryState } from './entry_state.ts'
 import type { ReachMonitor } from './reach_monitor.ts'
-import { formatReachGroup, selectTarget, minColdIntervalMs, computeCapacity, computeRateReadyMs, findPauseEndMs, isColdSender, isReturnExpected, isServedInRegion, isTargetCold, isTargetLeaving, isTargetUsable, listServingTargets, rankByRegion, rankTargets, recordRateRequest } from '@bilberryworks/steering'
+import { formatReachGroup, selectTarget, minColdIntervalMs, computeCapacity, computeRateReadyMs, findPauseEndMs, isColdSender, isContactPending, isReturnExpected, isServedInRegion, isTargetCold, isTargetLeaving, isTargetUsable, listServingTargets, rankByRegion, rankTargets, recordRateRequest } from '@bilberryworks/steering'
 
 /** Selects targets. */
 export interface TargetSelector {
@@ -105,6 +105,7 @@
 
   function isUsable (entry: RegisteredTarget, nowMs: number): boolean {
     if (!isTargetUsable(entry, nowMs) || isAboveRate(entry, nowMs)) return false
+    if (!state.isStoreReachable() && isContactPending(entry, nowMs)) return false
     if (!isTargetCold(entry, nowMs)) return true
     const perSecond = state.getConfig()?.services.get(entry.target.service)?.coldRequestsPerSecond ?? 0
     const pace = { perSecond, mostInSecond: perSecond * bounds.coldOver + bounds.coldSlack }
--- a/packages/standins/src/emulator/partition_fleet.ts
+++ b/packages/standins/src/emulator/partition_fleet.ts
@@ -39,6 +39,9 @@
 /** Time after which a target registers that it has become cold, in milliseconds. */
 const heartbeatMs = 1_500
 const warm = { forMs: 0, slowness: 1 }
+/** Delay of rows from which the store counts as away, and the time after which instances notice that it is away or back, in milliseconds. */
+const minOutageMs = 5_000
+const noticeMs = 1_500
 
 /**
  * Simulates a fleet.
@@ -119,12 +122,17 @@
       break
     case FleetEventKind.DelayRows:
       world.rowDelayMs = event.factor
+      clock.schedule(noticeMs, () => recordStoreContact(world, event.factor < minOutageMs))
       break
     case FleetEventKind.Load:
       callers.changeLoad(event.factor)
   }
 }
 
+function recordStoreContact ({ instances }: FleetWorld, isReached: boolean): void {
+  for (const { components } of instances.values()) components.state.recordContact(isReached ? undefined : 'Store is away')
+}
+
 /** Makes targets cold, which register that with their next heartbeats. */
 function markCold (world: FleetWorld, targets: FleetTarget[]): void {
   for (const target of targets) {
--- a/packages/steering/src/target_registry.ts
+++ b/packages/steering/src/target_registry.ts
@@ -41,6 +41,8 @@
   respondedAtMs: number
   /** Monotonic time of the last request sent, in milliseconds. */
   lastRequestAtMs: number
+  /** Monotonic time of the last request that was the first one to the target for some time without a response, in milliseconds; `-Infinity` if there was none. */
+  contactedAtMs: number
   /** Whether the target itself has reported, by a response, that it is leaving; holds until its registration changes from leaving to not leaving, or until it restarts. */
   reportsLeaving: boolean
   /** Monotonic time until which the target has asked this instance to send nothing, in milliseconds. */
@@ -115,6 +117,10 @@
 const maxRemovedEntries = 1_000
 /** Time for which the end of a run makes its target count as cold, in milliseconds: the time without a heartbeat after which the platform removes the registration, and as much again for a store that is away. */
 const endedLifetimeMs = 10_000
+/** Age of the last response above which a target may have restarted unnoticed, in milliseconds: less than machines and processes take to start again. */
+const contactLifetimeMs = 2_000
+/** Time after the first request to such a target within which no other follows before its response, in milliseconds: the window in which requests to cold targets are counted. */
+const maxContactMs = 1_000
 /** Weight of the latest load report in the moving average. */
 const latestLoadWeight = 0.1
 /** Weight of the latest response time in the moving average. */
@@ -177,6 +183,7 @@
       doubtedUntilMs: -Infinity,
       lastColdRequestAtMs: -Infinity,
       lastRequestAtMs: -Infinity,
+      contactedAtMs: -Infinity,
       respondedAtMs: -Infinity,
       rate: createTargetRate(),
       rateClaim: createRateClaim(),
@@ -289,12 +296,25 @@
  * @param nowMs Monotonic time, in milliseconds
  */
 export function recordTargetDispatch (entry: RegisteredTarget, nowMs: number): void {
+  if (entry.inFlight === 0 && nowMs - entry.respondedAtMs > contactLifetimeMs) entry.contactedAtMs = nowMs
   entry.inFlight++
   entry.lastRequestAtMs = nowMs
   if (entry.silentSinceMs === Infinity) entry.silentSinceMs = nowMs
   if (isTargetCold(entry, nowMs)) entry.lastColdRequestAtMs = nowMs
 }
 
+/**
+ * Returns whether a target has a request of this instance that is the first one for some time, and may not be expected to
+ * have responded yet. Where registrations don't arrive, such a target may have restarted unnoticed.
+ *
+ * @param entry The target
+ * @param nowMs Monotonic time, in milliseconds
+ * @returns Whether to wait with further requests
+ */
+export function isContactPending (entry: RegisteredTarget, nowMs: number): boolean {
+  return entry.inFlight > 0 && entry.contactedAtMs > entry.respondedAtMs && nowMs - entry.contactedAtMs < maxContactMs
+}
+
 /**
  * Records how an exchange with a target ended.
  *
--- a/packages/steering/src/target_registry_test.ts
+++ b/packages/steering/src/target_registry_test.ts
@@ -1,7 +1,7 @@
 import type { ServingTarget } from './routing.ts'
 import test from 'ava'
 import { TargetSignal } from './circuit.ts'
-import { advanceProbes, computeHoldMs, computeTargetLoad, createTargetRegistry, findPauseEndMs, isTargetLeaving, isTargetSilent, isTargetUsable, listServingTargets, minSilenceMs, recordResponseTime, recordTargetResult, recordTargetLoad, recordTargetDispatch, recordTargetPause } from './target_registry.ts'
+import { advanceProbes, computeHoldMs, computeTargetLoad, createTargetRegistry, dropTargetDoubt, findPauseEndMs, isContactPending, isTargetCold, isTargetLeaving, isTargetSilent, isTargetUsable, listServingTargets, minSilenceMs, recordResponseTime, recordTargetResult, recordTargetLoad, recordTargetDispatch, recordTargetDoubt, recordTargetPause } from './target_registry.ts'
 
 const target: ServingTarget = { id: 't', service: 's', address: { host: '10.0.0.1', port: 1 }, failureDomain: 'a', slots: 3, leaving: false, coldLeftMs: 0, startedAtMs: 1 }
 const endOptions = { nowMs: 0, getRandom: () => 0.5, coldForMs: 3_000 }
@@ -176,3 +176,31 @@
   registry.remove('t')
   t.like(registry.register({ ...target, startedAtMs: 2 }, { region: 'r', nowMs: 1_000 }), { coldUntilMs: 1_000, lastColdRequestAtMs: -Infinity })
 })
+
+test('a first request to a target after some time without a response is awaited for a second', t => {
+  const entry = createTargetRegistry().register(target, registration)
+  recordTargetDispatch(entry, 10_000)
+  t.true(isContactPending(entry, 10_999))
+  t.false(isContactPending(entry, 11_000))
+  recordTargetResult(entry, TargetSignal.Answered, { ...endOptions, nowMs: 11_500 })
+  recordTargetDispatch(entry, 13_000)
+  t.false(isContactPending(entry, 13_000))
+  recordTargetResult(entry, TargetSignal.Answered, { ...endOptions, nowMs: 13_100 })
+  recordTargetDispatch(entry, 15_101)
+  t.true(isContactPending(entry, 15_101))
+  recordTargetResult(entry, TargetSignal.Answered, { ...endOptions, nowMs: 15_200 })
+  recordTargetDispatch(entry, 15_300)
+  t.false(isContactPending(entry, 15_300))
+})
+
+test('a doubt makes a target cold for its time, whatever it responds, or until it is dropped', t => {
+  const entry = createTargetRegistry().register(target, registration)
+  t.true(recordTargetDoubt(entry, 4_000, 1_000))
+  recordTargetDispatch(entry, 1_000)
+  recordTargetResult(entry, TargetSignal.Answered, { ...endOptions, nowMs: 1_500 })
+  t.true(isTargetCold(entry, 3_999))
+  t.false(isTargetCold(entry, 4_000))
+  recordTargetDoubt(entry, 8_000, 5_000)
+  dropTargetDoubt(entry)
+  t.false(isTargetCold(entry, 5_000))
+})
