Check each target that may have ended, however many at once

Cause: at most four checks of targets that closed idle connections ran at a time, and further ones were passed over.

Change: checks wait for their turn, up to 64 of them, eight at a time.

"the ends of many targets at the same moment ..." finds 4 of 40 before.

--- a/packages/bilberryd/src/edge/target_end_detector.ts
+++ b/packages/bilberryd/src/edge/target_end_detector.ts
@@ -40,8 +40,10 @@
 
 /** Time limit of the attempt to connect, in milliseconds: a round trip between regions with one lost packet. */
 const checkTimeoutMs = 600
-/** Number of checks in progress from which no more are started for connections without a request. */
-const maxChecks = 4
+/** Number of checks in progress from which those for connections without a request have to wait. */
+const maxChecks = 8
+/** Number of checks that may wait: the targets of a failure domain of a large deployment. */
+const maxWaitingChecks = 64
 /** Time for which further losses are ascribed to the end of a target, in milliseconds: they are noticed within a round trip of each other. */
 const endedLifetimeMs = 2_000
 
@@ -63,6 +65,7 @@
 export function createTargetEndDetector (options: CreateTargetEndDetectorOptions): TargetEndDetector {
   const { onRequestLost, confirmPath, checkListening, log, getNowMs } = options
   const runs = new Map<RegisteredTarget, EndingRun>()
+  const waiting = new Set<RegisteredTarget>()
 
   async function checkRun (entry: RegisteredTarget, run: EndingRun): Promise<void> {
     const { target } = entry
@@ -87,7 +90,15 @@
   function startCheck (entry: RegisteredTarget, fingerprints: EndingRun['fingerprints']): void {
     const run: EndingRun = { fingerprints, endedAtMs: undefined, isRefused: false }
     runs.set(entry, run)
-    checkRun(entry, run).catch((error: Error) => log.warn('target_check_failed', { target: entry.target.id, detail: error.message }))
+    checkRun(entry, run).catch((error: Error) => log.warn('target_check_failed', { target: entry.target.id, detail: error.message })).finally(startWaiting)
+  }
+
+  function startWaiting (): void {
+    for (const entry of waiting) {
+      if ([...runs.values()].filter(({ endedAtMs }) => endedAtMs === undefined).length >= maxChecks) return
+      waiting.delete(entry)
+      if (findRun(entry) === undefined) startCheck(entry, new Map())
+    }
   }
 
   return {
@@ -105,8 +116,8 @@
       startCheck(entry, new Map([[attempt.attemptId, fingerprint]]))
     },
     recordClose (entry) {
-      const checks = [...runs.values()].filter(({ endedAtMs }) => endedAtMs === undefined).length
-      if (findRun(entry) === undefined && checks < maxChecks) startCheck(entry, new Map())
+      if (waiting.size < maxWaitingChecks) waiting.add(entry)
+      startWaiting()
     }
   }
 }
--- a/packages/bilberryd/src/edge/target_end_detector_test.ts
+++ b/packages/bilberryd/src/edge/target_end_detector_test.ts
@@ -40,3 +40,26 @@
     t.deepEqual(lostRequests, [...lost])
   })
 }
+
+test('the ends of many targets at the same moment are all found, a few at a time', async t => {
+  const ended: string[] = []
+  let [checking, mostChecking] = [0, 0]
+  const detector = createTargetEndDetector({
+    onRequestLost: () => {},
+    onEnd: ({ target }) => { ended.push(target.id) },
+    confirmPath: async () => true,
+    async checkListening () {
+      mostChecking = Math.max(mostChecking, ++checking)
+      await new Promise(resolve => setImmediate(resolve))
+      checking--
+      return ListeningState.Refused
+    },
+    log: silentLog,
+    getNowMs: () => 0
+  })
+  const ids = Array.from({ length: 40 }, (_, index) => `t${index}`)
+  for (const id of ids) detector.recordClose({ target: { ...entry.target, id } } as RegisteredTarget)
+  for (let turn = 0; turn < 40; turn++) await new Promise(resolve => setImmediate(resolve))
+  t.deepEqual(ended, ids)
+  t.true(mostChecking <= 8)
+})
