Report the cold targets of a failure domain by one line

The volume of logs is to stay bounded.

Change: `targets_cold` names the failure domain, the number of its targets and the evidence. The counters count targets as before. No decision is changed.

--- a/packages/bilberryd/src/edge/entry_components.ts
+++ b/packages/bilberryd/src/edge/entry_components.ts
@@ -110,12 +110,12 @@
   let sequence = 0
   const view = createPeerView({ instance: settings.instance, startedAtMs: getNowMs(), completionMs: membershipMs, evictionMs: peerEvictionMs, getTimeoutMs: heartbeat => heartbeat.region === settings.region ? peerTimeoutMs : remotePeerTimeoutMs })
   const listPeers = (): PeerHeartbeat[] => view.listLive(getNowMs()).map(peer => peer.heartbeat)
-  const reportCold = createColdReporter({ log, metrics, getNowMs })
-  const state = createEntryState({ regions: settings.regions, log, reportCold, getNowMs, countUndecodable: metrics.countUndecodable, onChange: handleChange })
+  const { reportCold, reportGroupCold } = createColdReporter({ log, metrics, getNowMs })
+  const state = createEntryState({ regions: settings.regions, log, reportCold, reportGroupCold, getNowMs, countUndecodable: metrics.countUndecodable, onChange: handleChange })
   const pool = options.createPool(handleConnectionEvent)
   const targetReports = createTargetReports({ state, metrics, log, reportCold, getNowMs })
   const relayPeers = createRelayPeers({ region: settings.region, view, isEnabled: options.relays.isEnabled, getNowMs, getRandom })
-  const reach = createReachMonitor({ state, reportCold, getPool: () => pool, isReachedByPeers: relayPeers.isReached, listReports: listPeers, listPending: () => dispatcher.listPending(), onChange: handleReachChange, log, getNowMs })
+  const reach = createReachMonitor({ state, reportGroupCold, getPool: () => pool, isReachedByPeers: relayPeers.isReached, listReports: listPeers, listPending: () => dispatcher.listPending(), onChange: handleReachChange, log, getNowMs })
   const crashGuard = createCrashGuard({ onTargetEnd: targetReports.recordEnd, confirmPath: reach.confirmPath, checkListening: options.checkListening, metrics, log, getNowMs })
   const dispatcher = createDispatcher({
     crashGuard,
--- a/packages/bilberryd/src/edge/entry_state.ts
+++ b/packages/bilberryd/src/edge/entry_state.ts
@@ -5,7 +5,7 @@
  */
 import type { Route, RoutingConfig, RouteTable, TargetRegistry } from '@bilberryworks/steering'
 import type { EntryLog } from './entry_log.ts'
-import type { ReportCold } from './report_cold.ts'
+import type { ReportCold, ReportGroupCold } from './report_cold.ts'
 import type { RowChange, TableReplica, TableRestoration, TableUpdate } from './table_replica.ts'
 import { ColdEvidence, createRouteTable, createTargetRegistry, recordCold } from '@bilberryworks/steering'
 import { decodeRouting, isOutdatedOperatorRow, isOutdatedTargetRow, parseEvacuationKey, parseJsonRow, routingKey } from '@bilberryworks/users-platform'
@@ -50,6 +50,8 @@
   getNowMs: () => number
   /** Reports that a target counts as cold from now on. */
   reportCold: ReportCold
+  /** Reports that targets of one failure domain count as cold from now on. */
+  reportGroupCold: ReportGroupCold
   /** Called after each change that can affect target selection. */
   onChange: () => void
   /** Counts a row that can't be decoded. */
@@ -107,7 +109,7 @@
     const nowMs = getNowMs()
     for (const service of targets.listServices()) {
       const coldForMs = config?.services.get(service)?.coldForMs ?? 0
-      for (const entry of targets.list(service)) if (entry.target.failureDomain === failureDomain && recordCold(entry, coldForMs, nowMs)) options.reportCold(entry, ColdEvidence.TakenBack)
+      options.reportGroupCold(targets.list(service).filter(entry => entry.target.failureDomain === failureDomain && recordCold(entry, coldForMs, nowMs)), ColdEvidence.TakenBack)
     }
   }
 
--- a/packages/bilberryd/src/edge/group_doubts.ts
+++ b/packages/bilberryd/src/edge/group_doubts.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type { ReachReport, RegisteredTarget } from '@bilberryworks/steering'
-import type { ReportCold } from './report_cold.ts'
+import type { ReportGroupCold } from './report_cold.ts'
 import { ColdEvidence, createReachClaims, dropTargetDoubt, isVouched, recordTargetDoubt } from '@bilberryworks/steering'
 
 /** Options of {@linkcode createGroupDoubts}. */
@@ -22,8 +22,8 @@
   isLost: (group: string) => boolean
   /** Returns the time for which a target is cold after its start, in milliseconds. */
   getColdForMs: (entry: RegisteredTarget) => number
-  /** Reports that a target counts as cold from now on. */
-  reportCold: ReportCold
+  /** Reports that targets count as cold from now on. */
+  reportGroupCold: ReportGroupCold
   /** Returns monotonic time, in milliseconds. */
   getNowMs: () => number
 }
@@ -45,7 +45,7 @@
  * @returns The doubts
  */
 export function createGroupDoubts (options: CreateGroupDoubtsOptions): GroupDoubts {
-  const { listGroups, listTargets, listReports, getContactMs, isLost, reportCold, getNowMs } = options
+  const { listGroups, listTargets, listReports, getContactMs, isLost, reportGroupCold, getNowMs } = options
   const claims = createReachClaims()
   const doubted = new Set<string>()
   let vouched: string[] = []
@@ -53,7 +53,7 @@
   function addDoubt (group: string, evidence: ColdEvidence): void {
     const nowMs = getNowMs()
     doubted.add(group)
-    for (const entry of listTargets(group)) if (recordTargetDoubt(entry, nowMs + options.getColdForMs(entry), nowMs)) reportCold(entry, evidence)
+    reportGroupCold(listTargets(group).filter(entry => recordTargetDoubt(entry, nowMs + options.getColdForMs(entry), nowMs)), evidence)
   }
 
   function dropDoubt (group: string): void {
--- a/packages/bilberryd/src/edge/reach_monitor.ts
+++ b/packages/bilberryd/src/edge/reach_monitor.ts
@@ -9,7 +9,7 @@
 import type { EntryLog } from './entry_log.ts'
 import type { EntryState } from './entry_state.ts'
 import type { GroupDoubts } from './group_doubts.ts'
-import type { ReportCold } from './report_cold.ts'
+import type { ReportGroupCold } from './report_cold.ts'
 import { advanceProbes, allGroupsUnreached, closeCircuits, createReach, formatReachGroup } from '@bilberryworks/steering'
 import { ConnectionEvent } from '@bilberryworks/targets'
 import { createGroupDoubts } from './group_doubts.ts'
@@ -27,8 +27,8 @@
   listReports: () => ReachReport[]
   /** Lists the requests that wait for the response of a target. */
   listPending: () => PendingExchange[]
-  /** Reports that a target counts as cold from now on. */
-  reportCold: ReportCold
+  /** Reports that targets count as cold from now on. */
+  reportGroupCold: ReportGroupCold
   /** Called after groups have become lost or are reached again. */
   onChange: () => void
   /** Structured log. */
