--- a/packages/bilberryd/src/edge/peer_view_test.ts
+++ b/packages/bilberryd/src/edge/peer_view_test.ts
@@ -115,3 +115,14 @@
     t.is(parseHeartbeat(JSON.stringify({ ...heartbeat, peers: { host: '127.0.0.1', port } })), undefined)
   }
 })
+
+test('reads an update of build fa89160, which vouches for nothing', t => {
+  const update = parseUpdate('["entry-1",1796457955108,7,true,{"operator":5,"targets":9},{"svc":2},{"leaving":{"t1":17},"rates":{},"claims":["t2"]},null,["svc/a-1"]]')
+  t.deepEqual(update, { instance: 'entry-1', startedAtMs: 1_796_457_955_108, sequence: 7, isReady: true, versions: { operator: 5, targets: 9 }, demand: { svc: 2 }, targetReports: { leaving: { t1: 17 }, rates: {}, claims: ['t2'] }, unreached: ['svc/a-1'] })
+})
+
+test('formats and parses an update with the groups that the instance vouches for', t => {
+  const update = { instance: 'entry-1', startedAtMs: 1, sequence: 7, isReady: true, versions: { operator: 5, kept: 2 }, demand: {}, reached: ['svc/b-1'] }
+  t.deepEqual(parseUpdate(formatUpdate(update)), update)
+  t.is(parseUpdate(formatUpdate({ ...update, reached: [1] as unknown as string[] }))?.reached, undefined)
+})
