Describe what the weighing of reports keeps, and keep type imports apart

Cause: read as a newcomer would, the claims of reach_claims.ts and the queue of the end detector had fields without a word on what they hold, and one type import stood among the others.

Change: comments and the order of imports only.

--- a/packages/bilberryd/src/edge/group_doubts.ts
+++ b/packages/bilberryd/src/edge/group_doubts.ts
@@ -47,6 +47,7 @@
 export function createGroupDoubts (options: CreateGroupDoubtsOptions): GroupDoubts {
   const { listGroups, listTargets, listReports, getContactMs, isLost, reportGroupCold, getNowMs } = options
   const claims = createReachClaims()
+  /** Keys of the groups whose targets have been put in doubt. */
   const doubted = new Set<string>()
   let vouched: string[] = []
 
--- a/packages/bilberryd/src/edge/peer_link.ts
+++ b/packages/bilberryd/src/edge/peer_link.ts
@@ -9,6 +9,7 @@
 import type { EntryLog } from './entry_log.ts'
 import type { EntryState } from './entry_state.ts'
 import type { RelayOrigin } from './relay_message.ts'
+import type { FetchPeerStateOptions } from './peer_state.ts'
 import type { KnownPeer, PeerHeartbeat, HeartbeatUpdate, PeerView } from './peer_view.ts'
 import { createSocket } from 'node:dgram'
 import { createServer } from 'node:http'
@@ -18,7 +19,6 @@
 import { createKeptRowsFetch } from './kept_rows.ts'
 import { ReplicatedTable } from './replicated_table.ts'
 import { PeerTraffic } from './entry_metrics.ts'
-import type { FetchPeerStateOptions } from './peer_state.ts'
 import { createStateHandler, fetchPeerState } from './peer_state.ts'
 import { parseRelayOrigin, relayField, relayVersionField } from './relay_message.ts'
 import { formatUpdate, isPeerHeartbeat, parseHeartbeat, parseUpdate, UpdateResult } from './peer_view.ts'
@@ -140,6 +140,7 @@
     sendText(JSON.stringify(message), from)
   }
 
+  /** Fetches the newer rows of a peer, or all of them, and merges them. */
   async function readState (address: SocketAddress, { withInstances = false, withAllRows = false }: Partial<FetchPeerStateOptions>): Promise<void> {
     const peerState = await fetchPeerState(address, { state, withInstances, withAllRows })
     for (const heartbeat of peerState.instances.filter(isPeerHeartbeat)) view.addReported(heartbeat, getNowMs())
--- a/packages/bilberryd/src/edge/target_end_detector.ts
+++ b/packages/bilberryd/src/edge/target_end_detector.ts
@@ -65,6 +65,7 @@
 export function createTargetEndDetector (options: CreateTargetEndDetectorOptions): TargetEndDetector {
   const { onRequestLost, confirmPath, checkListening, log, getNowMs } = options
   const runs = new Map<RegisteredTarget, EndingRun>()
+  /** Targets that are to be checked once fewer checks are in progress. */
   const waiting = new Set<RegisteredTarget>()
 
   async function checkRun (entry: RegisteredTarget, run: EndingRun): Promise<void> {
--- a/packages/steering/src/reach_claims.ts
+++ b/packages/steering/src/reach_claims.ts
@@ -53,7 +53,6 @@
 const contactLifetimeMs = 2_000
 /** Age of the last contact above which a group that a peer does not reach is doubtful, in milliseconds: less than machines and targets take to start again. */
 const doubtAfterMs = 600
-
 /** Time for which a report must stand before its group is doubtful, in milliseconds: an instance that loses its own path notices that for one group after the other. */
 const settleMs = 200
 
@@ -67,8 +66,11 @@
   Doubtful = 'doubtful'
 }
 
+/** A group that a live peer does not reach. */
 interface Claim {
+  /** Monotonic time at which this instance heard of it, in milliseconds. */
   heardAtMs: number
+  /** What this instance can tell of the group since. */
   evidence: Evidence
   /** Names of the peers that have named the group. */
   claimants: Set<string>
@@ -80,7 +82,7 @@
  * @returns The weighing
  */
 export function createReachClaims (): ReachClaims {
-  /** Groups that a live peer does not reach. */
+  /** Claims by the key of the group. */
   const claims = new Map<string, Claim>()
 
   function updateClaim (group: string, { reports, getContactMs, isLost, nowMs }: WeighOptions): Claim {
--- a/packages/steering/src/target_registry.ts
+++ b/packages/steering/src/target_registry.ts
@@ -69,7 +69,7 @@
   EndedAtPeer = 'ended_at_peer',
   /** Its failure domain was evacuated, and is taken back. */
   TakenBack = 'taken_back',
-  /** It was out of reach with its failure domain, of all instances as far as is known, and is reached again. */
+  /** Its failure domain was out of reach of this instance and is reached again, and no other instance vouches for it. */
   Reached = 'reached',
   /** A peer does not reach its failure domain, and no instance vouches for it. */
   Doubted = 'doubted'
