Let the simulation of rates say that the store is reachable

Cause: since the selector asks the state whether the store responds. The simulation of rates gives it a state of its own, typed by a cast, which had no such function, so that all ten tests of rate_fleet_test threw.

Change: that state says that the store is reachable, as it always was there.

--- a/packages/standins/src/emulator/rate_fleet.ts
+++ b/packages/standins/src/emulator/rate_fleet.ts
@@ -96,7 +96,7 @@
     const targets = createTargetRegistry()
     const view = createPeerView({ instance: name, getTimeoutMs: () => peerTimeoutMs, evictionMs: 120_000 })
     const entry = targets.register(target, { region: 'a', nowMs })
-    const state = { targets, getRevision: () => 0, isEvacuated: () => false, getConfig: () => undefined } as unknown as CreateTargetReportsOptions['state'] & CreateTargetSelectorOptions['state']
+    const state = { targets, getRevision: () => 0, isEvacuated: () => false, isStoreReachable: () => true, getConfig: () => undefined } as unknown as CreateTargetReportsOptions['state'] & CreateTargetSelectorOptions['state']
     const reports = createTargetReports({
       reportCold: () => undefined,
       state,
