Share the start of real processes between the soak and other tests

What starts an instance as a process of its own, with its settings file, log and loopback address, was part of the soak. Tests of stops need the same without the soak's restarts, so it moves to entry_process.ts; the soak's instance uses it. No behaviour changes: the test of soak_instance passes, the soak's plan and checks are untouched.

--- /dev/null
+++ b/packages/standins/src/entry_process.ts
@@ -0,0 +1,151 @@
+/**
+ * An entry instance as a process of its own: the real program, with settings and a log in files.
+ *
+ * @module
+ */
+import type { ChildProcess } from 'node:child_process'
+import type { SocketAddress } from '@bilberryworks/steering'
+import { spawn } from 'node:child_process'
+import { closeSync, openSync } from 'node:fs'
+import { readFile, writeFile } from 'node:fs/promises'
+import { createRequire } from 'node:module'
+import { get } from 'node:http'
+import { join } from 'node:path'
+
+/** Settings and files of an entry instance. */
+export interface EntryFiles {
+  /** Name of the instance. */
+  name: string
+  /** Loopback address of all its listeners. */
+  host: string
+  /** Address of its listener for callers. */
+  callers: SocketAddress
+  /** Path of its settings file. */
+  settingsFile: string
+  /** Path of the file that its log lines are appended to. */
+  logFile: string
+}
+
+/** Options of {@linkcode writeEntryFiles}. */
+export interface WriteEntryFilesOptions {
+  /** Number of the instance. */
+  index: number
+  /** Number of the site, so that several may run in one process. */
+  site: number
+  /** Failure domains, which the instances take in turn. */
+  failureDomains: string[]
+  /** Address of the store. */
+  store: SocketAddress
+  /** Folder for settings and logs. */
+  folder: string
+}
+
+/** Options of {@linkcode startEntryProcess}. */
+export interface StartEntryProcessOptions {
+  /** Flags of the program; none by default. */
+  flags?: string[]
+  /** Flags of Node.js; none by default. */
+  nodeFlags?: string[]
+}
+
+/** Bounds of the instances, in the format of the platform's settings. */
+export const entryBounds = { stable_window: '4000ms', drain: '2500ms', grace: '6s', config: '2500ms', retry_ratio: 0.2, retry_slack: 56, budget_window: '10s', cold_over: 1.5, cold_slack: 5, ttl_max: '5s' }
+
+const firstBlock = 100
+const blocks = 64
+const addressesPerBlock = 240
+const instancesPerSite = 30
+const ports = { front: 20_001, directory: 20_002, ready: 20_003, control: 20_004, internal: 20_005 }
+const readyTimeoutMs = 500
+const maxHeapFlag = '--max-old-space-size=96'
+
+/** Running processes of all instances, which must not outlive this process. */
+const children = new Set<ChildProcess>()
+process.once('exit', () => { for (const child of children) child.kill('SIGKILL') })
+
+/**
+ * Writes the settings file of an instance.
+ *
+ * @param options Number, store and folder
+ * @returns The files and addresses
+ */
+export async function writeEntryFiles ({ index, site, failureDomains, store, folder }: WriteEntryFilesOptions): Promise<EntryFiles> {
+  const name = `entry-${index}`
+  const host = createHost(site, index)
+  const failureDomain = failureDomains[index % failureDomains.length]!
+  const settingsFile = join(folder, `${name}.json`)
+  await writeFile(settingsFile, JSON.stringify({
+    node_name: name,
+    zone: failureDomain,
+    region: getRegion(failureDomain),
+    listen: { front: `${host}:${ports.front}`, directory: `${host}:${ports.directory}`, ready: `${host}:${ports.ready}`, control: `${host}:${ports.control}` },
+    internal_ports: [ports.internal, ports.internal],
+    seeds: [],
+    zones: Object.fromEntries(failureDomains.map(each => [each, getRegion(each)])),
+    platform: { address: `${store.host}:${store.port}` },
+    bounds: entryBounds
+  }))
+  return { name, host, callers: { host, port: ports.front }, settingsFile, logFile: join(folder, `${name}.log`) }
+}
+
+/**
+ * Starts the process of an instance, which ends with this process at the latest.
+ *
+ * @param files Settings and log
+ * @param options Flags
+ * @returns The process
+ */
+export function startEntryProcess ({ settingsFile, logFile }: EntryFiles, { flags = [], nodeFlags = [] }: StartEntryProcessOptions = {}): ChildProcess {
+  const program = join(createRequire(import.meta.url).resolve('bilberryd'), '..', 'edge', 'main.js')
+  const log = openSync(logFile, 'a')
+  const child = spawn(process.execPath, [maxHeapFlag, ...nodeFlags, program, ...flags], { env: { PATH: process.env['PATH'], BILBERRYWORKS_CONFIG: settingsFile }, stdio: ['ignore', log, log] })
+  closeSync(log)
+  children.add(child)
+  child.once('exit', () => children.delete(child))
+  return child
+}
+
+/**
+ * Asks an instance whether it counts as ready.
+ *
+ * @param files Addresses of the instance
+ * @returns Whether it responded with status 200 within 500 ms
+ */
+export function isEntryReady ({ host }: EntryFiles): Promise<boolean> {
+  return new Promise(resolve => {
+    get({ host, port: ports.ready, path: '/ready', agent: false, timeout: readyTimeoutMs }, response => {
+      response.resume()
+      resolve(response.statusCode === 200)
+    }).on('timeout', () => resolve(false)).on('error', () => resolve(false))
+  })
+}
+
+/**
+ * Reads the log lines of all runs of an instance.
+ *
+ * @param files Log of the instance
+ * @returns The lines, parsed from JSON
+ */
+export async function readEntryLog ({ logFile }: EntryFiles): Promise<Array<Record<string, unknown>>> {
+  const text = await readFile(logFile, 'utf8')
+  return text.split('\n').filter(line => line.startsWith('{')).flatMap(line => parseLine(line))
+}
+
+/** Creates a loopback address that no other instance of this process has, and with all likelihood none of another process. */
+function createHost (site: number, index: number): string {
+  const { pid } = process
+  return `127.${firstBlock + Math.floor(pid / addressesPerBlock) % blocks}.${pid % addressesPerBlock}.${(site * instancesPerSite + index) % addressesPerBlock + 1}`
+}
+
+function getRegion (failureDomain: string): string {
+  return failureDomain.slice(0, failureDomain.lastIndexOf('-'))
+}
+
+/** Parses a log line; a process that is killed may leave a part of one. */
+function parseLine (line: string): Array<Record<string, unknown>> {
+  try {
+    return [JSON.parse(line) as Record<string, unknown>]
+  } catch {
+    return []
+  }
+}
--- a/packages/standins/src/soak/soak_instance.ts
+++ b/packages/standins/src/soak/soak_instance.ts
@@ -6,13 +6,8 @@
 import type { ChildProcess } from 'node:child_process'
 import type { PathRelay } from '../path_relay.ts'
 import type { SiteStore, StoreEndpoint } from '../site_store.ts'
-import { spawn } from 'node:child_process'
-import { closeSync, openSync } from 'node:fs'
-import { readFile, writeFile } from 'node:fs/promises'
-import { createRequire } from 'node:module'
-import { get } from 'node:http'
-import { join } from 'node:path'
 import { setTimeout as wait } from 'node:timers/promises'
+import { isEntryReady, readEntryLog, startEntryProcess, writeEntryFiles } from '../entry_process.ts'
 import { startPathRelay } from '../path_relay.ts'
 import { waitUntil } from '../test_site.ts'
 
@@ -74,23 +69,10 @@
   nodeFlags?: string[]
 }
 
-/** Bounds of a soak, in the format of the platform's settings. */
-export const soakBounds = { stable_window: '4000ms', drain: '2500ms', grace: '6s', config: '2500ms', retry_ratio: 0.2, retry_slack: 56, budget_window: '10s', cold_over: 1.5, cold_slack: 5, ttl_max: '5s' }
-
 const graceMs = 6_000
-const firstBlock = 100
-const blocks = 64
-const addressesPerBlock = 240
-const instancesPerSite = 30
 const restartDelayMs = 300
 /** Time that Node.js takes until it runs the program, in milliseconds; signals before that end any process. */
 const bootstrapMs = 250
-const ports = { front: 20_001, directory: 20_002, ready: 20_003, control: 20_004, internal: 20_005 }
-const readyTimeoutMs = 500
-
-/** Running processes of all instances, which must not outlive this process. */
-const children = new Set<ChildProcess>()
-process.once('exit', () => { for (const child of children) child.kill('SIGKILL') })
 
 /**
  * Starts an instance.
@@ -99,26 +81,10 @@
  * @returns The instance; dispose it to end its processes
  */
 export async function startSoakInstance ({ index, site, failureDomains, store, folder, flags = [], nodeFlags = [] }: StartSoakInstanceOptions): Promise<SoakInstance> {
-  const name = `entry-${index}`
-  const host = createHost(site, index)
-  const failureDomain = failureDomains[index % failureDomains.length]!
   const path = await startPathRelay()
   const storeEndpoint = await store.openEndpoint(path.mapAddress)
-  const settingsFile = join(folder, `${name}.json`)
-  const logFile = join(folder, `${name}.log`)
-  const program = join(createRequire(import.meta.url).resolve('bilberryd'), '..', 'edge', 'main.js')
-  const settings = {
-    node_name: name,
-    zone: failureDomain,
-    region: getRegion(failureDomain),
-    listen: { front: `${host}:${ports.front}`, directory: `${host}:${ports.directory}`, ready: `${host}:${ports.ready}`, control: `${host}:${ports.control}` },
-    internal_ports: [ports.internal, ports.internal],
-    seeds: [],
-    zones: Object.fromEntries(failureDomains.map(each => [each, getRegion(each)])),
-    platform: { address: `${storeEndpoint.socketAddress.host}:${storeEndpoint.socketAddress.port}` },
-    bounds: soakBounds
-  }
-  await writeFile(settingsFile, JSON.stringify(settings))
+  const files = await writeEntryFiles({ index, site, failureDomains, store: storeEndpoint.socketAddress, folder })
+  const { name } = files
   let child: ChildProcess | undefined
   let exited: Promise<unknown> = Promise.resolve()
   let isDisposed = false
@@ -126,7 +92,7 @@
   let startedAtMs = -Infinity
   const instance: SoakInstance = {
     name,
-    address: { host, port: ports.front },
+    address: files.callers,
     path,
     storeEndpoint,
     disturbances: [],
@@ -162,16 +128,8 @@
       child?.kill('SIGCONT')
       span.toMs = performance.now()
     },
-    isReady: () => new Promise(resolve => {
-      get({ host, port: ports.ready, path: '/ready', agent: false, timeout: readyTimeoutMs }, response => {
-        response.resume()
-        resolve(response.statusCode === 200)
-      }).on('timeout', () => resolve(false)).on('error', () => resolve(false))
-    }),
-    async readLog () {
-      const text = await readFile(logFile, 'utf8')
-      return text.split('\n').filter(line => line.startsWith('{')).flatMap(line => parseLine(line))
-    },
+    isReady: () => isEntryReady(files),
+    readLog: () => readEntryLog(files),
     async [Symbol.asyncDispose] () {
       isDisposed = true
       child?.kill('SIGCONT')
@@ -184,12 +142,8 @@
 
   function startProcess (): void {
     if (isDisposed) return
-    const log = openSync(logFile, 'a')
-    const started = spawn(process.execPath, ['--max-old-space-size=96', ...nodeFlags, program, ...flags], { env: { PATH: process.env['PATH'], BILBERRYWORKS_CONFIG: settingsFile }, stdio: ['ignore', log, log] })
-    closeSync(log)
+    const started = startEntryProcess(files, { flags, nodeFlags })
     child = started
-    children.add(started)
-    started.once('exit', () => children.delete(started))
     startedAtMs = performance.now()
     started.once('exit', (code, signal) => { if (!isEnding && !isDisposed) handleUnexpectedEnd(`${name} ended with ${signal ?? code}`) })
     exited = new Promise(resolve => {
@@ -221,22 +175,3 @@
   startProcess()
   return instance
 }
-
-/** Creates a loopback address that no other instance of this process has, and with all likelihood none of another process. */
-function createHost (site: number, index: number): string {
-  const { pid } = process
-  return `127.${firstBlock + Math.floor(pid / addressesPerBlock) % blocks}.${pid % addressesPerBlock}.${(site * instancesPerSite + index) % addressesPerBlock + 1}`
-}
-
-function getRegion (failureDomain: string): string {
-  return failureDomain.slice(0, failureDomain.lastIndexOf('-'))
-}
-
-/** Parses a log line; a process that is killed may leave a part of one. */
-function parseLine (line: string): Array<Record<string, unknown>> {
-  try {
-    return [JSON.parse(line) as Record<string, unknown>]
-  } catch {
-    return []
-  }
-}
