Handle signals from the start of a process to its end

What callers saw: a second SIGTERM or SIGINT during a stop, or one while the process starts, ended the process at once; all requests in flight lost their connections, also unsafe ones at sound targets (LOST). Cause: process.once drops its handler with the first signal, and handlers were added when the start was over, so the default effect came back; bilberryd's own command ended itself on a second signal by design. Now one module takes the signals over before the rest of the program is loaded and never lets go; the first stop signal begins the stop, whose grace counts from its arrival, further ones write a log line.

--- a/packages/bilberryd/src/edge/drain_requests.ts
+++ b/packages/bilberryd/src/edge/drain_requests.ts
@@ -8,6 +8,8 @@
 
 /** Options of {@linkcode drainRequests}. */
 export interface DrainRequestsOptions {
+  /** Monotonic time of the request to stop the process, in milliseconds. */
+  stoppedAtMs: number
   /** Time from the request to stop the process to its forced termination, in milliseconds. */
   graceMs: number
   /** Listener for callers. */
@@ -31,9 +33,9 @@
  *
  * @param options Grace period, listener and callbacks
  */
-export async function drainRequests ({ graceMs, callers, countOpen, onClosing, getNowMs }: DrainRequestsOptions): Promise<void> {
-  const deadlineMs = getNowMs() + graceMs * drainShare
-  await wait(graceMs * acceptShare)
+export async function drainRequests ({ stoppedAtMs, graceMs, callers, countOpen, onClosing, getNowMs }: DrainRequestsOptions): Promise<void> {
+  const deadlineMs = stoppedAtMs + graceMs * drainShare
+  await wait(Math.max(0, stoppedAtMs + graceMs * acceptShare - getNowMs()))
   onClosing()
   callers.close()
   while (getNowMs() < deadlineMs && countOpen() > 0) {
--- a/packages/bilberryd/src/edge/main.ts
+++ b/packages/bilberryd/src/edge/main.ts
@@ -4,12 +4,10 @@
  *
  * @module
  */
+import { listenForSignals } from '../process_signals.ts'
 
-/** Reloads the settings; the settings that the instance starts with are read after this program has begun. */
-let reload = (): void => {}
-
-// Without a handler SIGHUP ends the process, and it may arrive while the rest of the program is loaded.
-process.on('SIGHUP', () => reload())
+// The rest of the program is loaded once signals are handled.
+const signals = listenForSignals()
 
 const { runCommand } = await import('./run_command.ts')
-await runCommand(next => { reload = next })
+await runCommand(signals)
--- a/packages/bilberryd/src/edge/run_command.ts
+++ b/packages/bilberryd/src/edge/run_command.ts
@@ -5,6 +5,7 @@
  */
 import type { EntrySettings, SettingsFinding } from '@bilberryworks/steering'
 import type { Result } from 'neverthrow'
+import type { ProcessSignals } from '../process_signals.ts'
 import type { EntryOptions } from './entry_options.ts'
 import { readFileSync, watchFile } from 'node:fs'
 import { decodeSettings, settingsPathVariable } from '@bilberryworks/users-platform'
@@ -25,40 +26,41 @@
   }
 }
 
-/** Runs an instance, which signals stop; returns the function that reloads its settings. */
-async function runUntilStopped (path: string, { settings, options }: { settings: EntrySettings, options: EntryOptions }): Promise<() => void> {
+/** Runs an instance until a signal stops it, unless one has come before. */
+async function runUntilStopped (path: string, { settings, options, signals }: { settings: EntrySettings, options: EntryOptions, signals: ProcessSignals }): Promise<void> {
   const log = createEntryLog(settings.instance)
+  if (signals.isStopRequested()) return
   const entry = await runEntry(settings, log, options)
   const reload = (): void => {
     const next = readSettings(path)
     if (next.isErr()) log.warn('settings_kept', { findings: next.error })
     else entry.reload(next.value)
   }
+  signals.handlers.reload = reload
+  signals.handlers.handleRepeated = signal => log.info('stop_repeated', { signal })
   watchFile(path, { interval: settingsPollIntervalMs, persistent: false }, reload)
-  const stop = (): void => {
-    entry.stop().then(() => process.exit(0)).catch((error: Error) => {
-      log.warn('stop_failed', { detail: error.message })
-      process.exit(exitFailure)
-    })
+  const request = await signals.stopRequested
+  try {
+    await entry.stop(request)
+    process.exit(0)
+  } catch (error) {
+    log.warn('stop_failed', { detail: (error as Error).message })
+    process.exit(exitFailure)
   }
-  process.once('SIGTERM', stop)
-  process.once('SIGINT', stop)
-  return reload
 }
 
 /**
  * Runs an instance with the settings file that the environment names and the flags of the command line. Prints the findings and
  * sets the exit code if they are not valid.
  *
- * @param onReload Called with the function to call on each SIGHUP once the instance runs
+ * @param signals Signals of this process
  */
-export async function runCommand (onReload: (reload: () => void) => void): Promise<void> {
+export async function runCommand (signals: ProcessSignals): Promise<void> {
   const path = process.env[settingsPathVariable] ?? ''
   const settings = readSettings(path)
   const options = parseEntryOptions(process.argv.slice(2))
   if (settings.isOk() && options.isOk()) {
-    onReload(await runUntilStopped(path, { settings: settings.value, options: options.value }))
-    return
+    return runUntilStopped(path, { settings: settings.value, options: options.value, signals })
   }
   const findings = [settings, options].flatMap(result => result.isErr() ? result.error : [])
   for (const finding of findings) console.error(`${finding.pointer || '/'}: ${finding.message}`)
--- a/packages/bilberryd/src/edge/run_entry.ts
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -7,6 +7,7 @@
 import type { EntrySettings, SocketAddress } from '@bilberryworks/steering'
 import type { Server } from 'node:http'
 import type { StoreClient } from '@bilberryworks/users-platform'
+import type { StopRequest } from '../process_signals.ts'
 import type { EntryComponents } from './entry_components.ts'
 import type { EntryLog } from './entry_log.ts'
 import type { EntryOptions } from './entry_options.ts'
@@ -32,8 +33,8 @@
 
 /** A running entry instance. */
 export interface RunningEntry extends AsyncDisposable {
-  /** Shuts down gracefully: announces the shutdown to the peers, accepts requests for a limited time, waits for requests in flight, and closes all connections. */
-  stop (): Promise<void>
+  /** Shuts down gracefully: announces the shutdown to the peers, accepts requests for a limited time, waits for requests in flight, and closes all connections. The grace period counts from `request`, by default from the call. */
+  stop (request?: StopRequest): Promise<void>
   /** Logs which settings differ; none can change while the process runs, so they take effect at the next start. */
   reload (settings: EntrySettings): void
 }
@@ -116,11 +117,11 @@
   log.info('started', { failureDomain: settings.failureDomain, region: settings.region, callers: getHeartbeat().callers, cpuMs: Math.round(process.cpuUsage().user / 1_000 + process.cpuUsage().system / 1_000) })
 
   return {
-    async stop () {
-      log.info('stopping', describeLoad())
+    async stop ({ signal, atMs = getNowMs() }: Partial<StopRequest> = {}) {
+      log.info('stopping', { signal, ...describeLoad() })
       phase = StopPhase.Leaving
       link.announce()
-      await drainRequests({ graceMs: bounds.graceMs, callers, countOpen: () => countOpen() + link.countOpen(), getNowMs, onClosing: () => { phase = StopPhase.Closing } })
+      await drainRequests({ stoppedAtMs: atMs, graceMs: bounds.graceMs, callers, countOpen: () => countOpen() + link.countOpen(), getNowMs, onClosing: () => { phase = StopPhase.Closing } })
       log.info('stopped', describeLoad())
       await cleanup[Symbol.asyncDispose]()
     },
--- a/packages/bilberryd/src/main.ts
+++ b/packages/bilberryd/src/main.ts
@@ -9,10 +9,12 @@
 import type { Finding, Settings } from './settings.ts'
 import { createLogger } from 'bunyan'
 import { command, option, positional, run, string, subcommands } from 'cmd-ts'
+import { listenForSignals } from './process_signals.ts'
 import { runInstance } from './run_instance.ts'
 import { readSettings } from './settings.ts'
 
 const failureExitCode = 1
+const signals = listenForSignals()
 
 const checkSettings = command({
   name: 'check-settings',
@@ -57,16 +59,13 @@
 
 async function runUntilStopped (settings: Settings, file: string): Promise<void> {
   const log = createLogger({ name: 'bilberryd', instance: settings.instance, stream: process.stderr })
+  if (signals.isStopRequested()) return
   const instance = await runInstance(settings, log)
   console.log(JSON.stringify({ ready: true, ...instance.addresses, listening: instance.listening }))
-  process.on('SIGHUP', () => refreshSettings(instance, file, log))
-  const stopInstance = (): void => {
-    process.once('SIGTERM', () => process.exit(failureExitCode))
-    process.once('SIGINT', () => process.exit(failureExitCode))
-    instance.stop().then(() => process.exit(0)).catch(() => process.exit(failureExitCode))
-  }
-  process.once('SIGTERM', stopInstance)
-  process.once('SIGINT', stopInstance)
+  signals.handlers.reload = () => refreshSettings(instance, file, log)
+  signals.handlers.handleRepeated = signal => log.info({ signal }, 'Stop requested again: the stop goes on as before')
+  await signals.stopRequested
+  await instance.stop().then(() => process.exit(0), () => process.exit(failureExitCode))
 }
 
 const args = process.argv.slice(2)
--- a/packages/standins/src/survival_test.ts
+++ b/packages/standins/src/survival_test.ts
@@ -1,3 +1,4 @@
+import type { Child } from './child.ts'
 import type { Cluster } from './cluster.ts'
 import type { LoadReport } from './load.ts'
 import type { ExecutionContext } from 'ava'
@@ -45,6 +46,16 @@
   return { isComplete: text.includes(createHash('sha256').update(Buffer.concat(chunks)).digest('hex')), outcome: response.headers['bilberry-outcome'], reason: response.headers['bilberry-reason'] }
 }
 
+/** Stops a process by a signal that is repeated while the stop goes on, as supervisors do. */
+async function stopTwice (child: Child<unknown>): Promise<number | null> {
+  const stopped = child.stop('SIGTERM')
+  for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+    await waitMs(200)
+    child.process.kill(signal)
+  }
+  return stopped
+}
+
 test.serial('restarts all instances under load without a refused request or a truncated response', async t => {
   await using cluster = await startCluster(deployment)
   const order = [0, 1, 2, 3, 4, 5, 6].map(index => (index * 3 + seed) % 7)
@@ -53,7 +64,7 @@
     for (const group of groups) {
       const uploads = group.map(index => sendSlowUpload(cluster.instances[index]!.child.ready.callers, 5_000))
       await waitMs(200)
-      const codes = await Promise.all(group.map(index => cluster.instances[index]!.child.stop('SIGTERM')))
+      const codes = await Promise.all(group.map(index => stopTwice(cluster.instances[index]!.child)))
       t.deepEqual(codes, group.map(() => 0))
       for (const upload of await Promise.all(uploads)) t.deepEqual(upload, { isComplete: true, outcome: 'answered', reason: undefined })
       await Promise.all(group.map(index => cluster.restartInstance(index)))
