Read on while a caller is sending when its connection is closed

Cause: node:http destroys the socket right after the last response; the refusal left out Connection: close for that, but a response that may not keep its connection destroys it all the same. Such a connection is now closed for writing only, and read on until the request is complete, the caller closes its side or five seconds are over, on the listeners for callers and peers and on the own interface; a stop waits for it. Requests that arrive behind it are discarded unparsed, and the scheduler of pipelines starts nothing behind a response that has closed its connection.

--- a/packages/bilberryd/src/edge/peer_link.ts
+++ b/packages/bilberryd/src/edge/peer_link.ts
@@ -13,7 +13,7 @@
 import type { KnownPeer, PeerHeartbeat, HeartbeatUpdate, PeerView } from './peer_view.ts'
 import { createSocket } from 'node:dgram'
 import { createServer } from 'node:http'
-import { countOpenResponses } from '@bilberryworks/callers'
+import { applyGracefulClose, countOpenResponses } from '@bilberryworks/callers'
 import { createCatchUp } from '@bilberryworks/steering'
 import { requestServerOptions } from './caller_listener.ts'
 import { createKeptRowsFetch } from './kept_rows.ts'
@@ -199,7 +199,8 @@
   })
   const server = createServer(requestServerOptions, createPeerHandler({ handleRelayed: options.handleRelayed, handleStateCall, log }))
   server.maxHeadersCount = 0
-  const countOpen = countOpenResponses(server)
+  const countOpenPeers = countOpenResponses(server)
+  const countLingering = applyGracefulClose(server)
   await listenOn(server, ownHeartbeat.peers)
   const timer = setInterval(sendUpdates, options.intervalMs)
 
@@ -210,7 +211,7 @@
       fetchFromPeer()
       fetchKeptRows()
     },
-    countOpen,
+    countOpen: () => countOpenPeers() + countLingering(),
     async fetchFromSeeds () {
       await Promise.all(options.seeds.filter(seed => seed.host !== ownHeartbeat.peers.host).map(seed => readState(seed, { withInstances: true, withAllRows: true }).catch(error => log.info('seed_silent', { seed: `${seed.host}:${seed.port}`, detail: (error as Error).message }))))
     },
--- a/packages/bilberryd/src/edge/run_entry.ts
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -14,7 +14,7 @@
 import type { EntryMetrics } from './entry_metrics.ts'
 import type { EntryState } from './entry_state.ts'
 import { createServer } from 'node:http'
-import { countOpenResponses, runAfterReads } from '@bilberryworks/callers'
+import { applyGracefulClose, countOpenResponses, runAfterReads } from '@bilberryworks/callers'
 import { createCleanupStack, createPollSchedule } from '@bilberryworks/steering'
 import { checkListening, createTargetPool } from '@bilberryworks/targets'
 import { createStoreClient, operatorTable, targetTable } from '@bilberryworks/users-platform'
@@ -84,8 +84,10 @@
   }))
   const { state, view, dispatcher, targetReports, crashGuard, requestHandler, isReady, getHeartbeat } = components
   const callers = createCallerListener({ requestHandler, metrics })
-  const countOpen = countOpenResponses(callers)
-  const describeLoad = (): Record<string, number> => ({ open: countOpen() + link.countOpen(), inFlight: dispatcher.countInFlight(), waiting: dispatcher.countWaiting() })
+  const countOpenCallers = countOpenResponses(callers)
+  const countLingering = applyGracefulClose(callers)
+  const countOpen = (): number => countOpenCallers() + countLingering() + link.countOpen()
+  const describeLoad = (): Record<string, number> => ({ open: countOpen(), inFlight: dispatcher.countInFlight(), waiting: dispatcher.countWaiting() })
   const hasHomeRegions = (): boolean => state.getConfig()?.routes.some(route => route.homeRegions.length > 0) ?? false
   const lookUps = createLookUpListener({ settings, view, getHeartbeat, getNowMs, hasHomeRegions })
   const readiness = createReadinessListener(isReady)
@@ -121,7 +123,7 @@
       log.info('stopping', { signal, ...describeLoad() })
       phase = StopPhase.Leaving
       link.announce()
-      await drainRequests({ stoppedAtMs: atMs, graceMs: bounds.graceMs, callers, countOpen: () => countOpen() + link.countOpen(), getNowMs, onClosing: () => { phase = StopPhase.Closing } })
+      await drainRequests({ stoppedAtMs: atMs, graceMs: bounds.graceMs, callers, countOpen, getNowMs, onClosing: () => { phase = StopPhase.Closing } })
       log.info('stopped', describeLoad())
       await cleanup[Symbol.asyncDispose]()
     },
--- a/packages/bilberryd/src/open_listener.ts
+++ b/packages/bilberryd/src/open_listener.ts
@@ -10,7 +10,7 @@
 import { createServer } from 'node:http'
 import { createServer as createTlsServer, Server as TlsServer } from 'node:https'
 import { createSecureContext } from 'node:tls'
-import { countOpenResponses, handleClientErrors } from '@bilberryworks/callers'
+import { applyGracefulClose, countOpenResponses, handleClientErrors } from '@bilberryworks/callers'
 import { readPem } from './read_pem.ts'
 
 const maxHeaderBytes = 16 * 1024
@@ -57,6 +57,7 @@
   server.on('checkExpectation', handler)
   handleClientErrors(server, options.countRefusal ?? (() => {}))
   const countOpen = countOpenResponses(server)
+  applyGracefulClose(server)
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
     server.listen(listen.port, listen.host, resolve)
--- a/packages/callers/src/client_errors.ts
+++ b/packages/callers/src/client_errors.ts
@@ -5,9 +5,9 @@
  */
 import type { IncomingMessage, Server } from 'node:http'
 import type { Socket } from 'node:net'
-import type { Duplex } from 'node:stream'
 import { STATUS_CODES } from 'node:http'
 import { getRefusalStatus, Outcome, RefusalReason } from '@bilberryworks/steering'
+import { closeLingering } from './graceful_close.ts'
 import { observeRequests } from './watch_response.ts'
 
 const requestTimeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT'
@@ -34,9 +34,9 @@
  * @param countRefusal Called with the reason of each refusal
  */
 export function handleClientErrors (server: Server, countRefusal: (reason: RefusalReason) => void): void {
-  const openRequests = new WeakMap<Duplex, Set<IncomingMessage>>()
+  const openRequests = new WeakMap<Socket, Set<IncomingMessage>>()
   /** Connections that are closed after the responses to their complete requests. */
-  const closing = new WeakSet<Duplex>()
+  const closing = new WeakSet<Socket>()
   const hasCompleteRequest = (messages: Iterable<IncomingMessage>): boolean => [...messages].some(message => message.complete)
   observeRequests(server, (message, response) => {
     const { socket } = message
@@ -44,27 +44,30 @@
     openRequests.set(socket, messages.add(message))
     response.once('close', () => {
       messages.delete(message)
-      if (closing.has(socket) && !hasCompleteRequest(messages)) setImmediate(() => socket.destroy())
+      // A request whose rest can't be read ends with its connection.
+      if (closing.has(socket) && !hasCompleteRequest(messages)) setImmediate(() => messages.size === 0 ? closeLingering(socket) : socket.destroy())
     })
   })
-  const refuse = (socket: Duplex, reason: RefusalReason, detail: string): void => {
+  const refuse = (socket: Socket, reason: RefusalReason, detail: string): void => {
     const messages = [...openRequests.get(socket) ?? []]
     if (closing.has(socket)) return
     // If a request is still being received, its handler records the outcome.
     if (messages.every(message => message.complete)) countRefusal(reason)
-    if (messages.length === 0 && socket.writable) socket.end(formatRefusal(reason, detail), () => socket.destroy())
-    else if (hasCompleteRequest(messages)) closing.add(socket.pause())
+    if (messages.length === 0 && socket.writable) {
+      socket.write(formatRefusal(reason, detail))
+      closeLingering(socket)
+    } else if (hasCompleteRequest(messages)) closing.add(socket.pause())
     // Closes the connection after a refusal that the handler has just written is sent.
     else setImmediate(() => socket.destroy())
   }
-  server.on('clientError', (error: NodeJS.ErrnoException, socket: Duplex) => {
+  server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
     // A connection that timed out before its first byte is closed like an idle one: the caller would read a refusal as the
     // response to the request that it sends next.
-    const isUnused = error.code === requestTimeoutCode && (socket as Socket).bytesRead === 0
+    const isUnused = error.code === requestTimeoutCode && socket.bytesRead === 0
     if (isUnused || disconnectCodes.has(error.code ?? '')) socket.destroy()
     else refuse(socket, reasonByCode[error.code ?? ''] ?? RefusalReason.BadRequest, error.message)
   })
-  server.on('connect', (_message: IncomingMessage, socket: Duplex) => {
+  server.on('connect', (_message: IncomingMessage, socket: Socket) => {
     refuse(socket, RefusalReason.BadRequest, 'Method CONNECT is not supported')
   })
 }
--- /dev/null
+++ b/packages/callers/src/graceful_close.ts
@@ -0,0 +1,91 @@
+/**
+ * Closes the connections of a server so that callers get the responses that were written to them.
+ *
+ * @module
+ */
+import type { IncomingMessage, Server } from 'node:http'
+import type { Socket } from 'node:net'
+import { Server as TlsServer } from 'node:https'
+import { observeRequests, watchResponse } from './watch_response.ts'
+
+/** Time for which a connection is read on after its last response, in milliseconds. */
+const lingerMs = 5_000
+
+/** What a connection is used for. */
+interface ConnectionUse {
+  /** Number of requests whose responses have not been sent completely. */
+  openCount: number
+  /** The request that was received last; `undefined` before the first one. */
+  lastMessage: IncomingMessage | undefined
+}
+
+/**
+ * Makes a server close connections without the loss of a response.
+ *
+ * After the last response on a connection `node:http` closes it at once, and the kernel then resets it if the caller is still
+ * sending, so that the caller may lose the response. Where more may follow, the connection is closed for writing only, and
+ * read on until the request is complete, the caller closes its side, or five seconds have passed.
+ *
+ * Must be called after the server's handlers are added.
+ *
+ * @param server The server
+ * @returns A function that counts the connections which are read on after their last response
+ */
+export function applyGracefulClose (server: Server): () => number {
+  const connections = new Map<Socket, ConnectionUse>()
+  let lingeringCount = 0
+
+  function addConnection (socket: Socket): ConnectionUse {
+    const known = connections.get(socket)
+    if (known !== undefined) return known
+    const use: ConnectionUse = { openCount: 0, lastMessage: undefined }
+    connections.set(socket, use)
+    socket.once('close', () => connections.delete(socket))
+    const { destroySoon } = socket
+    socket.destroySoon = () => {
+      const { lastMessage, openCount } = use
+      const isReceiving = lastMessage?.complete === false
+      // The response that closes the connection is still counted.
+      if (!isReceiving && openCount <= 1) return destroySoon.call(socket)
+      lingeringCount++
+      socket.once('close', () => lingeringCount--)
+      closeLingering(socket, isReceiving ? lastMessage : undefined)
+    }
+    return use
+  }
+
+  server.on(server instanceof TlsServer ? 'secureConnection' : 'connection', addConnection)
+  observeRequests(server, (message, response) => {
+    const { socket } = message
+    const use = addConnection(socket)
+    use.openCount++
+    use.lastMessage = message
+    watchResponse(message, response, () => { use.openCount-- })
+  })
+  return () => lingeringCount
+}
+
+/**
+ * Closes a connection for writing once everything is sent, and reads and discards what still arrives for a limited time.
+ *
+ * @param socket The connection
+ * @param message The request that is still being received, which ends the connection when it is complete; none by default
+ */
+export function closeLingering (socket: Socket, message?: IncomingMessage): void {
+  if (socket.destroyed || socket.writableEnded) return
+  const timer = setTimeout(() => socket.destroy(), lingerMs)
+  timer.unref()
+  socket.once('close', () => clearTimeout(timer))
+  const destroyWhenSent = (): void => {
+    if (socket.writableFinished) socket.destroy()
+    else socket.once('finish', () => socket.destroy())
+  }
+  socket.once('end', destroyWhenSent)
+  if (message === undefined) {
+    // Bytes that are discarded must not be parsed as further requests.
+    socket.removeAllListeners('data')
+    socket.on('data', () => {})
+  } else message.once('end', destroyWhenSent)
+  socket.end()
+  socket.resume()
+}
--- /dev/null
+++ b/packages/callers/src/graceful_close_test.ts
@@ -0,0 +1,65 @@
+import type { RequestListener, Server } from 'node:http'
+import type { AddressInfo, Socket } from 'node:net'
+import test from 'ava'
+import { once } from 'node:events'
+import { createServer } from 'node:http'
+import { connect } from 'node:net'
+import { setTimeout as wait } from 'node:timers/promises'
+import { applyGracefulClose } from './graceful_close.ts'
+
+const uploadBytes = 4_000_000
+
+async function startServer (handler: RequestListener): Promise<{ server: Server, countLingering: () => number, connectCaller: () => Socket }> {
+  const server = createServer(handler)
+  const countLingering = applyGracefulClose(server)
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  return { server, countLingering, connectCaller: () => connect((server.address() as AddressInfo).port, '127.0.0.1').on('error', () => {}) }
+}
+
+async function closeServer (server: Server): Promise<void> {
+  const closed = once(server, 'close')
+  server.close()
+  server.closeAllConnections()
+  await closed
+}
+
+/** Reads a connection to its end; returns its bytes. */
+async function readAll (socket: Socket): Promise<Buffer> {
+  const parts: Buffer[] = []
+  socket.on('data', (part: Buffer) => parts.push(part)).resume()
+  if (!socket.destroyed) await once(socket, 'close')
+  return Buffer.concat(parts)
+}
+
+test('a caller that is still sending gets the response that closes its connection', async t => {
+  const { server, countLingering, connectCaller } = await startServer((_, response) => {
+    response.shouldKeepAlive = false
+    response.writeHead(413, { 'Content-Length': 2 }).end('no')
+  })
+  const caller = connectCaller()
+  caller.pause().write(`POST / HTTP/1.1\r\nHost: h\r\nContent-Length: ${uploadBytes}\r\n\r\n`)
+  for (let sentBytes = 0; sentBytes < uploadBytes; sentBytes += uploadBytes / 10) {
+    await wait(20)
+    caller.write(Buffer.alloc(uploadBytes / 10, 'x'))
+  }
+  t.regex((await readAll(caller)).toString('latin1'), /^HTTP\/1\.1 413 [^]*\r\n\r\nno$/)
+  t.is(countLingering(), 0)
+  await closeServer(server)
+})
+
+test('requests behind the response that closes a connection do not cost the caller that response', async t => {
+  const handled: string[] = []
+  const { server, connectCaller } = await startServer((message, response) => {
+    handled.push(message.url!)
+    response.shouldKeepAlive = false
+    if (message.url === '/first') setTimeout(() => response.writeHead(200, { 'Content-Length': 2 }).end('ok'), 100)
+  })
+  const caller = connectCaller()
+  caller.pause().write('GET /first HTTP/1.1\r\nHost: h\r\n\r\nGET /second HTTP/1.1\r\nHost: h\r\n\r\n')
+  for (let count = 0; count < 20; count++) {
+    await wait(20)
+    caller.write('GET /later HTTP/1.1\r\nHost: h\r\n\r\n')
+  }
+  t.regex((await readAll(caller)).toString('latin1'), /^HTTP\/1\.1 200 [^]*\r\n\r\nok$/)
+  await closeServer(server)
+})
--- a/packages/callers/src/mod.ts
+++ b/packages/callers/src/mod.ts
@@ -10,6 +10,7 @@
  */
 export * from './body_guard.ts'
 export * from './client_errors.ts'
+export * from './graceful_close.ts'
 export * from './header_fields.ts'
 export * from './parse_request.ts'
 export * from './pipeline_scheduler.ts'
--- a/packages/callers/src/pipeline_scheduler.ts
+++ b/packages/callers/src/pipeline_scheduler.ts
@@ -23,7 +23,7 @@
 export interface PipelineScheduler {
   /** Starts a request at once, or as soon as its turn on the connection comes. */
   schedule (request: PipelinedRequest): void
-  /** Returns whether an open response closes a connection, so that requests received behind it are ignored. */
+  /** Returns whether a response closes a connection, or has done so, so that requests received behind it are ignored. */
   isClosing (socket: Socket): boolean
 }
 
@@ -45,6 +45,8 @@
   /** Requests without a complete response, in the order in which they were received. */
   open: OpenRequest[]
   isPaused: boolean
+  /** Whether a response that closes the connection has ended. */
+  isClosed: boolean
 }
 
 /** Limits of a connection. A caller that sends more at once than one connection should carry gets the rest of its parallelism from further connections. */
@@ -101,7 +103,7 @@
   }
 
   function getConnection (socket: Socket): PipelinedConnection {
-    const connection = connections.get(socket) ?? { open: [], isPaused: false }
+    const connection = connections.get(socket) ?? { open: [], isPaused: false, isClosed: false }
     connections.set(socket, connection)
     return connection
   }
@@ -116,7 +118,8 @@
       if (connection.open.length >= maxOpen) response.shouldKeepAlive = false
       watchResponse(message, response, () => {
         connection.open.splice(connection.open.indexOf(request), 1)
-        if (socket.destroyed) return
+        connection.isClosed ||= socket.destroyed || !response.shouldKeepAlive
+        if (connection.isClosed) return
         startNext(connection)
         updateReading(socket, connection)
       })
@@ -125,7 +128,9 @@
     },
     isClosing (socket) {
       const connection = connections.get(socket)
-      if (connection === undefined || !hasClosingResponse(connection)) return false
+      if (connection === undefined) return false
+      if (connection.isClosed) return true
+      if (!hasClosingResponse(connection)) return false
       updateReading(socket, connection)
       return true
     }
--- a/packages/callers/src/write_response.ts
+++ b/packages/callers/src/write_response.ts
@@ -40,8 +40,8 @@
 /**
  * Writes a refusal as `application/problem+json`.
  *
- * If the caller is still sending the request, the rest is read and discarded for a limited time (lingering close). If the
- * connection were closed immediately, the next byte to arrive would reset it, and the caller could lose the refusal.
+ * If the caller is still sending the request, the rest is read and discarded for a limited time; a connection that is closed
+ * by the refusal must linger ({@linkcode applyGracefulClose}), or the caller could lose the refusal.
  *
  * @param response The response to write to
  * @param refusal The refusal
@@ -62,9 +62,6 @@
     response.setHeader('retry-after', formatRetryAfter(refusal.retryAfterMs))
     response.setHeader('bilberry-retry-after-ms', Math.ceil(refusal.retryAfterMs))
   }
-  // Removes `Connection: close` while the request is still being received: closing the connection with unread bytes would
-  // reset it, and the caller could lose the refusal.
-  if (!response.req.complete) response.removeHeader('connection')
   response.writeHead(status).end(body)
   drainRequestBody(response)
 }
--- a/packages/standins/src/entry_stop_test.ts
+++ b/packages/standins/src/entry_stop_test.ts
@@ -4,14 +4,17 @@
 import type { RawCaller } from './raw_caller.ts'
 import type { OpenSiteTargetOptions, SiteTarget } from './site_target.ts'
 import { mkdtemp } from 'node:fs/promises'
+import { createServer } from 'node:http'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { setTimeout as wait } from 'node:timers/promises'
 import test from 'ava'
 import { createCleanupStack } from '@bilberryworks/steering'
 import { isEntryReady, readEntryLog, startEntryProcess, writeEntryFiles } from './entry_process.ts'
+import { listenOnLoopback } from './listeners.ts'
 import { formatRequestHead, openRawCaller } from './raw_caller.ts'
-import { createTestSite, testSiteHost, waitUntil } from './test_site.ts'
+import { createTargetRow } from './target_rows.ts'
+import { createTestSite, testSiteHost, testSiteService, waitUntil } from './test_site.ts'
 
 const routeTimeout = '20s'
 const timeLeftMs = 20_000
@@ -69,6 +72,16 @@
   return targets.flatMap(target => target.runs.map(run => run.attemptId))
 }
 
+/** Writes a body in parts at equal intervals, as a caller that reads the response behind it. */
+async function writeSlowly (caller: RawCaller, { bytes, durationMs, parts }: { bytes: number, durationMs: number, parts: number }): Promise<void> {
+  caller.socket.pause()
+  for (let part = 0; part < parts && !caller.socket.destroyed; part++) {
+    caller.socket.write(Buffer.alloc(bytes / parts, 'x'))
+    await wait(durationMs / parts)
+  }
+  caller.socket.resume()
+}
+
 for (const [first, second] of [['SIGTERM', 'SIGTERM'], ['SIGINT', 'SIGINT'], ['SIGTERM', 'SIGINT'], ['SIGINT', 'SIGTERM']] as const) {
   test(`${second} after ${first} does not end requests in flight`, async t => {
     await using started = await startProcess({ targets: [{ processingMs: slowMs, slots: 10 }] })
@@ -102,6 +115,60 @@
   t.true((await readEntryLog(started.files)).some(line => line['event'] === 'stopped'))
 })
 
+test('a refusal during a stop reaches a caller that is sending its body', async t => {
+  await using started = await startProcess({ targets: [{ processingMs: 2_000 }] })
+  await waitUntilWarm(t, started)
+  const bytes = 3_000_000
+  const head = formatRequestHead('/upload/x', { host: testSiteHost, id: 'late', timeLeftMs, bodyBytes: bytes })
+  const caller = openRawCaller(started.files.callers)
+  caller.socket.write(head.slice(0, 20))
+  await wait(200)
+  started.child.kill('SIGTERM')
+  await wait(2_000)
+  const inFlight = started.send('/unsafe/x', 0)
+  await wait(700)
+  caller.socket.write(head.slice(20))
+  await writeSlowly(caller, { bytes, durationMs: 600, parts: 30 })
+  t.is((await inFlight.response).status, 200)
+  const { status, isComplete, headers } = await caller.response
+  t.like({ status, isComplete, isReset: caller.isReset() }, { status: 503, isComplete: true, isReset: false })
+  t.is(headers['bilberry-outcome'], 'not-run')
+})
+
+/** Opens a target that rejects uploads when it has read 64 KiB of them. */
+async function openRejectingTarget (started: StartedProcess): Promise<void> {
+  const server = createServer((message, response) => {
+    const fields = { 'X-Request-Id': String(message.headers['x-request-id']), 'X-Server-Signature': 's' }
+    let bytes = 0
+    message.on('data', (part: Buffer) => {
+      bytes += part.length
+      if (bytes >= 65_536 && !response.headersSent) response.writeHead(413, { ...fields, 'Content-Length': 2 }).end('no')
+    })
+    message.on('end', () => { if (!response.headersSent) response.writeHead(200, { ...fields, 'Content-Length': 2 }).end('ok') })
+  })
+  const { host, port } = await listenOnLoopback(server)
+  started.site.store.writeRow('servers', 'rejecting', createTargetRow({ service: testSiteService, address: `${host}:${port}`, failureDomain: 'a-1', slots: 30 }, { seq: 1 }))
+  started.cleanup.add({
+    async [Symbol.asyncDispose] () {
+      server.close()
+      server.closeAllConnections()
+    }
+  })
+}
+
+test('an early response during a stop reaches a caller that is sending its body', async t => {
+  await using started = await startProcess({ targets: [] })
+  await openRejectingTarget(started)
+  await waitUntilWarm(t, started)
+  started.child.kill('SIGTERM')
+  await wait(500)
+  const bytes = 3_000_000
+  const uploads = Array.from({ length: 5 }, () => started.send('/upload/x', bytes))
+  await Promise.all(uploads.map(upload => writeSlowly(upload, { bytes, durationMs: 600, parts: 30 })))
+  const responses = await Promise.all(uploads.map(upload => upload.response))
+  t.deepEqual(responses.map(({ status, isComplete }, index) => [status, isComplete, uploads[index]!.isReset()]), uploads.map(() => [413, true, false]))
+})
+
 test('SIGHUP during a stop changes nothing', async t => {
   await using started = await startProcess({ targets: [{ processingMs: slowMs }] })
   await waitUntilWarm(t, started)
--- a/packages/standins/src/raw_caller.ts
+++ b/packages/standins/src/raw_caller.ts
@@ -64,25 +64,38 @@
  */
 export function openRawCaller (address: SocketAddress): RawCaller {
   const socket = connect({ ...address, noDelay: true })
-  let text = ''
+  let received = Buffer.alloc(0)
+  let response: RawResponse | undefined
   let isReset = false
-  const response = new Promise<RawResponse>(resolve => {
+  /** Adds received bytes; those of the body are counted only. */
+  function addBytes (part: Buffer): RawResponse {
+    if (response === undefined) {
+      received = Buffer.concat([received, part])
+      response = parseResponse(received)
+    } else response = countBody(response, part.length)
+    return response ?? { status: undefined, headers: {}, bodyBytes: 0, isComplete: false }
+  }
+  const ended = new Promise<RawResponse>(resolve => {
     socket.on('data', (part: Buffer) => {
-      text += part.toString('latin1')
-      const parsed = parseResponse(text)
-      if (parsed.isComplete) resolve(parsed)
+      const current = addBytes(part)
+      if (current.isComplete) resolve(current)
     })
     socket.on('error', (error: NodeJS.ErrnoException) => { isReset ||= error.code === 'ECONNRESET' || error.code === 'EPIPE' })
-    socket.on('close', () => resolve(parseResponse(text)))
+    socket.on('close', () => resolve(addBytes(Buffer.alloc(0))))
   })
-  return { socket, response, isReset: () => isReset }
+  return { socket, response: ended, isReset: () => isReset }
 }
 
-function parseResponse (text: string): RawResponse {
-  const end = text.indexOf(headEnd)
-  if (end < 0) return { status: undefined, headers: {}, bodyBytes: 0, isComplete: false }
-  const [statusLine, ...lines] = text.slice(0, end).split('\r\n')
+/** Parses a response; returns `undefined` while its header section is not complete. */
+function parseResponse (bytes: Buffer): RawResponse | undefined {
+  const end = bytes.indexOf(headEnd)
+  if (end < 0) return undefined
+  const [statusLine, ...lines] = bytes.subarray(0, end).toString('latin1').split('\r\n')
   const headers = Object.fromEntries(lines.map(line => [line.slice(0, line.indexOf(':')).toLowerCase(), line.slice(line.indexOf(':') + 1).trim()]))
-  const bodyBytes = text.length - end - headEnd.length
-  return { status: Number(statusLine!.split(' ')[1]), headers, bodyBytes, isComplete: bodyBytes >= Number(headers['content-length'] ?? 0) }
+  return countBody({ status: Number(statusLine!.split(' ')[1]), headers, bodyBytes: 0, isComplete: false }, bytes.length - end - headEnd.length)
+}
+
+function countBody (response: RawResponse, addedBytes: number): RawResponse {
+  const bodyBytes = response.bodyBytes + addedBytes
+  return { ...response, bodyBytes, isComplete: bodyBytes >= Number(response.headers['content-length'] ?? 0) }
 }
