Leave responses that are not sent yet alone when idle connections are closed

Cause: closeIdleConnections of node:http, which also its close calls, counts a connection as idle when its response has ended, whether it has been sent or not, and destroys it with what is still buffered. A server's function is replaced by one that closes connections without an open response and without bytes of a next request.

--- a/packages/callers/src/graceful_close.ts
+++ b/packages/callers/src/graceful_close.ts
@@ -17,6 +17,8 @@
   openCount: number
   /** The request that was received last; `undefined` before the first one. */
   lastMessage: IncomingMessage | undefined
+  /** Number of bytes that had been received when the last response was sent. */
+  bytesWhenIdle: number
 }
 
 /**
@@ -26,6 +28,9 @@
  * sending, so that the caller may lose the response. Where more may follow, the connection is closed for writing only, and
  * read on until the request is complete, the caller closes its side, or five seconds have passed.
  *
+ * `closeIdleConnections` of `node:http`, which its `close` calls as well, destroys connections whose response has ended but
+ * is not sent yet; it is replaced by one that waits for them.
+ *
  * Must be called after the server's handlers are added.
  *
  * @param server The server
@@ -38,7 +43,7 @@
   function addConnection (socket: Socket): ConnectionUse {
     const known = connections.get(socket)
     if (known !== undefined) return known
-    const use: ConnectionUse = { openCount: 0, lastMessage: undefined }
+    const use: ConnectionUse = { openCount: 0, lastMessage: undefined, bytesWhenIdle: 0 }
     connections.set(socket, use)
     socket.once('close', () => connections.delete(socket))
     const { destroySoon } = socket
@@ -58,13 +63,25 @@
   observeRequests(server, (message, response) => {
     const { socket } = message
     const use = addConnection(socket)
+    const recordIdle = (): void => { if (use.openCount === 0) use.bytesWhenIdle = socket.bytesRead }
     use.openCount++
     use.lastMessage = message
-    watchResponse(message, response, () => { use.openCount-- })
+    message.once('close', recordIdle)
+    watchResponse(message, response, () => {
+      use.openCount--
+      recordIdle()
+    })
   })
+  server.closeIdleConnections = () => {
+    for (const [socket, use] of connections) if (isIdle(socket, use)) socket.destroy()
+  }
   return () => lingeringCount
 }
 
+function isIdle (socket: Socket, { openCount, lastMessage, bytesWhenIdle }: ConnectionUse): boolean {
+  return openCount === 0 && lastMessage?.complete !== false && socket.bytesRead === bytesWhenIdle
+}
+
 /**
  * Closes a connection for writing once everything is sent, and reads and discards what still arrives for a limited time.
  *
--- a/packages/callers/src/graceful_close_test.ts
+++ b/packages/callers/src/graceful_close_test.ts
@@ -7,6 +7,7 @@
 import { setTimeout as wait } from 'node:timers/promises'
 import { applyGracefulClose } from './graceful_close.ts'
 
+const longBytes = 20_000_000
 const uploadBytes = 4_000_000
 
 async function startServer (handler: RequestListener): Promise<{ server: Server, countLingering: () => number, connectCaller: () => Socket }> {
@@ -31,6 +32,22 @@
   return Buffer.concat(parts)
 }
 
+test('closing idle connections does not drop a response that is not sent yet', async t => {
+  let hasResponded = (): void => {}
+  const responded = new Promise<void>(resolve => { hasResponded = resolve })
+  const { server, connectCaller } = await startServer((_, response) => {
+    response.writeHead(200, { 'Content-Length': longBytes, Connection: 'close' }).end(Buffer.alloc(longBytes, 'x'))
+    hasResponded()
+  })
+  const caller = connectCaller()
+  caller.pause().write('GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+  await responded
+  server.closeIdleConnections()
+  server.close()
+  const bytes = await readAll(caller)
+  t.is(bytes.length - bytes.indexOf('\r\n\r\n') - 4, longBytes)
+})
+
 test('a caller that is still sending gets the response that closes its connection', async t => {
   const { server, countLingering, connectCaller } = await startServer((_, response) => {
     response.shouldKeepAlive = false
@@ -63,3 +80,17 @@
   t.regex((await readAll(caller)).toString('latin1'), /^HTTP\/1\.1 200 [^]*\r\n\r\nok$/)
   await closeServer(server)
 })
+
+test('closes idle connections, and none on which a request has begun to arrive', async t => {
+  const { server, connectCaller } = await startServer((_, response) => response.end('ok'))
+  const [unused, used, begun] = [connectCaller(), connectCaller(), connectCaller()]
+  used.write('GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+  begun.write('GET / HTTP/1.1\r\n')
+  await once(used, 'data')
+  await wait(50)
+  server.closeIdleConnections()
+  await Promise.all([unused, used].map(socket => once(socket.resume(), 'close')))
+  begun.write('Host: h\r\n\r\n')
+  t.regex(String((await once(begun, 'data'))[0]), /^HTTP\/1\.1 200 /)
+  await closeServer(server)
+})
