Decide by a life cycle what a stopping instance sends on and how it ends

Cause: the stop only waited for open requests and closed all connections after 0.97 of the grace, whatever was sent on meanwhile. Now a pure life cycle in packages/steering says from the first signal on what time is left; a request is sent on only if its target can be expected to end it within that, by the target's own times and the rest of its body, with half as much again for their spread, and is refused as not run the moment that this is no longer so, also while its body arrives; at the end what has not been sent on is refused as not run, what is in flight is answered as unknown, and what has arrived is read first. Log lines name the signal, the phases and how many were refused and unknown. Requests are accepted for as long as before, and a stop with nothing open ends at the same time.

--- a/packages/bilberryd/src/edge/attempt.ts
+++ b/packages/bilberryd/src/edge/attempt.ts
@@ -8,6 +8,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { CollectedBody } from './collect_body.ts'
 import type { RelayOrigin } from './relay_message.ts'
+import { computeArrivalMs } from '@bilberryworks/steering'
 
 /** Phase of an attempt. */
 export enum AttemptPhase {
@@ -71,6 +72,8 @@
   phase: AttemptPhase
   /** Buffered part of the body; `undefined` while it is being buffered, and if the request has no body. */
   body: CollectedBody | undefined
+  /** The body while it is being buffered, and from then on; `undefined` until it is read, and if the request has none. */
+  arrivingBody: CollectedBody | undefined
   /** Whether unbuffered body bytes were forwarded, which rules out a retry. */
   isBodyConsumed: boolean
   /** Exchange in progress with a target. */
@@ -97,6 +100,19 @@
   wasRefusedWithRoom: boolean
 }
 
+/**
+ * Estimates how long the rest of an attempt's body takes to arrive.
+ *
+ * @param attempt The attempt
+ * @param nowMs Monotonic time, in milliseconds
+ * @returns Time in milliseconds; 0 if the body is complete or there is none
+ */
+export function computeBodyMs ({ message, arrivingBody, arrivedAtMs }: Attempt, nowMs: number): number {
+  if (message.complete) return 0
+  const length = message.headers['content-length']
+  return computeArrivalMs({ receivedBytes: arrivingBody?.bytes ?? 0, declaredBytes: length === undefined ? undefined : Number(length), elapsedMs: nowMs - arrivedAtMs })
+}
+
 /**
  * Describes how long an attempt has waited for the response of a target.
  *
--- a/packages/bilberryd/src/edge/attempt_withdrawal.ts
+++ b/packages/bilberryd/src/edge/attempt_withdrawal.ts
@@ -8,6 +8,7 @@
 import type { AttemptFinisher } from './attempt_finisher.ts'
 import { createNotRunRefusal, createUnknownRefusal, RefusalReason } from '@bilberryworks/steering'
 import { AttemptPhase } from './attempt.ts'
+import { createStoppingRefusal } from './stopping.ts'
 
 /** Ends attempts. */
 export interface AttemptWithdrawal {
@@ -17,6 +18,8 @@
   cancel (attempt: Attempt, refusal: Refusal): void
   /** Finishes an attempt whose deadline has passed. */
   expire (attempt: Attempt): void
+  /** Finishes an attempt that this instance can't complete before it ends, which is any without a begun response if it is ending; returns whether it did. */
+  end (attempt: Attempt, options: { isEnding: boolean }): boolean
 }
 
 /** Options of {@linkcode createAttemptWithdrawal}. */
@@ -25,6 +28,8 @@
   finisher: AttemptFinisher
   /** Removes an attempt from the queue, and cancels its exchange if one is in progress. */
   detach: (attempt: Attempt) => void
+  /** Returns whether any target can be expected to end an attempt before this instance ends. */
+  isCompletableAnywhere: (attempt: Attempt) => boolean
   /** Called after an attempt has ended. */
   onEnd: (attempt: Attempt) => void
   /** Returns the `Retry-After` of a refused attempt, in milliseconds. */
@@ -37,7 +42,7 @@
  * @param options Finisher and callbacks
  * @returns The functions
  */
-export function createAttemptWithdrawal ({ finisher, detach, onEnd, getRetryAfterMs }: CreateAttemptWithdrawalOptions): AttemptWithdrawal {
+export function createAttemptWithdrawal ({ finisher, detach, onEnd, isCompletableAnywhere, getRetryAfterMs }: CreateAttemptWithdrawalOptions): AttemptWithdrawal {
   function cancelAttempt (attempt: Attempt, refusal: Refusal): void {
     if (attempt.phase === AttemptPhase.Ended) return
     detach(attempt)
@@ -56,6 +61,12 @@
       else if (attempt.mayHaveRun) finisher.refuse(attempt, createUnknownRefusal(RefusalReason.TargetTimeout, 'Deadline passed after the request was sent to a target'))
       else finisher.refuse(attempt, createNotRunRefusal(RefusalReason.DeadlinePassed, 'Deadline passed before a target accepted the request', getRetryAfterMs(attempt)))
       onEnd(attempt)
+    },
+    end (attempt, { isEnding }) {
+      if (attempt.phase === AttemptPhase.Ended || attempt.phase === AttemptPhase.Responding) return false
+      if (!isEnding && (attempt.phase === AttemptPhase.Dispatched || isCompletableAnywhere(attempt))) return false
+      cancelAttempt(attempt, attempt.mayHaveRun ? createUnknownRefusal(RefusalReason.Stopping, 'Instance ended before the target responded') : createStoppingRefusal())
+      return true
     }
   }
 }
--- a/packages/bilberryd/src/edge/collect_body.ts
+++ b/packages/bilberryd/src/edge/collect_body.ts
@@ -50,8 +50,9 @@
  *
  * @param message The message
  * @param options Limits and callbacks
+ * @returns The body, as far as it has been received
  */
-export function collectBody (message: IncomingMessage, options: CollectBodyOptions): void {
+export function collectBody (message: IncomingMessage, options: CollectBodyOptions): CollectedBody {
   const contentLength = message.headers['content-length']
   let hasCollected = false
   let reservedBytes = 0
@@ -119,4 +120,5 @@
   }
 
   addListeners()
+  return body
 }
--- a/packages/bilberryd/src/edge/dispatcher.ts
+++ b/packages/bilberryd/src/edge/dispatcher.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { KnownInstance, RateContender, RegisteredTarget, EntrySettings, PendingExchange, Refusal, WaitingRequests } from '@bilberryworks/steering'
+import type { KnownInstance, LifeCycle, RateContender, RegisteredTarget, EntrySettings, PendingExchange, Refusal, WaitingRequests } from '@bilberryworks/steering'
 import type { ResponseHead, TargetPool } from '@bilberryworks/targets'
 import type { Attempt } from './attempt.ts'
 import type { CrashGuard } from './crash_guard.ts'
@@ -21,6 +21,7 @@
 import { createAttemptFinisher } from './attempt_finisher.ts'
 import { confirmUpload } from './confirm_caller.ts'
 import { createExchangeResultHandler, minTimeLeftMs } from './exchange_results.ts'
+import { createStoppingRefusal, createStopLimits } from './stopping.ts'
 import { createTargetSelector } from './target_selector.ts'
 import { createActiveExchanges } from './active_exchanges.ts'
 import { createAttemptWithdrawal } from './attempt_withdrawal.ts'
@@ -42,6 +43,8 @@
   cancel (attempt: Attempt, refusal: Refusal): void
   /** Finishes an attempt whose deadline has passed. */
   expire (attempt: Attempt): void
+  /** Finishes an attempt that this instance can't complete before it ends; returns whether it did. */
+  end (attempt: Attempt, options: { isEnding: boolean }): boolean
   /** Dispatches the queued requests for which a target has a free slot, and refuses those that have waited too long. */
   dispatchWaiting (): void
   /** Retries the requests on idempotent routes that wait for a response of a target which sends none and accepts no connections. */
@@ -60,6 +63,8 @@
 export interface CreateDispatcherOptions {
   /** Settings of the instance. */
   settings: EntrySettings
+  /** Phases of the instance. */
+  life: LifeCycle
   /** Replicated configuration and target registry. */
   state: EntryState
   /** Connections to targets. */
@@ -115,6 +120,7 @@
   const { settings: { bounds, instance }, state, crashGuard, reach, log, metrics, getNowMs } = options
   const speeds = createTargetSpeeds()
   const targetSelector = createTargetSelector({ ...options, speeds })
+  const { isCompletable, isCompletableAnywhere } = createStopLimits({ ...options, targetSelector })
   const exchanges = createActiveExchanges({ ...options, speeds })
   const finisher = createAttemptFinisher({ log, metrics, getNowMs, describeLoad: () => ({ waiting: countWaiting(), inFlight: exchanges.count() }) })
   const waitingByService = createLazyMap<WaitingRequests<Attempt>>(createWaitingRequests)
@@ -125,10 +131,10 @@
   const relayer = createRelayer({ ...options, ...relayOptions, maySend: attempt => crashGuard.findRefusal(attempt) === undefined })
   const handleExchangeResult = createExchangeResultHandler({ finisher, log, metrics, getNowMs, getRandom: options.getRandom, getBudget: retryBudgets.get, getRetryAfterMs, isSuspect: crashGuard.isSuspect, requeue: enqueueAttempt, relay: attempt => peerDispatch.isUnderDoubt(attempt) && peerDispatch.sendThroughPeer(attempt) })
   const peerDispatch = createPeerDispatch({ instance, relayer, reach, targetSelector, finisher, getRetryAfterMs })
-  const sendToTarget = createTargetSender({ ...options, targetSelector, speeds, exchanges, finisher, onResult: handleResult })
+  const sendToTarget = createTargetSender({ ...options, isCompletable, targetSelector, speeds, exchanges, finisher, onResult: handleResult })
   const retryUnreachable = createUnreachableRetries({ exchanges, reach, getNowMs, getBudget: retryBudgets.get, handleExchangeResult })
   const findRelayRefusal = createRelayAdmission({ instance, maxRelayed: options.maxRelayed, exchanges, getRetryAfterMs, getWaiting: waitingByService.get, countWaitingRelayed: () => countWaiting(attempt => attempt.relay !== undefined) })
-  const withdrawal = createAttemptWithdrawal({ finisher, getRetryAfterMs, detach: detachAttempt, onEnd: attempt => dispatchWaiting(attempt.service) })
+  const withdrawal = createAttemptWithdrawal({ finisher, isCompletableAnywhere, getRetryAfterMs, detach: detachAttempt, onEnd: attempt => dispatchWaiting(attempt.service) })
   let checkTimer: NodeJS.Timeout | undefined
 
   function handleResult (attempt: Attempt, result: ExchangeResult, detail: string): void {
@@ -144,6 +150,7 @@
       if (!peerDispatch.isUnderDoubt(attempt) || !peerDispatch.sendThroughPeer(attempt)) finisher.refuse(attempt, unavailable)
       return
     }
+    if (!isCompletableAnywhere(attempt)) return finisher.refuse(attempt, createStoppingRefusal())
     if (peerDispatch.isOutOfReach(attempt)) return peerDispatch.sendThroughPeerOrRefuse(attempt)
     attempt.phase = AttemptPhase.Waiting
     waitingByService.get(attempt.service).add(attempt)
@@ -160,8 +167,9 @@
     state.targets.observeTime(getNowMs())
     for (const attempt of waiting.takeMatching(request => crashGuard.findRefusal(request) !== undefined)) finisher.refuse(attempt, crashGuard.findRefusal(attempt)!)
     if (reach.hasLost()) for (const attempt of waiting.takeMatching(peerDispatch.isOutOfReach)) peerDispatch.sendThroughPeerOrRefuse(attempt)
+    if (options.life.isStopping()) for (const attempt of waiting.takeMatching(request => !isCompletableAnywhere(request))) finisher.refuse(attempt, createStoppingRefusal())
     const assignments = waiting.takePlaced(attempt => {
-      const entry = targetSelector.findTarget(attempt)
+      const entry = targetSelector.findTarget(attempt, target => isCompletable(attempt, target))
       // Counted immediately, so that the selection for the next queued request sees the remaining capacity.
       if (entry !== undefined) recordTargetDispatch(entry, getNowMs())
       return entry
@@ -200,6 +208,9 @@
     if (attempt.deadlineAtMs - getNowMs() < minTimeLeftMs) {
       exchanges.releaseUnused(entry)
       finisher.refuse(attempt, createNotRunRefusal(RefusalReason.DeadlinePassed, 'Deadline is too close to send the request to a target', getRetryAfterMs(attempt)))
+    } else if (!isCompletable(attempt, entry)) {
+      exchanges.releaseUnused(entry)
+      enqueueAttempt(attempt)
     } else if (reach.needsConnection(entry) && attempt.relay === undefined && relayer.findPeer(attempt) !== undefined) {
       exchanges.releaseUnused(entry)
       peerDispatch.sendThroughPeer(attempt)
--- a/packages/bilberryd/src/edge/drain_requests.ts
+++ b/packages/bilberryd/src/edge/drain_requests.ts
@@ -1,45 +1,65 @@
 /**
- * Drains an entry instance that stops: it goes on accepting requests for a while, refuses later ones, and waits for those in flight.
+ * Drains an entry instance that stops: it goes on accepting requests for a while, refuses later ones and those that it can't
+ * complete, waits for those in flight, and answers what is left.
  *
  * @module
  */
+import type { LifeCycle } from '@bilberryworks/steering'
 import type { Server } from 'node:http'
+import type { EndedRequests } from './open_attempts.ts'
 import { setTimeout as wait } from 'node:timers/promises'
+import { runAfterReads } from '@bilberryworks/callers'
+import { LifePhase } from '@bilberryworks/steering'
 
 /** Options of {@linkcode drainRequests}. */
 export interface DrainRequestsOptions {
-  /** Monotonic time of the request to stop the process, in milliseconds. */
-  stoppedAtMs: number
-  /** Time from the request to stop the process to its forced termination, in milliseconds. */
-  graceMs: number
+  /** Phases of this instance, which has been told to stop. */
+  life: LifeCycle
   /** Listener for callers. */
   callers: Server
-  /** Returns the number of requests of callers and other instances whose responses have not ended. */
+  /** Returns the number of requests of callers and other instances whose responses have not ended, and of connections that are being closed. */
   countOpen: () => number
-  /** Called when requests are no longer accepted. */
-  onClosing: () => void
+  /** Answers the requests that can't be completed; see the request handler. */
+  endRequests: () => EndedRequests
+  /** Called when no further requests are accepted. */
+  onPhase: (phase: LifePhase) => void
   /** Returns monotonic time, in milliseconds. */
   getNowMs: () => number
 }
 
-/** Share of the grace period for which a stopping instance accepts new requests: callers switch to other instances during this time, and the last requests have the rest of the period to complete. */
-const acceptShare = 0.42
-/** Share of the grace period, counted from its start, for which a stopping instance waits for requests in flight. */
-const drainShare = 0.97
+const acceptPollIntervalMs = 50
 const drainPollIntervalMs = 20
+/** Maximum time for sending the last responses, in milliseconds. */
+const flushMs = 100
 
 /**
- * Drains an instance; to be called when it is requested to stop.
+ * Drains an instance; to be called when it has been told to stop.
  *
- * @param options Grace period, listener and callbacks
+ * @param options Life cycle, listener and callbacks
+ * @returns Numbers of requests that were answered without a target's response, because the instance stops
  */
-export async function drainRequests ({ stoppedAtMs, graceMs, callers, countOpen, onClosing, getNowMs }: DrainRequestsOptions): Promise<void> {
-  const deadlineMs = stoppedAtMs + graceMs * drainShare
-  await wait(Math.max(0, stoppedAtMs + graceMs * acceptShare - getNowMs()))
-  onClosing()
+export async function drainRequests ({ life, callers, countOpen, endRequests, onPhase, getNowMs }: DrainRequestsOptions): Promise<EndedRequests> {
+  const ended: EndedRequests = { refused: 0, unknown: 0 }
+  const addEnded = ({ refused, unknown }: EndedRequests): void => {
+    ended.refused += refused
+    ended.unknown += unknown
+  }
+
+  while (life.getPhase(getNowMs()) === LifePhase.Leaving) {
+    addEnded(endRequests())
+    await wait(acceptPollIntervalMs)
+  }
+  onPhase(life.getPhase(getNowMs()))
   callers.close()
-  while (getNowMs() < deadlineMs && countOpen() > 0) {
+  while (life.getPhase(getNowMs()) === LifePhase.Closing && countOpen() > 0) {
+    addEnded(endRequests())
     callers.closeIdleConnections()
     await wait(drainPollIntervalMs)
   }
+  // What arrived while this process was not running has not been read yet.
+  await new Promise<void>(runAfterReads)
+  addEnded(endRequests())
+  const flushedByMs = getNowMs() + flushMs
+  while (countOpen() > 0 && getNowMs() < flushedByMs) await wait(drainPollIntervalMs)
+  return ended
 }
--- a/packages/bilberryd/src/edge/entry_components.ts
+++ b/packages/bilberryd/src/edge/entry_components.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import type { EntrySettings } from '@bilberryworks/steering'
+import type { EntrySettings, LifeCycle } from '@bilberryworks/steering'
 import type { checkListening, TargetPool } from '@bilberryworks/targets'
 import type { CrashGuard } from './crash_guard.ts'
 import type { Dispatcher } from './dispatcher.ts'
@@ -17,7 +17,7 @@
 import type { RelaySettings } from './entry_options.ts'
 import type { RequestHandler } from './request_handler.ts'
 import type { TargetReports } from './target_reports.ts'
-import { createWeightedRoundRobin } from '@bilberryworks/steering'
+import { createWeightedRoundRobin, LifePhase } from '@bilberryworks/steering'
 import { ConnectionEvent } from '@bilberryworks/targets'
 import { createCrashGuard } from './crash_guard.ts'
 import { createDispatcher } from './dispatcher.ts'
@@ -28,7 +28,7 @@
 import { createRegionShares } from './region_shares.ts'
 import { createRelayPeers } from './relay_peers.ts'
 import { createColdReporter } from './report_cold.ts'
-import { createRequestHandler, StopPhase } from './request_handler.ts'
+import { createRequestHandler } from './request_handler.ts'
 import { createTargetReports } from './target_reports.ts'
 
 /** The deciding parts of an entry instance. */
@@ -79,8 +79,8 @@
   relays: RelaySettings
   /** Calls a function when what sockets have received has been read. */
   runAfterReads: (run: () => void) => void
-  /** Returns the phase of the shutdown. */
-  getStopPhase: () => StopPhase
+  /** Phases of the instance. */
+  life: LifeCycle
   /** Called after each change that can affect target selection. */
   onStateChange: () => void
   /** Sends a heartbeat to all peers without waiting for the next one. */
@@ -106,7 +106,7 @@
  * @returns The parts; dispose them to stop their timers
  */
 export function createEntryComponents (options: CreateEntryComponentsOptions): EntryComponents {
-  const { settings, log, metrics, peerPool, runAfterReads, getNowMs, getRandom } = options
+  const { settings, life, log, metrics, peerPool, runAfterReads, getNowMs, getRandom } = options
   let sequence = 0
   const view = createPeerView({ instance: settings.instance, startedAtMs: getNowMs(), completionMs: membershipMs, evictionMs: peerEvictionMs, getTimeoutMs: heartbeat => heartbeat.region === settings.region ? peerTimeoutMs : remotePeerTimeoutMs })
   const listPeers = (): PeerHeartbeat[] => view.listLive(getNowMs()).map(peer => peer.heartbeat)
@@ -123,6 +123,7 @@
     relayPeers,
     maxRelayed: options.relays.maxRelayed,
     settings,
+    life,
     state,
     pool,
     peerPool,
@@ -142,8 +143,8 @@
   })
   const regionShares = createRegionShares({ settings, state, countRequests: dispatcher.countRequests, listPeers })
   const serviceSelector = createWeightedRoundRobin(getRandom)
-  const requestHandler = createRequestHandler({ state, dispatcher, log, metrics, runAfterReads, getNowMs, chooseService: serviceSelector.choose, getStopPhase: options.getStopPhase })
-  const isReady = (): boolean => options.getStopPhase() === StopPhase.Running && state.getConfig() !== undefined
+  const requestHandler = createRequestHandler({ state, dispatcher, log, metrics, runAfterReads, getNowMs, chooseService: serviceSelector.choose, life })
+  const isReady = (): boolean => life.getPhase(getNowMs()) === LifePhase.Running && state.getConfig() !== undefined
 
   function handleChange (): void {
     options.onStateChange()
--- a/packages/bilberryd/src/edge/request_handler.ts
+++ b/packages/bilberryd/src/edge/request_handler.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { Refusal } from '@bilberryworks/steering'
+import type { LifeCycle, Refusal } from '@bilberryworks/steering'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { AttemptFields } from '@bilberryworks/users-platform'
 import type { Attempt } from './attempt.ts'
@@ -12,25 +12,18 @@
 import type { EntryMetrics } from './entry_metrics.ts'
 import type { EntryState } from './entry_state.ts'
 import type { Dispatcher } from './dispatcher.ts'
+import type { EndedRequests } from './open_attempts.ts'
 import type { RelayOrigin } from './relay_message.ts'
-import { checkFraming, createPipelineScheduler, hasBody, watchCaller, watchResponse, writeRefusal } from '@bilberryworks/callers'
-import { createNotRunRefusal, RefusalReason, RouteKind } from '@bilberryworks/steering'
+import { checkFraming, createPipelineScheduler, hasBody, watchCaller, writeRefusal } from '@bilberryworks/callers'
+import { createNotRunRefusal, LifePhase, RefusalReason, RouteKind } from '@bilberryworks/steering'
 import { formatRetryAfter, readAttemptFields } from '@bilberryworks/users-platform'
 import { AttemptPhase } from './attempt.ts'
+import { createOpenAttempts } from './open_attempts.ts'
+import { createStoppingRefusal } from './stopping.ts'
 import { createBufferAllowance } from './buffer_allowance.ts'
 import { collectBody } from './collect_body.ts'
 import { writeRelayFields } from './relay_message.ts'
 
-/** Phase of a graceful shutdown. */
-export enum StopPhase {
-  /** No shutdown has begun. */
-  Running = 'running',
-  /** Requests are accepted, and each connection is closed after its next response. */
-  Leaving = 'leaving',
-  /** Requests are refused, since they could not be completed before the process is killed. */
-  Closing = 'closing'
-}
-
 /** Options of {@linkcode createRequestHandler}. */
 export interface CreateRequestHandlerOptions {
   /** Replicated configuration and target registry. */
@@ -45,8 +38,8 @@
   chooseService: (route: Attempt['route']) => string
   /** Calls a function when what sockets have received has been read. */
   runAfterReads: (run: () => void) => void
-  /** Returns the phase of the shutdown. */
-  getStopPhase: () => StopPhase
+  /** Phases of this instance. */
+  life: LifeCycle
   /** Returns monotonic time, in milliseconds. */
   getNowMs: () => number
 }
@@ -59,8 +52,6 @@
 const responseTransitMs = 20
 /** `Retry-After` of a refusal while the instance has no routing configuration, in milliseconds. */
 const noConfigRetryAfterMs = 500
-/** `Retry-After` of a refusal during shutdown, in milliseconds; short, since other instances can serve the request immediately. */
-const stoppingRetryAfterMs = 50
 /** Bytes of the separators in a header field: colon, space and CRLF. */
 const fieldSeparatorBytes = 4
 
@@ -68,6 +59,8 @@
 export interface RequestHandler {
   /** Handles a request; `relay` is set if another instance relays it. */
   handleRequest (message: IncomingMessage, response: ServerResponse, relay?: RelayOrigin): void
+  /** Refuses the requests that can't be completed any more before the instance ends, and answers all others that are open once it ends: as not run, or as unknown if a target may run them. Returns the number of requests by answer. */
+  endRequests (): EndedRequests
   /** Refuses a request of a caller before its route is known. */
   refuseRequest (message: IncomingMessage, response: ServerResponse, refusal: Refusal): void
 }
@@ -79,9 +72,10 @@
  * @returns The handler
  */
 export function createRequestHandler (options: CreateRequestHandlerOptions): RequestHandler {
-  const { state, dispatcher, log, metrics, getNowMs } = options
+  const { state, dispatcher, life, log, metrics, getNowMs } = options
   const pipeline = createPipelineScheduler()
   const allowance = createBufferAllowance(maxReadAheadBytes)
+  const openAttempts = createOpenAttempts(dispatcher)
 
   function writeEarlyRefusal (message: IncomingMessage, response: ServerResponse, { refusal, relay }: { refusal: Refusal, relay?: RelayOrigin | undefined }): void {
     if (relay !== undefined) writeRelayFields(response, { attemptId: readFields(message).attemptId ?? '', targetsReached: 0 })
@@ -122,6 +116,7 @@
       dispatches: [],
       phase: AttemptPhase.Arriving,
       body: undefined,
+      arrivingBody: undefined,
       isBodyConsumed: false,
       relay,
       triedPeers: new Set(),
@@ -159,7 +154,7 @@
       submitConfirmed(attempt)
       return
     }
-    collectBody(message, {
+    attempt.arrivingBody = collectBody(message, {
       maxBufferedBytes: maxBufferedBodyBytes,
       allowance,
       maxBytes: state.getConfig()?.limits.maxBodyBytes ?? Infinity,
@@ -175,23 +170,23 @@
   function handleRequest (message: IncomingMessage, response: ServerResponse, relay?: RelayOrigin): void {
     // The caller counts a request behind a response that closes the connection as not read, and sends it again.
     if (pipeline.isClosing(message.socket)) return
-    const phase = options.getStopPhase()
-    if (phase !== StopPhase.Running) response.shouldKeepAlive = false
-    const attempt = phase === StopPhase.Closing
-      ? createNotRunRefusal(RefusalReason.Stopping, 'Instance is shutting down', stoppingRetryAfterMs)
-      : createAttempt(message, response, relay)
+    const phase = life.getPhase(getNowMs())
+    if (phase !== LifePhase.Running) response.shouldKeepAlive = false
+    const isAccepted = phase === LifePhase.Running || phase === LifePhase.Leaving
+    const attempt = isAccepted ? createAttempt(message, response, relay) : createStoppingRefusal()
     if ('outcome' in attempt) {
       pipeline.schedule({ message, response, isSafe: true, start: () => writeEarlyRefusal(message, response, { refusal: attempt, relay }) })
       return
     }
     attempt.deadlineTimer = setTimeout(() => dispatcher.expire(attempt), Math.max(0, attempt.deadlineAtMs - getNowMs()))
     watchCaller(message, response, () => dispatcher.abandon(attempt))
-    watchResponse(message, response, () => attempt.body?.free())
+    openAttempts.add(attempt)
     pipeline.schedule({ message, response, isSafe: attempt.route.kind === RouteKind.Safe, start: () => submitAttempt(attempt) })
   }
 
   return {
     handleRequest,
+    endRequests: () => openAttempts.end({ isEnding: life.getPhase(getNowMs()) === LifePhase.Ending }),
     refuseRequest: (message, response, refusal) => writeEarlyRefusal(message, response, { refusal })
   }
 }
--- a/packages/bilberryd/src/edge/run_entry.ts
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -15,7 +15,7 @@
 import type { EntryState } from './entry_state.ts'
 import { createServer } from 'node:http'
 import { applyGracefulClose, countOpenResponses, runAfterReads } from '@bilberryworks/callers'
-import { createCleanupStack, createPollSchedule } from '@bilberryworks/steering'
+import { createCleanupStack, createLifeCycle, createPollSchedule } from '@bilberryworks/steering'
 import { checkListening, createTargetPool } from '@bilberryworks/targets'
 import { createStoreClient, operatorTable, targetTable } from '@bilberryworks/users-platform'
 import { applyCallerLimits, createCallerListener } from './caller_listener.ts'
@@ -27,7 +27,6 @@
 import { listenOn, startPeerLink } from './peer_link.ts'
 import { drainRequests } from './drain_requests.ts'
 import { startMaintenance } from './maintenance.ts'
-import { StopPhase } from './request_handler.ts'
 import { ReplicatedTable } from './replicated_table.ts'
 import { startTableReplication } from './table_replication.ts'
 
@@ -64,7 +63,7 @@
 export async function runEntry (settings: EntrySettings, log: EntryLog, options: EntryOptions = defaultEntryOptions): Promise<RunningEntry> {
   const cleanup = createCleanupStack()
   const [getNowMs, getRandom] = [() => performance.now(), Math.random]
-  let phase = StopPhase.Running
+  const life = createLifeCycle({ graceMs: settings.bounds.graceMs })
   const metrics = createEntryMetrics({ readers: createGaugeReaders(() => components, { log, getNowMs }) })
   const components = cleanup.add(createEntryComponents({
     settings,
@@ -76,7 +75,7 @@
     checkListening,
     runAfterReads,
     relays: options.relays,
-    getStopPhase: () => phase,
+    life,
     onStateChange: () => applyCallerLimits(callers, state.getConfig()?.limits),
     sendNow: () => link.sendNow(),
     getNowMs,
@@ -120,11 +119,11 @@
 
   return {
     async stop ({ signal, atMs = getNowMs() }: Partial<StopRequest> = {}) {
+      if (!life.recordStop(atMs)) return
       log.info('stopping', { signal, ...describeLoad() })
-      phase = StopPhase.Leaving
       link.announce()
-      await drainRequests({ stoppedAtMs: atMs, graceMs: bounds.graceMs, callers, countOpen, getNowMs, onClosing: () => { phase = StopPhase.Closing } })
-      log.info('stopped', describeLoad())
+      const ended = await drainRequests({ life, callers, countOpen, endRequests: requestHandler.endRequests, getNowMs, onPhase: phase => log.info('stop_phase', { phase, ...describeLoad() }) })
+      log.info('stopped', { ...ended, ...describeLoad() })
       await cleanup[Symbol.asyncDispose]()
     },
     reload (next) {
--- a/packages/bilberryd/src/edge/target_selector.ts
+++ b/packages/bilberryd/src/edge/target_selector.ts
@@ -10,8 +10,8 @@
 
 /** Selects targets. */
 export interface TargetSelector {
-  /** Selects a target with a free slot for a request; `undefined` if the request has to wait. */
-  findTarget (request: RoutedRequest): RegisteredTarget | undefined
+  /** Selects a target with a free slot for a request among those that match; `undefined` if the request has to wait. */
+  findTarget (request: RoutedRequest, matches?: (entry: RegisteredTarget) => boolean): RegisteredTarget | undefined
   /** Returns whether a selected target is still registered, wants requests, and is neither leaving nor in an evacuated failure domain. */
   isSelectable (entry: RegisteredTarget): boolean
   /** Returns the monotonic time in milliseconds at which an available target to which the request was not dispatched before accepts requests again; `-Infinity` if one does already. */
@@ -22,8 +22,8 @@
   isPathDoubtful (request: RoutedRequest): boolean
   /** Lists the keys of the groups of available targets, whether the request was dispatched to them before or not. */
   listGroups (request: RoutedRequest): string[]
-  /** Returns whether there is an available target to which the request was not dispatched before, regardless of free slots. */
-  hasUntriedTarget (request: RoutedRequest): boolean
+  /** Returns whether there is an available target, among those that match, to which the request was not dispatched before, regardless of free slots. */
+  hasUntriedTarget (request: RoutedRequest, matches?: (entry: RegisteredTarget) => boolean): boolean
   /** Computes this instance's share of the slots of a service, and the mean time that a request holds a slot, in milliseconds. */
   measureCapacity (service: string): { slots: number, holdMs: number }
 }
@@ -122,11 +122,11 @@
   }
 
   return {
-    findTarget (request) {
+    findTarget (request, matches = () => true) {
       const nowMs = getNowMs()
       // If no instance reaches any of the targets, all of them are tried.
       const mayTry = reach.hasLost() && hasReachedTarget(request) ? reach.isReached : () => true
-      return selectTarget(request, { ranked: rankForRequest(request), isUsable: entry => mayTry(entry) && isUsable(entry, nowMs), isAvoided: entry => isAvoided(entry, nowMs), hasHandled: entry => options.speeds.hasHandled(entry, request.objectKey ?? ''), region: settings.region, nowMs })
+      return selectTarget(request, { ranked: rankForRequest(request), isUsable: entry => mayTry(entry) && isUsable(entry, nowMs) && matches(entry), isAvoided: entry => isAvoided(entry, nowMs), hasHandled: entry => options.speeds.hasHandled(entry, request.objectKey ?? ''), region: settings.region, nowMs })
     },
     measureCapacity (service) {
       const nowMs = getNowMs()
@@ -144,6 +144,6 @@
     },
     isPathDoubtful: request => rankForRequest(request).every(reach.isDoubtful),
     listGroups: request => [...new Set(rankForRequest(request).map(({ target }) => formatReachGroup(target)))],
-    hasUntriedTarget: request => rankForRequest(request).some(entry => !request.tried.has(entry.target.id))
+    hasUntriedTarget: (request, matches = () => true) => rankForRequest(request).some(entry => !request.tried.has(entry.target.id) && matches(entry))
   }
 }
--- a/packages/bilberryd/src/edge/target_sender.ts
+++ b/packages/bilberryd/src/edge/target_sender.ts
@@ -41,6 +41,8 @@
   metrics: EntryMetrics
   /** Handles what a target reports about itself in a response. */
   handleTargetResponse: TargetReports['handleResponse']
+  /** Returns whether a target can be expected to end an attempt before this instance ends. */
+  isCompletable: (attempt: Attempt, entry: RegisteredTarget) => boolean
   /** Called when an exchange has ended and its target slot is free. */
   onResult: (attempt: Attempt, result: ExchangeResult, detail: string) => void
   /** Returns monotonic time, in milliseconds. */
@@ -75,7 +77,7 @@
       pool,
       getNowMs,
       maxBodyBytes: state.getConfig()?.limits.maxBodyBytes ?? Infinity,
-      maySend: () => targetSelector.isSelectable(entry) && crashGuard.findRefusal(attempt) === undefined,
+      maySend: () => targetSelector.isSelectable(entry) && options.isCompletable(attempt, entry) && crashGuard.findRefusal(attempt) === undefined,
       onSendStart () {
         metrics.recordStage(RequestStage.Connect, attempt.route.kind, getNowMs() - attempt.dispatchedAtMs)
         reach.recordSend()
--- a/packages/standins/src/emulator/fleet_instance.ts
+++ b/packages/standins/src/emulator/fleet_instance.ts
@@ -9,7 +9,8 @@
 import type { FleetPool } from './fleet_pool.ts'
 import type { FleetInstance, FleetWorld } from './fleet_world.ts'
 import { ListeningState } from '@bilberryworks/targets'
-import { createEntryComponents, createEntryMetrics, EntryGauge, StopPhase } from 'bilberryd'
+import { createLifeCycle } from '@bilberryworks/steering'
+import { createEntryComponents, createEntryMetrics, EntryGauge } from 'bilberryd'
 import { createFakeCall } from './fake_call.ts'
 import { sendHeartbeats, startHeartbeats } from './fleet_heartbeats.ts'
 import { EndpointState, LinkState } from './fleet_connection.ts'
@@ -61,7 +62,7 @@
     relays: { isEnabled: true, maxRelayed },
     runAfterReads: run => run(),
     checkListening: address => checkTarget(world, { instance: name, failureDomain, port: address.port }),
-    getStopPhase: () => StopPhase.Running,
+    life: createLifeCycle({ graceMs: fleetBounds.graceMs }),
     onStateChange: () => {},
     sendNow: () => sendHeartbeats(world, instance, true),
     getNowMs: clock.getNowMs,
--- a/packages/standins/src/entry_stop_test.ts
+++ b/packages/standins/src/entry_stop_test.ts
@@ -16,6 +16,9 @@
 import { createTargetRow } from './target_rows.ts'
 import { createTestSite, testSiteHost, testSiteService, waitUntil } from './test_site.ts'
 
+const graceMs = 6_000
+/** Time after the end of the grace within which a process must have ended, in milliseconds; the platform kills it then. */
+const exitToleranceMs = 300
 const routeTimeout = '20s'
 const timeLeftMs = 20_000
 const slowMs = 1_200
@@ -115,6 +118,53 @@
   t.true((await readEntryLog(started.files)).some(line => line['event'] === 'stopped'))
 })
 
+test('an upload that arrives too late in a stop to be completed is refused as not run', async t => {
+  await using started = await startProcess({ targets: [{ processingMs: slowMs, slots: 10 }] })
+  await waitUntilWarm(t, started)
+  const stoppedAtMs = performance.now()
+  started.child.kill('SIGTERM')
+  await wait(300)
+  const bytes = 200_000
+  const uploads = Array.from({ length: 4 }, () => started.send('/upload/x', bytes))
+  await Promise.all(uploads.map((caller, index) => writeSlowly(caller, { bytes, durationMs: 4_500 + index * 150, parts: 50 })))
+  const responses = await Promise.all(uploads.map(caller => caller.response))
+  const runs = listRunIds(started.targets)
+  for (const [index, { status, isComplete }] of responses.entries()) {
+    t.true(isComplete)
+    t.is(status, runs.includes(uploads[index]!.id) ? 200 : 503)
+  }
+  t.true((await started.ended).atMs - stoppedAtMs < graceMs + exitToleranceMs)
+})
+
+test('a request that is accepted late in a stop is not sent to a target that takes longer than the rest', async t => {
+  await using started = await startProcess({ targets: [{ processingMs: 4_000, slots: 10 }] })
+  await waitUntilWarm(t, started)
+  started.child.kill('SIGTERM')
+  await wait(2_300)
+  const callers = [started.send('/unsafe/x', 0), started.send('/safe/x')]
+  const responses = await Promise.all(callers.map(caller => caller.response))
+  t.deepEqual(responses.map(({ status, isComplete }) => [status, isComplete]), [[503, true], [503, true]])
+  t.false(listRunIds(started.targets).some(id => callers.some(caller => caller.id === id)))
+})
+
+test('a request that waits at the end of a stop is refused as not run, and one in flight is answered as unknown', async t => {
+  await using started = await startProcess({ targets: [{ processingMs: 30, slots: 1 }] })
+  await waitUntilWarm(t, started)
+  started.targets[0]!.setProcessingMs(15_000)
+  const inFlight = started.send('/unsafe/x', 0)
+  await waitUntil(() => listRunIds(started.targets).includes(inFlight.id))
+  const waiting = started.send('/unsafe/x', 0)
+  await wait(100)
+  started.child.kill('SIGTERM')
+  t.like(await waiting.response, { status: 503, isComplete: true })
+  const unknown = await inFlight.response
+  t.true(unknown.isComplete)
+  t.true([502, 504].includes(unknown.status!))
+  t.is(unknown.headers['bilberry-outcome'], 'unknown')
+  t.false(listRunIds(started.targets).includes(waiting.id))
+  t.like(await started.ended, { code: 0, signal: null })
+})
+
 test('a refusal during a stop reaches a caller that is sending its body', async t => {
   await using started = await startProcess({ targets: [{ processingMs: 2_000 }] })
   await waitUntilWarm(t, started)
@@ -169,6 +219,20 @@
   t.deepEqual(responses.map(({ status, isComplete }, index) => [status, isComplete, uploads[index]!.isReset()]), uploads.map(() => [413, true, false]))
 })
 
+test('a process that goes on after the end of its grace delivers the responses that are there', async t => {
+  await using started = await startProcess({ targets: [{ processingMs: slowMs, slots: 10 }] })
+  await waitUntilWarm(t, started)
+  const callers = Array.from({ length: 3 }, () => started.send('/unsafe/x', 0))
+  await waitUntil(() => started.targets[0]!.runs.length >= 5)
+  started.child.kill('SIGTERM')
+  await wait(300)
+  started.child.kill('SIGSTOP')
+  await wait(graceMs + 500)
+  started.child.kill('SIGCONT')
+  const responses = await Promise.all(callers.map(caller => caller.response))
+  t.deepEqual(responses.map(({ status, isComplete }) => [status, isComplete]), callers.map(() => [200, true]))
+})
+
 test('SIGHUP during a stop changes nothing', async t => {
   await using started = await startProcess({ targets: [{ processingMs: slowMs }] })
   await waitUntilWarm(t, started)
