Say in the last response of a stopping instance that its connection closes

Cause: whether a connection is kept was decided when the request arrived. It is decided now when the head of the response is written, if no further request was received behind it, so that no pipelined request is cut off. Evidence: the test with a real process got keep-alive on and gets close now; the pipelining tests pass.

--- a/packages/bilberryd/src/edge/attempt.ts
+++ b/packages/bilberryd/src/edge/attempt.ts
@@ -70,6 +70,8 @@
   dispatches: AttemptDispatch[]
   /** Current phase. */
   phase: AttemptPhase
+  /** Called immediately before the head of its response is written. */
+  prepareResponse: () => void
   /** Buffered part of the body; `undefined` while it is being buffered, and if the request has no body. */
   body: CollectedBody | undefined
   /** The body while it is being buffered, and from then on; `undefined` until it is read, and if the request has none. */
--- a/packages/bilberryd/src/edge/attempt_finisher.ts
+++ b/packages/bilberryd/src/edge/attempt_finisher.ts
@@ -86,6 +86,7 @@
       const reported = attempt.mayHaveRun && refusal.outcome === Outcome.NotRun ? createUnknownRefusal(refusal.reason === RefusalReason.CallerGone ? RefusalReason.CallerGone : RefusalReason.TargetLost, refusal.detail) : refusal
       metrics.countRefused(attempt.route.name, reported.outcome, reported.reason)
       if (!attempt.response.headersSent) {
+        attempt.prepareResponse()
         if (attempt.relay !== undefined) writeRelayFields(attempt.response, { attemptId: attempt.attemptId, targetsReached: attempt.targetsReached - attempt.relay.targetsReached })
         writeRefusal(attempt.response, reported, formatRetryAfter)
       }
--- a/packages/bilberryd/src/edge/request_handler.ts
+++ b/packages/bilberryd/src/edge/request_handler.ts
@@ -115,6 +115,10 @@
       targetsReached: relay?.targetsReached ?? 0,
       dispatches: [],
       phase: AttemptPhase.Arriving,
+      prepareResponse () {
+        // The response to a request that came before the stop was to keep its connection open.
+        if (life.isStopping() && pipeline.isLast(message, response)) response.shouldKeepAlive = false
+      },
       body: undefined,
       arrivingBody: undefined,
       isBodyConsumed: false,
--- a/packages/bilberryd/src/edge/send_attempt.ts
+++ b/packages/bilberryd/src/edge/send_attempt.ts
@@ -187,6 +187,7 @@
 export function createWriterOptions (attempt: Attempt): CreateResponseWriterOptions {
   return {
     onCommit () {
+      attempt.prepareResponse()
       attempt.phase = AttemptPhase.Responding
     },
     setPaused: paused => attempt.exchange?.setPaused(paused)
--- a/packages/callers/src/pipeline_scheduler.ts
+++ b/packages/callers/src/pipeline_scheduler.ts
@@ -23,6 +23,8 @@
 export interface PipelineScheduler {
   /** Starts a request at once, or as soon as its turn on the connection comes. */
   schedule (request: PipelinedRequest): void
+  /** Returns whether no request was received behind the one of an open response. */
+  isLast (message: IncomingMessage, response: ServerResponse): boolean
   /** Returns whether a response closes a connection, or has done so, so that requests received behind it are ignored. */
   isClosing (socket: Socket): boolean
 }
@@ -126,6 +128,7 @@
       startNext(connection)
       updateReading(socket, connection)
     },
+    isLast: (message, response) => connections.get(message.socket)?.open.at(-1)?.response === response,
     isClosing (socket) {
       const connection = connections.get(socket)
       if (connection === undefined) return false
--- a/packages/standins/src/entry_stop_test.ts
+++ b/packages/standins/src/entry_stop_test.ts
@@ -219,6 +219,16 @@
   t.deepEqual(responses.map(({ status, isComplete }, index) => [status, isComplete, uploads[index]!.isReset()]), uploads.map(() => [413, true, false]))
 })
 
+test('a response during a stop says that its connection is closed, though the request came before', async t => {
+  await using started = await startProcess({ targets: [{ processingMs: slowMs }] })
+  await waitUntilWarm(t, started)
+  const caller = started.send('/unsafe/x', 0)
+  await waitUntil(() => listRunIds(started.targets).includes(caller.id))
+  started.child.kill('SIGTERM')
+  const { status, headers } = await caller.response
+  t.deepEqual([status, headers['connection']], [200, 'close'])
+})
+
 test('a process that goes on after the end of its grace delivers the responses that are there', async t => {
   await using started = await startProcess({ targets: [{ processingMs: slowMs, slots: 10 }] })
   await waitUntilWarm(t, started)
