--- a/packages/callers/src/graceful_close.ts
+++ b/packages/callers/src/graceful_close.ts
@@ -6,7 +6,7 @@
 import type { IncomingMessage, Server } from 'node:http'
 import type { Socket } from 'node:net'
 import { Server as TlsServer } from 'node:https'
-import { observeRequests, watchResponse } from './watch_response.ts'
+import { observeRequests } from './watch_response.ts'
 
 /** Time for which a connection is read on after its last response, in milliseconds. */
 const lingerMs = 5_000
@@ -67,7 +67,9 @@
     use.openCount++
     use.lastMessage = message
     message.once('close', recordIdle)
-    watchResponse(message, response, () => {
+    // Disables the listener leak warning. Where the connection closes first, its use no longer matters.
+    response.setMaxListeners(0)
+    response.once('close', () => {
       use.openCount--
       recordIdle()
     })
