Let the soak repeat signals, stop starting processes and upload slowly

Its plan has stops that are followed by up to six further signals and pauses within the grace, and kills whose next start is stopped at once; callers upload slowly (up to 5 s); losses are counted from before a stop until the process is gone, and at any other time at an instance that nothing disturbs (more than three), as the rule has it. The calm at the end is 10 s, since such stops take longer.

--- a/packages/standins/src/soak/run_soak.ts
+++ b/packages/standins/src/soak/run_soak.ts
@@ -66,10 +66,10 @@
 
   function writeConfig (): void {
     version += 3
-    const createRoute = (kind: string): object => ({ host: testSiteHost, prefix: `/${kind}/`, kind, timeout: '2000ms', latency_slo: '500ms', priority: 1, service: testSiteService, max_attempts: 3, session_affinity: true, home_regions: [] })
+    const createRoute = (kind: string, timeout = '2000ms'): object => ({ host: testSiteHost, prefix: `/${kind}/`, kind, timeout, latency_slo: '500ms', priority: 1, service: testSiteService, max_attempts: 3, session_affinity: true, home_regions: [] })
     store.writeRow('op', 'config', {
       version: `r${version}`,
-      routes: Object.fromEntries(['safe', 'unsafe', 'upload'].map(kind => [kind, createRoute(kind)])),
+      routes: { ...Object.fromEntries(['safe', 'unsafe', 'upload'].map(kind => [kind, createRoute(kind)])), slow: { ...createRoute('upload', '8000ms'), prefix: '/slow/' } },
       services: { [testSiteService]: { health_path: '/health', max_conns: 330, cold_start: '0s', cold_per_s: 100 } },
       limits: { max_header_bytes: 16_384, max_body_bytes: 1_048_576, header_timeout: '3000ms', idle_timeout: '15000ms' }
     })
@@ -134,7 +134,7 @@
     for (const target of targets.values()) target.dropFaults()
   }
 
-  async function applyEvent ({ fault, durationMs, target, instances: numbers }: SoakEvent): Promise<void> {
+  async function applyEvent ({ fault, durationMs, target, instances: numbers, signals }: SoakEvent): Promise<void> {
     const affected = numbers.map(number => instances[number]!)
     const pathState = pathStates[fault]
     const storeFault = storeFaultKinds[fault]
@@ -143,6 +143,8 @@
     else if (fault === SoakFault.Pause) await Promise.all(affected.map(instance => instance.pause(durationMs)))
     else if (fault === SoakFault.Kill) await Promise.all(affected.map(instance => instance.restart()))
     else if (fault === SoakFault.Stop) await Promise.all(affected.map(instance => instance.stopAndStart()))
+    else if (fault === SoakFault.StopInSeries) await Promise.all(affected.map(instance => instance.stopAndStart(signals)))
+    else if (fault === SoakFault.StopAtStart) await Promise.all(affected.map(instance => instance.restartAndStop()))
     else if (fault === SoakFault.Reload) for (const instance of affected) instance.sendSignal('SIGHUP')
     else if (fault === SoakFault.Configure) writeConfig()
     else if (fault === SoakFault.ReplaceTarget) await exchangeTarget(target)
--- a/packages/standins/src/soak/soak_callers.ts
+++ b/packages/standins/src/soak/soak_callers.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { ClientRequest } from 'node:http'
 import type { SoakInstance } from './soak_instance.ts'
 import { Agent, request } from 'node:http'
 import { setTimeout as wait } from 'node:timers/promises'
@@ -12,7 +13,9 @@
 export enum SoakRequestKind {
   Safe = 'safe',
   Unsafe = 'unsafe',
-  Upload = 'upload'
+  Upload = 'upload',
+  /** An upload whose body arrives slowly. */
+  Slow = 'slow'
 }
 
 /** A call, with what the caller got. */
@@ -59,8 +62,16 @@
   getRandom: () => number
 }
 
-const timeLeftMs = 2_000
-const uploadBytes = 300_000
+const usualTimeLeftMs = 2_000
+const slowTimeLeftMs = 8_000
+const maxSlowBodyMs = 5_000
+const slowParts = 20
+const bodies: Record<SoakRequestKind, Buffer | undefined> = {
+  [SoakRequestKind.Safe]: undefined,
+  [SoakRequestKind.Unsafe]: Buffer.from('order'),
+  [SoakRequestKind.Upload]: Buffer.alloc(300_000, 'x'),
+  [SoakRequestKind.Slow]: Buffer.alloc(100_000, 'x')
+}
 const objects = 60
 
 /**
@@ -79,11 +90,12 @@
       await wait(-Math.log(1 - getRandom()) * meanPauseMs)
       const id = `soak-${count++}`
       const draw = getRandom()
-      const kind = draw < 0.6 ? SoakRequestKind.Safe : draw < 0.95 ? SoakRequestKind.Unsafe : SoakRequestKind.Upload
+      const kind = draw < 0.6 ? SoakRequestKind.Safe : draw < 0.93 ? SoakRequestKind.Unsafe : draw < 0.97 ? SoakRequestKind.Upload : SoakRequestKind.Slow
       const affinityKey = String(Math.floor(getRandom() * objects))
+      const slowBodyMs = getRandom() * maxSlowBodyMs
       const [first, ...copies] = sabotage?.addCopies(instance, instances) ?? [instance]
-      for (const copy of copies) sendCall(copy, { id, kind, affinityKey, agent: new Agent() }).catch(() => {})
-      calls.push(sendCall(first!, { id, kind, affinityKey, agent }).then(call => {
+      for (const copy of copies) sendCall(copy, { id, kind, affinityKey, agent: new Agent(), slowBodyMs }).catch(() => {})
+      calls.push(sendCall(first!, { id, kind, affinityKey, agent, slowBodyMs }).then(call => {
         sabotage?.changeCall(call)
         return call
       }))
@@ -92,8 +104,10 @@
   return Promise.all(calls)
 }
 
-function sendCall (instance: SoakInstance, { id, kind, affinityKey, agent }: { id: string, kind: SoakRequestKind, affinityKey: string, agent: Agent }): Promise<SoakCall> {
-  const body = kind === SoakRequestKind.Safe ? undefined : kind === SoakRequestKind.Unsafe ? 'order' : Buffer.alloc(uploadBytes, 'x')
+function sendCall (instance: SoakInstance, { id, kind, affinityKey, agent, slowBodyMs }: { id: string, kind: SoakRequestKind, affinityKey: string, agent: Agent, slowBodyMs: number }): Promise<SoakCall> {
+  const body = bodies[kind]
+  const isSlow = kind === SoakRequestKind.Slow
+  const timeLeftMs = isSlow ? slowTimeLeftMs : usualTimeLeftMs
   const call: SoakCall = { id, instance: instance.name, kind, sentAtMs: performance.now(), endedAtMs: Infinity, status: undefined, headers: {}, body: '', wasConnected: false }
   return new Promise(resolve => {
     const finish = (): void => {
@@ -120,6 +134,16 @@
       else socket.once('connect', () => { call.wasConnected = true })
     })
     message.on('error', finish)
-    message.end(body)
+    if (isSlow) writeSlowly(message, { body: body!, durationMs: slowBodyMs }).catch(() => {})
+    else message.end(body)
   })
 }
+
+async function writeSlowly (message: ClientRequest, { body, durationMs }: { body: Buffer, durationMs: number }): Promise<void> {
+  const partBytes = Math.ceil(body.length / slowParts)
+  for (let offset = 0; offset < body.length && !message.destroyed; offset += partBytes) {
+    message.write(body.subarray(offset, offset + partBytes))
+    await wait(durationMs / slowParts)
+  }
+  if (!message.destroyed) message.end()
+}
--- a/packages/standins/src/soak/soak_checks.ts
+++ b/packages/standins/src/soak/soak_checks.ts
@@ -8,6 +8,7 @@
 import type { SoakInstance, TimeSpan } from './soak_instance.ts'
 import type { SoakPlan } from './soak_plan.ts'
 import { SoakRequestKind } from './soak_callers.ts'
+import { SoakFault } from './soak_plan.ts'
 
 /** What was recorded in a soak. */
 export interface SoakRecord {
@@ -35,6 +36,8 @@
 const drainMs = 2_500
 const drainToleranceMs = 500
 const lossToleranceMs = 1_000
+const lossSlackMs = 200
+const maxLosses = 3
 const minServedRatio = 2 / 3
 const minFailures = 10
 const failureShare = 0.02
@@ -59,6 +62,7 @@
     ...checkPaths(record),
     ...checkDrains(record),
     ...checkStops(record, runs),
+    ...checkLosses(record, runs),
     ...checkRetries(record),
     ...checkVersions(record),
     ...checkCalm(record),
@@ -126,17 +130,40 @@
   })
 }
 
-/** Checks that a planned stop loses no request that a target ran. */
-function checkStops ({ calls, instances, targets, startMs, plan }: SoakRecord, runs: ReadonlyMap<string, RunAtTarget[]>): string[] {
-  const targetFaults = plan.events.filter(({ fault }) => fault === 'target_faults' || fault === 'replace_target').map(({ atMs, durationMs }) => ({ fromMs: startMs + atMs - lossToleranceMs, toMs: startMs + atMs + durationMs + lossToleranceMs }))
+/** Lists the times around faults of targets, in which a response may be lost on the way. */
+function listTargetFaults ({ startMs, plan }: SoakRecord): TimeSpan[] {
+  const kinds = new Set([SoakFault.TargetFaults, SoakFault.ReplaceTarget])
+  return plan.events.filter(({ fault }) => kinds.has(fault)).map(({ atMs, durationMs }) => ({ fromMs: startMs + atMs - lossToleranceMs, toMs: startMs + atMs + durationMs + lossToleranceMs }))
+}
+
+/** Returns whether a request got no response although a target ran it, or although it was connected for longer than a close may cross it. */
+function isLost (call: SoakCall, runs: ReadonlyMap<string, RunAtTarget[]>): boolean {
+  if (call.status !== undefined) return false
+  const isShort = call.kind === SoakRequestKind.Safe || call.kind === SoakRequestKind.Unsafe
+  return runs.has(call.id) || (isShort && call.wasConnected && call.endedAtMs - call.sentAtMs > lossSlackMs)
+}
+
+/** Checks that a planned stop without other disturbances loses no request, from its begin to the end of the process. */
+function checkStops (record: SoakRecord, runs: ReadonlyMap<string, RunAtTarget[]>): string[] {
+  const { calls, instances, targets } = record
+  const targetFaults = listTargetFaults(record)
   return instances.flatMap(({ name, stops, cuts, disturbances }) => stops.flatMap(stop => {
     const isAlone = !isWithin(cuts, stop.fromMs - stableMs, stop.toMs) && disturbances.filter(({ fromMs, toMs }) => fromMs <= stop.toMs && toMs >= stop.fromMs - stableMs).length === 1
     if (!isAlone || isWithin(targetFaults, stop.fromMs - stableMs, stop.toMs)) return []
-    const lost = calls.filter(call => call.instance === name && call.status === undefined && call.sentAtMs > stop.fromMs - stableMs && call.sentAtMs < stop.fromMs + drainMs && runs.has(call.id))
-    return lost.length > 0 ? [`LOST: ${lost.length} requests, the first ${lost[0]!.id}, ran and got no response around the stop of ${name} (${targets.size} targets)`] : []
+    const lost = calls.filter(call => call.instance === name && call.sentAtMs > stop.fromMs - stableMs && call.sentAtMs < stop.toMs && isLost(call, runs))
+    return lost.length > 0 ? [`LOST: ${lost.length} requests, the first ${lost[0]!.id} (${lost[0]!.kind}, sent ${Math.round(lost[0]!.sentAtMs - stop.fromMs)} ms after the signal, ran ${runs.get(lost[0]!.id)?.length ?? 0} times), got no response around the stop of ${name} (${targets.size} targets)`] : []
   }))
 }
 
+/** Checks that an instance without any disturbance loses next to no request that a target ran. */
+function checkLosses (record: SoakRecord, runs: ReadonlyMap<string, RunAtTarget[]>): string[] {
+  const targetFaults = listTargetFaults(record)
+  return record.instances.flatMap(({ name, cuts, disturbances }) => {
+    const lost = record.calls.filter(call => call.instance === name && call.status === undefined && runs.has(call.id) && !isWithin([...cuts, ...disturbances, ...targetFaults], call.sentAtMs - stableMs, call.endedAtMs))
+    return lost.length > maxLosses ? [`LOST: ${lost.length} requests, the first ${lost[0]!.id}, ran and got no response from ${name}, which was not disturbed`] : []
+  })
+}
+
 function checkRetries ({ calls, targets }: SoakRecord): string[] {
   const arrivals = [...targets.values()].flatMap(({ runs }) => runs).toSorted((a, b) => a.startedAtMs - b.startedAtMs)
   const seen = new Set<string>()
--- a/packages/standins/src/soak/soak_instance.ts
+++ b/packages/standins/src/soak/soak_instance.ts
@@ -6,6 +6,7 @@
 import type { ChildProcess } from 'node:child_process'
 import type { PathRelay } from '../path_relay.ts'
 import type { SiteStore, StoreEndpoint } from '../site_store.ts'
+import type { TimedSignal } from './soak_plan.ts'
 import { setTimeout as wait } from 'node:timers/promises'
 import { isEntryReady, readEntryLog, startEntryProcess, writeEntryFiles } from '../entry_process.ts'
 import { startPathRelay } from '../path_relay.ts'
@@ -39,10 +40,12 @@
   unexpectedEnds: string[]
   /** Sends a signal to the process, if it runs and Node.js has started. */
   sendSignal (signal: NodeJS.Signals): void
-  /** Kills the process and starts it again. */
-  restart (): Promise<void>
-  /** Stops the process by SIGTERM, kills it after the grace period, and starts it again. */
-  stopAndStart (): Promise<void>
+  /** Kills the process, starts it again, and waits until it is ready unless told otherwise. */
+  restart (options?: { isAwaited?: boolean }): Promise<void>
+  /** Stops the process by SIGTERM and the signals that follow, kills it after the grace period, and starts it again. */
+  stopAndStart (signals?: TimedSignal[]): Promise<void>
+  /** Kills the process, starts it again, and stops it by SIGTERM while it starts. */
+  restartAndStop (): Promise<void>
   /** Pauses the process. */
   pause (durationMs: number): Promise<void>
   /** Returns whether its process counts as ready. */
@@ -102,21 +105,28 @@
     sendSignal (signal) {
       if (performance.now() - startedAtMs > bootstrapMs) child?.kill(signal)
     },
-    async restart () {
+    async restart ({ isAwaited = true } = {}) {
       await startAgain(async () => {
         child?.kill('SIGKILL')
         await exited
-      })
+      }, { isAwaited })
+    },
+    async restartAndStop () {
+      await instance.restart({ isAwaited: false })
+      await wait(bootstrapMs)
+      await instance.stopAndStart()
     },
-    async stopAndStart () {
+    async stopAndStart (signals = []) {
       const span: TimeSpan = { fromMs: performance.now(), toMs: Infinity }
       instance.stops.push(span)
       await startAgain(async () => {
         const stopping = child
         stopping?.kill('SIGTERM')
+        const repeats = signals.map(signal => sendRepeated(stopping, signal))
         const timer = setTimeout(() => stopping?.kill('SIGKILL'), graceMs)
         await exited
         clearTimeout(timer)
+        await Promise.all(repeats)
         span.toMs = performance.now()
       })
     },
@@ -152,6 +162,19 @@
     })
   }
 
+  /** Sends a further signal during a stop; a pause counts as a disturbance of its own. */
+  async function sendRepeated (stopping: ChildProcess | undefined, { afterMs, signal, pauseMs }: TimedSignal): Promise<void> {
+    await Promise.race([wait(afterMs), exited])
+    if (stopping?.exitCode !== null || stopping.signalCode !== null) return
+    stopping.kill(signal)
+    if (signal !== 'SIGSTOP') return
+    const span: TimeSpan = { fromMs: performance.now(), toMs: Infinity }
+    instance.disturbances.push(span)
+    await wait(pauseMs)
+    stopping.kill('SIGCONT')
+    span.toMs = performance.now()
+  }
+
   /** Starts the process again, as the platform does. */
   function handleUnexpectedEnd (text: string): void {
     instance.unexpectedEnds.push(text)
@@ -159,7 +182,7 @@
   }
 
   /** Ends the process, and starts it again after a delay; a process that is being restarted already is left alone. */
-  async function startAgain (endProcess: () => Promise<void>): Promise<void> {
+  async function startAgain (endProcess: () => Promise<void>, { isAwaited = true } = {}): Promise<void> {
     if (instance.disturbances.some(({ toMs }) => toMs === Infinity)) return
     const span: TimeSpan = { fromMs: performance.now(), toMs: Infinity }
     instance.disturbances.push(span)
@@ -168,7 +191,7 @@
     isEnding = false
     await wait(restartDelayMs)
     startProcess()
-    await waitUntil(() => isDisposed || instance.isReady())
+    if (isAwaited) await waitUntil(() => isDisposed || instance.isReady())
     span.toMs = performance.now()
   }
 
--- a/packages/standins/src/soak/soak_plan.ts
+++ b/packages/standins/src/soak/soak_plan.ts
@@ -19,6 +19,10 @@
   Kill = 'kill',
   /** Instances are stopped by SIGTERM, and started again. */
   Stop = 'stop',
+  /** Instances are stopped by SIGTERM, get further signals and pauses during the stop, and are started again. */
+  StopInSeries = 'stop_in_series',
+  /** Instances are killed, started again, stopped by SIGTERM while they start, and started again. */
+  StopAtStart = 'stop_at_start',
   /** Instances get SIGHUP. */
   Reload = 'reload',
   /** The store refuses calls of instances. */
@@ -37,6 +41,16 @@
   TargetFaults = 'target_faults'
 }
 
+/** A signal of a series. */
+export interface TimedSignal {
+  /** Time since the first signal, in milliseconds. */
+  afterMs: number
+  /** The signal; SIGSTOP is followed by SIGCONT after `pauseMs`. */
+  signal: 'SIGTERM' | 'SIGINT' | 'SIGHUP' | 'SIGSTOP'
+  /** Duration of a pause, in milliseconds; 0 for other signals. */
+  pauseMs: number
+}
+
 /** A fault of a plan. */
 export interface SoakEvent {
   /** Time from the begin of the load, in milliseconds. */
@@ -49,6 +63,8 @@
   instances: number[]
   /** Number of the target that it concerns, counted from the oldest live one. */
   target: number
+  /** Signals that follow the first one of a stop; none by default. */
+  signals?: TimedSignal[]
 }
 
 /** The faults of a soak. */
@@ -76,9 +92,9 @@
 }
 
 const firstFaultMs = 2_000
-const calmMs = 8_000
+const calmMs = 10_000
 const meanPauseMs = 900
-const instanceFaults = new Set([SoakFault.PathReset, SoakFault.PathHanging, SoakFault.PathRefusing, SoakFault.Pause, SoakFault.Kill, SoakFault.Stop, SoakFault.Reload, SoakFault.StoreBusy, SoakFault.StoreSilent, SoakFault.StoreReset])
+const instanceFaults = new Set([SoakFault.PathReset, SoakFault.PathHanging, SoakFault.PathRefusing, SoakFault.Pause, SoakFault.Kill, SoakFault.Stop, SoakFault.StopInSeries, SoakFault.StopAtStart, SoakFault.Reload, SoakFault.StoreBusy, SoakFault.StoreSilent, SoakFault.StoreReset])
 const durationsMs: Partial<Record<SoakFault, [from: number, to: number]>> = {
   [SoakFault.PathReset]: [5_000, 9_000],
   [SoakFault.PathHanging]: [5_000, 9_000],
@@ -90,6 +106,10 @@
   [SoakFault.TargetFaults]: [1_000, 3_000]
 }
 const maxTargetNumber = 1_000
+const graceMs = 6_000
+const maxSignals = 6
+const maxPauseInStopMs = 1_500
+const repeatedSignals = ['SIGTERM', 'SIGINT', 'SIGHUP', 'SIGSTOP'] as const
 
 /**
  * Creates the plan of a seed. Faults come in series and overlap; the last seconds are calm.
@@ -107,11 +127,19 @@
     const [fromMs, toMs] = durationsMs[fault] ?? [0, 0]
     const end = Math.min(atMs + draw(fromMs, toMs), durationMs - calmMs)
     const share = getRandom() < 0.15 ? 0.6 : 0.2
-    events.push({ atMs: Math.round(atMs), durationMs: Math.round(end - atMs), fault, instances: instanceFaults.has(fault) ? selectInstances(instances, { share, getRandom }) : [], target: Math.floor(getRandom() * maxTargetNumber) })
+    events.push({ atMs: Math.round(atMs), durationMs: Math.round(end - atMs), fault, instances: instanceFaults.has(fault) ? selectInstances(instances, { share, getRandom }) : [], target: Math.floor(getRandom() * maxTargetNumber), ...fault === SoakFault.StopInSeries ? { signals: createSignals(getRandom) } : {} })
   }
   return { seed, instances, durationMs, calmMs, events }
 }
 
+/** Creates the signals that follow the first one of a stop, within its grace. */
+function createSignals (getRandom: () => number): TimedSignal[] {
+  return Array.from({ length: 1 + Math.floor(getRandom() * maxSignals) }, () => {
+    const signal = repeatedSignals[Math.floor(getRandom() * repeatedSignals.length)]!
+    return { afterMs: Math.round(getRandom() * graceMs), signal, pauseMs: signal === 'SIGSTOP' ? Math.round(getRandom() * maxPauseInStopMs) : 0 }
+  })
+}
+
 /** Selects a share of the instances, one at least. */
 function selectInstances (instances: number, { share, getRandom }: { share: number, getRandom: () => number }): number[] {
   const selected = Array.from({ length: instances }, (_, index) => index).filter(() => getRandom() < share)
@@ -125,5 +153,5 @@
  * @returns A line for each fault
  */
 export function formatSoakPlan ({ events }: SoakPlan): string {
-  return events.map(({ atMs, durationMs, fault, instances }) => `${String(atMs).padStart(6)} ms ${fault}${durationMs > 0 ? ` for ${durationMs} ms` : ''}${instances.length > 0 ? ` on ${instances.join(', ')}` : ''}`).join('\n')
+  return events.map(({ atMs, durationMs, fault, instances, signals = [] }) => `${String(atMs).padStart(6)} ms ${fault}${durationMs > 0 ? ` for ${durationMs} ms` : ''}${instances.length > 0 ? ` on ${instances.join(', ')}` : ''}${signals.map(({ afterMs, signal, pauseMs }) => `, ${signal} after ${afterMs} ms${pauseMs > 0 ? ` for ${pauseMs} ms` : ''}`).join('')}`).join('\n')
 }
--- a/packages/standins/src/soak/soak_test.ts
+++ b/packages/standins/src/soak/soak_test.ts
@@ -20,6 +20,7 @@
 const quietPlan: SoakPlan = { seed: 2, instances: 2, durationMs: 4_000, calmMs: 1_000, events: [] }
 const calmPlan: SoakPlan = { ...quietPlan, durationMs: 9_000, calmMs: 8_000 }
 const drainPlan: SoakPlan = { ...quietPlan, durationMs: 12_000, events: [{ atMs: 500, durationMs: 0, fault: SoakFault.DrainTarget, instances: [], target: 0 }] }
+const stopPlan: SoakPlan = { ...quietPlan, durationMs: 14_000, events: [{ atMs: 6_000, durationMs: 0, fault: SoakFault.StopInSeries, instances: [0], target: 0, signals: [{ afterMs: 300, signal: 'SIGTERM', pauseMs: 0 }, { afterMs: 600, signal: 'SIGINT', pauseMs: 0 }] }] }
 
 async function createFolder (): Promise<string> {
   return mkdtemp(join(tmpdir(), 'soak-test-'))
@@ -37,7 +38,9 @@
   ['gives callers the response to another request', 'MIXED', quietPlan, { sabotage: { ...noSabotage, changeCall (call) { call.headers = { ...call.headers, 'x-request-id': 'other' } } } }],
   ['sends no request through other instances', 'RECOVER', cutPlan, { flags: ['--relay=off'] }],
   ['serves few callers in the calm at the end', 'RECOVER', calmPlan, { sabotage: { ...noSabotage, changeCall (call) { call.status = undefined } } }],
-  ['knows of no leaving target', 'DRAIN', drainPlan, { isDrainHidden: true }]
+  ['knows of no leaving target', 'DRAIN', drainPlan, { isDrainHidden: true }],
+  ['gives no response to requests that ran', 'LOST', quietPlan, { sabotage: { ...noSabotage, changeCall (call) { if (call.kind === SoakRequestKind.Unsafe) call.status = undefined } } }],
+  ['loses requests in a stop that gets further signals', 'LOST', stopPlan, { sabotage: { ...noSabotage, changeCall (call) { if (call.kind === SoakRequestKind.Slow) call.status = undefined } } }]
 ] as Array<[string, string, SoakPlan, { sabotage?: SoakSabotage, flags?: string[], isDrainHidden?: boolean }]>).entries()) {
   test(`the soak notices a fleet that ${title}`, async t => {
     const record = await runSoak({ plan, folder: await createFolder(), site: index, ...options })
