Pause between attempts to write beside a contended index row

An attempt is now followed by a random pause whose longest value doubles up to a second, until five seconds have passed.

--- a/packages/platform/src/tables.ts
+++ b/packages/platform/src/tables.ts
@@ -5,6 +5,7 @@
  */
 import type { Result } from 'neverthrow'
 import type { Platform, PlatformFailure, TableWrite } from './platform.ts'
+import { setTimeout as wait } from 'node:timers/promises'
 import { err, ok } from 'neverthrow'
 import { PlatformFailureKind } from './platform.ts'
 
@@ -82,7 +83,18 @@
 }
 
 const emptyIndex: IndexRow = { revisions: {}, shifts: {}, feeds: {}, members: 0, clientBlocks: 0 }
-const maxIndexAttempts = 8
+const defaultLimitMs = 5_000
+/** Longest pause before the second attempt, and before any attempt, in milliseconds. */
+const firstPauseMs = 20
+const maxPauseMs = 1_000
+
+/** Options of {@linkcode writeWithIndex}. */
+export interface WriteWithIndexOptions {
+  /** Time after which no further attempt is made, in milliseconds; 5,000 by default. */
+  limitMs?: number
+  /** Returns a random number in [0, 1); `Math.random` by default. */
+  getRandom?: () => number
+}
 
 /** The index row with its version. */
 export interface VersionedIndex {
@@ -106,15 +118,18 @@
 /**
  * Executes writes and an update of the index row in one transaction.
  *
- * Retries if only the index row was changed concurrently, up to 8 attempts.
+ * Tries again if only the index row was changed concurrently, after a random pause whose longest value doubles each time, so
+ * that many writers at once come through one after another.
  *
  * @param platform The platform
  * @param writes Writes with their preconditions
  * @param changeIndex Returns the updated index row, or `undefined` if the current row does not allow the writes
+ * @param options Time limit and randomness
  * @returns Nothing, or the failure; `Conflict` means that nothing was written, because a precondition of `writes` failed or `changeIndex` did not allow the writes
  */
-export async function writeWithIndex (platform: Platform, writes: TableWrite[], changeIndex: (index: IndexRow) => IndexRow | undefined): Promise<Result<void, PlatformFailure>> {
-  for (let attempt = 0; attempt < maxIndexAttempts; attempt++) {
+export async function writeWithIndex (platform: Platform, writes: TableWrite[], changeIndex: (index: IndexRow) => IndexRow | undefined, { limitMs = defaultLimitMs, getRandom = Math.random }: WriteWithIndexOptions = {}): Promise<Result<void, PlatformFailure>> {
+  const startedAtMs = performance.now()
+  for (let attempt = 1; ; attempt++) {
     const current = await readIndex(platform)
     if (current.isErr()) return err({ ...current.error, kind: PlatformFailureKind.Unavailable })
     const value = changeIndex(current.value.index)
@@ -124,6 +139,8 @@
     if (written.isOk()) return ok(undefined)
     const isIndexConflictOnly = written.error.conflicts?.every(conflict => conflict.table === TableName.Index) === true
     if (!isIndexConflictOnly) return err(written.error)
+    const pauseMs = getRandom() * Math.min(maxPauseMs, firstPauseMs * 2 ** (attempt - 1))
+    if (performance.now() + pauseMs - startedAtMs > limitMs) return err({ kind: PlatformFailureKind.Unavailable, detail: `Index row was changed concurrently during each of ${attempt} attempts within ${limitMs} ms` })
+    await wait(pauseMs)
   }
-  return err({ kind: PlatformFailureKind.Unavailable, detail: `Index row was changed concurrently during each of ${maxIndexAttempts} attempts` })
 }
