--- a/packages/standins/src/entry_process.ts
+++ b/packages/standins/src/entry_process.ts
@@ -6,7 +6,8 @@
 import type { ChildProcess } from 'node:child_process'
 import type { SocketAddress } from '@bilberryworks/steering'
 import { spawn } from 'node:child_process'
-import { closeSync, openSync } from 'node:fs'
+import { closeSync, openSync, readFileSync } from 'node:fs'
+import { constants } from 'node:os'
 import { readFile, writeFile } from 'node:fs/promises'
 import { createRequire } from 'node:module'
 import { get } from 'node:http'
@@ -57,6 +58,8 @@
 const instancesPerSite = 30
 const ports = { front: 20_001, directory: 20_002, ready: 20_003, control: 20_004, internal: 20_005 }
 const readyTimeoutMs = 500
+/** Bits of the signals that the program handles; bit N - 1 stands for signal N. */
+const handledSignalMask = [constants.signals.SIGHUP, constants.signals.SIGINT, constants.signals.SIGTERM].reduce((mask, number) => mask | 1n << BigInt(number - 1), 0n)
 const maxHeapFlag = '--max-old-space-size=96'
 
 /** Running processes of all instances, which must not outlive this process. */
@@ -131,6 +134,21 @@
   return text.split('\n').filter(line => line.startsWith('{')).flatMap(line => parseLine(line))
 }
 
+/**
+ * Returns whether a process handles SIGHUP, SIGINT and SIGTERM itself, by what the kernel says of it.
+ *
+ * @param pid Identifier of the process
+ * @returns Whether it does; `false` if it has ended
+ */
+export function hasSignalHandlers (pid: number): boolean {
+  try {
+    const caught = /^SigCgt:\s*([0-9a-f]+)$/m.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1] ?? '0'
+    return (BigInt(`0x${caught}`) & handledSignalMask) === handledSignalMask
+  } catch {
+    return false
+  }
+}
+
 /** Creates a loopback address that no other instance of this process has, and with all likelihood none of another process. */
 function createHost (site: number, index: number): string {
   const { pid } = process
--- a/packages/standins/src/soak/soak_callers.ts
+++ b/packages/standins/src/soak/soak_callers.ts
@@ -36,6 +36,8 @@
   body: string
   /** Whether a connection was established or reused, so that the request may have been read. */
   wasConnected: boolean
+  /** Whether the caller gave up, so that it closed the connection itself. */
+  hasGivenUp: boolean
 }
 
 /** Changes what a caller sends and gets, as a faulty program would. */
@@ -108,7 +110,7 @@
   const body = bodies[kind]
   const isSlow = kind === SoakRequestKind.Slow
   const timeLeftMs = isSlow ? slowTimeLeftMs : usualTimeLeftMs
-  const call: SoakCall = { id, instance: instance.name, kind, sentAtMs: performance.now(), endedAtMs: Infinity, status: undefined, headers: {}, body: '', wasConnected: false }
+  const call: SoakCall = { id, instance: instance.name, kind, sentAtMs: performance.now(), endedAtMs: Infinity, status: undefined, headers: {}, body: '', wasConnected: false, hasGivenUp: false }
   return new Promise(resolve => {
     const finish = (): void => {
       clearTimeout(timer)
@@ -128,7 +130,10 @@
       response.on('error', finish)
       response.on('close', finish)
     })
-    const timer = setTimeout(() => message.destroy(), timeLeftMs + 1_000)
+    const timer = setTimeout(() => {
+      call.hasGivenUp = true
+      message.destroy()
+    }, timeLeftMs + 1_000)
     message.on('socket', socket => {
       if (!socket.connecting) call.wasConnected = true
       else socket.once('connect', () => { call.wasConnected = true })
--- a/packages/standins/src/soak/soak_checks.ts
+++ b/packages/standins/src/soak/soak_checks.ts
@@ -159,7 +159,7 @@
 function checkLosses (record: SoakRecord, runs: ReadonlyMap<string, RunAtTarget[]>): string[] {
   const targetFaults = listTargetFaults(record)
   return record.instances.flatMap(({ name, cuts, disturbances }) => {
-    const lost = record.calls.filter(call => call.instance === name && call.status === undefined && runs.has(call.id) && !isWithin([...cuts, ...disturbances, ...targetFaults], call.sentAtMs - stableMs, call.endedAtMs))
+    const lost = record.calls.filter(call => call.instance === name && call.status === undefined && !call.hasGivenUp && runs.has(call.id) && !isWithin([...cuts, ...disturbances, ...targetFaults], call.sentAtMs - stableMs, call.endedAtMs))
     return lost.length > maxLosses ? [`LOST: ${lost.length} requests, the first ${lost[0]!.id}, ran and got no response from ${name}, which was not disturbed`] : []
   })
 }
