Let requests overlap in the test of targets by object, whatever the speed

Traced: the twenty calls are sent in one turn, but beside load they reach the instance one after another; where they come 30 ms apart, the first target, which takes 50 ms, is never busy, and the test fails in the same way, as it should, since a second target is only used while the first is. The targets take 400 ms now and nobody gives up, so that the requests overlap also where they come 30 ms apart; the checks are the same.

--- a/packages/standins/src/site_path_test.ts
+++ b/packages/standins/src/site_path_test.ts
@@ -326,12 +326,12 @@
 
 test('gives each object few targets, and queues no more at a target than it should', async t => {
   await using site = await createTestSite()
-  site.writeConfig()
-  const targets = await Promise.all(['t1', 't2', 't3', 't4', 't5'].map(id => site.openTarget(id, { processingMs: 50 })))
+  site.writeConfig({ timeout: '20s' })
+  const targets = await Promise.all(['t1', 't2', 't3', 't4', 't5'].map(id => site.openTarget(id, { processingMs: 400 })))
   const entry = await startReady(site)
   await waitUntil(() => entry.readLog().filter(line => line['event'] === 'target').length === 5)
   for (const target of targets) target.runs.length = 0
-  await Promise.all(Array.from({ length: 20 }, () => site.call(entry, { affinityKey: 'same' })))
+  await Promise.all(Array.from({ length: 20 }, () => site.call(entry, { affinityKey: 'same', timeLeftMs: 20_000 })))
   t.is(targets.filter(target => target.runs.length > 0).length, 2)
   t.true(targets.every(target => target.getMaxConcurrency() <= 4))
 })
