End the stops of a soak's plan before its calm begins

Stops and kills that are followed by a stop begin nine seconds before the calm at the latest now; the check and its bound are as they were, and the calm is 8 s again.

--- a/packages/standins/src/soak/soak_plan.ts
+++ b/packages/standins/src/soak/soak_plan.ts
@@ -92,9 +92,12 @@
 }
 
 const firstFaultMs = 2_000
-const calmMs = 10_000
+const calmMs = 8_000
 const meanPauseMs = 900
 const instanceFaults = new Set([SoakFault.PathReset, SoakFault.PathHanging, SoakFault.PathRefusing, SoakFault.Pause, SoakFault.Kill, SoakFault.Stop, SoakFault.StopInSeries, SoakFault.StopAtStart, SoakFault.Reload, SoakFault.StoreBusy, SoakFault.StoreSilent, SoakFault.StoreReset])
+/** Kinds that last until an instance has started again, and the longest time that they take, in milliseconds. */
+const stopFaults = new Set([SoakFault.Stop, SoakFault.StopInSeries, SoakFault.StopAtStart])
+const maxStopMs = 9_000
 const durationsMs: Partial<Record<SoakFault, [from: number, to: number]>> = {
   [SoakFault.PathReset]: [5_000, 9_000],
   [SoakFault.PathHanging]: [5_000, 9_000],
@@ -124,6 +127,7 @@
   const events: SoakEvent[] = []
   for (let atMs = firstFaultMs; atMs < durationMs - calmMs; atMs += -Math.log(1 - getRandom()) * meanPauseMs) {
     const fault = faults[Math.floor(getRandom() * faults.length)]!
+    if (stopFaults.has(fault) && atMs > durationMs - calmMs - maxStopMs) continue
     const [fromMs, toMs] = durationsMs[fault] ?? [0, 0]
     const end = Math.min(atMs + draw(fromMs, toMs), durationMs - calmMs)
     const share = getRandom() < 0.15 ? 0.6 : 0.2
