--- a/packages/standins/src/entry_process.ts
+++ b/packages/standins/src/entry_process.ts
@@ -56,7 +56,8 @@
 const blocks = 64
 const addressesPerBlock = 240
 const instancesPerSite = 30
-const ports = { front: 20_001, directory: 20_002, ready: 20_003, control: 20_004, internal: 20_005 }
+/** Ports of the listeners of each instance. */
+export const entryPorts = { front: 20_001, directory: 20_002, ready: 20_003, control: 20_004, internal: 20_005 }
 const readyTimeoutMs = 500
 /** Bits of the signals that the program handles; bit N - 1 stands for signal N. */
 const handledSignalMask = [constants.signals.SIGHUP, constants.signals.SIGINT, constants.signals.SIGTERM].reduce((mask, number) => mask | 1n << BigInt(number - 1), 0n)
@@ -81,14 +82,14 @@
     node_name: name,
     zone: failureDomain,
     region: getRegion(failureDomain),
-    listen: { front: `${host}:${ports.front}`, directory: `${host}:${ports.directory}`, ready: `${host}:${ports.ready}`, control: `${host}:${ports.control}` },
-    internal_ports: [ports.internal, ports.internal],
+    listen: { front: `${host}:${entryPorts.front}`, directory: `${host}:${entryPorts.directory}`, ready: `${host}:${entryPorts.ready}`, control: `${host}:${entryPorts.control}` },
+    internal_ports: [entryPorts.internal, entryPorts.internal],
     seeds: [],
     zones: Object.fromEntries(failureDomains.map(each => [each, getRegion(each)])),
     platform: { address: `${store.host}:${store.port}` },
     bounds: entryBounds
   }))
-  return { name, host, callers: { host, port: ports.front }, settingsFile, logFile: join(folder, `${name}.log`) }
+  return { name, host, callers: { host, port: entryPorts.front }, settingsFile, logFile: join(folder, `${name}.log`) }
 }
 
 /**
@@ -116,7 +117,7 @@
  */
 export function isEntryReady ({ host }: EntryFiles): Promise<boolean> {
   return new Promise(resolve => {
-    get({ host, port: ports.ready, path: '/ready', agent: false, timeout: readyTimeoutMs }, response => {
+    get({ host, port: entryPorts.ready, path: '/ready', agent: false, timeout: readyTimeoutMs }, response => {
       response.resume()
       resolve(response.statusCode === 200)
     }).on('timeout', () => resolve(false)).on('error', () => resolve(false))
--- a/packages/standins/src/site_store.ts
+++ b/packages/standins/src/site_store.ts
@@ -72,6 +72,8 @@
   openEndpoint (mapTargetAddress?: (address: string) => Promise<string>): Promise<StoreEndpoint>
   /** Writes a row with a JSON value, as the operator or a target would. */
   writeRow (table: string, key: string, value: unknown): void
+  /** Writes a row whose value need not be JSON. */
+  writeBytes (table: string, key: string, bytes: Buffer): void
   /** Removes a row, if it exists. */
   removeRow (table: string, key: string): void
   /** Returns the parsed value of a row; `undefined` if the row does not exist. */
@@ -116,7 +118,10 @@
       return endpoint
     },
     writeRow (table, key, value) {
-      rows.apply({ upserts: [{ table, part: '', key, value: Buffer.from(JSON.stringify(value)).toString('base64') }] })
+      this.writeBytes(table, key, Buffer.from(JSON.stringify(value)))
+    },
+    writeBytes (table, key, bytes) {
+      rows.apply({ upserts: [{ table, part: '', key, value: bytes.toString('base64') }] })
     },
     removeRow (table, key) {
       rows.apply({ remove: [{ table, part: '', key }] })
