--- a/packages/bilberryd/src/edge/drain_requests.ts
+++ b/packages/bilberryd/src/edge/drain_requests.ts
@@ -27,13 +27,14 @@
   getNowMs: () => number
 }
 
-const waitForReads = (): Promise<void> => new Promise(runAfterReads)
-
 const acceptPollIntervalMs = 50
 const drainPollIntervalMs = 20
 /** Maximum time for sending the last responses, in milliseconds. */
 const flushMs = 100
 
+/** Waits until the event loop has accepted and read what has arrived. */
+const waitForReads = (): Promise<void> => new Promise(runAfterReads)
+
 /**
  * Drains an instance; to be called when it has been told to stop.
  *
