Log and measure how long the event loop is held, and log what ends a process

A run of the maintenance that comes 200 ms late or more is logged as event_loop_held and shown as a gauge; an error that nothing handles is logged with its stack before it ends the process.

--- a/packages/bilberryd/src/edge/entry_metrics.ts
+++ b/packages/bilberryd/src/edge/entry_metrics.ts
@@ -101,6 +101,8 @@
   Peers = 'bilberry_live_peers',
   /** Time since the last response of the store, in seconds. */
   StoreAge = 'bilberry_platform_age_seconds',
+  /** Longest time for which the event loop was held since the last reading, in seconds; 0 below 0.2 s. */
+  EventLoopDelay = 'bilberry_event_loop_delay_seconds',
   /** Number of dropped log lines. */
   DroppedLines = 'bilberry_log_lines_dropped'
 }
@@ -115,6 +117,7 @@
   [EntryGauge.TargetConnections]: 'Number of open connections to targets',
   [EntryGauge.Peers]: 'Number of other live instances',
   [EntryGauge.StoreAge]: 'Time since the last response of the platform store, in seconds',
+  [EntryGauge.EventLoopDelay]: 'Longest time for which the event loop was held since the last reading, in seconds; 0 below 0.2 s',
   [EntryGauge.DroppedLines]: 'Number of dropped log lines'
 }
 
--- a/packages/bilberryd/src/edge/run_command.ts
+++ b/packages/bilberryd/src/edge/run_command.ts
@@ -30,6 +30,7 @@
 async function runUntilStopped (path: string, { settings, options, signals }: { settings: EntrySettings, options: EntryOptions, signals: ProcessSignals }): Promise<void> {
   const log = createEntryLog(settings.instance)
   if (signals.isStopRequested()) return
+  process.on('uncaughtExceptionMonitor', (error, origin) => log.warn('uncaught_error', { origin, detail: error.stack }))
   const entry = await runEntry(settings, log, options)
   const reload = (): void => {
     const next = readSettings(path)
--- a/packages/bilberryd/src/edge/run_entry.ts
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -64,7 +64,8 @@
   const cleanup = createCleanupStack()
   const [getNowMs, getRandom] = [() => performance.now(), Math.random]
   const life = createLifeCycle({ graceMs: settings.bounds.graceMs })
-  const metrics = createEntryMetrics({ readers: createGaugeReaders(() => components, { log, getNowMs }) })
+  const metrics = createEntryMetrics({ readers: createGaugeReaders(() => components, { log, takeMaxDelayMs, getNowMs }) })
+  let maxDelayMs = 0
   const components = cleanup.add(createEntryComponents({
     settings,
     startedAtMs: Date.now(),
@@ -110,6 +111,10 @@
       log.warn('standstill', { durationMs: Math.round(durationMs) })
       view.discountPause(durationMs)
     },
+    onDelay (delayMs) {
+      maxDelayMs = Math.max(maxDelayMs, delayMs)
+      log.warn('event_loop_held', { delayMs: Math.round(delayMs) })
+    },
     runTasks (nowMs) {
       components.runMaintenance(nowMs)
       link.catchUp()
@@ -117,6 +122,12 @@
   }))
   log.info('started', { failureDomain: settings.failureDomain, region: settings.region, callers: getHeartbeat().callers, cpuMs: Math.round(process.cpuUsage().user / 1_000 + process.cpuUsage().system / 1_000) })
 
+  function takeMaxDelayMs (): number {
+    const delayMs = maxDelayMs
+    maxDelayMs = 0
+    return delayMs
+  }
+
   return {
     async stop ({ signal, atMs = getNowMs() }: Partial<StopRequest> = {}) {
       if (!life.recordStop(atMs)) return
@@ -134,7 +145,7 @@
 }
 
 /** Creates the functions that read the gauges; `getComponents` is called at each reading only, since the parts are created after the metrics. */
-function createGaugeReaders (getComponents: () => EntryComponents, { log, getNowMs }: { log: EntryLog, getNowMs: () => number }): Record<EntryGauge, () => number> {
+function createGaugeReaders (getComponents: () => EntryComponents, { log, takeMaxDelayMs, getNowMs }: { log: EntryLog, takeMaxDelayMs: () => number, getNowMs: () => number }): Record<EntryGauge, () => number> {
   return {
     [EntryGauge.ConfigVersion]: () => getComponents().state.getConfig()?.version ?? 0,
     [EntryGauge.Targets]: () => getComponents().state.targets.count(),
@@ -145,6 +156,7 @@
     [EntryGauge.TargetConnections]: () => getComponents().pool.count(),
     [EntryGauge.Peers]: () => getComponents().listPeers().length,
     [EntryGauge.StoreAge]: () => (getNowMs() - getComponents().state.getLastContactMs()) / 1_000,
+    [EntryGauge.EventLoopDelay]: () => takeMaxDelayMs() / 1_000,
     [EntryGauge.DroppedLines]: () => log.countDropped()
   }
 }
