Answer what a stop of the own interface can't complete

Callers of the own interface whose requests were still waiting or running when stopLimitMs had passed lost their connections without an answer: drainInstance gave up, and the listeners closed them. The handlers now collect the requests whose responses have not begun; at the limit each is aborted, which makes the dispatcher say whether it was sent, and answered as not run or as unknown; one that does not settle within 100 ms, as with an idempotency key, is answered as unknown.

--- a/packages/bilberryd/src/instance_handlers.ts
+++ b/packages/bilberryd/src/instance_handlers.ts
@@ -6,7 +6,7 @@
 import type { RequestListener } from 'node:http'
 import type { ServiceBroker } from 'moleculer'
 import type { InstanceComponents } from './instance_components.ts'
-import { createServiceHandler } from '@bilberryworks/callers'
+import { createOpenRequests, createServiceHandler } from '@bilberryworks/callers'
 import { createPeerHandler } from '@bilberryworks/instances'
 import { createOperatorsService } from '@bilberryworks/operators'
 import moleculer from 'moleculer'
@@ -23,6 +23,8 @@
   callers: RequestListener
   operators: RequestListener
   peers: RequestListener
+  /** Answers the requests of callers and peers whose responses have not begun. */
+  endRequests: () => Promise<void>
 }
 
 /**
@@ -35,7 +37,9 @@
   const { settings, metrics, identity, sync, ownership, handleRequest } = components
   const broker = createBroker(components)
   const handleLookUp = createLookUpHandler(broker, { recordRefusal: metrics.countRefusal })
+  const openRequests = createOpenRequests()
   const handleServiceRequest = createServiceHandler({
+    openRequests,
     isFromPeer: false,
     handleRequest,
     recordEnd: metrics.recordRequestEnd,
@@ -46,7 +50,7 @@
   const operators = createOperatorsGateway(broker, {
     tokens: () => settings.tokens, countUnauthenticated: () => metrics.countUnauthenticated('operators'), registry: metrics.registry, isReady: components.isReady
   })
-  const handleForwardedRequest = createServiceHandler({ isFromPeer: true, handleRequest: components.handleForwarded, recordEnd: metrics.recordRequestEnd, isStopping: () => false })
+  const handleForwardedRequest = createServiceHandler({ openRequests, isFromPeer: true, handleRequest: components.handleForwarded, recordEnd: metrics.recordRequestEnd, isStopping: () => false })
   const peers = createPeerHandler({
     listKeys: () => settings.peerKeys,
     methods: {
@@ -69,6 +73,7 @@
     },
     operators,
     peers,
+    endRequests: openRequests.end,
     async [Symbol.asyncDispose] () {
       await broker.stop()
     }
--- a/packages/bilberryd/src/run_instance.ts
+++ b/packages/bilberryd/src/run_instance.ts
@@ -77,6 +77,7 @@
         clientListeners: [listeners.callers, listeners.operators],
         peerListener: listeners.peers,
         countInFlight: components.slotPool.countInFlight,
+        endRequests: handlers.endRequests,
         limitMs: settings.stopLimitMs
       })
       components.metrics.countAbortedRequests(cutOff)
--- a/packages/bilberryd/src/stop.ts
+++ b/packages/bilberryd/src/stop.ts
@@ -10,6 +10,8 @@
 /** Time for peers to learn of the handoff before the peer listener is drained, in milliseconds. */
 const peerPropagationMs = 1_000
 const pollMs = 20
+/** Maximum time for sending the last responses, in milliseconds. */
+const flushMs = 100
 
 /** Options of {@linkcode drainInstance}. */
 export interface DrainInstanceOptions {
@@ -25,12 +27,15 @@
   peerListener: OpenListener
   /** Counts the requests that hold a slot of a target, including those whose caller has disconnected. */
   countInFlight: () => number
+  /** Answers the requests whose responses have not begun. */
+  endRequests: () => Promise<void>
   /** Longest time to wait for requests in flight, in milliseconds. */
   limitMs: number
 }
 
 /**
- * Announces that an instance is leaving, keeps serving until look-up responses have expired, and drains the listeners.
+ * Announces that an instance is leaving, keeps serving until look-up responses have expired, drains the listeners, and answers
+ * the requests that have not ended by then.
  *
  * @param options Listeners, callbacks and times
  * @returns The number of requests still in flight when the time limit was reached
@@ -39,8 +44,17 @@
   await options.announce()
   await waitMs(options.lookUpTtlMs + lookUpMarginMs)
   await Promise.race([drainListeners(options), waitMs(options.limitMs)])
-  const open = [...options.clientListeners, options.peerListener].reduce((sum, listener) => sum + listener.countOpen(), 0)
-  return Math.max(open, options.countInFlight())
+  const cutOff = Math.max(countOpen(options), options.countInFlight())
+  if (cutOff > 0) {
+    await options.endRequests()
+    const flushedByMs = performance.now() + flushMs
+    while (countOpen(options) > 0 && performance.now() < flushedByMs) await waitMs(pollMs)
+  }
+  return cutOff
+}
+
+function countOpen ({ clientListeners, peerListener }: DrainInstanceOptions): number {
+  return [...clientListeners, peerListener].reduce((sum, listener) => sum + listener.countOpen(), 0)
 }
 
 async function drainListeners (options: DrainInstanceOptions): Promise<void> {
--- a/packages/callers/src/service_handler.ts
+++ b/packages/callers/src/service_handler.ts
@@ -6,7 +6,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { HandleRequest, Outcome, Refusal, RefusalReason, ServiceRequest } from '@bilberryworks/steering'
 import type { BodyGuard } from './body_guard.ts'
-import { createNotRunRefusal, Outcome as Outcomes, RefusalReason as RefusalReasons } from '@bilberryworks/steering'
+import type { OpenRequests } from './open_requests.ts'
+import { createNotRunRefusal, createUnknownRefusal, Outcome as Outcomes, RefusalReason as RefusalReasons } from '@bilberryworks/steering'
 import { createBodyGuard, hasBody } from './body_guard.ts'
 import { parseRequest } from './parse_request.ts'
 import { watchResponse } from './watch_response.ts'
@@ -42,6 +43,8 @@
   getMaxBodyBytes?: (request: ServiceRequest) => number | undefined
   /** Longest wait for the next byte of a request body, in milliseconds; unlimited by default. */
   bodyIdleTimeoutMs?: number
+  /** Collects the requests until their responses begin; they are not collected by default. */
+  openRequests?: OpenRequests
 }
 
 /**
@@ -53,6 +56,8 @@
 export function createServiceHandler (options: CreateServiceHandlerOptions): (message: IncomingMessage, response: ServerResponse) => void {
   return (message, response) => {
     const startMs = performance.now()
+    let isEnding = false
+    let isAnswered = false
     const disconnectController = new AbortController()
     watchResponse(message, response, isComplete => {
       if (!isComplete) disconnectController.abort()
@@ -62,6 +67,7 @@
       options.recordEnd({ service, reason: undefined, elapsedMs: performance.now() - startMs, ...result })
     }
     const refuse = (service: string, refusal: Refusal): void => {
+      isAnswered = true
       writeRefusal(response, refusal)
       finish(service, { outcome: refusal.outcome, reason: refusal.reason, isComplete: true })
     }
@@ -78,17 +84,40 @@
     }
     const bodyGuard = hasBody(message) ? createBodyGuard(message, { maxBytes, idleTimeoutMs: options.bodyIdleTimeoutMs }) : undefined
     const request = bodyGuard === undefined ? parsed.value : { ...parsed.value, body: bodyGuard.body }
+    const openRequest = {
+      abort () {
+        isEnding = true
+        disconnectController.abort()
+      },
+      answerUnknown () {
+        if (!isAnswered) refuse(request.service, createUnknownRefusal(RefusalReasons.Stopping, 'Instance ended before the response of the target began'))
+      }
+    }
+    options.openRequests?.add(openRequest)
     options.handleRequest(request).then(async result => {
+      options.openRequests?.remove(openRequest)
+      if (isAnswered) {
+        if (result.isOk()) result.value.body.on('error', () => {}).destroy()
+        return
+      }
       if (result.isErr()) {
-        refuse(request.service, applyGuardReason(result.error, bodyGuard))
+        refuse(request.service, isEnding ? createEndingRefusal(result.error) : applyGuardReason(result.error, bodyGuard))
         return
       }
+      isAnswered = true
       const isComplete = await writeResponse(response, result.value)
       finish(request.service, { outcome: Outcomes.Answered, isComplete })
     }).catch(() => response.destroy())
   }
 }
 
+/** Creates the refusal of a request whose handling was aborted because the instance ends. Keeps the outcome. */
+function createEndingRefusal ({ outcome }: Refusal): Refusal {
+  return outcome === Outcomes.NotRun
+    ? createNotRunRefusal(RefusalReasons.Stopping, 'Instance ended before the request was sent to a target', retryAfterMs)
+    : createUnknownRefusal(RefusalReasons.Stopping, 'Instance ended before the response of the target began')
+}
+
 /** Replaces the reason of a refusal by the body limit that was exceeded, if any. Keeps the outcome, since the request may have run. */
 function applyGuardReason (refusal: Refusal, bodyGuard: BodyGuard | undefined): Refusal {
   const reason = bodyGuard?.getFailureReason()
