Handle errors of listeners that are open

Callers saw an instance end with all that it had accepted when accept failed for lack of descriptors or memory. Cause: once a server listened, its error listener was taken off, so that Node.js threw the error as one that nothing handles. Each listener of the entry instance now keeps a handler, which counts the error and logs the first of a kind and then one line in 10 s with the number; listening is in a file of its own.

--- a/packages/bilberryd/src/edge/entry_metrics.ts
+++ b/packages/bilberryd/src/edge/entry_metrics.ts
@@ -6,6 +6,7 @@
 import type { RouteKind } from '@bilberryworks/steering'
 import { ColdEvidence, Outcome, RefusalReason, RetryReason } from '@bilberryworks/steering'
 import { ConnectionEvent } from '@bilberryworks/targets'
+import { EntryListener } from './entry_listener.ts'
 import { RelayResultKind } from './send_relayed.ts'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 
@@ -71,6 +72,8 @@
   countRelayed (result: RelayResultKind): void
   /** Counts bytes sent to peers, by kind of message. */
   countPeerBytes (traffic: PeerTraffic, bytes: number): void
+  /** Counts an error of an open listener. */
+  countListenerError (listener: string): void
   /** Records the duration of a request stage, in milliseconds. */
   recordStage (stage: RequestStage, kind: RouteKind, elapsedMs: number): void
 }
@@ -146,6 +149,7 @@
   const connectionEvents = new Counter({ name: 'bilberry_target_connection_events_total', help: 'Events of connections to targets, by kind', labelNames: ['event'], registers })
   const relayed = new Counter({ name: 'bilberry_relayed_requests_total', help: 'Requests sent through another instance, by result', labelNames: ['result'], registers })
   const peerBytes = new Counter({ name: 'bilberry_peer_bytes_total', help: 'Bytes sent to other instances, by kind of message', labelNames: ['message'], registers })
+  const listenerErrors = new Counter({ name: 'bilberry_listener_errors_total', help: 'Errors of open listeners, such as those of accepting a connection, by listener', labelNames: ['listener'], registers })
   const stages = new Histogram({ name: 'bilberry_stage_seconds', help: 'Duration of a request stage in seconds, by stage and kind of route', labelNames: ['stage', 'kind'], buckets: latencyBucketsSeconds, registers })
   for (const reason of Object.values(RefusalReason)) refusals.inc({ reason }, 0)
   for (const reason of Object.values(RetryReason)) retries.inc({ reason }, 0)
@@ -154,6 +158,7 @@
   for (const event of Object.values(ConnectionEvent)) connectionEvents.inc({ event }, 0)
   for (const result of Object.values(RelayResultKind)) relayed.inc({ result }, 0)
   for (const message of Object.values(PeerTraffic)) peerBytes.inc({ message }, 0)
+  for (const listener of Object.values(EntryListener)) listenerErrors.inc({ listener }, 0)
   for (const name of Object.values(EntryGauge)) {
     registers[0]!.registerMetric(new Gauge({ name, help: gaugeHelp[name], registers: [], collect () { this.set(gauges.readers[name]()) } }))
   }
@@ -174,6 +179,7 @@
     countConnectionEvent: event => connectionEvents.inc({ event }),
     countRelayed: result => relayed.inc({ result }),
     countPeerBytes: (message, bytes) => peerBytes.inc({ message }, bytes),
+    countListenerError: listener => listenerErrors.inc({ listener }),
     recordStage: (stage, kind, elapsedMs) => stages.observe({ stage, kind }, elapsedMs / msPerSecond)
   }
 }
--- a/packages/bilberryd/src/edge/peer_link.ts
+++ b/packages/bilberryd/src/edge/peer_link.ts
@@ -3,9 +3,9 @@
  *
  * @module
  */
-import type { Socket } from 'node:dgram'
-import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http'
+import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http'
 import type { CrashReport, RecentTargetReports, SocketAddress } from '@bilberryworks/steering'
+import type { ListenerContext } from '../listen_on.ts'
 import type { EntryLog } from './entry_log.ts'
 import type { EntryState } from './entry_state.ts'
 import type { RelayOrigin } from './relay_message.ts'
@@ -15,7 +15,9 @@
 import { createServer } from 'node:http'
 import { applyGracefulClose, countOpenResponses } from '@bilberryworks/callers'
 import { createCatchUp } from '@bilberryworks/steering'
+import { listenOn, openSocket } from '../listen_on.ts'
 import { requestServerOptions } from './caller_listener.ts'
+import { EntryListener } from './entry_listener.ts'
 import { createKeptRowsFetch } from './kept_rows.ts'
 import { ReplicatedTable } from './replicated_table.ts'
 import { PeerTraffic } from './entry_metrics.ts'
@@ -49,6 +51,8 @@
   countBytes: (traffic: PeerTraffic, bytes: number) => void
   /** Handles a request that another instance relays. */
   handleRelayed: (message: IncomingMessage, response: ServerResponse, origin: RelayOrigin) => void
+  /** What all listeners share. */
+  listeners: ListenerContext
   /** Structured log. */
   log: EntryLog
   /** Returns monotonic time, in milliseconds. */
@@ -190,8 +194,7 @@
     else if (heartbeat !== undefined) handleHeartbeat(heartbeat)
     else log.warn('heartbeat_undecodable', { bytes: bytes.length })
   })
-  socket.on('error', error => log.warn('heartbeat_socket', { detail: error.message }))
-  await openSocket(socket, ownHeartbeat.heartbeats)
+  await openSocket(socket, { ...options.listeners, name: EntryListener.Heartbeats, address: ownHeartbeat.heartbeats })
   const handleStateCall = createStateHandler({
     state,
     listInstances: () => [options.getHeartbeat(), ...view.listLive(getNowMs()).map(peer => peer.heartbeat)],
@@ -201,7 +204,7 @@
   server.maxHeadersCount = 0
   const countOpenPeers = countOpenResponses(server)
   const countLingering = applyGracefulClose(server)
-  await listenOn(server, ownHeartbeat.peers)
+  await listenOn(server, { ...options.listeners, name: EntryListener.Peers, address: ownHeartbeat.peers })
   const timer = setInterval(sendUpdates, options.intervalMs)
 
   return {
@@ -238,30 +241,3 @@
     }
   }
 }
-
-function openSocket (socket: Socket, address: SocketAddress): Promise<void> {
-  return new Promise((resolve, reject) => {
-    socket.once('error', reject)
-    socket.bind(address.port, address.host, () => {
-      socket.off('error', reject)
-      resolve()
-    })
-  })
-}
-
-/**
- * Starts to listen on an address.
- *
- * @param server Server that listens
- * @param address Address to listen on
- * @throws {Error} If the address can't be listened on
- */
-export function listenOn (server: Server, address: SocketAddress): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(address.port, address.host, () => {
-      server.off('error', reject)
-      resolve()
-    })
-  })
-}
--- a/packages/bilberryd/src/edge/run_entry.ts
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -7,6 +7,7 @@
 import type { EntrySettings, SocketAddress } from '@bilberryworks/steering'
 import type { Server } from 'node:http'
 import type { StoreClient } from '@bilberryworks/users-platform'
+import type { ListenerContext } from '../listen_on.ts'
 import type { StopRequest } from '../process_signals.ts'
 import type { EntryComponents } from './entry_components.ts'
 import type { EntryLog } from './entry_log.ts'
@@ -18,13 +19,15 @@
 import { createCleanupStack, createLifeCycle, createPollSchedule } from '@bilberryworks/steering'
 import { checkListening, createTargetPool } from '@bilberryworks/targets'
 import { createStoreClient, operatorTable, targetTable } from '@bilberryworks/users-platform'
+import { listenOn } from '../listen_on.ts'
 import { applyCallerLimits, createCallerListener } from './caller_listener.ts'
 import { createEntryComponents } from './entry_components.ts'
+import { EntryListener } from './entry_listener.ts'
 import { defaultEntryOptions } from './entry_options.ts'
 import { createEntryMetrics, EntryGauge } from './entry_metrics.ts'
 import { createPeerDiscovery } from './peer_discovery.ts'
 import { createLookUpListener, createReadinessListener } from './look_up_listener.ts'
-import { listenOn, startPeerLink } from './peer_link.ts'
+import { startPeerLink } from './peer_link.ts'
 import { drainRequests } from './drain_requests.ts'
 import { startMaintenance } from './maintenance.ts'
 import { ReplicatedTable } from './replicated_table.ts'
@@ -91,14 +94,19 @@
   const hasHomeRegions = (): boolean => state.getConfig()?.routes.some(route => route.homeRegions.length > 0) ?? false
   const lookUps = createLookUpListener({ settings, view, getHeartbeat, getNowMs, hasHomeRegions })
   const readiness = createReadinessListener(isReady)
-  await Promise.all([listenOn(callers, settings.listen.callers), listenOn(lookUps, settings.listen.lookUps), listenOn(readiness, settings.listen.readiness)])
+  const listeners: ListenerContext = { log, countError: metrics.countListenerError, getNowMs }
+  await Promise.all([
+    listenOn(callers, { ...listeners, name: EntryListener.Callers, address: settings.listen.callers }),
+    listenOn(lookUps, { ...listeners, name: EntryListener.LookUps, address: settings.listen.lookUps }),
+    listenOn(readiness, { ...listeners, name: EntryListener.Readiness, address: settings.listen.readiness })
+  ])
   for (const server of [callers, lookUps, readiness]) cleanup.add(createServerDisposer(server))
-  if (options.metricsPort !== undefined) cleanup.add(createServerDisposer(await openMetricsListener(metrics, { host: settings.listen.callers.host, port: options.metricsPort })))
+  if (options.metricsPort !== undefined) cleanup.add(createServerDisposer(await openMetricsListener(metrics, { ...listeners, address: { host: settings.listen.callers.host, port: options.metricsPort } })))
 
   const { bounds } = settings
   const targetPauseMs = Math.round(bounds.drainMs * targetPauseShare)
   const heartbeatTimes = { intervalMs: heartbeatIntervalMs, remoteIntervals: remoteHeartbeatIntervals, storeDelayMs: targetPauseMs * catchUpPauses }
-  const link = cleanup.add(await startPeerLink({ ...heartbeatTimes, getHeartbeat, getIntroduction: () => ({ ...getHeartbeat(), crashReports: crashGuard.listWorst() }), view, state, seeds: settings.seeds, countBytes: metrics.countPeerBytes, handleTargetReports: targetReports.handlePeerReports, handleCrashReports: crashGuard.mergeReports, handleRelayed: requestHandler.handleRequest, log, getNowMs, getRandom }))
+  const link = cleanup.add(await startPeerLink({ ...heartbeatTimes, getHeartbeat, getIntroduction: () => ({ ...getHeartbeat(), crashReports: crashGuard.listWorst() }), view, state, seeds: settings.seeds, countBytes: metrics.countPeerBytes, handleTargetReports: targetReports.handlePeerReports, handleCrashReports: crashGuard.mergeReports, handleRelayed: requestHandler.handleRequest, listeners, log, getNowMs, getRandom }))
   const store = cleanup.add(createStoreClient(settings.store))
   for (const replication of startReplications({ store, state, bounds, targetPauseMs, log, getNowMs, getRandom })) cleanup.add(replication)
   const discovery = createPeerDiscovery({ store, view, log })
@@ -197,11 +205,11 @@
   }))
 }
 
-async function openMetricsListener (metrics: EntryMetrics, address: SocketAddress): Promise<Server> {
+async function openMetricsListener (metrics: EntryMetrics, listener: ListenerContext & { address: SocketAddress }): Promise<Server> {
   const server = createServer((_, response) => {
     metrics.registry.metrics().then(text => response.writeHead(200, { 'Content-Type': metrics.registry.contentType }).end(text)).catch((error: Error) => response.writeHead(500).end(error.message))
   })
-  await listenOn(server, address)
+  await listenOn(server, { ...listener, name: EntryListener.Metrics })
   return server
 }
 
