Serve on while the output fails, and count the lines that are lost

Callers lost all that an instance had accepted when the reader of its log left: the next line ended the process by an EPIPE that nobody handled. A full disk and a file at its size limit did the same.

A line output takes the errors of standard output, and of standard error on the own interface. The reader that is only slow is treated as before, now on the own interface too.

--- a/packages/bilberryd/src/edge/entry_log.ts
+++ b/packages/bilberryd/src/edge/entry_log.ts
@@ -1,12 +1,13 @@
 /**
- * The structured log of an entry instance: JSON lines on standard output. If the reader of the output is slow, lines are
+ * The structured log of an entry instance: JSON lines on standard output. If the reader of the output is slow or gone, lines are
  * dropped instead of delaying requests.
  *
  * @module
  */
 import type Logger from 'bunyan'
 import type { Writable } from 'node:stream'
-import { createLogger, INFO, WARN } from 'bunyan'
+import { createLogger } from 'bunyan'
+import { createLineOutput } from '../line_output.ts'
 
 /** Fields of a log line. */
 export type LogFields = Record<string, unknown>
@@ -19,13 +20,12 @@
   takeSample (): boolean
   /** Writes a line at level warn. */
   warn (event: string, fields: LogFields): void
-  /** Returns the number of dropped lines. */
+  /** Returns the number of lines that were dropped because the reader of the output is slow. */
   countDropped (): number
+  /** Returns the number of lines that were lost because the output failed. */
+  countLost (): number
 }
 
-/** Size of the stream's write buffer above which lines are dropped, in bytes. */
-const maxPendingBytes = 1_048_576
-
 /** Maximum number of log lines per second about requests that succeeded quickly: enough to cover each route, and fewer than the lines about failures during an incident. */
 const sampledLinesPerSecond = 20
 const msPerSecond = 1_000
@@ -38,21 +38,12 @@
  * @returns The log
  */
 export function createEntryLog (instance: string, output: Writable = process.stdout): EntryLog {
-  let dropped = 0
-  let reportedDropped = 0
-  const logger: Logger = createLogger({ name: 'bilberryd', instance, stream: output })
-  const write = (level: number, event: string, fields: LogFields): void => {
-    if (output.writableLength > maxPendingBytes) {
-      dropped++
-      return
-    }
-    if (dropped > reportedDropped) {
-      logger.warn({ event: 'log_dropped', lines: dropped - reportedDropped })
-      reportedDropped = dropped
-    }
-    if (level === INFO) logger.info({ event, ...fields })
-    else logger.warn({ event, ...fields })
-  }
+  const lines = createLineOutput(output, {
+    reportDropped: count => logger.warn({ event: 'log_dropped', lines: count }),
+    reportLost: count => logger.warn({ event: 'log_lost', lines: count }),
+    getNowMs: () => performance.now()
+  })
+  const logger: Logger = createLogger({ name: 'bilberryd', instance, stream: lines as unknown as NodeJS.WritableStream })
   let sampledSecond = 0
   let sampled = 0
   return {
@@ -62,8 +53,9 @@
       sampledSecond = second
       return ++sampled <= sampledLinesPerSecond
     },
-    info: (event, fields) => write(INFO, event, fields),
-    warn: (event, fields) => write(WARN, event, fields),
-    countDropped: () => dropped
+    info: (event, fields) => logger.info({ event, ...fields }),
+    warn: (event, fields) => logger.warn({ event, ...fields }),
+    countDropped: lines.countDropped,
+    countLost: lines.countLost
   }
 }
--- a/packages/bilberryd/src/edge/entry_metrics.ts
+++ b/packages/bilberryd/src/edge/entry_metrics.ts
@@ -82,6 +82,8 @@
 export interface EntryGauges {
   /** Functions that return the current value of each gauge. */
   readers: Record<EntryGauge, () => number>
+  /** Returns the number of log lines that were lost because the output failed; 0 by default. */
+  countLostLines?: () => number
 }
 
 /** Gauges, by metric name. */
@@ -150,6 +152,16 @@
   const relayed = new Counter({ name: 'bilberry_relayed_requests_total', help: 'Requests sent through another instance, by result', labelNames: ['result'], registers })
   const peerBytes = new Counter({ name: 'bilberry_peer_bytes_total', help: 'Bytes sent to other instances, by kind of message', labelNames: ['message'], registers })
   const listenerErrors = new Counter({ name: 'bilberry_listener_errors_total', help: 'Errors of open listeners, such as those of accepting a connection, by listener', labelNames: ['listener'], registers })
+  const { countLostLines = () => 0 } = gauges
+  registry.registerMetric(new Counter({
+    name: 'bilberry_log_lines_lost_total',
+    help: 'Log lines that were lost because the output failed',
+    registers: [],
+    collect () {
+      this.reset()
+      this.inc(countLostLines())
+    }
+  }))
   const stages = new Histogram({ name: 'bilberry_stage_seconds', help: 'Duration of a request stage in seconds, by stage and kind of route', labelNames: ['stage', 'kind'], buckets: latencyBucketsSeconds, registers })
   for (const reason of Object.values(RefusalReason)) refusals.inc({ reason }, 0)
   for (const reason of Object.values(RetryReason)) retries.inc({ reason }, 0)
--- a/packages/bilberryd/src/edge/run_entry.ts
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -67,7 +67,7 @@
   const cleanup = createCleanupStack()
   const [getNowMs, getRandom] = [() => performance.now(), Math.random]
   const life = createLifeCycle({ graceMs: settings.bounds.graceMs })
-  const metrics = createEntryMetrics({ readers: createGaugeReaders(() => components, { log, takeMaxDelayMs, getNowMs }) })
+  const metrics = createEntryMetrics({ readers: createGaugeReaders(() => components, { log, takeMaxDelayMs, getNowMs }), countLostLines: log.countLost })
   let maxDelayMs = 0
   const components = cleanup.add(createEntryComponents({
     settings,
--- a/packages/bilberryd/src/edge/target_end_detector_test.ts
+++ b/packages/bilberryd/src/edge/target_end_detector_test.ts
@@ -5,7 +5,7 @@
 import { createTargetEndDetector } from './target_end_detector.ts'
 
 const entry = { target: { id: 't', startedAtMs: 1, address: { host: '10.0.0.1', port: 80 } } } as RegisteredTarget
-const silentLog = { info: () => {}, warn: () => {}, takeSample: () => false, countDropped: () => 0 }
+const silentLog = { info: () => {}, warn: () => {}, takeSample: () => false, countDropped: () => 0, countLost: () => 0 }
 const createAttempt = (attemptId: string): Attempt => ({ attemptId, fingerprint: `f-${attemptId}` }) as Attempt
 
 for (const [title, state, isPathConfirmed, ends, lost] of [
--- a/packages/bilberryd/src/main.ts
+++ b/packages/bilberryd/src/main.ts
@@ -9,6 +9,7 @@
 import type { Finding, Settings } from './settings.ts'
 import { createLogger } from 'bunyan'
 import { command, option, positional, run, string, subcommands } from 'cmd-ts'
+import { createLineOutput } from './line_output.ts'
 import { listenForSignals } from './process_signals.ts'
 import { runInstance } from './run_instance.ts'
 import { readSettings } from './settings.ts'
@@ -58,9 +59,14 @@
 }
 
 async function runUntilStopped (settings: Settings, file: string): Promise<void> {
-  const log = createLogger({ name: 'bilberryd', instance: settings.instance, stream: process.stderr })
+  const lines = createLineOutput(process.stderr, {
+    reportDropped: count => log.warn({ lines: count }, 'Log lines dropped: the reader of standard error is slow'),
+    reportLost: count => log.warn({ lines: count }, 'Log lines lost: standard error failed'),
+    getNowMs: () => performance.now()
+  })
+  const log = createLogger({ name: 'bilberryd', instance: settings.instance, stream: lines as unknown as NodeJS.WritableStream })
   if (signals.isStopRequested()) return
-  const instance = await runInstance(settings, log)
+  const instance = await runInstance(settings, log, { logLines: lines })
   console.log(JSON.stringify({ ready: true, ...instance.addresses, listening: instance.listening }))
   signals.handlers.reload = () => refreshSettings(instance, file, log)
   signals.handlers.handleRepeated = signal => log.info({ signal }, 'Stop requested again: the stop goes on as before')
--- a/packages/bilberryd/src/metrics.ts
+++ b/packages/bilberryd/src/metrics.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { RequestResult } from '@bilberryworks/callers'
+import type { LineOutput } from './line_output.ts'
 import { ClientBlocksLoadResult } from '@bilberryworks/platform'
 import { Outcome, RefusalReason, RetryReason } from '@bilberryworks/steering'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
@@ -48,6 +49,8 @@
   countClientBlocksLoad: (load: ClientBlocksLoadResult) => void
   /** Counts the requests that a shutdown aborted. */
   countAbortedRequests: (requests: number) => void
+  /** Adds the metrics of log lines that were dropped or lost. */
+  addLogLines: (lines: Pick<LineOutput, 'countDropped' | 'countLost'>) => void
 }
 
 /**
@@ -105,10 +108,24 @@
     countControlBytes: bytes => controlBytes.inc(bytes),
     countSkippedExchange: () => skippedExchanges.inc(),
     countClientBlocksLoad: end => blockLoads.inc({ end }),
-    countAbortedRequests: count => abortedRequests.inc(count)
+    countAbortedRequests: count => abortedRequests.inc(count),
+    addLogLines: lines => registerLogLines(registry, lines)
   }
 }
 
+function registerLogLines (registry: Registry, lines: Pick<LineOutput, 'countDropped' | 'countLost'>): void {
+  registry.registerMetric(new Gauge({ name: 'bilberry_log_lines_dropped', help: 'Number of dropped log lines', registers: [], collect () { this.set(lines.countDropped()) } }))
+  registry.registerMetric(new Counter({
+    name: 'bilberry_log_lines_lost_total',
+    help: 'Log lines that were lost because the output failed',
+    registers: [],
+    collect () {
+      this.reset()
+      this.inc(lines.countLost())
+    }
+  }))
+}
+
 function registerGauges (registry: Registry, sources: GaugeSources): void {
   const registers = [registry]
   const addGauge = (name: string, help: string, getValue: () => number): void => {
--- a/packages/bilberryd/src/run_instance.ts
+++ b/packages/bilberryd/src/run_instance.ts
@@ -5,6 +5,7 @@
  */
 import type { RefusalReason } from '@bilberryworks/steering'
 import type Logger from 'bunyan'
+import type { LineOutput } from './line_output.ts'
 import type { Settings } from './settings.ts'
 import { createInstanceHandlers } from './instance_handlers.ts'
 import { createInstanceComponents } from './instance_components.ts'
@@ -24,14 +25,21 @@
   stop (): Promise<void>
 }
 
+/** Options of {@linkcode runInstance}. */
+export interface RunInstanceOptions {
+  /** Counts the log lines that were dropped and lost; none are counted by default. */
+  logLines?: Pick<LineOutput, 'countDropped' | 'countLost'>
+}
+
 /**
  * Runs an entry instance until it is stopped or disposed.
  *
  * @param settings Settings of the instance; `reload` updates their tokens and peer keys
  * @param log Logger
+ * @param options Counts of log lines
  * @returns The running instance
  */
-export async function runInstance (settings: Settings, log: Logger): Promise<RunningInstance> {
+export async function runInstance (settings: Settings, log: Logger, { logLines }: RunInstanceOptions = {}): Promise<RunningInstance> {
   const deferredHandlers = { callers: createDeferredHandler(), operators: createDeferredHandler(), peers: createDeferredHandler() }
   const listenerOptions = { headersTimeoutMs: settings.headersTimeoutMs, countRefusal: (reason: RefusalReason) => components.metrics.countRefusal(reason) }
   const listeners = {
@@ -45,6 +53,7 @@
     peers: settings.advertise?.peers ?? listeners.peers.address
   }
   const components = createInstanceComponents(settings, { addresses, log })
+  if (logLines !== undefined) components.metrics.addLogLines(logLines)
   const handlers = await createInstanceHandlers(components)
   deferredHandlers.callers.update(handlers.callers)
   deferredHandlers.operators.update(handlers.operators)
--- a/packages/standins/src/emulator/fleet_instance.ts
+++ b/packages/standins/src/emulator/fleet_instance.ts
@@ -127,7 +127,7 @@
     }
     if (traceId !== undefined && (isVerdict || event === 'targets_silent' || String(fields['id'] ?? '').startsWith(traceId))) record.trace.push(`${clock.getNowMs().toFixed(1)} ${name} ${event} ${JSON.stringify(fields)}`)
   }
-  return { info: write, warn: write, takeSample: () => false, countDropped: () => 0 }
+  return { info: write, warn: write, takeSample: () => false, countDropped: () => 0, countLost: () => 0 }
 }
 
 function computeReachableMs (world: FleetWorld, instance: string, failureDomain: string): number {
--- a/packages/standins/src/entry_process.ts
+++ b/packages/standins/src/entry_process.ts
@@ -47,6 +47,10 @@
   flags?: string[]
   /** Flags of Node.js; none by default. */
   nodeFlags?: string[]
+  /** Standard output and error; by default both append to the log file. */
+  output?: number | 'pipe'
+  /** Size to which the process may write files, in blocks of 512 bytes; unlimited by default. */
+  maxFileBlocks?: number
 }
 
 /** Bounds of the instances, in the format of the platform's settings. */
@@ -99,10 +103,11 @@
  * @param options Flags
  * @returns The process
  */
-export function startEntryProcess ({ settingsFile, logFile }: EntryFiles, { flags = [], nodeFlags = [] }: StartEntryProcessOptions = {}): ChildProcess {
+export function startEntryProcess ({ settingsFile, logFile }: EntryFiles, { flags = [], nodeFlags = [], output, maxFileBlocks }: StartEntryProcessOptions = {}): ChildProcess {
   const program = join(createRequire(import.meta.url).resolve('bilberryd'), '..', 'edge', 'main.js')
   const log = openSync(logFile, 'a')
-  const child = spawn(process.execPath, [maxHeapFlag, ...nodeFlags, program, ...flags], { env: { PATH: process.env['PATH'], BILBERRYWORKS_CONFIG: settingsFile }, stdio: ['ignore', log, log] })
+  const limit = maxFileBlocks === undefined ? '' : `ulimit -f ${maxFileBlocks}; `
+  const child = spawn('/bin/sh', ['-c', `${limit}exec "$0" "$@"`, process.execPath, maxHeapFlag, ...nodeFlags, program, ...flags], { env: { PATH: process.env['PATH'], BILBERRYWORKS_CONFIG: settingsFile }, stdio: ['ignore', output ?? log, output ?? log] })
   closeSync(log)
   children.add(child)
   child.once('exit', () => children.delete(child))
