Stop as on a signal after an error that nothing caught

Callers lost all requests that an instance had accepted when an exception was thrown or a promise rejected where nothing caught it: Node.js ended the process at once, with the connections reset and the peers not told.

Such an error is now a request to stop. The line `uncaught_error` has its stack, a counter counts it, and the stop of the life cycle follows: new requests are served while they can be completed, those in flight are waited for, what is left is refused as not run or answered as unknown, and peers, look-ups and readiness say that the instance leaves.

--- a/packages/bilberryd/src/edge/entry_metrics.ts
+++ b/packages/bilberryd/src/edge/entry_metrics.ts
@@ -72,6 +72,8 @@
   countRelayed (result: RelayResultKind): void
   /** Counts bytes sent to peers, by kind of message. */
   countPeerBytes (traffic: PeerTraffic, bytes: number): void
+  /** Counts an error that nothing caught. */
+  countUncaughtError (): void
   /** Counts an error of an open listener. */
   countListenerError (listener: string): void
   /** Records the duration of a request stage, in milliseconds. */
@@ -152,6 +154,7 @@
   const relayed = new Counter({ name: 'bilberry_relayed_requests_total', help: 'Requests sent through another instance, by result', labelNames: ['result'], registers })
   const peerBytes = new Counter({ name: 'bilberry_peer_bytes_total', help: 'Bytes sent to other instances, by kind of message', labelNames: ['message'], registers })
   const listenerErrors = new Counter({ name: 'bilberry_listener_errors_total', help: 'Errors of open listeners, such as those of accepting a connection, by listener', labelNames: ['listener'], registers })
+  const uncaughtErrors = new Counter({ name: 'bilberry_uncaught_errors_total', help: 'Exceptions and rejections that nothing caught, after which the instance stops', registers })
   const { countLostLines = () => 0 } = gauges
   registry.registerMetric(new Counter({
     name: 'bilberry_log_lines_lost_total',
@@ -191,6 +194,7 @@
     countConnectionEvent: event => connectionEvents.inc({ event }),
     countRelayed: result => relayed.inc({ result }),
     countPeerBytes: (message, bytes) => peerBytes.inc({ message }, bytes),
+    countUncaughtError: () => uncaughtErrors.inc(),
     countListenerError: listener => listenerErrors.inc({ listener }),
     recordStage: (stage, kind, elapsedMs) => stages.observe({ stage, kind }, elapsedMs / msPerSecond)
   }
--- a/packages/bilberryd/src/edge/main.ts
+++ b/packages/bilberryd/src/edge/main.ts
@@ -4,10 +4,12 @@
  *
  * @module
  */
+import { listenForErrors } from '../process_errors.ts'
 import { listenForSignals } from '../process_signals.ts'
 
-// The rest of the program is loaded once signals are handled.
+// The rest of the program is loaded once signals and errors are handled.
 const signals = listenForSignals()
+const errors = listenForErrors()
 
 const { runCommand } = await import('./run_command.ts')
-await runCommand(signals)
+await runCommand({ signals, errors }).catch(errors.endProcess)
--- a/packages/bilberryd/src/edge/run_command.ts
+++ b/packages/bilberryd/src/edge/run_command.ts
@@ -5,11 +5,13 @@
  */
 import type { EntrySettings, SettingsFinding } from '@bilberryworks/steering'
 import type { Result } from 'neverthrow'
+import type { ProcessErrors } from '../process_errors.ts'
 import type { ProcessSignals } from '../process_signals.ts'
 import type { EntryOptions } from './entry_options.ts'
 import { readFileSync, watchFile } from 'node:fs'
 import { decodeSettings, settingsPathVariable } from '@bilberryworks/users-platform'
 import { err } from 'neverthrow'
+import { uncaughtErrorStatus } from '../process_errors.ts'
 import { createEntryLog } from './entry_log.ts'
 import { parseEntryOptions } from './entry_options.ts'
 import { runEntry } from './run_entry.ts'
@@ -26,42 +28,57 @@
   }
 }
 
-/** Runs an instance until a signal stops it, unless one has come before. */
-async function runUntilStopped (path: string, { settings, options, signals }: { settings: EntrySettings, options: EntryOptions, signals: ProcessSignals }): Promise<void> {
+/** Runs an instance until a signal or an error that nothing caught stops it, unless one has come before. */
+async function runUntilStopped (path: string, { settings, options, signals, errors }: { settings: EntrySettings, options: EntryOptions } & RunCommandOptions): Promise<void> {
   const log = createEntryLog(settings.instance)
   if (signals.isStopRequested()) return
-  process.on('uncaughtExceptionMonitor', (error, origin) => log.warn('uncaught_error', { origin, detail: error.stack }))
+  errors.handlers.report = error => log.warn('uncaught_error', { ...error })
+  const stopRequested = Promise.race([signals.stopRequested, errors.stopRequested])
+  // An error may have broken what the stop waits for.
+  errors.stopRequested.then(() => setTimeout(() => process.exit(uncaughtErrorStatus), settings.bounds.graceMs)).catch(errors.endProcess)
   const entry = await runEntry(settings, log, options)
   const reload = (): void => {
     const next = readSettings(path)
     if (next.isErr()) log.warn('settings_kept', { findings: next.error })
     else entry.reload(next.value)
   }
+  errors.handlers.report = error => {
+    entry.countUncaughtError()
+    log.warn('uncaught_error', { ...error })
+  }
   signals.handlers.reload = reload
   signals.handlers.handleRepeated = signal => log.info('stop_repeated', { signal })
   watchFile(path, { interval: settingsPollIntervalMs, persistent: false }, reload)
-  const request = await signals.stopRequested
+  const request = await stopRequested
   try {
     await entry.stop(request)
-    process.exit(0)
+    process.exit(errors.hasOccurred() ? uncaughtErrorStatus : 0)
   } catch (error) {
     log.warn('stop_failed', { detail: (error as Error).message })
     process.exit(exitFailure)
   }
 }
 
+/** Options of {@linkcode runCommand}. */
+export interface RunCommandOptions {
+  /** Signals of this process. */
+  signals: ProcessSignals
+  /** Errors of this process that nothing caught. */
+  errors: ProcessErrors
+}
+
 /**
  * Runs an instance with the settings file that the environment names and the flags of the command line. Prints the findings and
  * sets the exit code if they are not valid.
  *
- * @param signals Signals of this process
+ * @param options Signals and errors of this process
  */
-export async function runCommand (signals: ProcessSignals): Promise<void> {
+export async function runCommand ({ signals, errors }: RunCommandOptions): Promise<void> {
   const path = process.env[settingsPathVariable] ?? ''
   const settings = readSettings(path)
   const options = parseEntryOptions(process.argv.slice(2))
   if (settings.isOk() && options.isOk()) {
-    return runUntilStopped(path, { settings: settings.value, options: options.value, signals })
+    return runUntilStopped(path, { settings: settings.value, options: options.value, signals, errors })
   }
   const findings = [settings, options].flatMap(result => result.isErr() ? result.error : [])
   for (const finding of findings) console.error(`${finding.pointer || '/'}: ${finding.message}`)
--- a/packages/bilberryd/src/edge/run_entry.ts
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -36,7 +36,9 @@
 /** A running entry instance. */
 export interface RunningEntry extends AsyncDisposable {
   /** Shuts down gracefully: announces the shutdown to the peers, accepts requests for a limited time, waits for requests in flight, and closes all connections. The grace period counts from `request`, by default from the call. */
-  stop (request?: StopRequest): Promise<void>
+  stop (request?: Partial<StopRequest>): Promise<void>
+  /** Counts an error that nothing caught. */
+  countUncaughtError (): void
   /** Logs which settings differ; none can change while the process runs, so they take effect at the next start. */
   reload (settings: EntrySettings): void
 }
@@ -145,6 +147,7 @@
       log.info('stopped', { ...ended, ...describeLoad() })
       await cleanup[Symbol.asyncDispose]()
     },
+    countUncaughtError: metrics.countUncaughtError,
     reload (next) {
       log.info('reloaded', { changed: listChangedSettings(settings, next) })
     },
