--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -3,15 +3,19 @@
  *
  * @module
  */
+import { renameSync } from 'node:fs'
 import { fileURLToPath } from 'node:url'
 import { build } from 'esbuild'
 
+const root = fileURLToPath(new URL('..', import.meta.url))
+/** File that takes the place of the bundle once it is whole. */
+const unfinished = `target/.bilberryd-${process.pid}.mjs`
 const ownPackages = ['callers', 'steering', 'targets']
 
 await build({
-  absWorkingDir: fileURLToPath(new URL('..', import.meta.url)),
+  absWorkingDir: root,
   entryPoints: ['packages/bilberryd/src/edge/main.ts'],
-  outfile: 'target/bilberryd.mjs',
+  outfile: unfinished,
   bundle: true,
   platform: 'node',
   target: 'node20',
@@ -27,3 +31,4 @@
   external: ['dtrace-provider', 'mv', 'safe-json-stringify', 'moment'],
   logLevel: 'warning'
 })
+renameSync(`${root}${unfinished}`, `${root}target/bilberryd.mjs`)
