--- a/packages/standins/src/entry_process.ts
+++ b/packages/standins/src/entry_process.ts
@@ -5,8 +5,8 @@
  */
 import type { ChildProcess } from 'node:child_process'
 import type { SocketAddress } from '@bilberryworks/steering'
-import { spawn } from 'node:child_process'
-import { closeSync, openSync, readFileSync } from 'node:fs'
+import { execFileSync, spawn } from 'node:child_process'
+import { closeSync, openSync, readdirSync, readFileSync } from 'node:fs'
 import { constants } from 'node:os'
 import { readFile, writeFile } from 'node:fs/promises'
 import { createRequire } from 'node:module'
@@ -155,6 +155,17 @@
   }
 }
 
+/**
+ * Lowers the soft limit of descriptors of a running process.
+ *
+ * @param pid Identifier of the process
+ * @param spare Number of descriptors that it may open in addition to those that are open
+ * @throws {Error} If the limit can't be set
+ */
+export function applyDescriptorLimit (pid: number, spare: number): void {
+  execFileSync('prlimit', ['--pid', String(pid), `--nofile=${readdirSync(`/proc/${pid}/fd`).length + spare}:`])
+}
+
 /** Creates a loopback address that no other instance of this process has, and with all likelihood none of another process. */
 function createHost (site: number, index: number): string {
   const { pid } = process
