Build without a turn where the system has no abstract sockets, and complete a silent log

prepare_bundle.mjs ended if the address of its turn could not be listened on for any reason but that it is taken; a build without other builds beside it needs no turn, so that it now goes on.

--- a/packages/standins/src/failing_connections_test.ts
+++ b/packages/standins/src/failing_connections_test.ts
@@ -53,7 +53,7 @@
   const components = createEntryComponents({
     settings: { instance: 'entry-0', failureDomain: 'a-1', region: 'a', listen: { callers: address, lookUps: address, readiness: address, peers: address }, heartbeatPort: 9, seeds: [], regions: new Map(failureDomains.map(each => [each, 'a'])), store: address, bounds },
     startedAtMs: 1,
-    log: { info: () => {}, warn: () => {}, takeSample: () => false, countDropped: () => 0 },
+    log: { info: () => {}, warn: () => {}, takeSample: () => false, countDropped: () => 0, countLost: () => 0 },
     metrics: createEntryMetrics({ readers: Object.fromEntries(Object.values(Gauge).map(gauge => [gauge, () => 0])) as Record<EntryGauge, () => number> }),
     createPool (onConnectionEvent) {
       report = onConnectionEvent
--- a/scripts/prepare_bundle.mjs
+++ b/scripts/prepare_bundle.mjs
@@ -15,13 +15,13 @@
 const modules = `${root}/node_modules`
 const pollIntervalMs = 100
 
-/** Waits until no other build of this folder runs. The kernel frees an abstract socket address when its process ends, however it ends. */
+/** Waits until no other build of this folder runs, as far as that can be told. The kernel frees an abstract socket address when its process ends, however it ends. */
 async function waitForTurn () {
   const path = `\0bilberryworks-build-${createHash('sha256').update(root).digest('hex')}`
   for (;;) {
     const server = createServer()
-    const isFree = await new Promise((resolve, reject) => {
-      server.once('error', error => error.code === 'EADDRINUSE' ? resolve(false) : reject(error))
+    const isFree = await new Promise(resolve => {
+      server.once('error', error => resolve(error.code !== 'EADDRINUSE'))
       server.listen(path, () => resolve(true))
     })
     if (isFree) return server
