Wait for addresses that can't be listened on when an instance starts

An instance whose address was taken for a moment at its start, as by a predecessor that had not ended, printed a stack trace and ended with 1, for the metrics and heartbeat addresses as well. Cause: each address was tried once, before anything else was started.

What can be served meanwhile is served; readiness holds once callers can connect. Metrics and heartbeats are opened whenever they can be. After 30 s what was accepted is answered and the process ends with status 69 and one line; a stop signal ends the wait with 0.

--- a/packages/bilberryd/src/edge/entry_components.ts
+++ b/packages/bilberryd/src/edge/entry_components.ts
@@ -81,6 +81,8 @@
   runAfterReads: (run: () => void) => void
   /** Phases of the instance. */
   life: LifeCycle
+  /** Returns whether callers can connect to this instance. */
+  isOpen: () => boolean
   /** Called after each change that can affect target selection. */
   onStateChange: () => void
   /** Sends a heartbeat to all peers without waiting for the next one. */
@@ -144,7 +146,7 @@
   const regionShares = createRegionShares({ settings, state, countRequests: dispatcher.countRequests, listPeers })
   const serviceSelector = createWeightedRoundRobin(getRandom)
   const requestHandler = createRequestHandler({ state, dispatcher, log, metrics, runAfterReads, getNowMs, chooseService: serviceSelector.choose, life })
-  const isReady = (): boolean => life.getPhase(getNowMs()) === LifePhase.Running && state.getConfig() !== undefined
+  const isReady = (): boolean => options.isOpen() && life.getPhase(getNowMs()) === LifePhase.Running && state.getConfig() !== undefined
 
   function handleChange (): void {
     options.onStateChange()
--- a/packages/bilberryd/src/edge/peer_link.ts
+++ b/packages/bilberryd/src/edge/peer_link.ts
@@ -3,7 +3,8 @@
  *
  * @module
  */
-import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http'
+import type { Socket } from 'node:dgram'
+import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http'
 import type { CrashReport, RecentTargetReports, SocketAddress } from '@bilberryworks/steering'
 import type { ListenerContext } from '../listen_on.ts'
 import type { EntryLog } from './entry_log.ts'
@@ -63,6 +64,8 @@
 
 /** Link to the other instances. */
 export interface PeerLink extends AsyncDisposable {
+  /** Opens the listener for calls of peers, and the port for heartbeats, without which the link goes on until it can be opened. Throws a `ListenError` if the listener can't be opened. */
+  open (): Promise<void>
   /** Sends a heartbeat with this instance's addresses to all known peers immediately. */
   announce (): void
   /** Sends what has changed to all known peers, also in other regions, without waiting for the next heartbeat. */
@@ -82,23 +85,22 @@
 }
 
 /**
- * Starts sending heartbeats, and listening for heartbeats and calls from peers.
+ * Starts the link to the other instances; it sends heartbeats from when the port for them is open.
  *
  * @param options State, peers and times
- * @returns The link; dispose it to stop
- * @throws {Error} If an address can't be listened on
+ * @returns The link, which is not listening yet; dispose it to stop
  */
-export async function startPeerLink (options: StartPeerLinkOptions): Promise<PeerLink> {
+export function startPeerLink (options: StartPeerLinkOptions): PeerLink {
   const { view, state, log, getNowMs } = options
   const ownHeartbeat = options.getHeartbeat()
   const socket = createSocket('udp4')
   const catchUp = createCatchUp({ storeDelayMs: options.storeDelayMs, getRandom: options.getRandom })
   let round = 0
-  let isClosed = false
+  let isOpen = false
 
   function sendText (text: string, to: SocketAddress): void {
-    // A change that was found while the instance stopped may be reported after the link is closed.
-    if (isClosed) return
+    // Node.js would bind the socket to a random port; and a change that is found while the instance stops may be reported after the link is closed.
+    if (!isOpen) return
     options.countBytes(PeerTraffic.Heartbeat, text.length)
     socket.send(text, to.port, to.host, reportSendError)
   }
@@ -159,23 +161,19 @@
     return Object.values(ReplicatedTable).some(table => (heartbeat.versions[table] ?? 0) > state.getTable(table).getAsOf())
   }
 
-  function computeDistance ({ failureDomain, region }: PeerHeartbeat): number {
-    if (failureDomain === ownHeartbeat.failureDomain) return 0
-    return region === ownHeartbeat.region ? 1 : 2
-  }
-
+  const computeDistanceTo = (peer: PeerHeartbeat): number => computeDistance(ownHeartbeat, peer)
   const reportCallFailure = (peer: string) => (error: Error): void => log.warn('peer_call_failed', { peer, detail: error.message })
 
   const fetchKeptRows = createKeptRowsFetch({
     state,
-    listPeers: () => view.listLive(getNowMs()).map(peer => peer.heartbeat).sort((a, b) => computeDistance(a) - computeDistance(b)),
+    listPeers: () => view.listLive(getNowMs()).map(peer => peer.heartbeat).sort((a, b) => computeDistanceTo(a) - computeDistanceTo(b)),
     fetchRows: ({ instance, peers }) => readState(peers, { withAllRows: true }).catch(reportCallFailure(instance))
   })
 
   function fetchFromPeer (): void {
     const nowMs = getNowMs()
     const ahead = view.listLive(nowMs).filter(isAhead).map(peer => peer.heartbeat)
-    const peersAhead = ahead.map(heartbeat => ({ instance: heartbeat.instance, distance: computeDistance(heartbeat) }))
+    const peersAhead = ahead.map(heartbeat => ({ instance: heartbeat.instance, distance: computeDistanceTo(heartbeat) }))
     const ownVersion = Object.values(ReplicatedTable).reduce((sum, table) => sum + state.getTable(table).getVersion(), 0)
     const chosen = catchUp.choosePeer({ peersAhead, ownVersion, isStoreReachable: state.isStoreReachable(), nowMs })
     if (chosen === undefined) return
@@ -194,7 +192,10 @@
     else if (heartbeat !== undefined) handleHeartbeat(heartbeat)
     else log.warn('heartbeat_undecodable', { bytes: bytes.length })
   })
-  await openSocket(socket, { ...options.listeners, name: EntryListener.Heartbeats, address: ownHeartbeat.heartbeats })
+  socket.on('listening', () => {
+    isOpen = true
+    sendToAll(JSON.stringify(options.getIntroduction()))
+  })
   const handleStateCall = createStateHandler({
     state,
     listInstances: () => [options.getHeartbeat(), ...view.listLive(getNowMs()).map(peer => peer.heartbeat)],
@@ -204,10 +205,10 @@
   server.maxHeadersCount = 0
   const countOpenPeers = countOpenResponses(server)
   const countLingering = applyGracefulClose(server)
-  await listenOn(server, { ...options.listeners, name: EntryListener.Peers, address: ownHeartbeat.peers })
   const timer = setInterval(sendUpdates, options.intervalMs)
 
   return {
+    open: () => openListeners({ socket, server, heartbeat: ownHeartbeat, listeners: options.listeners }),
     announce: () => sendToAll(JSON.stringify(options.getIntroduction())),
     sendNow: () => sendToAll(formatUpdate(options.getHeartbeat())),
     catchUp () {
@@ -219,7 +220,7 @@
       await Promise.all(options.seeds.filter(seed => seed.host !== ownHeartbeat.peers.host).map(seed => readState(seed, { withInstances: true, withAllRows: true }).catch(error => log.info('seed_silent', { seed: `${seed.host}:${seed.port}`, detail: (error as Error).message }))))
     },
     async [Symbol.asyncDispose] () {
-      isClosed = true
+      isOpen = false
       clearInterval(timer)
       socket.close()
       server.closeAllConnections()
@@ -228,6 +229,19 @@
   }
 }
 
+/** Opens the port for heartbeats and the listener for calls of peers. */
+async function openListeners ({ socket, server, heartbeat, listeners }: { socket: Socket, server: Server, heartbeat: PeerHeartbeat, listeners: ListenerContext }): Promise<void> {
+  await Promise.all([
+    openSocket(socket, { ...listeners, name: EntryListener.Heartbeats, address: heartbeat.heartbeats, isNeeded: false }),
+    listenOn(server, { ...listeners, name: EntryListener.Peers, address: heartbeat.peers })
+  ])
+}
+
+function computeDistance (own: PeerHeartbeat, { failureDomain, region }: PeerHeartbeat): number {
+  if (failureDomain === own.failureDomain) return 0
+  return region === own.region ? 1 : 2
+}
+
 /** Creates the handler of the requests of peers: relayed ones, and calls for rows. */
 function createPeerHandler ({ handleRelayed, handleStateCall, log }: Pick<StartPeerLinkOptions, 'handleRelayed' | 'log'> & { handleStateCall: RequestListener }): RequestListener {
   return (message, response) => {
--- a/packages/bilberryd/src/edge/run_command.ts
+++ b/packages/bilberryd/src/edge/run_command.ts
@@ -7,16 +7,18 @@
 import type { Result } from 'neverthrow'
 import type { ProcessErrors } from '../process_errors.ts'
 import type { ProcessSignals } from '../process_signals.ts'
+import type { EntryLog } from './entry_log.ts'
 import type { EntryOptions } from './entry_options.ts'
+import type { RunningEntry } from './run_entry.ts'
 import { readFileSync, watchFile } from 'node:fs'
 import { decodeSettings, settingsPathVariable } from '@bilberryworks/users-platform'
 import { err } from 'neverthrow'
-import { uncaughtErrorStatus } from '../process_errors.ts'
+import { ExitStatus } from '../exit_status.ts'
+import { ListenError } from '../listen_on.ts'
 import { createEntryLog } from './entry_log.ts'
 import { parseEntryOptions } from './entry_options.ts'
 import { runEntry } from './run_entry.ts'
 
-const exitFailure = 1
 /** Interval at which the settings file is checked for changes, in milliseconds, since it may change without a SIGHUP. */
 const settingsPollIntervalMs = 2_000
 
@@ -28,6 +30,14 @@
   }
 }
 
+/** Ends the process if a listener could not be opened. */
+function handleStartError (error: unknown, log: EntryLog): RunningEntry {
+  if (!(error instanceof ListenError)) throw error
+  const exitStatus = ExitStatus.ListenerUnavailable
+  log.warn('start_failed', { detail: error.message, exitStatus })
+  process.exit(exitStatus)
+}
+
 /** Runs an instance until a signal or an error that nothing caught stops it, unless one has come before. */
 async function runUntilStopped (path: string, { settings, options, signals, errors }: { settings: EntrySettings, options: EntryOptions } & RunCommandOptions): Promise<void> {
   const log = createEntryLog(settings.instance)
@@ -35,8 +45,8 @@
   errors.handlers.report = error => log.warn('uncaught_error', { ...error })
   const stopRequested = Promise.race([signals.stopRequested, errors.stopRequested])
   // An error may have broken what the stop waits for.
-  errors.stopRequested.then(() => setTimeout(() => process.exit(uncaughtErrorStatus), settings.bounds.graceMs)).catch(errors.endProcess)
-  const entry = await runEntry(settings, log, options)
+  errors.stopRequested.then(() => setTimeout(() => process.exit(ExitStatus.UncaughtError), settings.bounds.graceMs)).catch(errors.endProcess)
+  const entry = await runEntry(settings, log, { ...options, stopRequested }).catch(error => handleStartError(error, log))
   const reload = (): void => {
     const next = readSettings(path)
     if (next.isErr()) log.warn('settings_kept', { findings: next.error })
@@ -52,10 +62,10 @@
   const request = await stopRequested
   try {
     await entry.stop(request)
-    process.exit(errors.hasOccurred() ? uncaughtErrorStatus : 0)
+    process.exit(errors.hasOccurred() ? ExitStatus.UncaughtError : ExitStatus.Stopped)
   } catch (error) {
     log.warn('stop_failed', { detail: (error as Error).message })
-    process.exit(exitFailure)
+    process.exit(ExitStatus.Failed)
   }
 }
 
@@ -82,5 +92,5 @@
   }
   const findings = [settings, options].flatMap(result => result.isErr() ? result.error : [])
   for (const finding of findings) console.error(`${finding.pointer || '/'}: ${finding.message}`)
-  process.exitCode = exitFailure
+  process.exitCode = ExitStatus.Failed
 }
--- a/packages/bilberryd/src/edge/run_entry.ts
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { EntrySettings, SocketAddress } from '@bilberryworks/steering'
+import type { EntrySettings } from '@bilberryworks/steering'
 import type { Server } from 'node:http'
 import type { StoreClient } from '@bilberryworks/users-platform'
 import type { ListenerContext } from '../listen_on.ts'
@@ -43,6 +43,12 @@
   reload (settings: EntrySettings): void
 }
 
+/** Options of {@linkcode runEntry}. */
+export interface RunEntryOptions extends EntryOptions {
+  /** Resolves when the instance is to stop, which ends the wait for addresses that can't be listened on; never by default. */
+  stopRequested?: Promise<unknown>
+}
+
 /** Interval between heartbeats to a peer in the same region, in milliseconds: about a third of the peer time-out. */
 const heartbeatIntervalMs = 1_000
 /** Interval between heartbeats to a peer in another region, as a multiple of the interval within a region: fewer bytes between regions, and a dead peer is still noticed before look-ups must no longer name it. */
@@ -59,13 +65,16 @@
 /**
  * Starts an entry instance, which runs until it is stopped or disposed.
  *
+ * Resolves when all listeners are open, except for those of metrics and heartbeats, which may be opened later; and when a stop is
+ * requested before. What can be served meanwhile is served.
+ *
  * @param settings Settings of the instance
  * @param log Log of the instance
- * @param options Options of the command line
+ * @param options Options of the command line, and the request to stop
  * @returns The running instance
- * @throws {Error} If an address can't be listened on
+ * @throws {ListenError} If an address can't be listened on; what was accepted has been answered then
  */
-export async function runEntry (settings: EntrySettings, log: EntryLog, options: EntryOptions = defaultEntryOptions): Promise<RunningEntry> {
+export async function runEntry (settings: EntrySettings, log: EntryLog, options: RunEntryOptions = defaultEntryOptions): Promise<RunningEntry> {
   const cleanup = createCleanupStack()
   const [getNowMs, getRandom] = [() => performance.now(), Math.random]
   const life = createLifeCycle({ graceMs: settings.bounds.graceMs })
@@ -82,6 +91,7 @@
     runAfterReads,
     relays: options.relays,
     life,
+    isOpen: () => callers.listening,
     onStateChange: () => applyCallerLimits(callers, state.getConfig()?.limits),
     sendNow: () => link.sendNow(),
     getNowMs,
@@ -92,23 +102,22 @@
   const countOpenCallers = countOpenResponses(callers)
   const countLingering = applyGracefulClose(callers)
   const countOpen = (): number => countOpenCallers() + countLingering() + link.countOpen()
+  const hasAccepted = (): boolean => callers.listening || countOpen() > 0
   const describeLoad = (): Record<string, number> => ({ open: countOpen(), inFlight: dispatcher.countInFlight(), waiting: dispatcher.countWaiting() })
   const hasHomeRegions = (): boolean => state.getConfig()?.routes.some(route => route.homeRegions.length > 0) ?? false
   const lookUps = createLookUpListener({ settings, view, getHeartbeat, getNowMs, hasHomeRegions })
   const readiness = createReadinessListener(isReady)
-  const listeners: ListenerContext = { log, countError: metrics.countListenerError, getNowMs }
-  await Promise.all([
-    listenOn(callers, { ...listeners, name: EntryListener.Callers, address: settings.listen.callers }),
-    listenOn(lookUps, { ...listeners, name: EntryListener.LookUps, address: settings.listen.lookUps }),
-    listenOn(readiness, { ...listeners, name: EntryListener.Readiness, address: settings.listen.readiness })
-  ])
+  const waits = new AbortController()
+  options.stopRequested?.then(() => waits.abort(), () => {})
+  const listeners: ListenerContext = { log, countError: metrics.countListenerError, signal: waits.signal, getNowMs, getRandom }
   for (const server of [callers, lookUps, readiness]) cleanup.add(createServerDisposer(server))
-  if (options.metricsPort !== undefined) cleanup.add(createServerDisposer(await openMetricsListener(metrics, { ...listeners, address: { host: settings.listen.callers.host, port: options.metricsPort } })))
+  const metricsServer = createMetricsListener(metrics)
+  cleanup.add(createServerDisposer(metricsServer))
 
   const { bounds } = settings
   const targetPauseMs = Math.round(bounds.drainMs * targetPauseShare)
   const heartbeatTimes = { intervalMs: heartbeatIntervalMs, remoteIntervals: remoteHeartbeatIntervals, storeDelayMs: targetPauseMs * catchUpPauses }
-  const link = cleanup.add(await startPeerLink({ ...heartbeatTimes, getHeartbeat, getIntroduction: () => ({ ...getHeartbeat(), crashReports: crashGuard.listWorst() }), view, state, seeds: settings.seeds, countBytes: metrics.countPeerBytes, handleTargetReports: targetReports.handlePeerReports, handleCrashReports: crashGuard.mergeReports, handleRelayed: requestHandler.handleRequest, listeners, log, getNowMs, getRandom }))
+  const link = cleanup.add(startPeerLink({ ...heartbeatTimes, getHeartbeat, getIntroduction: () => ({ ...getHeartbeat(), crashReports: crashGuard.listWorst() }), view, state, seeds: settings.seeds, countBytes: metrics.countPeerBytes, handleTargetReports: targetReports.handlePeerReports, handleCrashReports: crashGuard.mergeReports, handleRelayed: requestHandler.handleRequest, listeners, log, getNowMs, getRandom }))
   const store = cleanup.add(createStoreClient(settings.store))
   for (const replication of startReplications({ store, state, bounds, targetPauseMs, log, getNowMs, getRandom })) cleanup.add(replication)
   const discovery = createPeerDiscovery({ store, view, log })
@@ -130,7 +139,6 @@
       link.catchUp()
     }
   }))
-  log.info('started', { failureDomain: settings.failureDomain, region: settings.region, callers: getHeartbeat().callers, cpuMs: Math.round(process.cpuUsage().user / 1_000 + process.cpuUsage().system / 1_000) })
 
   function takeMaxDelayMs (): number {
     const delayMs = maxDelayMs
@@ -138,15 +146,36 @@
     return delayMs
   }
 
+  async function stop ({ signal, atMs = getNowMs() }: Partial<StopRequest> = {}): Promise<void> {
+    if (!life.recordStop(atMs)) return
+    waits.abort()
+    log.info('stopping', { signal, ...describeLoad() })
+    link.announce()
+    const ended = hasAccepted() ? await drainRequests({ life, callers, countOpen, endRequests: requestHandler.endRequests, getNowMs, onPhase: phase => log.info('stop_phase', { phase, ...describeLoad() }) }) : {}
+    log.info('stopped', { ...ended, ...describeLoad() })
+    await cleanup[Symbol.asyncDispose]()
+  }
+
+  async function openListeners (): Promise<void> {
+    const { host } = settings.listen.callers
+    await Promise.all([
+      listenOn(callers, { ...listeners, name: EntryListener.Callers, address: settings.listen.callers }),
+      listenOn(lookUps, { ...listeners, name: EntryListener.LookUps, address: settings.listen.lookUps }),
+      listenOn(readiness, { ...listeners, name: EntryListener.Readiness, address: settings.listen.readiness }),
+      link.open(),
+      options.metricsPort === undefined ? undefined : listenOn(metricsServer, { ...listeners, name: EntryListener.Metrics, address: { host, port: options.metricsPort }, isNeeded: false })
+    ])
+  }
+
+  cleanup.add({ [Symbol.asyncDispose]: async () => waits.abort() })
+  await openListeners().catch(async error => {
+    await (hasAccepted() ? stop() : cleanup[Symbol.asyncDispose]())
+    throw error
+  })
+  if (callers.listening) log.info('started', { failureDomain: settings.failureDomain, region: settings.region, callers: getHeartbeat().callers, cpuMs: Math.round(process.cpuUsage().user / 1_000 + process.cpuUsage().system / 1_000) })
+
   return {
-    async stop ({ signal, atMs = getNowMs() }: Partial<StopRequest> = {}) {
-      if (!life.recordStop(atMs)) return
-      log.info('stopping', { signal, ...describeLoad() })
-      link.announce()
-      const ended = await drainRequests({ life, callers, countOpen, endRequests: requestHandler.endRequests, getNowMs, onPhase: phase => log.info('stop_phase', { phase, ...describeLoad() }) })
-      log.info('stopped', { ...ended, ...describeLoad() })
-      await cleanup[Symbol.asyncDispose]()
-    },
+    stop,
     countUncaughtError: metrics.countUncaughtError,
     reload (next) {
       log.info('reloaded', { changed: listChangedSettings(settings, next) })
@@ -208,12 +237,10 @@
   }))
 }
 
-async function openMetricsListener (metrics: EntryMetrics, listener: ListenerContext & { address: SocketAddress }): Promise<Server> {
-  const server = createServer((_, response) => {
+function createMetricsListener (metrics: EntryMetrics): Server {
+  return createServer((_, response) => {
     metrics.registry.metrics().then(text => response.writeHead(200, { 'Content-Type': metrics.registry.contentType }).end(text)).catch((error: Error) => response.writeHead(500).end(error.message))
   })
-  await listenOn(server, { ...listener, name: EntryListener.Metrics })
-  return server
 }
 
 function listChangedSettings (before: EntrySettings, after: EntrySettings): string[] {
--- a/packages/bilberryd/src/process_errors.ts
+++ b/packages/bilberryd/src/process_errors.ts
@@ -4,9 +4,7 @@
  * @module
  */
 import type { StopRequest } from './process_signals.ts'
-
-/** Exit status of a process that ends because of an error that nothing caught. */
-export const uncaughtErrorStatus = 70
+import { ExitStatus } from './exit_status.ts'
 
 /** What a process does on an error; may be changed at any time. */
 export interface ErrorHandlers {
@@ -56,9 +54,9 @@
   const stopRequested = new Promise<Pick<StopRequest, 'atMs'>>(resolve => {
     process.on('uncaughtException', (error, origin) => {
       report(error, origin)
-      if (isStopRequested) process.exit(uncaughtErrorStatus)
+      if (isStopRequested) process.exit(ExitStatus.UncaughtError)
       isStopRequested = true
-      process.exitCode = uncaughtErrorStatus
+      process.exitCode = ExitStatus.UncaughtError
       resolve({ atMs: performance.now() })
     })
   })
@@ -68,7 +66,7 @@
     hasOccurred: () => isStopRequested,
     endProcess (error) {
       report(error, 'unhandledRejection')
-      process.exit(uncaughtErrorStatus)
+      process.exit(ExitStatus.UncaughtError)
     }
   }
 }
--- a/packages/standins/src/emulator/fleet_instance.ts
+++ b/packages/standins/src/emulator/fleet_instance.ts
@@ -63,6 +63,7 @@
     runAfterReads: run => run(),
     checkListening: address => checkTarget(world, { instance: name, failureDomain, port: address.port }),
     life: createLifeCycle({ graceMs: fleetBounds.graceMs }),
+    isOpen: () => true,
     onStateChange: () => {},
     sendNow: () => sendHeartbeats(world, instance, true),
     getNowMs: clock.getNowMs,
--- a/packages/standins/src/entry_start_test.ts
+++ b/packages/standins/src/entry_start_test.ts
@@ -1,12 +1,14 @@
 import type { ChildProcess } from 'node:child_process'
 import type { EntryFiles, StartEntryProcessOptions } from './entry_process.ts'
-import { mkdtemp } from 'node:fs/promises'
+import { mkdtemp, readFile } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { setTimeout as wait } from 'node:timers/promises'
 import test from 'ava'
+import { createServer } from 'node:net'
+import { createSocket } from 'node:dgram'
 import { createCleanupStack } from '@bilberryworks/steering'
-import { isEntryReady, readEntryLog, startEntryProcess, writeEntryFiles } from './entry_process.ts'
+import { entryPorts, hasSignalHandlers, isEntryReady, readEntryLog, startEntryProcess, writeEntryFiles } from './entry_process.ts'
 import { formatRequestHead, openRawCaller } from './raw_caller.ts'
 import { createTestSite, testSiteHost, waitUntil } from './test_site.ts'
 
@@ -14,6 +16,11 @@
 const timeLeftMs = 2_000
 let instanceCount = 0
 
+/** Time after SIGTERM within which a start that waits must have ended, in milliseconds. */
+const endToleranceMs = 500
+/** Time for which a start waits for an address, in milliseconds. */
+const listenLimitMs = 30_000
+
 /** How a process ended. */
 interface ProcessEnd { code: number | null, signal: NodeJS.Signals | null }
 
@@ -68,7 +75,7 @@
     return listen.apply(this, options)
   }`
 
-test('connections that can not be accepted do not end the process', async t => {
+test.serial('connections that can not be accepted do not end the process', async t => {
   await using started = await createStart()
   const { child } = started.start(createImport(failAccepts))
   t.true(await waitUntil(() => isEntryReady(started.files)))
@@ -79,3 +86,110 @@
   const lines = (await readEntryLog(started.files)).filter(line => line['event'] === 'listener_error')
   t.is(lines.length, 5 * 4)
 })
+
+/** Takes a TCP or UDP port until the returned function is called. */
+async function takePort (host: string, port: number): Promise<() => void> {
+  if (port === entryPorts.internal) {
+    const socket = createSocket('udp4')
+    await new Promise<void>(resolve => socket.bind(port, host, resolve))
+    return () => socket.close()
+  }
+  const server = createServer(connection => connection.destroy())
+  await new Promise<void>(resolve => server.listen(port, host, resolve))
+  return () => server.close()
+}
+
+async function findEvents (files: EntryFiles, event: string): Promise<Array<Record<string, unknown>>> {
+  return (await readEntryLog(files)).filter(line => line['event'] === event)
+}
+
+const needed = [['callers', entryPorts.front], ['look_ups', entryPorts.directory], ['readiness', entryPorts.ready], ['peers', entryPorts.control]] as const
+for (const [listener, port] of needed) {
+  test.serial(`a start waits while the address for ${listener} is taken`, async t => {
+    await using started = await createStart()
+    const release = await takePort(started.files.host, port)
+    const { child } = started.start()
+    t.true(await waitUntil(async () => child.exitCode !== null || (await findEvents(started.files, 'listener_waiting')).length > 0))
+    await wait(2_000)
+    t.is(child.exitCode, null)
+    t.is((await findEvents(started.files, 'started')).length, 0)
+    release()
+    t.true(await waitUntil(async () => (await findEvents(started.files, 'started')).length > 0))
+    t.true(await waitUntil(() => isEntryReady(started.files)))
+    t.is(await started.send(), 200)
+    for (const event of ['listener_waiting', 'listener_opened']) t.deepEqual((await findEvents(started.files, event)).map(line => line['listener']), [listener])
+  })
+}
+
+test.serial('an instance is not ready while the address for callers is taken', async t => {
+  await using started = await createStart()
+  const release = await takePort(started.files.host, entryPorts.front)
+  started.start()
+  t.true(await waitUntil(async () => (await findEvents(started.files, 'config_in_force')).length > 0))
+  for (let checks = 0; checks < 10; checks++) {
+    t.is((await fetch(`http://${started.files.host}:${entryPorts.ready}/ready`)).status, 503)
+    await wait(100)
+  }
+  release()
+  t.true(await waitUntil(() => isEntryReady(started.files)))
+})
+
+for (const [listener, port] of [['metrics', metricsPort], ['heartbeats', entryPorts.internal]] as const) {
+  test.serial(`an instance serves while the address for ${listener} is taken, and opens it later`, async t => {
+    await using started = await createStart()
+    const release = await takePort(started.files.host, port)
+    started.start()
+    t.true(await waitUntil(() => isEntryReady(started.files)))
+    t.is(await started.send(), 200)
+    t.is((await findEvents(started.files, 'listener_opened')).length, 0)
+    release()
+    t.true(await waitUntil(async () => (await findEvents(started.files, 'listener_opened')).some(line => line['listener'] === listener)))
+    t.is(await started.readMetric(`bilberry_listener_errors_total{listener="${listener}"}`), 0)
+  })
+}
+
+test.serial('a start whose address stays taken ends with status 69 and without a stack trace', async t => {
+  await using started = await createStart()
+  const release = await takePort(started.files.host, entryPorts.front)
+  const startedAtMs = performance.now()
+  const { ended } = started.start()
+  t.deepEqual(await ended, { code: 69, signal: null })
+  release()
+  const elapsedMs = performance.now() - startedAtMs
+  t.true(elapsedMs >= listenLimitMs && elapsedMs < listenLimitMs + 5_000, String(elapsedMs))
+  t.is((await findEvents(started.files, 'listener_waiting')).length, 1)
+  t.like(await findEvents(started.files, 'start_failed'), [{ exitStatus: 69 }])
+  t.notRegex(await readFile(started.files.logFile, 'utf8'), /^\s+at /m)
+})
+
+test.serial('SIGTERM ends a start that waits for an address at once', async t => {
+  await using started = await createStart()
+  const release = await takePort(started.files.host, entryPorts.front)
+  const { child, ended } = started.start()
+  t.true(await waitUntil(async () => hasSignalHandlers(child.pid!) && (await findEvents(started.files, 'listener_waiting')).length > 0))
+  const signalledAtMs = performance.now()
+  child.kill('SIGTERM')
+  t.deepEqual(await ended, { code: 0, signal: null })
+  t.true(performance.now() - signalledAtMs < endToleranceMs)
+  release()
+})
+
+/** Lets opening the first sockets fail with each of the given errors in turn. */
+const failOpening = `
+  import { Server } from 'node:net'
+  const { listen } = Server.prototype
+  const codes = ['EADDRNOTAVAIL', 'EMFILE', 'ENFILE', 'ENOBUFS', 'ENOMEM']
+  Server.prototype.listen = function (...options) {
+    const code = options[0] === ${entryPorts.front} ? codes.shift() : undefined
+    if (code === undefined) return listen.apply(this, options)
+    process.nextTick(() => this.emit('error', Object.assign(new Error('listen ' + code), { code })))
+    return this
+  }`
+
+test.serial('a start tries again after each error of the host that may pass', async t => {
+  await using started = await createStart()
+  started.start(createImport(failOpening))
+  t.true(await waitUntil(() => isEntryReady(started.files)))
+  t.deepEqual((await findEvents(started.files, 'listener_waiting')).map(line => line['code']), ['EADDRNOTAVAIL', 'EMFILE', 'ENFILE', 'ENOBUFS', 'ENOMEM'])
+  t.is((await findEvents(started.files, 'listener_opened')).length, 1)
+})
--- a/packages/standins/src/failing_connections_test.ts
+++ b/packages/standins/src/failing_connections_test.ts
@@ -64,6 +64,7 @@
     relays: { isEnabled: true, maxRelayed: 256 },
     runAfterReads: run => run(),
     life: createLifeCycle({ graceMs: bounds.graceMs }),
+    isOpen: () => true,
     onStateChange: () => {},
     sendNow: () => {},
     getNowMs: () => performance.now(),
