Read settings again that are missing or not valid yet at a start

An instance whose settings file was missing, empty or cut short while it started printed findings and ended with 1, though whoever writes the file was about to complete it. Cause: the file was read once.

A start now reads it again for 10 s, paced by the window of retry_window.ts, with one line for each cause on standard error; then it prints every finding and ends with 1 as before. SIGTERM ends the wait at once with 0. Wrong flags, and no file name, end the process at once, since they can't change.

--- a/packages/bilberryd/src/edge/run_command.ts
+++ b/packages/bilberryd/src/edge/run_command.ts
@@ -15,6 +15,7 @@
 import { err } from 'neverthrow'
 import { ExitStatus } from '../exit_status.ts'
 import { ListenError } from '../listen_on.ts'
+import { waitForSettings } from '../wait_for_settings.ts'
 import { createEntryLog } from './entry_log.ts'
 import { parseEntryOptions } from './entry_options.ts'
 import { runEntry } from './run_entry.ts'
@@ -78,15 +79,18 @@
 }
 
 /**
- * Runs an instance with the settings file that the environment names and the flags of the command line. Prints the findings and
- * sets the exit code if they are not valid.
+ * Runs an instance with the settings file that the environment names and the flags of the command line. Settings that are not
+ * valid are read again for 10 s; prints the findings and sets the exit code if they are not valid then, or the flags are not.
  *
  * @param options Signals and errors of this process
  */
 export async function runCommand ({ signals, errors }: RunCommandOptions): Promise<void> {
   const path = process.env[settingsPathVariable] ?? ''
-  const settings = readSettings(path)
   const options = parseEntryOptions(process.argv.slice(2))
+  const { stopRequested } = signals
+  // An empty path and wrong flags stay as they are.
+  const settings = path === '' || options.isErr() ? readSettings(path) : await waitForSettings(() => readSettings(path), { stopRequested, report: console.error })
+  if (signals.isStopRequested()) return
   if (settings.isOk() && options.isOk()) {
     return runUntilStopped(path, { settings: settings.value, options: options.value, signals, errors })
   }
--- a/packages/standins/src/entry_start_test.ts
+++ b/packages/standins/src/entry_start_test.ts
@@ -1,6 +1,6 @@
 import type { ChildProcess } from 'node:child_process'
 import type { EntryFiles, StartEntryProcessOptions } from './entry_process.ts'
-import { mkdtemp, readFile } from 'node:fs/promises'
+import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { setTimeout as wait } from 'node:timers/promises'
@@ -21,6 +21,11 @@
 /** Time for which a start waits for an address, in milliseconds. */
 const listenLimitMs = 30_000
 
+/** Time for which a start waits for valid settings, in milliseconds. */
+const settingsLimitMs = 10_000
+/** Time that a process may take to start and to end, in milliseconds. */
+const processMs = 5_000
+
 /** How a process ended. */
 interface ProcessEnd { code: number | null, signal: NodeJS.Signals | null }
 
@@ -156,7 +161,7 @@
   t.deepEqual(await ended, { code: 69, signal: null })
   release()
   const elapsedMs = performance.now() - startedAtMs
-  t.true(elapsedMs >= listenLimitMs && elapsedMs < listenLimitMs + 5_000, String(elapsedMs))
+  t.true(elapsedMs >= listenLimitMs && elapsedMs < listenLimitMs + processMs, String(elapsedMs))
   t.is((await findEvents(started.files, 'listener_waiting')).length, 1)
   t.like(await findEvents(started.files, 'start_failed'), [{ exitStatus: 69 }])
   t.notRegex(await readFile(started.files.logFile, 'utf8'), /^\s+at /m)
@@ -193,3 +198,51 @@
   t.deepEqual((await findEvents(started.files, 'listener_waiting')).map(line => line['code']), ['EADDRNOTAVAIL', 'EMFILE', 'ENFILE', 'ENOBUFS', 'ENOMEM'])
   t.is((await findEvents(started.files, 'listener_opened')).length, 1)
 })
+
+const faults = [
+  { name: 'missing', write: (path: string) => rm(path) },
+  { name: 'empty', write: (path: string) => writeFile(path, '') },
+  { name: 'cut short', write: (path: string, text: string) => writeFile(path, text.slice(0, text.length / 2)) },
+  { name: 'without an address', write: (path: string, text: string) => writeFile(path, text.replace('"front"', '"other"')) }
+]
+for (const { name, write } of faults) {
+  test.serial(`a start waits while its settings file is ${name}`, async t => {
+    await using started = await createStart()
+    const { settingsFile, logFile } = started.files
+    const text = await readFile(settingsFile, 'utf8')
+    await write(settingsFile, text)
+    const { child } = started.start()
+    t.true(await waitUntil(async () => child.exitCode !== null || (await readFile(logFile, 'utf8')).includes('Settings are read again')))
+    await wait(1_500)
+    t.is(child.exitCode, null)
+    t.is((await readFile(logFile, 'utf8')).split('\n').filter(line => line !== '').length, 1)
+    await writeFile(settingsFile, text)
+    t.true(await waitUntil(() => isEntryReady(started.files)))
+    t.is(await started.send(), 200)
+  })
+}
+
+test.serial('a start whose settings stay invalid ends with status 1 and every finding', async t => {
+  await using started = await createStart()
+  const { settingsFile, logFile } = started.files
+  await writeFile(settingsFile, (await readFile(settingsFile, 'utf8')).replace('"front"', '"other"').replace('"zone"', '"area"'))
+  const startedAtMs = performance.now()
+  t.deepEqual(await started.start().ended, { code: 1, signal: null })
+  const elapsedMs = performance.now() - startedAtMs
+  t.true(elapsedMs >= settingsLimitMs && elapsedMs < settingsLimitMs + processMs, String(elapsedMs))
+  const [waiting = '', ...findings] = (await readFile(logFile, 'utf8')).trim().split('\n')
+  t.regex(waiting, /^Settings are read again for up to 10 s, findings: 2, the first at \/zone: /)
+  t.deepEqual(findings.map(line => line.split(':')[0]), ['/zone', '/listen/front'])
+})
+
+test.serial('SIGTERM ends a start that waits for valid settings at once', async t => {
+  await using started = await createStart()
+  const { settingsFile, logFile } = started.files
+  await rm(settingsFile)
+  const { child, ended } = started.start()
+  t.true(await waitUntil(async () => (await readFile(logFile, 'utf8')).includes('Settings are read again')))
+  const signalledAtMs = performance.now()
+  child.kill('SIGTERM')
+  t.deepEqual(await ended, { code: 0, signal: null })
+  t.true(performance.now() - signalledAtMs < endToleranceMs)
+})
