Limit how often failed connections are tried again, and let the event loop turn

Callers saw instances stop responding when their hosts refused connections at once: a path check that failed asked for the next one in the same turn of the event loop, each check of whether a target had ended opened up to three more connections, and each failure of those asked for further checks.

A check that was held back counts as not made, so that it is no evidence, and is made later. A store that has no history for the copy it has just sent is asked again after a pause only.

--- a/packages/bilberryd/src/edge/crash_guard.ts
+++ b/packages/bilberryd/src/edge/crash_guard.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { CrashReport, Refusal, RegisteredTarget } from '@bilberryworks/steering'
+import type { AttemptPacer, CrashReport, Refusal, RegisteredTarget } from '@bilberryworks/steering'
 import type { checkListening } from '@bilberryworks/targets'
 import type { Attempt } from './attempt.ts'
 import type { EntryLog } from './entry_log.ts'
@@ -17,6 +17,8 @@
 export interface CreateCrashGuardOptions {
   /** Metrics. */
   metrics: EntryMetrics
+  /** Limits the checks of targets at which no request was lost. */
+  pacer: AttemptPacer
   /** Returns whether the network path to a target that refuses connections works. */
   confirmPath: (entry: RegisteredTarget) => Promise<boolean>
   /** Connects to an address, to tell whether a process listens there. */
@@ -62,9 +64,9 @@
  * @param options Metrics, log and clock
  * @returns The guard
  */
-export function createCrashGuard ({ confirmPath, checkListening, onTargetEnd, metrics, log, getNowMs }: CreateCrashGuardOptions): CrashGuard {
+export function createCrashGuard ({ pacer, confirmPath, checkListening, onTargetEnd, metrics, log, getNowMs }: CreateCrashGuardOptions): CrashGuard {
   const evidence = createCrashEvidence()
-  const detector = createTargetEndDetector({ onRequestLost: recordCrash, onEnd: onTargetEnd, confirmPath, checkListening, log, getNowMs })
+  const detector = createTargetEndDetector({ onRequestLost: recordCrash, onEnd: onTargetEnd, pacer, confirmPath, checkListening, log, getNowMs })
   /** Fingerprints of the quarantined requests that have been logged. */
   const reported = new Set<string>()
   let knownRevision = 0
--- a/packages/bilberryd/src/edge/entry_components.ts
+++ b/packages/bilberryd/src/edge/entry_components.ts
@@ -17,7 +17,7 @@
 import type { RelaySettings } from './entry_options.ts'
 import type { RequestHandler } from './request_handler.ts'
 import type { TargetReports } from './target_reports.ts'
-import { createWeightedRoundRobin, LifePhase } from '@bilberryworks/steering'
+import { createAttemptPacer, createWeightedRoundRobin, LifePhase } from '@bilberryworks/steering'
 import { ConnectionEvent } from '@bilberryworks/targets'
 import { createCrashGuard } from './crash_guard.ts'
 import { createDispatcher } from './dispatcher.ts'
@@ -96,6 +96,8 @@
 /** Time without a heartbeat after which a peer is not live, in milliseconds: three consecutive lost heartbeats within a region, two between regions, each loss being rare. */
 const peerTimeoutMs = 3_300
 const remotePeerTimeoutMs = 5_200
+/** Checks of whether a target has ended at which no request was lost, in a second. */
+const endChecksPerSecond = 2
 /** Time after its start from which an instance takes the peers that it knows for all of them although neither the store nor a seed has told it, in milliseconds: several heartbeats of each. */
 const membershipMs = 8_000
 /** Time after which a silent peer is evicted, in milliseconds; after a longer partition the instances find each other again through the store at the next start. */
@@ -117,8 +119,8 @@
   const pool = options.createPool(handleConnectionEvent)
   const targetReports = createTargetReports({ state, metrics, log, reportCold, getNowMs })
   const relayPeers = createRelayPeers({ region: settings.region, view, isEnabled: options.relays.isEnabled, getNowMs, getRandom })
-  const reach = createReachMonitor({ state, reportGroupCold, getPool: () => pool, isReachedByPeers: relayPeers.isReached, listReports: listPeers, listPending: () => dispatcher.listPending(), onChange: handleReachChange, log, getNowMs })
-  const crashGuard = createCrashGuard({ onTargetEnd: targetReports.recordEnd, confirmPath: reach.confirmPath, checkListening: options.checkListening, metrics, log, getNowMs })
+  const reach = createReachMonitor({ pacer: createAttemptPacer(), state, reportGroupCold, getPool: () => pool, isReachedByPeers: relayPeers.isReached, listReports: listPeers, listPending: () => dispatcher.listPending(), onChange: handleReachChange, log, getNowMs })
+  const crashGuard = createCrashGuard({ pacer: createAttemptPacer({ perSecond: endChecksPerSecond }), onTargetEnd: targetReports.recordEnd, confirmPath: reach.confirmPath, checkListening: options.checkListening, metrics, log, getNowMs })
   const dispatcher = createDispatcher({
     crashGuard,
     reach,
--- a/packages/bilberryd/src/edge/reach_monitor.ts
+++ b/packages/bilberryd/src/edge/reach_monitor.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { PendingExchange, ReachChange, ReachReport, RegisteredTarget } from '@bilberryworks/steering'
+import type { AttemptPacer, PendingExchange, ReachChange, ReachReport, RegisteredTarget } from '@bilberryworks/steering'
 import type { TargetPool } from '@bilberryworks/targets'
 import type { EntryLog } from './entry_log.ts'
 import type { EntryState } from './entry_state.ts'
@@ -21,6 +21,8 @@
   state: EntryState
   /** Returns the connections to targets. */
   getPool: () => TargetPool
+  /** Limits the connections without a request. */
+  pacer: AttemptPacer
   /** Returns whether another live instance has a path to a group of targets, as far as is known. */
   isReachedByPeers: (group: string) => boolean
   /** Lists what the other live instances say of groups of targets. */
@@ -105,11 +107,23 @@
   function advance (): void {
     const { checks, changes } = reach.advance(listTargets(), getNowMs())
     for (const change of changes) applyChange(change)
-    for (const { target } of checks) options.getPool().openIdle(target, { timeoutMs: checkTimeoutMs }).catch((error: Error) => log.warn('path_check_failed', { target: target.id, detail: error.message }))
+    // Deferred, since a connection may fail at once, which may ask for further checks.
+    if (checks.length > 0) setImmediate(startChecks, checks)
     // Deferred, since evidence is recorded while exchanges end.
     if (changes.length > 0) setImmediate(options.onChange)
   }
 
+  function startChecks (entries: RegisteredTarget[]): void {
+    for (const entry of entries) checkPath(entry).catch((error: Error) => log.warn('path_check_failed', { target: entry.target.id, detail: error.message }))
+  }
+
+  /** Opens a connection to a target unless that was tried too often; returns whether it was established. */
+  async function checkPath (entry: RegisteredTarget): Promise<boolean> {
+    if (options.pacer.take(entry.target.id, getNowMs())) return options.getPool().openIdle(entry.target, { timeoutMs: checkTimeoutMs })
+    reach.recordUnchecked(entry)
+    return false
+  }
+
   function isReachedByPeers ({ target }: RegisteredTarget): boolean {
     return options.isReachedByPeers(formatReachGroup(target))
   }
@@ -183,7 +197,7 @@
       advance()
     },
     advance () {
-      if (!reach.hasLost()) return
+      if (!reach.hasLost() && !reach.hasUnchecked()) return
       confirmOwnLosses(getNowMs())
       advance()
     },
@@ -205,7 +219,7 @@
       const others = listTargets().filter(other => other !== entry)
       const nearby = others.filter(({ target }) => target.failureDomain === entry.target.failureDomain)
       const compared = nearby.length > 0 ? nearby : others
-      for (const { target } of compared.slice(0, maxPathChecks)) if (await options.getPool().openIdle(target, { timeoutMs: checkTimeoutMs })) return true
+      for (const other of compared.slice(0, maxPathChecks)) if (await checkPath(other)) return true
       return compared.length === 0
     },
     [Symbol.asyncDispose]: silence[Symbol.asyncDispose]
--- a/packages/bilberryd/src/edge/table_replication.ts
+++ b/packages/bilberryd/src/edge/table_replication.ts
@@ -61,6 +61,8 @@
 async function watchTable (options: StartTableReplicationOptions, signal: AbortSignal): Promise<void> {
   const { store, table, schedule } = options
   let version: number | undefined
+  /** Whether the store had no history at the last call for changes. */
+  let isHistoryGone = false
   let respondedAtMs = options.getNowMs()
   while (!signal.aborted) {
     const after = version
@@ -74,6 +76,9 @@
       if (reply.error.kind === StoreFailureKind.HistoryGone) {
         version = undefined
         options.onContact(undefined)
+        // A store that has no history for the copy it has just sent is asked again after a pause only.
+        if (isHistoryGone) await waitUnlessAborted(signal, schedule.recordFailure())
+        isHistoryGone = true
         continue
       }
       options.onContact(reply.error.detail)
@@ -87,6 +92,7 @@
     options.onContact(undefined)
     version = reply.value.version
     options.onUpdate({ asOf: version, isSnapshot: after === undefined, changes: reply.value.rows })
+    if (after !== undefined) isHistoryGone = false
     if (after !== undefined && reply.value.rows.length > 0) await waitUnlessAborted(signal, options.pauseMs)
   }
 }
--- a/packages/bilberryd/src/edge/target_end_detector.ts
+++ b/packages/bilberryd/src/edge/target_end_detector.ts
@@ -7,7 +7,7 @@
  *
  * @module
  */
-import type { RegisteredTarget } from '@bilberryworks/steering'
+import type { AttemptPacer, RegisteredTarget } from '@bilberryworks/steering'
 import type { checkListening } from '@bilberryworks/targets'
 import type { Attempt } from './attempt.ts'
 import type { EntryLog } from './entry_log.ts'
@@ -22,6 +22,8 @@
   onEnd: (entry: RegisteredTarget) => void
   /** Returns whether the network path to a target that accepts no connection works. */
   confirmPath: (entry: RegisteredTarget) => Promise<boolean>
+  /** Limits the checks of targets at which no request was lost. */
+  pacer: AttemptPacer
   /** Connects to an address, to tell whether a process listens there. */
   checkListening: typeof checkListening
   /** Structured log. */
@@ -44,6 +46,8 @@
 const maxChecks = 8
 /** Number of checks that may wait: the targets of a failure domain of a large deployment. */
 const maxWaitingChecks = 64
+/** Time until checks that were held back are tried again, in milliseconds. */
+const waitingPauseMs = 100
 /** Time for which further losses are ascribed to the end of a target, in milliseconds: they are noticed within a round trip of each other. */
 const endedLifetimeMs = 2_000
 
@@ -67,6 +71,8 @@
   const runs = new Map<RegisteredTarget, EndingRun>()
   /** Targets that are to be checked once fewer checks are in progress. */
   const waiting = new Set<RegisteredTarget>()
+  let isStartScheduled = false
+  let pauseTimer: NodeJS.Timeout | undefined
 
   async function checkRun (entry: RegisteredTarget, run: EndingRun): Promise<void> {
     const { target } = entry
@@ -91,15 +97,32 @@
   function startCheck (entry: RegisteredTarget, fingerprints: EndingRun['fingerprints']): void {
     const run: EndingRun = { fingerprints, endedAtMs: undefined, isRefused: false }
     runs.set(entry, run)
-    checkRun(entry, run).catch((error: Error) => log.warn('target_check_failed', { target: entry.target.id, detail: error.message })).finally(startWaiting)
+    checkRun(entry, run).catch((error: Error) => log.warn('target_check_failed', { target: entry.target.id, detail: error.message })).finally(() => scheduleWaiting())
+  }
+
+  /** Starts further checks later, since a check may fail at once, and ask for others. */
+  function scheduleWaiting (delayMs = 0): void {
+    if (isStartScheduled) return
+    clearTimeout(pauseTimer)
+    if (delayMs > 0) {
+      pauseTimer = setTimeout(startWaiting, delayMs).unref()
+      return
+    }
+    isStartScheduled = true
+    setImmediate(startWaiting)
   }
 
   function startWaiting (): void {
+    isStartScheduled = false
     for (const entry of waiting) {
       if ([...runs.values()].filter(({ endedAtMs }) => endedAtMs === undefined).length >= maxChecks) return
+      if (findRun(entry) === undefined) {
+        if (!options.pacer.take(entry.target.id, getNowMs())) continue
+        startCheck(entry, new Map())
+      }
       waiting.delete(entry)
-      if (findRun(entry) === undefined) startCheck(entry, new Map())
     }
+    if (waiting.size > 0) scheduleWaiting(waitingPauseMs)
   }
 
   return {
@@ -118,7 +141,7 @@
     },
     recordClose (entry) {
       if (waiting.size < maxWaitingChecks) waiting.add(entry)
-      startWaiting()
+      scheduleWaiting()
     }
   }
 }
--- a/packages/bilberryd/src/edge/target_end_detector_test.ts
+++ b/packages/bilberryd/src/edge/target_end_detector_test.ts
@@ -1,6 +1,7 @@
 import type { RegisteredTarget } from '@bilberryworks/steering'
 import type { Attempt } from './attempt.ts'
 import test from 'ava'
+import { createAttemptPacer } from '@bilberryworks/steering'
 import { ListeningState } from '@bilberryworks/targets'
 import { createTargetEndDetector } from './target_end_detector.ts'
 
@@ -20,6 +21,7 @@
     let endCount = 0
     const checks: Array<Promise<unknown>> = []
     const detector = createTargetEndDetector({
+      pacer: createAttemptPacer(),
       onRequestLost: fingerprint => { lostRequests.push(fingerprint) },
       onEnd: () => { endCount++ },
       confirmPath: async () => isPathConfirmed,
@@ -45,6 +47,7 @@
   const ended: string[] = []
   let [checking, mostChecking] = [0, 0]
   const detector = createTargetEndDetector({
+    pacer: createAttemptPacer(),
     onRequestLost: () => {},
     onEnd: ({ target }) => { ended.push(target.id) },
     confirmPath: async () => true,
--- a/packages/steering/src/mod.ts
+++ b/packages/steering/src/mod.ts
@@ -12,6 +12,7 @@
  * @module
  */
 export * from './admission.ts'
+export * from './attempt_pacer.ts'
 export * from './byte_budget.ts'
 export * from './catch_up.ts'
 export * from './check_document.ts'
--- a/packages/steering/src/reach.ts
+++ b/packages/steering/src/reach.ts
@@ -46,6 +46,10 @@
   recordEstablished (entry: RegisteredTarget, nowMs: number): string[]
   /** Records that a connection to a target could not be established. */
   recordConnectFailure (entry: RegisteredTarget, nowMs: number): void
+  /** Records that a check of a target was not made, or has shown nothing of the path; it is due again at the next evaluation. */
+  recordUnchecked (entry: RegisteredTarget): void
+  /** Returns whether checks that were not made are due again. */
+  hasUnchecked (): boolean
   /** Records that a target has sent a part of a response. */
   recordResponse (entry: RegisteredTarget, nowMs: number): void
   /** Records that a connection broke while a target had a request. */
@@ -162,6 +166,7 @@
   const groupsByEntry = new WeakMap<RegisteredTarget, GroupState>()
   const sampler = createPathSampler()
   let lostCount = 0
+  let hasUnchecked = false
 
   function getGroup (entry: RegisteredTarget): GroupState {
     const { service, failureDomain } = entry.target
@@ -229,16 +234,14 @@
       return []
     },
     recordConnectFailure (entry, nowMs) {
-      const group = getGroup(entry)
-      group.checking.delete(entry.target.id)
-      if (group.failures === 0) group.failingSinceMs = nowMs
-      group.failures++
-      group.failed.add(entry.target.id)
-      group.lastFailureAtMs = nowMs
-      if (!group.isLost) group.wantsChecks = true
-      else if (group.passedTarget === entry.target.id) dropPasses(group)
+      addFailure(getGroup(entry), entry.target.id, nowMs)
       if (sampler.recordFailure(entry.target.id)) markPathDown(nowMs)
     },
+    recordUnchecked (entry) {
+      if (dropCheck(getGroup(entry), entry.target.id)) hasUnchecked = true
+      sampler.dropIfPending(entry.target.id)
+    },
+    hasUnchecked: () => hasUnchecked,
     recordResponse (entry, nowMs) {
       getGroup(entry).respondedAtMs = nowMs
     },
@@ -255,6 +258,7 @@
       }
     },
     advance (entries, nowMs) {
+      hasUnchecked = false
       const members = new Map<GroupState, RegisteredTarget[]>()
       for (const entry of entries) {
         if (isTargetLeaving(entry)) continue
@@ -294,6 +298,8 @@
   recordFailure (targetId: string): boolean
   /** Drops the sample, since a connection was established. */
   drop (): void
+  /** Drops the sample if the check of a target is part of it, since it has shown nothing. */
+  dropIfPending (targetId: string): void
   /** Returns the monotonic time at which the last sample was taken, in milliseconds. */
   getStartMs (): number
   /** Lists the groups that were silent then. */
@@ -342,6 +348,9 @@
     },
     recordFailure: targetId => pending.delete(targetId) && pending.size === 0,
     drop: () => pending.clear(),
+    dropIfPending (targetId) {
+      if (pending.has(targetId)) pending.clear()
+    },
     getStartMs: () => startedAtMs,
     listSilent: () => silentGroups
   }
@@ -380,6 +389,23 @@
   return respondedAtMs > failingSinceMs + inTransitMs && respondedAtMs > brokenAtMs
 }
 
+function addFailure (group: GroupState, targetId: string, nowMs: number): void {
+  group.checking.delete(targetId)
+  if (group.failures === 0) group.failingSinceMs = nowMs
+  group.failures++
+  group.failed.add(targetId)
+  group.lastFailureAtMs = nowMs
+  if (!group.isLost) group.wantsChecks = true
+  else if (group.passedTarget === targetId) dropPasses(group)
+}
+
+/** Drops a check that has shown nothing, which is due again if a connection has failed; returns whether there was one. */
+function dropCheck (group: GroupState, targetId: string): boolean {
+  if (!group.checking.delete(targetId)) return false
+  if (!group.isLost && group.failures > 0) group.wantsChecks = true
+  return true
+}
+
 function dropFailures (group: GroupState): void {
   group.failed.clear()
   group.failures = 0
--- a/packages/targets/src/check_listening.ts
+++ b/packages/targets/src/check_listening.ts
@@ -38,6 +38,6 @@
       resolve(state)
     }
     socket.on('connect', () => finish(ListeningState.Listening))
-    socket.on('error', (error: NodeJS.ErrnoException) => finish(error.code === 'ECONNREFUSED' ? ListeningState.Refused : ListeningState.Unknown))
+    socket.on('error', (error: NodeJS.ErrnoException) => setImmediate(finish, error.code === 'ECONNREFUSED' ? ListeningState.Refused : ListeningState.Unknown))
   })
 }
--- a/packages/targets/src/target_connection.ts
+++ b/packages/targets/src/target_connection.ts
@@ -109,7 +109,7 @@
   let isSkipping = false
   const startedAtMs = performance.now()
   const overhead = createOverheadLimit()
-  const connectTimer = setTimeout(() => failConnection(ExchangeFailure.ConnectFailed, `Connection was not established within ${options.connectTimeoutMs} ms`), options.connectTimeoutMs)
+  const connectTimer = watchConnecting(socket, { timeoutMs: options.connectTimeoutMs, onFail: detail => failConnection(ExchangeFailure.ConnectFailed, detail) })
   const parser = createResponseParser({
     onHead: handleHead,
     onBody (part) {
@@ -213,8 +213,8 @@
     settleCompleted()
   })
   socket.on('end', () => finishInput(performance.now()))
-  socket.on('error', error => failConnection(ExchangeFailure.Lost, error.message))
-  socket.on('close', () => failConnection(ExchangeFailure.Lost, 'Connection closed before the response was complete'))
+  socket.on('error', error => { if (isEstablished) failConnection(ExchangeFailure.Lost, error.message) })
+  socket.on('close', () => { if (isEstablished) failConnection(ExchangeFailure.Lost, 'Connection closed before the response was complete') })
 
   const connection: TargetConnection = {
     idleSinceMs: startedAtMs,
@@ -234,6 +234,21 @@
   return connection
 }
 
+/** Options of {@linkcode watchConnecting}. */
+interface WatchConnectingOptions {
+  /** Time limit, in milliseconds. */
+  timeoutMs: number
+  /** Called if the connection is not established. */
+  onFail: (detail: string) => void
+}
+
+/** Watches a socket until it is connected; returns the timer of the time limit. */
+function watchConnecting (socket: Socket, { timeoutMs, onFail }: WatchConnectingOptions): NodeJS.Timeout {
+  // The system may refuse a connection at once; whoever then tries the next one must not keep the event loop from turning.
+  socket.on('error', error => setImmediate(onFail, error.message))
+  return setTimeout(onFail, timeoutMs, `Connection was not established within ${timeoutMs} ms`)
+}
+
 /** Closes a socket. With a reset, a network that is interrupted does not deliver what it still holds, long after the exchange was given up. */
 function closeSocket (socket: Socket, { discardsUnsent }: { discardsUnsent: boolean }): void {
   // By itself `resetAndDestroy` first waits for all writes and shuts the sending side down; `destroy` makes it reset at once.
--- a/packages/targets/src/target_pool.ts
+++ b/packages/targets/src/target_pool.ts
@@ -144,7 +144,7 @@
     send (target, exchange) {
       if (isClosed) {
         let isCancelled = false
-        queueMicrotask(() => { if (!isCancelled) exchange.onFail(ExchangeFailure.ConnectFailed, 'Pool is closed') })
+        setImmediate(() => { if (!isCancelled) exchange.onFail(ExchangeFailure.ConnectFailed, 'Pool is closed') })
         return { cancel () { isCancelled = true }, setPaused: () => {} }
       }
       const connection = takeIdle(target) ?? openConnection(target, options)
@@ -164,7 +164,7 @@
       return { cancel: () => connection.close(), setPaused: paused => connection.setPaused(paused) }
     },
     openIdle (target, { timeoutMs }) {
-      if (isClosed) return Promise.resolve(false)
+      if (isClosed) return new Promise(resolve => setImmediate(resolve, false))
       return new Promise(resolve => {
         let isEstablished = false
         const connection = openConnection(target, {
