Stop the own interface too after an error that nothing caught

`main.ts` takes over these errors: the first one is logged with its stack and counted, and the planned stop follows; the process ends with status 70, at the end of the stop's bounds and 5 s at the latest, a second one ends it at once. The metrics of log lines are there also where nothing counts them, so that docs/OPERATIONS.md may name them.

--- a/packages/bilberryd/src/main.ts
+++ b/packages/bilberryd/src/main.ts
@@ -10,12 +10,16 @@
 import { createLogger } from 'bunyan'
 import { command, option, positional, run, string, subcommands } from 'cmd-ts'
 import { createLineOutput } from './line_output.ts'
+import { listenForErrors, uncaughtErrorStatus } from './process_errors.ts'
 import { listenForSignals } from './process_signals.ts'
 import { runInstance } from './run_instance.ts'
 import { readSettings } from './settings.ts'
 
 const failureExitCode = 1
+/** Time that a stop may take beyond the lifetime of look-up responses and its limit, in milliseconds. */
+const stopMarginMs = 5_000
 const signals = listenForSignals()
+const errors = listenForErrors()
 
 const checkSettings = command({
   name: 'check-settings',
@@ -66,14 +70,22 @@
   })
   const log = createLogger({ name: 'bilberryd', instance: settings.instance, stream: lines as unknown as NodeJS.WritableStream })
   if (signals.isStopRequested()) return
+  errors.handlers.report = error => log.fatal({ ...error }, 'Error that nothing caught: the instance stops')
+  const stopRequested = Promise.race([signals.stopRequested, errors.stopRequested])
+  // An error may have broken what the stop waits for.
+  errors.stopRequested.then(() => setTimeout(() => process.exit(uncaughtErrorStatus), settings.lookUpTtlSeconds * 1_000 + settings.stopLimitMs + stopMarginMs)).catch(errors.endProcess)
   const instance = await runInstance(settings, log, { logLines: lines })
   console.log(JSON.stringify({ ready: true, ...instance.addresses, listening: instance.listening }))
+  errors.handlers.report = error => {
+    instance.countUncaughtError()
+    log.fatal({ ...error }, 'Error that nothing caught: the instance stops')
+  }
   signals.handlers.reload = () => refreshSettings(instance, file, log)
   signals.handlers.handleRepeated = signal => log.info({ signal }, 'Stop requested again: the stop goes on as before')
-  await signals.stopRequested
-  await instance.stop().then(() => process.exit(0), () => process.exit(failureExitCode))
+  await stopRequested
+  await instance.stop().then(() => process.exit(errors.hasOccurred() ? uncaughtErrorStatus : 0), () => process.exit(failureExitCode))
 }
 
 const args = process.argv.slice(2)
 if (args[0] === 'check-settings') await run(subcommands({ name: 'bilberryd', cmds: { 'check-settings': checkSettings } }), args)
-else await run(runCommand, args)
+else await run(runCommand, args).catch(errors.endProcess)
--- a/packages/bilberryd/src/metrics.ts
+++ b/packages/bilberryd/src/metrics.ts
@@ -49,6 +49,8 @@
   countClientBlocksLoad: (load: ClientBlocksLoadResult) => void
   /** Counts the requests that a shutdown aborted. */
   countAbortedRequests: (requests: number) => void
+  /** Counts an error that nothing caught. */
+  countUncaughtError: () => void
   /** Adds the metrics of log lines that were dropped or lost. */
   addLogLines: (lines: Pick<LineOutput, 'countDropped' | 'countLost'>) => void
 }
@@ -75,6 +77,7 @@
   const controlBytes = new Counter({ name: 'bilberry_control_bytes_total', help: 'Bytes of the gossip calls that this instance made and of their replies', registers })
   const skippedExchanges = new Counter({ name: 'bilberry_exchanges_held_back_total', help: 'Gossip exchanges skipped because the budget of control bytes was used up', registers })
   const blockLoads = new Counter({ name: 'bilberry_client_blocks_loads_total', help: 'Attempts to load the client block map, by result', labelNames: ['end'], registers })
+  const uncaughtErrors = new Counter({ name: 'bilberry_uncaught_errors_total', help: 'Exceptions and rejections that nothing caught, after which the instance stops', registers })
   const latency = new Histogram({ name: 'bilberry_request_seconds', help: 'Time from the first byte of a request to its end, in seconds', labelNames: ['service', 'outcome'], buckets: latencyBucketsSeconds, registers })
   for (const reason of Object.values(RefusalReason)) refusals.inc({ reason }, 0)
   for (const reason of Object.values(RetryReason)) retries.inc({ reason }, 0)
@@ -109,6 +112,7 @@
     countSkippedExchange: () => skippedExchanges.inc(),
     countClientBlocksLoad: end => blockLoads.inc({ end }),
     countAbortedRequests: count => abortedRequests.inc(count),
+    countUncaughtError: () => uncaughtErrors.inc(),
     addLogLines: lines => registerLogLines(registry, lines)
   }
 }
--- a/packages/bilberryd/src/run_instance.ts
+++ b/packages/bilberryd/src/run_instance.ts
@@ -21,6 +21,8 @@
   listening: { callers: string, operators: string, peers: string }
   /** Applies the tokens, peer keys and certificates of new settings. Throws and changes nothing if a certificate is invalid. */
   reload (next: Settings): void
+  /** Counts an error that nothing caught. */
+  countUncaughtError (): void
   /** Stops gracefully: announces the stop, keeps serving until look-up responses have expired, and drains requests in flight. */
   stop (): Promise<void>
 }
@@ -31,6 +33,8 @@
   logLines?: Pick<LineOutput, 'countDropped' | 'countLost'>
 }
 
+const noLogLines = { countDropped: () => 0, countLost: () => 0 }
+
 /**
  * Runs an entry instance until it is stopped or disposed.
  *
@@ -39,7 +43,7 @@
  * @param options Counts of log lines
  * @returns The running instance
  */
-export async function runInstance (settings: Settings, log: Logger, { logLines }: RunInstanceOptions = {}): Promise<RunningInstance> {
+export async function runInstance (settings: Settings, log: Logger, { logLines = noLogLines }: RunInstanceOptions = {}): Promise<RunningInstance> {
   const deferredHandlers = { callers: createDeferredHandler(), operators: createDeferredHandler(), peers: createDeferredHandler() }
   const listenerOptions = { headersTimeoutMs: settings.headersTimeoutMs, countRefusal: (reason: RefusalReason) => components.metrics.countRefusal(reason) }
   const listeners = {
@@ -53,7 +57,7 @@
     peers: settings.advertise?.peers ?? listeners.peers.address
   }
   const components = createInstanceComponents(settings, { addresses, log })
-  if (logLines !== undefined) components.metrics.addLogLines(logLines)
+  components.metrics.addLogLines(logLines)
   const handlers = await createInstanceHandlers(components)
   deferredHandlers.callers.update(handlers.callers)
   deferredHandlers.operators.update(handlers.operators)
@@ -76,6 +80,7 @@
       settings.peerKeys = next.peerKeys
       log.info({ tokens: next.tokens.length, peerKeys: next.peerKeys.length }, 'Tokens, peer keys and certificates reloaded')
     },
+    countUncaughtError: components.metrics.countUncaughtError,
     async stop () {
       components.identity.markLeaving()
       log.info('Stop requested: instance announces that it is leaving and drains its requests')
