--- a/packages/bilberryd/src/main.ts
+++ b/packages/bilberryd/src/main.ts
@@ -9,13 +9,13 @@
 import type { Finding, Settings } from './settings.ts'
 import { createLogger } from 'bunyan'
 import { command, option, positional, run, string, subcommands } from 'cmd-ts'
+import { ExitStatus } from './exit_status.ts'
 import { createLineOutput } from './line_output.ts'
-import { listenForErrors, uncaughtErrorStatus } from './process_errors.ts'
+import { listenForErrors } from './process_errors.ts'
 import { listenForSignals } from './process_signals.ts'
 import { runInstance } from './run_instance.ts'
 import { readSettings } from './settings.ts'
 
-const failureExitCode = 1
 /** Time that a stop may take beyond the lifetime of look-up responses and its limit, in milliseconds. */
 const stopMarginMs = 5_000
 const signals = listenForSignals()
@@ -45,7 +45,7 @@
 
 function printFindings (findings: Finding[]): void {
   for (const finding of findings) console.error(`${finding.pointer || '/'}: ${finding.message}`)
-  process.exitCode = failureExitCode
+  process.exitCode = ExitStatus.Failed
 }
 
 /** Reloads certificates, tokens and peer keys from the settings file; keeps the previous ones when the file or a certificate has an error. */
@@ -73,7 +73,7 @@
   errors.handlers.report = error => log.fatal({ ...error }, 'Error that nothing caught: the instance stops')
   const stopRequested = Promise.race([signals.stopRequested, errors.stopRequested])
   // An error may have broken what the stop waits for.
-  errors.stopRequested.then(() => setTimeout(() => process.exit(uncaughtErrorStatus), settings.lookUpTtlSeconds * 1_000 + settings.stopLimitMs + stopMarginMs)).catch(errors.endProcess)
+  errors.stopRequested.then(() => setTimeout(() => process.exit(ExitStatus.UncaughtError), settings.lookUpTtlSeconds * 1_000 + settings.stopLimitMs + stopMarginMs)).catch(errors.endProcess)
   const instance = await runInstance(settings, log, { logLines: lines })
   console.log(JSON.stringify({ ready: true, ...instance.addresses, listening: instance.listening }))
   errors.handlers.report = error => {
@@ -83,7 +83,7 @@
   signals.handlers.reload = () => refreshSettings(instance, file, log)
   signals.handlers.handleRepeated = signal => log.info({ signal }, 'Stop requested again: the stop goes on as before')
   await stopRequested
-  await instance.stop().then(() => process.exit(errors.hasOccurred() ? uncaughtErrorStatus : 0), () => process.exit(failureExitCode))
+  await instance.stop().then(() => process.exit(errors.hasOccurred() ? ExitStatus.UncaughtError : ExitStatus.Stopped), () => process.exit(ExitStatus.Failed))
 }
 
 const args = process.argv.slice(2)
