Read what has arrived before a connection is closed for its time limit

After a pause of the process, timers fire before the requests that have arrived meanwhile are read: a connection whose header or idle limit had passed was destroyed with a request unread, and the caller got a reset.

--- a/packages/callers/src/client_errors.ts
+++ b/packages/callers/src/client_errors.ts
@@ -8,6 +8,7 @@
 import { STATUS_CODES } from 'node:http'
 import { getRefusalStatus, Outcome, RefusalReason } from '@bilberryworks/steering'
 import { closeLingering } from './graceful_close.ts'
+import { runAfterReads } from './run_after_reads.ts'
 import { observeRequests } from './watch_response.ts'
 
 const requestTimeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT'
@@ -64,7 +65,8 @@
     // A connection that timed out before its first byte is closed like an idle one: the caller would read a refusal as the
     // response to the request that it sends next.
     const isUnused = error.code === requestTimeoutCode && socket.bytesRead === 0
-    if (isUnused || disconnectCodes.has(error.code ?? '')) socket.destroy()
+    if (isUnused) destroyUnused(socket)
+    else if (disconnectCodes.has(error.code ?? '')) socket.destroy()
     else refuse(socket, reasonByCode[error.code ?? ''] ?? RefusalReason.BadRequest, error.message)
   })
   server.on('connect', (_message: IncomingMessage, socket: Socket) => {
@@ -72,6 +74,11 @@
   })
 }
 
+/** Destroys a connection that has carried nothing, unless its first request has arrived and is not read yet, as after a pause of the process. */
+function destroyUnused (socket: Socket): void {
+  runAfterReads(() => { if (socket.bytesRead === 0) socket.destroy() })
+}
+
 function formatRefusal (reason: RefusalReason, detail: string): string {
   const status = getRefusalStatus(Outcome.NotRun, reason)
   const body = JSON.stringify({ type: `urn:bilberryworks:${reason}`, title: reason, status, detail, outcome: Outcome.NotRun })
--- a/packages/callers/src/graceful_close.ts
+++ b/packages/callers/src/graceful_close.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage, Server } from 'node:http'
 import type { Socket } from 'node:net'
 import { Server as TlsServer } from 'node:https'
+import { runAfterReads } from './run_after_reads.ts'
 import { observeRequests } from './watch_response.ts'
 
 /** Time for which a connection is read on after its last response, in milliseconds. */
@@ -29,7 +30,8 @@
  * read on until the request is complete, the caller closes its side, or five seconds have passed.
  *
  * `closeIdleConnections` of `node:http`, which its `close` calls as well, destroys connections whose response has ended but
- * is not sent yet; it is replaced by one that waits for them.
+ * is not sent yet; it is replaced by one that waits for them. Connections whose idle time limit has passed are closed unless a
+ * request has arrived on them.
  *
  * Must be called after the server's handlers are added.
  *
@@ -74,6 +76,11 @@
       recordIdle()
     })
   })
+  // After a pause of the process, timers fire before what has arrived meanwhile is read.
+  server.on('timeout', (socket: Socket) => runAfterReads(() => {
+    const use = connections.get(socket)
+    if (use === undefined || isIdle(socket, use)) socket.destroy()
+  }))
   server.closeIdleConnections = () => {
     for (const [socket, use] of connections) if (isIdle(socket, use)) socket.destroy()
   }
