Refuse no upload in a stop for what its first bytes seem to tell

During a stop an upload of 3 MB that would have arrived within 0.6 s was refused as not run 130 ms after its head: from the 100 kB that had arrived then, the rest was taken to need 3.8 s. The rate of a body counts from 500 ms on; until then at most the time elapsed so far is expected for the rest, and the request can still be refused later.

--- a/packages/steering/src/life_cycle.ts
+++ b/packages/steering/src/life_cycle.ts
@@ -52,6 +52,8 @@
 const completeShare = 0.97
 /** Multiple of the mean time of requests that is reserved for one, since their times vary. */
 const expectedTimeFactor = 1.5
+/** Time from which the bytes that have arrived tell the rate of a body, in milliseconds. */
+const minRateMs = 500
 
 /**
  * Creates the life cycle of an instance that runs.
@@ -84,9 +86,10 @@
  * Estimates how long the rest of a request body takes to arrive, from what has arrived.
  *
  * @param body The body
- * @returns Time in milliseconds; the time elapsed so far if the body's length is unknown or nothing has arrived
+ * @returns Time in milliseconds; at most the time elapsed so far if that is less than 500 ms, and equal to it if the body's length is unknown or nothing has arrived
  */
 export function computeArrivalMs ({ receivedBytes, declaredBytes, elapsedMs }: ArrivingBody): number {
   if (declaredBytes === undefined || receivedBytes === 0) return elapsedMs
-  return elapsedMs * Math.max(0, declaredBytes - receivedBytes) / receivedBytes
+  const restMs = elapsedMs * Math.max(0, declaredBytes - receivedBytes) / receivedBytes
+  return elapsedMs < minRateMs ? Math.min(restMs, elapsedMs) : restMs
 }
--- a/packages/steering/src/life_cycle_test.ts
+++ b/packages/steering/src/life_cycle_test.ts
@@ -24,6 +24,14 @@
   t.is(computeArrivalMs({ receivedBytes: 200_000, declaredBytes: 200_000, elapsedMs: 1_000 }), 0)
   t.is(computeArrivalMs({ receivedBytes: 0, declaredBytes: 200_000, elapsedMs: 1_000 }), 1_000)
   t.is(computeArrivalMs({ receivedBytes: 50_000, declaredBytes: undefined, elapsedMs: 700 }), 700)
+  t.is(computeArrivalMs({ receivedBytes: 190_000, declaredBytes: 200_000, elapsedMs: 190 }), 10)
+  t.is(computeArrivalMs({ receivedBytes: 200_000, declaredBytes: 200_000, elapsedMs: 190 }), 0)
+})
+
+test('the first bytes of a large body do not make a stop refuse it', t => {
+  const life = createLifeCycle({ graceMs })
+  life.recordStop(0)
+  t.true(life.isCompletable(computeArrivalMs({ receivedBytes: 100_000, declaredBytes: 3_000_000, elapsedMs: 130 }), 230))
 })
 
 test('no order of events leads back to an earlier phase or gives a request more time', t => {
