--- a/packages/bilberryd/src/edge/active_exchanges.ts
+++ b/packages/bilberryd/src/edge/active_exchanges.ts
@@ -59,9 +59,8 @@
   const { state, log, getNowMs, getRandom } = options
   const activeAttempts = new Set<Attempt>()
 
-  function recordSignal (entry: RegisteredTarget, signal: TargetSignal): void {
+  function recordSignal (entry: RegisteredTarget, signal: TargetSignal, nowMs: number): void {
     const coldForMs = state.getConfig()?.services.get(entry.target.service)?.coldForMs ?? 0
-    const nowMs = getNowMs()
     const wasCold = isTargetCold(entry, nowMs)
     recordTargetResult(entry, signal, { nowMs, getRandom, coldForMs })
     if (!wasCold && isTargetCold(entry, nowMs)) options.reportCold(entry, ColdEvidence.Returned)
@@ -69,12 +68,13 @@
 
   function release (attempt: Attempt, signal: TargetSignal): void {
     const entry = attempt.currentTarget!
+    const nowMs = getNowMs()
     activeAttempts.delete(attempt)
     attempt.exchange = undefined
     attempt.currentTarget = undefined
-    recordSignal(entry, signal)
+    recordSignal(entry, signal, nowMs)
     if (signal === TargetSignal.Answered) return
-    log.info('exchange_failed', { id: attempt.attemptId, target: entry.target.id, signal, elapsedMs: Math.round(getNowMs() - attempt.dispatchedAtMs), inFlight: entry.inFlight, othersBusy: entry.othersBusy })
+    log.info('exchange_failed', { id: attempt.attemptId, target: entry.target.id, signal, elapsedMs: Math.round(nowMs - attempt.dispatchedAtMs), inFlight: entry.inFlight, othersBusy: entry.othersBusy })
   }
 
   function listWaitingFor (matches: (entry: RegisteredTarget) => boolean): Attempt[] {
@@ -92,11 +92,11 @@
     },
     release,
     cancel (attempt, signal) {
-      if (attempt.exchange === undefined) return
-      attempt.exchange.cancel()
+      if (attempt.currentTarget === undefined) return
+      attempt.exchange?.cancel()
       release(attempt, signal)
     },
-    releaseUnused: entry => recordSignal(entry, TargetSignal.Ended),
+    releaseUnused: entry => recordSignal(entry, TargetSignal.Ended, getNowMs()),
     listUnreachable: () => listWaitingFor(entry => isTargetUnreachable(entry, getNowMs())),
     listWaitingFor,
     listPending: () => [...activeAttempts].filter(attempt => attempt.phase === AttemptPhase.Dispatched).map(({ currentTarget, dispatchedAtMs }) => ({ targetId: currentTarget!.target.id, sentAtMs: dispatchedAtMs })),
--- a/packages/bilberryd/src/edge/collect_body.ts
+++ b/packages/bilberryd/src/edge/collect_body.ts
@@ -6,6 +6,7 @@
  */
 import type { IncomingMessage } from 'node:http'
 import type { BufferAllowance } from './buffer_allowance.ts'
+import type { RunGuarded } from './guard_exchange.ts'
 import { runAfterReads } from '@bilberryworks/callers'
 
 /** A request body that is being received. */
@@ -28,6 +29,8 @@
 
 /** Options of {@linkcode collectBody}. */
 export interface CollectBodyOptions {
+  /** Runs callbacks of the message. */
+  runGuarded: RunGuarded
   /** Number of bytes after which the request need not wait for the rest of its body. */
   maxBufferedBytes: number
   /** Maximum size of the body, in bytes. */
@@ -85,13 +88,21 @@
 
   function addListeners (): void {
     dropListeners()
-    message.on('data', readPart)
-    message.on('end', finishBody)
+    message.on('data', handlePart)
+    message.on('end', handleEnd)
   }
 
   function dropListeners (): void {
-    message.off('data', readPart)
-    message.off('end', finishBody)
+    message.off('data', handlePart)
+    message.off('end', handleEnd)
+  }
+
+  function handlePart (part: Buffer): void {
+    options.runGuarded(() => readPart(part))
+  }
+
+  function handleEnd (): void {
+    options.runGuarded(finishBody)
   }
 
   function readPart (part: Buffer): void {
--- a/packages/bilberryd/src/edge/dispatcher.ts
+++ b/packages/bilberryd/src/edge/dispatcher.ts
@@ -3,9 +3,10 @@
  *
  * @module
  */
-import type { KnownInstance, LifeCycle, RateContender, RegisteredTarget, EntrySettings, PendingExchange, Refusal, WaitingRequests } from '@bilberryworks/steering'
+import type { KnownInstance, LifeCycle, RateContender, EntrySettings, PendingExchange, Refusal, WaitingRequests } from '@bilberryworks/steering'
 import type { ResponseHead, TargetPool } from '@bilberryworks/targets'
 import type { Attempt } from './attempt.ts'
+import type { CallbackGuard } from './callback_guard.ts'
 import type { CrashGuard } from './crash_guard.ts'
 import type { EntryLog } from './entry_log.ts'
 import type { EntryMetrics } from './entry_metrics.ts'
@@ -15,13 +16,14 @@
 import type { ReportCold } from './report_cold.ts'
 import type { RelayPeers } from './relay_peers.ts'
 import type { TargetReports } from './target_reports.ts'
-import { computePauseRetryAfterMs, createNotRunRefusal, createFleetRetryBudget, createRetryPacer, createTargetSpeeds, createWaitingRequests, recordTargetDispatch, RefusalReason, TargetSignal, waitingCheckIntervalMs, waitShare } from '@bilberryworks/steering'
+import { createNotRunRefusal, createFleetRetryBudget, createRetryPacer, createTargetSpeeds, createWaitingRequests, RefusalReason, TargetSignal, waitingCheckIntervalMs, waitShare } from '@bilberryworks/steering'
 import { AttemptPhase, describeTiming } from './attempt.ts'
 import { createLazyMap } from './_lazy_map.ts'
+import { GuardedCallback } from './callback_guard.ts'
 import { createAttemptFinisher } from './attempt_finisher.ts'
-import { confirmUpload } from './confirm_caller.ts'
-import { createExchangeResultHandler, minTimeLeftMs } from './exchange_results.ts'
+import { createExchangeResultHandler } from './exchange_results.ts'
 import { createStoppingRefusal, createStopLimits } from './stopping.ts'
+import { createQueueDispatch } from './dispatch_queue.ts'
 import { createTargetSelector } from './target_selector.ts'
 import { createActiveExchanges } from './active_exchanges.ts'
 import { createAttemptWithdrawal } from './attempt_withdrawal.ts'
@@ -41,6 +43,8 @@
   abandon (attempt: Attempt): void
   /** Finishes an attempt that waits or is being sent, with a refusal. */
   cancel (attempt: Attempt, refusal: Refusal): void
+  /** Finishes an attempt one of whose callbacks has thrown. */
+  fail (attempt: Attempt): void
   /** Finishes an attempt whose deadline has passed. */
   expire (attempt: Attempt): void
   /** Finishes an attempt that this instance can't complete before it ends; returns whether it did. */
@@ -61,6 +65,8 @@
 
 /** Options of {@linkcode createDispatcher}. */
 export interface CreateDispatcherOptions {
+  /** Runs callbacks. */
+  guard: CallbackGuard
   /** Settings of the instance. */
   settings: EntrySettings
   /** Phases of the instance. */
@@ -117,7 +123,7 @@
  * @returns The dispatcher
  */
 export function createDispatcher (options: CreateDispatcherOptions): Dispatcher {
-  const { settings: { bounds, instance }, state, crashGuard, reach, log, metrics, getNowMs } = options
+  const { settings: { bounds, instance }, guard, crashGuard, reach, log, metrics, getNowMs } = options
   const speeds = createTargetSpeeds()
   const targetSelector = createTargetSelector({ ...options, speeds })
   const { isCompletable, isCompletableAnywhere } = createStopLimits({ ...options, targetSelector })
@@ -128,15 +134,21 @@
   const retryPacers = createLazyMap(() => createRetryPacer(options.getRandom))
   const getRetryAfterMs = (attempt: Attempt): number => retryPacers.get(attempt.service).record({ nowMs: getNowMs(), queued: waitingByService.get(attempt.service).count(), ...targetSelector.measureCapacity(attempt.service) })
   const relayOptions = { finisher, getRetryAfterMs, getBudget: retryBudgets.get, listGroups: targetSelector.listGroups, requeue: enqueueAttempt }
-  const relayer = createRelayer({ ...options, ...relayOptions, maySend: attempt => crashGuard.findRefusal(attempt) === undefined })
+  const relayer = createRelayer({ ...options, ...relayOptions, runGuarded, maySend: attempt => crashGuard.findRefusal(attempt) === undefined })
   const handleExchangeResult = createExchangeResultHandler({ finisher, log, metrics, getNowMs, getRandom: options.getRandom, getBudget: retryBudgets.get, getRetryAfterMs, isSuspect: crashGuard.isSuspect, requeue: enqueueAttempt, relay: attempt => peerDispatch.isUnderDoubt(attempt) && peerDispatch.sendThroughPeer(attempt) })
   const peerDispatch = createPeerDispatch({ instance, relayer, reach, targetSelector, finisher, getRetryAfterMs })
-  const sendToTarget = createTargetSender({ ...options, isCompletable, targetSelector, speeds, exchanges, finisher, onResult: handleResult })
-  const retryUnreachable = createUnreachableRetries({ exchanges, reach, getNowMs, getBudget: retryBudgets.get, handleExchangeResult })
+  const sendToTarget = createTargetSender({ ...options, runGuarded, isCompletable, targetSelector, speeds, exchanges, finisher, onResult: handleResult })
+  const retryUnreachable = createUnreachableRetries({ runGuarded, exchanges, reach, getNowMs, getBudget: retryBudgets.get, handleExchangeResult })
   const findRelayRefusal = createRelayAdmission({ instance, maxRelayed: options.maxRelayed, exchanges, getRetryAfterMs, getWaiting: waitingByService.get, countWaitingRelayed: () => countWaiting(attempt => attempt.relay !== undefined) })
-  const withdrawal = createAttemptWithdrawal({ finisher, isCompletableAnywhere, getRetryAfterMs, detach: detachAttempt, onEnd: attempt => dispatchWaiting(attempt.service) })
+  const withdrawal = createAttemptWithdrawal({ guard, finisher, isCompletableAnywhere, getRetryAfterMs, detach: detachAttempt, onEnd: attempt => dispatchWaiting(attempt.service) })
+  const dispatchQueue = createQueueDispatch({ ...options, runGuarded, fail: withdrawal.fail, exchanges, targetSelector, isCompletable, isCompletableAnywhere, relayer, peerDispatch, finisher, getRetryAfterMs, enqueue: enqueueAttempt, sendToTarget, dispatchWaiting })
   let checkTimer: NodeJS.Timeout | undefined
 
+  /** Runs a callback of an attempt, and ends the attempt if that throws. */
+  function runGuarded (attempt: Attempt, work: () => void): void {
+    guard.run(GuardedCallback.Request, work, () => withdrawal.fail(attempt))
+  }
+
   function handleResult (attempt: Attempt, result: ExchangeResult, detail: string): void {
     handleExchangeResult(attempt, result, detail)
     dispatchWaiting(attempt.service)
@@ -164,29 +176,10 @@
   function dispatchWaiting (service: string): void {
     const waiting = waitingByService.get(service)
     if (waiting.count() === 0) return
-    state.targets.observeTime(getNowMs())
-    for (const attempt of waiting.takeMatching(request => crashGuard.findRefusal(request) !== undefined)) finisher.refuse(attempt, crashGuard.findRefusal(attempt)!)
-    if (reach.hasLost()) for (const attempt of waiting.takeMatching(peerDispatch.isOutOfReach)) peerDispatch.sendThroughPeerOrRefuse(attempt)
-    if (options.life.isStopping()) for (const attempt of waiting.takeMatching(request => !isCompletableAnywhere(request))) finisher.refuse(attempt, createStoppingRefusal())
-    const assignments = waiting.takePlaced(attempt => {
-      const entry = targetSelector.findTarget(attempt, target => isCompletable(attempt, target))
-      // Counted immediately, so that the selection for the next queued request sees the remaining capacity.
-      if (entry !== undefined) recordTargetDispatch(entry, getNowMs())
-      return entry
-    })
-    for (const { request, placed: entry } of assignments) dispatchAttempt(request, entry)
-    for (const attempt of waiting.takeMatching(request => targetSelector.findAcceptTimeMs(request) > request.expiresAtMs)) refusePaused(attempt)
-    for (const attempt of waiting.takeExpired(getNowMs())) finisher.refuse(attempt, createNotRunRefusal(RefusalReason.Overloaded, 'No target slot became free within the queueing time limit', getRetryAfterMs(attempt)))
+    guard.run(GuardedCallback.Dispatch, () => dispatchQueue(waiting))
     if (countWaiting() > 0) checkTimer ??= setTimeout(checkWaiting, waitingCheckIntervalMs)
   }
 
-  /** Refuses an attempt for which each target wants no requests until after it may have to wait. */
-  function refusePaused (attempt: Attempt): void {
-    const pauseMs = targetSelector.findAcceptTimeMs(attempt) - getNowMs()
-    const retryAfterMs = Math.max(getRetryAfterMs(attempt), computePauseRetryAfterMs(pauseMs, options.getRandom))
-    finisher.refuse(attempt, createNotRunRefusal(RefusalReason.Overloaded, `Each available target wants no requests for ${Math.round(pauseMs)} ms or more`, retryAfterMs))
-  }
-
   function checkWaiting (): void {
     clearTimeout(checkTimer)
     checkTimer = undefined
@@ -197,26 +190,6 @@
     return waitingByService.list().reduce((sum, service) => sum + waitingByService.get(service).countMatching(matches), 0)
   }
 
-  function dispatchAttempt (attempt: Attempt, entry: RegisteredTarget): void {
-    confirmUpload(attempt, () => sendAttempt(attempt, entry), () => {
-      exchanges.releaseUnused(entry)
-      dispatchWaiting(attempt.service)
-    })
-  }
-
-  function sendAttempt (attempt: Attempt, entry: RegisteredTarget): void {
-    if (attempt.deadlineAtMs - getNowMs() < minTimeLeftMs) {
-      exchanges.releaseUnused(entry)
-      finisher.refuse(attempt, createNotRunRefusal(RefusalReason.DeadlinePassed, 'Deadline is too close to send the request to a target', getRetryAfterMs(attempt)))
-    } else if (!isCompletable(attempt, entry)) {
-      exchanges.releaseUnused(entry)
-      enqueueAttempt(attempt)
-    } else if (reach.needsConnection(entry) && attempt.relay === undefined && relayer.findPeer(attempt) !== undefined) {
-      exchanges.releaseUnused(entry)
-      peerDispatch.sendThroughPeer(attempt)
-    } else sendToTarget(attempt, entry)
-  }
-
   /** Removes an attempt from the queue, and cancels its exchange if one is in progress. */
   function detachAttempt (attempt: Attempt): void {
     if (attempt.phase === AttemptPhase.Waiting) waitingByService.get(attempt.service).remove(attempt.attemptId)
@@ -226,15 +199,17 @@
     else relayer.cancel(attempt)
   }
 
+  function submitAttempt (attempt: Attempt): void {
+    attempt.expiresAtMs = attempt.arrivedAtMs + (attempt.deadlineAtMs - attempt.arrivedAtMs) * waitShare
+    // The instance that received a relayed request from its caller has counted it.
+    if (attempt.relay === undefined) retryBudgets.get(attempt.service).recordRequest(getNowMs())
+    const refusal = attempt.relay === undefined ? undefined : findRelayRefusal(attempt)
+    if (refusal === undefined) enqueueAttempt(attempt)
+    else finisher.refuse(attempt, refusal)
+  }
+
   return {
-    submit (attempt) {
-      attempt.expiresAtMs = attempt.arrivedAtMs + (attempt.deadlineAtMs - attempt.arrivedAtMs) * waitShare
-      // The instance that received a relayed request from its caller has counted it.
-      if (attempt.relay === undefined) retryBudgets.get(attempt.service).recordRequest(getNowMs())
-      const refusal = attempt.relay === undefined ? undefined : findRelayRefusal(attempt)
-      if (refusal === undefined) enqueueAttempt(attempt)
-      else finisher.refuse(attempt, refusal)
-    },
+    submit: attempt => runGuarded(attempt, () => submitAttempt(attempt)),
     refuse: finisher.refuse,
     ...withdrawal,
     dispatchWaiting: checkWaiting,
--- a/packages/bilberryd/src/edge/entry_components.ts
+++ b/packages/bilberryd/src/edge/entry_components.ts
@@ -7,6 +7,7 @@
  */
 import type { EntrySettings, LifeCycle } from '@bilberryworks/steering'
 import type { checkListening, TargetPool } from '@bilberryworks/targets'
+import type { CallbackGuard } from './callback_guard.ts'
 import type { CrashGuard } from './crash_guard.ts'
 import type { Dispatcher } from './dispatcher.ts'
 import type { EntryLog } from './entry_log.ts'
@@ -19,6 +20,7 @@
 import type { TargetReports } from './target_reports.ts'
 import { createAttemptPacer, createWeightedRoundRobin, LifePhase } from '@bilberryworks/steering'
 import { ConnectionEvent } from '@bilberryworks/targets'
+import { GuardedCallback, noGuard } from './callback_guard.ts'
 import { createCrashGuard } from './crash_guard.ts'
 import { createDispatcher } from './dispatcher.ts'
 import { createEntryState } from './entry_state.ts'
@@ -61,6 +63,8 @@
 
 /** Options of {@linkcode createEntryComponents}. */
 export interface CreateEntryComponentsOptions {
+  /** Runs callbacks; by default what they throw is passed on. */
+  guard?: CallbackGuard
   /** Settings of the instance. */
   settings: EntrySettings
   /** Start time of the process, in Unix milliseconds. */
@@ -110,18 +114,19 @@
  * @returns The parts; dispose them to stop their timers
  */
 export function createEntryComponents (options: CreateEntryComponentsOptions): EntryComponents {
-  const { settings, life, log, metrics, peerPool, runAfterReads, getNowMs, getRandom } = options
+  const { settings, guard = noGuard, life, log, metrics, peerPool, runAfterReads, getNowMs, getRandom } = options
   let sequence = 0
   const view = createPeerView({ instance: settings.instance, startedAtMs: getNowMs(), completionMs: membershipMs, evictionMs: peerEvictionMs, getTimeoutMs: heartbeat => heartbeat.region === settings.region ? peerTimeoutMs : remotePeerTimeoutMs })
   const listPeers = (): PeerHeartbeat[] => view.listLive(getNowMs()).map(peer => peer.heartbeat)
   const { reportCold, reportGroupCold } = createColdReporter({ log, metrics, getNowMs })
-  const state = createEntryState({ regions: settings.regions, log, reportCold, reportGroupCold, getNowMs, countUndecodable: metrics.countUndecodable, onChange: handleChange })
-  const pool = options.createPool(handleConnectionEvent)
+  const state = createEntryState({ guard, regions: settings.regions, log, reportCold, reportGroupCold, getNowMs, countUndecodable: metrics.countUndecodable, onChange: handleChange })
+  const pool = options.createPool((event, targetId) => guard.run(GuardedCallback.Connection, () => handleConnectionEvent(event, targetId)))
   const targetReports = createTargetReports({ state, metrics, log, reportCold, getNowMs })
   const relayPeers = createRelayPeers({ region: settings.region, view, isEnabled: options.relays.isEnabled, getNowMs, getRandom })
   const reach = createReachMonitor({ pacer: createAttemptPacer(), state, reportGroupCold, getPool: () => pool, isReachedByPeers: relayPeers.isReached, listReports: listPeers, listPending: () => dispatcher.listPending(), onChange: handleReachChange, log, getNowMs })
   const crashGuard = createCrashGuard({ pacer: createAttemptPacer({ perSecond: endChecksPerSecond }), onTargetEnd: targetReports.recordEnd, confirmPath: reach.confirmPath, checkListening: options.checkListening, metrics, log, getNowMs })
   const dispatcher = createDispatcher({
+    guard,
     crashGuard,
     reach,
     relayPeers,
@@ -147,7 +152,7 @@
   })
   const regionShares = createRegionShares({ settings, state, countRequests: dispatcher.countRequests, listPeers })
   const serviceSelector = createWeightedRoundRobin(getRandom)
-  const requestHandler = createRequestHandler({ state, dispatcher, log, metrics, runAfterReads, getNowMs, chooseService: serviceSelector.choose, life })
+  const requestHandler = createRequestHandler({ guard, state, dispatcher, log, metrics, runAfterReads, getNowMs, chooseService: serviceSelector.choose, life })
   const isReady = (): boolean => options.isOpen() && life.getPhase(getNowMs()) === LifePhase.Running && state.getConfig() !== undefined
 
   function handleChange (): void {
@@ -169,6 +174,11 @@
     if (entry !== undefined && mayHaveEnded && reach.isReached(entry)) crashGuard.recordClose(entry)
   }
 
+  function sendNews (): void {
+    const hasNews = [crashGuard.takeNews(), targetReports.takeNews(), reach.doubts.advance()].includes(true)
+    if (hasNews) options.sendNow()
+  }
+
   return {
     state,
     view,
@@ -193,16 +203,18 @@
       reached: reach.doubts.listVouched()
     }),
     runMaintenance (nowMs) {
-      state.targets.observeTime(nowMs)
-      regionShares.advance(nowMs)
-      pool.closeExpired(nowMs)
-      peerPool.closeExpired(nowMs)
-      state.removeExpired(nowMs)
-      reach.advance()
-      dispatcher.retryUnreachable()
-      crashGuard.removeExpired()
-      const hasNews = [crashGuard.takeNews(), targetReports.takeNews(), reach.doubts.advance()].includes(true)
-      if (hasNews) options.sendNow()
+      const tasks = [
+        () => state.targets.observeTime(nowMs),
+        () => regionShares.advance(nowMs),
+        () => pool.closeExpired(nowMs),
+        () => peerPool.closeExpired(nowMs),
+        () => state.removeExpired(nowMs),
+        () => reach.advance(),
+        () => dispatcher.retryUnreachable(),
+        () => crashGuard.removeExpired(),
+        sendNews
+      ]
+      for (const task of tasks) guard.run(GuardedCallback.Task, task)
     },
     [Symbol.asyncDispose]: () => reach[Symbol.asyncDispose]()
   }
--- a/packages/bilberryd/src/edge/entry_metrics.ts
+++ b/packages/bilberryd/src/edge/entry_metrics.ts
@@ -6,6 +6,7 @@
 import type { RouteKind } from '@bilberryworks/steering'
 import { ColdEvidence, Outcome, RefusalReason, RetryReason } from '@bilberryworks/steering'
 import { ConnectionEvent } from '@bilberryworks/targets'
+import { GuardedCallback } from './callback_guard.ts'
 import { EntryListener } from './entry_listener.ts'
 import { RelayResultKind } from './send_relayed.ts'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
@@ -72,6 +73,8 @@
   countRelayed (result: RelayResultKind): void
   /** Counts bytes sent to peers, by kind of message. */
   countPeerBytes (traffic: PeerTraffic, bytes: number): void
+  /** Counts an exception in a guarded callback. */
+  countCallbackError (callback: GuardedCallback): void
   /** Counts an error that nothing caught. */
   countUncaughtError (): void
   /** Counts an error of an open listener. */
@@ -154,6 +157,7 @@
   const relayed = new Counter({ name: 'bilberry_relayed_requests_total', help: 'Requests sent through another instance, by result', labelNames: ['result'], registers })
   const peerBytes = new Counter({ name: 'bilberry_peer_bytes_total', help: 'Bytes sent to other instances, by kind of message', labelNames: ['message'], registers })
   const listenerErrors = new Counter({ name: 'bilberry_listener_errors_total', help: 'Errors of open listeners, such as those of accepting a connection, by listener', labelNames: ['listener'], registers })
+  const callbackErrors = new Counter({ name: 'bilberry_callback_errors_total', help: 'Exceptions in callbacks, each of which failed only what it was for, by callback', labelNames: ['callback'], registers })
   const uncaughtErrors = new Counter({ name: 'bilberry_uncaught_errors_total', help: 'Exceptions and rejections that nothing caught, after which the instance stops', registers })
   const { countLostLines = () => 0 } = gauges
   registry.registerMetric(new Counter({
@@ -173,6 +177,7 @@
   for (const event of Object.values(ConnectionEvent)) connectionEvents.inc({ event }, 0)
   for (const result of Object.values(RelayResultKind)) relayed.inc({ result }, 0)
   for (const message of Object.values(PeerTraffic)) peerBytes.inc({ message }, 0)
+  for (const callback of Object.values(GuardedCallback)) callbackErrors.inc({ callback }, 0)
   for (const listener of Object.values(EntryListener)) listenerErrors.inc({ listener }, 0)
   for (const name of Object.values(EntryGauge)) {
     registers[0]!.registerMetric(new Gauge({ name, help: gaugeHelp[name], registers: [], collect () { this.set(gauges.readers[name]()) } }))
@@ -194,6 +199,7 @@
     countConnectionEvent: event => connectionEvents.inc({ event }),
     countRelayed: result => relayed.inc({ result }),
     countPeerBytes: (message, bytes) => peerBytes.inc({ message }, bytes),
+    countCallbackError: callback => callbackErrors.inc({ callback }),
     countUncaughtError: () => uncaughtErrors.inc(),
     countListenerError: listener => listenerErrors.inc({ listener }),
     recordStage: (stage, kind, elapsedMs) => stages.observe({ stage, kind }, elapsedMs / msPerSecond)
--- a/packages/bilberryd/src/edge/entry_state.ts
+++ b/packages/bilberryd/src/edge/entry_state.ts
@@ -4,11 +4,13 @@
  * @module
  */
 import type { Route, RoutingConfig, RouteTable, TargetRegistry } from '@bilberryworks/steering'
+import type { CallbackGuard } from './callback_guard.ts'
 import type { EntryLog } from './entry_log.ts'
 import type { ReportCold, ReportGroupCold } from './report_cold.ts'
 import type { RowChange, TableReplica, TableRestoration, TableUpdate } from './table_replica.ts'
 import { ColdEvidence, createRouteTable, createTargetRegistry, recordCold } from '@bilberryworks/steering'
 import { decodeRouting, isOutdatedOperatorRow, isOutdatedTargetRow, parseEvacuationKey, parseJsonRow, routingKey } from '@bilberryworks/users-platform'
+import { GuardedCallback } from './callback_guard.ts'
 import { ReplicatedTable } from './replicated_table.ts'
 import { createTableReplica } from './table_replica.ts'
 import { createTargetRegistrations } from './target_registrations.ts'
@@ -42,6 +44,8 @@
 
 /** Options of {@linkcode createEntryState}. */
 export interface CreateEntryStateOptions {
+  /** Runs callbacks. */
+  guard: CallbackGuard
   /** Regions by failure domain. */
   regions: Map<string, string>
   /** Structured log. */
@@ -65,7 +69,7 @@
  * @returns The state
  */
 export function createEntryState (options: CreateEntryStateOptions): EntryState {
-  const { log, getNowMs } = options
+  const { guard, log, getNowMs } = options
   const tables = {
     [ReplicatedTable.Operator]: createTableReplica({ isOutdated: isOutdatedOperatorRow, onRestored: createRestorationHandler(ReplicatedTable.Operator) }),
     [ReplicatedTable.Targets]: createTableReplica({ isOutdated: isOutdatedTargetRow, onRestored: createRestorationHandler(ReplicatedTable.Targets) })
@@ -127,10 +131,7 @@
 
   function applyTableChanges (table: ReplicatedTable, changes: RowChange[]): void {
     if (changes.length === 0) return
-    for (const change of changes) {
-      if (table === ReplicatedTable.Operator) applyOperatorChange(change)
-      else registrations.applyChange(change)
-    }
+    for (const change of changes) guard.run(GuardedCallback.Rows, () => table === ReplicatedTable.Operator ? applyOperatorChange(change) : registrations.applyChange(change))
     revision++
     options.onChange()
   }
--- a/packages/bilberryd/src/edge/look_up_listener.ts
+++ b/packages/bilberryd/src/edge/look_up_listener.ts
@@ -4,15 +4,19 @@
  * @module
  */
 import type { EntrySettings } from '@bilberryworks/steering'
-import type { Server } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { LookUp } from '@bilberryworks/users-platform'
+import type { CallbackGuard } from './callback_guard.ts'
 import type { PeerHeartbeat, PeerView } from './peer_view.ts'
 import { createServer } from 'node:http'
 import { allGroupsUnreached } from '@bilberryworks/steering'
+import { GuardedCallback } from './callback_guard.ts'
 import { formatLookUpResponse, maxLookUpAddresses, parseLookUp, readinessPath } from '@bilberryworks/users-platform'
 
 /** Options of {@linkcode createLookUpListener}. */
 export interface CreateLookUpListenerOptions {
+  /** Runs callbacks. */
+  guard: CallbackGuard
   /** Settings of the instance. */
   settings: EntrySettings
   /** View of the other instances. */
@@ -38,7 +42,7 @@
  */
 export function createLookUpListener (options: CreateLookUpListenerOptions): Server {
   const ttlMs = Math.min(lookUpTtlMs, options.settings.bounds.maxLookUpTtlMs)
-  return createServer((message, response) => {
+  function handleLookUp (message: IncomingMessage, response: ServerResponse): void {
     const lookUp = parseLookUp(message.url!)
     if (lookUp === undefined) {
       response.writeHead(404).end()
@@ -47,7 +51,9 @@
     const instances = [options.getHeartbeat(), ...options.view.listLive(options.getNowMs()).map(peer => peer.heartbeat)]
     const body = formatLookUpResponse(chooseAddresses(instances, lookUp, { minAddresses: options.hasHomeRegions() ? 1 : minAddresses }), ttlMs)
     response.writeHead(200, { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body) }).end(body)
-  })
+  }
+
+  return createServer((message, response) => options.guard.run(GuardedCallback.Call, () => handleLookUp(message, response), () => response.destroy()))
 }
 
 /**
--- a/packages/bilberryd/src/edge/peer_link.ts
+++ b/packages/bilberryd/src/edge/peer_link.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http'
 import type { CrashReport, RecentTargetReports, SocketAddress } from '@bilberryworks/steering'
 import type { ListenerContext } from '../listen_on.ts'
+import type { CallbackGuard } from './callback_guard.ts'
 import type { EntryLog } from './entry_log.ts'
 import type { EntryState } from './entry_state.ts'
 import type { RelayOrigin } from './relay_message.ts'
@@ -17,6 +18,7 @@
 import { applyGracefulClose, countOpenResponses } from '@bilberryworks/callers'
 import { createCatchUp } from '@bilberryworks/steering'
 import { listenOn, openSocket } from '../listen_on.ts'
+import { GuardedCallback } from './callback_guard.ts'
 import { requestServerOptions } from './caller_listener.ts'
 import { EntryListener } from './entry_listener.ts'
 import { createKeptRowsFetch } from './kept_rows.ts'
@@ -28,6 +30,8 @@
 
 /** Options of {@linkcode startPeerLink}. */
 export interface StartPeerLinkOptions {
+  /** Runs callbacks. */
+  guard: CallbackGuard
   /** Returns the current heartbeat of this instance. */
   getHeartbeat: () => PeerHeartbeat
   /** View of the peers. */
@@ -91,7 +95,7 @@
  * @returns The link, which is not listening yet; dispose it to stop
  */
 export function startPeerLink (options: StartPeerLinkOptions): PeerLink {
-  const { view, state, log, getNowMs } = options
+  const { guard, view, state, log, getNowMs } = options
   const ownHeartbeat = options.getHeartbeat()
   const socket = createSocket('udp4')
   const catchUp = createCatchUp({ storeDelayMs: options.storeDelayMs, getRandom: options.getRandom })
@@ -184,14 +188,16 @@
     })
   }
 
-  socket.on('message', (bytes, { address, port }) => {
+  function handleDatagram (bytes: Buffer, { address, port }: { address: string, port: number }): void {
     const text = bytes.toString('utf8')
     const update = parseUpdate(text)
     const heartbeat = update === undefined ? parseHeartbeat(text) : undefined
     if (update !== undefined) handleUpdate(update, { host: address, port })
     else if (heartbeat !== undefined) handleHeartbeat(heartbeat)
     else log.warn('heartbeat_undecodable', { bytes: bytes.length })
-  })
+  }
+
+  socket.on('message', (bytes, from) => guard.run(GuardedCallback.Datagram, () => handleDatagram(bytes, from)))
   socket.on('listening', () => {
     isOpen = true
     sendToAll(JSON.stringify(options.getIntroduction()))
@@ -201,11 +207,11 @@
     listInstances: () => [options.getHeartbeat(), ...view.listLive(getNowMs()).map(peer => peer.heartbeat)],
     countBytes: bytes => options.countBytes(PeerTraffic.State, bytes)
   })
-  const server = createServer(requestServerOptions, createPeerHandler({ handleRelayed: options.handleRelayed, handleStateCall, log }))
+  const server = createServer(requestServerOptions, createPeerHandler({ guard, handleRelayed: options.handleRelayed, handleStateCall, log }))
   server.maxHeadersCount = 0
   const countOpenPeers = countOpenResponses(server)
   const countLingering = applyGracefulClose(server)
-  const timer = setInterval(sendUpdates, options.intervalMs)
+  const timer = setInterval(() => guard.run(GuardedCallback.Task, sendUpdates), options.intervalMs)
 
   return {
     open: () => openListeners({ socket, server, heartbeat: ownHeartbeat, listeners: options.listeners }),
@@ -243,8 +249,8 @@
 }
 
 /** Creates the handler of the requests of peers: relayed ones, and calls for rows. */
-function createPeerHandler ({ handleRelayed, handleStateCall, log }: Pick<StartPeerLinkOptions, 'handleRelayed' | 'log'> & { handleStateCall: RequestListener }): RequestListener {
-  return (message, response) => {
+function createPeerHandler ({ guard, handleRelayed, handleStateCall, log }: Pick<StartPeerLinkOptions, 'guard' | 'handleRelayed' | 'log'> & { handleStateCall: RequestListener }): RequestListener {
+  function handleCall (message: IncomingMessage, response: ServerResponse): void {
     const relay = message.headers[relayField]
     const origin = parseRelayOrigin(typeof relay === 'string' ? relay : undefined, String(message.headers[relayVersionField] ?? ''))
     if (origin !== undefined) handleRelayed(message, response, origin)
@@ -254,4 +260,6 @@
       response.writeHead(400, { 'Content-Length': 0 }).end()
     }
   }
+
+  return (message, response) => guard.run(GuardedCallback.Call, () => handleCall(message, response), () => response.destroy())
 }
--- a/packages/bilberryd/src/edge/relayer.ts
+++ b/packages/bilberryd/src/edge/relayer.ts
@@ -34,6 +34,8 @@
 
 /** Options of {@linkcode createRelayer}. */
 export interface CreateRelayerOptions {
+  /** Runs a callback of an attempt, and ends the attempt if that throws. */
+  runGuarded: (attempt: Attempt, work: () => void) => void
   /** Settings of the instance. */
   settings: EntrySettings
   /** Replicated configuration. */
@@ -133,6 +135,7 @@
     const inFlight = relayPeers.recordStart(peer.instance)
     attempt.dispatches.push({ peer: peer.instance, afterMs: Math.round(attempt.dispatchedAtMs - attempt.arrivedAtMs), inFlight })
     sendRelayed(attempt, peer, {
+      runGuarded: work => options.runGuarded(attempt, work),
       instance: settings.instance,
       pool: options.peerPool,
       getNowMs,
@@ -171,9 +174,11 @@
         const isWaiting = attempt.phase === AttemptPhase.Dispatched && attempt.route.kind === RouteKind.Safe
         if (!isWaiting || relayPeers.isLive(attempt.currentPeer!)) continue
         const detail = `Instance "${attempt.currentPeer!}" sends neither a response nor heartbeats`
-        attempt.exchange?.cancel()
-        release(attempt)
-        handleResult(attempt, RelayResultKind.Lost, { detail })
+        options.runGuarded(attempt, () => {
+          attempt.exchange?.cancel()
+          release(attempt)
+          handleResult(attempt, RelayResultKind.Lost, { detail })
+        })
       }
     },
     count: () => relayed.size
--- a/packages/bilberryd/src/edge/request_handler.ts
+++ b/packages/bilberryd/src/edge/request_handler.ts
@@ -8,6 +8,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { AttemptFields } from '@bilberryworks/users-platform'
 import type { Attempt } from './attempt.ts'
+import type { CallbackGuard } from './callback_guard.ts'
 import type { EntryLog } from './entry_log.ts'
 import type { EntryMetrics } from './entry_metrics.ts'
 import type { EntryState } from './entry_state.ts'
@@ -18,6 +19,7 @@
 import { createNotRunRefusal, LifePhase, RefusalReason, RouteKind } from '@bilberryworks/steering'
 import { formatRetryAfter, readAttemptFields } from '@bilberryworks/users-platform'
 import { AttemptPhase } from './attempt.ts'
+import { GuardedCallback } from './callback_guard.ts'
 import { createOpenAttempts } from './open_attempts.ts'
 import { createStoppingRefusal } from './stopping.ts'
 import { createBufferAllowance } from './buffer_allowance.ts'
@@ -26,6 +28,8 @@
 
 /** Options of {@linkcode createRequestHandler}. */
 export interface CreateRequestHandlerOptions {
+  /** Runs callbacks. */
+  guard: CallbackGuard
   /** Replicated configuration and target registry. */
   state: EntryState
   /** Dispatcher that valid requests are submitted to. */
@@ -52,6 +56,8 @@
 const responseTransitMs = 20
 /** `Retry-After` of a refusal while the instance has no routing configuration, in milliseconds. */
 const noConfigRetryAfterMs = 500
+/** `Retry-After` of a request that the instance failed to handle, in milliseconds. */
+const failureRetryAfterMs = 100
 /** Bytes of the separators in a header field: colon, space and CRLF. */
 const fieldSeparatorBytes = 4
 
@@ -72,7 +78,7 @@
  * @returns The handler
  */
 export function createRequestHandler (options: CreateRequestHandlerOptions): RequestHandler {
-  const { state, dispatcher, life, log, metrics, getNowMs } = options
+  const { state, dispatcher, guard, life, log, metrics, getNowMs } = options
   const pipeline = createPipelineScheduler()
   const allowance = createBufferAllowance(maxReadAheadBytes)
   const openAttempts = createOpenAttempts(dispatcher)
@@ -84,6 +90,10 @@
     writeRefusal(response, refusal, formatRetryAfter)
   }
 
+  function refuseEarly (message: IncomingMessage, response: ServerResponse, end: { refusal: Refusal, relay?: RelayOrigin | undefined }): void {
+    guard.run(GuardedCallback.Request, () => writeEarlyRefusal(message, response, end), () => response.destroy())
+  }
+
   function createAttempt (message: IncomingMessage, response: ServerResponse, relay: RelayOrigin | undefined): Attempt | Refusal {
     const nowMs = getNowMs()
     const framing = checkFraming(message)
@@ -113,26 +123,13 @@
       deadlineAtMs: nowMs + Math.min(route.timeoutMs, (fields.timeLeftMs ?? Infinity) - responseTransitMs),
       tried: new Set(),
       targetsReached: relay?.targetsReached ?? 0,
-      dispatches: [],
-      phase: AttemptPhase.Arriving,
       prepareResponse () {
         // The response to a request that came before the stop was to keep its connection open.
         if (life.isStopping() && pipeline.isLast(message, response)) response.shouldKeepAlive = false
       },
-      body: undefined,
-      arrivingBody: undefined,
-      isBodyConsumed: false,
       relay,
-      triedPeers: new Set(),
-      currentPeer: undefined,
-      exchange: undefined,
-      currentTarget: undefined,
-      mayHaveRun: false,
       dispatchedAtMs: nowMs,
-      deadlineTimer: undefined,
-      fingerprint: undefined,
-      lastNotRunReason: undefined,
-      wasRefusedWithRoom: false
+      ...createUnsentState()
     }
   }
 
@@ -143,6 +140,11 @@
     return isOnRoute || relay.version > version ? relay.service : options.chooseService(route)
   }
 
+  /** Runs a callback of an attempt, and ends the attempt if that throws. */
+  function runGuarded (attempt: Attempt, work: () => void): void {
+    guard.run(GuardedCallback.Request, work, () => dispatcher.fail(attempt))
+  }
+
   /** Submits an attempt unless its caller turns out to have left already. */
   function submitConfirmed (attempt: Attempt): void {
     options.runAfterReads(() => {
@@ -159,6 +161,7 @@
       return
     }
     attempt.arrivingBody = collectBody(message, {
+      runGuarded: work => runGuarded(attempt, work),
       maxBufferedBytes: maxBufferedBodyBytes,
       allowance,
       maxBytes: state.getConfig()?.limits.maxBodyBytes ?? Infinity,
@@ -172,6 +175,15 @@
   }
 
   function handleRequest (message: IncomingMessage, response: ServerResponse, relay?: RelayOrigin): void {
+    let attempt: Attempt | undefined
+    guard.run(GuardedCallback.Request, () => admitRequest(message, response, { relay, onAttempt: created => { attempt = created } }), () => {
+      if (attempt !== undefined) return dispatcher.fail(attempt)
+      const refusal = createNotRunRefusal(RefusalReason.InternalError, 'Instance failed before the request was routed', failureRetryAfterMs)
+      refuseEarly(message, response, { refusal, relay })
+    })
+  }
+
+  function admitRequest (message: IncomingMessage, response: ServerResponse, { relay, onAttempt }: { relay: RelayOrigin | undefined, onAttempt: (attempt: Attempt) => void }): void {
     // The caller counts a request behind a response that closes the connection as not read, and sends it again.
     if (pipeline.isClosing(message.socket)) return
     const phase = life.getPhase(getNowMs())
@@ -179,19 +191,40 @@
     const isAccepted = phase === LifePhase.Running || phase === LifePhase.Leaving
     const attempt = isAccepted ? createAttempt(message, response, relay) : createStoppingRefusal()
     if ('outcome' in attempt) {
-      pipeline.schedule({ message, response, isSafe: true, start: () => writeEarlyRefusal(message, response, { refusal: attempt, relay }) })
+      pipeline.schedule({ message, response, isSafe: true, start: () => refuseEarly(message, response, { refusal: attempt, relay }) })
       return
     }
+    onAttempt(attempt)
     attempt.deadlineTimer = setTimeout(() => dispatcher.expire(attempt), Math.max(0, attempt.deadlineAtMs - getNowMs()))
     watchCaller(message, response, () => dispatcher.abandon(attempt))
     openAttempts.add(attempt)
-    pipeline.schedule({ message, response, isSafe: attempt.route.kind === RouteKind.Safe, start: () => submitAttempt(attempt) })
+    pipeline.schedule({ message, response, isSafe: attempt.route.kind === RouteKind.Safe, start: () => runGuarded(attempt, () => submitAttempt(attempt)) })
   }
 
   return {
     handleRequest,
     endRequests: () => openAttempts.end({ isEnding: life.getPhase(getNowMs()) === LifePhase.Ending }),
-    refuseRequest: (message, response, refusal) => writeEarlyRefusal(message, response, { refusal })
+    refuseRequest: (message, response, refusal) => refuseEarly(message, response, { refusal })
+  }
+}
+
+/** Creates the part of an attempt that records what has been done for it. */
+function createUnsentState () {
+  return {
+    dispatches: [],
+    phase: AttemptPhase.Arriving,
+    body: undefined,
+    arrivingBody: undefined,
+    isBodyConsumed: false,
+    triedPeers: new Set<string>(),
+    currentPeer: undefined,
+    exchange: undefined,
+    currentTarget: undefined,
+    mayHaveRun: false,
+    deadlineTimer: undefined,
+    fingerprint: undefined,
+    lastNotRunReason: undefined,
+    wasRefusedWithRoom: false
   }
 }
 
--- a/packages/bilberryd/src/edge/run_entry.ts
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -9,6 +9,7 @@
 import type { StoreClient } from '@bilberryworks/users-platform'
 import type { ListenerContext } from '../listen_on.ts'
 import type { StopRequest } from '../process_signals.ts'
+import type { CallbackGuard } from './callback_guard.ts'
 import type { EntryComponents } from './entry_components.ts'
 import type { EntryLog } from './entry_log.ts'
 import type { EntryOptions } from './entry_options.ts'
@@ -21,6 +22,7 @@
 import { createStoreClient, operatorTable, targetTable } from '@bilberryworks/users-platform'
 import { listenOn } from '../listen_on.ts'
 import { applyCallerLimits, createCallerListener } from './caller_listener.ts'
+import { createCallbackGuard, GuardedCallback } from './callback_guard.ts'
 import { createEntryComponents } from './entry_components.ts'
 import { EntryListener } from './entry_listener.ts'
 import { defaultEntryOptions } from './entry_options.ts'
@@ -80,7 +82,9 @@
   const life = createLifeCycle({ graceMs: settings.bounds.graceMs })
   const metrics = createEntryMetrics({ readers: createGaugeReaders(() => components, { log, takeMaxDelayMs, getNowMs }), countLostLines: log.countLost })
   let maxDelayMs = 0
+  const guard = createCallbackGuard({ log, metrics, getNowMs })
   const components = cleanup.add(createEntryComponents({
+    guard,
     settings,
     startedAtMs: Date.now(),
     log,
@@ -105,7 +109,7 @@
   const hasAccepted = (): boolean => callers.listening || countOpen() > 0
   const describeLoad = (): Record<string, number> => ({ open: countOpen(), inFlight: dispatcher.countInFlight(), waiting: dispatcher.countWaiting() })
   const hasHomeRegions = (): boolean => state.getConfig()?.routes.some(route => route.homeRegions.length > 0) ?? false
-  const lookUps = createLookUpListener({ settings, view, getHeartbeat, getNowMs, hasHomeRegions })
+  const lookUps = createLookUpListener({ guard, settings, view, getHeartbeat, getNowMs, hasHomeRegions })
   const readiness = createReadinessListener(isReady)
   const waits = new AbortController()
   options.stopRequested?.then(() => waits.abort(), () => {})
@@ -117,9 +121,9 @@
   const { bounds } = settings
   const targetPauseMs = Math.round(bounds.drainMs * targetPauseShare)
   const heartbeatTimes = { intervalMs: heartbeatIntervalMs, remoteIntervals: remoteHeartbeatIntervals, storeDelayMs: targetPauseMs * catchUpPauses }
-  const link = cleanup.add(startPeerLink({ ...heartbeatTimes, getHeartbeat, getIntroduction: () => ({ ...getHeartbeat(), crashReports: crashGuard.listWorst() }), view, state, seeds: settings.seeds, countBytes: metrics.countPeerBytes, handleTargetReports: targetReports.handlePeerReports, handleCrashReports: crashGuard.mergeReports, handleRelayed: requestHandler.handleRequest, listeners, log, getNowMs, getRandom }))
+  const link = cleanup.add(startPeerLink({ guard, ...heartbeatTimes, getHeartbeat, getIntroduction: () => ({ ...getHeartbeat(), crashReports: crashGuard.listWorst() }), view, state, seeds: settings.seeds, countBytes: metrics.countPeerBytes, handleTargetReports: targetReports.handlePeerReports, handleCrashReports: crashGuard.mergeReports, handleRelayed: requestHandler.handleRequest, listeners, log, getNowMs, getRandom }))
   const store = cleanup.add(createStoreClient(settings.store))
-  for (const replication of startReplications({ store, state, bounds, targetPauseMs, log, getNowMs, getRandom })) cleanup.add(replication)
+  for (const replication of startReplications({ guard, store, state, bounds, targetPauseMs, log, getNowMs, getRandom })) cleanup.add(replication)
   const discovery = createPeerDiscovery({ store, view, log })
   discovery.join(getHeartbeat()).then(() => link.announce()).catch((error: Error) => log.warn('join_failed', { detail: error.message }))
   link.fetchFromSeeds().then(() => link.announce()).catch((error: Error) => log.warn('seeds_failed', { detail: error.message }))
@@ -136,7 +140,7 @@
     },
     runTasks (nowMs) {
       components.runMaintenance(nowMs)
-      link.catchUp()
+      guard.run(GuardedCallback.Task, link.catchUp)
     }
   }))
 
@@ -203,6 +207,8 @@
 
 /** Options of {@linkcode startReplications}. */
 interface StartReplicationsOptions {
+  /** Runs callbacks. */
+  guard: CallbackGuard
   /** The store. */
   store: StoreClient
   /** State that the tables are merged into. */
@@ -220,12 +226,13 @@
 }
 
 /** Starts the replication of all tables. */
-function startReplications ({ store, state, bounds, targetPauseMs, log, getNowMs, getRandom }: StartReplicationsOptions): AsyncDisposable[] {
+function startReplications ({ guard, store, state, bounds, targetPauseMs, log, getNowMs, getRandom }: StartReplicationsOptions): AsyncDisposable[] {
   const tables = [
     { table: operatorTable, replicated: ReplicatedTable.Operator, pauseMs: 0 },
     { table: targetTable, replicated: ReplicatedTable.Targets, pauseMs: targetPauseMs }
   ]
   return tables.map(({ table, replicated, pauseMs }) => startTableReplication({
+    guard,
     store,
     table,
     schedule: createPollSchedule({ stableMs: bounds.stableMs, getRandom }),
--- a/packages/bilberryd/src/edge/send_attempt.ts
+++ b/packages/bilberryd/src/edge/send_attempt.ts
@@ -9,11 +9,13 @@
 import type { CreateResponseWriterOptions, ResponseWriter } from './response_writer.ts'
 import type { CreateBodySenderOptions } from './send_body.ts'
 import type { Attempt } from './attempt.ts'
+import type { RunGuarded } from './guard_exchange.ts'
 import { recordResponseTime, RouteKind } from '@bilberryworks/steering'
 import { ExchangeFailure } from '@bilberryworks/targets'
 import { readResponseFields } from '@bilberryworks/users-platform'
 import { createResponseWriter } from './response_writer.ts'
 import { AttemptPhase } from './attempt.ts'
+import { createGuardedExchange } from './guard_exchange.ts'
 import { buildRequestHead } from './request_head.ts'
 import { createBodySender } from './send_body.ts'
 import { formatRelayResult, relayHeader } from './relay_message.ts'
@@ -40,6 +42,8 @@
 
 /** Options of {@linkcode sendAttempt}. */
 export interface SendAttemptOptions {
+  /** Runs callbacks of the attempt. */
+  runGuarded: RunGuarded
   /** Connections to targets. */
   pool: TargetPool
   /** Maximum size of the request body, in bytes. */
@@ -81,7 +85,7 @@
 /**
  * Sends an attempt to a target.
  *
- * @param attempt The attempt, whose `exchange` is set
+ * @param attempt The attempt, whose `exchange` is set until it has ended
  * @param entry The target
  * @param options Connections, limits and callbacks
  */
@@ -93,11 +97,12 @@
   let withheldResult: WithheldResult | undefined
   let withheldBytes = 0
   let withheldTimer: NodeJS.Timeout | undefined
+  let hasEnded = false
 
   /** Withholds the response from the caller; its body is received only so that the connection can be used again. */
   function startWithholding (result: WithheldResult): void {
     withheldResult = result
-    withheldTimer = setTimeout(dropWithheld, maxWithheldMs, `did not end within ${maxWithheldMs} ms`)
+    withheldTimer = setTimeout(() => options.runGuarded(() => dropWithheld(`did not end within ${maxWithheldMs} ms`)), maxWithheldMs)
   }
 
   function dropWithheld (detail: string): void {
@@ -107,12 +112,13 @@
   }
 
   function finish (result: ExchangeResult, detail: string): void {
+    hasEnded = true
     clearTimeout(withheldTimer)
     options.onEnd(result, detail)
   }
 
   const writeBody = attempt.body === undefined ? {} : { writeBody: createBodySender(attempt.message, attempt.body, createBodyOptions(attempt, options)) }
-  const exchange = options.pool.send(target, {
+  const guarded = createGuardedExchange({
     head: buildRequestHead(attempt, { targetId: target.id, timeLeftMs: attempt.deadlineAtMs - options.getNowMs() }),
     ...writeBody,
     isBodiless: attempt.message.method === 'HEAD',
@@ -152,8 +158,10 @@
       else if (withheldResult !== undefined && withheldResult !== ExchangeResult.Failed) finish(withheldResult, detail)
       else finish(resultByFailure[failure], detail)
     }
-  })
-  attempt.exchange = exchange
+  }, options.runGuarded)
+  const exchange = options.pool.send(target, guarded.exchange)
+  if (guarded.hasFailed()) exchange.cancel()
+  else if (!hasEnded) attempt.exchange = exchange
 }
 
 /**
@@ -201,8 +209,9 @@
  * @param options Limit of the body, in bytes, and what to do with a longer one
  * @returns The options
  */
-export function createBodyOptions (attempt: Attempt, options: Pick<SendAttemptOptions, 'maxBodyBytes' | 'onBodyTooLarge'>): CreateBodySenderOptions {
+export function createBodyOptions (attempt: Attempt, options: Pick<SendAttemptOptions, 'runGuarded' | 'maxBodyBytes' | 'onBodyTooLarge'>): CreateBodySenderOptions {
   return {
+    runGuarded: options.runGuarded,
     maxBytes: options.maxBodyBytes,
     onConsumed () {
       attempt.isBodyConsumed = true
--- a/packages/bilberryd/src/edge/send_body.ts
+++ b/packages/bilberryd/src/edge/send_body.ts
@@ -6,12 +6,15 @@
 import type { Exchange } from '@bilberryworks/targets'
 import type { IncomingMessage } from 'node:http'
 import type { CollectedBody } from './collect_body.ts'
+import type { RunGuarded } from './guard_exchange.ts'
 
 const lastChunk = Buffer.from('0\r\n\r\n')
 const emptyBuffer = Buffer.alloc(0)
 
 /** Options of {@linkcode createBodySender}. */
 export interface CreateBodySenderOptions {
+  /** Runs callbacks of the message. */
+  runGuarded: RunGuarded
   /** Called before unbuffered bytes are sent, after which the request can't be retried. */
   onConsumed: () => void
   /** Called for each chunk received beyond `maxBytes`; such chunks are not sent. */
@@ -40,7 +43,7 @@
     for (const part of body.parts) send(part)
     options.onConsumed()
     let bytes = body.bytes
-    message.on('data', (part: Buffer) => {
+    message.on('data', (part: Buffer) => options.runGuarded(() => {
       bytes += part.length
       if (bytes > options.maxBytes) {
         options.onTooLarge()
@@ -48,8 +51,8 @@
         message.pause()
         onDrain(() => message.resume())
       }
-    })
-    message.on('end', () => write(isChunked ? lastChunk : emptyBuffer, true))
+    }))
+    message.on('end', () => options.runGuarded(() => { write(isChunked ? lastChunk : emptyBuffer, true) }))
     message.resume()
   }
 }
--- a/packages/bilberryd/src/edge/send_relayed.ts
+++ b/packages/bilberryd/src/edge/send_relayed.ts
@@ -6,11 +6,13 @@
 import type { Refusal } from '@bilberryworks/steering'
 import type { ResponseHead, TargetPool } from '@bilberryworks/targets'
 import type { Attempt } from './attempt.ts'
+import type { RunGuarded } from './guard_exchange.ts'
 import type { PeerHeartbeat } from './peer_view.ts'
 import type { ResponseWriter } from './response_writer.ts'
 import { Outcome } from '@bilberryworks/steering'
 import { ExchangeFailure } from '@bilberryworks/targets'
 import { attemptIdHeader } from '@bilberryworks/users-platform'
+import { createGuardedExchange } from './guard_exchange.ts'
 import { buildRelayHead } from './request_head.ts'
 import { createWriterOptions, createBodyOptions, recordSendStart } from './send_attempt.ts'
 import { createResponseWriter } from './response_writer.ts'
@@ -33,6 +35,8 @@
 
 /** Options of {@linkcode sendRelayed}. */
 export interface SendRelayedOptions {
+  /** Runs callbacks of the attempt. */
+  runGuarded: RunGuarded
   /** Name of this instance. */
   instance: string
   /** Connections to other instances. */
@@ -77,11 +81,17 @@
   let writer: ResponseWriter | undefined
   let refusal: Refusal | undefined
   let refusalBytes = 0
+  let hasEnded = false
+
+  function finish (result: RelayResultKind, end: { detail: string, refusal?: Refusal }): void {
+    hasEnded = true
+    options.onEnd(result, end)
+  }
 
   function failRelay (detail: string): void {
     if (attempt.exchange !== exchange) return
     exchange.cancel()
-    options.onEnd(RelayResultKind.Lost, { detail })
+    finish(RelayResultKind.Lost, { detail })
   }
 
   function readHead (head: ResponseHead): void {
@@ -99,7 +109,7 @@
   }
 
   const writeBody = attempt.body === undefined ? {} : { writeBody: createBodySender(attempt.message, attempt.body, createBodyOptions(attempt, options)) }
-  const exchange = options.pool.send({ id: peer.instance, address: peer.peers }, {
+  const guarded = createGuardedExchange({
     head: buildRelayHead(attempt, { instance: options.instance, timeLeftMs: attempt.deadlineAtMs - options.getNowMs() - options.transitMs }),
     ...writeBody,
     isBodiless: attempt.message.method === 'HEAD',
@@ -119,14 +129,16 @@
     },
     onEnd () {
       writer?.end()
-      options.onEnd(refusal === undefined ? RelayResultKind.Answered : RelayResultKind.Refused, { detail: refusal?.detail ?? '', ...refusal === undefined ? {} : { refusal } })
+      finish(refusal === undefined ? RelayResultKind.Answered : RelayResultKind.Refused, { detail: refusal?.detail ?? '', ...refusal === undefined ? {} : { refusal } })
     },
     onFail (failure, detail) {
-      if (writer?.isCommitted() === true) options.onEnd(RelayResultKind.Truncated, { detail })
+      if (writer?.isCommitted() === true) finish(RelayResultKind.Truncated, { detail })
       // The head of the refusal is sufficient, even if its body is lost.
-      else if (refusal !== undefined) options.onEnd(RelayResultKind.Refused, { detail, refusal })
-      else options.onEnd(resultByFailure[failure], { detail })
+      else if (refusal !== undefined) finish(RelayResultKind.Refused, { detail, refusal })
+      else finish(resultByFailure[failure], { detail })
     }
-  })
-  attempt.exchange = exchange
+  }, options.runGuarded)
+  const exchange = options.pool.send({ id: peer.instance, address: peer.peers }, guarded.exchange)
+  if (guarded.hasFailed()) exchange.cancel()
+  else if (!hasEnded) attempt.exchange = exchange
 }
--- a/packages/bilberryd/src/edge/table_replication.ts
+++ b/packages/bilberryd/src/edge/table_replication.ts
@@ -5,9 +5,11 @@
  */
 import type { PollSchedule } from '@bilberryworks/steering'
 import type { StoreClient } from '@bilberryworks/users-platform'
+import type { CallbackGuard } from './callback_guard.ts'
 import type { TableUpdate } from './table_replica.ts'
 import { setTimeout } from 'node:timers/promises'
 import { StoreFailureKind } from '@bilberryworks/users-platform'
+import { GuardedCallback } from './callback_guard.ts'
 
 /** A call to the store that failed. */
 export interface FailedCall {
@@ -23,6 +25,8 @@
 
 /** Options of {@linkcode startTableReplication}. */
 export interface StartTableReplicationOptions {
+  /** Runs callbacks. */
+  guard: CallbackGuard
   /** The store. */
   store: StoreClient
   /** Name of the table. */
@@ -87,11 +91,21 @@
       await waitUnlessAborted(signal, retryMs)
       continue
     }
-    schedule.recordResponse()
     respondedAtMs = options.getNowMs()
     options.onContact(undefined)
     version = reply.value.version
-    options.onUpdate({ asOf: version, isSnapshot: after === undefined, changes: reply.value.rows })
+    let isApplied = false
+    options.guard.run(GuardedCallback.Rows, () => {
+      options.onUpdate({ asOf: reply.value.version, isSnapshot: after === undefined, changes: reply.value.rows })
+      isApplied = true
+    })
+    if (!isApplied) {
+      // Parts of the rows may be missing, so all are read again.
+      version = undefined
+      await waitUnlessAborted(signal, schedule.recordFailure())
+      continue
+    }
+    schedule.recordResponse()
     if (after !== undefined) isHistoryGone = false
     if (after !== undefined && reply.value.rows.length > 0) await waitUnlessAborted(signal, options.pauseMs)
   }
--- a/packages/bilberryd/src/edge/table_replication_test.ts
+++ b/packages/bilberryd/src/edge/table_replication_test.ts
@@ -4,6 +4,7 @@
 import { createPollSchedule } from '@bilberryworks/steering'
 import { StoreFailureKind } from '@bilberryworks/users-platform'
 import { err, ok } from 'neverthrow'
+import { noGuard } from './callback_guard.ts'
 import { startTableReplication } from './table_replication.ts'
 
 const observedMs = 1_000
@@ -23,7 +24,7 @@
     return ok<StoreRows>({ rows: [], version: 1 })
   }
   const store = { readRows: isTableReadable ? succeed : fail, readChanges: fail } as unknown as StoreClient
-  const replication = startTableReplication({ store, table: 't', schedule: createPollSchedule({ stableMs: 4_000, getRandom: () => 0 }), pauseMs: 0, onUpdate: () => {}, onContact: () => {}, onCallFailed: () => {}, getNowMs: () => performance.now() })
+  const replication = startTableReplication({ guard: noGuard, store, table: 't', schedule: createPollSchedule({ stableMs: 4_000, getRandom: () => 0 }), pauseMs: 0, onUpdate: () => {}, onContact: () => {}, onCallFailed: () => {}, getNowMs: () => performance.now() })
   await wait(observedMs)
   await replication[Symbol.asyncDispose]()
   return calls
--- a/packages/bilberryd/src/edge/target_sender.ts
+++ b/packages/bilberryd/src/edge/target_sender.ts
@@ -21,6 +21,8 @@
 
 /** Options of {@linkcode createTargetSender}. */
 export interface CreateTargetSenderOptions {
+  /** Runs a callback of an attempt, and ends the attempt if that throws. */
+  runGuarded: (attempt: Attempt, work: () => void) => void
   /** Replicated configuration and target registry. */
   state: EntryState
   /** Connections to targets. */
@@ -74,6 +76,7 @@
     exchanges.add(attempt, entry)
     metrics.recordStage(RequestStage.Queue, attempt.route.kind, getNowMs() - attempt.arrivedAtMs)
     sendAttempt(attempt, entry, {
+      runGuarded: work => options.runGuarded(attempt, work),
       pool,
       getNowMs,
       maxBodyBytes: state.getConfig()?.limits.maxBodyBytes ?? Infinity,
--- a/packages/bilberryd/src/edge/unreachable_retries.ts
+++ b/packages/bilberryd/src/edge/unreachable_retries.ts
@@ -12,6 +12,8 @@
 
 /** Options of {@linkcode createUnreachableRetries}. */
 export interface CreateUnreachableRetriesOptions {
+  /** Runs a callback of an attempt, and ends the attempt if that throws. */
+  runGuarded: (attempt: Attempt, work: () => void) => void
   /** Exchanges in progress with targets. */
   exchanges: ActiveExchanges
   /** Network paths to targets. */
@@ -30,7 +32,7 @@
  * @param options Exchanges and paths
  * @returns The function
  */
-export function createUnreachableRetries ({ exchanges, reach, getBudget, handleExchangeResult, getNowMs }: CreateUnreachableRetriesOptions): () => void {
+export function createUnreachableRetries ({ runGuarded, exchanges, reach, getBudget, handleExchangeResult, getNowMs }: CreateUnreachableRetriesOptions): () => void {
   /** Retries an attempt unless it would be refused, since its response may still arrive. */
   function retryStalled (attempt: Attempt): void {
     if (getBudget(attempt.service).computeRemaining(getNowMs()) < 1) return
@@ -40,10 +42,12 @@
 
   function retryUnreachable (): void {
     for (const attempt of exchanges.listUnreachable()) {
-      exchanges.cancel(attempt, TargetSignal.Lost)
-      handleExchangeResult(attempt, ExchangeResult.Lost, 'Target sends no responses and accepts no connections')
+      runGuarded(attempt, () => {
+        exchanges.cancel(attempt, TargetSignal.Lost)
+        handleExchangeResult(attempt, ExchangeResult.Lost, 'Target sends no responses and accepts no connections')
+      })
     }
-    if (reach.hasLost()) for (const attempt of exchanges.listWaitingFor(reach.isStalled)) retryStalled(attempt)
+    if (reach.hasLost()) for (const attempt of exchanges.listWaitingFor(reach.isStalled)) runGuarded(attempt, () => retryStalled(attempt))
   }
 
   return retryUnreachable
--- a/packages/steering/src/outcomes.ts
+++ b/packages/steering/src/outcomes.ts
@@ -63,7 +63,9 @@
   TargetLost = 'target_lost',
   TargetTimeout = 'target_timeout',
   CallerGone = 'caller_gone',
-  Stopping = 'stopping'
+  Stopping = 'stopping',
+  /** An exception was thrown while the instance handled the request. */
+  InternalError = 'internal_error'
 }
 
 /** Reason why an instance retried a request. */
