Name a function by a verb of the style page

The function that closes a connection which has carried nothing began with 'destroy', which docs/STYLE.md does not list, so that the linter failed on the joined tree. It is closeUnused now; nothing else changes. The linter passes; idle_pause_test covers the function.

--- a/packages/callers/src/client_errors.ts
+++ b/packages/callers/src/client_errors.ts
@@ -65,7 +65,7 @@
     // A connection that timed out before its first byte is closed like an idle one: the caller would read a refusal as the
     // response to the request that it sends next.
     const isUnused = error.code === requestTimeoutCode && socket.bytesRead === 0
-    if (isUnused) destroyUnused(socket)
+    if (isUnused) closeUnused(socket)
     else if (disconnectCodes.has(error.code ?? '')) socket.destroy()
     else refuse(socket, reasonByCode[error.code ?? ''] ?? RefusalReason.BadRequest, error.message)
   })
@@ -75,7 +75,7 @@
 }
 
 /** Destroys a connection that has carried nothing, unless its first request has arrived and is not read yet, as after a pause of the process. */
-function destroyUnused (socket: Socket): void {
+function closeUnused (socket: Socket): void {
   runAfterReads(() => { if (socket.bytesRead === 0) socket.destroy() })
 }
 
