Take what the host refuses for no evidence against targets

Callers of an instance whose host had no descriptors left were refused as target_unreachable, since each connection that the kernel refused counted as a failure of the target: circuits opened, whole groups of targets were lost, peers were told, and the targets counted as cold afterwards.

Errors are told apart by their code: limits of the host, refusals by the host of one address, missing routes, and the other side. The first two are no evidence of anything else; a check of whether a target still listens that the host refuses shows nothing.

--- a/packages/bilberryd/src/edge/entry_components.ts
+++ b/packages/bilberryd/src/edge/entry_components.ts
@@ -18,7 +18,7 @@
 import type { RelaySettings } from './entry_options.ts'
 import type { RequestHandler } from './request_handler.ts'
 import type { TargetReports } from './target_reports.ts'
-import { createAttemptPacer, createWeightedRoundRobin, LifePhase } from '@bilberryworks/steering'
+import { createAttemptPacer, createWeightedRoundRobin, FailureSide, getFailureSide, LifePhase } from '@bilberryworks/steering'
 import { ConnectionEvent } from '@bilberryworks/targets'
 import { GuardedCallback, noGuard } from './callback_guard.ts'
 import { createCrashGuard } from './crash_guard.ts'
@@ -74,7 +74,7 @@
   /** Metrics. */
   metrics: EntryMetrics
   /** Creates the connections to targets; the callback is to be called with each event of a connection. */
-  createPool: (onConnectionEvent: (event: ConnectionEvent, targetId: string) => void) => TargetPool
+  createPool: (onConnectionEvent: (event: ConnectionEvent, targetId: string, code?: string) => void) => TargetPool
   /** Connections to other instances. */
   peerPool: TargetPool
   /** Connects to an address, to tell whether a process listens there. */
@@ -166,11 +166,14 @@
     dispatcher.dispatchWaiting()
   }
 
-  function handleConnectionEvent (event: ConnectionEvent, targetId: string): void {
+  function handleConnectionEvent (event: ConnectionEvent, targetId: string, code?: string): void {
+    const side = getFailureSide(code)
     metrics.countConnectionEvent(event)
+    if (event === ConnectionEvent.ConnectFailed || event === ConnectionEvent.RefusedLocally) metrics.countConnectFailure(side)
     reach.handleConnectionEvent(event, targetId)
     const entry = state.targets.find(targetId)
-    const mayHaveEnded = event === ConnectionEvent.ClosedByTarget || event === ConnectionEvent.ConnectFailed
+    // Without a route, nothing shows whether a process ended.
+    const mayHaveEnded = event === ConnectionEvent.ClosedByTarget || (event === ConnectionEvent.ConnectFailed && side === FailureSide.Remote)
     if (entry !== undefined && mayHaveEnded && reach.isReached(entry)) crashGuard.recordClose(entry)
   }
 
--- a/packages/bilberryd/src/edge/entry_metrics.ts
+++ b/packages/bilberryd/src/edge/entry_metrics.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { RouteKind } from '@bilberryworks/steering'
-import { ColdEvidence, Outcome, RefusalReason, RetryReason } from '@bilberryworks/steering'
+import { ColdEvidence, FailureSide, Outcome, RefusalReason, RetryReason } from '@bilberryworks/steering'
 import { ConnectionEvent } from '@bilberryworks/targets'
 import { GuardedCallback } from './callback_guard.ts'
 import { EntryListener } from './entry_listener.ts'
@@ -69,6 +69,8 @@
   countQuarantined (): void
   /** Counts an event of a connection to a target. */
   countConnectionEvent (event: ConnectionEvent): void
+  /** Counts a connection to a target that was not established, by the side on which it failed. */
+  countConnectFailure (side: FailureSide): void
   /** Counts a request that was sent through another instance, by result. */
   countRelayed (result: RelayResultKind): void
   /** Counts bytes sent to peers, by kind of message. */
@@ -154,6 +156,7 @@
   const coldEvidence = new Counter({ name: 'bilberry_cold_targets_total', help: 'Evidence that a target is cold, by kind', labelNames: ['evidence'], registers })
   const quarantined = new Counter({ name: 'bilberry_requests_quarantined_total', help: 'Requests that are refused because targets ended whenever they ran them, each counted once', registers })
   const connectionEvents = new Counter({ name: 'bilberry_target_connection_events_total', help: 'Events of connections to targets, by kind', labelNames: ['event'], registers })
+  const connectFailures = new Counter({ name: 'bilberry_connect_failures_total', help: 'Connections to targets that were not established, by the side on which they failed', labelNames: ['side'], registers })
   const relayed = new Counter({ name: 'bilberry_relayed_requests_total', help: 'Requests sent through another instance, by result', labelNames: ['result'], registers })
   const peerBytes = new Counter({ name: 'bilberry_peer_bytes_total', help: 'Bytes sent to other instances, by kind of message', labelNames: ['message'], registers })
   const listenerErrors = new Counter({ name: 'bilberry_listener_errors_total', help: 'Errors of open listeners, such as those of accepting a connection, by listener', labelNames: ['listener'], registers })
@@ -175,6 +178,7 @@
   for (const report of Object.values(TargetReport)) targetReports.inc({ report }, 0)
   for (const evidence of Object.values(ColdEvidence)) coldEvidence.inc({ evidence }, 0)
   for (const event of Object.values(ConnectionEvent)) connectionEvents.inc({ event }, 0)
+  for (const side of Object.values(FailureSide)) connectFailures.inc({ side }, 0)
   for (const result of Object.values(RelayResultKind)) relayed.inc({ result }, 0)
   for (const message of Object.values(PeerTraffic)) peerBytes.inc({ message }, 0)
   for (const callback of Object.values(GuardedCallback)) callbackErrors.inc({ callback }, 0)
@@ -197,6 +201,7 @@
     countColdEvidence: evidence => coldEvidence.inc({ evidence }),
     countQuarantined: () => quarantined.inc(),
     countConnectionEvent: event => connectionEvents.inc({ event }),
+    countConnectFailure: side => connectFailures.inc({ side }),
     countRelayed: result => relayed.inc({ result }),
     countPeerBytes: (message, bytes) => peerBytes.inc({ message }, bytes),
     countCallbackError: callback => callbackErrors.inc({ callback }),
--- a/packages/bilberryd/src/edge/exchange_results.ts
+++ b/packages/bilberryd/src/edge/exchange_results.ts
@@ -79,6 +79,11 @@
         attempt.lastNotRunReason = RefusalReason.TargetUnreachable
         retryAttempt(attempt, { reason: RetryReason.ConnectFailed, consumesBudget: false, detail })
         break
+      case ExchangeResult.RefusedLocally:
+        // An earlier version does not know the reason for which another instance refuses what it relays.
+        attempt.lastNotRunReason = attempt.relay === undefined ? RefusalReason.HostLimit : RefusalReason.RelayLimit
+        retryAttempt(attempt, { reason: RetryReason.RefusedLocally, consumesBudget: false, detail })
+        break
       case ExchangeResult.Withdrawn:
         attempt.lastNotRunReason = RefusalReason.NoUsableTarget
         retryAttempt(attempt, { reason: RetryReason.TargetExcluded, consumesBudget: false, detail })
--- a/packages/bilberryd/src/edge/reach_monitor.ts
+++ b/packages/bilberryd/src/edge/reach_monitor.ts
@@ -185,7 +185,7 @@
       } else if (event === ConnectionEvent.ConnectFailed) {
         reach.recordConnectFailure(entry, getNowMs())
         advance()
-      }
+      } else if (event === ConnectionEvent.RefusedLocally) reach.recordUnchecked(entry)
     },
     recordSend: silence.recordSend,
     recordResponse (entry) {
--- a/packages/bilberryd/src/edge/relayer.ts
+++ b/packages/bilberryd/src/edge/relayer.ts
@@ -121,6 +121,7 @@
     if (result === RelayResultKind.Refused) return handleRefusal(attempt, refusal!)
     if (result === RelayResultKind.Truncated) return finisher.abort(attempt, createUnknownRefusal(RefusalReason.PeerLost, detail))
     const unreachable = createNotRunRefusal(RefusalReason.PeerUnreachable, detail)
+    if (result === RelayResultKind.RefusedLocally) return retryAttempt(attempt, { reason: RetryReason.RefusedLocally, consumesBudget: false, detail, refusal: createNotRunRefusal(RefusalReason.HostLimit, detail) })
     if (result === RelayResultKind.Unsent) retryAttempt(attempt, { reason: RetryReason.PeerUnreachable, consumesBudget: false, detail, refusal: unreachable })
     else if (attempt.route.kind === RouteKind.Safe) retryAttempt(attempt, { reason: RetryReason.IdempotentLost, consumesBudget: true, detail, refusal: unreachable })
     else finisher.refuse(attempt, createUnknownRefusal(RefusalReason.PeerLost, detail))
--- a/packages/bilberryd/src/edge/send_attempt.ts
+++ b/packages/bilberryd/src/edge/send_attempt.ts
@@ -30,12 +30,16 @@
   Misdirected = 'misdirected',
   /** The connection was not established, so no byte was sent. */
   ConnectFailed = 'unsent',
+  /** This host refused the connection, so no byte was sent, and nothing is known of the target. */
+  RefusedLocally = 'refused_locally',
   /** The target was excluded from selection before a byte was sent, for example because it is leaving. */
   Withdrawn = 'withdrawn',
   /** The response was complete, but must not be forwarded to the caller. */
   Failed = 'failed',
   /** The connection failed before any part of the response was forwarded to the caller. */
   Lost = 'lost',
+  /** The same for want of resources of this host, which is no evidence of the target. */
+  LostLocally = 'lost_locally',
   /** The connection failed after a part of the response was forwarded to the caller. */
   Truncated = 'broken'
 }
@@ -69,8 +73,10 @@
 
 const resultByFailure: Record<ExchangeFailure, ExchangeResult> = {
   [ExchangeFailure.ConnectFailed]: ExchangeResult.ConnectFailed,
+  [ExchangeFailure.RefusedLocally]: ExchangeResult.RefusedLocally,
   [ExchangeFailure.Withdrawn]: ExchangeResult.Withdrawn,
   [ExchangeFailure.Lost]: ExchangeResult.Lost,
+  [ExchangeFailure.LostLocally]: ExchangeResult.LostLocally,
   [ExchangeFailure.Malformed]: ExchangeResult.Lost
 }
 
--- a/packages/bilberryd/src/edge/send_relayed.ts
+++ b/packages/bilberryd/src/edge/send_relayed.ts
@@ -27,6 +27,8 @@
   Refused = 'refused',
   /** No connection to the peer was established, or the request was withdrawn before a byte was sent. */
   Unsent = 'unsent',
+  /** This host refused the connection to the peer, so no byte was sent. */
+  RefusedLocally = 'refused_locally',
   /** The connection to the peer failed, or the peer sent no valid response, before any part of a response was forwarded to the caller. */
   Lost = 'lost',
   /** The connection failed after a part of the response was forwarded to the caller. */
@@ -62,8 +64,10 @@
 
 const resultByFailure: Record<ExchangeFailure, RelayResultKind> = {
   [ExchangeFailure.ConnectFailed]: RelayResultKind.Unsent,
+  [ExchangeFailure.RefusedLocally]: RelayResultKind.RefusedLocally,
   [ExchangeFailure.Withdrawn]: RelayResultKind.Unsent,
   [ExchangeFailure.Lost]: RelayResultKind.Lost,
+  [ExchangeFailure.LostLocally]: RelayResultKind.Lost,
   [ExchangeFailure.Malformed]: RelayResultKind.Lost
 }
 
--- a/packages/bilberryd/src/edge/target_end_detector.ts
+++ b/packages/bilberryd/src/edge/target_end_detector.ts
@@ -77,7 +77,7 @@
   async function checkRun (entry: RegisteredTarget, run: EndingRun): Promise<void> {
     const { target } = entry
     const state = await checkListening(target.address, { timeoutMs: checkTimeoutMs })
-    if (state === ListeningState.Listening || !await confirmPath(entry)) {
+    if (state === ListeningState.Listening || state === ListeningState.Unchecked || !await confirmPath(entry)) {
       runs.delete(entry)
       return
     }
--- a/packages/bilberryd/src/edge/target_sender.ts
+++ b/packages/bilberryd/src/edge/target_sender.ts
@@ -58,8 +58,10 @@
   [ExchangeResult.NotRun]: TargetSignal.Refused,
   [ExchangeResult.Misdirected]: TargetSignal.Misdirected,
   [ExchangeResult.ConnectFailed]: TargetSignal.ConnectFailed,
+  [ExchangeResult.RefusedLocally]: TargetSignal.Ended,
   [ExchangeResult.Withdrawn]: TargetSignal.Ended,
   [ExchangeResult.Lost]: TargetSignal.Lost,
+  [ExchangeResult.LostLocally]: TargetSignal.Ended,
   [ExchangeResult.Truncated]: TargetSignal.Lost
 }
 
--- a/packages/standins/src/failing_connections_test.ts
+++ b/packages/standins/src/failing_connections_test.ts
@@ -25,11 +25,11 @@
 }
 
 /** Creates the parts of an instance whose connections fail when they are opened, all with the same event. */
-function createInstance (event: ConnectionEvent, moment: FailureMoment) {
+function createInstance (event: ConnectionEvent, moment: FailureMoment, code?: string) {
   let opened = 0
   let openedInTurn = 0
   let maxInTurn = 0
-  let report: (event: ConnectionEvent, targetId: string) => void = () => {}
+  let report: (event: ConnectionEvent, targetId: string, code?: string) => void = () => {}
   function runLater<T> (run: () => T): Promise<T> {
     opened++
     if (openedInTurn++ === 0) setImmediate(() => { openedInTurn = 0 })
@@ -41,7 +41,7 @@
   const pool: TargetPool = {
     send: () => { throw new Error('No request is sent') },
     openIdle: ({ id }) => runLater(() => {
-      report(event, id)
+      report(event, id, code)
       return false
     }),
     hasIdle: () => false,
@@ -60,7 +60,7 @@
       return pool
     },
     peerPool: pool,
-    checkListening: (_address: unknown, _options: CheckListeningOptions) => runLater(() => ListeningState.Unknown),
+    checkListening: (_address: unknown, _options: CheckListeningOptions) => runLater(() => event === ConnectionEvent.RefusedLocally ? ListeningState.Unchecked : ListeningState.Unknown),
     relays: { isEnabled: true, maxRelayed: 256 },
     runAfterReads: run => run(),
     life: createLifeCycle({ graceMs: bounds.graceMs }),
@@ -98,3 +98,35 @@
     t.true(countOpened() <= targetCount * maxPerTargetAndSecond * observedMs / 1_000, `${countOpened()} connections`)
   })
 }
+
+for (const code of ['EMFILE', 'ENFILE', 'ENOBUFS', 'ENOMEM', 'EADDRNOTAVAIL', 'EACCES', 'EPERM', 'EINVAL']) {
+  test(`connections that this host refuses with ${code} are no evidence against targets or the path to them`, async t => {
+    const { components, report, countOpened } = createInstance(ConnectionEvent.RefusedLocally, FailureMoment.NextTick, code)
+    await using parts = components
+    const entries = parts.state.targets.list(service)
+    const describeReports = (): unknown => (({ unreached, crashReports, targetReports }) => ({ unreached, crashReports, targetReports }))(parts.getHeartbeat())
+    const [before, reportsBefore] = [JSON.stringify(entries), describeReports()]
+    for (let round = 0; round < 20; round++) {
+      for (const { target } of entries) report(ConnectionEvent.RefusedLocally, target.id, code)
+      await wait(10)
+      parts.runMaintenance(performance.now())
+    }
+    t.is(JSON.stringify(entries), before)
+    t.is(countOpened(), 0)
+    t.deepEqual(entries.map(entry => [parts.reach.isReached(entry), parts.reach.isDoubtful(entry)]), entries.map(() => [true, false]))
+    t.deepEqual(describeReports(), reportsBefore)
+  })
+}
+
+test('a path that was in doubt before this host refused a check is checked again', async t => {
+  const { components, report, countOpened } = createInstance(ConnectionEvent.RefusedLocally, FailureMoment.NextTick, 'EMFILE')
+  await using parts = components
+  report(ConnectionEvent.ConnectFailed, 't0')
+  await wait(20)
+  const opened = countOpened()
+  await wait(600)
+  parts.runMaintenance(performance.now())
+  await wait(20)
+  t.true(opened > 0 && countOpened() > opened, `${opened} and ${countOpened()} checks`)
+  t.is(parts.reach.countLost(), 0)
+})
--- a/packages/steering/src/outcomes.ts
+++ b/packages/steering/src/outcomes.ts
@@ -56,6 +56,8 @@
   /** The exchange with the peer was interrupted, so it is unknown whether the request ran. */
   PeerLost = 'peer_lost',
   TargetUnreachable = 'target_unreachable',
+  /** The host of the instance refuses connections, for want of descriptors, memory or ports. */
+  HostLimit = 'host_limit',
   TargetRefused = 'target_refused',
   /** Targets have ended whenever they ran the same request. */
   CrashesTargets = 'crashes_targets',
@@ -75,7 +77,9 @@
   TargetRefused = 'target_refused',
   IdempotentLost = 'idempotent_lost',
   PeerRefused = 'peer_refused',
-  PeerUnreachable = 'peer_unreachable'
+  PeerUnreachable = 'peer_unreachable',
+  /** The host of the instance refused the connection. */
+  RefusedLocally = 'refused_locally'
 }
 
 /** Class of a request, which determines how it is queued and retried, and whether its idempotency key is retained. */
--- a/packages/targets/src/check_listening.ts
+++ b/packages/targets/src/check_listening.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { connect } from 'node:net'
+import { getFailureSide, isLocalFailure } from '@bilberryworks/steering'
 
 /** What an attempt to connect shows of a target. */
 export enum ListeningState {
@@ -11,6 +12,8 @@
   Listening = 'listening',
   /** The connection was refused: no process listens at the address. */
   Refused = 'refused',
+  /** This host refused the attempt, which shows nothing. */
+  Unchecked = 'unchecked',
   /** The attempt shows neither: it timed out, or failed in another way. */
   Unknown = 'unknown'
 }
@@ -38,6 +41,11 @@
       resolve(state)
     }
     socket.on('connect', () => finish(ListeningState.Listening))
-    socket.on('error', (error: NodeJS.ErrnoException) => setImmediate(finish, error.code === 'ECONNREFUSED' ? ListeningState.Refused : ListeningState.Unknown))
+    socket.on('error', (error: NodeJS.ErrnoException) => setImmediate(finish, getListeningState(error.code)))
   })
 }
+
+function getListeningState (code: string | undefined): ListeningState {
+  if (isLocalFailure(getFailureSide(code))) return ListeningState.Unchecked
+  return code === 'ECONNREFUSED' ? ListeningState.Refused : ListeningState.Unknown
+}
--- a/packages/targets/src/target_connection.ts
+++ b/packages/targets/src/target_connection.ts
@@ -6,6 +6,7 @@
 import type { Socket } from 'node:net'
 import type { ResponseHead } from './response_parser.ts'
 import { connect } from 'node:net'
+import { getFailureSide, isLocalFailure } from '@bilberryworks/steering'
 import { createOverheadLimit } from './_overhead_limit.ts'
 import { createResponseParser } from './response_parser.ts'
 
@@ -13,10 +14,14 @@
 export enum ExchangeFailure {
   /** The connection was not established, so no byte of the request was sent. */
   ConnectFailed = 'connect_failed',
+  /** This host refused the connection, so no byte of the request was sent. */
+  RefusedLocally = 'refused_locally',
   /** The request was withdrawn before its first byte was sent. */
   Withdrawn = 'withdrawn',
   /** The connection broke after the target may have read a part of the request. */
   Lost = 'lost',
+  /** The connection broke for want of resources of this host, after the target may have read a part of the request. */
+  LostLocally = 'lost_locally',
   /** The target sent bytes that are not a valid response to the request. */
   Malformed = 'malformed'
 }
@@ -74,6 +79,8 @@
   onClose: () => void
   /** Called when the connection is established, with the time that it took in milliseconds. */
   onConnect?: (elapsedMs: number) => void
+  /** Called if the connection is not established, with the code of the error of the operating system; `undefined` if the time limit passed. */
+  onConnectFail?: (code: string | undefined) => void
   /** Called for each response that belongs to a request other than the one in flight; a response while no request is in flight closes the connection instead. */
   onMismatchedResponse: () => void
 }
@@ -100,16 +107,14 @@
   let current: Exchange | undefined
   /** Exchange whose response is complete; it ends after the bytes received together with the end of the response have been parsed. */
   let completed: Exchange | undefined
-  let isEstablished = false
-  let isClosed = false
-  let isReusable = true
-  let isBodySent = true
+  let [isEstablished, isClosed] = [false, false]
+  let [isReusable, isBodySent] = [true, true]
   let mismatchedResponses = 0
   /** Whether the response being parsed is discarded: it belongs to another request or is a 1xx response. */
   let isSkipping = false
   const startedAtMs = performance.now()
   const overhead = createOverheadLimit()
-  const connectTimer = watchConnecting(socket, { timeoutMs: options.connectTimeoutMs, onFail: detail => failConnection(ExchangeFailure.ConnectFailed, detail) })
+  const connectTimer = watchConnecting(socket, { timeoutMs: options.connectTimeoutMs, onFail: failConnecting })
   const parser = createResponseParser({
     onHead: handleHead,
     onBody (part) {
@@ -133,7 +138,14 @@
   }
 
   function failConnection (failure: ExchangeFailure, detail: string): void {
-    closeConnection()?.onFail(isEstablished ? failure : ExchangeFailure.ConnectFailed, detail)
+    closeConnection()?.onFail(failure, detail)
+  }
+
+  function failConnecting (detail: string, code?: string): void {
+    if (isClosed || isEstablished) return
+    const exchange = closeConnection()
+    options.onConnectFail?.(code)
+    exchange?.onFail(getExchangeFailure(ExchangeFailure.ConnectFailed, code), detail)
   }
 
   function startExchange (exchange: Exchange): void {
@@ -213,7 +225,7 @@
     settleCompleted()
   })
   socket.on('end', () => finishInput(performance.now()))
-  socket.on('error', error => { if (isEstablished) failConnection(ExchangeFailure.Lost, error.message) })
+  socket.on('error', (error: NodeJS.ErrnoException) => { if (isEstablished) failConnection(getExchangeFailure(ExchangeFailure.Lost, error.code), error.message) })
   socket.on('close', () => { if (isEstablished) failConnection(ExchangeFailure.Lost, 'Connection closed before the response was complete') })
 
   const connection: TargetConnection = {
@@ -225,27 +237,30 @@
       overhead.reset()
       if (isEstablished) startExchange(exchange)
     },
-    setPaused (paused) {
-      if (paused) socket.pause()
-      else socket.resume()
-    },
+    setPaused: paused => paused ? socket.pause() : socket.resume(),
     close () { closeConnection() }
   }
   return connection
 }
 
+/** Returns the failure of an exchange whose connection failed with a code. */
+function getExchangeFailure (failure: ExchangeFailure.ConnectFailed | ExchangeFailure.Lost, code: string | undefined): ExchangeFailure {
+  if (!isLocalFailure(getFailureSide(code))) return failure
+  return failure === ExchangeFailure.Lost ? ExchangeFailure.LostLocally : ExchangeFailure.RefusedLocally
+}
+
 /** Options of {@linkcode watchConnecting}. */
 interface WatchConnectingOptions {
   /** Time limit, in milliseconds. */
   timeoutMs: number
-  /** Called if the connection is not established. */
-  onFail: (detail: string) => void
+  /** Called if the connection is not established, with the code of the error if the operating system refused it. */
+  onFail: (detail: string, code?: string) => void
 }
 
 /** Watches a socket until it is connected; returns the timer of the time limit. */
 function watchConnecting (socket: Socket, { timeoutMs, onFail }: WatchConnectingOptions): NodeJS.Timeout {
   // The system may refuse a connection at once; whoever then tries the next one must not keep the event loop from turning.
-  socket.on('error', error => setImmediate(onFail, error.message))
+  socket.on('error', (error: NodeJS.ErrnoException) => setImmediate(onFail, error.message, error.code))
   return setTimeout(onFail, timeoutMs, `Connection was not established within ${timeoutMs} ms`)
 }
 
--- a/packages/targets/src/target_connection_test.ts
+++ b/packages/targets/src/target_connection_test.ts
@@ -4,7 +4,7 @@
 import { setTimeout as wait } from 'node:timers/promises'
 import test from 'ava'
 import { ExchangeFailure } from './target_connection.ts'
-import { createTargetPool } from './target_pool.ts'
+import { ConnectionEvent, createTargetPool } from './target_pool.ts'
 
 interface Outcome {
   failure: ExchangeFailure | undefined
@@ -177,3 +177,14 @@
   t.deepEqual(events, [])
   server.close()
 })
+
+test('a connection that the system refuses at once fails in a later turn of the event loop, with its code', async t => {
+  const events: Array<[ConnectionEvent, string | undefined]> = []
+  await using pool = createTargetPool({ connectTimeoutMs: 500, onConnectionEvent: (event, _, code) => { events.push([event, code]) } })
+  let hasTurned = false
+  setImmediate(() => { hasTurned = true })
+  const { failure } = await sendRequest(pool, { host: '224.0.0.1', port: 9 }, 'a')
+  t.true(hasTurned)
+  t.is(failure, ExchangeFailure.ConnectFailed)
+  t.deepEqual(events, [[ConnectionEvent.ConnectFailed, 'ENETUNREACH']])
+})
--- a/packages/targets/src/target_pool.ts
+++ b/packages/targets/src/target_pool.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Exchange, TargetConnection } from './target_connection.ts'
+import { getFailureSide, isLocalFailure } from '@bilberryworks/steering'
 import { ExchangeFailure, openTargetConnection } from './target_connection.ts'
 
 /** A target to which the pool connects. */
@@ -28,6 +29,8 @@
   Established = 'established',
   /** It could not be established. */
   ConnectFailed = 'connect_failed',
+  /** This host refused it, which says nothing of the target. */
+  RefusedLocally = 'refused_locally',
   /** It was idle and carries another request. */
   Reused = 'reused',
   /** It was idle and was closed by the pool because its idle time limit had passed. */
@@ -58,8 +61,8 @@
 export interface CreateTargetPoolOptions {
   /** Time limit for establishing a connection, in milliseconds. */
   connectTimeoutMs: number
-  /** Called for each event of a connection to a target. */
-  onConnectionEvent?: (event: ConnectionEvent, targetId: string) => void
+  /** Called for each event of a connection to a target; with the code of the error if the operating system did not establish it. */
+  onConnectionEvent?: (event: ConnectionEvent, targetId: string, code?: string) => void
   /** Called for each response that belongs to a request other than the one in flight on its connection. */
   onMismatchedResponse?: (targetId: string) => void
 }
@@ -80,8 +83,8 @@
   const open = new Set<TargetConnection>()
   let isClosed = false
 
-  function reportEvent (event: ConnectionEvent, targetId: string): void {
-    if (!isClosed) options.onConnectionEvent?.(event, targetId)
+  function reportEvent (event: ConnectionEvent, targetId: string, code?: string): void {
+    if (!isClosed) options.onConnectionEvent?.(event, targetId, code)
   }
 
   /** Removes a connection from the idle ones; returns whether it was among them. */
@@ -119,6 +122,7 @@
         reportEvent(ConnectionEvent.Established, target.id)
         onConnect?.()
       },
+      onConnectFail: code => reportEvent(isLocalFailure(getFailureSide(code)) ? ConnectionEvent.RefusedLocally : ConnectionEvent.ConnectFailed, target.id, code),
       onMismatchedResponse: () => options.onMismatchedResponse?.(target.id),
       onClose () {
         open.delete(connection)
@@ -155,10 +159,6 @@
           connection.setPaused(false)
           if (open.has(connection)) retainIdle(target, connection)
           exchange.onEnd()
-        },
-        onFail (failure, detail) {
-          if (failure === ExchangeFailure.ConnectFailed) reportEvent(ConnectionEvent.ConnectFailed, target.id)
-          exchange.onFail(failure, detail)
         }
       })
       return { cancel: () => connection.close(), setPaused: paused => connection.setPaused(paused) }
@@ -166,18 +166,13 @@
     openIdle (target, { timeoutMs }) {
       if (isClosed) return new Promise(resolve => setImmediate(resolve, false))
       return new Promise(resolve => {
-        let isEstablished = false
         const connection = openConnection(target, {
           connectTimeoutMs: timeoutMs,
           onConnect () {
-            isEstablished = true
             retainIdle(target, connection)
             resolve(true)
           },
-          onClose () {
-            if (!isEstablished) reportEvent(ConnectionEvent.ConnectFailed, target.id)
-            resolve(false)
-          }
+          onClose: () => resolve(false)
         })
       })
     },
