Hold back no check of a target at which a request was lost

Only checks without a lost request are paced now. Where all connections of such a check are held back, the target is checked again later instead of counting as well.

--- a/packages/bilberryd/src/edge/crash_guard.ts
+++ b/packages/bilberryd/src/edge/crash_guard.ts
@@ -19,8 +19,8 @@
   metrics: EntryMetrics
   /** Limits the checks of targets at which no request was lost. */
   pacer: AttemptPacer
-  /** Returns whether the network path to a target that refuses connections works. */
-  confirmPath: (entry: RegisteredTarget) => Promise<boolean>
+  /** Returns whether the network path to a target that refuses connections works; `undefined` if `isPaced` held the checks back. */
+  confirmPath: (entry: RegisteredTarget, options: { isPaced: boolean }) => Promise<boolean | undefined>
   /** Connects to an address, to tell whether a process listens there. */
   checkListening: typeof checkListening
   /** Called once when the run of a target has ended. */
--- a/packages/bilberryd/src/edge/reach_monitor.ts
+++ b/packages/bilberryd/src/edge/reach_monitor.ts
@@ -71,8 +71,8 @@
   listUnreached (): string[]
   /** Groups that other instances do not reach. */
   doubts: GroupDoubts
-  /** Opens a connection to another target, in the failure domain of one that refuses connections if there is one, and returns whether that shows that the path works. */
-  confirmPath (entry: RegisteredTarget): Promise<boolean>
+  /** Opens a connection to another target, in the failure domain of one that refuses connections if there is one, and returns whether that shows that the path works; `undefined` if `isPaced` held all of them back. */
+  confirmPath (entry: RegisteredTarget, options: { isPaced: boolean }): Promise<boolean | undefined>
 }
 
 /** Time limit of a check, in milliseconds: three times the round trip between regions. */
@@ -117,11 +117,10 @@
     for (const entry of entries) checkPath(entry).catch((error: Error) => log.warn('path_check_failed', { target: entry.target.id, detail: error.message }))
   }
 
-  /** Opens a connection to a target unless that was tried too often; returns whether it was established. */
-  async function checkPath (entry: RegisteredTarget): Promise<boolean> {
-    if (options.pacer.take(entry.target.id, getNowMs())) return options.getPool().openIdle(entry.target, { timeoutMs: checkTimeoutMs })
-    reach.recordUnchecked(entry)
-    return false
+  /** Opens a connection to a target unless that was tried too often. */
+  async function checkPath (entry: RegisteredTarget): Promise<void> {
+    if (options.pacer.take(entry.target.id, getNowMs())) await options.getPool().openIdle(entry.target, { timeoutMs: checkTimeoutMs })
+    else reach.recordUnchecked(entry)
   }
 
   function isReachedByPeers ({ target }: RegisteredTarget): boolean {
@@ -215,13 +214,24 @@
       return listGroups().every(group => lost.has(group)) ? [allGroupsUnreached] : [...lost]
     },
     doubts,
-    async confirmPath (entry) {
+    async confirmPath (entry, { isPaced }) {
       const others = listTargets().filter(other => other !== entry)
       const nearby = others.filter(({ target }) => target.failureDomain === entry.target.failureDomain)
       const compared = nearby.length > 0 ? nearby : others
-      for (const other of compared.slice(0, maxPathChecks)) if (await checkPath(other)) return true
-      return compared.length === 0
+      return compared.length === 0 || openAny(options.getPool(), compared, target => !isPaced || options.pacer.take(target.id, getNowMs()))
     },
     [Symbol.asyncDispose]: silence[Symbol.asyncDispose]
   }
 }
+
+/** Opens connections to targets that may be tried, one after the other, until one is established; returns whether one was, `undefined` if none was tried. */
+async function openAny (pool: TargetPool, entries: RegisteredTarget[], mayTry: (target: RegisteredTarget['target']) => boolean): Promise<boolean | undefined> {
+  let checks = 0
+  for (const { target } of entries) {
+    if (checks >= maxPathChecks) break
+    if (!mayTry(target)) continue
+    checks++
+    if (await pool.openIdle(target, { timeoutMs: checkTimeoutMs })) return true
+  }
+  return checks > 0 ? false : undefined
+}
--- a/packages/bilberryd/src/edge/target_end_detector.ts
+++ b/packages/bilberryd/src/edge/target_end_detector.ts
@@ -20,8 +20,8 @@
   onRequestLost: (fingerprint: string, target: RegisteredTarget['target']) => void
   /** Called once when a run of a target has ended. */
   onEnd: (entry: RegisteredTarget) => void
-  /** Returns whether the network path to a target that accepts no connection works. */
-  confirmPath: (entry: RegisteredTarget) => Promise<boolean>
+  /** Returns whether the network path to a target that accepts no connection works; `undefined` if `isPaced` held the checks back. */
+  confirmPath: (entry: RegisteredTarget, options: { isPaced: boolean }) => Promise<boolean | undefined>
   /** Limits the checks of targets at which no request was lost. */
   pacer: AttemptPacer
   /** Connects to an address, to tell whether a process listens there. */
@@ -77,8 +77,12 @@
   async function checkRun (entry: RegisteredTarget, run: EndingRun): Promise<void> {
     const { target } = entry
     const state = await checkListening(target.address, { timeoutMs: checkTimeoutMs })
-    if (state === ListeningState.Listening || state === ListeningState.Unchecked || !await confirmPath(entry)) {
+    const mayHaveEnded = state !== ListeningState.Listening && state !== ListeningState.Unchecked
+    // What is known of a lost request is not found out again, so its check is not held back.
+    const isConfirmed = mayHaveEnded && await confirmPath(entry, { isPaced: run.fingerprints.size === 0 })
+    if (isConfirmed !== true) {
       runs.delete(entry)
+      if (isConfirmed === undefined && waiting.size < maxWaitingChecks) waiting.add(entry)
       return
     }
     run.endedAtMs = getNowMs()
--- a/packages/bilberryd/src/edge/target_end_detector_test.ts
+++ b/packages/bilberryd/src/edge/target_end_detector_test.ts
@@ -1,5 +1,6 @@
 import type { RegisteredTarget } from '@bilberryworks/steering'
 import type { Attempt } from './attempt.ts'
+import { setTimeout as wait } from 'node:timers/promises'
 import test from 'ava'
 import { createAttemptPacer } from '@bilberryworks/steering'
 import { ListeningState } from '@bilberryworks/targets'
@@ -66,3 +67,36 @@
   t.deepEqual(ended, ids)
   t.true(mostChecking <= 8)
 })
+
+test('the end of a target whose path could not be checked is found later', async t => {
+  const ended: string[] = []
+  let checks = 0
+  const detector = createTargetEndDetector({
+    pacer: createAttemptPacer(),
+    onRequestLost: () => {},
+    onEnd: ({ target }) => { ended.push(target.id) },
+    confirmPath: async (_, { isPaced }) => isPaced && checks++ === 0 ? undefined : true,
+    checkListening: async () => ListeningState.Refused,
+    log: silentLog,
+    getNowMs: () => performance.now()
+  })
+  detector.recordClose(entry)
+  await wait(200)
+  t.deepEqual([checks, ended], [2, ['t']])
+})
+
+test('a burst of lost requests is checked however often targets were checked before', async t => {
+  const lost: string[] = []
+  const detector = createTargetEndDetector({
+    pacer: { take: () => false },
+    onRequestLost: fingerprint => { lost.push(fingerprint) },
+    onEnd: () => {},
+    confirmPath: async (_, { isPaced }) => isPaced ? undefined : true,
+    checkListening: async () => ListeningState.Refused,
+    log: silentLog,
+    getNowMs: () => performance.now()
+  })
+  for (const id of ['a', 'b', 'c']) detector.recordLoss(createAttempt(id), { target: { ...entry.target, id } } as RegisteredTarget)
+  await wait(20)
+  t.deepEqual(lost, ['f-a', 'f-b', 'f-c'])
+})
