Pass the code of a failed connection through the guard, and connect to loopback only in a test

The test of a connection that is refused at once used a multicast address; it uses the broadcast address of the loopback network now, which the kernel refuses with the same ENETUNREACH.

--- a/packages/bilberryd/src/edge/entry_components.ts
+++ b/packages/bilberryd/src/edge/entry_components.ts
@@ -120,7 +120,7 @@
   const listPeers = (): PeerHeartbeat[] => view.listLive(getNowMs()).map(peer => peer.heartbeat)
   const { reportCold, reportGroupCold } = createColdReporter({ log, metrics, getNowMs })
   const state = createEntryState({ guard, regions: settings.regions, log, reportCold, reportGroupCold, getNowMs, countUndecodable: metrics.countUndecodable, onChange: handleChange })
-  const pool = options.createPool((event, targetId) => guard.run(GuardedCallback.Connection, () => handleConnectionEvent(event, targetId)))
+  const pool = options.createPool((event, targetId, code) => guard.run(GuardedCallback.Connection, () => handleConnectionEvent(event, targetId, code)))
   const targetReports = createTargetReports({ state, metrics, log, reportCold, getNowMs })
   const relayPeers = createRelayPeers({ region: settings.region, view, isEnabled: options.relays.isEnabled, getNowMs, getRandom })
   const reach = createReachMonitor({ pacer: createAttemptPacer(), state, reportGroupCold, getPool: () => pool, isReachedByPeers: relayPeers.isReached, listReports: listPeers, listPending: () => dispatcher.listPending(), onChange: handleReachChange, log, getNowMs })
--- a/packages/targets/src/target_connection_test.ts
+++ b/packages/targets/src/target_connection_test.ts
@@ -183,7 +183,7 @@
   await using pool = createTargetPool({ connectTimeoutMs: 500, onConnectionEvent: (event, _, code) => { events.push([event, code]) } })
   let hasTurned = false
   setImmediate(() => { hasTurned = true })
-  const { failure } = await sendRequest(pool, { host: '224.0.0.1', port: 9 }, 'a')
+  const { failure } = await sendRequest(pool, { host: '127.255.255.255', port: 9 }, 'a')
   t.true(hasTurned)
   t.is(failure, ExchangeFailure.ConnectFailed)
   t.deepEqual(events, [[ConnectionEvent.ConnectFailed, 'ENETUNREACH']])
