Keep connections within the descriptors of the host, and refuse what is beyond

What callers saw: with few descriptors left, requests ended without an answer, also of callers that had connected and written theirs. libuv, on EMFILE, accepts and closes each waiting connection; nothing bounded the connections of callers or to targets, so that they also took the descriptors of the store, readiness and look-ups.

Change: steering decides (descriptor_budget.ts) by the lower of limits.max_fds less the 200 of the platform and the limit in /proc/self/limits less what is open: a reserve for the store, peers, readiness and look-ups, some connections that are only refused, and a rest that callers and targets share, with 40 % guaranteed to each. Idle connections of callers give way when what has arrived has been read, then those to targets. Requests on further connections are refused as not run (host_limit, Retry-After); when not even these can be read, the refusal is written unread and the connection lingers.

--- /dev/null
+++ b/packages/bilberryd/src/edge/descriptor_limits.ts
@@ -0,0 +1,129 @@
+/**
+ * Reads how many descriptors this process may open, and applies the shares of them to its connections.
+ *
+ * @module
+ */
+import type { DescriptorDecision, DescriptorShares, HostLimits, Refusal } from '@bilberryworks/steering'
+import type { Server } from 'node:http'
+import type { Socket } from 'node:net'
+import type { ConnectionGuard } from './connection_guard.ts'
+import { readdirSync, readFileSync } from 'node:fs'
+import { applyGracefulClose, formatRefusal, observeRequests } from '@bilberryworks/callers'
+import { chooseDescriptor, computeDescriptorShares, computeMaxConnections, createNotRunRefusal, DescriptorUse, RefusalReason } from '@bilberryworks/steering'
+import { createConnectionGuard } from './connection_guard.ts'
+
+/** Descriptors of this process. */
+export interface DescriptorBudget {
+  /** Shares of the descriptors; of an unlimited number before {@linkcode DescriptorBudget.measure}. */
+  getShares (): DescriptorShares
+  /** Computes the shares from the limits and what is open; to be called before callers can connect. */
+  measure (): void
+  /** Guards the listener for callers. */
+  guardCallers (server: Server): void
+  /** Guards a listener whose connections are reserved; to be called after its handlers are added. */
+  guardReserved (server: Server): void
+  /** Returns the number of open connections of callers. */
+  countCallers (): number
+  /** Returns whether responses should close their connections. */
+  isShort (): boolean
+  /** Returns the refusal of a request on a connection beyond the share of callers; `undefined` if it is to be served. */
+  findRefusal (socket: Socket): Refusal | undefined
+  /** Decides on a connection to a target. */
+  chooseForTarget (pool: { count: number, hasIdle: boolean }): DescriptorDecision
+  /** Decides on a connection to another instance. */
+  chooseForPeer (pool: { count: number, hasIdle: boolean }): DescriptorDecision
+}
+
+/** Options of {@linkcode createDescriptorBudget}. */
+export interface CreateDescriptorBudgetOptions {
+  /** What the settings state of the host. */
+  limits: HostLimits | undefined
+  /** Returns the number of open connections to targets. */
+  countTargets: () => number
+  /** Returns a random number in [0, 1). */
+  getRandom: () => number
+}
+
+/** Open descriptors apart from connections, where the process can't list them: those of Node.js and the listeners. */
+const defaultOpenOthers = 40
+/** Share of callers and targets that no idle connection of a caller keeps, so that the next connections find it free. */
+const spareShare = 0.1
+/** Share of the reserved connections of each reserved listener, and of those to other instances. */
+const reservedListenerShare = 0.2
+const minRetryAfterMs = 100
+const retryAfterSpreadMs = 200
+const refusalDetail = 'Host has no descriptor left for another connection'
+
+/**
+ * Creates the budget of descriptors.
+ *
+ * @param options Limits and connections
+ * @returns The budget
+ */
+export function createDescriptorBudget ({ limits, countTargets, getRandom }: CreateDescriptorBudgetOptions): DescriptorBudget {
+  let shares = computeDescriptorShares({ openOthers: 0 })
+  let callers: ConnectionGuard | undefined
+  const formatUnreadRefusal = (): string => formatRefusal(RefusalReason.HostLimit, refusalDetail)
+  const countCallers = (): number => callers?.count() ?? 0
+  const getReservedMax = (): number => Math.max(1, Math.floor(shares.reserved * reservedListenerShare))
+
+  return {
+    getShares: () => shares,
+    measure () {
+      shares = computeDescriptorShares({ configured: limits?.maxDescriptors, enforced: readEnforcedLimit(), openOthers: countOpen() })
+    },
+    guardCallers (server) {
+      callers = createConnectionGuard(server, {
+        getLimits () {
+          const maxServed = computeMaxConnections(DescriptorUse.Caller, shares, { callers: 0, targets: countTargets() })
+          const spare = shares.shared === Infinity ? 0 : Math.ceil(shares.shared * spareShare)
+          return { maxServed, maxWithIdle: Math.max(0, maxServed - spare), maxRefused: shares.refusals }
+        },
+        formatRefusal: formatUnreadRefusal
+      })
+    },
+    guardReserved (server) {
+      applyGracefulClose(server)
+      const guard = createConnectionGuard(server, {
+        getLimits: () => ({ maxWithIdle: Math.ceil(getReservedMax() / 2), maxServed: getReservedMax(), maxRefused: 1 }),
+        formatRefusal: formatUnreadRefusal
+      })
+      observeRequests(server, (_message, response) => { if (guard.isFull()) response.shouldKeepAlive = false })
+    },
+    countCallers,
+    isShort: () => callers?.isFull() ?? false,
+    findRefusal: socket => callers?.isRefused(socket) === true ? createNotRunRefusal(RefusalReason.HostLimit, refusalDetail, minRetryAfterMs + getRandom() * retryAfterSpreadMs) : undefined,
+    chooseForTarget ({ count, hasIdle }) {
+      callers?.closeIdle()
+      // Which connections of callers are idle is known only when what has arrived has been read.
+      return chooseDescriptor(DescriptorUse.Target, shares, { callers: countCallers(), targets: count, hasIdleCaller: false, hasIdleTarget: hasIdle })
+    },
+    chooseForPeer ({ count, hasIdle }) {
+      const maxPeers = shares.total === Infinity ? Infinity : getReservedMax()
+      return chooseDescriptor(DescriptorUse.Target, { ...shares, shared: maxPeers, minCallers: 0, minTargets: maxPeers }, { callers: 0, targets: count, hasIdleCaller: false, hasIdleTarget: hasIdle })
+    }
+  }
+}
+
+/** Reads the soft limit that the kernel enforces; `undefined` where it does not say. */
+function readEnforcedLimit (): number | undefined {
+  try {
+    const limit = /^Max open files\s+(\d+)/m.exec(readFileSync('/proc/self/limits', 'utf8'))?.[1]
+    return limit === undefined ? undefined : Number(limit)
+  } catch {
+    return undefined
+  }
+}
+
+/**
+ * Counts the open descriptors of this process.
+ *
+ * @returns The number, or an estimate where the process can't list them
+ */
+export function countOpen (): number {
+  try {
+    return readdirSync('/proc/self/fd').length
+  } catch {
+    return defaultOpenOthers
+  }
+}
--- a/packages/bilberryd/src/edge/entry_components.ts
+++ b/packages/bilberryd/src/edge/entry_components.ts
@@ -10,6 +10,7 @@
 import type { CallbackGuard } from './callback_guard.ts'
 import type { CrashGuard } from './crash_guard.ts'
 import type { Dispatcher } from './dispatcher.ts'
+import type { DescriptorBudget } from './descriptor_limits.ts'
 import type { EntryLog } from './entry_log.ts'
 import type { EntryMetrics } from './entry_metrics.ts'
 import type { EntryState } from './entry_state.ts'
@@ -87,6 +88,8 @@
   life: LifeCycle
   /** Returns whether callers can connect to this instance. */
   isOpen: () => boolean
+  /** Descriptors of the host; unlimited if absent. */
+  descriptors?: DescriptorBudget
   /** Called after each change that can affect target selection. */
   onStateChange: () => void
   /** Sends a heartbeat to all peers without waiting for the next one. */
@@ -152,7 +155,7 @@
   })
   const regionShares = createRegionShares({ settings, state, countRequests: dispatcher.countRequests, listPeers })
   const serviceSelector = createWeightedRoundRobin(getRandom)
-  const requestHandler = createRequestHandler({ guard, state, dispatcher, log, metrics, runAfterReads, getNowMs, chooseService: serviceSelector.choose, life })
+  const requestHandler = createRequestHandler({ guard, state, dispatcher, log, metrics, runAfterReads, getNowMs, chooseService: serviceSelector.choose, life, descriptors: options.descriptors })
   const isReady = (): boolean => options.isOpen() && life.getPhase(getNowMs()) === LifePhase.Running && state.getConfig() !== undefined
 
   function handleChange (): void {
--- a/packages/bilberryd/src/edge/request_handler.ts
+++ b/packages/bilberryd/src/edge/request_handler.ts
@@ -9,6 +9,7 @@
 import type { AttemptFields } from '@bilberryworks/users-platform'
 import type { Attempt } from './attempt.ts'
 import type { CallbackGuard } from './callback_guard.ts'
+import type { DescriptorBudget } from './descriptor_limits.ts'
 import type { EntryLog } from './entry_log.ts'
 import type { EntryMetrics } from './entry_metrics.ts'
 import type { EntryState } from './entry_state.ts'
@@ -44,6 +45,8 @@
   runAfterReads: (run: () => void) => void
   /** Phases of this instance. */
   life: LifeCycle
+  /** Descriptors of the host; unlimited if absent. */
+  descriptors?: Pick<DescriptorBudget, 'findRefusal' | 'isShort'> | undefined
   /** Returns monotonic time, in milliseconds. */
   getNowMs: () => number
 }
@@ -124,8 +127,8 @@
       tried: new Set(),
       targetsReached: relay?.targetsReached ?? 0,
       prepareResponse () {
-        // The response to a request that came before the stop was to keep its connection open.
-        if (life.isStopping() && pipeline.isLast(message, response)) response.shouldKeepAlive = false
+        // The response to a request that came before the stop or the shortage was to keep its connection open.
+        if ((life.isStopping() || options.descriptors?.isShort() === true) && pipeline.isLast(message, response)) response.shouldKeepAlive = false
       },
       relay,
       dispatchedAtMs: nowMs,
@@ -148,7 +151,10 @@
   /** Submits an attempt unless its caller turns out to have left already. */
   function submitConfirmed (attempt: Attempt): void {
     options.runAfterReads(() => {
-      if (attempt.phase === AttemptPhase.Arriving) dispatcher.submit(attempt)
+      if (attempt.phase !== AttemptPhase.Arriving) return
+      const refusal = attempt.relay === undefined ? options.descriptors?.findRefusal(attempt.message.socket) : undefined
+      if (refusal === undefined) dispatcher.submit(attempt)
+      else dispatcher.refuse(attempt, refusal)
     })
   }
 
--- a/packages/bilberryd/src/edge/run_entry.ts
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -23,6 +23,7 @@
 import { listenOn } from '../listen_on.ts'
 import { applyCallerLimits, createCallerListener } from './caller_listener.ts'
 import { createCallbackGuard, GuardedCallback } from './callback_guard.ts'
+import { createDescriptorBudget } from './descriptor_limits.ts'
 import { createEntryComponents } from './entry_components.ts'
 import { EntryListener } from './entry_listener.ts'
 import { defaultEntryOptions } from './entry_options.ts'
@@ -83,19 +84,21 @@
   const metrics = createEntryMetrics({ readers: createGaugeReaders(() => components, { log, takeMaxDelayMs, getNowMs }), countLostLines: log.countLost })
   let maxDelayMs = 0
   const guard = createCallbackGuard({ log, metrics, getNowMs })
+  const descriptors = createDescriptorBudget({ limits: settings.limits, countTargets: () => components.pool.count(), getRandom })
   const components = cleanup.add(createEntryComponents({
     guard,
     settings,
     startedAtMs: Date.now(),
     log,
     metrics,
-    createPool: onConnectionEvent => cleanup.add(createTargetPool({ connectTimeoutMs, onMismatchedResponse: metrics.countMismatchedResponse, onConnectionEvent })),
-    peerPool: cleanup.add(createTargetPool({ connectTimeoutMs: peerConnectTimeoutMs })),
+    createPool: onConnectionEvent => cleanup.add(createTargetPool({ connectTimeoutMs, chooseDescriptor: descriptors.chooseForTarget, onMismatchedResponse: metrics.countMismatchedResponse, onConnectionEvent })),
+    peerPool: cleanup.add(createTargetPool({ connectTimeoutMs: peerConnectTimeoutMs, chooseDescriptor: descriptors.chooseForPeer })),
     checkListening,
     runAfterReads,
     relays: options.relays,
     life,
     isOpen: () => callers.listening,
+    descriptors,
     onStateChange: () => applyCallerLimits(callers, state.getConfig()?.limits),
     sendNow: () => link.sendNow(),
     getNowMs,
@@ -105,12 +108,14 @@
   const callers = createCallerListener({ requestHandler, metrics })
   const countOpenCallers = countOpenResponses(callers)
   const countLingering = applyGracefulClose(callers)
+  descriptors.guardCallers(callers)
   const countOpen = (): number => countOpenCallers() + countLingering() + link.countOpen()
   const hasAccepted = (): boolean => callers.listening || countOpen() > 0
   const describeLoad = (): Record<string, number> => ({ open: countOpen(), inFlight: dispatcher.countInFlight(), waiting: dispatcher.countWaiting() })
   const hasHomeRegions = (): boolean => state.getConfig()?.routes.some(route => route.homeRegions.length > 0) ?? false
   const lookUps = createLookUpListener({ guard, settings, view, getHeartbeat, getNowMs, hasHomeRegions })
   const readiness = createReadinessListener(isReady)
+  for (const server of [lookUps, readiness]) descriptors.guardReserved(server)
   const waits = new AbortController()
   options.stopRequested?.then(() => waits.abort(), () => {})
   const listeners: ListenerContext = { log, countError: metrics.countListenerError, signal: waits.signal, getNowMs, getRandom }
@@ -172,6 +177,7 @@
   }
 
   cleanup.add({ [Symbol.asyncDispose]: async () => waits.abort() })
+  descriptors.measure()
   await openListeners().catch(async error => {
     await (hasAccepted() ? stop() : cleanup[Symbol.asyncDispose]())
     throw error
--- a/packages/callers/src/client_errors.ts
+++ b/packages/callers/src/client_errors.ts
@@ -21,6 +21,8 @@
 }
 
 const retryAfterSeconds = 1
+/** Reasons for which a later try helps. */
+const retriedReasons = new Set([RefusalReason.RequestTimeout, RefusalReason.HostLimit])
 
 /** Errors that report a disconnect rather than an invalid request. */
 const disconnectCodes = new Set(['ECONNRESET', 'EPIPE'])
@@ -74,12 +76,19 @@
   })
 }
 
-/** Destroys a connection that has carried nothing, unless its first request has arrived and is not read yet, as after a pause of the process. */
+/** Closes a connection that has carried nothing, unless its first request has arrived and is not read yet, as after a pause of the process. */
 function closeUnused (socket: Socket): void {
   runAfterReads(() => { if (socket.bytesRead === 0) socket.destroy() })
 }
 
-function formatRefusal (reason: RefusalReason, detail: string): string {
+/**
+ * Formats the response to a request that is not read, which closes its connection.
+ *
+ * @param reason The reason
+ * @param detail Description for the caller, in one sentence
+ * @returns The response
+ */
+export function formatRefusal (reason: RefusalReason, detail: string): string {
   const status = getRefusalStatus(Outcome.NotRun, reason)
   const body = JSON.stringify({ type: `urn:bilberryworks:${reason}`, title: reason, status, detail, outcome: Outcome.NotRun })
   return [
@@ -89,7 +98,7 @@
     `Content-Length: ${Buffer.byteLength(body)}`,
     `Bilberry-Outcome: ${Outcome.NotRun}`,
     `Bilberry-Reason: ${reason}`,
-    ...reason === RefusalReason.RequestTimeout ? [`Retry-After: ${retryAfterSeconds}`] : [],
+    ...retriedReasons.has(reason) ? [`Retry-After: ${retryAfterSeconds}`] : [],
     '',
     body
   ].join('\r\n')
--- a/packages/callers/src/graceful_close.ts
+++ b/packages/callers/src/graceful_close.ts
@@ -20,8 +20,23 @@
   lastMessage: IncomingMessage | undefined
   /** Number of bytes that had been received when the last response was sent. */
   bytesWhenIdle: number
+  /** Monotonic time at which the connection was opened, in milliseconds. */
+  openedAtMs: number
 }
 
+/** Options of {@linkcode closeLongestIdle}. */
+export interface CloseLongestIdleOptions {
+  /** Number of connections to close at most. */
+  count: number
+  /** Time for which a connection that has received nothing must have been open, in milliseconds. */
+  minUnusedMs: number
+  /** Closes such a connection; by default it is closed like one that has carried a request. */
+  closeUnused?: (socket: Socket) => void
+}
+
+/** Connections of each server, those that have been idle the longest first. */
+const connectionsByServer = new WeakMap<Server, Map<Socket, ConnectionUse>>()
+
 /**
  * Makes a server close connections without the loss of a response.
  *
@@ -40,12 +55,13 @@
  */
 export function applyGracefulClose (server: Server): () => number {
   const connections = new Map<Socket, ConnectionUse>()
+  connectionsByServer.set(server, connections)
   let lingeringCount = 0
 
   function addConnection (socket: Socket): ConnectionUse {
     const known = connections.get(socket)
     if (known !== undefined) return known
-    const use: ConnectionUse = { openCount: 0, lastMessage: undefined, bytesWhenIdle: 0 }
+    const use: ConnectionUse = { openCount: 0, lastMessage: undefined, bytesWhenIdle: 0, openedAtMs: performance.now() }
     connections.set(socket, use)
     socket.once('close', () => connections.delete(socket))
     const { destroySoon } = socket
@@ -65,7 +81,11 @@
   observeRequests(server, (message, response) => {
     const { socket } = message
     const use = addConnection(socket)
-    const recordIdle = (): void => { if (use.openCount === 0) use.bytesWhenIdle = socket.bytesRead }
+    const recordIdle = (): void => {
+      if (use.openCount > 0) return
+      use.bytesWhenIdle = socket.bytesRead
+      if (connections.delete(socket)) connections.set(socket, use)
+    }
     use.openCount++
     use.lastMessage = message
     message.once('close', recordIdle)
@@ -87,6 +107,30 @@
   return () => lingeringCount
 }
 
+/**
+ * Closes the connections that have been idle the longest.
+ *
+ * A request that has arrived but is not read yet is lost with its connection; to be called when what has arrived has been
+ * read ({@linkcode runAfterReads}).
+ *
+ * @param server A server with graceful close ({@linkcode applyGracefulClose})
+ * @param options Number, and which connections count as idle
+ * @returns The number of closed connections
+ */
+export function closeLongestIdle (server: Server, { count, minUnusedMs, closeUnused }: CloseLongestIdleOptions): number {
+  let closed = 0
+  const unusedSinceMs = performance.now() - minUnusedMs
+  for (const [socket, use] of connectionsByServer.get(server) ?? []) {
+    if (closed >= count) break
+    const isUnused = use.lastMessage === undefined
+    if (socket.destroyed || socket.writableEnded || !isIdle(socket, use) || (isUnused && use.openedAtMs > unusedSinceMs)) continue
+    if (isUnused && closeUnused !== undefined) closeUnused(socket)
+    else socket.destroy()
+    closed++
+  }
+  return closed
+}
+
 function isIdle (socket: Socket, { openCount, lastMessage, bytesWhenIdle }: ConnectionUse): boolean {
   return openCount === 0 && lastMessage?.complete !== false && socket.bytesRead === bytesWhenIdle
 }
--- a/packages/callers/src/graceful_close_test.ts
+++ b/packages/callers/src/graceful_close_test.ts
@@ -5,7 +5,7 @@
 import { createServer } from 'node:http'
 import { connect } from 'node:net'
 import { setTimeout as wait } from 'node:timers/promises'
-import { applyGracefulClose } from './graceful_close.ts'
+import { applyGracefulClose, closeLongestIdle } from './graceful_close.ts'
 
 const longBytes = 20_000_000
 const uploadBytes = 4_000_000
@@ -94,3 +94,22 @@
   t.regex(String((await once(begun, 'data'))[0]), /^HTTP\/1\.1 200 /)
   await closeServer(server)
 })
+
+test('connections that carry a request or a part of one do not give way as idle ones', async t => {
+  const { server, connectCaller } = await startServer((message, response) => { if (message.url !== '/slow') response.end('ok') })
+  const callers = Array.from({ length: 4 }, connectCaller)
+  const closed: number[] = []
+  for (const [index, caller] of callers.entries()) caller.once('close', () => closed.push(index)).resume()
+  const [slow, part, idle] = callers
+  slow!.write('GET /slow HTTP/1.1\r\nHost: h\r\n\r\n')
+  part!.write('GET / HTTP/1.1\r\n')
+  idle!.write('GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+  await once(idle!, 'data')
+  await wait(50)
+  t.is(closeLongestIdle(server, { count: 4, minUnusedMs: 60_000 }), 1)
+  await once(idle!, 'close')
+  t.is(closeLongestIdle(server, { count: 4, minUnusedMs: 0 }), 1)
+  await once(callers[3]!, 'close')
+  t.deepEqual(closed, [2, 3])
+  await closeServer(server)
+})
--- a/packages/standins/src/entry_process.ts
+++ b/packages/standins/src/entry_process.ts
@@ -51,6 +51,8 @@
   output?: number | 'pipe'
   /** Size to which the process may write files, in blocks of 512 bytes; unlimited by default. */
   maxFileBlocks?: number
+  /** Limit of the number of open descriptors; that of this process by default. */
+  maxDescriptors?: number
 }
 
 /** Bounds of the instances, in the format of the platform's settings. */
@@ -103,11 +105,11 @@
  * @param options Flags
  * @returns The process
  */
-export function startEntryProcess ({ settingsFile, logFile }: EntryFiles, { flags = [], nodeFlags = [], output, maxFileBlocks }: StartEntryProcessOptions = {}): ChildProcess {
+export function startEntryProcess ({ settingsFile, logFile }: EntryFiles, { flags = [], nodeFlags = [], output, maxFileBlocks, maxDescriptors }: StartEntryProcessOptions = {}): ChildProcess {
   const program = join(createRequire(import.meta.url).resolve('bilberryd'), '..', 'edge', 'main.js')
   const log = openSync(logFile, 'a')
-  const limit = maxFileBlocks === undefined ? '' : `ulimit -f ${maxFileBlocks}; `
-  const child = spawn('/bin/sh', ['-c', `${limit}exec "$0" "$@"`, process.execPath, maxHeapFlag, ...nodeFlags, program, ...flags], { env: { PATH: process.env['PATH'], BILBERRYWORKS_CONFIG: settingsFile }, stdio: ['ignore', output ?? log, output ?? log] })
+  const limits = [...maxFileBlocks === undefined ? [] : [`ulimit -f ${maxFileBlocks}`], ...maxDescriptors === undefined ? [] : [`ulimit -n ${maxDescriptors}`]]
+  const child = spawn('/bin/sh', ['-c', [...limits, 'exec "$0" "$@"'].join('; '), process.execPath, maxHeapFlag, ...nodeFlags, program, ...flags], { env: { PATH: process.env['PATH'], BILBERRYWORKS_CONFIG: settingsFile }, stdio: ['ignore', output ?? log, output ?? log] })
   closeSync(log)
   children.add(child)
   child.once('exit', () => children.delete(child))
--- /dev/null
+++ b/packages/steering/src/descriptor_budget.ts
@@ -0,0 +1,122 @@
+/**
+ * Divides the descriptors of a process among its connections, and decides which ones give way when they run short.
+ *
+ * @module
+ */
+
+/** Limits of the descriptors of a process. */
+export interface DescriptorLimits {
+  /** Limit that the settings state for sockets and files together; `undefined` if they state none. */
+  configured?: number | undefined
+  /** Limit that the operating system enforces; `undefined` if it is not known. */
+  enforced?: number | undefined
+  /** Number of descriptors that are open apart from connections, such as files and listeners. */
+  openOthers: number
+}
+
+/** Numbers of connections that a process may have open. */
+export interface DescriptorShares {
+  /** Connections of all kinds together. */
+  total: number
+  /** Connections to the store and other instances, and those of readiness checks, look-ups and metrics. */
+  reserved: number
+  /** Connections of callers to which only a refusal is sent. */
+  refusals: number
+  /** Connections of callers and to targets together. */
+  shared: number
+  /** Connections of callers that connections to targets never displace. */
+  minCallers: number
+  /** Connections to targets that connections of callers never displace. */
+  minTargets: number
+}
+
+/** What a descriptor is needed for. */
+export enum DescriptorUse {
+  /** A connection of a caller. */
+  Caller = 'caller',
+  /** A connection to a target. */
+  Target = 'target'
+}
+
+/** What to do when a connection needs a descriptor. */
+export enum DescriptorDecision {
+  /** Open it. */
+  Open = 'open',
+  /** Close an idle connection of a caller, and decide again. */
+  CloseIdleCaller = 'close_idle_caller',
+  /** Close an idle connection to a target, and decide again. */
+  CloseIdleTarget = 'close_idle_target',
+  /** Refuse it. */
+  Refuse = 'refuse'
+}
+
+/** Connections that are open. */
+export interface DescriptorUsage {
+  /** Connections of callers. */
+  callers: number
+  /** Connections to targets. */
+  targets: number
+  /** Whether a connection of a caller is known to be idle. */
+  hasIdleCaller: boolean
+  /** Whether a connection to a target is idle. */
+  hasIdleTarget: boolean
+}
+
+/** Descriptors that the platform reserves for files out of the configured limit. */
+const platformFileDescriptors = 200
+const reservedShare = 0.2
+const minReserved = 24
+const maxReserved = 160
+const refusalShare = 0.1
+const minRefusals = 16
+const maxRefusals = 256
+const maxReservedShare = 0.5
+const maxRefusalShare = 0.3
+const guaranteedShare = 0.4
+
+/**
+ * Divides the descriptors that the lower of two limits leaves to connections.
+ *
+ * @param limits The limits
+ * @returns The shares; without limits, `Infinity` connections may be open
+ */
+export function computeDescriptorShares ({ configured, enforced, openOthers }: DescriptorLimits): DescriptorShares {
+  const total = Math.max(0, Math.min((configured ?? Infinity) - platformFileDescriptors, (enforced ?? Infinity) - openOthers))
+  if (total === Infinity) return { total, reserved: maxReserved, refusals: maxRefusals, shared: Infinity, minCallers: Infinity, minTargets: Infinity }
+  const reserved = Math.floor(Math.min(total * maxReservedShare, Math.max(minReserved, total * reservedShare), maxReserved))
+  const refusals = Math.floor(Math.min((total - reserved) * maxRefusalShare, Math.max(minRefusals, total * refusalShare), maxRefusals))
+  const shared = total - reserved - refusals
+  const guaranteed = Math.floor(shared * guaranteedShare)
+  return { total, reserved, refusals, shared, minCallers: guaranteed, minTargets: guaranteed }
+}
+
+/**
+ * Returns how many connections of a kind may be open beside those of the other kind.
+ *
+ * @param use The kind
+ * @param shares Shares of the process
+ * @param usage Connections that are open
+ * @returns The number
+ */
+export function computeMaxConnections (use: DescriptorUse, shares: DescriptorShares, { callers, targets }: Pick<DescriptorUsage, 'callers' | 'targets'>): number {
+  if (shares.shared === Infinity) return Infinity
+  return shares.shared - (use === DescriptorUse.Caller ? Math.max(shares.minTargets, targets) : Math.max(shares.minCallers, callers))
+}
+
+/**
+ * Decides what to do when a connection needs a descriptor. Idle connections of callers give way first, then those to
+ * targets, but neither below the number that is guaranteed to its kind.
+ *
+ * @param use What the descriptor is needed for
+ * @param shares Shares of the process
+ * @param usage Connections that are open, without the one that needs the descriptor
+ * @returns The decision
+ */
+export function chooseDescriptor (use: DescriptorUse, shares: DescriptorShares, usage: DescriptorUsage): DescriptorDecision {
+  const open = use === DescriptorUse.Caller ? usage.callers : usage.targets
+  if (open < computeMaxConnections(use, shares, usage)) return DescriptorDecision.Open
+  const mayTakeCaller = use === DescriptorUse.Caller || usage.callers > shares.minCallers
+  if (usage.hasIdleCaller && mayTakeCaller) return DescriptorDecision.CloseIdleCaller
+  const mayTakeTarget = use === DescriptorUse.Target || usage.targets > shares.minTargets
+  return usage.hasIdleTarget && mayTakeTarget ? DescriptorDecision.CloseIdleTarget : DescriptorDecision.Refuse
+}
--- /dev/null
+++ b/packages/steering/src/descriptor_budget_test.ts
@@ -0,0 +1,74 @@
+import test from 'ava'
+import fc from 'fast-check'
+import { chooseDescriptor, computeDescriptorShares, computeMaxConnections, DescriptorDecision, DescriptorUse } from './descriptor_budget.ts'
+
+const limitCases: Array<[name: string, limits: Parameters<typeof computeDescriptorShares>[0], total: number]> = [
+  ['the configured limit less the files of the platform, if it is the lower one', { configured: 4_100, enforced: 20_000, openOthers: 30 }, 3_900],
+  ['the enforced limit less what is open, if it is the lower one', { configured: 4_100, enforced: 1_024, openOthers: 30 }, 994],
+  ['the only limit that is known', { enforced: 120, openOthers: 25 }, 95],
+  ['no connection, if less is left than is open', { enforced: 20, openOthers: 25 }, 0],
+  ['any number without limits', { openOthers: 25 }, Infinity]
+]
+for (const [name, limits, total] of limitCases) test(`shares are those of ${name}`, t => t.is(computeDescriptorShares(limits).total, total))
+
+test('12 spare descriptors leave some for each purpose', t => {
+  const { reserved, refusals, shared, minCallers, minTargets } = computeDescriptorShares({ enforced: 37, openOthers: 25 })
+  for (const share of [reserved, refusals, shared, minCallers, minTargets]) t.true(share >= 1)
+})
+
+test('shares never exceed the limit', t => {
+  t.notThrows(() => fc.assert(fc.property(fc.nat({ max: 100_000 }), fc.nat({ max: 300 }), (enforced, openOthers) => {
+    const { total, reserved, refusals, shared, minCallers, minTargets } = computeDescriptorShares({ enforced, openOthers })
+    return reserved + refusals + shared === total && minCallers + minTargets <= shared && Math.min(reserved, refusals, shared) >= 0
+  })))
+})
+
+interface Model { callers: number, idleCallers: number, targets: number, idleTargets: number }
+
+/** Applies a decision to a model; returns whether the connection is opened. */
+function applyDecisions (use: DescriptorUse, model: Model, total: number): boolean {
+  const shares = computeDescriptorShares({ enforced: total, openOthers: 0 })
+  for (;;) {
+    const decision = chooseDescriptor(use, shares, { ...model, hasIdleCaller: model.idleCallers > 0, hasIdleTarget: model.idleTargets > 0 })
+    if (decision === DescriptorDecision.Refuse) return false
+    if (decision === DescriptorDecision.CloseIdleCaller) {
+      model.callers--
+      model.idleCallers--
+    } else if (decision === DescriptorDecision.CloseIdleTarget) {
+      model.targets--
+      model.idleTargets--
+    } else {
+      if (use === DescriptorUse.Caller) model.callers++
+      else model.targets++
+      return true
+    }
+  }
+}
+
+test('any series of connections stays within the shares, and each kind gets what it is guaranteed', t => {
+  const step = fc.constantFrom('caller', 'target', 'callerIdle', 'targetIdle', 'callerGone', 'targetGone')
+  t.notThrows(() => fc.assert(fc.property(fc.integer({ min: 12, max: 200 }), fc.array(step, { maxLength: 300 }), (total, steps) => {
+    const shares = computeDescriptorShares({ enforced: total, openOthers: 0 })
+    const model: Model = { callers: 0, idleCallers: 0, targets: 0, idleTargets: 0 }
+    for (const each of steps) {
+      const before = { ...model }
+      if (each === 'caller' && !applyDecisions(DescriptorUse.Caller, model, total) && before.callers < shares.minCallers) return false
+      if (each === 'target' && !applyDecisions(DescriptorUse.Target, model, total) && before.targets < shares.minTargets) return false
+      if (each === 'callerIdle' && model.idleCallers < model.callers) model.idleCallers++
+      if (each === 'targetIdle' && model.idleTargets < model.targets) model.idleTargets++
+      if (each === 'callerGone' && model.callers > model.idleCallers) model.callers--
+      if (each === 'targetGone' && model.targets > model.idleTargets) model.targets--
+      if (model.callers + model.targets > shares.shared) return false
+    }
+    return true
+  })))
+})
+
+test('idle connections of callers give way before those to targets, and those before a refusal', t => {
+  const shares = computeDescriptorShares({ enforced: 100, openOthers: 0 })
+  const full = { callers: shares.shared - shares.minTargets, targets: shares.minTargets }
+  t.is(computeMaxConnections(DescriptorUse.Caller, shares, full), full.callers)
+  t.is(chooseDescriptor(DescriptorUse.Target, shares, { ...full, hasIdleCaller: true, hasIdleTarget: true }), DescriptorDecision.CloseIdleCaller)
+  t.is(chooseDescriptor(DescriptorUse.Target, shares, { ...full, hasIdleCaller: false, hasIdleTarget: true }), DescriptorDecision.CloseIdleTarget)
+  t.is(chooseDescriptor(DescriptorUse.Target, shares, { ...full, hasIdleCaller: false, hasIdleTarget: false }), DescriptorDecision.Refuse)
+})
--- a/packages/steering/src/entry_settings.ts
+++ b/packages/steering/src/entry_settings.ts
@@ -36,6 +36,14 @@
   maxLookUpTtlMs: number
 }
 
+/** What a host allows a process. */
+export interface HostLimits {
+  /** Number of descriptors, for sockets and files together. */
+  maxDescriptors?: number
+  /** Resident memory, in bytes. */
+  memoryBytes?: number
+}
+
 /** Settings of an entry instance. */
 export interface EntrySettings {
   /** Name of the instance. */
@@ -56,6 +64,8 @@
   store: SocketAddress
   /** Time limits and budgets that apply to all instances together. */
   bounds: SteeringBounds
+  /** What the host allows the process; absent where the settings do not state it. */
+  limits?: HostLimits
 }
 
 /** A fault in a settings file. */
--- a/packages/targets/src/target_pool.ts
+++ b/packages/targets/src/target_pool.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Exchange, TargetConnection } from './target_connection.ts'
-import { getFailureSide, isLocalFailure } from '@bilberryworks/steering'
+import { DescriptorDecision, getFailureSide, isLocalFailure } from '@bilberryworks/steering'
 import { ExchangeFailure, openTargetConnection } from './target_connection.ts'
 
 /** A target to which the pool connects. */
@@ -37,6 +37,8 @@
   Expired = 'expired',
   /** It was idle and was closed by the pool because a connection to the same target could not be established. */
   Dropped = 'dropped',
+  /** It was idle and was closed by the pool so that another connection could be opened. */
+  Displaced = 'displaced',
   /** It was idle and was closed by the target or the network. */
   ClosedByTarget = 'closed_by_target'
 }
@@ -61,6 +63,8 @@
 export interface CreateTargetPoolOptions {
   /** Time limit for establishing a connection, in milliseconds. */
   connectTimeoutMs: number
+  /** Decides whether another connection may be opened beside the open ones; each may by default. */
+  chooseDescriptor?: (pool: { count: number, hasIdle: boolean }) => DescriptorDecision
   /** Called for each event of a connection to a target; with the code of the error if the operating system did not establish it. */
   onConnectionEvent?: (event: ConnectionEvent, targetId: string, code?: string) => void
   /** Called for each response that belongs to a request other than the one in flight on its connection. */
@@ -87,18 +91,8 @@
     if (!isClosed) options.onConnectionEvent?.(event, targetId, code)
   }
 
-  /** Removes a connection from the idle ones; returns whether it was among them. */
-  function removeIdle (targetId: string, connection: TargetConnection): boolean {
-    const list = idle.get(targetId) ?? []
-    const index = list.indexOf(connection)
-    if (index < 0) return false
-    list.splice(index, 1)
-    if (list.length === 0) idle.delete(targetId)
-    return true
-  }
-
   function closeIdleConnection (targetId: string, connection: TargetConnection, event: ConnectionEvent): void {
-    removeIdle(targetId, connection)
+    removeIdle(idle, { targetId, connection })
     connection.close()
     reportEvent(event, targetId)
   }
@@ -106,7 +100,7 @@
   function takeIdle (target: PooledTarget): TargetConnection | undefined {
     for (const connection of [...idle.get(target.id) ?? []].reverse()) {
       if (connection.isFree() && performance.now() - connection.idleSinceMs < computeIdleLimitMs(connection)) {
-        removeIdle(target.id, connection)
+        removeIdle(idle, { targetId: target.id, connection })
         reportEvent(ConnectionEvent.Reused, target.id)
         return connection
       }
@@ -115,6 +109,20 @@
     return undefined
   }
 
+  /** Makes room for a connection by closing idle ones; returns whether one may be opened. */
+  function reserveDescriptor (targetId: string): boolean {
+    for (;;) {
+      const decision = options.chooseDescriptor?.({ count: open.size, hasIdle: idle.size > 0 }) ?? DescriptorDecision.Open
+      if (decision === DescriptorDecision.Open) return true
+      const longest = decision === DescriptorDecision.CloseIdleTarget ? findLongestIdle(idle) : undefined
+      if (longest === undefined) {
+        reportEvent(ConnectionEvent.RefusedLocally, targetId)
+        return false
+      }
+      closeIdleConnection(...longest, ConnectionEvent.Displaced)
+    }
+  }
+
   function openConnection (target: PooledTarget, { connectTimeoutMs, onConnect, onClose }: { connectTimeoutMs: number, onConnect?: () => void, onClose?: () => void }): TargetConnection {
     const connection = openTargetConnection(target.address, {
       connectTimeoutMs,
@@ -126,7 +134,7 @@
       onMismatchedResponse: () => options.onMismatchedResponse?.(target.id),
       onClose () {
         open.delete(connection)
-        if (removeIdle(target.id, connection)) reportEvent(ConnectionEvent.ClosedByTarget, target.id)
+        if (removeIdle(idle, { targetId: target.id, connection })) reportEvent(ConnectionEvent.ClosedByTarget, target.id)
         onClose?.()
       }
     })
@@ -146,12 +154,10 @@
 
   return {
     send (target, exchange) {
-      if (isClosed) {
-        let isCancelled = false
-        setImmediate(() => { if (!isCancelled) exchange.onFail(ExchangeFailure.ConnectFailed, 'Pool is closed') })
-        return { cancel () { isCancelled = true }, setPaused: () => {} }
-      }
-      const connection = takeIdle(target) ?? openConnection(target, options)
+      if (isClosed) return failLater(exchange, ExchangeFailure.ConnectFailed, 'Pool is closed')
+      const reused = takeIdle(target)
+      if (reused === undefined && !reserveDescriptor(target.id)) return failLater(exchange, ExchangeFailure.RefusedLocally, 'Host has no descriptor left for another connection')
+      const connection = reused ?? openConnection(target, options)
       connection.send({
         ...exchange,
         onEnd () {
@@ -164,7 +170,7 @@
       return { cancel: () => connection.close(), setPaused: paused => connection.setPaused(paused) }
     },
     openIdle (target, { timeoutMs }) {
-      if (isClosed) return new Promise(resolve => setImmediate(resolve, false))
+      if (isClosed || !reserveDescriptor(target.id)) return new Promise(resolve => setImmediate(resolve, false))
       return new Promise(resolve => {
         const connection = openConnection(target, {
           connectTimeoutMs: timeoutMs,
@@ -193,6 +199,31 @@
   }
 }
 
+/** Removes a connection from the idle ones; returns whether it was among them. */
+function removeIdle (idle: Map<string, TargetConnection[]>, { targetId, connection }: { targetId: string, connection: TargetConnection }): boolean {
+  const list = idle.get(targetId) ?? []
+  const index = list.indexOf(connection)
+  if (index < 0) return false
+  list.splice(index, 1)
+  if (list.length === 0) idle.delete(targetId)
+  return true
+}
+
+function findLongestIdle (idle: Map<string, TargetConnection[]>): [targetId: string, connection: TargetConnection] | undefined {
+  let longest: [string, TargetConnection] | undefined
+  for (const [targetId, list] of idle) {
+    for (const connection of list) if (longest === undefined || connection.idleSinceMs < longest[1].idleSinceMs) longest = [targetId, connection]
+  }
+  return longest
+}
+
+/** Fails an exchange in a later turn, so that the event loop turns before it is sent again. */
+function failLater (exchange: Exchange, failure: ExchangeFailure, detail: string): RunningExchange {
+  let isCancelled = false
+  setImmediate(() => { if (!isCancelled) exchange.onFail(failure, detail) })
+  return { cancel () { isCancelled = true }, setPaused: () => {} }
+}
+
 function computeIdleLimitMs (connection: TargetConnection): number {
   return connection.keepAliveMs === undefined ? defaultIdleMs : Math.max(0, connection.keepAliveMs - idleMarginMs)
 }
