Refuse uploads and connections before the memory of the host is used up

The first 256 KiB of each body were not accounted for; only what came beyond them was bounded. Idle connections of callers take 7.4 kB of heap each and were not bounded either: 24 MB of heap ended by SIGABRT after 1,986 of them.

A body is accounted for by its stated length when it is admitted and returned when its response has closed; without room it is refused as not run (host_limit, Retry-After). Connections beyond the number give way as for descriptors. A heap above 85 % in two samples, 250 ms apart, refuses requests until it is below 75 %.

The refusal by a heap above 85 % is covered by unit tests only.

--- a/packages/bilberryd/src/edge/attempt_finisher.ts
+++ b/packages/bilberryd/src/edge/attempt_finisher.ts
@@ -12,7 +12,7 @@
 import { formatRetryAfter } from '@bilberryworks/users-platform'
 import { AttemptPhase } from './attempt.ts'
 import { RequestStage } from './entry_metrics.ts'
-import { writeRelayFields } from './relay_message.ts'
+import { mapRelayedRefusal, writeRelayFields } from './relay_message.ts'
 
 /** Finishes attempts. */
 export interface AttemptFinisher {
@@ -88,7 +88,7 @@
       if (!attempt.response.headersSent) {
         attempt.prepareResponse()
         if (attempt.relay !== undefined) writeRelayFields(attempt.response, { attemptId: attempt.attemptId, targetsReached: attempt.targetsReached - attempt.relay.targetsReached })
-        writeRefusal(attempt.response, reported, formatRetryAfter)
+        writeRefusal(attempt.response, attempt.relay === undefined ? reported : mapRelayedRefusal(reported), formatRetryAfter)
       }
       recordEnd(attempt, reported.outcome, reported)
     },
--- a/packages/bilberryd/src/edge/buffer_allowance.ts
+++ b/packages/bilberryd/src/edge/buffer_allowance.ts
@@ -10,6 +10,8 @@
   reserve (bytes: number): boolean
   /** Records that bytes are no longer buffered. */
   release (bytes: number): void
+  /** Returns the number of buffered bytes. */
+  getUsedBytes (): number
 }
 
 /**
@@ -25,6 +27,7 @@
       usedBytes += bytes
       return usedBytes < maxBytes
     },
-    release (bytes) { usedBytes -= bytes }
+    release (bytes) { usedBytes -= bytes },
+    getUsedBytes: () => usedBytes
   }
 }
--- a/packages/bilberryd/src/edge/collect_body.ts
+++ b/packages/bilberryd/src/edge/collect_body.ts
@@ -23,7 +23,7 @@
   readAhead (): Promise<void>
   /** Stops receiving, so that the rest can be read from the message. */
   release (): void
-  /** Returns to the allowance what was received beyond `maxBufferedBytes`. */
+  /** Returns to the allowances what was received; to be called when the request has ended. */
   free (): void
 }
 
@@ -37,6 +37,10 @@
   maxBytes: number
   /** Memory for what is received beyond `maxBufferedBytes`. */
   allowance: BufferAllowance
+  /** Memory for all bodies; unlimited if absent. */
+  memory?: BufferAllowance | undefined
+  /** Called once, when there is no memory for the body, before `onCollected`. */
+  onNoMemory?: () => void
   /** Called once, when the body is complete or exceeds `maxBufferedBytes`. */
   onCollected: (body: CollectedBody) => void
   /** Called when more than `maxBytes` are received, also after `onCollected`. */
@@ -60,6 +64,9 @@
   let hasCollected = false
   let reservedBytes = 0
   let limitBytes = maxReadAheadBytes
+  /** Bytes that are accounted for in the memory for all bodies. */
+  let memoryBytes = 0
+  let isFreed = false
   const body: CollectedBody = {
     parts: [],
     bytes: 0,
@@ -82,10 +89,21 @@
     },
     free () {
       options.allowance.release(reservedBytes)
+      options.memory?.release(memoryBytes)
       reservedBytes = 0
+      memoryBytes = 0
+      isFreed = true
     }
   }
 
+  /** Accounts for bytes; returns whether there is memory for them. */
+  function reserveMemory (bytes: number): boolean {
+    if (isFreed || options.memory === undefined || bytes <= memoryBytes) return true
+    const hasRoom = options.memory.reserve(bytes - memoryBytes)
+    memoryBytes = bytes
+    return hasRoom
+  }
+
   function addListeners (): void {
     dropListeners()
     message.on('data', handlePart)
@@ -108,12 +126,16 @@
   function readPart (part: Buffer): void {
     body.parts.push(part)
     body.bytes += part.length
+    const hasMemory = reserveMemory(body.bytes)
     if (body.bytes > options.maxBytes) {
       dropListeners()
       options.onTooLarge()
+    } else if (!hasMemory && !hasCollected) {
+      dropListeners()
+      options.onNoMemory?.()
     } else if (body.bytes > options.maxBufferedBytes) {
       reservedBytes += part.length
-      if (!options.allowance.reserve(part.length) || body.bytes >= limitBytes) message.pause()
+      if (!options.allowance.reserve(part.length) || !hasMemory || body.bytes >= limitBytes) message.pause()
       reportCollected()
     }
   }
@@ -130,6 +152,8 @@
     options.onCollected(body)
   }
 
+  // What is buffered in any case is accounted for at once, so that requests that arrive together are not admitted beyond the limit.
+  reserveMemory(Math.min(body.declaredBytes ?? 0, options.maxBufferedBytes))
   addListeners()
   return body
 }
--- a/packages/bilberryd/src/edge/descriptor_limits.ts
+++ b/packages/bilberryd/src/edge/descriptor_limits.ts
@@ -40,6 +40,8 @@
   limits: HostLimits | undefined
   /** Returns the number of open connections to targets. */
   countTargets: () => number
+  /** Number of connections of callers that the heap has room for. */
+  maxCallers: number
   /** Returns a random number in [0, 1). */
   getRandom: () => number
 }
@@ -60,7 +62,7 @@
  * @param options Limits and connections
  * @returns The budget
  */
-export function createDescriptorBudget ({ limits, countTargets, getRandom }: CreateDescriptorBudgetOptions): DescriptorBudget {
+export function createDescriptorBudget ({ limits, countTargets, maxCallers, getRandom }: CreateDescriptorBudgetOptions): DescriptorBudget {
   let shares = computeDescriptorShares({ openOthers: 0 })
   let callers: ConnectionGuard | undefined
   const formatUnreadRefusal = (): string => formatRefusal(RefusalReason.HostLimit, refusalDetail)
@@ -75,8 +77,8 @@
     guardCallers (server) {
       callers = createConnectionGuard(server, {
         getLimits () {
-          const maxServed = computeMaxConnections(DescriptorUse.Caller, shares, { callers: 0, targets: countTargets() })
-          const spare = shares.shared === Infinity ? 0 : Math.ceil(shares.shared * spareShare)
+          const maxServed = Math.min(maxCallers, computeMaxConnections(DescriptorUse.Caller, shares, { callers: 0, targets: countTargets() }))
+          const spare = Math.ceil(Math.min(maxCallers, shares.shared) * spareShare)
           return { maxServed, maxWithIdle: Math.max(0, maxServed - spare), maxRefused: shares.refusals }
         },
         formatRefusal: formatUnreadRefusal
--- a/packages/bilberryd/src/edge/entry_components.ts
+++ b/packages/bilberryd/src/edge/entry_components.ts
@@ -11,6 +11,7 @@
 import type { CrashGuard } from './crash_guard.ts'
 import type { Dispatcher } from './dispatcher.ts'
 import type { DescriptorBudget } from './descriptor_limits.ts'
+import type { MemoryBudget } from './memory_limits.ts'
 import type { EntryLog } from './entry_log.ts'
 import type { EntryMetrics } from './entry_metrics.ts'
 import type { EntryState } from './entry_state.ts'
@@ -90,6 +91,8 @@
   isOpen: () => boolean
   /** Descriptors of the host; unlimited if absent. */
   descriptors?: DescriptorBudget
+  /** Memory of the host; unlimited if absent. */
+  memory?: MemoryBudget
   /** Called after each change that can affect target selection. */
   onStateChange: () => void
   /** Sends a heartbeat to all peers without waiting for the next one. */
@@ -155,7 +158,7 @@
   })
   const regionShares = createRegionShares({ settings, state, countRequests: dispatcher.countRequests, listPeers })
   const serviceSelector = createWeightedRoundRobin(getRandom)
-  const requestHandler = createRequestHandler({ guard, state, dispatcher, log, metrics, runAfterReads, getNowMs, chooseService: serviceSelector.choose, life, descriptors: options.descriptors })
+  const requestHandler = createRequestHandler({ guard, state, dispatcher, log, metrics, runAfterReads, getNowMs, chooseService: serviceSelector.choose, life, descriptors: options.descriptors, memory: options.memory })
   const isReady = (): boolean => options.isOpen() && life.getPhase(getNowMs()) === LifePhase.Running && state.getConfig() !== undefined
 
   function handleChange (): void {
@@ -210,6 +213,7 @@
     }),
     runMaintenance (nowMs) {
       const tasks = [
+        () => options.memory?.sample(),
         () => state.targets.observeTime(nowMs),
         () => regionShares.advance(nowMs),
         () => pool.closeExpired(nowMs),
--- a/packages/bilberryd/src/edge/open_attempts.ts
+++ b/packages/bilberryd/src/edge/open_attempts.ts
@@ -36,7 +36,7 @@
       attempts.add(attempt)
       watchResponse(attempt.message, attempt.response, () => {
         attempts.delete(attempt)
-        attempt.body?.free()
+        attempt.arrivingBody?.free()
       })
     },
     end (options) {
--- a/packages/bilberryd/src/edge/relay_message.ts
+++ b/packages/bilberryd/src/edge/relay_message.ts
@@ -44,6 +44,8 @@
 const originPattern = /^(\S+) (\S+) (\d{1,4})$/
 const resultPattern = /^(\S+) (\d{1,4})$/
 const reasons = new Set<string>(Object.values(RefusalReason))
+/** Reasons that earlier versions do not know, and would take for a response that can't be read. */
+const recentReasons = new Set([RefusalReason.HostLimit, RefusalReason.InternalError])
 
 /**
  * Formats the field of a relayed request.
@@ -127,3 +129,14 @@
     return undefined
   }
 }
+
+/**
+ * Maps the refusal of a relayed request to one that earlier versions of the relaying instance can read.
+ *
+ * @param refusal The refusal
+ * @returns The refusal, with a reason of the same outcome that all versions know
+ */
+export function mapRelayedRefusal (refusal: Refusal): Refusal {
+  if (!recentReasons.has(refusal.reason)) return refusal
+  return { ...refusal, reason: refusal.outcome === Outcome.NotRun ? RefusalReason.RelayLimit : RefusalReason.TargetLost }
+}
--- a/packages/bilberryd/src/edge/request_handler.ts
+++ b/packages/bilberryd/src/edge/request_handler.ts
@@ -16,6 +16,7 @@
 import type { Dispatcher } from './dispatcher.ts'
 import type { EndedRequests } from './open_attempts.ts'
 import type { RelayOrigin } from './relay_message.ts'
+import type { MemoryBudget } from './memory_limits.ts'
 import { checkFraming, createPipelineScheduler, hasBody, watchCaller, writeRefusal } from '@bilberryworks/callers'
 import { createNotRunRefusal, LifePhase, RefusalReason, RouteKind } from '@bilberryworks/steering'
 import { formatRetryAfter, readAttemptFields } from '@bilberryworks/users-platform'
@@ -25,7 +26,7 @@
 import { createStoppingRefusal } from './stopping.ts'
 import { createBufferAllowance } from './buffer_allowance.ts'
 import { collectBody } from './collect_body.ts'
-import { writeRelayFields } from './relay_message.ts'
+import { mapRelayedRefusal, writeRelayFields } from './relay_message.ts'
 
 /** Options of {@linkcode createRequestHandler}. */
 export interface CreateRequestHandlerOptions {
@@ -45,6 +46,8 @@
   runAfterReads: (run: () => void) => void
   /** Phases of this instance. */
   life: LifeCycle
+  /** Memory of the host; unlimited if absent. */
+  memory?: Pick<MemoryBudget, 'bodies' | 'findRefusal' | 'createBodyRefusal'> | undefined
   /** Descriptors of the host; unlimited if absent. */
   descriptors?: Pick<DescriptorBudget, 'findRefusal' | 'isShort'> | undefined
   /** Returns monotonic time, in milliseconds. */
@@ -90,7 +93,7 @@
     if (relay !== undefined) writeRelayFields(response, { attemptId: readFields(message).attemptId ?? '', targetsReached: 0 })
     metrics.countRefused('', refusal.outcome, refusal.reason)
     log.info('request_refused', { id: readFields(message).attemptId, reason: refusal.reason, detail: refusal.detail, url: message.url, config: state.getConfig()?.version, relayedBy: relay?.instance })
-    writeRefusal(response, refusal, formatRetryAfter)
+    writeRefusal(response, relay === undefined ? refusal : mapRelayedRefusal(refusal), formatRetryAfter)
   }
 
   function refuseEarly (message: IncomingMessage, response: ServerResponse, end: { refusal: Refusal, relay?: RelayOrigin | undefined }): void {
@@ -111,6 +114,7 @@
     if (fields.attemptId === undefined) return createNotRunRefusal(RefusalReason.BadRequest, 'Request has no identifier')
     const length = Number(message.headers['content-length'] ?? 0)
     if (length > limits.maxBodyBytes) return createNotRunRefusal(RefusalReason.BodyTooLarge, `Body of ${length} bytes exceeds the limit of ${limits.maxBodyBytes} bytes`)
+    if (hasBody(message) && options.memory !== undefined && !options.memory.bodies.reserve(0)) return options.memory.createBodyRefusal()
     return {
       attemptId: fields.attemptId,
       service: selectService(route, { relay, version: config.version }),
@@ -152,7 +156,7 @@
   function submitConfirmed (attempt: Attempt): void {
     options.runAfterReads(() => {
       if (attempt.phase !== AttemptPhase.Arriving) return
-      const refusal = attempt.relay === undefined ? options.descriptors?.findRefusal(attempt.message.socket) : undefined
+      const refusal = attempt.relay === undefined ? options.descriptors?.findRefusal(attempt.message.socket) ?? options.memory?.findRefusal() : undefined
       if (refusal === undefined) dispatcher.submit(attempt)
       else dispatcher.refuse(attempt, refusal)
     })
@@ -170,6 +174,8 @@
       runGuarded: work => runGuarded(attempt, work),
       maxBufferedBytes: maxBufferedBodyBytes,
       allowance,
+      memory: options.memory?.bodies,
+      onNoMemory: () => dispatcher.cancel(attempt, options.memory!.createBodyRefusal()),
       maxBytes: state.getConfig()?.limits.maxBodyBytes ?? Infinity,
       onCollected (body) {
         if (attempt.phase !== AttemptPhase.Arriving) return
@@ -196,10 +202,7 @@
     if (phase !== LifePhase.Running) response.shouldKeepAlive = false
     const isAccepted = phase === LifePhase.Running || phase === LifePhase.Leaving
     const attempt = isAccepted ? createAttempt(message, response, relay) : createStoppingRefusal()
-    if ('outcome' in attempt) {
-      pipeline.schedule({ message, response, isSafe: true, start: () => refuseEarly(message, response, { refusal: attempt, relay }) })
-      return
-    }
+    if ('outcome' in attempt) return pipeline.schedule({ message, response, isSafe: true, start: () => refuseEarly(message, response, { refusal: attempt, relay }) })
     onAttempt(attempt)
     attempt.deadlineTimer = setTimeout(() => dispatcher.expire(attempt), Math.max(0, attempt.deadlineAtMs - getNowMs()))
     watchCaller(message, response, () => dispatcher.abandon(attempt))
--- a/packages/bilberryd/src/edge/run_entry.ts
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -31,6 +31,7 @@
 import { createPeerDiscovery } from './peer_discovery.ts'
 import { createLookUpListener, createReadinessListener } from './look_up_listener.ts'
 import { startPeerLink } from './peer_link.ts'
+import { createMemoryBudget } from './memory_limits.ts'
 import { drainRequests } from './drain_requests.ts'
 import { startMaintenance } from './maintenance.ts'
 import { ReplicatedTable } from './replicated_table.ts'
@@ -84,7 +85,8 @@
   const metrics = createEntryMetrics({ readers: createGaugeReaders(() => components, { log, takeMaxDelayMs, getNowMs }), countLostLines: log.countLost })
   let maxDelayMs = 0
   const guard = createCallbackGuard({ log, metrics, getNowMs })
-  const descriptors = createDescriptorBudget({ limits: settings.limits, countTargets: () => components.pool.count(), getRandom })
+  const memory = createMemoryBudget(settings.limits, getRandom)
+  const descriptors = createDescriptorBudget({ limits: settings.limits, maxCallers: memory.shares.maxConnections, countTargets: () => components.pool.count(), getRandom })
   const components = cleanup.add(createEntryComponents({
     guard,
     settings,
@@ -99,6 +101,7 @@
     life,
     isOpen: () => callers.listening,
     descriptors,
+    memory,
     onStateChange: () => applyCallerLimits(callers, state.getConfig()?.limits),
     sendNow: () => link.sendNow(),
     getNowMs,
--- a/packages/standins/src/entry_process.ts
+++ b/packages/standins/src/entry_process.ts
@@ -39,6 +39,8 @@
   store: SocketAddress
   /** Folder for settings and logs. */
   folder: string
+  /** What the host allows the instance, in the format of the platform's settings; no limits by default. */
+  limits?: Record<string, number>
 }
 
 /** Options of {@linkcode startEntryProcess}. */
@@ -79,7 +81,7 @@
  * @param options Number, store and folder
  * @returns The files and addresses
  */
-export async function writeEntryFiles ({ index, site, failureDomains, store, folder }: WriteEntryFilesOptions): Promise<EntryFiles> {
+export async function writeEntryFiles ({ index, site, failureDomains, store, folder, limits }: WriteEntryFilesOptions): Promise<EntryFiles> {
   const name = `entry-${index}`
   const host = createHost(site, index)
   const failureDomain = failureDomains[index % failureDomains.length]!
@@ -93,7 +95,8 @@
     seeds: [],
     zones: Object.fromEntries(failureDomains.map(each => [each, getRegion(each)])),
     platform: { address: `${store.host}:${store.port}` },
-    bounds: entryBounds
+    bounds: entryBounds,
+    limits
   }))
   return { name, host, callers: { host, port: entryPorts.front }, settingsFile, logFile: join(folder, `${name}.log`) }
 }
