--- a/packages/standins/src/throwing_callbacks_test.ts
+++ b/packages/standins/src/throwing_callbacks_test.ts
@@ -153,10 +153,17 @@
     const traffic = Promise.all(Array.from({ length: callers }, () => sendRequests(started, { ...options, untilMs })))
     await wait(300)
     child.kill('SIGUSR2')
-    await options.provoke?.(started)
+    const countErrors = (): Promise<number> => readMetric(`bilberry_callback_errors_total{callback="${options.callback}"}`)
+    const { provoke } = options
+    if (provoke !== undefined) {
+      await waitUntil(async () => {
+        await provoke(started)
+        return await countErrors() > 0
+      })
+    }
     const sent = (await traffic).flat()
     t.deepEqual([child.exitCode, child.signalCode], [null, null])
-    t.true(await readMetric(`bilberry_callback_errors_total{callback="${options.callback}"}`) > 0)
+    t.true(await countErrors() > 0)
     t.is(await readMetric('bilberry_uncaught_errors_total'), 0)
     checkAnswers(t, sent, started)
     child.kill('SIGUSR2')
