Open the listeners of the own interface as those of the entry instance

An instance of the own interface ended with status 70 and a stack trace when an address was taken at its start; and after openListener had opened a listener, its handler for errors took one only, so that the second failing accept ended the process with all that it had accepted.

openListener uses listenOn now: an address is tried again for 30 s with one line a cause, then the process ends with 69 and one line; a stop signal ends the wait with 0; errors of open listeners are counted by listener and logged once in 10 s. The listener for callers is opened last, since connections are closed without a response until the handlers are there. Counters that were read before they existed are no longer.

--- a/packages/bilberryd/src/listen_on.ts
+++ b/packages/bilberryd/src/listen_on.ts
@@ -24,12 +24,22 @@
   getRandom: () => number
 }
 
+/** What is logged of a listener. */
+export enum ListenerEvent {
+  /** Its address can't be listened on yet. */
+  Waiting = 'listener_waiting',
+  /** It was opened after its address could not be listened on. */
+  Opened = 'listener_opened',
+  /** It is open, and failed to do something, such as to accept a connection. */
+  Failed = 'listener_error'
+}
+
 /** Log of the listeners. */
 export interface ListenerLog {
   /** Writes a line at level info. */
-  info (event: string, fields: Record<string, unknown>): void
+  info (event: ListenerEvent, fields: Record<string, unknown>): void
   /** Writes a line at level warn. */
-  warn (event: string, fields: Record<string, unknown>): void
+  warn (event: ListenerEvent, fields: Record<string, unknown>): void
 }
 
 /** Options of {@linkcode listenOn} and {@linkcode openSocket}. */
@@ -115,12 +125,12 @@
     const { code, message } = error
     const delayMs = !isNeeded || isPassingListenFault(code) ? retries.planRetry(getNowMs() - startedAtMs) : undefined
     if (delayMs === undefined) throw new ListenError(`Listener "${name}" can't be opened after ${getWaitedMs()} ms: ${message}`)
-    if (!reported.has(code)) log.warn('listener_waiting', { ...listener, code, detail: message, ...isNeeded ? { limitMs } : {} })
+    if (!reported.has(code)) log.warn(ListenerEvent.Waiting, { ...listener, code, detail: message, ...isNeeded ? { limitMs } : {} })
     reported.add(code)
     await wait(delayMs, undefined, { signal, ref: isNeeded }).catch(() => {})
     if (signal.aborted) return
   }
-  log.info('listener_opened', { ...listener, waitedMs: getWaitedMs() })
+  log.info(ListenerEvent.Opened, { ...listener, waitedMs: getWaitedMs() })
 }
 
 /** Creates the handler of the errors of an open listener, such as those of accepting a connection. */
@@ -129,6 +139,6 @@
   return ({ code = '', message }) => {
     countError(name)
     const errors = limiter.takeReport(code, getNowMs())
-    if (errors !== undefined) log.warn('listener_error', { listener: name, code, detail: message, errors })
+    if (errors !== undefined) log.warn(ListenerEvent.Failed, { listener: name, code, detail: message, errors })
   }
 }
--- a/packages/bilberryd/src/main.ts
+++ b/packages/bilberryd/src/main.ts
@@ -11,6 +11,7 @@
 import { command, option, positional, run, string, subcommands } from 'cmd-ts'
 import { ExitStatus } from './exit_status.ts'
 import { createLineOutput } from './line_output.ts'
+import { ListenError } from './listen_on.ts'
 import { listenForErrors } from './process_errors.ts'
 import { listenForSignals } from './process_signals.ts'
 import { runInstance } from './run_instance.ts'
@@ -62,6 +63,15 @@
   }
 }
 
+/** Ends the process if a listener could not be opened, or a stop was requested before. */
+function handleStartError (error: unknown, log: Logger): RunningInstance {
+  if (!(error instanceof ListenError)) throw error
+  if (errors.hasOccurred()) process.exit(ExitStatus.UncaughtError)
+  if (signals.isStopRequested()) process.exit(ExitStatus.Stopped)
+  log.error({ detail: error.message, exitStatus: ExitStatus.ListenerUnavailable }, 'Start failed: a listener could not be opened')
+  process.exit(ExitStatus.ListenerUnavailable)
+}
+
 async function runUntilStopped (settings: Settings, file: string): Promise<void> {
   const lines = createLineOutput(process.stderr, {
     reportDropped: count => log.warn({ lines: count }, 'Log lines dropped: the reader of standard error is slow'),
@@ -74,7 +84,7 @@
   const stopRequested = Promise.race([signals.stopRequested, errors.stopRequested])
   // An error may have broken what the stop waits for.
   errors.stopRequested.then(() => setTimeout(() => process.exit(ExitStatus.UncaughtError), settings.lookUpTtlSeconds * 1_000 + settings.stopLimitMs + stopMarginMs)).catch(errors.endProcess)
-  const instance = await runInstance(settings, log, { logLines: lines })
+  const instance = await runInstance(settings, log, { logLines: lines, stopRequested }).catch(error => handleStartError(error, log))
   console.log(JSON.stringify({ ready: true, ...instance.addresses, listening: instance.listening }))
   errors.handlers.report = error => {
     instance.countUncaughtError()
--- a/packages/bilberryd/src/metrics.ts
+++ b/packages/bilberryd/src/metrics.ts
@@ -39,6 +39,8 @@
   countRetry: (reason: RetryReason) => void
   /** Counts a call without a valid key or token on a listener. */
   countUnauthenticated: (listener: string) => void
+  /** Counts an error of an open listener. */
+  countListenerError: (listener: string) => void
   /** Counts a look-up. */
   countLookUp: () => void
   /** Counts bytes of gossip calls that this instance made and of their replies. */
@@ -74,6 +76,7 @@
   const abortedRequests = new Counter({ name: 'bilberry_stop_cut_off_total', help: 'Requests aborted by the time limit of a shutdown', registers })
   const lookUps = new Counter({ name: 'bilberry_look_ups_total', help: 'Look-ups of entry instances', registers })
   const unauthenticated = new Counter({ name: 'bilberry_unauthenticated_total', help: 'Calls without a valid key or token, by listener', labelNames: ['listener'], registers })
+  const listenerErrors = new Counter({ name: 'bilberry_listener_errors_total', help: 'Errors of open listeners, such as those of accepting a connection, by listener', labelNames: ['listener'], registers })
   const controlBytes = new Counter({ name: 'bilberry_control_bytes_total', help: 'Bytes of the gossip calls that this instance made and of their replies', registers })
   const skippedExchanges = new Counter({ name: 'bilberry_exchanges_held_back_total', help: 'Gossip exchanges skipped because the budget of control bytes was used up', registers })
   const blockLoads = new Counter({ name: 'bilberry_client_blocks_loads_total', help: 'Attempts to load the client block map, by result', labelNames: ['end'], registers })
@@ -82,6 +85,7 @@
   for (const reason of Object.values(RefusalReason)) refusals.inc({ reason }, 0)
   for (const reason of Object.values(RetryReason)) retries.inc({ reason }, 0)
   for (const listener of ['operators', 'peers']) unauthenticated.inc({ listener }, 0)
+  for (const listener of ['callers', 'operators', 'peers']) listenerErrors.inc({ listener }, 0)
   for (const end of Object.values(ClientBlocksLoadResult)) blockLoads.inc({ end }, 0)
   registerGauges(registry, sources)
   const labelledServices = new Set<string>()
@@ -107,6 +111,7 @@
     },
     countRetry: reason => retries.inc({ reason }),
     countUnauthenticated: listener => unauthenticated.inc({ listener }),
+    countListenerError: listener => listenerErrors.inc({ listener }),
     countLookUp: () => lookUps.inc(),
     countControlBytes: bytes => controlBytes.inc(bytes),
     countSkippedExchange: () => skippedExchanges.inc(),
--- a/packages/bilberryd/src/open_listener.ts
+++ b/packages/bilberryd/src/open_listener.ts
@@ -6,11 +6,14 @@
 import type { RequestListener, Server, ServerOptions } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import type { RefusalReason } from '@bilberryworks/steering'
+import type Logger from 'bunyan'
+import type { ListenerLog, ListenOnOptions } from './listen_on.ts'
 import type { ListenSettings, TlsSettings } from './settings.ts'
 import { createServer } from 'node:http'
 import { createServer as createTlsServer, Server as TlsServer } from 'node:https'
 import { createSecureContext } from 'node:tls'
 import { applyGracefulClose, countOpenResponses, handleClientErrors } from '@bilberryworks/callers'
+import { ListenError, ListenerEvent, listenOn } from './listen_on.ts'
 import { readPem } from './read_pem.ts'
 
 const maxHeaderBytes = 16 * 1024
@@ -19,8 +22,14 @@
 const keepAliveInitialDelayMs = 30_000
 const idleCheckIntervalMs = 50
 
+const eventTexts: Record<ListenerEvent, string> = {
+  [ListenerEvent.Waiting]: 'Listener can not be opened yet: its address is tried again',
+  [ListenerEvent.Opened]: 'Listener opened',
+  [ListenerEvent.Failed]: 'Listener failed to accept a connection'
+}
+
 /** Options of {@linkcode openListener}. */
-export interface OpenListenerOptions {
+export interface OpenListenerOptions extends Omit<ListenOnOptions, 'address' | 'isNeeded'> {
   /** Maximum time that a client may take to send its header fields, in milliseconds; 10,000 by default. */
   headersTimeoutMs?: number
   /** Called for each connection that is refused because no valid request could be read from it. */
@@ -40,15 +49,29 @@
 }
 
 /**
- * Opens an HTTP or HTTPS listener.
+ * Creates a log of listeners.
+ *
+ * @param log Logger of the instance
+ * @returns The log
+ */
+export function createListenerLog (log: Logger): ListenerLog {
+  return {
+    info: (event, fields) => log.info(fields, eventTexts[event]),
+    warn: (event, fields) => log.warn(fields, eventTexts[event])
+  }
+}
+
+/**
+ * Opens an HTTP or HTTPS listener, as soon as its address is free.
  *
  * @param handler The handler of all requests
  * @param listen The address, and the certificate for HTTPS
- * @param options The header timeout and the counter of refusals
+ * @param options Name and log of the listener, the header timeout and the counter of refusals
  * @returns The listener; dispose it to close its connections immediately
- * @throws {Error} If the address can't be listened on, or the certificate can't be read
+ * @throws {ListenError} If the address can't be listened on within 30 s, or the signal is aborted before
+ * @throws {Error} If the certificate can't be read
  */
-export async function openListener (handler: RequestListener, listen: ListenSettings, options: OpenListenerOptions = {}): Promise<OpenListener> {
+export async function openListener (handler: RequestListener, listen: ListenSettings, options: OpenListenerOptions): Promise<OpenListener> {
   const server = createHttpServer(listen, options.headersTimeoutMs ?? defaultHeadersTimeoutMs)
   // Node.js silently drops header fields above a maximum count, so the count is unlimited and `maxHeaderSize` limits their size.
   server.maxHeadersCount = 0
@@ -58,10 +81,8 @@
   handleClientErrors(server, options.countRefusal ?? (() => {}))
   const countOpen = countOpenResponses(server)
   applyGracefulClose(server)
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(listen.port, listen.host, resolve)
-  })
+  await listenOn(server, { ...options, address: listen })
+  if (!server.listening) throw new ListenError(`Listener "${options.name}" is not opened, since a stop was requested`)
   return {
     address: formatAddress(server),
     countOpen,
--- a/packages/bilberryd/src/run_instance.ts
+++ b/packages/bilberryd/src/run_instance.ts
@@ -6,11 +6,12 @@
 import type { RefusalReason } from '@bilberryworks/steering'
 import type Logger from 'bunyan'
 import type { LineOutput } from './line_output.ts'
+import type { Metrics } from './metrics.ts'
 import type { Settings } from './settings.ts'
 import { createInstanceHandlers } from './instance_handlers.ts'
 import { createInstanceComponents } from './instance_components.ts'
 import { createDeferredHandler } from './deferred_handler.ts'
-import { openListener } from './open_listener.ts'
+import { createListenerLog, openListener } from './open_listener.ts'
 import { drainInstance } from './stop.ts'
 
 /** A running instance. */
@@ -31,6 +32,8 @@
 export interface RunInstanceOptions {
   /** Counts the log lines that were dropped and lost; none are counted by default. */
   logLines?: Pick<LineOutput, 'countDropped' | 'countLost'>
+  /** Resolves when the instance is to stop, which ends the wait for addresses that can't be listened on; never by default. */
+  stopRequested?: Promise<unknown>
 }
 
 const noLogLines = { countDropped: () => 0, countLost: () => 0 }
@@ -40,23 +43,37 @@
  *
  * @param settings Settings of the instance; `reload` updates their tokens and peer keys
  * @param log Logger
- * @param options Counts of log lines
+ * @param options Counts of log lines, and the request to stop
  * @returns The running instance
+ * @throws {ListenError} If an address can't be listened on within 30 s, or a stop is requested before
  */
-export async function runInstance (settings: Settings, log: Logger, { logLines = noLogLines }: RunInstanceOptions = {}): Promise<RunningInstance> {
+export async function runInstance (settings: Settings, log: Logger, { logLines = noLogLines, stopRequested }: RunInstanceOptions = {}): Promise<RunningInstance> {
   const deferredHandlers = { callers: createDeferredHandler(), operators: createDeferredHandler(), peers: createDeferredHandler() }
-  const listenerOptions = { headersTimeoutMs: settings.headersTimeoutMs, countRefusal: (reason: RefusalReason) => components.metrics.countRefusal(reason) }
-  const listeners = {
-    callers: await openListener(deferredHandlers.callers.handle, settings.listen.callers, listenerOptions),
-    operators: await openListener(deferredHandlers.operators.handle, settings.listen.operators, listenerOptions),
-    peers: await openListener(deferredHandlers.peers.handle, settings.listen.peers, listenerOptions)
+  const waits = new AbortController()
+  stopRequested?.then(() => waits.abort(), () => {})
+  // Nothing is counted until the metrics are there.
+  let counters: Pick<Metrics, 'countRefusal' | 'countListenerError'> = { countRefusal () {}, countListenerError () {} }
+  const listenerOptions = {
+    headersTimeoutMs: settings.headersTimeoutMs,
+    countRefusal: (reason: RefusalReason) => counters.countRefusal(reason),
+    countError: (listener: string) => counters.countListenerError(listener),
+    log: createListenerLog(log),
+    signal: waits.signal,
+    getNowMs: () => performance.now(),
+    getRandom: Math.random
   }
+  // Callers come last, since requests are closed without a response until the handlers are there.
+  const peers = await openListener(deferredHandlers.peers.handle, settings.listen.peers, { ...listenerOptions, name: 'peers' })
+  const operators = await openListener(deferredHandlers.operators.handle, settings.listen.operators, { ...listenerOptions, name: 'operators' })
+  const callers = await openListener(deferredHandlers.callers.handle, settings.listen.callers, { ...listenerOptions, name: 'callers' })
+  const listeners = { callers, operators, peers }
   const addresses = {
     callers: settings.advertise?.callers ?? listeners.callers.address,
     operators: listeners.operators.address,
     peers: settings.advertise?.peers ?? listeners.peers.address
   }
   const components = createInstanceComponents(settings, { addresses, log })
+  counters = components.metrics
   components.metrics.addLogLines(logLines)
   const handlers = await createInstanceHandlers(components)
   deferredHandlers.callers.update(handlers.callers)
