Read settings of the own interface again that are not valid yet at a start

An instance of the own interface whose settings file was cut short while it started printed a finding and ended with 1, though whoever wrote the file was about to complete it. Cause: the file was read once.

--- a/packages/bilberryd/src/main.ts
+++ b/packages/bilberryd/src/main.ts
@@ -16,6 +16,7 @@
 import { listenForSignals } from './process_signals.ts'
 import { runInstance } from './run_instance.ts'
 import { readSettings } from './settings.ts'
+import { waitForSettings } from './wait_for_settings.ts'
 
 /** Time that a stop may take beyond the lifetime of look-up responses and its limit, in milliseconds. */
 const stopMarginMs = 5_000
@@ -38,7 +39,8 @@
   description: 'Runs an entry instance',
   args: { settings: option({ type: string, long: 'settings', description: 'Path of the JSON settings file' }) },
   async handler ({ settings: file }) {
-    const settings = readSettings(file)
+    const settings = await waitForSettings(() => readSettings(file), { stopRequested: signals.stopRequested, report: console.error })
+    if (signals.isStopRequested()) return
     if (settings.isErr()) printFindings(settings.error)
     else await runUntilStopped(settings.value, file)
   }
--- a/packages/standins/src/own_start_test.ts
+++ b/packages/standins/src/own_start_test.ts
@@ -91,6 +91,17 @@
   t.notRegex(output.stderr, /^\s+at /m)
 })
 
+test.serial('a start of the own interface waits while its settings file is cut short', async t => {
+  await using started = await createStart()
+  await writeFile(started.settingsFile, started.text.slice(0, started.text.length / 2))
+  const { child, output } = started.start()
+  t.true(await waitUntil(() => child.exitCode !== null || output.stderr.includes('Settings are read again')))
+  await wait(1_500)
+  t.is(child.exitCode, null)
+  await writeFile(started.settingsFile, started.text)
+  t.true(await waitUntil(() => output.stdout.includes('"ready":true')))
+})
+
 /** Lets accepting a connection fail ten times on each listener, at SIGUSR2. */
 const failAccepts = `
   import { Server } from 'node:net'
