Serve requests on open connections while the host refuses new ones

Callers of an instance with few descriptors left still saw 7 to 10 of 100 requests refused as host_limit: a request tried four targets in a row, within milliseconds, although connections that were open already became idle all the time, and 200 requests cost 800 connections that the host refused.

After a refusal, new connections are held back for 20 to 400 ms, doubling, half of it random, all of them or those to the address; then single ones try. Meanwhile requests go to suitable targets with idle connections, wait for one, go through another instance after 100 ms, and are refused as not run once their time for waiting is over or five connections were refused for them. Nothing was sent, so that nothing may have run; the retry budget is not drawn on.

--- a/packages/bilberryd/src/edge/attempt.ts
+++ b/packages/bilberryd/src/edge/attempt.ts
@@ -96,6 +96,8 @@
   deadlineTimer: NodeJS.Timeout | undefined
   /** Fingerprint of the request; `undefined` until it is needed. */
   fingerprint: string | undefined
+  /** Number of connections for it that this host refused. */
+  localRefusals: number
   /** Refusal reason of the last exchange that failed without running the request; reported if the attempt is refused. */
   lastNotRunReason: RefusalReason | undefined
   /** Whether the last target that refused it had free slots, according to the load in its response. */
--- a/packages/bilberryd/src/edge/dispatch_queue.ts
+++ b/packages/bilberryd/src/edge/dispatch_queue.ts
@@ -10,6 +10,7 @@
 import type { CallbackGuard } from './callback_guard.ts'
 import type { CrashGuard } from './crash_guard.ts'
 import type { EntryState } from './entry_state.ts'
+import type { HostLimits } from './host_limits.ts'
 import type { PeerDispatch } from './peer_dispatch.ts'
 import type { ReachMonitor } from './reach_monitor.ts'
 import type { Relayer } from './relayer.ts'
@@ -41,6 +42,8 @@
   crashGuard: CrashGuard
   /** Network paths to targets. */
   reach: ReachMonitor
+  /** Decisions while the host refuses connections. */
+  hostLimits: HostLimits
   /** Sends attempts through other instances. */
   relayer: Relayer
   /** Decides which attempts go through other instances. */
@@ -68,7 +71,7 @@
  * @returns The function
  */
 export function createQueueDispatch (options: CreateQueueDispatchOptions): (waiting: WaitingRequests<Attempt>) => void {
-  const { guard, runGuarded, fail, life, state, exchanges, targetSelector, crashGuard, reach, relayer, peerDispatch, finisher, isCompletable, isCompletableAnywhere, getRetryAfterMs, enqueue, sendToTarget, dispatchWaiting, getNowMs, getRandom } = options
+  const { guard, runGuarded, fail, hostLimits, life, state, exchanges, targetSelector, crashGuard, reach, relayer, peerDispatch, finisher, isCompletable, isCompletableAnywhere, getRetryAfterMs, enqueue, sendToTarget, dispatchWaiting, getNowMs, getRandom } = options
 
   function handleEach (attempts: Attempt[], handle: (attempt: Attempt) => void): void {
     for (const attempt of attempts) runGuarded(attempt, () => handle(attempt))
@@ -87,13 +90,14 @@
     })
     for (const attempt of failed) fail(attempt)
     for (const { request, placed: entry } of assignments) dispatchAttempt(request, entry)
+    handleEach(waiting.takeMatching(hostLimits.isHeldLong), attempt => { if (!peerDispatch.sendThroughPeer(attempt)) waiting.add(attempt) })
     handleEach(waiting.takeMatching(request => targetSelector.findAcceptTimeMs(request) > request.expiresAtMs), refusePaused)
-    handleEach(waiting.takeExpired(getNowMs()), attempt => finisher.refuse(attempt, createNotRunRefusal(RefusalReason.Overloaded, 'No target slot became free within the queueing time limit', getRetryAfterMs(attempt))))
+    handleEach(waiting.takeExpired(getNowMs()), attempt => finisher.refuse(attempt, hostLimits.findExpiryRefusal(attempt) ?? createNotRunRefusal(RefusalReason.Overloaded, 'No target slot became free within the queueing time limit', getRetryAfterMs(attempt))))
   }
 
   /** Takes a slot of a target for an attempt, if one is free. */
   function reserveTarget (attempt: Attempt): RegisteredTarget | undefined {
-    const entry = targetSelector.findTarget(attempt, target => isCompletable(attempt, target))
+    const entry = targetSelector.findTarget(attempt, target => hostLimits.isConnectable(target) && isCompletable(attempt, target))
     // Counted immediately, so that the selection for the next queued request sees the remaining capacity.
     if (entry !== undefined) recordTargetDispatch(entry, getNowMs())
     return entry
@@ -134,7 +138,7 @@
     if (attempt.deadlineAtMs - getNowMs() < minTimeLeftMs) {
       release()
       finisher.refuse(attempt, createNotRunRefusal(RefusalReason.DeadlinePassed, 'Deadline is too close to send the request to a target', getRetryAfterMs(attempt)))
-    } else if (!isCompletable(attempt, entry)) {
+    } else if (!isCompletable(attempt, entry) || !hostLimits.takeConnection(entry)) {
       release()
       enqueue(attempt)
     } else if (reach.needsConnection(entry) && attempt.relay === undefined && relayer.findPeer(attempt) !== undefined) {
--- a/packages/bilberryd/src/edge/dispatcher.ts
+++ b/packages/bilberryd/src/edge/dispatcher.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { KnownInstance, LifeCycle, RateContender, EntrySettings, PendingExchange, Refusal, WaitingRequests } from '@bilberryworks/steering'
+import type { ConnectionHold, KnownInstance, LifeCycle, RateContender, EntrySettings, PendingExchange, Refusal, WaitingRequests } from '@bilberryworks/steering'
 import type { ResponseHead, TargetPool } from '@bilberryworks/targets'
 import type { Attempt } from './attempt.ts'
 import type { CallbackGuard } from './callback_guard.ts'
@@ -22,6 +22,7 @@
 import { GuardedCallback } from './callback_guard.ts'
 import { createAttemptFinisher } from './attempt_finisher.ts'
 import { createExchangeResultHandler } from './exchange_results.ts'
+import { createHostLimits } from './host_limits.ts'
 import { createStoppingRefusal, createStopLimits } from './stopping.ts'
 import { createQueueDispatch } from './dispatch_queue.ts'
 import { createTargetSelector } from './target_selector.ts'
@@ -85,6 +86,8 @@
   crashGuard: CrashGuard
   /** Network paths to targets. */
   reach: ReachMonitor
+  /** Holds new connections back while this host refuses them. */
+  hold: ConnectionHold
   /** Connections to other instances. */
   peerPool: TargetPool
   /** The other instances, through which requests are sent while this one has no path to their targets. */
@@ -133,15 +136,16 @@
   const retryBudgets = createLazyMap(() => createFleetRetryBudget({ ratio: bounds.retryRatio, slack: bounds.retrySlack, windowMs: bounds.budgetWindowMs, getInstanceCount: options.getMaxLiveInstances }))
   const retryPacers = createLazyMap(() => createRetryPacer(options.getRandom))
   const getRetryAfterMs = (attempt: Attempt): number => retryPacers.get(attempt.service).record({ nowMs: getNowMs(), queued: waitingByService.get(attempt.service).count(), ...targetSelector.measureCapacity(attempt.service) })
+  const hostLimits = createHostLimits({ ...options, targetSelector, isCompletable, getRetryAfterMs })
   const relayOptions = { finisher, getRetryAfterMs, getBudget: retryBudgets.get, listGroups: targetSelector.listGroups, requeue: enqueueAttempt }
   const relayer = createRelayer({ ...options, ...relayOptions, runGuarded, maySend: attempt => crashGuard.findRefusal(attempt) === undefined })
-  const handleExchangeResult = createExchangeResultHandler({ finisher, log, metrics, getNowMs, getRandom: options.getRandom, getBudget: retryBudgets.get, getRetryAfterMs, isSuspect: crashGuard.isSuspect, requeue: enqueueAttempt, relay: attempt => peerDispatch.isUnderDoubt(attempt) && peerDispatch.sendThroughPeer(attempt) })
+  const handleExchangeResult = createExchangeResultHandler({ finisher, log, metrics, getNowMs, getRandom: options.getRandom, getBudget: retryBudgets.get, getRetryAfterMs, isSuspect: crashGuard.isSuspect, requeue: enqueueAttempt, relay: attempt => peerDispatch.isUnderDoubt(attempt) && peerDispatch.sendThroughPeer(attempt), relayFromHost: attempt => peerDispatch.sendThroughPeer(attempt) })
   const peerDispatch = createPeerDispatch({ instance, relayer, reach, targetSelector, finisher, getRetryAfterMs })
   const sendToTarget = createTargetSender({ ...options, runGuarded, isCompletable, targetSelector, speeds, exchanges, finisher, onResult: handleResult })
   const retryUnreachable = createUnreachableRetries({ runGuarded, exchanges, reach, getNowMs, getBudget: retryBudgets.get, handleExchangeResult })
   const findRelayRefusal = createRelayAdmission({ instance, maxRelayed: options.maxRelayed, exchanges, getRetryAfterMs, getWaiting: waitingByService.get, countWaitingRelayed: () => countWaiting(attempt => attempt.relay !== undefined) })
   const withdrawal = createAttemptWithdrawal({ guard, finisher, isCompletableAnywhere, getRetryAfterMs, detach: detachAttempt, onEnd: attempt => dispatchWaiting(attempt.service) })
-  const dispatchQueue = createQueueDispatch({ ...options, runGuarded, fail: withdrawal.fail, exchanges, targetSelector, isCompletable, isCompletableAnywhere, relayer, peerDispatch, finisher, getRetryAfterMs, enqueue: enqueueAttempt, sendToTarget, dispatchWaiting })
+  const dispatchQueue = createQueueDispatch({ ...options, hostLimits, runGuarded, fail: withdrawal.fail, exchanges, targetSelector, isCompletable, isCompletableAnywhere, relayer, peerDispatch, finisher, getRetryAfterMs, enqueue: enqueueAttempt, sendToTarget, dispatchWaiting })
   let checkTimer: NodeJS.Timeout | undefined
 
   /** Runs a callback of an attempt, and ends the attempt if that throws. */
--- a/packages/bilberryd/src/edge/entry_components.ts
+++ b/packages/bilberryd/src/edge/entry_components.ts
@@ -20,7 +20,7 @@
 import type { RelaySettings } from './entry_options.ts'
 import type { RequestHandler } from './request_handler.ts'
 import type { TargetReports } from './target_reports.ts'
-import { createAttemptPacer, createWeightedRoundRobin, FailureSide, getFailureSide, LifePhase } from '@bilberryworks/steering'
+import { createAttemptPacer, createConnectionHold, createWeightedRoundRobin, FailureSide, getFailureSide, LifePhase } from '@bilberryworks/steering'
 import { ConnectionEvent } from '@bilberryworks/targets'
 import { GuardedCallback, noGuard } from './callback_guard.ts'
 import { createCrashGuard } from './crash_guard.ts'
@@ -126,6 +126,7 @@
   const listPeers = (): PeerHeartbeat[] => view.listLive(getNowMs()).map(peer => peer.heartbeat)
   const { reportCold, reportGroupCold } = createColdReporter({ log, metrics, getNowMs })
   const state = createEntryState({ guard, regions: settings.regions, log, reportCold, reportGroupCold, getNowMs, countUndecodable: metrics.countUndecodable, onChange: handleChange })
+  const hold = createConnectionHold({ getRandom })
   const pool = options.createPool((event, targetId, code) => guard.run(GuardedCallback.Connection, () => handleConnectionEvent(event, targetId, code)))
   const targetReports = createTargetReports({ state, metrics, log, reportCold, getNowMs })
   const relayPeers = createRelayPeers({ region: settings.region, view, isEnabled: options.relays.isEnabled, getNowMs, getRandom })
@@ -135,6 +136,7 @@
     guard,
     crashGuard,
     reach,
+    hold,
     relayPeers,
     maxRelayed: options.relays.maxRelayed,
     settings,
@@ -176,6 +178,8 @@
     const side = getFailureSide(code)
     metrics.countConnectionEvent(event)
     if (event === ConnectionEvent.ConnectFailed || event === ConnectionEvent.RefusedLocally) metrics.countConnectFailure(side)
+    if (event === ConnectionEvent.RefusedLocally) hold.recordFailure(targetId, side, getNowMs())
+    else if (event === ConnectionEvent.Established) hold.recordEstablished(targetId, getNowMs())
     reach.handleConnectionEvent(event, targetId)
     const entry = state.targets.find(targetId)
     // Without a route, nothing shows whether a process ended.
--- a/packages/bilberryd/src/edge/exchange_results.ts
+++ b/packages/bilberryd/src/edge/exchange_results.ts
@@ -9,6 +9,7 @@
 import type { EntryLog } from './entry_log.ts'
 import type { EntryMetrics } from './entry_metrics.ts'
 import { computeRoomRetryAfterMs, createNotRunRefusal, createUnknownRefusal, RefusalReason, RetryReason, RouteKind } from '@bilberryworks/steering'
+import { getHostLimitReason, maxLocalRefusals } from './host_limits.ts'
 import { ExchangeResult } from './send_attempt.ts'
 
 /** Options of {@linkcode createExchangeResultHandler}. */
@@ -23,6 +24,8 @@
   isSuspect: (attempt: Attempt) => boolean
   /** Sends an attempt through another instance; returns whether there is one that may and can relay it. */
   relay: (attempt: Attempt) => boolean
+  /** Sends an attempt through another instance, since this host refuses connections; returns whether there is one that may and can relay it. */
+  relayFromHost: (attempt: Attempt) => boolean
   /** Queues an attempt for dispatch to another target. */
   requeue: (attempt: Attempt) => void
   /** Returns the retry budget of a service. */
@@ -80,9 +83,7 @@
         retryAttempt(attempt, { reason: RetryReason.ConnectFailed, consumesBudget: false, detail })
         break
       case ExchangeResult.RefusedLocally:
-        // An earlier version does not know the reason for which another instance refuses what it relays.
-        attempt.lastNotRunReason = attempt.relay === undefined ? RefusalReason.HostLimit : RefusalReason.RelayLimit
-        retryAttempt(attempt, { reason: RetryReason.RefusedLocally, consumesBudget: false, detail })
+        retryRefusedLocally(attempt, detail)
         break
       case ExchangeResult.Withdrawn:
         attempt.lastNotRunReason = RefusalReason.NoUsableTarget
@@ -99,6 +100,14 @@
     }
   }
 
+  /** Queues an attempt again whose connection this host refused; the target stays one of those that it may be sent to. */
+  function retryRefusedLocally (attempt: Attempt, detail: string): void {
+    attempt.lastNotRunReason = getHostLimitReason(attempt)
+    attempt.tried.delete(attempt.dispatches.at(-1)!.target!)
+    if (++attempt.localRefusals <= maxLocalRefusals) retryAttempt(attempt, { reason: RetryReason.RefusedLocally, consumesBudget: false, detail })
+    else if (!options.relayFromHost(attempt)) finisher.refuse(attempt, createNotRunRefusal(attempt.lastNotRunReason, detail, options.getRetryAfterMs(attempt)))
+  }
+
   /** Retries an attempt at another target if its body, its route, its deadline and the retry budget allow it; otherwise refuses it. */
   function retryAttempt (attempt: Attempt, cause: { reason: RetryReason, consumesBudget: boolean, detail: string }): void {
     const nowMs = getNowMs()
--- a/packages/bilberryd/src/edge/relay_peers.ts
+++ b/packages/bilberryd/src/edge/relay_peers.ts
@@ -11,7 +11,7 @@
   /** Returns whether a live instance reaches a group of targets. */
   isReached (group: string): boolean
   /** Chooses the instance for a request that targets of some groups may serve; `undefined` if none may and can relay it. */
-  choose (groups: string[], request: { homeRegions: string[], tried: ReadonlySet<string> }): PeerHeartbeat | undefined
+  choose (groups: string[], request: { homeRegions: string[], tried: ReadonlySet<string>, mayConnect?: (instance: string) => boolean }): PeerHeartbeat | undefined
   /** Returns whether an instance is live. */
   isLive (instance: string): boolean
   /** Records that a request is sent through an instance; returns the number of such requests in flight. */
@@ -84,9 +84,9 @@
       }
       return isReached
     },
-    choose (groups, { homeRegions, tried }) {
+    choose (groups, { homeRegions, tried, mayConnect = () => true }) {
       const nowMs = getNowMs()
-      const isExcluded = (instance: string): boolean => tried.has(instance) || (busyUntilMs.get(instance) ?? -Infinity) > nowMs
+      const isExcluded = (instance: string): boolean => tried.has(instance) || !mayConnect(instance) || (busyUntilMs.get(instance) ?? -Infinity) > nowMs
       return chooseRelay(listCandidates(), { groups, region, homeRegions, isExcluded, countInFlight: instance => inFlight.get(instance) ?? 0, getRandom })
     },
     isLive: instance => view.listLive(getNowMs()).some(({ heartbeat }) => heartbeat.instance === instance),
--- a/packages/bilberryd/src/edge/relayer.ts
+++ b/packages/bilberryd/src/edge/relayer.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { EntrySettings, FleetRetryBudget, Refusal } from '@bilberryworks/steering'
+import type { ConnectionHold, EntrySettings, FleetRetryBudget, Refusal } from '@bilberryworks/steering'
 import type { ResponseHead, TargetPool } from '@bilberryworks/targets'
 import type { Attempt } from './attempt.ts'
 import type { AttemptFinisher } from './attempt_finisher.ts'
@@ -12,9 +12,10 @@
 import type { EntryState } from './entry_state.ts'
 import type { PeerHeartbeat } from './peer_view.ts'
 import type { RelayPeers } from './relay_peers.ts'
-import { createNotRunRefusal, createUnknownRefusal, Outcome, RefusalReason, RetryReason, RouteKind } from '@bilberryworks/steering'
+import { createNotRunRefusal, createUnknownRefusal, FailureSide, Outcome, RefusalReason, RetryReason, RouteKind } from '@bilberryworks/steering'
 import { AttemptPhase } from './attempt.ts'
 import { RequestStage } from './entry_metrics.ts'
+import { maxLocalRefusals } from './host_limits.ts'
 import { findRetryDenial } from './exchange_results.ts'
 import { RelayResultKind, sendRelayed } from './send_relayed.ts'
 
@@ -44,6 +45,8 @@
   peerPool: TargetPool
   /** The other instances. */
   relayPeers: RelayPeers
+  /** Holds new connections back while this host refuses them. */
+  hold: ConnectionHold
   /** Finishes attempts. */
   finisher: AttemptFinisher
   /** Structured log. */
@@ -74,6 +77,11 @@
 /** Reasons for which an instance refuses what another one may serve. */
 const retriedReasons = new Set([RefusalReason.RelayLimit, RefusalReason.TargetUnreachable, RefusalReason.NoUsableTarget, RefusalReason.NoDocument, RefusalReason.Stopping, RefusalReason.UnknownService])
 
+/** Returns the address of an instance as distinct from those of targets. */
+function formatPeerKey (instance: string): string {
+  return `peer ${instance}`
+}
+
 /**
  * Creates a relayer.
  *
@@ -81,7 +89,7 @@
  * @returns The relayer
  */
 export function createRelayer (options: CreateRelayerOptions): Relayer {
-  const { settings, state, relayPeers, finisher, log, metrics, getNowMs } = options
+  const { settings, state, relayPeers, peerPool, hold, finisher, log, metrics, getNowMs } = options
   const relayed = new Set<Attempt>()
 
   function release (attempt: Attempt): void {
@@ -100,7 +108,7 @@
   /** Dispatches an attempt again, or refuses it if its limits don't allow that; `refusal` is sent if it has not run. */
   function retryAttempt (attempt: Attempt, cause: { reason: RetryReason, consumesBudget: boolean, detail: string, refusal: Refusal }): void {
     const nowMs = getNowMs()
-    const isBarred = attempt.triedPeers.size >= maxPeers || findRetryDenial(attempt, nowMs) !== undefined || (cause.consumesBudget && !options.getBudget(attempt.service).take(nowMs))
+    const isBarred = attempt.localRefusals > maxLocalRefusals || attempt.triedPeers.size >= maxPeers || findRetryDenial(attempt, nowMs) !== undefined || (cause.consumesBudget && !options.getBudget(attempt.service).take(nowMs))
     log.info(isBarred ? 'retry_barred' : 'retry', { id: attempt.attemptId, reason: cause.reason, detail: cause.detail, peers: attempt.triedPeers.size, leftMs: Math.round(attempt.deadlineAtMs - nowMs) })
     if (!isBarred) {
       metrics.countRetry(cause.reason)
@@ -133,12 +141,13 @@
     attempt.dispatchedAtMs = getNowMs()
     attempt.triedPeers.add(peer.instance)
     relayed.add(attempt)
+    if (!peerPool.hasIdle(peer.instance)) hold.take(formatPeerKey(peer.instance), getNowMs())
     const inFlight = relayPeers.recordStart(peer.instance)
     attempt.dispatches.push({ peer: peer.instance, afterMs: Math.round(attempt.dispatchedAtMs - attempt.arrivedAtMs), inFlight })
     sendRelayed(attempt, peer, {
       runGuarded: work => options.runGuarded(attempt, work),
       instance: settings.instance,
-      pool: options.peerPool,
+      pool: peerPool,
       getNowMs,
       maxBodyBytes: state.getConfig()?.limits.maxBodyBytes ?? Infinity,
       transitMs: peer.region === settings.region ? transitMs : remoteTransitMs,
@@ -155,6 +164,7 @@
       onEnd (result, end) {
         release(attempt)
         metrics.countRelayed(result)
+        if (result === RelayResultKind.RefusedLocally) recordLocalRefusal(attempt, peer)
         if (end.refusal?.reason === RefusalReason.TargetUnreachable) relayPeers.recordUnreached(peer.instance, options.listGroups(attempt))
         if (end.refusal?.reason === RefusalReason.RelayLimit || result === RelayResultKind.Unsent) relayPeers.recordBusy(peer.instance)
         if (result !== RelayResultKind.Answered) log.info('relay_failed', { id: attempt.attemptId, peer: peer.instance, result, reason: end.refusal?.reason, detail: end.detail, elapsedMs: Math.round(getNowMs() - attempt.dispatchedAtMs) })
@@ -163,8 +173,17 @@
     })
   }
 
+  /** Records that this host refused the connection to a peer, which has not been tried then. */
+  function recordLocalRefusal (attempt: Attempt, { instance }: PeerHeartbeat): void {
+    attempt.localRefusals++
+    attempt.triedPeers.delete(instance)
+    hold.recordFailure(formatPeerKey(instance), FailureSide.LocalAddress, getNowMs())
+  }
+
+  const mayConnect = (instance: string): boolean => !hold.isHeld(formatPeerKey(instance), getNowMs()) || peerPool.hasIdle(instance)
+
   return {
-    findPeer: attempt => attempt.triedPeers.size >= maxPeers ? undefined : relayPeers.choose(options.listGroups(attempt), { homeRegions: attempt.homeRegions, tried: attempt.triedPeers }),
+    findPeer: attempt => attempt.triedPeers.size >= maxPeers ? undefined : relayPeers.choose(options.listGroups(attempt), { homeRegions: attempt.homeRegions, tried: attempt.triedPeers, mayConnect }),
     send: sendAttempt,
     cancel (attempt) {
       attempt.exchange?.cancel()
--- a/packages/bilberryd/src/edge/request_handler.ts
+++ b/packages/bilberryd/src/edge/request_handler.ts
@@ -232,6 +232,7 @@
     mayHaveRun: false,
     deadlineTimer: undefined,
     fingerprint: undefined,
+    localRefusals: 0,
     lastNotRunReason: undefined,
     wasRefusedWithRoom: false
   }
