Tell on the own interface that a connection which the host refuses sent nothing

Callers of the own interface got 502 target_lost for requests that had never left the instance: a connection that the host refused for want of descriptors, buffers, memory or ports had a code that was not among those known to come before the first byte, so that the outcome was reported as unknown, the request was not sent elsewhere, and the target's circuit counted a loss.

Any error of connecting, which the system names by its call, now shows that nothing was sent; the store client and bilberryctl take it from the same function. If this host refused the connection, the target's circuit stays as it is and the request is tried elsewhere, three times in all. It is then refused as target_unreachable, since earlier builds take a forwarded refusal with a reason they don't know for an unknown outcome.

--- a/packages/bilberryd/src/dispatch.ts
+++ b/packages/bilberryd/src/dispatch.ts
@@ -127,7 +127,7 @@
 }
 
 function isNotExecuted (failure: TargetFailure): boolean {
-  return failure.kind === TargetFailureKind.ConnectFailed || failure.kind === TargetFailureKind.Refused
+  return failure.kind === TargetFailureKind.ConnectFailed || failure.kind === TargetFailureKind.RefusedLocally || failure.kind === TargetFailureKind.Refused
 }
 
 function chooseRetryReason (slotRequest: SlotRequest, failure: TargetFailure): RetryReason | undefined {
@@ -136,6 +136,7 @@
   if (request.signal.aborted || !isReplayable) return undefined
   switch (failure.kind) {
     case TargetFailureKind.ConnectFailed: return RetryReasons.ConnectFailed
+    case TargetFailureKind.RefusedLocally: return RetryReasons.RefusedLocally
     case TargetFailureKind.Refused: return RetryReasons.TargetRefused
     case TargetFailureKind.Lost: return requestClass === RequestClass.LookUp && request.idempotencyKey === undefined ? RetryReasons.IdempotentLost : undefined
     case TargetFailureKind.TimedOut: return undefined
@@ -148,6 +149,8 @@
 
 function describeFailure (failure: TargetFailure): Refusal {
   switch (failure.kind) {
+    // Earlier versions do not know `HostLimit`, and would take a forwarded refusal with it for an unknown outcome.
+    case TargetFailureKind.RefusedLocally:
     case TargetFailureKind.ConnectFailed: return createNotRunRefusal(RefusalReason.TargetUnreachable, failure.detail, retryAfterMs)
     case TargetFailureKind.Refused: return createNotRunRefusal(RefusalReason.TargetRefused, failure.detail, retryAfterMs)
     case TargetFailureKind.Lost: return createUnknownRefusal(RefusalReason.TargetLost, failure.detail)
@@ -159,6 +162,7 @@
 function mapTargetSignal (kind: TargetFailureKind, hasCallerDisconnected: boolean): TargetSignal {
   switch (kind) {
     case TargetFailureKind.ConnectFailed: return TargetSignal.ConnectFailed
+    case TargetFailureKind.RefusedLocally: return TargetSignal.Ended
     case TargetFailureKind.Refused: return TargetSignal.Refused
     case TargetFailureKind.Lost: return hasCallerDisconnected ? TargetSignal.Ended : TargetSignal.Lost
     case TargetFailureKind.TimedOut: return TargetSignal.Ended
--- a/packages/bilberryd/src/dispatch_test.ts
+++ b/packages/bilberryd/src/dispatch_test.ts
@@ -11,7 +11,7 @@
 import { createDispatch } from './dispatch.ts'
 import { createSlotPool } from './slot_pool.ts'
 
-const { ConnectFailed, Lost, Refused, TimedOut } = TargetFailureKind
+const { ConnectFailed, Lost, Refused, RefusedLocally, TimedOut } = TargetFailureKind
 /** Behaviour of a target in one attempt. */
 type Behaviour = TargetFailureKind | 'answer' | 'cut' | 'read, then refuse'
 
@@ -68,6 +68,8 @@
   ['does not retry a look-up with an idempotency key after a lost connection', [Lost], { change: () => lookUpRequest, request: { ...getRequest, idempotencyKey: 'k' } }, 'unknown target_lost', 1, 1],
   ['reports a look-up that may have run as unknown when its retries are refused', [Lost, Refused, Refused], { change: () => lookUpRequest, request: getRequest }, 'unknown target_lost', 3, 1],
   ['refuses after 3 failed connections', [ConnectFailed, ConnectFailed, ConnectFailed], {}, 'not-run target_unreachable', 3, 0],
+  ['retries a non-idempotent request whose connection this host refused', [RefusedLocally], {}, 'answer', 2, 1],
+  ['refuses after this host refused 3 connections', [RefusedLocally, RefusedLocally, RefusedLocally], {}, 'not-run target_unreachable', 3, 0],
   ['refuses after 3 refusals by targets', [Refused, Refused, Refused], {}, 'not-run target_refused', 3, 0],
   ['refuses when the deadline passed while the process was paused', [], { options: { getNowMs: () => performance.now() + 1_000 } }, 'not-run deadline_passed', 0, 0],
   ['refuses when the caller has disconnected', [], { request: { signal: abortedSignal } }, 'not-run caller_gone', 0, 0],
--- a/packages/steering/src/http_client_helpers.ts
+++ b/packages/steering/src/http_client_helpers.ts
@@ -18,7 +18,8 @@
  * @returns `false` if the server may have read a part of the request
  */
 export function isUnsentError (error: unknown): boolean {
-  return unsentErrorCodes.has((error as { code?: string }).code ?? '')
+  const { code, syscall } = error as { code?: string, syscall?: string }
+  return syscall === 'connect' || unsentErrorCodes.has(code ?? '')
 }
 
 /**
--- a/packages/targets/src/http_targets.ts
+++ b/packages/targets/src/http_targets.ts
@@ -6,7 +6,7 @@
 import type { HeaderFields, TargetRecord } from '@bilberryworks/steering'
 import type { Result } from 'neverthrow'
 import type { TargetResponse, TargetClient, TargetFailure, TargetLoad, TargetRequest } from './targets.ts'
-import { collectHeaders, detachBody, isUnsentError } from '@bilberryworks/steering'
+import { collectHeaders, detachBody, getFailureSide, isLocalFailure, isUnsentError } from '@bilberryworks/steering'
 import { err, ok } from 'neverthrow'
 import { Agent } from 'undici'
 import { TargetFailureKind } from './targets.ts'
@@ -119,7 +119,10 @@
 
 function describeError (error: unknown, target: TargetRecord, isTimedOut: boolean): TargetFailure {
   const detail = `Target "${target.target}": ${(error as Error).message}`
-  if (isUnsentError(error)) return { kind: TargetFailureKind.ConnectFailed, detail, leaving: false }
+  if (isUnsentError(error)) {
+    const isLocal = isLocalFailure(getFailureSide((error as NodeJS.ErrnoException).code))
+    return { kind: isLocal ? TargetFailureKind.RefusedLocally : TargetFailureKind.ConnectFailed, detail, leaving: false }
+  }
   const kind = isTimedOut ? TargetFailureKind.TimedOut : TargetFailureKind.Lost
   return { kind, detail, leaving: false }
 }
--- a/packages/targets/src/targets.ts
+++ b/packages/targets/src/targets.ts
@@ -11,6 +11,8 @@
 export enum TargetFailureKind {
   /** The connection was not established, so no byte of the request was sent. */
   ConnectFailed = 'connect_failed',
+  /** This host refused the connection, so no byte of the request was sent, and nothing is known of the target. */
+  RefusedLocally = 'refused_locally',
   /** The target responded explicitly that it did not run the request. */
   Refused = 'refused',
   /** The connection broke, the response was invalid or the caller disconnected, after the target may have read a part of the request. */
