--- a/packages/standins/src/host_limit_test.ts
+++ b/packages/standins/src/host_limit_test.ts
@@ -88,6 +88,7 @@
     relays: { isEnabled: true, maxRelayed: 256 },
     runAfterReads: run => run(),
     life: createLifeCycle({ graceMs: bounds.graceMs }),
+    isOpen: () => true,
     onStateChange: () => {},
     sendNow: () => {},
     getNowMs: () => performance.now(),
--- a/packages/steering/src/memory_budget.ts
+++ b/packages/steering/src/memory_budget.ts
@@ -42,7 +42,7 @@
 /** Heap of an idle connection, in bytes. */
 const connectionHeapBytes = 8_192
 /** Share of what is left for buffers that bodies take; sockets, responses and the allocator take the rest. */
-const bodyShare = 0.6
+const bodyShare = 0.8
 const connectionShare = 0.6
 /** Bodies where no limit of the memory is known, as a multiple of the limit of the heap. */
 const bodiesPerHeap = 2
