Show descriptors and memory with their limits on the metrics

Nothing outside the process told how near it was to the limits of its host: refusals for lack of descriptors or memory could not be told from a shortage of targets, and an instance that ended at its heap's limit left no figure behind. They are read only when the metrics are, so that requests cost nothing more.

--- a/packages/bilberryd/src/edge/descriptor_limits.ts
+++ b/packages/bilberryd/src/edge/descriptor_limits.ts
@@ -24,6 +24,10 @@
   guardReserved (server: Server): void
   /** Returns the number of open connections of callers. */
   countCallers (): number
+  /** Returns the number of connections of callers beyond which requests are refused. */
+  getMaxCallers (): number
+  /** Returns the number of connections to targets that may be open. */
+  getMaxTargets (): number
   /** Returns whether responses should close their connections. */
   isShort (): boolean
   /** Returns the refusal of a request on a connection beyond the share of callers; `undefined` if it is to be served. */
@@ -67,6 +71,7 @@
   let callers: ConnectionGuard | undefined
   const formatUnreadRefusal = (): string => formatRefusal(RefusalReason.HostLimit, refusalDetail)
   const countCallers = (): number => callers?.count() ?? 0
+  const getMaxCallers = (): number => Math.min(maxCallers, computeMaxConnections(DescriptorUse.Caller, shares, { callers: 0, targets: countTargets() }))
   const getReservedMax = (): number => Math.max(1, Math.floor(shares.reserved * reservedListenerShare))
 
   return {
@@ -77,7 +82,7 @@
     guardCallers (server) {
       callers = createConnectionGuard(server, {
         getLimits () {
-          const maxServed = Math.min(maxCallers, computeMaxConnections(DescriptorUse.Caller, shares, { callers: 0, targets: countTargets() }))
+          const maxServed = getMaxCallers()
           const spare = Math.ceil(Math.min(maxCallers, shares.shared) * spareShare)
           return { maxServed, maxWithIdle: Math.max(0, maxServed - spare), maxRefused: shares.refusals }
         },
@@ -93,6 +98,8 @@
       observeRequests(server, (_message, response) => { if (guard.isFull()) response.shouldKeepAlive = false })
     },
     countCallers,
+    getMaxCallers,
+    getMaxTargets: () => computeMaxConnections(DescriptorUse.Target, shares, { callers: countCallers(), targets: 0 }),
     isShort: () => callers?.isFull() ?? false,
     findRefusal: socket => callers?.isRefused(socket) === true ? createNotRunRefusal(RefusalReason.HostLimit, refusalDetail, minRetryAfterMs + getRandom() * retryAfterSpreadMs) : undefined,
     chooseForTarget ({ count, hasIdle }) {
--- a/packages/bilberryd/src/edge/entry_metrics.ts
+++ b/packages/bilberryd/src/edge/entry_metrics.ts
@@ -116,7 +116,27 @@
   /** Longest time for which the event loop was held since the last reading, in seconds; 0 below 0.2 s. */
   EventLoopDelay = 'bilberry_event_loop_delay_seconds',
   /** Number of dropped log lines. */
-  DroppedLines = 'bilberry_log_lines_dropped'
+  DroppedLines = 'bilberry_log_lines_dropped',
+  /** Number of open descriptors of the process. */
+  OpenDescriptors = 'bilberry_open_descriptors',
+  /** Number of connections of all kinds that the limits of descriptors allow. */
+  MaxConnections = 'bilberry_connection_limit',
+  /** Number of connections that are reserved for the store, other instances, readiness checks and look-ups. */
+  ReservedConnections = 'bilberry_reserved_connections',
+  /** Number of open connections of callers. */
+  CallerConnections = 'bilberry_caller_connections',
+  /** Number of connections of callers beyond which requests are refused. */
+  MaxCallerConnections = 'bilberry_caller_connection_limit',
+  /** Number of connections to targets that may be open. */
+  MaxTargetConnections = 'bilberry_target_connection_limit',
+  /** Size of the objects in the old generation of the heap, garbage included, in bytes. */
+  HeapUsed = 'bilberry_heap_used_bytes',
+  /** Limit of the old generation of the heap, in bytes. */
+  MaxHeap = 'bilberry_heap_limit_bytes',
+  /** Memory of the bodies of requests that have not ended, in bytes. */
+  BodyBytes = 'bilberry_body_buffer_bytes',
+  /** Memory for the bodies of requests beyond which requests with a body are refused, in bytes. */
+  MaxBodyBytes = 'bilberry_body_buffer_limit_bytes'
 }
 
 const gaugeHelp: Record<EntryGauge, string> = {
@@ -130,7 +150,17 @@
   [EntryGauge.Peers]: 'Number of other live instances',
   [EntryGauge.StoreAge]: 'Time since the last response of the platform store, in seconds',
   [EntryGauge.EventLoopDelay]: 'Longest time for which the event loop was held since the last reading, in seconds; 0 below 0.2 s',
-  [EntryGauge.DroppedLines]: 'Number of dropped log lines'
+  [EntryGauge.DroppedLines]: 'Number of dropped log lines',
+  [EntryGauge.OpenDescriptors]: 'Number of open descriptors of the process',
+  [EntryGauge.MaxConnections]: 'Number of connections of all kinds that the limits of descriptors allow',
+  [EntryGauge.ReservedConnections]: 'Number of connections that are reserved for the store, other instances, readiness checks and look-ups',
+  [EntryGauge.CallerConnections]: 'Number of open connections of callers',
+  [EntryGauge.MaxCallerConnections]: 'Number of connections of callers beyond which requests are refused',
+  [EntryGauge.MaxTargetConnections]: 'Number of connections to targets that may be open',
+  [EntryGauge.HeapUsed]: 'Size of the objects in the old generation of the heap, garbage included, in bytes',
+  [EntryGauge.MaxHeap]: 'Limit of the old generation of the heap, in bytes',
+  [EntryGauge.BodyBytes]: 'Memory of the bodies of requests that have not ended, in bytes',
+  [EntryGauge.MaxBodyBytes]: 'Memory for the bodies of requests beyond which requests with a body are refused, in bytes'
 }
 
 /** Bucket bounds of the histogram of stage durations, in seconds: from the processing time of the instance to the longest route time-outs. */
--- a/packages/bilberryd/src/edge/run_entry.ts
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -14,6 +14,7 @@
 import type { EntryLog } from './entry_log.ts'
 import type { EntryOptions } from './entry_options.ts'
 import type { EntryMetrics } from './entry_metrics.ts'
+import type { HostBudgets } from './host_gauges.ts'
 import type { EntryState } from './entry_state.ts'
 import { createServer } from 'node:http'
 import { applyGracefulClose, countOpenResponses, runAfterReads } from '@bilberryworks/callers'
@@ -28,6 +29,7 @@
 import { EntryListener } from './entry_listener.ts'
 import { defaultEntryOptions } from './entry_options.ts'
 import { createEntryMetrics, EntryGauge } from './entry_metrics.ts'
+import { createHostGaugeReaders } from './host_gauges.ts'
 import { createPeerDiscovery } from './peer_discovery.ts'
 import { createLookUpListener, createReadinessListener } from './look_up_listener.ts'
 import { startPeerLink } from './peer_link.ts'
@@ -82,7 +84,7 @@
   const cleanup = createCleanupStack()
   const [getNowMs, getRandom] = [() => performance.now(), Math.random]
   const life = createLifeCycle({ graceMs: settings.bounds.graceMs })
-  const metrics = createEntryMetrics({ readers: createGaugeReaders(() => components, { log, takeMaxDelayMs, getNowMs }), countLostLines: log.countLost })
+  const metrics = createEntryMetrics({ readers: createGaugeReaders(() => components, { log, getHost: () => ({ descriptors, memory }), takeMaxDelayMs, getNowMs }), countLostLines: log.countLost })
   let maxDelayMs = 0
   const guard = createCallbackGuard({ log, metrics, getNowMs })
   const memory = createMemoryBudget(settings.limits, getRandom)
@@ -198,7 +200,7 @@
 }
 
 /** Creates the functions that read the gauges; `getComponents` is called at each reading only, since the parts are created after the metrics. */
-function createGaugeReaders (getComponents: () => EntryComponents, { log, takeMaxDelayMs, getNowMs }: { log: EntryLog, takeMaxDelayMs: () => number, getNowMs: () => number }): Record<EntryGauge, () => number> {
+function createGaugeReaders (getComponents: () => EntryComponents, { log, getHost, takeMaxDelayMs, getNowMs }: { log: EntryLog, getHost: () => HostBudgets, takeMaxDelayMs: () => number, getNowMs: () => number }): Record<EntryGauge, () => number> {
   return {
     [EntryGauge.ConfigVersion]: () => getComponents().state.getConfig()?.version ?? 0,
     [EntryGauge.Targets]: () => getComponents().state.targets.count(),
@@ -210,7 +212,8 @@
     [EntryGauge.Peers]: () => getComponents().listPeers().length,
     [EntryGauge.StoreAge]: () => (getNowMs() - getComponents().state.getLastContactMs()) / 1_000,
     [EntryGauge.EventLoopDelay]: () => takeMaxDelayMs() / 1_000,
-    [EntryGauge.DroppedLines]: () => log.countDropped()
+    [EntryGauge.DroppedLines]: () => log.countDropped(),
+    ...createHostGaugeReaders(getHost)
   }
 }
 
--- a/packages/standins/src/descriptor_limit_test.ts
+++ b/packages/standins/src/descriptor_limit_test.ts
@@ -22,6 +22,8 @@
 const maxRepeats = 1
 const checkIntervalMs = 100
 const minServedShare = 0.95
+const metricsPort = 20_006
+const deployedHeapBytes = 96 * 1_048_576
 
 /** What became of a request. */
 interface CallResult {
@@ -86,7 +88,7 @@
     for (const id of ['t0', 't1', 't2']) await site.openTarget(id, { slots: 30 })
     const storeEndpoint = await site.store.openEndpoint()
     const files = await writeEntryFiles({ index: active === callerCount ? 0 : 1, site: 0, failureDomains: ['a-1'], store: storeEndpoint.socketAddress, folder: await mkdtemp(join(tmpdir(), 'descriptor-limit-test-')) })
-    const child = startEntryProcess(files, { maxDescriptors })
+    const child = startEntryProcess(files, { maxDescriptors, flags: [`--metrics-port=${metricsPort}`] })
     const ended = once(child, 'exit')
     const idle: Socket[] = []
     cleanup.add({
@@ -107,11 +109,18 @@
       runChecks(files, { port: entryPorts.directory, path: `/resolve?name=${testSiteHost}&region=a&zone=a-1`, untilMs })
     ])
     clearInterval(configTimer)
+    const metrics = await (await fetch(`http://${files.host}:${metricsPort}/metrics`)).text()
+    const readGauge = (metric: string): number => Number(new RegExp(`^bilberry_${metric} (\\S+)$`, 'm').exec(metrics)?.[1])
     const log = await readEntryLog(files)
     const calls = results.flat()
     const served = calls.filter(({ status }) => status === 200).length
     const wanted = calls.filter(({ isRepeated }) => !isRepeated).length
     t.log(`${served} of ${wanted} served, ${calls.filter(({ status }) => status === 503).length} refused, ${calls.filter(({ status }) => status === undefined).length} without a response, of these ${calls.filter(({ status, isReused }) => status === undefined && isReused).length} on reused connections`)
+    t.true(readGauge('open_descriptors') <= maxDescriptors)
+    t.true(readGauge('caller_connections') <= readGauge('caller_connection_limit'))
+    t.true(readGauge('caller_connection_limit') + readGauge('reserved_connections') < readGauge('connection_limit'))
+    t.true(readGauge('heap_used_bytes') < readGauge('heap_limit_bytes'))
+    t.is(readGauge('heap_limit_bytes'), deployedHeapBytes)
     t.is(child.exitCode ?? child.signalCode, null)
     t.is(calls.filter(({ status, isReused }) => status === undefined && !isReused).length, 0)
     t.is(calls.filter(({ status, outcome }) => status === 503 && outcome !== 'not-run').length, 0)
