Test an instance with many callers that has few descriptors

With 6 callers an instance held a soft limit 12 above what it has open when idle. With 30 callers, two services of 34 targets and some 150 requests a second it does not: on the program of next to nothing is served while the limit is low, and the process ends by SIGABRT ("Reached heap limit", on standard error only, no log line).

--- a/packages/standins/src/soak/soak_host_plans.ts
+++ b/packages/standins/src/soak/soak_host_plans.ts
@@ -15,6 +15,6 @@
   output: createPlan(SoakFault.OutputClosed),
   address: createPlan(SoakFault.AddressTaken, 5_000),
   settings: createPlan(SoakFault.SettingsSlow, 4_000),
-  descriptors: createPlan(SoakFault.DescriptorsLow, 4_000),
+  descriptors: createPlan(SoakFault.DescriptorsLow, 6_000),
   processor: createPlan(SoakFault.ProcessorCapped, 4_000, 500)
 }
--- a/packages/standins/src/soak/soak_host_test.ts
+++ b/packages/standins/src/soak/soak_host_test.ts
@@ -1,4 +1,5 @@
 import type { RunSoakOptions } from './run_soak.ts'
+import type { SoakPlan } from './soak_plan.ts'
 import { mkdtemp } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
@@ -7,6 +8,7 @@
 import { listSoakBreaches } from './soak_checks.ts'
 import { hostPlans } from './soak_host_plans.ts'
 import { createSoakPlan, SoakFaultSet } from './soak_plan.ts'
+import { SoakScale } from './soak_site.ts'
 
 const seed = 20_261_277
 const instances = 4
@@ -20,14 +22,15 @@
   t.deepEqual(await listBreaches({ plan: createSoakPlan({ seed, instances, durationMs, sets: [SoakFaultSet.Host] }) }), [])
 })
 
-for (const [index, [title, plan]] of ([
+for (const [index, [title, plan, scale = SoakScale.Small]] of ([
   ['the reader of its output leaves', hostPlans.output],
   ['its address is taken at its start', hostPlans.address],
   ['its settings file is written slowly at its start', hostPlans.settings],
   ['it has few descriptors', hostPlans.descriptors],
+  ['it has few descriptors and many callers', hostPlans.descriptors, SoakScale.Full],
   ['its processor is capped', hostPlans.processor]
-] as const).entries()) {
+] as Array<[string, SoakPlan, SoakScale?]>).entries()) {
   test(`a real instance keeps the promises while ${title}`, async t => {
-    t.deepEqual(await listBreaches({ plan, site: index }), [])
+    t.deepEqual(await listBreaches({ plan, site: index, scale }), [])
   })
 }
