Let the tests of starts end when one of them fails

A test of entry_start_test.js that failed left the address that it had taken open, so that ava reported "Failed to exit" after two minutes in place of the failure alone. The sockets that take an address no longer keep the process running; what the tests check is unchanged.

Evidence: on a build whose readiness does not ask whether callers can connect, "an instance is not ready while the address for callers is taken" fails and ava ends within seconds; before, such a failure ended with "Timed out while running tests". On the present code: npx ava packages/standins/dist/entry_start_test.js -m '*is taken*', 7 tests passed.

--- a/packages/standins/src/entry_start_test.ts
+++ b/packages/standins/src/entry_start_test.ts
@@ -95,11 +95,11 @@
 /** Takes a TCP or UDP port until the returned function is called. */
 async function takePort (host: string, port: number): Promise<() => void> {
   if (port === entryPorts.internal) {
-    const socket = createSocket('udp4')
+    const socket = createSocket('udp4').unref()
     await new Promise<void>(resolve => socket.bind(port, host, resolve))
     return () => socket.close()
   }
-  const server = createServer(connection => connection.destroy())
+  const server = createServer(connection => connection.destroy()).unref()
   await new Promise<void>(resolve => server.listen(port, host, resolve))
   return () => server.close()
 }
