Follow a limit of descriptors that changes while the process runs

What callers saw: when the soft limit of a running process was lowered, as an operator or a supervisor may do, requests ended without an answer as before: the shares were those of the limit at the start. The limit in /proc/self/limits is now read every second, and idle connections beyond the new shares give way.

Evidence: the third case of descriptor_limit_test lowers the limit of a running process to 120 by prlimit.

--- a/packages/bilberryd/src/edge/descriptor_limits.ts
+++ b/packages/bilberryd/src/edge/descriptor_limits.ts
@@ -18,6 +18,8 @@
   getShares (): DescriptorShares
   /** Computes the shares from the limits and what is open; to be called before callers can connect. */
   measure (): void
+  /** Applies the limit of the process if it has changed; to be called at short intervals with monotonic time, in milliseconds. */
+  refresh (nowMs: number): void
   /** Guards the listener for callers. */
   guardCallers (server: Server): void
   /** Guards a listener whose connections are reserved; to be called after its handlers are added. */
@@ -56,6 +58,8 @@
 const spareShare = 0.1
 /** Share of the reserved connections of each reserved listener, and of those to other instances. */
 const reservedListenerShare = 0.2
+/** Interval at which the limit of the process is read, in milliseconds: others may change it while it runs. */
+const refreshIntervalMs = 1_000
 const minRetryAfterMs = 100
 const retryAfterSpreadMs = 200
 const refusalDetail = 'Host has no descriptor left for another connection'
@@ -69,15 +73,28 @@
 export function createDescriptorBudget ({ limits, countTargets, maxCallers, getRandom }: CreateDescriptorBudgetOptions): DescriptorBudget {
   let shares = computeDescriptorShares({ openOthers: 0 })
   let callers: ConnectionGuard | undefined
+  let openOthers = 0
+  let refreshedAtMs = -Infinity
   const formatUnreadRefusal = (): string => formatRefusal(RefusalReason.HostLimit, refusalDetail)
   const countCallers = (): number => callers?.count() ?? 0
   const getMaxCallers = (): number => Math.min(maxCallers, computeMaxConnections(DescriptorUse.Caller, shares, { callers: 0, targets: countTargets() }))
   const getReservedMax = (): number => Math.max(1, Math.floor(shares.reserved * reservedListenerShare))
 
+  function computeShares (): void {
+    shares = computeDescriptorShares({ configured: limits?.maxDescriptors, enforced: readEnforcedLimit(), openOthers })
+  }
+
   return {
     getShares: () => shares,
     measure () {
-      shares = computeDescriptorShares({ configured: limits?.maxDescriptors, enforced: readEnforcedLimit(), openOthers: countOpen() })
+      openOthers = countOpen()
+      computeShares()
+    },
+    refresh (nowMs) {
+      if (nowMs - refreshedAtMs < refreshIntervalMs) return
+      refreshedAtMs = nowMs
+      computeShares()
+      callers?.closeIdle()
     },
     guardCallers (server) {
       callers = createConnectionGuard(server, {
--- a/packages/bilberryd/src/edge/run_entry.ts
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -149,6 +149,7 @@
       log.warn('event_loop_held', { delayMs: Math.round(delayMs) })
     },
     runTasks (nowMs) {
+      descriptors.refresh(nowMs)
       components.runMaintenance(nowMs)
       guard.run(GuardedCallback.Task, link.catchUp)
     }
--- a/packages/standins/src/descriptor_limit_test.ts
+++ b/packages/standins/src/descriptor_limit_test.ts
@@ -1,5 +1,6 @@
 import type { Socket } from 'node:net'
 import type { EntryFiles } from './entry_process.ts'
+import { execFileSync } from 'node:child_process'
 import { once } from 'node:events'
 import { mkdtemp } from 'node:fs/promises'
 import { Agent, request } from 'node:http'
@@ -22,6 +23,8 @@
 const maxRepeats = 1
 const checkIntervalMs = 100
 const minServedShare = 0.95
+/** Time after which a process has noticed a change of its limits, in milliseconds. */
+const refreshMs = 1_500
 const metricsPort = 20_006
 const deployedHeapBytes = 96 * 1_048_576
 
@@ -80,15 +83,15 @@
   return statuses
 }
 
-for (const [name, active] of [['more callers than descriptors', callerCount], ['more callers than descriptors, most of which send nothing', activeBesideSilent]] as const) {
+for (const [index, [name, active, isLowered]] of ([['more callers than descriptors', callerCount, false], ['more callers than descriptors, most of which send nothing', activeBesideSilent, false], ['more callers than descriptors that a running process is left', callerCount, true]] as const).entries()) {
   test(`${name} lose no request, and take no descriptor of readiness, look-ups and the store`, async t => {
     await using cleanup = createCleanupStack()
     const site = cleanup.add(await createTestSite())
     site.writeConfig()
     for (const id of ['t0', 't1', 't2']) await site.openTarget(id, { slots: 30 })
     const storeEndpoint = await site.store.openEndpoint()
-    const files = await writeEntryFiles({ index: active === callerCount ? 0 : 1, site: 0, failureDomains: ['a-1'], store: storeEndpoint.socketAddress, folder: await mkdtemp(join(tmpdir(), 'descriptor-limit-test-')) })
-    const child = startEntryProcess(files, { maxDescriptors, flags: [`--metrics-port=${metricsPort}`] })
+    const files = await writeEntryFiles({ index, site: 0, failureDomains: ['a-1'], store: storeEndpoint.socketAddress, folder: await mkdtemp(join(tmpdir(), 'descriptor-limit-test-')) })
+    const child = startEntryProcess(files, { ...isLowered ? {} : { maxDescriptors }, flags: [`--metrics-port=${metricsPort}`] })
     const ended = once(child, 'exit')
     const idle: Socket[] = []
     cleanup.add({
@@ -99,6 +102,10 @@
       }
     })
     t.true(await waitUntil(() => isEntryReady(files)))
+    if (isLowered) {
+      execFileSync('prlimit', ['--pid', String(child.pid), `--nofile=${maxDescriptors}:`])
+      await wait(refreshMs)
+    }
     const callsBefore = storeEndpoint.countCalls().calls
     for (let index = 0; index < callerCount - active; index++) idle.push(connect(files.callers).on('error', () => {}))
     const untilMs = performance.now() + durationMs
