--- a/packages/bilberryd/src/edge/host_limits.ts
+++ b/packages/bilberryd/src/edge/host_limits.ts
@@ -66,7 +66,7 @@
   return {
     isConnectable: ({ target }) => !hold.isHeld(target.id, getNowMs()) || pool.hasIdle(target.id),
     takeConnection: ({ target }) => pool.hasIdle(target.id) || hold.take(target.id, getNowMs()),
-    isHeldLong: attempt => getNowMs() - attempt.arrivedAtMs >= idleWaitMs && isHeldBack(attempt),
+    isHeldLong: attempt => hold.isActive(getNowMs()) && getNowMs() - attempt.arrivedAtMs >= idleWaitMs && isHeldBack(attempt),
     findExpiryRefusal: attempt => isHeldBack(attempt) ? createNotRunRefusal(getHostLimitReason(attempt), 'Host of the instance refused connections within the queueing time limit', getRetryAfterMs(attempt)) : undefined
   }
 }
