Show that the soak notices a process that fails in a stop

The soak reports a process that ends with a failure status, or by a signal that it was not sent, while it stops; no test had shown that it does. One module now makes the program end with status 3 after a stop, and the soak reports ENDED. On purpose no test was removed: both faults are still played, and both instances must be named.

--- a/packages/standins/src/soak/soak_host_checks_test.ts
+++ b/packages/standins/src/soak/soak_host_checks_test.ts
@@ -9,6 +9,8 @@
 import { listSoakBreaches } from './soak_checks.ts'
 import { hostPlans } from './soak_host_plans.ts'
 
+const lossSite = 7
+
 /** Returns flags of Node.js that run a module before the program. */
 function createNodeFlags (module: string): string[] {
   return ['--import', `data:text/javascript,${encodeURIComponent(module)}`]
@@ -36,6 +38,9 @@
   ['ends when no descriptor is left', 'ENDED', hostPlans.descriptors, `
     import { openSync } from 'node:fs'
     setInterval(() => { for (let count = 0; count < 40; count++) openSync('/dev/null') }, 1_000).unref()`],
+  ['fails in a stop', 'ENDED', hostPlans.stop, `
+    const { exit } = process
+    process.exit = () => exit.call(process, 3)`],
   ['ends when it stands still for a moment', 'ENDED', hostPlans.processor, `
     let at = Infinity
     let gaps = 0
@@ -51,9 +56,8 @@
   })
 }
 
-for (const [index, [title, plan]] of ([['few descriptors', hostPlans.descriptors], ['a capped processor', hostPlans.processor]] as const).entries()) {
-  test(`the soak notices an instance that loses requests with ${title}`, async t => {
-    const breaches = await listBreaches({ plan, site: 6 + index, sabotage: { addCopies: instance => [instance], changeCall (call) { if (call.kind === SoakRequestKind.Unsafe) call.status = undefined } } })
-    t.true(breaches.some(breach => breach.startsWith('LOST')), breaches.join('; '))
-  })
-}
+test('the soak notices instances that lose requests with few descriptors or a capped processor', async t => {
+  const plan = { ...hostPlans.descriptors, events: [...hostPlans.descriptors.events, ...hostPlans.processor.events.map(event => ({ ...event, instances: [1] }))] }
+  const breaches = await listBreaches({ plan, site: lossSite, sabotage: { addCopies: instance => [instance], changeCall (call) { if (call.kind === SoakRequestKind.Unsafe) call.status = undefined } } })
+  for (const name of ['entry-0', 'entry-1']) t.true(breaches.some(breach => breach.startsWith('LOST') && breach.includes(name)), breaches.join('; '))
+})
