Handle errors of connections that have sent CONNECT

Callers lost all that an instance had accepted when one connection sent a CONNECT request and was reset while the refusal was on its way: node:http takes its own error listener off a socket before it emits 'connect', and nothing put one in its place, so that ECONNRESET was an uncaught exception.

--- a/packages/callers/src/client_errors.ts
+++ b/packages/callers/src/client_errors.ts
@@ -72,6 +72,8 @@
     else refuse(socket, reasonByCode[error.code ?? ''] ?? RefusalReason.BadRequest, error.message)
   })
   server.on('connect', (_message: IncomingMessage, socket: Socket) => {
+    // `node:http` has taken its own listener off.
+    socket.on('error', () => socket.destroy())
     refuse(socket, RefusalReason.BadRequest, 'Method CONNECT is not supported')
   })
 }
