Start checks of paths at once again

Since failed connections are reported in a later turn and checks are paced, checks no longer have to start in a later turn themselves.

--- a/packages/bilberryd/src/edge/reach_monitor.ts
+++ b/packages/bilberryd/src/edge/reach_monitor.ts
@@ -107,8 +107,7 @@
   function advance (): void {
     const { checks, changes } = reach.advance(listTargets(), getNowMs())
     for (const change of changes) applyChange(change)
-    // Deferred, since a connection may fail at once, which may ask for further checks.
-    if (checks.length > 0) setImmediate(startChecks, checks)
+    startChecks(checks)
     // Deferred, since evidence is recorded while exchanges end.
     if (changes.length > 0) setImmediate(options.onChange)
   }
