Limit look-ups, readiness and relays only while descriptors are short, and read the limit without one

The file of the limits stays open; the reserved kinds have their limits only from four fifths of all connections on; settings below what the platform reserves leave some connections; what is guaranteed to targets holds while callers have more than their part.

--- a/packages/bilberryd/src/edge/connection_guard.ts
+++ b/packages/bilberryd/src/edge/connection_guard.ts
@@ -19,6 +19,8 @@
   isRefused (socket: Socket): boolean
   /** Returns whether more connections are open than idle ones may add to, so that none should become idle. */
   isFull (): boolean
+  /** Returns whether a connection was accepted beyond the share a short time ago, so that others should give way. */
+  isPressed (): boolean
   /** Closes idle connections beyond the limit of idle ones when what has arrived has been read. */
   closeIdle (): void
 }
@@ -43,6 +45,8 @@
 
 /** Time after which a connection that has received nothing counts as idle, in milliseconds: a caller writes its first request as soon as it is connected. */
 const minUnusedMs = 500
+/** Time after a connection beyond the share for which responses close theirs, in milliseconds. */
+const pressedMs = 1_000
 /** Share of the connections to be refused whose requests are not read. */
 const unreadShare = 0.5
 
@@ -56,6 +60,7 @@
 export function createConnectionGuard (server: Server, { getLimits, formatRefusal }: CreateConnectionGuardOptions): ConnectionGuard {
   let openCount = 0
   let isScheduled = false
+  let pressedAtMs = -Infinity
   /** Connections that were beyond the share when they were accepted. */
   const excess = new WeakSet<Socket>()
   /** Connections to which a refusal was sent unread, the oldest first. */
@@ -90,12 +95,16 @@
     socket.once('close', () => { openCount-- })
     closeIdle()
     const { maxServed, maxRefused } = getLimits()
-    if (countServed() > maxServed) excess.add(socket)
+    if (countServed() > maxServed) {
+      excess.add(socket)
+      pressedAtMs = performance.now()
+    }
     if (countServed() > maxServed + maxRefused - getMaxUnread()) refuseUnread(socket)
   })
 
   return {
     count: countServed,
+    isPressed: () => performance.now() - pressedAtMs < pressedMs && countServed() > getLimits().maxWithIdle,
     isFull: () => countServed() > getLimits().maxWithIdle,
     isRefused: socket => excess.has(socket) && countServed() > getLimits().maxServed,
     closeIdle
--- a/packages/bilberryd/src/edge/descriptor_limits.ts
+++ b/packages/bilberryd/src/edge/descriptor_limits.ts
@@ -3,13 +3,13 @@
  *
  * @module
  */
-import type { DescriptorDecision, DescriptorShares, HostLimits, Refusal } from '@bilberryworks/steering'
+import type { DescriptorShares, HostLimits, Refusal } from '@bilberryworks/steering'
 import type { Server } from 'node:http'
 import type { Socket } from 'node:net'
 import type { ConnectionGuard } from './connection_guard.ts'
-import { readdirSync, readFileSync } from 'node:fs'
+import { openSync, readdirSync, readSync } from 'node:fs'
 import { applyGracefulClose, formatRefusal, observeRequests } from '@bilberryworks/callers'
-import { chooseDescriptor, computeDescriptorShares, computeMaxConnections, createNotRunRefusal, DescriptorUse, RefusalReason } from '@bilberryworks/steering'
+import { chooseDescriptor, computeDescriptorShares, computeMaxConnections, createNotRunRefusal, DescriptorDecision, DescriptorUse, RefusalReason } from '@bilberryworks/steering'
 import { createConnectionGuard } from './connection_guard.ts'
 
 /** Descriptors of this process. */
@@ -56,8 +56,12 @@
 const defaultOpenOthers = 40
 /** Share of callers and targets that no idle connection of a caller keeps, so that the next connections find it free. */
 const spareShare = 0.1
-/** Share of the reserved connections of each reserved listener, and of those to other instances. */
+/** Share of the reserved connections of each reserved listener, and of those to other instances, while descriptors are short. */
 const reservedListenerShare = 0.2
+/** Share of all connections from which descriptors count as short. */
+const shortShare = 0.8
+/** Size of `/proc/self/limits` that is read, in bytes. */
+const maxLimitsBytes = 4_096
 /** Interval at which the limit of the process is read, in milliseconds: others may change it while it runs. */
 const refreshIntervalMs = 1_000
 const minRetryAfterMs = 100
@@ -73,12 +77,19 @@
 export function createDescriptorBudget ({ limits, countTargets, maxCallers, getRandom }: CreateDescriptorBudgetOptions): DescriptorBudget {
   let shares = computeDescriptorShares({ openOthers: 0 })
   let callers: ConnectionGuard | undefined
+  const reservedGuards: ConnectionGuard[] = []
+  let peers = 0
   let openOthers = 0
   let refreshedAtMs = -Infinity
+  const readEnforcedLimit = openLimitReader()
   const formatUnreadRefusal = (): string => formatRefusal(RefusalReason.HostLimit, refusalDetail)
   const countCallers = (): number => callers?.count() ?? 0
   const getMaxCallers = (): number => Math.min(maxCallers, computeMaxConnections(DescriptorUse.Caller, shares, { callers: 0, targets: countTargets() }))
-  const getReservedMax = (): number => Math.max(1, Math.floor(shares.reserved * reservedListenerShare))
+  const getReservedMax = (): number => isScarce() ? Math.max(1, Math.floor(shares.reserved * reservedListenerShare)) : Infinity
+
+  const countConnections = (): number => reservedGuards.reduce((sum, guard) => sum + guard.count(), countCallers() + countTargets() + peers)
+  /** Returns whether so many connections are open that the reserved ones need their limits. */
+  const isScarce = (): boolean => shares.total !== Infinity && countConnections() >= shares.total * shortShare
 
   function computeShares (): void {
     shares = computeDescriptorShares({ configured: limits?.maxDescriptors, enforced: readEnforcedLimit(), openOthers })
@@ -94,7 +105,6 @@
       if (nowMs - refreshedAtMs < refreshIntervalMs) return
       refreshedAtMs = nowMs
       computeShares()
-      callers?.closeIdle()
     },
     guardCallers (server) {
       callers = createConnectionGuard(server, {
@@ -112,32 +122,48 @@
         getLimits: () => ({ maxWithIdle: Math.ceil(getReservedMax() / 2), maxServed: getReservedMax(), maxRefused: 1 }),
         formatRefusal: formatUnreadRefusal
       })
+      reservedGuards.push(guard)
       observeRequests(server, (_message, response) => { if (guard.isFull()) response.shouldKeepAlive = false })
     },
     countCallers,
     getMaxCallers,
     getMaxTargets: () => computeMaxConnections(DescriptorUse.Target, shares, { callers: countCallers(), targets: 0 }),
-    isShort: () => callers?.isFull() ?? false,
+    isShort: () => countCallers() > getMaxCallers(),
     findRefusal: socket => callers?.isRefused(socket) === true ? createNotRunRefusal(RefusalReason.HostLimit, refusalDetail, minRetryAfterMs + getRandom() * retryAfterSpreadMs) : undefined,
     chooseForTarget ({ count, hasIdle }) {
-      callers?.closeIdle()
+      const decision = chooseDescriptor(DescriptorUse.Target, shares, { callers: countCallers(), targets: count, hasIdleCaller: false, hasIdleTarget: hasIdle })
+      if (decision !== DescriptorDecision.Refuse) return decision
+      // Callers may hold more than their share after the limit has become lower.
+      if (shares.total - countConnections() > shares.reserved / 2) return DescriptorDecision.Open
       // Which connections of callers are idle is known only when what has arrived has been read.
-      return chooseDescriptor(DescriptorUse.Target, shares, { callers: countCallers(), targets: count, hasIdleCaller: false, hasIdleTarget: hasIdle })
+      if (count < shares.minTargets / 2) callers?.closeIdle()
+      return decision
     },
     chooseForPeer ({ count, hasIdle }) {
-      const maxPeers = shares.total === Infinity ? Infinity : getReservedMax()
+      peers = count
+      const maxPeers = getReservedMax()
       return chooseDescriptor(DescriptorUse.Target, { ...shares, shared: maxPeers, minCallers: 0, minTargets: maxPeers }, { callers: 0, targets: count, hasIdleCaller: false, hasIdleTarget: hasIdle })
     }
   }
 }
 
-/** Reads the soft limit that the kernel enforces; `undefined` where it does not say. */
-function readEnforcedLimit (): number | undefined {
-  try {
-    const limit = /^Max open files\s+(\d+)/m.exec(readFileSync('/proc/self/limits', 'utf8'))?.[1]
-    return limit === undefined ? undefined : Number(limit)
-  } catch {
-    return undefined
+/**
+ * Opens the limits of this process, so that they can be read when no descriptor is left.
+ *
+ * @returns A function that reads the soft limit of descriptors; `undefined` where the kernel does not say
+ */
+function openLimitReader (): () => number | undefined {
+  const buffer = Buffer.alloc(maxLimitsBytes)
+  let file: number | undefined
+  return () => {
+    try {
+      file ??= openSync('/proc/self/limits', 'r')
+      const text = buffer.toString('latin1', 0, readSync(file, buffer, 0, maxLimitsBytes, 0))
+      const limit = /^Max open files\s+(\d+)/m.exec(text)?.[1]
+      return limit === undefined ? undefined : Number(limit)
+    } catch {
+      return undefined
+    }
   }
 }
 
--- a/packages/steering/src/descriptor_budget.ts
+++ b/packages/steering/src/descriptor_budget.ts
@@ -64,6 +64,8 @@
 
 /** Descriptors that the platform reserves for files out of the configured limit. */
 const platformFileDescriptors = 200
+/** Number of connections that the settings can't go below, since an instance that is told so must have some. */
+const minStated = 16
 const reservedShare = 0.2
 const minReserved = 24
 const maxReserved = 160
@@ -81,7 +83,8 @@
  * @returns The shares; without limits, `Infinity` connections may be open
  */
 export function computeDescriptorShares ({ configured, enforced, openOthers }: DescriptorLimits): DescriptorShares {
-  const total = Math.max(0, Math.min((configured ?? Infinity) - platformFileDescriptors, (enforced ?? Infinity) - openOthers))
+  const stated = Math.max(minStated, (configured ?? Infinity) - platformFileDescriptors)
+  const total = Math.max(0, Math.min(stated, (enforced ?? Infinity) - openOthers))
   if (total === Infinity) return { total, reserved: maxReserved, refusals: maxRefusals, shared: Infinity, minCallers: Infinity, minTargets: Infinity }
   const reserved = Math.floor(Math.min(total * maxReservedShare, Math.max(minReserved, total * reservedShare), maxReserved))
   const refusals = Math.floor(Math.min((total - reserved) * maxRefusalShare, Math.max(minRefusals, total * refusalShare), maxRefusals))
@@ -100,7 +103,10 @@
  */
 export function computeMaxConnections (use: DescriptorUse, shares: DescriptorShares, { callers, targets }: Pick<DescriptorUsage, 'callers' | 'targets'>): number {
   if (shares.shared === Infinity) return Infinity
-  return shares.shared - (use === DescriptorUse.Caller ? Math.max(shares.minTargets, targets) : Math.max(shares.minCallers, callers))
+  // What is guaranteed holds also while the other kind has more than its part, after the limit has become lower.
+  return use === DescriptorUse.Caller
+    ? Math.max(shares.minCallers, shares.shared - Math.max(shares.minTargets, targets))
+    : Math.max(shares.minTargets, shares.shared - Math.max(shares.minCallers, callers))
 }
 
 /**
--- a/packages/steering/src/descriptor_budget_test.ts
+++ b/packages/steering/src/descriptor_budget_test.ts
@@ -6,6 +6,7 @@
   ['the configured limit less the files of the platform, if it is the lower one', { configured: 4_100, enforced: 20_000, openOthers: 30 }, 3_900],
   ['the enforced limit less what is open, if it is the lower one', { configured: 4_100, enforced: 1_024, openOthers: 30 }, 994],
   ['the only limit that is known', { enforced: 120, openOthers: 25 }, 95],
+  ['a few connections, if the settings state less than the platform reserves for files', { configured: 150, enforced: 20_000, openOthers: 30 }, 16],
   ['no connection, if less is left than is open', { enforced: 20, openOthers: 25 }, 0],
   ['any number without limits', { openOthers: 25 }, Infinity]
 ]
