Show what an instance holds in memory before it ends for want of it

Change: gauges of the resident memory with its limit and of buffers, and a line memory_short when the heap or the resident memory passes 85 % of its limit, with what is held. No decision changes.

--- a/packages/bilberryd/src/edge/entry_metrics.ts
+++ b/packages/bilberryd/src/edge/entry_metrics.ts
@@ -133,6 +133,12 @@
   HeapUsed = 'bilberry_heap_used_bytes',
   /** Limit of the old generation of the heap, in bytes. */
   MaxHeap = 'bilberry_heap_limit_bytes',
+  /** Resident memory of the process, in bytes. */
+  ResidentBytes = 'bilberry_resident_bytes',
+  /** Limit of the resident memory, in bytes; 0 if the settings state none. */
+  MaxResidentBytes = 'bilberry_resident_limit_bytes',
+  /** Buffers of the process outside the heap, in bytes. */
+  BufferBytes = 'bilberry_buffer_bytes',
   /** Memory of the bodies of requests that have not ended, in bytes. */
   BodyBytes = 'bilberry_body_buffer_bytes',
   /** Memory for the bodies of requests beyond which requests with a body are refused, in bytes. */
@@ -159,6 +165,9 @@
   [EntryGauge.MaxTargetConnections]: 'Number of connections to targets that may be open',
   [EntryGauge.HeapUsed]: 'Size of the objects in the old generation of the heap, garbage included, in bytes',
   [EntryGauge.MaxHeap]: 'Limit of the old generation of the heap, in bytes',
+  [EntryGauge.ResidentBytes]: 'Resident memory of the process, in bytes',
+  [EntryGauge.MaxResidentBytes]: 'Limit of the resident memory, in bytes; 0 if the settings state none',
+  [EntryGauge.BufferBytes]: 'Buffers of the process outside the heap, in bytes',
   [EntryGauge.BodyBytes]: 'Memory of the bodies of requests that have not ended, in bytes',
   [EntryGauge.MaxBodyBytes]: 'Memory for the bodies of requests beyond which requests with a body are refused, in bytes'
 }
--- a/packages/bilberryd/src/edge/host_gauges.ts
+++ b/packages/bilberryd/src/edge/host_gauges.ts
@@ -7,7 +7,7 @@
 import type { MemoryBudget } from './memory_limits.ts'
 import { countOpen } from './descriptor_limits.ts'
 import { EntryGauge } from './entry_metrics.ts'
-import { measureOldHeap } from './memory_limits.ts'
+import { measureMemory, measureOldHeap } from './memory_limits.ts'
 
 /** Budgets of the host. */
 export interface HostBudgets {
@@ -18,7 +18,7 @@
 }
 
 /** Gauges of descriptors and memory. */
-export type HostGauge = EntryGauge.OpenDescriptors | EntryGauge.MaxConnections | EntryGauge.ReservedConnections | EntryGauge.CallerConnections | EntryGauge.MaxCallerConnections | EntryGauge.MaxTargetConnections | EntryGauge.HeapUsed | EntryGauge.MaxHeap | EntryGauge.BodyBytes | EntryGauge.MaxBodyBytes
+export type HostGauge = EntryGauge.OpenDescriptors | EntryGauge.MaxConnections | EntryGauge.ReservedConnections | EntryGauge.CallerConnections | EntryGauge.MaxCallerConnections | EntryGauge.MaxTargetConnections | EntryGauge.HeapUsed | EntryGauge.MaxHeap | EntryGauge.ResidentBytes | EntryGauge.MaxResidentBytes | EntryGauge.BufferBytes | EntryGauge.BodyBytes | EntryGauge.MaxBodyBytes
 
 /**
  * Creates the functions that read the gauges.
@@ -36,6 +36,9 @@
     [EntryGauge.MaxTargetConnections]: () => getHost().descriptors.getMaxTargets(),
     [EntryGauge.HeapUsed]: measureOldHeap,
     [EntryGauge.MaxHeap]: () => getHost().memory.shares.oldHeapBytes,
+    [EntryGauge.ResidentBytes]: () => measureMemory().residentBytes,
+    [EntryGauge.MaxResidentBytes]: () => getHost().memory.getLimitBytes(),
+    [EntryGauge.BufferBytes]: () => measureMemory().bufferBytes,
     [EntryGauge.BodyBytes]: () => getHost().memory.bodies.getUsedBytes(),
     [EntryGauge.MaxBodyBytes]: () => getHost().memory.shares.bodyBytes
   }
--- a/packages/bilberryd/src/edge/memory_limits.ts
+++ b/packages/bilberryd/src/edge/memory_limits.ts
@@ -15,34 +15,66 @@
   shares: MemoryShares
   /** Memory of the bodies of all requests that have not ended. */
   bodies: BufferAllowance
-  /** Samples the heap; to be called at short intervals. */
+  /** Samples the heap, and the resident memory; to be called at short intervals. */
   sample (): void
+  /** Returns the limit of the resident memory, in bytes; 0 if the settings state none. */
+  getLimitBytes (): number
   /** Returns the refusal of a request for which the heap has no room; `undefined` if it has. */
   findRefusal (): Refusal | undefined
   /** Creates the refusal of a request whose body has no room. */
   createBodyRefusal (): Refusal
 }
 
+/** What a process holds, in bytes. */
+export interface MemoryUse {
+  /** Resident memory. */
+  residentBytes: number
+  /** Objects in the old generation of the heap, garbage included. */
+  oldHeapBytes: number
+  /** Buffers outside the heap. */
+  bufferBytes: number
+}
+
+/** Options of {@linkcode createMemoryBudget}. */
+export interface CreateMemoryBudgetOptions {
+  /** What the settings state of the host. */
+  limits: HostLimits | undefined
+  /** Called when the heap or the resident memory becomes short, or is no longer. */
+  onShortage?: (isShort: boolean, use: MemoryUse) => void
+  /** Returns a random number in [0, 1). */
+  getRandom: () => number
+}
+
 const youngSpaces = new Set(['new_space', 'new_large_object_space'])
 const minRetryAfterMs = 200
 const retryAfterSpreadMs = 600
+/** Share of the limit of the resident memory from which it counts as short. */
+const highResidentShare = 0.85
 
 /**
  * Creates the budget of memory.
  *
- * @param limits What the settings state of the host
- * @param getRandom Returns a random number in [0, 1)
+ * @param options Limits, and what is to be told
  * @returns The budget
  */
-export function createMemoryBudget (limits: HostLimits | undefined, getRandom: () => number): MemoryBudget {
+export function createMemoryBudget ({ limits, onShortage, getRandom }: CreateMemoryBudgetOptions): MemoryBudget {
   const shares = computeMemoryShares({ memoryBytes: limits?.memoryBytes, heapBytes: getHeapStatistics().heap_size_limit })
   let pressure = noHeapPressure
+  let wasShort = false
   const createRefusal = (detail: string): Refusal => createNotRunRefusal(RefusalReason.HostLimit, detail, minRetryAfterMs + getRandom() * retryAfterSpreadMs)
 
   return {
     shares,
     bodies: createBufferAllowance(shares.bodyBytes),
-    sample () { pressure = updateHeapPressure(pressure, measureOldHeap(), shares) },
+    sample () {
+      const use = measureMemory()
+      pressure = updateHeapPressure(pressure, use.oldHeapBytes, shares)
+      const isShort = pressure.isShort || use.residentBytes >= (limits?.memoryBytes ?? Infinity) * highResidentShare
+      if (isShort === wasShort) return
+      wasShort = isShort
+      onShortage?.(isShort, use)
+    },
+    getLimitBytes: () => limits?.memoryBytes ?? 0,
     findRefusal: () => pressure.isShort ? createRefusal('Heap of the instance has no room for another request') : undefined,
     createBodyRefusal: () => createRefusal('Host has no memory left for the body of the request')
   }
@@ -56,3 +88,13 @@
 export function measureOldHeap (): number {
   return getHeapSpaceStatistics().reduce((sum, space) => youngSpaces.has(space.space_name) ? sum : sum + space.space_used_size, 0)
 }
+
+/**
+ * Measures what this process holds.
+ *
+ * @returns The sizes
+ */
+export function measureMemory (): MemoryUse {
+  const { rss, arrayBuffers } = process.memoryUsage()
+  return { residentBytes: rss, oldHeapBytes: measureOldHeap(), bufferBytes: arrayBuffers }
+}
--- a/packages/bilberryd/src/edge/run_entry.ts
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -87,7 +87,11 @@
   const metrics = createEntryMetrics({ readers: createGaugeReaders(() => components, { log, getHost: () => ({ descriptors, memory }), takeMaxDelayMs, getNowMs }), countLostLines: log.countLost })
   let maxDelayMs = 0
   const guard = createCallbackGuard({ log, metrics, getNowMs })
-  const memory = createMemoryBudget(settings.limits, getRandom)
+  const memory = createMemoryBudget({
+    limits: settings.limits,
+    onShortage: (isShort, use) => log.warn('memory_short', { isShort, ...use, bodyBytes: memory.bodies.getUsedBytes(), callers: descriptors.countCallers(), ...describeLoad() }),
+    getRandom
+  })
   const descriptors = createDescriptorBudget({ limits: settings.limits, maxCallers: memory.shares.maxConnections, countTargets: () => components.pool.count(), getRandom })
   const components = cleanup.add(createEntryComponents({
     guard,
