Close connections of look-ups, readiness checks and metrics after a request with a body

Callers would see: whoever sends a look-up, a readiness check or a request for metrics with a body without end keeps the instance parsing it after the response, at the cost of a callback for each chunk, for up to five seconds or, on the metrics listener, without a limit.

Cause: node:http reads and discards the rest of a body that no handler reads, to reach the next request.

Change: such a response closes its connection, and what still arrives is discarded without being parsed.

--- a/packages/bilberryd/src/edge/look_up_listener.ts
+++ b/packages/bilberryd/src/edge/look_up_listener.ts
@@ -9,6 +9,7 @@
 import type { CallbackGuard } from './callback_guard.ts'
 import type { PeerHeartbeat, PeerView } from './peer_view.ts'
 import { createServer } from 'node:http'
+import { applyBodilessRequests } from '@bilberryworks/callers'
 import { allGroupsUnreached } from '@bilberryworks/steering'
 import { GuardedCallback } from './callback_guard.ts'
 import { formatLookUpResponse, maxLookUpAddresses, parseLookUp, readinessPath } from '@bilberryworks/users-platform'
@@ -53,7 +54,9 @@
     response.writeHead(200, { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body) }).end(body)
   }
 
-  return createServer((message, response) => options.guard.run(GuardedCallback.Call, () => handleLookUp(message, response), () => response.destroy()))
+  const server = createServer((message, response) => options.guard.run(GuardedCallback.Call, () => handleLookUp(message, response), () => response.destroy()))
+  applyBodilessRequests(server)
+  return server
 }
 
 /**
@@ -87,8 +90,10 @@
  * @returns The server, which is not listening yet
  */
 export function createReadinessListener (isReady: () => boolean): Server {
-  return createServer((message, response) => {
+  const server = createServer((message, response) => {
     const isReadinessPath = message.url!.split('?', 1)[0] === readinessPath
     response.writeHead(isReadinessPath ? isReady() ? 200 : 503 : 404, { 'Content-Length': 0 }).end()
   })
+  applyBodilessRequests(server)
+  return server
 }
--- a/packages/bilberryd/src/edge/run_entry.ts
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -17,7 +17,7 @@
 import type { HostBudgets } from './host_gauges.ts'
 import type { EntryState } from './entry_state.ts'
 import { createServer } from 'node:http'
-import { applyGracefulClose, countOpenResponses, runAfterReads } from '@bilberryworks/callers'
+import { applyBodilessRequests, applyGracefulClose, countOpenResponses, runAfterReads } from '@bilberryworks/callers'
 import { createCleanupStack, createLifeCycle, createPollSchedule } from '@bilberryworks/steering'
 import { checkListening, createTargetPool } from '@bilberryworks/targets'
 import { createStoreClient, operatorTable, targetTable } from '@bilberryworks/users-platform'
@@ -262,9 +262,11 @@
 }
 
 function createMetricsListener (metrics: EntryMetrics): Server {
-  return createServer((_, response) => {
+  const server = createServer((_, response) => {
     metrics.registry.metrics().then(text => response.writeHead(200, { 'Content-Type': metrics.registry.contentType }).end(text)).catch((error: Error) => response.writeHead(500).end(error.message))
   })
+  applyBodilessRequests(server)
+  return server
 }
 
 function listChangedSettings (before: EntrySettings, after: EntrySettings): string[] {
--- a/packages/callers/src/mod.ts
+++ b/packages/callers/src/mod.ts
@@ -8,6 +8,7 @@
  *
  * @module
  */
+export * from './bodiless_requests.ts'
 export * from './body_guard.ts'
 export * from './client_errors.ts'
 export * from './graceful_close.ts'
