Limit lines, header and trailer sections of responses, however long the body is

Change: the parser's lines are read by a reader with constant limits: 128 KiB for a line and for a header or trailer section, exactly the line break behind a chunk. Trailers are counted and dropped. An incomplete line is held in one block that grows. What is beyond fails the exchange as malformed, with what was sent and how much. The limit of a section is no lower than what passed before in two reads (64 KiB in each).

Open: chunks of one byte.

--- a/packages/targets/src/mod.ts
+++ b/packages/targets/src/mod.ts
@@ -9,6 +9,7 @@
  *
  * @module
  */
+export * from './byte_collector.ts'
 export * from './check_listening.ts'
 export * from './response_parser.ts'
 export * from './http_targets.ts'
--- a/packages/targets/src/response_parser.ts
+++ b/packages/targets/src/response_parser.ts
@@ -3,8 +3,10 @@
  *
  * @module
  */
+import type { ParserState } from './_line_reader.ts'
 import { validateHeaderName, validateHeaderValue } from 'node:http'
 import { HTTPParser } from 'http-parser-js'
+import { createLineReader } from './_line_reader.ts'
 
 /** Status line and header section of a response. */
 export interface ResponseHead {
@@ -42,15 +44,8 @@
   finish (): Error | undefined
 }
 
-/** Internal members of `HTTPParser` that its type declaration omits. */
-interface ParserState {
-  state: string
-  /** Partial line whose end has not been received. */
-  line: string
-  body_bytes: number
-  consumeLine: () => string | undefined
-  BODY_CHUNKHEAD: () => void
-}
+// The reader of lines limits header sections, exactly.
+HTTPParser.maxHeaderSize = Infinity
 
 const lengthPattern = /^\d{1,15}$/
 const chunkSizePattern = /^([0-9a-fA-F]{1,12})[ \t]*(;.*)?$/
@@ -64,7 +59,9 @@
 export function createResponseParser (events: ResponseEvents): ResponseParser {
   const parser = new HTTPParser(HTTPParser.RESPONSE)
   const parserState = parser as unknown as ParserState
+  const lines = createLineReader(parserState)
   checkChunkSizes(parserState)
+  dropTrailers(parserState)
   parser[HTTPParser.kOnHeadersComplete] = info => {
     checkFields(info.headers)
     const fields = collectFields(info.headers)
@@ -84,7 +81,7 @@
   }
   return {
     isCloseDelimited: () => parserState.state === 'BODY_RAW',
-    isBetweenResponses: () => parserState.state === 'RESPONSE_LINE' && parserState.line === '',
+    isBetweenResponses: () => parserState.state === 'RESPONSE_LINE' && !lines.isWithinLine(),
     read: bytes => catchError(() => parser.execute(bytes)),
     finish: () => catchError(() => parser.finish())
   }
@@ -129,3 +126,10 @@
     this.state = this.body_bytes === 0 ? 'BODY_CHUNKTRAILERS' : 'BODY_CHUNK'
   }
 }
+
+/** Makes the parser drop trailers, which are not passed on. */
+function dropTrailers (parser: ParserState): void {
+  parser.BODY_CHUNKTRAILERS = function () {
+    if (this.consumeLine() === '') this.nextRequest()
+  }
+}
