Join the chunks of a response that one read brings, and hold a short response in one block

Change: the parser moves the chunks of one read together in the buffer that was read, and passes on one part; a read with a single chunk is not copied. The response writer appends to a block that grows. The line break at the end of a chunk is not made a string.

--- a/packages/bilberryd/src/edge/response_writer.ts
+++ b/packages/bilberryd/src/edge/response_writer.ts
@@ -7,6 +7,7 @@
 import type { ResponseHead } from '@bilberryworks/targets'
 import type { ServerResponse } from 'node:http'
 import { drainRequestBody, hopByHopFields } from '@bilberryworks/callers'
+import { createByteCollector } from '@bilberryworks/targets'
 import { relayField } from './relay_message.ts'
 
 /** Writes a response to the caller. */
@@ -41,8 +42,7 @@
  * @returns The writer
  */
 export function createResponseWriter (response: ServerResponse, head: ResponseHead, options: CreateResponseWriterOptions): ResponseWriter {
-  let buffered: Buffer[] = []
-  let bufferedBytes = 0
+  const buffered = createByteCollector()
   let isCommitted = false
 
   function startResponse (totalBytes: number | undefined): void {
@@ -58,20 +58,17 @@
   return {
     write (part) {
       if (!isCommitted) {
-        buffered.push(part)
-        bufferedBytes += part.length
-        if (bufferedBytes <= maxBufferedBytes) return
+        if (buffered.count() + part.length <= maxBufferedBytes) return buffered.append(part)
         startResponse(undefined)
-        for (const earlier of buffered) response.write(earlier)
-        buffered = []
-      } else if (!response.write(part)) {
-        options.setPaused(true)
-        response.once('drain', () => options.setPaused(false))
+        if (buffered.count() > 0) response.write(buffered.take())
       }
+      if (response.write(part)) return
+      options.setPaused(true)
+      response.once('drain', () => options.setPaused(false))
     },
     end () {
-      if (!isCommitted) startResponse(bufferedBytes)
-      response.end(buffered.length > 0 ? Buffer.concat(buffered) : undefined)
+      if (!isCommitted) startResponse(buffered.count())
+      response.end(buffered.count() > 0 ? buffered.take() : undefined)
       drainRequestBody(response)
     },
     isCommitted: () => isCommitted
--- a/packages/targets/src/_line_reader.ts
+++ b/packages/targets/src/_line_reader.ts
@@ -17,6 +17,7 @@
   body_bytes: number
   consumeLine: () => string | undefined
   nextRequest: () => void
+  BODY_CHUNK: () => void
   BODY_CHUNKHEAD: () => void
   BODY_CHUNKTRAILERS: () => void
 }
@@ -32,6 +33,7 @@
 /** Maximum size of the line break at the end of a chunk, in bytes. */
 const maxChunkEndBytes = 2
 const lineFeed = 0x0a
+const carriageReturn = 0x0d
 
 /** What a line belongs to, by the state of the parser. */
 const elements: Record<string, { description: string, maxBytes: number }> = {
@@ -55,6 +57,10 @@
   let elementBytes = 0
   parser.consumeLine = () => {
     const { chunk, offset, state } = parser
+    if (elementBytes === 0 && chunk[offset] === carriageReturn && chunk[offset + 1] === lineFeed) {
+      parser.offset = offset + 2
+      return ''
+    }
     const lineEnd = chunk.indexOf(lineFeed, offset)
     parser.offset = lineEnd < 0 ? parser.end : lineEnd + 1
     elementBytes += parser.offset - offset
--- a/packages/targets/src/response_parser.ts
+++ b/packages/targets/src/response_parser.ts
@@ -26,7 +26,7 @@
 export interface ResponseEvents {
   /** Called with each response head; returns true if the response has no body regardless of its header fields. */
   onHead: (head: ResponseHead) => boolean
-  /** Called with each chunk of a response body. */
+  /** Called with what one read brought of a response body. */
   onBody: (part: Buffer) => void
   /** Called at the end of each response. */
   onEnd: () => void
@@ -34,7 +34,7 @@
 
 /** Parses the responses on one connection. */
 export interface ResponseParser {
-  /** Parses received bytes; returns an error if they are invalid, after which the connection must be closed. */
+  /** Parses received bytes, and may overwrite them; returns an error if they are invalid, after which the connection must be closed. */
   read (bytes: Buffer): Error | undefined
   /** Returns whether the response being parsed has no stated length and ends when the connection closes. */
   isCloseDelimited (): boolean
@@ -47,6 +47,7 @@
 // The reader of lines limits header sections, exactly.
 HTTPParser.maxHeaderSize = Infinity
 
+const emptyBuffer = Buffer.alloc(0)
 const lengthPattern = /^\d{1,15}$/
 const chunkSizePattern = /^([0-9a-fA-F]{1,12})[ \t]*(;.*)?$/
 
@@ -62,6 +63,7 @@
   const lines = createLineReader(parserState)
   checkChunkSizes(parserState)
   dropTrailers(parserState)
+  const part = joinChunks(parserState)
   parser[HTTPParser.kOnHeadersComplete] = info => {
     checkFields(info.headers)
     const fields = collectFields(info.headers)
@@ -69,8 +71,17 @@
     const head = { status: info.statusCode, rawHeaders: info.headers, fields, isReusable: info.shouldKeepAlive, contentLength }
     return events.onHead(head) ? 1 : 0
   }
-  parser[HTTPParser.kOnBody] = (part, offset, length) => events.onBody(part.subarray(offset, offset + length))
-  parser[HTTPParser.kOnMessageComplete] = events.onEnd
+  parser[HTTPParser.kOnBody] = body => events.onBody(body)
+  parser[HTTPParser.kOnMessageComplete] = () => {
+    forwardPart()
+    events.onEnd()
+  }
+  /** Passes on what has been read of a chunked body. */
+  function forwardPart (): void {
+    const body = part.take()
+    if (body !== undefined) events.onBody(body)
+  }
+
   const catchError = (step: () => number | Error | void): Error | undefined => {
     try {
       const result = step()
@@ -82,7 +93,11 @@
   return {
     isCloseDelimited: () => parserState.state === 'BODY_RAW',
     isBetweenResponses: () => parserState.state === 'RESPONSE_LINE' && !lines.isWithinLine(),
-    read: bytes => catchError(() => parser.execute(bytes)),
+    read: bytes => catchError(() => {
+      const result = parser.execute(bytes)
+      forwardPart()
+      return result
+    }),
     finish: () => catchError(() => parser.finish())
   }
 }
@@ -127,6 +142,33 @@
   }
 }
 
+/** Makes the parser join the chunks in the bytes that are read to one part, in their place: behind the first chunk, over framing that has been parsed. */
+function joinChunks (parser: ParserState): { take: () => Buffer | undefined } {
+  let bytes: Buffer = emptyBuffer
+  let [start, end] = [0, 0]
+  parser.BODY_CHUNK = function () {
+    const chunkStart = this.offset
+    const length = Math.min(this.end - chunkStart, this.body_bytes)
+    if (start === end) {
+      bytes = this.chunk
+      start = end = chunkStart
+    } else if (length === 1) bytes[end] = bytes[chunkStart]!
+    else bytes.copyWithin(end, chunkStart, chunkStart + length)
+    end += length
+    this.offset += length
+    this.body_bytes -= length
+    if (this.body_bytes === 0) this.state = 'BODY_CHUNKEMPTYLINE'
+  }
+  return {
+    take () {
+      const part = start === end ? undefined : bytes.subarray(start, end)
+      bytes = emptyBuffer
+      start = end = 0
+      return part
+    }
+  }
+}
+
 /** Makes the parser drop trailers, which are not passed on. */
 function dropTrailers (parser: ParserState): void {
   parser.BODY_CHUNKTRAILERS = function () {
--- a/packages/targets/src/response_parser_test.ts
+++ b/packages/targets/src/response_parser_test.ts
@@ -65,3 +65,14 @@
   t.is(readText('\r\nContent-Length: 0\r\n\r\n'), undefined)
   t.is(countEnds(), 2)
 })
+
+test('passes on the chunks of one read as one part, unchanged', t => {
+  const { bodies, countEnds, readText } = startParser()
+  const body = Array.from({ length: 3_000 }, (_, index) => String.fromCharCode(97 + index % 26).repeat(index % 40 + 1))
+  const chunks = body.map(text => `${text.length.toString(16)}\r\n${text}\r\n`).join('')
+  t.is(readText(`${chunkedHead}${chunks}5\r\nab`), undefined)
+  t.is(bodies.length, 1)
+  t.is(readText(`cde\r\n0\r\n\r\n${chunkedHead}${chunks}0\r\n\r\n`), undefined)
+  t.deepEqual(bodies, [`${body.join('')}ab`, 'cde', body.join('')])
+  t.is(countEnds(), 2)
+})
