Hold the body of a request in blocks rather than in lists of small parts

Cause: node:http passes on each chunk of a body as a Buffer of its own, some hundred bytes beside the payload.

--- a/packages/bilberryd/src/edge/collect_body.ts
+++ b/packages/bilberryd/src/edge/collect_body.ts
@@ -8,11 +8,12 @@
 import type { BufferAllowance } from './buffer_allowance.ts'
 import type { RunGuarded } from './guard_exchange.ts'
 import { runAfterReads } from '@bilberryworks/callers'
+import { createBodyParts } from './body_parts.ts'
 
 /** A request body that is being received. */
 export interface CollectedBody {
-  /** Received chunks. */
-  parts: Buffer[]
+  /** Received bytes, in order. */
+  readonly parts: Buffer[]
   /** Number of received bytes. */
   bytes: number
   /** Whether the received bytes are the complete body. */
@@ -67,8 +68,9 @@
   /** Bytes that are accounted for in the memory for all bodies. */
   let memoryBytes = 0
   let isFreed = false
+  const parts = createBodyParts()
   const body: CollectedBody = {
-    parts: [],
+    get parts () { return parts.list() },
     bytes: 0,
     isComplete: false,
     declaredBytes: contentLength === undefined ? undefined : Number(contentLength),
@@ -124,7 +126,7 @@
   }
 
   function readPart (part: Buffer): void {
-    body.parts.push(part)
+    parts.add(part)
     body.bytes += part.length
     const hasMemory = reserveMemory(body.bytes)
     if (body.bytes > options.maxBytes) {
--- a/packages/bilberryd/src/edge/send_body.ts
+++ b/packages/bilberryd/src/edge/send_body.ts
@@ -34,8 +34,9 @@
 export function createBodySender (message: IncomingMessage, body: CollectedBody, options: CreateBodySenderOptions): NonNullable<Exchange['writeBody']> {
   return (write, onDrain) => {
     if (body.isComplete) {
-      if (body.parts.length === 0) write(emptyBuffer, true)
-      body.parts.forEach((part, index) => write(part, index === body.parts.length - 1))
+      const { parts } = body
+      if (parts.length === 0) write(emptyBuffer, true)
+      parts.forEach((part, index) => write(part, index === parts.length - 1))
       return
     }
     const isChunked = body.declaredBytes === undefined
