Send the small parts of a body that arrive together as one chunk

Change: parts of less than 4 KiB are joined up to 16 KiB, and written at the latest in the check phase of the turn in which they were read. Larger parts are written as they are. Order, the last chunk, and the pause while the target reads slowly are as before.

--- a/packages/bilberryd/src/edge/send_body.ts
+++ b/packages/bilberryd/src/edge/send_body.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage } from 'node:http'
 import type { CollectedBody } from './collect_body.ts'
 import type { RunGuarded } from './guard_exchange.ts'
+import { createPartJoiner } from './join_parts.ts'
 
 const lastChunk = Buffer.from('0\r\n\r\n')
 const emptyBuffer = Buffer.alloc(0)
@@ -44,16 +45,20 @@
     for (const part of body.parts) send(part)
     options.onConsumed()
     let bytes = body.bytes
+    const joiner = createPartJoiner(part => options.runGuarded(() => {
+      if (send(part)) return
+      message.pause()
+      onDrain(() => message.resume())
+    }))
     message.on('data', (part: Buffer) => options.runGuarded(() => {
       bytes += part.length
-      if (bytes > options.maxBytes) {
-        options.onTooLarge()
-      } else if (!send(part)) {
-        message.pause()
-        onDrain(() => message.resume())
-      }
+      if (bytes > options.maxBytes) options.onTooLarge()
+      else joiner.add(part)
+    }))
+    message.on('end', () => options.runGuarded(() => {
+      joiner.drain()
+      write(isChunked ? lastChunk : emptyBuffer, true)
     }))
-    message.on('end', () => options.runGuarded(() => { write(isChunked ? lastChunk : emptyBuffer, true) }))
     message.resume()
   }
 }
