Hold the responses of the store and of peers at about their size

Cause: exchangeHttp counted the bytes of a body and kept a Buffer for each of its chunks, so that a response in chunks of one byte exhausted the heap below the limit of 8 MB, and each read of its connection held the event loop. Interim responses were bounded by time alone.

Change: BodyReader in packages/steering copies parts into blocks (at most twice the body and 1 KiB), pauses a body beyond 4,096 parts so that bodies in tiny parts take about a sixth of a core together, and closes one beyond its limit; more than 100 interim responses end a call as well.

--- a/packages/steering/src/mod.ts
+++ b/packages/steering/src/mod.ts
@@ -13,6 +13,8 @@
  */
 export * from './admission.ts'
 export * from './attempt_pacer.ts'
+export * from './body_reader.ts'
+export * from './byte_blocks.ts'
 export * from './byte_budget.ts'
 export * from './catch_up.ts'
 export * from './check_document.ts'
