Close connections of callers only while others come beyond the share

After a limit of descriptors had become lower than what is open, each response closed its connection for as long as callers held more than their share: they came back at once, on connections that were then beyond the share, and were refused (host_limit), or reset when the kernel had no descriptor for them. docs/design/host_faults.md has the rule that the code did not follow: responses close connections only for a second after a connection beyond the share has come. Callers on open connections keep them now.

--- a/packages/bilberryd/src/edge/descriptor_limits.ts
+++ b/packages/bilberryd/src/edge/descriptor_limits.ts
@@ -128,7 +128,7 @@
     countCallers,
     getMaxCallers,
     getMaxTargets: () => computeMaxConnections(DescriptorUse.Target, shares, { callers: countCallers(), targets: 0 }),
-    isShort: () => countCallers() > getMaxCallers(),
+    isShort: () => callers?.isPressed() ?? false,
     findRefusal: socket => callers?.isRefused(socket) === true ? createNotRunRefusal(RefusalReason.HostLimit, refusalDetail, minRetryAfterMs + getRandom() * retryAfterSpreadMs) : undefined,
     chooseForTarget ({ count, hasIdle }) {
       const decision = chooseDescriptor(DescriptorUse.Target, shares, { callers: countCallers(), targets: count, hasIdleCaller: false, hasIdleTarget: hasIdle })
