Read bodies in tiny chunks in turns

A connection beyond its units is not read until its turn comes. Reasons not to read a connection are kept apart (stop_reading.ts), so that node:http or one of them does not resume it for another.

--- a/packages/bilberryd/src/edge/collect_body.ts
+++ b/packages/bilberryd/src/edge/collect_body.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import type { ReadTurns } from '@bilberryworks/callers'
 import type { IncomingMessage } from 'node:http'
 import type { BufferAllowance } from './buffer_allowance.ts'
 import type { RunGuarded } from './guard_exchange.ts'
@@ -40,6 +41,8 @@
   allowance: BufferAllowance
   /** Memory for all bodies; unlimited if absent. */
   memory?: BufferAllowance | undefined
+  /** Turns in which connections are read; each is read as its bytes arrive if absent. */
+  turns?: Pick<ReadTurns, 'watchBody' | 'waitForTurn'>
   /** Called once, when there is no memory for the body, before `onCollected`. */
   onNoMemory?: () => void
   /** Called once, when the body is complete or exceeds `maxBufferedBytes`. */
@@ -80,6 +83,7 @@
       addListeners()
       message.resume()
       for (let quietTurns = 0; quietTurns < maxQuietTurns && body.bytes < limitBytes;) {
+        await options.turns?.waitForTurn(message.socket)
         const bytesBefore = body.bytes
         await new Promise<void>(runAfterReads)
         quietTurns = body.bytes > bytesBefore ? 0 : quietTurns + 1
@@ -156,6 +160,7 @@
 
   // What is buffered in any case is accounted for at once, so that requests that arrive together are not admitted beyond the limit.
   reserveMemory(Math.min(body.declaredBytes ?? 0, options.maxBufferedBytes))
+  options.turns?.watchBody(message)
   addListeners()
   return body
 }
--- a/packages/bilberryd/src/edge/request_handler.ts
+++ b/packages/bilberryd/src/edge/request_handler.ts
@@ -17,7 +17,7 @@
 import type { EndedRequests } from './open_attempts.ts'
 import type { RelayOrigin } from './relay_message.ts'
 import type { MemoryBudget } from './memory_limits.ts'
-import { checkFraming, createPipelineScheduler, hasBody, watchCaller, writeRefusal } from '@bilberryworks/callers'
+import { checkFraming, createPipelineScheduler, createReadTurns, hasBody, watchCaller, writeRefusal } from '@bilberryworks/callers'
 import { createNotRunRefusal, LifePhase, RefusalReason, RouteKind } from '@bilberryworks/steering'
 import { formatRetryAfter, readAttemptFields } from '@bilberryworks/users-platform'
 import { AttemptPhase } from './attempt.ts'
@@ -85,7 +85,7 @@
  */
 export function createRequestHandler (options: CreateRequestHandlerOptions): RequestHandler {
   const { state, dispatcher, guard, life, log, metrics, getNowMs } = options
-  const pipeline = createPipelineScheduler()
+  const [pipeline, turns] = [createPipelineScheduler(), createReadTurns({ getNowMs })]
   const allowance = createBufferAllowance(maxReadAheadBytes)
   const openAttempts = createOpenAttempts(dispatcher)
 
@@ -171,6 +171,7 @@
       return
     }
     attempt.arrivingBody = collectBody(message, {
+      turns,
       runGuarded: work => runGuarded(attempt, work),
       maxBufferedBytes: maxBufferedBodyBytes,
       allowance,
--- a/packages/callers/src/pipeline_scheduler.ts
+++ b/packages/callers/src/pipeline_scheduler.ts
@@ -5,6 +5,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import { ReadStop, startReading, stopReading } from './stop_reading.ts'
 import { watchResponse } from './watch_response.ts'
 
 /** A request to schedule. */
@@ -46,7 +47,6 @@
 interface PipelinedConnection {
   /** Requests without a complete response, in the order in which they were received. */
   open: OpenRequest[]
-  isPaused: boolean
   /** Whether a response that closes the connection has ended. */
   isClosed: boolean
 }
@@ -91,21 +91,13 @@
 
   function updateReading (socket: Socket, connection: PipelinedConnection): void {
     const waitingCount = connection.open.filter(request => !request.isStarted).length
-    if (hasClosingResponse(connection) ? connection.open.length > 1 : waitingCount >= maxWaiting) {
-      connection.isPaused = true
-      // `node:http` resumes the socket in a later tick of the same turn, after each message that it has parsed and each
-      // response that it has sent; a microtask runs after those ticks.
-      queueMicrotask(() => {
-        if (connection.isPaused) socket.pause()
-      })
-    } else if (connection.isPaused) {
-      connection.isPaused = false
-      socket.resume()
-    }
+    const isFull = hasClosingResponse(connection) ? connection.open.length > 1 : waitingCount >= maxWaiting
+    if (isFull) stopReading(socket, ReadStop.Pipeline)
+    else startReading(socket, ReadStop.Pipeline)
   }
 
   function getConnection (socket: Socket): PipelinedConnection {
-    const connection = connections.get(socket) ?? { open: [], isPaused: false, isClosed: false }
+    const connection = connections.get(socket) ?? { open: [], isClosed: false }
     connections.set(socket, connection)
     return connection
   }
@@ -121,7 +113,8 @@
       watchResponse(message, response, () => {
         connection.open.splice(connection.open.indexOf(request), 1)
         connection.isClosed ||= socket.destroyed || !response.shouldKeepAlive
-        if (connection.isClosed) return
+        // What still arrives on a connection that is being closed is read and discarded.
+        if (connection.isClosed) return startReading(socket, ReadStop.Pipeline)
         startNext(connection)
         updateReading(socket, connection)
       })
