Accept the connections that wait before a stop closes the listener

Cause: the kernel resets connections that are established and not accepted when the listener closes, and libuv may accept one in each turn of the event loop; the stop gave it a single turn. The class: what the kernel holds for a process is closed without being read.

Change: closeListener accepts until a turn brings no further connection, for half a second at most, and closes then; both interfaces use it.

--- a/packages/bilberryd/src/edge/drain_requests.ts
+++ b/packages/bilberryd/src/edge/drain_requests.ts
@@ -8,7 +8,7 @@
 import type { Server } from 'node:http'
 import type { EndedRequests } from './open_attempts.ts'
 import { setTimeout as wait } from 'node:timers/promises'
-import { runAfterReads } from '@bilberryworks/callers'
+import { closeListener, runAfterReads } from '@bilberryworks/callers'
 import { LifePhase } from '@bilberryworks/steering'
 
 /** Options of {@linkcode drainRequests}. */
@@ -53,9 +53,7 @@
     await wait(acceptPollIntervalMs)
   }
   onPhase(life.getPhase(getNowMs()))
-  // What has arrived is read first: a connection that is closed with a request unread is reset.
-  await waitForReads()
-  callers.close()
+  await closeListener(callers)
   while (life.getPhase(getNowMs()) === LifePhase.Closing && countOpen() > 0) {
     addEnded(endRequests())
     await waitForReads()
--- a/packages/bilberryd/src/open_listener.ts
+++ b/packages/bilberryd/src/open_listener.ts
@@ -9,10 +9,11 @@
 import type Logger from 'bunyan'
 import type { ListenerLog, ListenOnOptions } from './listen_on.ts'
 import type { ListenSettings, TlsSettings } from './settings.ts'
+import { once } from 'node:events'
 import { createServer } from 'node:http'
 import { createServer as createTlsServer, Server as TlsServer } from 'node:https'
 import { createSecureContext } from 'node:tls'
-import { applyGracefulClose, countOpenResponses, handleClientErrors } from '@bilberryworks/callers'
+import { applyGracefulClose, closeListener, countOpenResponses, handleClientErrors } from '@bilberryworks/callers'
 import { ListenError, ListenerEvent, listenOn } from './listen_on.ts'
 import { readPem } from './read_pem.ts'
 
@@ -89,7 +90,9 @@
     async drain () {
       // Connections that are busy when the listener closes become idle later and are closed then.
       const timer = setInterval(() => server.closeIdleConnections(), idleCheckIntervalMs)
-      await closeServer(server)
+      const closed = once(server, 'close')
+      await closeListener(server)
+      await closed
       clearInterval(timer)
     },
     loadTls (tls) {
--- a/packages/callers/src/mod.ts
+++ b/packages/callers/src/mod.ts
@@ -11,6 +11,7 @@
 export * from './bodiless_requests.ts'
 export * from './body_guard.ts'
 export * from './client_errors.ts'
+export * from './close_listener.ts'
 export * from './graceful_close.ts'
 export * from './header_fields.ts'
 export * from './open_requests.ts'
--- a/packages/standins/src/entry_stop_test.ts
+++ b/packages/standins/src/entry_stop_test.ts
@@ -266,6 +266,20 @@
   t.deepEqual(responses.map(({ status, isComplete }) => [status, isComplete]), [[503, true], [503, true]])
 })
 
+test('requests on connections that wait to be accepted when a stop closes the listener are refused, not reset', async t => {
+  await using started = await startProcess()
+  await waitUntilWarm(t, started)
+  started.child.kill('SIGTERM')
+  await wait(2_300)
+  started.child.kill('SIGSTOP')
+  await wait(50)
+  const callers = Array.from({ length: 40 }, () => started.send('/safe/x'))
+  await wait(300)
+  started.child.kill('SIGCONT')
+  const responses = await Promise.all(callers.map(caller => caller.response))
+  t.deepEqual(responses.map(({ status, isComplete }) => [status, isComplete]), callers.map(() => [503, true]))
+})
+
 test('SIGHUP during a stop changes nothing', async t => {
   await using started = await startProcess({ targets: [{ processingMs: slowMs }] })
   await waitUntilWarm(t, started)
