Bound the responses to control calls in bytes

Change: they read by BodyReader: 64 KiB for control calls of targets, 8 MiB for calls of instances, 64 MiB for bilberryctl; at most 128 KiB of a refusal's body is discarded. Beyond a bound the connection is closed and the call fails as one without a response.

--- a/packages/bilberryctl/src/api_client.ts
+++ b/packages/bilberryctl/src/api_client.ts
@@ -5,12 +5,14 @@
  */
 import type { Result } from 'neverthrow'
 import { readFileSync } from 'node:fs'
-import { isUnsentError } from '@bilberryworks/steering'
+import { createBodyReader, isUnsentError } from '@bilberryworks/steering'
 import { err, ok } from 'neverthrow'
 import { Agent } from 'undici'
 
 const connectTimeoutMs = 3_000
 const defaultTimeoutMs = 10_000
+/** Largest accepted response, in bytes: the status of all instances of a large fleet. */
+const maxResponseBytes = 67_108_864
 
 /** A request. */
 export interface ApiCall {
@@ -70,6 +72,7 @@
   const ca = options.caFile === undefined ? {} : { ca: readFileSync(options.caFile, 'utf8') }
   const agent = new Agent({ connect: { timeout: connectTimeoutMs, ...ca } })
   const authorization = token === undefined ? {} : { authorization: `Bearer ${token}` }
+  const bodyReader = createBodyReader({ getNowMs: () => performance.now() })
   return {
     async send (call) {
       try {
@@ -81,7 +84,8 @@
           body: call.body === undefined ? null : JSON.stringify(call.body),
           signal: AbortSignal.timeout(options.timeoutMs ?? defaultTimeoutMs)
         })
-        return ok({ status: response.statusCode, body: parseJson(await response.body.text()) })
+        const content = await bodyReader.read(response.body, { maxBytes: maxResponseBytes })
+        return ok({ status: response.statusCode, body: parseJson(content.toString('utf8')) })
       } catch (error) {
         const isUnsent = isUnsentError(error)
         return err({ isUnsent, detail: `${call.method} ${options.endpoint}${call.path}: ${(error as Error).message}` })
--- a/packages/instances/src/http_peers.ts
+++ b/packages/instances/src/http_peers.ts
@@ -7,7 +7,7 @@
 import type { JSONRPCResponse } from 'json-rpc-2.0'
 import type { Result } from 'neverthrow'
 import type { ForwardFailure, PeerCallOptions, PeerClient, PeerFailure } from './peers.ts'
-import { collectHeaders, createNotRunRefusal, createUnknownRefusal, detachBody, isUnsentError, Outcome, RefusalReason } from '@bilberryworks/steering'
+import { collectHeaders, createBodyReader, createNotRunRefusal, createUnknownRefusal, detachBody, isUnsentError, Outcome, RefusalReason } from '@bilberryworks/steering'
 import { createJSONRPCRequest } from 'json-rpc-2.0'
 import { err, ok } from 'neverthrow'
 import { Agent } from 'undici'
@@ -17,6 +17,10 @@
 const defaultCallTimeoutMs = 1_000
 const keepAliveMs = 4_000
 const peerRetryAfterMs = 1_000
+/** Largest response to a call, in bytes. */
+const maxReplyBytes = 8_388_608
+/** Largest body of a refusal that is read so that its connection can be used again, in bytes. */
+const maxDiscardedBytes = 131_072
 /** Share of the remaining time that is withheld from the peer's deadline, so that a refusal by the peer arrives before this instance times out. */
 const responseReserveShare = 0.1
 /** Largest time that is withheld from the peer's deadline, in milliseconds. */
@@ -57,6 +61,7 @@
   })
   const scheme = tls === undefined ? 'http' : 'https'
   const createAuthorization = (): string => `Bearer ${getKey()}`
+  const bodyReader = createBodyReader({ getNowMs: () => performance.now() })
   let nextId = 1
 
   return {
@@ -71,10 +76,10 @@
           body,
           signal: AbortSignal.timeout(call.timeoutMs ?? defaultCallTimeoutMs)
         })
-        const text = await response.body.text()
-        call.recordBytes?.(Buffer.byteLength(body) + Buffer.byteLength(text))
+        const content = await bodyReader.read(response.body, { maxBytes: maxReplyBytes })
+        call.recordBytes?.(Buffer.byteLength(body) + content.length)
         if (response.statusCode !== 200) return err({ kind: PeerFailureKind.Refused, detail: `${method} returned status ${response.statusCode}` })
-        const reply = JSON.parse(text) as JSONRPCResponse
+        const reply = JSON.parse(content.toString('utf8')) as JSONRPCResponse
         if (reply.error !== undefined) return err({ kind: PeerFailureKind.Refused, detail: reply.error.message })
         return ok(reply.result as T)
       } catch (error) {
@@ -99,7 +104,7 @@
         if (headers['bilberry-outcome'] === Outcome.Answered) {
           return ok({ status: response.statusCode, headers, body: response.body })
         }
-        response.body.dump().catch(() => {})
+        void bodyReader.discard(response.body, maxDiscardedBytes)
         return err({ isUnsent: false, refusal: parseRefusal(headers, peer) })
       } catch (error) {
         return err(describeForwardError(error, { peer, hasTimedOut: timeout.aborted }))
--- a/packages/targets/src/http_targets.ts
+++ b/packages/targets/src/http_targets.ts
@@ -6,7 +6,7 @@
 import type { HeaderFields, TargetRecord } from '@bilberryworks/steering'
 import type { Result } from 'neverthrow'
 import type { TargetResponse, TargetClient, TargetFailure, TargetLoad, TargetRequest } from './targets.ts'
-import { collectHeaders, detachBody, getFailureSide, isLocalFailure, isUnsentError } from '@bilberryworks/steering'
+import { collectHeaders, createBodyReader, detachBody, getFailureSide, isLocalFailure, isUnsentError } from '@bilberryworks/steering'
 import { err, ok } from 'neverthrow'
 import { Agent } from 'undici'
 import { TargetFailureKind } from './targets.ts'
@@ -14,6 +14,10 @@
 const connectTimeoutMs = 1_000
 const controlTimeoutMs = 1_000
 const keepAliveMs = 4_000
+/** Largest response to a control call, in bytes: a few numbers. */
+const maxControlBytes = 65_536
+/** Largest body of a refusal that is read so that its connection can be used again, in bytes. */
+const maxDiscardedBytes = 131_072
 
 /** Response header in which a target states that it did not run the request. */
 const outcomeHeader = 'bilberry-outcome'
@@ -47,6 +51,21 @@
     connect: { timeout: connectTimeoutMs },
     ...agentOptions
   })
+  const bodyReader = createBodyReader({ getNowMs: () => performance.now() })
+
+  async function readJson<T> (target: TargetRecord, call: { method: 'GET' | 'DELETE', path: string }): Promise<T | undefined> {
+    try {
+      const response = await agent.request({ origin: `http://${target.address}`, ...call, signal: AbortSignal.timeout(controlTimeoutMs) })
+      if (response.statusCode !== 200) {
+        await bodyReader.discard(response.body, maxControlBytes)
+        return undefined
+      }
+      const content = await bodyReader.read(response.body, { maxBytes: maxControlBytes })
+      return JSON.parse(content.toString('utf8')) as T
+    } catch {
+      return undefined
+    }
+  }
 
   return {
     async send (target: TargetRecord, request: TargetRequest): Promise<Result<TargetResponse, TargetFailure>> {
@@ -64,7 +83,7 @@
         const leaving = headers[stateHeader] === 'leaving'
         const isOwn = isOwnResponse(request, headers)
         if (isOwn && response.statusCode === 503 && headers[outcomeHeader] === 'not-run') {
-          response.body.dump().catch(() => {})
+          void bodyReader.discard(response.body, maxDiscardedBytes)
           return err({ kind: TargetFailureKind.Refused, detail: `Target "${target.target}" refused the request`, leaving })
         }
         const fault = findFault(request, response.statusCode, headers)
@@ -79,11 +98,11 @@
     },
     async cancel (target: TargetRecord, requestId: string): Promise<boolean> {
       const path = `/bilberry/requests/${encodeURIComponent(requestId)}`
-      const reply = await readJson<{ done: boolean }>(agent, target, { method: 'DELETE', path })
+      const reply = await readJson<{ done: boolean }>(target, { method: 'DELETE', path })
       return reply?.done ?? false
     },
     async readLoad (target: TargetRecord): Promise<TargetLoad | undefined> {
-      return readJson<TargetLoad>(agent, target, { method: 'GET', path: '/bilberry/load' })
+      return readJson<TargetLoad>(target, { method: 'GET', path: '/bilberry/load' })
     },
     async [Symbol.asyncDispose] () {
       await agent.destroy()
@@ -104,19 +123,6 @@
   return isBodiless || isFramed ? undefined : 'Response has neither Content-Length nor Transfer-Encoding, so a truncated body can\'t be detected'
 }
 
-async function readJson<T> (agent: Agent, target: TargetRecord, call: { method: 'GET' | 'DELETE', path: string }): Promise<T | undefined> {
-  try {
-    const response = await agent.request({ origin: `http://${target.address}`, ...call, signal: AbortSignal.timeout(controlTimeoutMs) })
-    if (response.statusCode !== 200) {
-      await response.body.dump()
-      return undefined
-    }
-    return await response.body.json() as T
-  } catch {
-    return undefined
-  }
-}
-
 function describeError (error: unknown, target: TargetRecord, isTimedOut: boolean): TargetFailure {
   const detail = `Target "${target.target}": ${(error as Error).message}`
   if (isUnsentError(error)) {
--- a/packages/targets/src/http_targets_test.ts
+++ b/packages/targets/src/http_targets_test.ts
@@ -6,6 +6,7 @@
 import { createServer } from 'node:net'
 import { Readable } from 'node:stream'
 import { text } from 'node:stream/consumers'
+import { setTimeout as wait } from 'node:timers/promises'
 import { createHttpTargets } from './http_targets.ts'
 import { TargetFailureKind } from './targets.ts'
 
@@ -104,3 +105,32 @@
   const results = await Promise.all(lengths.map(length => describeExchange(replyWith(head.slice(0, length), 'fin'))))
   t.deepEqual([...new Set(results)], [TargetFailureKind.Lost])
 })
+
+const endlessReplies: Array<[string, string, string]> = [
+  ['a body', `${status}transfer-encoding: chunked\r\n\r\n`, `8000\r\n${'x'.repeat(32_768)}\r\n`],
+  ['a body of a stated length', `${status}content-length: 999999999999\r\n\r\n`, ' '.repeat(32_768)],
+  ['the body of a refusal', 'HTTP/1.1 503 Busy\r\ntransfer-encoding: chunked\r\n\r\n', `8000\r\n${'x'.repeat(32_768)}\r\n`]
+]
+
+for (const [name, start, repeated] of endlessReplies) {
+  test(`control calls end and close their connections when ${name} does not end`, async t => {
+    const sockets: Socket[] = []
+    await using target = await startTarget(socket => socket.once('data', () => {
+      sockets.push(socket)
+      const send = (): void => {
+        let isTaken = socket.writable
+        while (isTaken) isTaken = socket.write(repeated)
+      }
+      socket.on('drain', send)
+      socket.write(start)
+      send()
+    }))
+    await using client = createHttpTargets()
+    const startedAtMs = performance.now()
+    t.deepEqual(await Promise.all([client.readLoad(target.record), client.cancel(target.record, 'r')]), [undefined, false])
+    t.true(performance.now() - startedAtMs < 900, 'the bound in bytes ends a call before its time-out')
+    while (sockets.some(socket => !socket.destroyed)) await wait(10)
+    const sentBytes = sockets.reduce((sum, socket) => sum + socket.bytesWritten, 0)
+    t.true(sentBytes < 33_554_432, `${sentBytes} bytes were sent`)
+  })
+}
