Read targets that send responses in tiny chunks in turns

Cause: 64 KiB of chunks of one byte take some 7 ms to parse, and the loop reads such a connection again as soon as it has been read.

Change: one ReadPacer for all connections to targets and peers of an instance. Its unit is a line beyond one for each 64 bytes received, so that chunks of 128 bytes and more are never charged. A connection is read when neither the caller of its response nor the pacer wants it paused; a response that is complete ends the pause, so that the next one does not wait. Lines are read with less work: no slice for the carriage return.

--- a/packages/bilberryd/src/edge/run_entry.ts
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -19,7 +19,7 @@
 import { createServer } from 'node:http'
 import { applyBodilessRequests, applyGracefulClose, countOpenResponses, runAfterReads } from '@bilberryworks/callers'
 import { createCleanupStack, createLifeCycle, createPollSchedule } from '@bilberryworks/steering'
-import { checkListening, createTargetPool } from '@bilberryworks/targets'
+import { checkListening, createResponsePacer, createTargetPool } from '@bilberryworks/targets'
 import { createStoreClient, operatorTable, targetTable } from '@bilberryworks/users-platform'
 import { listenOn } from '../listen_on.ts'
 import { applyCallerLimits, createCallerListener } from './caller_listener.ts'
@@ -93,14 +93,15 @@
     getRandom
   })
   const descriptors = createDescriptorBudget({ limits: settings.limits, maxCallers: memory.shares.maxConnections, countTargets: () => components.pool.count(), getRandom })
+  const pacer = createResponsePacer()
   const components = cleanup.add(createEntryComponents({
     guard,
     settings,
     startedAtMs: Date.now(),
     log,
     metrics,
-    createPool: onConnectionEvent => cleanup.add(createTargetPool({ connectTimeoutMs, chooseDescriptor: descriptors.chooseForTarget, onMismatchedResponse: metrics.countMismatchedResponse, onConnectionEvent })),
-    peerPool: cleanup.add(createTargetPool({ connectTimeoutMs: peerConnectTimeoutMs, chooseDescriptor: descriptors.chooseForPeer })),
+    createPool: onConnectionEvent => cleanup.add(createTargetPool({ connectTimeoutMs, pacer, chooseDescriptor: descriptors.chooseForTarget, onMismatchedResponse: metrics.countMismatchedResponse, onConnectionEvent })),
+    peerPool: cleanup.add(createTargetPool({ connectTimeoutMs: peerConnectTimeoutMs, pacer, chooseDescriptor: descriptors.chooseForPeer })),
     checkListening,
     runAfterReads,
     relays: options.relays,
--- a/packages/targets/src/_line_reader.ts
+++ b/packages/targets/src/_line_reader.ts
@@ -26,6 +26,8 @@
 export interface LineReader {
   /** Returns whether a line has begun whose end has not been received. */
   isWithinLine: () => boolean
+  /** Returns the number of lines that were read since the last call. */
+  takeCount: () => number
 }
 
 /** Maximum size of a line, and of a header or trailer section, in bytes: well above the header limits of common servers. */
@@ -36,15 +38,13 @@
 const carriageReturn = 0x0d
 
 /** What a line belongs to, by the state of the parser. */
-const elements: Record<string, { description: string, maxBytes: number }> = {
-  RESPONSE_LINE: { description: 'of a status line', maxBytes: maxElementBytes },
-  HEADER: { description: 'of a header section', maxBytes: maxElementBytes },
-  BODY_CHUNKHEAD: { description: 'of a chunk size with its extension', maxBytes: maxElementBytes },
-  BODY_CHUNKEMPTYLINE: { description: 'in place of the end of a chunk', maxBytes: maxChunkEndBytes },
-  BODY_CHUNKTRAILERS: { description: 'of a trailer section', maxBytes: maxElementBytes }
+const descriptions: Record<string, string> = {
+  RESPONSE_LINE: 'of a status line',
+  HEADER: 'of a header section',
+  BODY_CHUNKHEAD: 'of a chunk size with its extension',
+  BODY_CHUNKEMPTYLINE: 'in place of the end of a chunk',
+  BODY_CHUNKTRAILERS: 'of a trailer section'
 }
-/** States whose lines form a section, which ends with an empty line. */
-const sectionStates = new Set(['HEADER', 'BODY_CHUNKTRAILERS'])
 
 /**
  * Makes a parser read lines and sections of limited size; it throws if one is longer.
@@ -54,27 +54,43 @@
  */
 export function createLineReader (parser: ParserState): LineReader {
   const partial = createByteCollector()
-  let elementBytes = 0
+  let [elementBytes, lines] = [0, 0]
   parser.consumeLine = () => {
     const { chunk, offset, state } = parser
     if (elementBytes === 0 && chunk[offset] === carriageReturn && chunk[offset + 1] === lineFeed) {
       parser.offset = offset + 2
+      lines++
       return ''
     }
     const lineEnd = chunk.indexOf(lineFeed, offset)
     parser.offset = lineEnd < 0 ? parser.end : lineEnd + 1
     elementBytes += parser.offset - offset
-    const { description, maxBytes } = elements[state]!
-    if (elementBytes > maxBytes) throw new Error(`Target sent ${elementBytes} bytes ${description}; the limit is ${maxBytes}`)
+    const maxBytes = state === 'BODY_CHUNKEMPTYLINE' ? maxChunkEndBytes : maxElementBytes
+    if (elementBytes > maxBytes) throw new Error(`Target sent ${elementBytes} bytes ${descriptions[state]!}; the limit is ${maxBytes}`)
     if (lineEnd < 0) {
       partial.append(chunk.subarray(offset))
       return undefined
     }
-    let line = chunk.toString('ascii', offset, lineEnd)
-    if (partial.count() > 0) line = partial.take().toString('ascii') + line
-    if (line.endsWith('\r')) line = line.slice(0, -1)
-    if (line === '' || !sectionStates.has(state)) elementBytes = 0
+    lines++
+    const line = partial.count() > 0 ? takeLine(chunk.subarray(offset, lineEnd)) : chunk.toString('ascii', offset, chunk[lineEnd - 1] === carriageReturn && lineEnd > offset ? lineEnd - 1 : lineEnd)
+    // The lines of a section are limited together; it ends with an empty line.
+    if (line === '' || (state !== 'HEADER' && state !== 'BODY_CHUNKTRAILERS')) elementBytes = 0
     return line
   }
-  return { isWithinLine: () => partial.count() > 0 }
+
+  /** Takes the line that has begun in an earlier read, without its line break. */
+  function takeLine (rest: Buffer): string {
+    partial.append(rest)
+    const line = partial.take().toString('ascii')
+    return line.endsWith('\r') ? line.slice(0, -1) : line
+  }
+
+  return {
+    isWithinLine: () => partial.count() > 0,
+    takeCount () {
+      const count = lines
+      lines = 0
+      return count
+    }
+  }
 }
--- a/packages/targets/src/mod.ts
+++ b/packages/targets/src/mod.ts
@@ -11,6 +11,7 @@
  */
 export * from './byte_collector.ts'
 export * from './check_listening.ts'
+export * from './response_pacer.ts'
 export * from './response_parser.ts'
 export * from './http_targets.ts'
 export * from './target_connection.ts'
--- a/packages/targets/src/response_parser.ts
+++ b/packages/targets/src/response_parser.ts
@@ -36,6 +36,8 @@
 export interface ResponseParser {
   /** Parses received bytes, and may overwrite them; returns an error if they are invalid, after which the connection must be closed. */
   read (bytes: Buffer): Error | undefined
+  /** Returns the number of lines that were parsed since the last call: those of header sections, and two for each chunk. */
+  takeLineCount (): number
   /** Returns whether the response being parsed has no stated length and ends when the connection closes. */
   isCloseDelimited (): boolean
   /** Returns whether the parsed bytes end exactly at the end of a response. */
@@ -91,6 +93,7 @@
     }
   }
   return {
+    takeLineCount: lines.takeCount,
     isCloseDelimited: () => parserState.state === 'BODY_RAW',
     isBetweenResponses: () => parserState.state === 'RESPONSE_LINE' && !lines.isWithinLine(),
     read: bytes => catchError(() => {
--- a/packages/targets/src/target_connection.ts
+++ b/packages/targets/src/target_connection.ts
@@ -3,11 +3,14 @@
  *
  * @module
  */
+import type { ReadPacer } from '@bilberryworks/steering'
 import type { Socket } from 'node:net'
 import type { ResponseHead } from './response_parser.ts'
 import { connect } from 'node:net'
 import { getFailureSide, isLocalFailure } from '@bilberryworks/steering'
 import { createOverheadLimit } from './_overhead_limit.ts'
+import { createPacedReading } from './_paced_reading.ts'
+import { computeReadUnits } from './response_pacer.ts'
 import { createResponseParser } from './response_parser.ts'
 
 /** Why an exchange on a connection failed. */
@@ -75,6 +78,8 @@
 export interface OpenTargetConnectionOptions {
   /** Time limit for establishing the connection, in milliseconds. */
   connectTimeoutMs: number
+  /** Decides for how long a connection is not read whose target sends very short lines; its units are lines beyond one for each 64 bytes. */
+  pacer: ReadPacer
   /** Called once, when the connection closes. */
   onClose: () => void
   /** Called when the connection is established, with the time that it took in milliseconds. */
@@ -107,13 +112,13 @@
   let current: Exchange | undefined
   /** Exchange whose response is complete; it ends after the bytes received together with the end of the response have been parsed. */
   let completed: Exchange | undefined
-  let [isEstablished, isClosed] = [false, false]
-  let [isReusable, isBodySent] = [true, true]
+  let [isEstablished, isClosed, isReusable, isBodySent] = [false, false, true, true]
   let mismatchedResponses = 0
   /** Whether the response being parsed is discarded: it belongs to another request or is a 1xx response. */
   let isSkipping = false
   const startedAtMs = performance.now()
   const overhead = createOverheadLimit()
+  const reading = createPacedReading(socket, options.pacer)
   const connectTimer = watchConnecting(socket, { timeoutMs: options.connectTimeoutMs, onFail: failConnecting })
   const parser = createResponseParser({
     onHead: handleHead,
@@ -163,14 +168,12 @@
     }
     if (exchange === undefined) throw new Error('Response received while no request was in flight')
     isSkipping = !exchange.isOwnResponse(head)
+    if (isSkipping || !head.isReusable) isReusable = false
     if (isSkipping) {
-      isReusable = false
-      mismatchedResponses++
       options.onMismatchedResponse()
-      if (mismatchedResponses > maxMismatchedResponses || !head.isReusable) throw new Error('Responses to other requests exceeded the limit or ended the connection')
+      if (++mismatchedResponses > maxMismatchedResponses || !head.isReusable) throw new Error('Responses to other requests exceeded the limit or ended the connection')
       return false
     }
-    if (!head.isReusable) isReusable = false
     connection.keepAliveMs = readKeepAliveMs(head) ?? connection.keepAliveMs
     exchange.onHead(head)
     return exchange.isBodiless
@@ -192,6 +195,7 @@
   function settleCompleted (): void {
     const exchange = completed
     completed = undefined
+    if (exchange !== undefined && !isClosed) reading.release()
     if (current === undefined && !parser.isBetweenResponses()) closeConnection()
     exchange?.onEnd()
   }
@@ -222,6 +226,7 @@
   socket.on('data', bytes => {
     const error = parser.read(bytes) ?? overhead.countReceived(bytes.length)
     if (error !== undefined) failConnection(ExchangeFailure.Malformed, error.message)
+    if (!isClosed) reading.charge(computeReadUnits(parser.takeLineCount(), bytes.length))
     settleCompleted()
   })
   socket.on('end', () => finishInput(performance.now()))
@@ -231,13 +236,13 @@
   const connection: TargetConnection = {
     idleSinceMs: startedAtMs,
     keepAliveMs: undefined,
-    isFree: () => !isClosed && current === undefined && isReusable && socket.readableLength === 0,
+    isFree: () => !isClosed && current === undefined && isReusable && socket.readableLength === 0 && !reading.isPaced(),
     send (exchange) {
       current = exchange
       overhead.reset()
       if (isEstablished) startExchange(exchange)
     },
-    setPaused: paused => paused ? socket.pause() : socket.resume(),
+    setPaused: reading.setPaused,
     close () { closeConnection() }
   }
   return connection
--- a/packages/targets/src/target_pool.ts
+++ b/packages/targets/src/target_pool.ts
@@ -3,8 +3,10 @@
  *
  * @module
  */
+import type { ReadPacer } from '@bilberryworks/steering'
 import type { Exchange, TargetConnection } from './target_connection.ts'
 import { DescriptorDecision, getFailureSide, isLocalFailure } from '@bilberryworks/steering'
+import { createResponsePacer } from './response_pacer.ts'
 import { ExchangeFailure, openTargetConnection } from './target_connection.ts'
 
 /** A target to which the pool connects. */
@@ -63,6 +65,8 @@
 export interface CreateTargetPoolOptions {
   /** Time limit for establishing a connection, in milliseconds. */
   connectTimeoutMs: number
+  /** Shares the event loop among connections; one of the pool by default, see {@linkcode createResponsePacer}. */
+  pacer?: ReadPacer
   /** Decides whether another connection may be opened beside the open ones; each may by default. */
   chooseDescriptor?: (pool: { count: number, hasIdle: boolean }) => DescriptorDecision
   /** Called for each event of a connection to a target; with the code of the error if the operating system did not establish it. */
@@ -85,6 +89,7 @@
 export function createTargetPool (options: CreateTargetPoolOptions): TargetPool {
   const idle = new Map<string, TargetConnection[]>()
   const open = new Set<TargetConnection>()
+  const pacer = options.pacer ?? createResponsePacer()
   let isClosed = false
 
   function reportEvent (event: ConnectionEvent, targetId: string, code?: string): void {
@@ -126,6 +131,7 @@
   function openConnection (target: PooledTarget, { connectTimeoutMs, onConnect, onClose }: { connectTimeoutMs: number, onConnect?: () => void, onClose?: () => void }): TargetConnection {
     const connection = openTargetConnection(target.address, {
       connectTimeoutMs,
+      pacer,
       onConnect () {
         reportEvent(ConnectionEvent.Established, target.id)
         onConnect?.()
