Let the linter refuse bodies that are read without a bound

Change: a rule against these and their like (arrayBuffer, blob, bytes, formData, toArray), and against node:stream/consumers, in packages/*/src and platform/src apart from tests and stand-ins; its message names BodyReader.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -16,6 +16,8 @@
   }
 }
 
+const boundedBodies = 'Read bodies by the BodyReader of @bilberryworks/steering, which bounds what is held'
+
 export default [
   ...neostandard({ ts: true, ignores: ['**/dist/**', 'target/**', 'node_modules/**'] }),
   {
@@ -28,5 +30,13 @@
       'max-lines-per-function': ['error', { max: 120, skipBlankLines: true, skipComments: true }],
       'max-depth': ['error', 4]
     }
+  },
+  {
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
+    ignores: ['**/*_test.ts', 'packages/standins/**'],
+    rules: {
+      'no-restricted-imports': ['error', { paths: ['stream/consumers', 'node:stream/consumers'].map(name => ({ name, message: boundedBodies })) }],
+      'no-restricted-syntax': ['error', { selector: 'CallExpression[callee.property.name=/^(arrayBuffer|blob|bytes|dump|formData|json|text|toArray)$/]', message: boundedBodies }]
+    }
   }
 ]
--- a/packages/instances/src/http_peers.ts
+++ b/packages/instances/src/http_peers.ts
@@ -104,7 +104,7 @@
         if (headers['bilberry-outcome'] === Outcome.Answered) {
           return ok({ status: response.statusCode, headers, body: response.body })
         }
-        void bodyReader.discard(response.body, maxDiscardedBytes)
+        bodyReader.discard(response.body, maxDiscardedBytes)
         return err({ isUnsent: false, refusal: parseRefusal(headers, peer) })
       } catch (error) {
         return err(describeForwardError(error, { peer, hasTimedOut: timeout.aborted }))
--- a/packages/targets/src/http_targets.ts
+++ b/packages/targets/src/http_targets.ts
@@ -83,7 +83,7 @@
         const leaving = headers[stateHeader] === 'leaving'
         const isOwn = isOwnResponse(request, headers)
         if (isOwn && response.statusCode === 503 && headers[outcomeHeader] === 'not-run') {
-          void bodyReader.discard(response.body, maxDiscardedBytes)
+          bodyReader.discard(response.body, maxDiscardedBytes)
           return err({ kind: TargetFailureKind.Refused, detail: `Target "${target.target}" refused the request`, leaving })
         }
         const fault = findFault(request, response.statusCode, headers)
