Keep the connections of callers that a lower limit of descriptors finds open

With callers on open connections beyond the share that a lower limit leaves, each new connection still closed all of theirs that were idle at that moment, be it for the 5 ms between two requests, and for a second each response closed its own: 30 callers came back as new ones and were refused. Five one-shot connections a second were enough.

Callers that are open when the limit falls are now kept (computeCallerConnections, pure) as far as half of the reserved part and six connections to targets are left; a connection that carried a request in the last 100 ms is in use, and newcomers are refused as not run where no idle one gives way. Beyond what may be kept, and for each newcomer beyond the share otherwise, single responses close their connections. Connections to targets beyond six take the place of idle ones, so that the reserved part stays.

--- a/packages/bilberryd/src/edge/connection_guard.ts
+++ b/packages/bilberryd/src/edge/connection_guard.ts
@@ -7,6 +7,7 @@
  *
  * @module
  */
+import type { CallerConnectionLimits } from '@bilberryworks/steering'
 import type { Server } from 'node:http'
 import type { Socket } from 'node:net'
 import { closeLingering, closeLongestIdle, runAfterReads } from '@bilberryworks/callers'
@@ -19,33 +20,30 @@
   isRefused (socket: Socket): boolean
   /** Returns whether more connections are open than idle ones may add to, so that none should become idle. */
   isFull (): boolean
-  /** Returns whether a connection was accepted beyond the share a short time ago, so that others should give way. */
-  isPressed (): boolean
+  /** Returns the largest number of connections since the last call. */
+  takeMaxCount (): number
+  /**
+   * Returns whether the response on a connection is to close it: since the connection is to be refused, more are open than may
+   * be kept, or it gives way to one that was accepted beyond the share a short time ago. For each of those, one gives way.
+   */
+  takeClose (socket: Socket): boolean
   /** Closes idle connections beyond the limit of idle ones when what has arrived has been read. */
   closeIdle (): void
 }
 
-/** Numbers of connections of a listener. */
-export interface ConnectionLimits {
-  /** Number of connections beyond which idle ones are closed. */
-  maxWithIdle: number
-  /** Number of connections beyond which requests are refused. */
-  maxServed: number
-  /** Number of connections in addition to `maxServed` that are kept until they have been refused. */
-  maxRefused: number
-}
-
 /** Options of {@linkcode createConnectionGuard}. */
 export interface CreateConnectionGuardOptions {
   /** Returns the current limits. */
-  getLimits: () => ConnectionLimits
+  getLimits: () => CallerConnectionLimits
   /** Formats the refusal of a connection whose request there is no room to read. */
   formatRefusal: () => string
 }
 
 /** Time after which a connection that has received nothing counts as idle, in milliseconds: a caller writes its first request as soon as it is connected. */
 const minUnusedMs = 500
-/** Time after a connection beyond the share for which responses close theirs, in milliseconds. */
+/** Time for which a connection that has carried a request must have been idle to be closed, in milliseconds: a caller that goes on sending keeps its connection. */
+const minIdleMs = 100
+/** Time after a connection beyond the share in which another one gives way, in milliseconds. */
 const pressedMs = 1_000
 /** Share of the connections to be refused whose requests are not read. */
 const unreadShare = 0.5
@@ -60,9 +58,12 @@
 export function createConnectionGuard (server: Server, { getLimits, formatRefusal }: CreateConnectionGuardOptions): ConnectionGuard {
   let openCount = 0
   let isScheduled = false
+  let maxCount = 0
   let pressedAtMs = -Infinity
+  /** Number of connections that are to give way after a response. */
+  let yieldingCount = 0
   /** Connections that were beyond the share when they were accepted. */
-  const excess = new WeakSet<Socket>()
+  const excess = new Set<Socket>()
   /** Connections to which a refusal was sent unread, the oldest first. */
   const refused = new Set<Socket>()
 
@@ -75,7 +76,7 @@
     isScheduled = true
     runAfterReads(() => {
       isScheduled = false
-      closeLongestIdle(server, { count: countServed() - getLimits().maxWithIdle, minUnusedMs, closeUnused: refuseUnread })
+      closeLongestIdle(server, { count: countServed() - getLimits().maxWithIdle, minIdleMs, minUnusedMs, closeUnused: refuseUnread })
     })
   }
 
@@ -92,21 +93,38 @@
 
   server.on('connection', (socket: Socket) => {
     openCount++
-    socket.once('close', () => { openCount-- })
+    maxCount = Math.max(maxCount, countServed())
+    socket.once('close', () => {
+      openCount--
+      excess.delete(socket)
+    })
     closeIdle()
-    const { maxServed, maxRefused } = getLimits()
+    const { maxServed, maxRefused, maxYielding } = getLimits()
     if (countServed() > maxServed) {
       excess.add(socket)
+      yieldingCount = performance.now() - pressedAtMs < pressedMs ? Math.min(yieldingCount + 1, maxYielding) : Math.min(1, maxYielding)
       pressedAtMs = performance.now()
     }
     if (countServed() > maxServed + maxRefused - getMaxUnread()) refuseUnread(socket)
   })
 
+  const isRefused = (socket: Socket): boolean => excess.has(socket) && countServed() > getLimits().maxServed
+
   return {
     count: countServed,
-    isPressed: () => performance.now() - pressedAtMs < pressedMs && countServed() > getLimits().maxWithIdle,
+    takeMaxCount () {
+      const most = maxCount
+      maxCount = countServed()
+      return most
+    },
+    takeClose (socket) {
+      if (isRefused(socket) || countServed() - excess.size > getLimits().maxOpen) return true
+      if (yieldingCount === 0 || performance.now() - pressedAtMs >= pressedMs || countServed() <= getLimits().maxWithIdle) return false
+      yieldingCount--
+      return true
+    },
     isFull: () => countServed() > getLimits().maxWithIdle,
-    isRefused: socket => excess.has(socket) && countServed() > getLimits().maxServed,
+    isRefused,
     closeIdle
   }
 }
--- a/packages/bilberryd/src/edge/descriptor_limits.ts
+++ b/packages/bilberryd/src/edge/descriptor_limits.ts
@@ -3,13 +3,13 @@
  *
  * @module
  */
-import type { DescriptorShares, HostLimits, Refusal } from '@bilberryworks/steering'
+import type { CallerConnectionLimits, DescriptorShares, HostLimits, Refusal } from '@bilberryworks/steering'
 import type { Server } from 'node:http'
 import type { Socket } from 'node:net'
 import type { ConnectionGuard } from './connection_guard.ts'
 import { openSync, readdirSync, readSync } from 'node:fs'
 import { applyGracefulClose, formatRefusal, observeRequests } from '@bilberryworks/callers'
-import { chooseDescriptor, computeDescriptorShares, computeMaxConnections, createNotRunRefusal, DescriptorDecision, DescriptorUse, RefusalReason } from '@bilberryworks/steering'
+import { chooseDescriptor, computeCallerConnections, computeDescriptorShares, computeMaxConnections, createNotRunRefusal, DescriptorDecision, DescriptorUse, isKeptFromTargets, RefusalReason } from '@bilberryworks/steering'
 import { createConnectionGuard } from './connection_guard.ts'
 
 /** Descriptors of this process. */
@@ -30,8 +30,8 @@
   getMaxCallers (): number
   /** Returns the number of connections to targets that may be open. */
   getMaxTargets (): number
-  /** Returns whether responses should close their connections. */
-  isShort (): boolean
+  /** Returns whether the response on a connection is to close it, which then gives way to another one; to be called once for each response. */
+  takeClose (socket: Socket): boolean
   /** Returns the refusal of a request on a connection beyond the share of callers; `undefined` if it is to be served. */
   findRefusal (socket: Socket): Refusal | undefined
   /** Decides on a connection to a target. */
@@ -54,8 +54,6 @@
 
 /** Open descriptors apart from connections, where the process can't list them: those of Node.js and the listeners. */
 const defaultOpenOthers = 40
-/** Share of callers and targets that no idle connection of a caller keeps, so that the next connections find it free. */
-const spareShare = 0.1
 /** Share of the reserved connections of each reserved listener, and of those to other instances, while descriptors are short. */
 const reservedListenerShare = 0.2
 /** Share of all connections from which descriptors count as short. */
@@ -79,12 +77,14 @@
   let callers: ConnectionGuard | undefined
   const reservedGuards: ConnectionGuard[] = []
   let peers = 0
+  let keptCallers = 0
   let openOthers = 0
   let refreshedAtMs = -Infinity
   const readEnforcedLimit = openLimitReader()
   const formatUnreadRefusal = (): string => formatRefusal(RefusalReason.HostLimit, refusalDetail)
   const countCallers = (): number => callers?.count() ?? 0
-  const getMaxCallers = (): number => Math.min(maxCallers, computeMaxConnections(DescriptorUse.Caller, shares, { callers: 0, targets: countTargets() }))
+  const getCallerConnections = (): CallerConnectionLimits => computeCallerConnections(shares, { targets: countTargets(), kept: keptCallers, maxCallers })
+  const getMaxCallers = (): number => getCallerConnections().maxServed
   const getReservedMax = (): number => isScarce() ? Math.max(1, Math.floor(shares.reserved * reservedListenerShare)) : Infinity
 
   const countConnections = (): number => reservedGuards.reduce((sum, guard) => sum + guard.count(), countCallers() + countTargets() + peers)
@@ -104,22 +104,22 @@
     refresh (nowMs) {
       if (nowMs - refreshedAtMs < refreshIntervalMs) return
       refreshedAtMs = nowMs
+      const { total } = shares
       computeShares()
+      const most = callers?.takeMaxCount() ?? 0
+      keptCallers = shares.total < total ? most : Math.min(keptCallers, most)
+      if (countCallers() > getCallerConnections().maxOpen) callers?.closeIdle()
     },
     guardCallers (server) {
       callers = createConnectionGuard(server, {
-        getLimits () {
-          const maxServed = getMaxCallers()
-          const spare = Math.ceil(Math.min(maxCallers, shares.shared) * spareShare)
-          return { maxServed, maxWithIdle: Math.max(0, maxServed - spare), maxRefused: shares.refusals }
-        },
+        getLimits: getCallerConnections,
         formatRefusal: formatUnreadRefusal
       })
     },
     guardReserved (server) {
       applyGracefulClose(server)
       const guard = createConnectionGuard(server, {
-        getLimits: () => ({ maxWithIdle: Math.ceil(getReservedMax() / 2), maxServed: getReservedMax(), maxRefused: 1 }),
+        getLimits: () => ({ maxWithIdle: Math.ceil(getReservedMax() / 2), maxServed: getReservedMax(), maxRefused: 1, maxYielding: 1, maxOpen: Infinity }),
         formatRefusal: formatUnreadRefusal
       })
       reservedGuards.push(guard)
@@ -128,10 +128,11 @@
     countCallers,
     getMaxCallers,
     getMaxTargets: () => computeMaxConnections(DescriptorUse.Target, shares, { callers: countCallers(), targets: 0 }),
-    isShort: () => callers?.isPressed() ?? false,
+    takeClose: socket => callers?.takeClose(socket) ?? false,
     findRefusal: socket => callers?.isRefused(socket) === true ? createNotRunRefusal(RefusalReason.HostLimit, refusalDetail, minRetryAfterMs + getRandom() * retryAfterSpreadMs) : undefined,
     chooseForTarget ({ count, hasIdle }) {
-      const decision = chooseDescriptor(DescriptorUse.Target, shares, { callers: countCallers(), targets: count, hasIdleCaller: false, hasIdleTarget: hasIdle })
+      const isKept = isKeptFromTargets(shares, { callers: countCallers(), targets: count, all: countConnections() })
+      const decision = isKept ? hasIdle ? DescriptorDecision.CloseIdleTarget : DescriptorDecision.Refuse : chooseDescriptor(DescriptorUse.Target, shares, { callers: countCallers(), targets: count, hasIdleCaller: false, hasIdleTarget: hasIdle })
       if (decision !== DescriptorDecision.Refuse) return decision
       // Callers may hold more than their share after the limit has become lower.
       if (shares.total - countConnections() > shares.reserved / 2) return DescriptorDecision.Open
--- a/packages/bilberryd/src/edge/request_handler.ts
+++ b/packages/bilberryd/src/edge/request_handler.ts
@@ -49,7 +49,7 @@
   /** Memory of the host; unlimited if absent. */
   memory?: Pick<MemoryBudget, 'bodies' | 'findRefusal' | 'createBodyRefusal'> | undefined
   /** Descriptors of the host; unlimited if absent. */
-  descriptors?: Pick<DescriptorBudget, 'findRefusal' | 'isShort'> | undefined
+  descriptors?: Pick<DescriptorBudget, 'findRefusal' | 'takeClose'> | undefined
   /** Returns monotonic time, in milliseconds. */
   getNowMs: () => number
 }
@@ -132,7 +132,7 @@
       targetsReached: relay?.targetsReached ?? 0,
       prepareResponse () {
         // The response to a request that came before the stop or the shortage was to keep its connection open.
-        if ((life.isStopping() || options.descriptors?.isShort() === true) && pipeline.isLast(message, response)) response.shouldKeepAlive = false
+        if (pipeline.isLast(message, response) && (life.isStopping() || options.descriptors?.takeClose(message.socket) === true)) response.shouldKeepAlive = false
       },
       relay,
       dispatchedAtMs: nowMs,
--- a/packages/callers/src/graceful_close.ts
+++ b/packages/callers/src/graceful_close.ts
@@ -22,12 +22,16 @@
   bytesWhenIdle: number
   /** Monotonic time at which the connection was opened, in milliseconds. */
   openedAtMs: number
+  /** Monotonic time at which the last response was sent, in milliseconds. */
+  idleSinceMs: number
 }
 
 /** Options of {@linkcode closeLongestIdle}. */
 export interface CloseLongestIdleOptions {
   /** Number of connections to close at most. */
   count: number
+  /** Time for which a connection that has carried a request must have been idle, in milliseconds; 0 by default. */
+  minIdleMs?: number
   /** Time for which a connection that has received nothing must have been open, in milliseconds. */
   minUnusedMs: number
   /** Closes such a connection; by default it is closed like one that has carried a request. */
@@ -61,7 +65,7 @@
   function addConnection (socket: Socket): ConnectionUse {
     const known = connections.get(socket)
     if (known !== undefined) return known
-    const use: ConnectionUse = { openCount: 0, lastMessage: undefined, bytesWhenIdle: 0, openedAtMs: performance.now() }
+    const use: ConnectionUse = { openCount: 0, lastMessage: undefined, bytesWhenIdle: 0, openedAtMs: performance.now(), idleSinceMs: performance.now() }
     connections.set(socket, use)
     socket.once('close', () => connections.delete(socket))
     const { destroySoon } = socket
@@ -84,6 +88,7 @@
     const recordIdle = (): void => {
       if (use.openCount > 0) return
       use.bytesWhenIdle = socket.bytesRead
+      use.idleSinceMs = performance.now()
       if (connections.delete(socket)) connections.set(socket, use)
     }
     use.openCount++
@@ -117,13 +122,14 @@
  * @param options Number, and which connections count as idle
  * @returns The number of closed connections
  */
-export function closeLongestIdle (server: Server, { count, minUnusedMs, closeUnused }: CloseLongestIdleOptions): number {
+export function closeLongestIdle (server: Server, { count, minIdleMs = 0, minUnusedMs, closeUnused }: CloseLongestIdleOptions): number {
   let closed = 0
-  const unusedSinceMs = performance.now() - minUnusedMs
+  const nowMs = performance.now()
   for (const [socket, use] of connectionsByServer.get(server) ?? []) {
     if (closed >= count) break
     const isUnused = use.lastMessage === undefined
-    if (socket.destroyed || socket.writableEnded || !isIdle(socket, use) || (isUnused && use.openedAtMs > unusedSinceMs)) continue
+    if (socket.destroyed || socket.writableEnded || !isIdle(socket, use)) continue
+    if (isUnused ? nowMs - use.openedAtMs < minUnusedMs : nowMs - use.idleSinceMs < minIdleMs) continue
     if (isUnused && closeUnused !== undefined) closeUnused(socket)
     else socket.destroy()
     closed++
--- a/packages/standins/src/few_descriptors_test.ts
+++ b/packages/standins/src/few_descriptors_test.ts
@@ -18,9 +18,14 @@
 /** Time after which connections to targets that carry no request are closed, in milliseconds. */
 const settleMs = 4_000
 const pauseMs = 5
+const connectIntervalMs = 200
+/** Time after which a process has noticed a change of its limits, in milliseconds. */
+const refreshMs = 1_500
 const timeLeftMs = 1_500
 const failureDomains = ['a-1', 'a-2']
 const minServedShare = 0.95
+/** Share of the requests on kept connections to be served; fewer targets are connected, so that it is lower on a busy machine. */
+const minKeptShare = 0.8
 
 interface StartedFleet extends AsyncDisposable {
   files: EntryFiles[]
@@ -56,15 +61,15 @@
   }
 }
 
-interface Call { id: string, status: number | undefined, reason: string }
+interface Call { id: string, status: number | undefined, reason: string, isReused: boolean }
 
 /** Sends a request on the connection of a caller. */
 function sendCall ({ callers }: EntryFiles, { id, agent }: { id: string, agent: Agent }): Promise<Call> {
   return new Promise(resolve => {
     const call = request({ ...callers, agent, path: '/safe/x', timeout: timeLeftMs + 500, headers: { Host: testSiteHost, 'X-Request-Id': id, 'X-Timeout-Ms': String(timeLeftMs) } }, response => {
-      response.resume().on('close', () => resolve({ id, status: response.complete ? response.statusCode : undefined, reason: String(response.headers['bilberry-reason'] ?? '') }))
+      response.resume().on('close', () => resolve({ id, status: response.complete ? response.statusCode : undefined, reason: String(response.headers['bilberry-reason'] ?? ''), isReused: call.reusedSocket }))
     })
-    call.on('timeout', () => call.destroy()).on('error', (error: NodeJS.ErrnoException) => resolve({ id, status: undefined, reason: error.code ?? error.message })).end()
+    call.on('timeout', () => call.destroy()).on('error', (error: NodeJS.ErrnoException) => resolve({ id, status: undefined, reason: error.code ?? error.message, isReused: call.reusedSocket })).end()
   })
 }
 
@@ -78,6 +83,17 @@
   return calls
 }
 
+/** Sends a request on a new connection at intervals until a time. */
+async function sendOthers (files: EntryFiles, endMs: number): Promise<Call[]> {
+  const calls: Array<Promise<Call>> = []
+  while (performance.now() < endMs) {
+    const agent = new Agent()
+    calls.push(sendCall(files, { id: `other-${calls.length}`, agent }).finally(() => agent.destroy()))
+    await wait(connectIntervalMs)
+  }
+  return Promise.all(calls)
+}
+
 function countBy<T> (items: T[], getKey: (item: T) => string): Record<string, number> {
   const counts: Record<string, number> = {}
   for (const item of items) counts[getKey(item)] = (counts[getKey(item)] ?? 0) + 1
@@ -109,3 +125,28 @@
     t.true(served >= calls.length * minServedShare, `${served} of ${calls.length}`)
   })
 }
+
+test.serial('callers keep their connections to an instance with few descriptors left while others connect', async t => {
+  await using fleet = await startFleet(t, 1)
+  const [files, child] = [fleet.files[0]!, fleet.children[0]!]
+  const agents = Array.from({ length: callerCount }, () => new Agent({ keepAlive: true, maxSockets: 1 }))
+  await Promise.all(agents.map((agent, caller) => sendCall(files, { id: `first-${caller}`, agent })))
+  await wait(settleMs)
+  applyDescriptorLimit(child.pid!, spareDescriptors)
+  await wait(refreshMs)
+  const endMs = performance.now() + observedMs
+  const [kept, others] = await Promise.all([
+    Promise.all(agents.map((agent, caller) => sendCalls(files, { caller, agent, endMs }))),
+    sendOthers(files, endMs)
+  ])
+  for (const agent of agents) agent.destroy()
+  const calls = kept.flat()
+  t.log(countBy(calls, ({ status, reason }) => `${status ?? 'none'} ${reason}`.trim()), countBy(others, ({ status, reason }) => `${status ?? 'none'} ${reason}`.trim()))
+  t.is(child.exitCode ?? child.signalCode, null)
+  t.deepEqual(others.filter(({ status }) => status === undefined), [])
+  t.deepEqual(calls.filter(({ status }) => status === undefined), [])
+  const reconnected = calls.filter(({ isReused }) => !isReused).length
+  t.true(reconnected <= others.length, `${reconnected} of ${calls.length} on other connections`)
+  const served = calls.filter(({ status }) => status === 200).length
+  t.true(served >= calls.length * minKeptShare, `${served} of ${calls.length}`)
+})
--- a/packages/steering/src/descriptor_budget.ts
+++ b/packages/steering/src/descriptor_budget.ts
@@ -75,6 +75,13 @@
 const maxReservedShare = 0.5
 const maxRefusalShare = 0.3
 const guaranteedShare = 0.4
+/** Share of the reserved connections that stays free of callers which are kept beyond their share. */
+const keptFreeShare = 0.5
+/** Share of callers and targets that no idle connection of a caller keeps, so that the next connections find it free. */
+const spareShare = 0.1
+/** Numbers of connections to targets, and of those kept until they have been refused, that kept callers leave. */
+const minKeptTargets = 6
+const minKeptRefusals = 2
 
 /**
  * Divides the descriptors that the lower of two limits leaves to connections.
@@ -109,6 +116,60 @@
     : Math.max(shares.minTargets, shares.shared - Math.max(shares.minCallers, callers))
 }
 
+/** Numbers of connections of callers. */
+export interface CallerConnectionLimits {
+  /** Number of connections beyond which idle ones are closed. */
+  maxWithIdle: number
+  /** Number of connections beyond which requests are refused. */
+  maxServed: number
+  /** Number of connections in addition to `maxServed` that are kept until they have been refused. */
+  maxRefused: number
+  /** Number of connections in use that close after a response so that those which were refused find room. */
+  maxYielding: number
+  /** Number of connections beyond which responses close theirs. */
+  maxOpen: number
+}
+
+/** Options of {@linkcode computeCallerConnections}. */
+export interface ComputeCallerConnectionsOptions {
+  /** Connections to targets that are open. */
+  targets: number
+  /** Connections of callers that were open when the limit became lower, and since then. */
+  kept: number
+  /** Number of connections of callers that the heap has room for. */
+  maxCallers: number
+}
+
+/**
+ * Returns how many connections of callers may be open. Those that were open when the limit became lower are kept beyond the
+ * share as far as a few are left for targets: a caller whose connection is closed comes back, and takes a descriptor again.
+ *
+ * @param shares Shares of the process
+ * @param options Connections that are open
+ * @returns The numbers
+ */
+export function computeCallerConnections (shares: DescriptorShares, { targets, kept, maxCallers }: ComputeCallerConnectionsOptions): CallerConnectionLimits {
+  const share = Math.min(maxCallers, computeMaxConnections(DescriptorUse.Caller, shares, { callers: 0, targets }))
+  const maxOpen = shares.total === Infinity ? Infinity : shares.total - Math.ceil(shares.reserved * keptFreeShare) - Math.min(shares.minTargets, minKeptTargets)
+  const maxServed = Math.max(share, Math.min(maxCallers, kept, maxOpen))
+  if (maxServed > share) return { maxWithIdle: maxServed, maxServed, maxRefused: Math.max(minKeptRefusals, Math.min(shares.refusals, maxOpen - maxServed)), maxYielding: 0, maxOpen }
+  const spare = Math.ceil(Math.min(maxCallers, shares.shared) * spareShare)
+  return { maxWithIdle: Math.max(0, maxServed - spare), maxServed, maxRefused: shares.refusals, maxYielding: shares.refusals, maxOpen }
+}
+
+/**
+ * Returns whether connections of callers that are kept beyond their share leave too few descriptors for another connection to a
+ * target.
+ *
+ * @param shares Shares of the process
+ * @param usage Connections that are open: those of callers, to targets, and all together
+ * @returns Whether it must take the place of another one
+ */
+export function isKeptFromTargets (shares: DescriptorShares, { callers, targets, all }: { callers: number, targets: number, all: number }): boolean {
+  const isBeyondShare = callers > shares.shared - shares.minTargets
+  return isBeyondShare && targets >= minKeptTargets && shares.total - all <= shares.reserved * keptFreeShare
+}
+
 /**
  * Decides what to do when a connection needs a descriptor. Idle connections of callers give way first, then those to
  * targets, but neither below the number that is guaranteed to its kind.
--- a/packages/steering/src/descriptor_budget_test.ts
+++ b/packages/steering/src/descriptor_budget_test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import fc from 'fast-check'
-import { chooseDescriptor, computeDescriptorShares, computeMaxConnections, DescriptorDecision, DescriptorUse } from './descriptor_budget.ts'
+import { chooseDescriptor, computeCallerConnections, computeDescriptorShares, computeMaxConnections, DescriptorDecision, DescriptorUse, isKeptFromTargets } from './descriptor_budget.ts'
 
 const limitCases: Array<[name: string, limits: Parameters<typeof computeDescriptorShares>[0], total: number]> = [
   ['the configured limit less the files of the platform, if it is the lower one', { configured: 4_100, enforced: 20_000, openOthers: 30 }, 3_900],
@@ -73,3 +73,31 @@
   t.is(chooseDescriptor(DescriptorUse.Target, shares, { ...full, hasIdleCaller: false, hasIdleTarget: true }), DescriptorDecision.CloseIdleTarget)
   t.is(chooseDescriptor(DescriptorUse.Target, shares, { ...full, hasIdleCaller: false, hasIdleTarget: false }), DescriptorDecision.Refuse)
 })
+
+test('callers that were open when the limit became lower are kept, and none beyond', t => {
+  const shares = computeDescriptorShares({ enforced: 74, openOthers: 25 })
+  const limits = (kept: number) => computeCallerConnections(shares, { targets: 6, kept, maxCallers: 6_000 })
+  t.deepEqual([limits(30).maxServed, limits(30).maxWithIdle, limits(30).maxYielding], [30, 30, 0])
+  t.is(limits(0).maxServed, computeMaxConnections(DescriptorUse.Caller, shares, { callers: 0, targets: 6 }))
+})
+
+test('callers that are kept leave descriptors for targets and half of the reserved ones', t => {
+  t.notThrows(() => fc.assert(fc.property(fc.integer({ min: 0, max: 5_000 }), fc.nat({ max: 5_000 }), fc.nat({ max: 5_000 }), (enforced, kept, targets) => {
+    const shares = computeDescriptorShares({ enforced, openOthers: 0 })
+    const { maxServed, maxWithIdle, maxOpen } = computeCallerConnections(shares, { targets, kept, maxCallers: 6_000 })
+    const left = shares.total - maxServed - shares.reserved / 2
+    return maxWithIdle <= maxServed && maxServed <= Math.max(maxOpen, shares.shared) && left >= Math.floor(Math.min(shares.minTargets, 6)) - 1
+  })))
+})
+
+test('targets get a few connections beside kept callers, and more while the reserved ones are free', t => {
+  const shares = computeDescriptorShares({ enforced: 74, openOthers: 25 })
+  t.false(isKeptFromTargets(shares, { callers: 30, targets: 5, all: 37 }))
+  t.true(isKeptFromTargets(shares, { callers: 30, targets: 7, all: 37 }))
+  t.false(isKeptFromTargets(shares, { callers: 30, targets: 6, all: 36 }))
+  t.false(isKeptFromTargets(shares, { callers: 11, targets: 7, all: 40 }))
+})
+
+test('any number of callers is served without limits', t => {
+  t.is(computeCallerConnections(computeDescriptorShares({ openOthers: 25 }), { targets: 100, kept: 0, maxCallers: 6_000 }).maxServed, 6_000)
+})
