Bound in a test what is read meanwhile, not the time that it takes

Cause: a test of read_turns_test required another caller to be served within 50 ms beside a connection that is read in turns, which depends on the machine: beside four other work trees a read of 64 KiB takes longer than that.

Change: it counts the parts that are read while the other caller is served: fewer than one read brings.

--- a/packages/callers/src/read_turns_test.ts
+++ b/packages/callers/src/read_turns_test.ts
@@ -99,21 +99,21 @@
   t.is(counted.stops, 0)
 })
 
-test('a connection that is read in turns does not delay another one', async t => {
-  const { handle } = createCounter()
+test('at most a read of a connection that is read in turns delays another one', async t => {
+  const { counted, handle } = createCounter()
   await using server = await startServer(handle)
   server.socket.write(head + '1\r\nx\r\n'.repeat(400_000))
-  const times: number[] = []
+  const partsMeanwhile: number[] = []
   for (let index = 0; index < 10; index++) {
     await wait(quietMs / 4)
-    const startedMs = performance.now()
+    const partsBefore = counted.parts
     const other = connect(server.socket.remotePort!, '127.0.0.1')
     other.write('POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 1\r\n\r\nx')
     await once(other.resume(), 'close')
-    times.push(performance.now() - startedMs)
+    partsMeanwhile.push(counted.parts - partsBefore)
   }
-  times.sort((a, b) => a - b)
-  t.true(times[5]! < 50, `${Math.round(times[5]!)} ms`)
+  partsMeanwhile.sort((a, b) => a - b)
+  t.true(partsMeanwhile[5]! < 11_000, `${partsMeanwhile[5]} parts`)
 })
 
 test('a connection whose turn it is not is noticed when its caller closes it, later', async t => {
