Let a connection with pipelined requests without end have one in progress at a time

Cause: each read of 64 KiB brings some 500 requests; up to 128 of them are opened and eight started, for as many connections as there are.

While it is the turn of others, the connection is not read, and has one request in progress, as one that waits for each response has.

--- a/packages/bilberryd/src/edge/request_handler.ts
+++ b/packages/bilberryd/src/edge/request_handler.ts
@@ -85,7 +85,8 @@
  */
 export function createRequestHandler (options: CreateRequestHandlerOptions): RequestHandler {
   const { state, dispatcher, guard, life, log, metrics, getNowMs } = options
-  const [pipeline, turns] = [createPipelineScheduler(), createReadTurns({ getNowMs })]
+  const turns = createReadTurns({ getNowMs })
+  const pipeline = createPipelineScheduler({ onPipelined: turns.countPipelined })
   const allowance = createBufferAllowance(maxReadAheadBytes)
   const openAttempts = createOpenAttempts(dispatcher)
 
--- a/packages/callers/src/pipeline_scheduler.ts
+++ b/packages/callers/src/pipeline_scheduler.ts
@@ -5,7 +5,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { ReadStop, startReading, stopReading } from './stop_reading.ts'
+import { isReadingStopped, ReadStop, startReading, stopReading } from './stop_reading.ts'
 import { watchResponse } from './watch_response.ts'
 
 /** A request to schedule. */
@@ -38,6 +38,8 @@
   maxWaiting?: number
   /** Maximum number of open requests of a connection. The response to the last one closes the connection, so that the caller sends the rest on another one; 128 by default. */
   maxOpen?: number
+  /** Called for each request that was received behind one whose response has not ended, also if it is not to be scheduled. */
+  onPipelined?: (socket: Socket) => void
 }
 
 interface OpenRequest extends PipelinedRequest {
@@ -62,21 +64,23 @@
  * Creates a scheduler.
  *
  * Safe requests run at the same time; any other request runs alone, since it must not start before its caller's earlier
- * requests have ended. `node:http` sends the responses in the order of the requests. Requests behind a response that closes
+ * requests have ended. While a connection is not read because it is the turn of others, it has one request in progress. `node:http` sends the responses in the order of the requests. Requests behind a response that closes
  * the connection are not started: the caller counts them as not read, and sends them again.
  *
  * @param options Limits of each connection
  * @returns The scheduler
  */
 export function createPipelineScheduler (options: CreatePipelineSchedulerOptions = {}): PipelineScheduler {
-  const { maxStarted = defaultMaxStarted, maxWaiting = defaultMaxWaiting, maxOpen = defaultMaxOpen } = options
+  const { maxStarted = defaultMaxStarted, maxWaiting = defaultMaxWaiting, maxOpen = defaultMaxOpen, onPipelined = () => {} } = options
   const connections = new WeakMap<Socket, PipelinedConnection>()
 
-  function startNext (connection: PipelinedConnection): void {
+  function startNext (socket: Socket, connection: PipelinedConnection): void {
     let startedCount = 0
+    // A connection that sends more than its share has no more in progress than one that waits for each response.
+    const maxParallel = isReadingStopped(socket, ReadStop.Turn) ? 1 : maxStarted
     // A copy, since a request that ends as soon as it starts is removed from the list.
     for (const [index, request] of [...connection.open].entries()) {
-      const isAllowed = index === 0 || (request.isSafe && startedCount < maxStarted)
+      const isAllowed = index === 0 || (request.isSafe && startedCount < maxParallel)
       if (!isAllowed) return
       startedCount++
       if (!request.isStarted) {
@@ -108,6 +112,7 @@
       const { socket } = message
       const connection = getConnection(socket)
       const request: OpenRequest = { ...pipelined, isStarted: false }
+      if (connection.open.length > 0) onPipelined(socket)
       connection.open.push(request)
       if (connection.open.length >= maxOpen) response.shouldKeepAlive = false
       watchResponse(message, response, () => {
@@ -115,10 +120,10 @@
         connection.isClosed ||= socket.destroyed || !response.shouldKeepAlive
         // What still arrives on a connection that is being closed is read and discarded.
         if (connection.isClosed) return startReading(socket, ReadStop.Pipeline)
-        startNext(connection)
+        startNext(socket, connection)
         updateReading(socket, connection)
       })
-      startNext(connection)
+      startNext(socket, connection)
       updateReading(socket, connection)
     },
     isLast: (message, response) => connections.get(message.socket)?.open.at(-1)?.response === response,
@@ -127,6 +132,7 @@
       if (connection === undefined) return false
       if (connection.isClosed) return true
       if (!hasClosingResponse(connection)) return false
+      onPipelined(socket)
       updateReading(socket, connection)
       return true
     }
--- a/packages/callers/src/pipeline_scheduler_test.ts
+++ b/packages/callers/src/pipeline_scheduler_test.ts
@@ -5,6 +5,7 @@
 import { createServer } from 'node:http'
 import { connect } from 'node:net'
 import { createPipelineScheduler } from './pipeline_scheduler.ts'
+import { createReadTurns } from './read_turns.ts'
 
 const pollMs = 5
 const maxPolls = 1_000
@@ -130,3 +131,43 @@
   t.is(pipeline.started.length, 32)
   t.true(pipeline.received.length < 20_000, String(pipeline.received.length))
 })
+
+test('a connection with pipelined requests without end has one in progress while it is the turn of others', async t => {
+  const turns = createReadTurns({ getNowMs: () => performance.now() })
+  const paths = Array.from({ length: 2_000 }, (_, index) => `/${index}`)
+  await using pipeline = await startPipeline(paths, { onPipelined: turns.countPipelined })
+  t.true(await waitUntil(() => pipeline.received.length > 1_000))
+  t.is(pipeline.started.length, 8)
+  for (let index = 0; index < 8; index++) {
+    t.is(pipeline.started.length, 8)
+    pipeline.finish(`/${index}`)
+    t.true(await waitUntil(() => pipeline.readBodies().length > index))
+  }
+  t.true(await waitUntil(() => pipeline.started.length === 9))
+  await new Promise(resolve => setTimeout(resolve, 10 * pollMs))
+  t.is(pipeline.started.length, 9)
+})
+
+test('some dozens of pipelined requests are started as before and answered in order', async t => {
+  const turns = createReadTurns({ getNowMs: () => performance.now() })
+  const paths = Array.from({ length: 48 }, (_, index) => `/${index}`)
+  await using pipeline = await startPipeline(paths, { onPipelined: turns.countPipelined })
+  for (const [index, path] of paths.entries()) {
+    t.true(await waitUntil(() => pipeline.started.length === Math.min(48, index + 8)))
+    pipeline.finish(path)
+  }
+  t.true(await waitUntil(() => pipeline.readBodies().length === 48))
+  t.deepEqual(pipeline.readBodies(), paths)
+})
+
+test('requests one after the other on a connection are not counted as pipelined', async t => {
+  let counted = 0
+  await using pipeline = await startPipeline(['/0'], { onPipelined: () => { counted++ } })
+  for (let index = 0; index < 200; index++) {
+    t.true(await waitUntil(() => pipeline.started.length === index + 1))
+    pipeline.finish(`/${index}`)
+    t.true(await waitUntil(() => pipeline.readBodies().length === index + 1))
+    pipeline.socket.write(`GET /${index + 1} HTTP/1.1\r\nHost: h\r\n\r\n`)
+  }
+  t.is(counted, 0)
+})
