Hold little more of a header section than the routing configuration allows

Cause: node:http receives up to 64 KiB of header section for each connection, whatever max_header_bytes says, and holds it until header_timeout.

Change: a configuration sets server.maxHeaderSize to its limit and 8 KiB for the request target, at most 64 KiB; Node 20 reads it for each new connection, as a test shows. A section beyond it is refused with 431 as not run, as before.

--- a/packages/bilberryd/src/edge/caller_listener.ts
+++ b/packages/bilberryd/src/edge/caller_listener.ts
@@ -23,6 +23,8 @@
 const connectionCheckIntervalMs = 500
 /** Hard limit of the header section, in bytes; the routing configuration sets a lower one, which is checked separately. */
 const maxHeaderBytes = 65_536
+/** Bytes beyond the limit of the routing configuration that are received, so that a long request target, which that limit does not cover, is not refused. */
+const maxTargetBytes = 8_192
 
 /** Options of the servers that receive requests of callers, directly or through other instances. */
 export const requestServerOptions: ServerOptions = { maxHeaderSize: maxHeaderBytes, requestTimeout: 0, connectionsCheckingInterval: connectionCheckIntervalMs, keepAlive: true, noDelay: true, requireHostHeader: false }
@@ -49,7 +51,7 @@
 }
 
 /**
- * Applies the time limits of a routing configuration to a listener, including its open connections.
+ * Applies the limits of a routing configuration to a listener: time limits to all its connections, the size of the header section to new ones.
  *
  * @param server The listener
  * @param limits The limits; nothing changes if `undefined`
@@ -58,4 +60,6 @@
   if (limits === undefined) return
   server.headersTimeout = limits.headerTimeoutMs
   server.keepAliveTimeout = limits.idleTimeoutMs
+  // `node:http` reads it for each new connection; its types leave it out.
+  Object.assign(server, { maxHeaderSize: Math.min(maxHeaderBytes, limits.maxHeaderBytes + maxTargetBytes) })
 }
