Count responses that are given up by what the target sent

Change: bilberry_malformed_responses_total by kind: status line, header section, chunk size, chunk end, trailer section, overhead, invalid. An error of the parser says that the target sent bytes which are not a valid response, with its code. Log lines of requests carry it as before.

--- a/packages/bilberryd/src/edge/entry_metrics.ts
+++ b/packages/bilberryd/src/edge/entry_metrics.ts
@@ -5,7 +5,7 @@
  */
 import type { RouteKind } from '@bilberryworks/steering'
 import { ColdEvidence, FailureSide, Outcome, RefusalReason, RetryReason } from '@bilberryworks/steering'
-import { ConnectionEvent } from '@bilberryworks/targets'
+import { ConnectionEvent, MalformedKind } from '@bilberryworks/targets'
 import { GuardedCallback } from './callback_guard.ts'
 import { EntryListener } from './entry_listener.ts'
 import { RelayResultKind } from './send_relayed.ts'
@@ -61,6 +61,8 @@
   countUndecodable (table: string): void
   /** Counts a response of a target that belongs to a request other than the one in flight on its connection. */
   countMismatchedResponse (): void
+  /** Counts a response of a target that was given up because of what the target sent. */
+  countMalformedResponse (kind: MalformedKind): void
   /** Counts a report of a target. */
   countTargetReport (report: TargetReport): void
   /** Counts evidence that a target is cold. */
@@ -191,6 +193,7 @@
   const truncatedResponses = new Counter({ name: 'bilberry_answers_broken_total', help: 'Responses to callers that were truncated', registers })
   const undecodableRows = new Counter({ name: 'bilberry_rows_undecodable_total', help: 'Rows that could not be decoded, by table', labelNames: ['table'], registers })
   const mismatchedResponses = new Counter({ name: 'bilberry_stray_answers_total', help: 'Responses of targets to requests other than the one in flight', registers })
+  const malformedResponses = new Counter({ name: 'bilberry_malformed_responses_total', help: 'Responses of targets that were given up because of what was sent, by kind', labelNames: ['kind'], registers })
   const targetReports = new Counter({ name: 'bilberry_target_reports_total', help: 'Reports of targets about themselves in responses, by kind', labelNames: ['report'], registers })
   const coldEvidence = new Counter({ name: 'bilberry_cold_targets_total', help: 'Evidence that a target is cold, by kind', labelNames: ['evidence'], registers })
   const quarantined = new Counter({ name: 'bilberry_requests_quarantined_total', help: 'Requests that are refused because targets ended whenever they ran them, each counted once', registers })
@@ -214,6 +217,7 @@
   const stages = new Histogram({ name: 'bilberry_stage_seconds', help: 'Duration of a request stage in seconds, by stage and kind of route', labelNames: ['stage', 'kind'], buckets: latencyBucketsSeconds, registers })
   for (const reason of Object.values(RefusalReason)) refusals.inc({ reason }, 0)
   for (const reason of Object.values(RetryReason)) retries.inc({ reason }, 0)
+  for (const kind of Object.values(MalformedKind)) malformedResponses.inc({ kind }, 0)
   for (const report of Object.values(TargetReport)) targetReports.inc({ report }, 0)
   for (const evidence of Object.values(ColdEvidence)) coldEvidence.inc({ evidence }, 0)
   for (const event of Object.values(ConnectionEvent)) connectionEvents.inc({ event }, 0)
@@ -236,6 +240,7 @@
     countTruncated: () => truncatedResponses.inc(),
     countUndecodable: table => undecodableRows.inc({ table }),
     countMismatchedResponse: () => mismatchedResponses.inc(),
+    countMalformedResponse: kind => malformedResponses.inc({ kind }),
     countTargetReport: report => targetReports.inc({ report }),
     countColdEvidence: evidence => coldEvidence.inc({ evidence }),
     countQuarantined: () => quarantined.inc(),
--- a/packages/bilberryd/src/edge/run_entry.ts
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -100,7 +100,7 @@
     startedAtMs: Date.now(),
     log,
     metrics,
-    createPool: onConnectionEvent => cleanup.add(createTargetPool({ connectTimeoutMs, pacer, chooseDescriptor: descriptors.chooseForTarget, onMismatchedResponse: metrics.countMismatchedResponse, onConnectionEvent })),
+    createPool: onConnectionEvent => cleanup.add(createTargetPool({ connectTimeoutMs, pacer, chooseDescriptor: descriptors.chooseForTarget, onMismatchedResponse: metrics.countMismatchedResponse, onMalformedResponse: metrics.countMalformedResponse, onConnectionEvent })),
     peerPool: cleanup.add(createTargetPool({ connectTimeoutMs: peerConnectTimeoutMs, pacer, chooseDescriptor: descriptors.chooseForPeer })),
     checkListening,
     runAfterReads,
--- a/packages/targets/src/_line_reader.ts
+++ b/packages/targets/src/_line_reader.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { createByteCollector } from './byte_collector.ts'
+import { MalformedKind, MalformedResponseError } from './malformed_response.ts'
 
 /** Internal members of `HTTPParser` that its type declaration omits. */
 export interface ParserState {
@@ -38,12 +39,18 @@
 const carriageReturn = 0x0d
 
 /** What a line belongs to, by the state of the parser. */
-const descriptions: Record<string, string> = {
-  RESPONSE_LINE: 'of a status line',
-  HEADER: 'of a header section',
-  BODY_CHUNKHEAD: 'of a chunk size with its extension',
-  BODY_CHUNKEMPTYLINE: 'in place of the end of a chunk',
-  BODY_CHUNKTRAILERS: 'of a trailer section'
+const elements: Record<string, { kind: MalformedKind, description: string }> = {
+  RESPONSE_LINE: { kind: MalformedKind.StatusLine, description: 'of a status line' },
+  HEADER: { kind: MalformedKind.HeaderSection, description: 'of a header section' },
+  BODY_CHUNKHEAD: { kind: MalformedKind.ChunkSize, description: 'of a chunk size with its extension' },
+  BODY_CHUNKEMPTYLINE: { kind: MalformedKind.ChunkEnd, description: 'in place of the end of a chunk' },
+  BODY_CHUNKTRAILERS: { kind: MalformedKind.TrailerSection, description: 'of a trailer section' }
+}
+
+/** Creates the error of an element that is too long. */
+function createLengthError (state: string, { bytes, maxBytes }: { bytes: number, maxBytes: number }): MalformedResponseError {
+  const { kind, description } = elements[state]!
+  return new MalformedResponseError(kind, `Target sent ${bytes} bytes ${description}; the limit is ${maxBytes}`)
 }
 
 /**
@@ -66,7 +73,7 @@
     parser.offset = lineEnd < 0 ? parser.end : lineEnd + 1
     elementBytes += parser.offset - offset
     const maxBytes = state === 'BODY_CHUNKEMPTYLINE' ? maxChunkEndBytes : maxElementBytes
-    if (elementBytes > maxBytes) throw new Error(`Target sent ${elementBytes} bytes ${descriptions[state]!}; the limit is ${maxBytes}`)
+    if (elementBytes > maxBytes) throw createLengthError(state, { bytes: elementBytes, maxBytes })
     if (lineEnd < 0) {
       partial.append(chunk.subarray(offset))
       return undefined
--- a/packages/targets/src/_overhead_limit.ts
+++ b/packages/targets/src/_overhead_limit.ts
@@ -5,6 +5,8 @@
  * @module
  */
 
+import { MalformedKind, MalformedResponseError } from './malformed_response.ts'
+
 /** Counts the bytes of one exchange. */
 export interface OverheadLimit {
   /** Starts counting for another exchange. */
@@ -38,7 +40,7 @@
       receivedBytes += bytes
       const overheadBytes = receivedBytes - bodyBytes
       const limitBytes = maxOverheadBytes + overheadPerBodyByte * bodyBytes
-      return overheadBytes > limitBytes ? new Error(`Target sent ${overheadBytes} bytes besides ${bodyBytes} bytes of the response body; the limit is ${limitBytes}`) : undefined
+      return overheadBytes > limitBytes ? new MalformedResponseError(MalformedKind.Overhead, `Target sent ${overheadBytes} bytes besides ${bodyBytes} bytes of the response body; the limit is ${limitBytes}`) : undefined
     }
   }
 }
--- a/packages/targets/src/response_parser.ts
+++ b/packages/targets/src/response_parser.ts
@@ -87,9 +87,9 @@
   const catchError = (step: () => number | Error | void): Error | undefined => {
     try {
       const result = step()
-      return result instanceof Error ? result : undefined
+      return result instanceof Error ? describeError(result) : undefined
     } catch (error) {
-      return error as Error
+      return describeError(error as Error)
     }
   }
   return {
@@ -105,6 +105,11 @@
   }
 }
 
+/** Returns an error with a message that says more than that of `http-parser-js`. */
+function describeError (error: Error & { code?: string }): Error {
+  return error.code?.startsWith('HPE_') === true ? new Error(`Target sent bytes that are not a valid response (${error.code})`, { cause: error }) : error
+}
+
 function collectFields (rawHeaders: string[]): Record<string, string | undefined> {
   const fields: Record<string, string | undefined> = {}
   for (let index = 0; index < rawHeaders.length; index += 2) fields[rawHeaders[index]!.toLowerCase()] = rawHeaders[index + 1]
--- a/packages/targets/src/target_connection.ts
+++ b/packages/targets/src/target_connection.ts
@@ -5,11 +5,13 @@
  */
 import type { ReadPacer } from '@bilberryworks/steering'
 import type { Socket } from 'node:net'
+import type { MalformedKind } from './malformed_response.ts'
 import type { ResponseHead } from './response_parser.ts'
 import { connect } from 'node:net'
 import { getFailureSide, isLocalFailure } from '@bilberryworks/steering'
 import { createOverheadLimit } from './_overhead_limit.ts'
 import { createPacedReading } from './_paced_reading.ts'
+import { getMalformedKind } from './malformed_response.ts'
 import { computeReadUnits } from './response_pacer.ts'
 import { createResponseParser } from './response_parser.ts'
 
@@ -88,6 +90,8 @@
   onConnectFail?: (code: string | undefined) => void
   /** Called for each response that belongs to a request other than the one in flight; a response while no request is in flight closes the connection instead. */
   onMismatchedResponse: () => void
+  /** Called when an exchange is about to fail because of what the target sent. */
+  onMalformedResponse: (kind: MalformedKind) => void
 }
 
 /** Maximum number of responses to other requests that are discarded per connection; one more closes the connection. */
@@ -180,10 +184,9 @@
   }
 
   function handleEnd (): void {
-    if (isSkipping) {
-      isSkipping = false
-      return
-    }
+    const wasSkipping = isSkipping
+    isSkipping = false
+    if (wasSkipping) return
     completed = current
     current = undefined
     connection.idleSinceMs = performance.now()
@@ -225,6 +228,7 @@
   })
   socket.on('data', bytes => {
     const error = parser.read(bytes) ?? overhead.countReceived(bytes.length)
+    if (error !== undefined && current !== undefined) options.onMalformedResponse(getMalformedKind(error))
     if (error !== undefined) failConnection(ExchangeFailure.Malformed, error.message)
     if (!isClosed) reading.charge(computeReadUnits(parser.takeLineCount(), bytes.length))
     settleCompleted()
--- a/packages/targets/src/target_connection_test.ts
+++ b/packages/targets/src/target_connection_test.ts
@@ -3,6 +3,7 @@
 import { createServer } from 'node:net'
 import { setTimeout as wait } from 'node:timers/promises'
 import test from 'ava'
+import { MalformedKind } from './malformed_response.ts'
 import { ExchangeFailure } from './target_connection.ts'
 import { ConnectionEvent, createTargetPool } from './target_pool.ts'
 
@@ -10,6 +11,7 @@
   failure: ExchangeFailure | undefined
   status: number | undefined
   body: string
+  detail?: string
 }
 
 /** Starts a TCP server that calls a function for each request, with its index. */
@@ -37,7 +39,7 @@
       onHead (head) { outcome.status = head.status },
       onBody (part) { outcome.body += part.toString() },
       onEnd: () => resolve(outcome),
-      onFail: failure => resolve({ ...outcome, failure })
+      onFail: (failure, detail) => resolve({ ...outcome, failure, detail })
     })
   })
 }
@@ -110,6 +112,28 @@
   })
 }
 
+for (const [kind, bytes] of [
+  [MalformedKind.StatusLine, 'x'.repeat(300_000)],
+  [MalformedKind.HeaderSection, `HTTP/1.1 200 OK\r\na: ${'x'.repeat(300_000)}`],
+  [MalformedKind.ChunkSize, `HTTP/1.1 200 OK\r\nid: a\r\nTransfer-Encoding: chunked\r\n\r\n1;${'x'.repeat(300_000)}`],
+  [MalformedKind.ChunkEnd, 'HTTP/1.1 200 OK\r\nid: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nxbad'],
+  [MalformedKind.TrailerSection, `HTTP/1.1 200 OK\r\nid: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\na: ${'x'.repeat(300_000)}`],
+  [MalformedKind.Overhead, 'HTTP/1.1 103 Early Hints\r\n\r\n'.repeat(20_000)],
+  [MalformedKind.Invalid, 'HTTP/9.99 junk\r\n\r\n']
+] as const) {
+  test(`reports a malformed response of the kind ${kind} once, and what was sent`, async t => {
+    const { server, address } = await listenTarget(socket => socket.write(bytes))
+    const kinds: MalformedKind[] = []
+    await using pool = createTargetPool({ connectTimeoutMs: 500, onMalformedResponse: reported => kinds.push(reported) })
+    const { failure, detail } = await sendRequest(pool, address, 'a')
+    t.is(failure, ExchangeFailure.Malformed)
+    t.regex(detail ?? '', /^Target sent (\d+ )?bytes /)
+    await wait(20)
+    t.deepEqual(kinds, [kind])
+    server.close()
+  })
+}
+
 test('sends nothing to a target that is excluded while the connection is established', async t => {
   let requests = 0
   const { server, address } = await listenTarget(() => { requests++ })
--- a/packages/targets/src/target_pool.ts
+++ b/packages/targets/src/target_pool.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { ReadPacer } from '@bilberryworks/steering'
+import type { MalformedKind } from './malformed_response.ts'
 import type { Exchange, TargetConnection } from './target_connection.ts'
 import { DescriptorDecision, getFailureSide, isLocalFailure } from '@bilberryworks/steering'
 import { createResponsePacer } from './response_pacer.ts'
@@ -73,6 +74,8 @@
   onConnectionEvent?: (event: ConnectionEvent, targetId: string, code?: string) => void
   /** Called for each response that belongs to a request other than the one in flight on its connection. */
   onMismatchedResponse?: (targetId: string) => void
+  /** Called for each exchange that is about to fail because of what the target sent. */
+  onMalformedResponse?: (kind: MalformedKind, targetId: string) => void
 }
 
 /** Idle time limit of a connection to a target that sends no `Keep-Alive: timeout`, in milliseconds: half of the shortest default among common servers. */
@@ -138,6 +141,7 @@
       },
       onConnectFail: code => reportEvent(isLocalFailure(getFailureSide(code)) ? ConnectionEvent.RefusedLocally : ConnectionEvent.ConnectFailed, target.id, code),
       onMismatchedResponse: () => options.onMismatchedResponse?.(target.id),
+      onMalformedResponse: kind => options.onMalformedResponse?.(kind, target.id),
       onClose () {
         open.delete(connection)
         if (removeIdle(idle, { targetId: target.id, connection })) reportEvent(ConnectionEvent.ClosedByTarget, target.id)
