Bound the peers that an instance knows and what it keeps of them

Cause: instances in a peer's response, rows of the table of instances and datagrams of any sender added peers without a number beyond which they were not kept, with lists of any length; reports of senders that are not known were handled too, which left their claims for good.

Change: 600 known peers, where a report displaces none and a heartbeat only one that is not live; 200,000 entries in all lists together, beyond which a heartbeat counts without its lists; names of 512 and texts of 65,507 characters at most. Reports are handled for known peers only, claims kept for 600.

--- a/packages/bilberryd/src/edge/peer_link.ts
+++ b/packages/bilberryd/src/edge/peer_link.ts
@@ -26,7 +26,7 @@
 import { PeerTraffic } from './entry_metrics.ts'
 import { createStateHandler, fetchPeerState } from './peer_state.ts'
 import { parseRelayOrigin, relayField, relayVersionField } from './relay_message.ts'
-import { formatUpdate, isPeerHeartbeat, parseHeartbeat, parseUpdate, UpdateResult } from './peer_view.ts'
+import { formatUpdate, parseHeartbeat, parseReported, parseUpdate, UpdateResult } from './peer_view.ts'
 
 /** Options of {@linkcode startPeerLink}. */
 export interface StartPeerLinkOptions {
@@ -136,7 +136,7 @@
   function handleHeartbeat (heartbeat: HeartbeatMessage): void {
     const hasBecomeLive = view.recordHeartbeat(heartbeat, getNowMs())
     if (hasBecomeLive) recordLive(heartbeat.instance, heartbeat.startedAtMs)
-    handleReports(heartbeat)
+    if (view.isKnown(heartbeat.instance)) handleReports(heartbeat)
     // Sent immediately, so that the peer does not have to wait for the next heartbeat to see that this instance is live.
     if (hasBecomeLive || heartbeat.asksForHeartbeat === true) sendText(JSON.stringify(options.getIntroduction()), heartbeat.heartbeats)
   }
@@ -144,7 +144,7 @@
   function handleUpdate (update: HeartbeatUpdate, from: SocketAddress): void {
     const result = view.recordUpdate(update, getNowMs())
     if (result === UpdateResult.BecameLive) recordLive(update.instance, update.startedAtMs)
-    handleReports(update)
+    if (view.isKnown(update.instance)) handleReports(update)
     if (result !== UpdateResult.Unknown) return
     const message: HeartbeatMessage = { ...options.getIntroduction(), asksForHeartbeat: true }
     sendText(JSON.stringify(message), from)
@@ -153,7 +153,7 @@
   /** Fetches the newer rows of a peer, or all of them, and merges them. */
   async function readState (address: SocketAddress, { withInstances = false, withAllRows = false }: Partial<FetchPeerStateOptions>): Promise<void> {
     const peerState = await fetchPeerState(address, { state, withInstances, withAllRows })
-    for (const heartbeat of peerState.instances.filter(isPeerHeartbeat)) view.addReported(heartbeat, getNowMs())
+    for (const heartbeat of parseReported(peerState.instances)) view.addReported(heartbeat, getNowMs())
     if (withInstances) view.markComplete()
     for (const [table, update] of Object.entries(peerState.tables)) {
       log.info('table_from_peer', { table, from: `${address.host}:${address.port}`, asOf: update.asOf, isSnapshot: update.isSnapshot, changes: update.changes.length })
--- a/packages/bilberryd/src/edge/peer_view.ts
+++ b/packages/bilberryd/src/edge/peer_view.ts
@@ -69,8 +69,10 @@
   recordHeartbeat (heartbeat: PeerHeartbeat, nowMs: number): boolean
   /** Records an update received from the peer itself. */
   recordUpdate (update: HeartbeatUpdate, nowMs: number): UpdateResult
-  /** Records a peer reported by another instance or by the store, which does not make it live. */
+  /** Records a peer reported by another instance or by the store, which does not make it live and displaces no other. */
   addReported (heartbeat: PeerHeartbeat, nowMs: number): void
+  /** Returns whether a peer of this name is known. */
+  isKnown (instance: string): boolean
   /** Lists the known peers, live or not, except for those that have been evicted. */
   listKnown (): KnownPeer[]
   /** Evicts peers that have been silent for the eviction time, and lists the live ones. */
@@ -105,6 +107,14 @@
 type OptionalPart = 'targetReports' | 'crashReports' | 'unreached' | 'reached'
 
 const maxPort = 65_535
+/** Maximum number of known peers, above the instances of the largest deployment. */
+export const maxKnownPeers = 600
+/** Maximum number of entries in the lists of all known heartbeats together, a few hundred for each instance of the largest deployment. */
+const maxKnownEntries = 200_000
+/** Longest name in a heartbeat, in characters: that of a group of targets, of two names of the store with at most 200 bytes each. */
+const maxNameLength = 512
+/** Longest text of a heartbeat, in characters: the largest datagram. */
+const maxHeartbeatLength = 65_507
 
 /**
  * Creates a view without peers.
@@ -113,7 +123,8 @@
  * @returns The view
  */
 export function createPeerView (options: CreatePeerViewOptions): PeerView {
-  const peers = new Map<string, KnownPeer & { updatedAtMs: number }>()
+  const peers = new Map<string, KnownPeer & { updatedAtMs: number, entries: number }>()
+  let knownEntries = 0
   const { startedAtMs = 0, completionMs = 0 } = options
   let maxLiveInstances = 1
   let isComplete = false
@@ -125,11 +136,37 @@
     return heartbeat.startedAtMs !== known.heartbeat.startedAtMs && !isLive(known, nowMs)
   }
 
+  function dropPeer (instance: string): void {
+    knownEntries -= peers.get(instance)?.entries ?? 0
+    peers.delete(instance)
+  }
+
+  /** Records a heartbeat, without its lists if those of all peers would have too many entries. */
+  function recordPeer (heartbeat: PeerHeartbeat, lastHeartbeatAtMs: number, updatedAtMs: number): void {
+    knownEntries -= peers.get(heartbeat.instance)?.entries ?? 0
+    const entries = countEntries(heartbeat)
+    const isTooLarge = knownEntries + entries > maxKnownEntries
+    knownEntries += isTooLarge ? 0 : entries
+    peers.set(heartbeat.instance, { heartbeat: isTooLarge ? dropLists(heartbeat) : heartbeat, lastHeartbeatAtMs, updatedAtMs, entries: isTooLarge ? 0 : entries })
+  }
+
+  /** Makes room for a peer that has sent a heartbeat by dropping the one that is not live and was heard least recently; returns whether there is room. */
+  function releaseRoom (nowMs: number): boolean {
+    if (peers.size < maxKnownPeers) return true
+    let silent: KnownPeer | undefined
+    for (const peer of peers.values()) {
+      if (!isLive(peer, nowMs) && (silent === undefined || peer.lastHeartbeatAtMs < silent.lastHeartbeatAtMs)) silent = peer
+    }
+    if (silent !== undefined) dropPeer(silent.heartbeat.instance)
+    return silent !== undefined
+  }
+
   function recordLive (heartbeat: PeerHeartbeat, nowMs: number): boolean {
     const known = peers.get(heartbeat.instance)
     // A peer that has restarted knows nothing, so it counts as having become live although no heartbeat was missed.
     const wasLive = known !== undefined && isLive(known, nowMs) && known.heartbeat.startedAtMs === heartbeat.startedAtMs
-    peers.set(heartbeat.instance, { heartbeat, lastHeartbeatAtMs: nowMs, updatedAtMs: nowMs })
+    if (known === undefined && !releaseRoom(nowMs)) return false
+    recordPeer(heartbeat, nowMs, nowMs)
     if (wasLive) return false
     const live = [...peers.values()].filter(peer => isLive(peer, nowMs)).length + 1
     maxLiveInstances = Math.max(maxLiveInstances, live)
@@ -154,11 +191,13 @@
       if (heartbeat.instance === options.instance) return
       const known = peers.get(heartbeat.instance)
       if (known !== undefined && !isNewer(heartbeat, known.heartbeat)) return
-      peers.set(heartbeat.instance, { heartbeat, lastHeartbeatAtMs: known?.lastHeartbeatAtMs ?? -Infinity, updatedAtMs: nowMs })
+      if (known === undefined && peers.size >= maxKnownPeers) return
+      recordPeer(heartbeat, known?.lastHeartbeatAtMs ?? -Infinity, nowMs)
     },
+    isKnown: instance => peers.has(instance),
     listKnown: () => [...peers.values()],
     listLive (nowMs) {
-      for (const [name, peer] of peers) if (nowMs - Math.max(peer.lastHeartbeatAtMs, peer.updatedAtMs) > options.evictionMs) peers.delete(name)
+      for (const [name, peer] of peers) if (nowMs - Math.max(peer.lastHeartbeatAtMs, peer.updatedAtMs) > options.evictionMs) dropPeer(name)
       return [...peers.values()].filter(peer => isLive(peer, nowMs))
     },
     discountPause (durationMs) {
@@ -171,6 +210,18 @@
   }
 }
 
+/** Counts the entries in the lists of a heartbeat. */
+function countEntries ({ versions, demand, targetReports, crashReports = [], unreached = [], reached = [] }: HeartbeatUpdate): number {
+  const { leaving = {}, rates = {}, ended = {}, claims = [] } = targetReports ?? {}
+  const records = [versions, demand, leaving, rates, ended].reduce((sum, record) => sum + Object.keys(record).length, 0)
+  const runs = crashReports.reduce((sum, report) => sum + report.runs.length + report.cleared.length, 0)
+  return records + claims.length + crashReports.length + runs + unreached.length + reached.length
+}
+
+function dropLists ({ targetReports, crashReports, unreached, reached, ...heartbeat }: PeerHeartbeat): PeerHeartbeat {
+  return { ...heartbeat, versions: {}, demand: {} }
+}
+
 /** Replaces all that changes in a heartbeat; what the update lacks no longer holds. */
 function mergeUpdate ({ targetReports, crashReports, unreached, reached, ...heartbeat }: PeerHeartbeat, update: HeartbeatUpdate): PeerHeartbeat {
   return { ...heartbeat, ...update }
@@ -197,10 +248,11 @@
  * @returns The update, or `undefined` if the text is not a valid one
  */
 export function parseUpdate (text: string): HeartbeatUpdate | undefined {
+  if (text.length > maxHeartbeatLength) return undefined
   const value = parseJson(text)
   if (!Array.isArray(value)) return undefined
   const [instance, startedAtMs, sequence, isReady, versions, demand, targetReports, crashReports, unreached, reached] = value as [string, number, number, boolean, Record<string, number>, Record<string, number>, ...unknown[]]
-  const isValid = typeof instance === 'string' && typeof startedAtMs === 'number' && typeof sequence === 'number' && typeof isReady === 'boolean' && [versions, demand].every(isNumberRecord)
+  const isValid = isName(instance) && typeof startedAtMs === 'number' && typeof sequence === 'number' && typeof isReady === 'boolean' && [versions, demand].every(isNumberRecord)
   if (!isValid) return undefined
   return { instance, startedAtMs, sequence, isReady, versions, demand, ...selectOptional({ targetReports, crashReports, unreached, reached }) }
 }
@@ -212,6 +264,7 @@
  * @returns The heartbeat, or `undefined` if the text is not a valid one
  */
 export function parseHeartbeat (text: string): PeerHeartbeat | undefined {
+  if (text.length > maxHeartbeatLength) return undefined
   const value = parseJson(text) as PeerHeartbeat | undefined
   if (!isPeerHeartbeat(value)) return undefined
   const { targetReports, crashReports, unreached, reached, ...heartbeat } = value
@@ -219,17 +272,26 @@
 }
 
 /**
- * Returns whether a value that was received has the required fields of a heartbeat, with ports that can be used.
+ * Parses the heartbeats that another instance reports.
  *
- * @param value The value
- * @returns Whether it is a heartbeat
+ * @param values The heartbeats, as received
+ * @returns Those that are valid
  */
-export function isPeerHeartbeat (value: PeerHeartbeat | undefined): value is PeerHeartbeat {
-  return typeof value?.instance === 'string' && [value.heartbeats, value.peers].every(isSocketAddress) && isNumberRecord(value.versions) && isNumberRecord(value.demand)
+export function parseReported (values: unknown[]): PeerHeartbeat[] {
+  return values.map(value => parseHeartbeat(JSON.stringify(value))).filter(heartbeat => heartbeat !== undefined)
+}
+
+/** Returns whether a value that was received has the required fields of a heartbeat, with ports that can be used. */
+function isPeerHeartbeat (value: PeerHeartbeat | undefined): value is PeerHeartbeat {
+  return isName(value?.instance) && [value.failureDomain, value.region, value.callers].every(isName) && [value.heartbeats, value.peers].every(isSocketAddress) && isNumberRecord(value.versions) && isNumberRecord(value.demand)
+}
+
+function isName (value: unknown): value is string {
+  return typeof value === 'string' && value.length <= maxNameLength
 }
 
 function isSocketAddress (value: SocketAddress | undefined): boolean {
-  return typeof value?.host === 'string' && Number.isInteger(value.port) && value.port > 0 && value.port <= maxPort
+  return isName(value?.host) && Number.isInteger(value.port) && value.port > 0 && value.port <= maxPort
 }
 
 /** Returns those of the optional parts of a heartbeat that are valid. */
@@ -243,23 +305,23 @@
 }
 
 function isTextList (value: unknown): value is string[] {
-  return Array.isArray(value) && value.every(text => typeof text === 'string')
+  return Array.isArray(value) && value.every(isName)
 }
 
 function isCrashReport (value: unknown): value is CrashReport {
   if (typeof value !== 'object' || value === null) return false
   const { fingerprint, runs, cleared, ageMs } = value as CrashReport
-  return typeof fingerprint === 'string' && typeof ageMs === 'number' && [runs, cleared].every(list => Array.isArray(list) && list.every(run => typeof run === 'string'))
+  return isName(fingerprint) && typeof ageMs === 'number' && [runs, cleared].every(isTextList)
 }
 
 function isTargetReports (value: unknown): value is RecentTargetReports {
   if (typeof value !== 'object' || value === null) return false
   const { leaving, rates, claims, ended = {} } = value as RecentTargetReports
-  return Array.isArray(claims) && isNoticeRecord(ended, isEndNotice) && isNumberRecord(leaving) && isNoticeRecord(rates, isRateNotice)
+  return isTextList(claims) && isNoticeRecord(ended, isEndNotice) && isNumberRecord(leaving) && isNoticeRecord(rates, isRateNotice)
 }
 
 function isNoticeRecord<T extends object> (value: unknown, isNotice: (notice: Partial<T>) => boolean): boolean {
-  return typeof value === 'object' && value !== null && Object.values(value).every(notice => typeof notice === 'object' && notice !== null && isNotice(notice as Partial<T>))
+  return typeof value === 'object' && value !== null && Object.entries(value).every(([name, notice]) => isName(name) && typeof notice === 'object' && notice !== null && isNotice(notice as Partial<T>))
 }
 
 function isEndNotice ({ startedAtMs, ageMs }: Partial<EndNotice>): boolean {
@@ -271,7 +333,7 @@
 }
 
 function isNumberRecord (value: unknown): boolean {
-  return typeof value === 'object' && value !== null && Object.values(value).every(each => typeof each === 'number')
+  return typeof value === 'object' && value !== null && Object.entries(value).every(([name, each]) => isName(name) && typeof each === 'number')
 }
 
 /** Parses JSON; `undefined` if the text is invalid, which is reported like any other invalid message. */
--- a/packages/bilberryd/src/edge/peer_view_test.ts
+++ b/packages/bilberryd/src/edge/peer_view_test.ts
@@ -126,3 +126,61 @@
   t.deepEqual(parseUpdate(formatUpdate(update)), update)
   t.is(parseUpdate(formatUpdate({ ...update, reached: [1] as unknown as string[] }))?.reached, undefined)
 })
+
+/** Records heartbeats of made-up names, far more than any deployment has instances. */
+function recordMadeUp (view: ReturnType<typeof createPeerView>, record: (heartbeat: PeerHeartbeat) => void, overrides: Partial<PeerHeartbeat> = {}): number {
+  for (let name = 0; name < 5_000; name++) record(createHeartbeat(`made-up-${name}`, overrides))
+  return view.listKnown().length
+}
+
+test('reported peers of made-up names displace no peer, and are kept up to a number only', t => {
+  const view = createView()
+  view.addReported(createHeartbeat('reported'), 0)
+  view.recordHeartbeat(createHeartbeat('silent'), 0)
+  view.recordHeartbeat(createHeartbeat('live'), 9_000)
+  t.is(recordMadeUp(view, heartbeat => view.addReported(heartbeat, 10_000)), 600)
+  t.deepEqual(view.listKnown().slice(0, 3).map(peer => peer.heartbeat.instance), ['reported', 'silent', 'live'])
+  t.deepEqual(view.listLive(10_000).map(peer => peer.heartbeat.instance), ['live'])
+})
+
+test('heartbeats of made-up names displace no live peer, and are kept up to a number only', t => {
+  const view = createView()
+  view.recordHeartbeat(createHeartbeat('live'), 9_000)
+  t.is(recordMadeUp(view, heartbeat => view.recordHeartbeat(heartbeat, 10_000)), 600)
+  t.true(view.listLive(10_000).some(peer => peer.heartbeat.instance === 'live'))
+  t.is(view.recordUpdate({ ...createHeartbeat('live'), sequence: 2 }, 10_000), UpdateResult.Live)
+  t.false(view.recordHeartbeat(createHeartbeat('later'), 10_000))
+  t.false(view.isKnown('later'))
+  t.true(view.recordHeartbeat(createHeartbeat('later'), 14_000))
+  t.true(view.isKnown('later'))
+})
+
+test('a peer that sends a heartbeat takes the place of a reported one', t => {
+  const view = createView()
+  recordMadeUp(view, heartbeat => view.addReported(heartbeat, 0))
+  t.true(view.recordHeartbeat(createHeartbeat('real'), 0))
+  t.deepEqual(view.listLive(0).map(peer => peer.heartbeat.instance), ['real'])
+  t.is(view.listKnown().length, 600)
+})
+
+test('a number of entries in the lists of all heartbeats is kept, beyond which peers are known without their lists', t => {
+  const view = createView()
+  const demand = Object.fromEntries(Array.from({ length: 3_000 }, (_, service) => [String(service), 1]))
+  view.recordHeartbeat(createHeartbeat('live', { demand }), 0)
+  for (const round of [1, 2]) recordMadeUp(view, heartbeat => view.recordHeartbeat(heartbeat, 0), { demand, sequence: round })
+  const peers = view.listLive(0)
+  t.is(peers.length, 600)
+  t.true(peers.reduce((sum, { heartbeat }) => sum + Object.keys(heartbeat.demand).length, 0) <= 200_000)
+  t.deepEqual(peers[0]!.heartbeat.demand, demand)
+  for (let nowMs = 70_000; view.listLive(nowMs).length > 0;) nowMs += 70_000
+  view.recordHeartbeat(createHeartbeat('after', { demand }), 200_000)
+  t.deepEqual(view.listLive(200_000).map(({ heartbeat }) => heartbeat.demand), [demand])
+})
+
+test('parses no heartbeat that is longer than a datagram or has too long a name', t => {
+  const longName = 'x'.repeat(1_000)
+  t.is(parseHeartbeat(JSON.stringify(createHeartbeat(longName))), undefined)
+  t.is(parseUpdate(formatUpdate(createHeartbeat(longName))), undefined)
+  t.is(parseHeartbeat(JSON.stringify({ ...createHeartbeat('p'), other: 'x'.repeat(65_507) })), undefined)
+  t.is(parseHeartbeat(JSON.stringify(createHeartbeat('p', { unreached: [longName] })))?.unreached, undefined)
+})
--- a/packages/bilberryd/src/edge/target_reports.ts
+++ b/packages/bilberryd/src/edge/target_reports.ts
@@ -13,6 +13,7 @@
 import { claimProofMs, ColdEvidence, createTargetNotices, isRateClaimed, mergePeerRate, recordNamedRate, recordTargetEnd, recordTargetLoad, recordTargetPause, recordUnnamedResponse } from '@bilberryworks/steering'
 import { readResponseFields } from '@bilberryworks/users-platform'
 import { TargetReport } from './entry_metrics.ts'
+import { maxKnownPeers } from './peer_view.ts'
 
 /** Options of {@linkcode createTargetReports}. */
 export interface CreateTargetReportsOptions {
@@ -54,6 +55,8 @@
 
 /** Number of characters of an unreadable value that are logged. */
 const maxLoggedValueLength = 40
+/** Longest list of claims of a peer that is retained, in targets. */
+const maxPeerClaims = 1_000
 
 /**
  * Creates the handler of targets' reports.
@@ -68,6 +71,14 @@
   /** Claims on the rates of targets in the last heartbeat of each peer, and its monotonic time in milliseconds. */
   const peerClaims = new Map<string, { claims: string[], heardAtMs: number }>()
 
+  function recordClaims (peer: string, claims: string[]): void {
+    peerClaims.delete(peer)
+    // A peer without a list counts as one that may claim any target.
+    if (claims.length > maxPeerClaims) return
+    peerClaims.set(peer, { claims, heardAtMs: getNowMs() })
+    if (peerClaims.size > maxKnownPeers) peerClaims.delete(peerClaims.keys().next().value!)
+  }
+
   /** Lists all claims, since peers take a target that is missing from the list for one to which this instance sends nothing. */
   function listClaims (): string[] {
     const nowMs = getNowMs()
@@ -151,7 +162,7 @@
       if (entry !== undefined) handleResponse(entry, readResponseFields(status, fields), exchange)
     },
     handlePeerReports (peer, reports) {
-      peerClaims.set(peer, { claims: reports?.claims ?? [], heardAtMs: getNowMs() })
+      recordClaims(peer, reports?.claims ?? [])
       if (reports === undefined) return
       const { leaving, rates, ended = {} } = reports
       for (const [id, startedAtMs] of Object.entries(leaving)) {
--- a/packages/bilberryd/src/edge/target_reports_test.ts
+++ b/packages/bilberryd/src/edge/target_reports_test.ts
@@ -102,3 +102,11 @@
   recordTargetResult(other.entry, TargetSignal.Answered, { nowMs, getRandom: () => 0.5, coldForMs: 3_000 })
   t.deepEqual([4_200, 4_400].map(atMs => isTargetCold(other.entry, atMs)), [true, false])
 })
+
+test('retains the claims of a number of peers, and no list that is far too long', t => {
+  const { reports } = createInstance(() => 0)
+  for (let name = 0; name < 5_000; name++) reports.handlePeerReports(`made-up-${name}`, { leaving: {}, rates: {}, claims: [] })
+  t.is(Array.from({ length: 5_000 }, (_, name) => reports.mayClaim(`made-up-${name}`, 't')).filter(mayClaim => !mayClaim).length, 600)
+  reports.handlePeerReports('made-up-4999', { leaving: {}, rates: {}, claims: Array.from({ length: 1_001 }, String) })
+  t.true(reports.mayClaim('made-up-4999', 't'))
+})
