Say in the soak when a lost request met a hold of the soak itself

The soak now records when its own event loop is held for 50 ms or more, and states beside a request lost in a stop how long it took and how much of that was such a hold. No check changes.

--- a/packages/standins/src/soak/run_soak.ts
+++ b/packages/standins/src/soak/run_soak.ts
@@ -21,6 +21,7 @@
 import { startSoakInstance } from './soak_instance.ts'
 import { applyHostFault, hostFaults } from './soak_host.ts'
 import { SoakFault } from './soak_plan.ts'
+import { watchHolds } from './soak_holds.ts'
 import { createSoakConfig, createSoakSite, SoakScale } from './soak_site.ts'
 
 /** Options of {@linkcode runSoak}. */
@@ -187,10 +188,11 @@
     await applyEvent(event)
   })
   const sampling = setInterval(() => { for (const { process } of instances) process.sampleUsage() }, usageIntervalMs)
+  const holds = cleanup.add(watchHolds())
   const calls = await runSoakCallers({ instances, endMs: startMs + plan.durationMs, site: deployment, getRandom, sabotage })
   await Promise.all(faults)
   clearInterval(sampling)
   const areReady = await Promise.all(instances.map(instance => instance.isReady()))
   const logs = new Map(await Promise.all(instances.map(async instance => [instance.name, await instance.readLog()] as const)))
-  return { plan, startMs, calls, targets, drainedAtMs, instances, storeFaults, faultyTargets, memoryMb, logs, areReady }
+  return { plan, startMs, calls, targets, drainedAtMs, instances, storeFaults, faultyTargets, memoryMb, holds: holds.spans, logs, areReady }
 }
--- a/packages/standins/src/soak/soak_checks.ts
+++ b/packages/standins/src/soak/soak_checks.ts
@@ -30,6 +30,8 @@
   faultyTargets: ReadonlyMap<string, TimeSpan[]>
   /** Memory that each instance may take, in megabytes; `undefined` without a limit. */
   memoryMb: number | undefined
+  /** Times in which the event loop of the soak itself was held. */
+  holds: TimeSpan[]
   /** Log lines of each instance, by name. */
   logs: ReadonlyMap<string, Array<Record<string, unknown>>>
   /** Whether each instance counted as ready at the end. */
@@ -156,6 +158,11 @@
   return runs.has(call.id) || (isShort && call.wasConnected && call.endedAtMs - call.sentAtMs > lossSlackMs)
 }
 
+/** Sums the times in which the event loop of the soak was held during a call, in milliseconds. */
+function sumHolds ({ holds }: SoakRecord, { sentAtMs, endedAtMs }: SoakCall): number {
+  return holds.reduce((sum, { fromMs, toMs }) => sum + Math.max(0, Math.min(toMs, endedAtMs) - Math.max(fromMs, sentAtMs)), 0)
+}
+
 /** Checks that a planned stop without other disturbances loses no request, from its begin to the end of the process. */
 function checkStops (record: SoakRecord, runs: ReadonlyMap<string, RunAtTarget[]>): string[] {
   const { calls, instances, targets } = record
@@ -164,7 +171,7 @@
     const isAlone = !isWithin([...cuts, ...strains], stop.fromMs - stableMs, stop.toMs) && disturbances.filter(({ fromMs, toMs }) => fromMs <= stop.toMs && toMs >= stop.fromMs - stableMs).length === 1
     if (!isAlone || isWithin(targetFaults, stop.fromMs - stableMs, stop.toMs)) return []
     const lost = calls.filter(call => call.instance === name && call.sentAtMs > stop.fromMs - stableMs && call.sentAtMs < stop.toMs && isLost(call, runs) && !hasRunAtFaulty(call, record, runs))
-    return lost.length > 0 ? [`LOST: ${lost.length} requests, the first ${lost[0]!.id} (${lost[0]!.kind}, sent ${Math.round(lost[0]!.sentAtMs - stop.fromMs)} ms after the signal, ran ${runs.get(lost[0]!.id)?.length ?? 0} times), got no response around the stop of ${name} (${targets.size} targets)`] : []
+    return lost.length > 0 ? [`LOST: ${lost.length} requests, the first ${lost[0]!.id} (${lost[0]!.kind}, sent ${Math.round(lost[0]!.sentAtMs - stop.fromMs)} ms after the signal, ran ${runs.get(lost[0]!.id)?.length ?? 0} times, ended after ${Math.round(lost[0]!.endedAtMs - lost[0]!.sentAtMs)} ms, the soak itself held for ${Math.round(sumHolds(record, lost[0]!))} ms of them), got no response around the stop of ${name} (${targets.size} targets)`] : []
   }))
 }
 
