Keep bytes beyond ASCII in header fields of responses

Cause: lines of responses are decoded as ASCII, which drops the highest bit of each byte.

Change: lines are decoded as Latin-1, in which node:http writes them to the caller, so that each byte is passed on.

Result: npx ava packages/targets/dist/response_parser_test.js: its two new tests failed before (HPE_LF_EXPECTED), 28 pass. target_connection_test, response_matching_test, site_connection_test, random_input_test and relay_path_test pass.

--- a/packages/targets/src/_line_reader.ts
+++ b/packages/targets/src/_line_reader.ts
@@ -79,7 +79,7 @@
       return undefined
     }
     lines++
-    const line = partial.count() > 0 ? takeLine(chunk.subarray(offset, lineEnd)) : chunk.toString('ascii', offset, chunk[lineEnd - 1] === carriageReturn && lineEnd > offset ? lineEnd - 1 : lineEnd)
+    const line = partial.count() > 0 ? takeLine(chunk.subarray(offset, lineEnd)) : chunk.toString('latin1', offset, chunk[lineEnd - 1] === carriageReturn && lineEnd > offset ? lineEnd - 1 : lineEnd)
     // The lines of a section are limited together; it ends with an empty line.
     if (line === '' || (state !== 'HEADER' && state !== 'BODY_CHUNKTRAILERS')) elementBytes = 0
     return line
@@ -88,7 +88,7 @@
   /** Takes the line that has begun in an earlier read, without its line break. */
   function takeLine (rest: Buffer): string {
     partial.append(rest)
-    const line = partial.take().toString('ascii')
+    const line = partial.take().toString('latin1')
     return line.endsWith('\r') ? line.slice(0, -1) : line
   }
 
--- a/packages/targets/src/response_parser_test.ts
+++ b/packages/targets/src/response_parser_test.ts
@@ -76,3 +76,21 @@
   t.deepEqual(bodies, [`${body.join('')}ab`, 'cde', body.join('')])
   t.is(countEnds(), 2)
 })
+
+for (const readBytes of [1, pieceBytes]) {
+  test(`keeps each byte of a field value beyond ASCII, ${readBytes} bytes at a time`, t => {
+    const value = String.fromCharCode(...Array.from({ length: 128 }, (_, index) => 128 + index))
+    const values: Array<string | undefined> = []
+    const parser = createResponseParser({
+      onHead (head) {
+        values.push(head.fields['a'])
+        return true
+      },
+      onBody: () => {},
+      onEnd: () => {}
+    })
+    const bytes = Buffer.from(`HTTP/1.1 200 OK\r\na: x${value}x\r\n\r\n`, 'latin1')
+    for (let index = 0; index < bytes.length; index += readBytes) t.is(parser.read(bytes.subarray(index, index + readBytes)), undefined)
+    t.deepEqual(values, [`x${value}x`])
+  })
+}
