Hold the calls of other instances at about their size

Cause: the listener of the own interface kept a Buffer for each chunk of a call, so that its limit of 4 MiB did not bound what was held.

Change: it reads by BodyReader, like the clients: blocks, pauses for bodies in tiny parts, and still the error for a body of up to four times the limit.

--- a/packages/instances/src/peer_listener.ts
+++ b/packages/instances/src/peer_listener.ts
@@ -4,8 +4,9 @@
  * @module
  */
 import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http'
+import type { BodyReader } from '@bilberryworks/steering'
 import { createHash, timingSafeEqual } from 'node:crypto'
-import { Outcome, RefusalReason } from '@bilberryworks/steering'
+import { BodyTooLargeError, createBodyReader, Outcome, RefusalReason } from '@bilberryworks/steering'
 import { createJSONRPCErrorResponse, JSONRPCServer } from 'json-rpc-2.0'
 
 const maxRpcBytes = 4 * 1024 * 1024
@@ -34,6 +35,7 @@
  * @returns A handler for `node:http`
  */
 export function createPeerHandler (options: CreatePeerHandlerOptions): RequestListener {
+  const bodyReader = createBodyReader({ getNowMs: () => performance.now() })
   const server = new JSONRPCServer()
   for (const [name, method] of Object.entries(options.methods)) server.addMethod(name, method)
 
@@ -51,7 +53,7 @@
       options.handleForward(request, response)
       return
     }
-    handleRpc(server, request, response)
+    handleRpc(request, response, { server, bodyReader })
   }
 }
 
@@ -65,8 +67,8 @@
   return isValid
 }
 
-function handleRpc (server: JSONRPCServer, request: IncomingMessage, response: ServerResponse): void {
-  readText(request).then(async text => {
+function handleRpc (request: IncomingMessage, response: ServerResponse, { server, bodyReader }: { server: JSONRPCServer, bodyReader: BodyReader }): void {
+  readText(request, bodyReader).then(async text => {
     const reply = text === undefined
       ? createJSONRPCErrorResponse(null, -32600, `Request body exceeds ${maxRpcBytes} bytes`)
       : await server.receiveJSON(text)
@@ -74,15 +76,13 @@
   }).catch(() => response.destroy())
 }
 
-async function readText (request: IncomingMessage): Promise<string | undefined> {
-  const chunks: Buffer[] = []
-  let length = 0
-  // Reads a body that is too large to its end: the connection would otherwise be reset, and the peer would lose the reply.
-  for await (const chunk of request) {
-    length += (chunk as Buffer).length
-    if (length <= maxRpcBytes) chunks.push(chunk as Buffer)
-    else chunks.length = 0
-    if (length > maxDiscardedBytes) throw new Error(`Request body of more than ${maxDiscardedBytes} bytes`)
+/** Reads a body; `undefined` if it is too large. Such a body is read to its end: the connection would otherwise be reset, and the peer would lose the reply. */
+async function readText (request: IncomingMessage, bodyReader: BodyReader): Promise<string | undefined> {
+  try {
+    const content = await bodyReader.read(request, { maxBytes: maxRpcBytes, maxDiscardedBytes })
+    return content.toString('utf8')
+  } catch (error) {
+    if (error instanceof BodyTooLargeError && request.readableEnded) return undefined
+    throw error
   }
-  return length > maxRpcBytes ? undefined : Buffer.concat(chunks).toString('utf8')
 }
