Read what is discarded of a refused request in turns

Callers saw: others wait for seconds while callers send uploads in chunks of one byte that are refused, since the rest of a refused request is parsed and discarded at full speed for up to five seconds; the turns of bodies that are collected did not cover it.

Change: drainRequestBody reads in turns as well.

--- a/packages/callers/src/write_response.ts
+++ b/packages/callers/src/write_response.ts
@@ -8,6 +8,7 @@
 import { pipeline } from 'node:stream/promises'
 import { getRefusalStatus, Outcome } from '@bilberryworks/steering'
 import { removeHopByHopFields } from './header_fields.ts'
+import { createReadTurns } from './read_turns.ts'
 
 const lingerTimeoutMs = 5_000
 
@@ -70,6 +71,9 @@
   return String(Math.max(1, Math.ceil(retryAfterMs / 1000)))
 }
 
+/** Turns of all requests that are discarded. */
+const turns = createReadTurns({ getNowMs: () => performance.now() })
+
 /**
  * Reads and discards the rest of a request, so that the caller can read the response, and its next request is read; closes
  * the connection if the rest takes longer than five seconds.
@@ -83,5 +87,7 @@
   timer.unref()
   req.once('close', () => clearTimeout(timer))
   req.unpipe()
-  req.removeAllListeners('readable').removeAllListeners('data').resume()
+  req.removeAllListeners('readable').removeAllListeners('data')
+  turns.watchBody(req)
+  req.resume()
 }
--- a/packages/standins/src/received_bytes_test.ts
+++ b/packages/standins/src/received_bytes_test.ts
@@ -38,6 +38,8 @@
   title: string
   bytes: FaultyBytes
   count: number
+  /** Path of the requests; one of an upload, or a safe one for complete messages, by default. */
+  path?: string
 }
 
 /** Starts a store, four sound targets, a faulty one for `/faulty/`, and an instance as a process of its own. */
@@ -137,6 +139,7 @@
 const callerKinds: FaultySender[] = [
   { title: 'an upload without end in chunks of one byte', bytes: FaultyBytes.SmallChunks, count: 1 },
   { title: 'uploads without end in chunks of one byte', bytes: FaultyBytes.SmallChunks, count: 12 },
+  { title: 'uploads without end in chunks of one byte that are refused', bytes: FaultyBytes.SmallChunks, count: 12, path: '/none/x' },
   { title: 'uploads without end', bytes: FaultyBytes.Body, count: 12 },
   { title: 'header fields without end', bytes: FaultyBytes.HeaderFields, count: 12 },
   { title: 'requests without end', bytes: FaultyBytes.Messages, count: 12 }
@@ -156,13 +159,13 @@
   })
 }
 
-for (const { title, bytes, count } of callerKinds) {
+for (const { title, bytes, count, path = bytes === FaultyBytes.Messages ? '/safe/x' : '/upload/x' } of callerKinds) {
   test.serial(`an instance to which callers send ${title} serves others`, async t => {
     await using site = await startSite(undefined)
     checkTrouble(t, await runTrouble(site, async signal => {
       await Promise.all(Array.from({ length: count }, async (_, sender) => {
         for (let index = 0; !signal.aborted; index++) {
-          const [method, path] = bytes === FaultyBytes.Messages ? ['GET', '/safe/x'] : ['POST', '/upload/x']
+          const method = bytes === FaultyBytes.Messages ? 'GET' : 'POST'
           const head = `${method} ${path} HTTP/1.1\r\nHost: ${testSiteHost}\r\nX-Request-Id: faulty-${sender}-${index}\r\nX-Timeout-Ms: ${timeLeftMs}\r\n`
           const startedMs = performance.now()
           await sendFaultyRequest(site.files.callers, { bytes, head, signal })
