Refuse no connection that has been served once because another one came

A connection that was beyond the share when it was accepted stayed marked for as long as it was open. When it had been served, since another one had closed meanwhile, the next newcomer made its requests be refused as well, and its response close it. A request that is served now takes the mark away, so that only the newcomer is refused.

--- a/packages/bilberryd/src/edge/connection_guard.ts
+++ b/packages/bilberryd/src/edge/connection_guard.ts
@@ -16,8 +16,8 @@
 export interface ConnectionGuard {
   /** Returns the number of open connections without those that have been refused. */
   count (): number
-  /** Returns whether a request on a connection is to be refused; to be called when {@linkcode runAfterReads} has passed since it was received. */
-  isRefused (socket: Socket): boolean
+  /** Returns whether a request on a connection is to be served; to be called when {@linkcode runAfterReads} has passed since it was received. */
+  admitRequest (socket: Socket): boolean
   /** Returns whether more connections are open than idle ones may add to, so that none should become idle. */
   isFull (): boolean
   /** Returns the largest number of connections since the last call. */
@@ -62,7 +62,7 @@
   let pressedAtMs = -Infinity
   /** Number of connections that are to give way after a response. */
   let yieldingCount = 0
-  /** Connections that were beyond the share when they were accepted. */
+  /** Connections that were beyond the share when they were accepted, and on which no request has been served. */
   const excess = new Set<Socket>()
   /** Connections to which a refusal was sent unread, the oldest first. */
   const refused = new Set<Socket>()
@@ -112,6 +112,11 @@
 
   return {
     count: countServed,
+    admitRequest (socket) {
+      if (isRefused(socket)) return false
+      excess.delete(socket)
+      return true
+    },
     takeMaxCount () {
       const most = maxCount
       maxCount = countServed()
@@ -124,7 +129,6 @@
       return true
     },
     isFull: () => countServed() > getLimits().maxWithIdle,
-    isRefused,
     closeIdle
   }
 }
--- a/packages/bilberryd/src/edge/descriptor_limits.ts
+++ b/packages/bilberryd/src/edge/descriptor_limits.ts
@@ -129,7 +129,7 @@
     getMaxCallers,
     getMaxTargets: () => computeMaxConnections(DescriptorUse.Target, shares, { callers: countCallers(), targets: 0 }),
     takeClose: socket => callers?.takeClose(socket) ?? false,
-    findRefusal: socket => callers?.isRefused(socket) === true ? createNotRunRefusal(RefusalReason.HostLimit, refusalDetail, minRetryAfterMs + getRandom() * retryAfterSpreadMs) : undefined,
+    findRefusal: socket => callers?.admitRequest(socket) === false ? createNotRunRefusal(RefusalReason.HostLimit, refusalDetail, minRetryAfterMs + getRandom() * retryAfterSpreadMs) : undefined,
     chooseForTarget ({ count, hasIdle }) {
       const isKept = isKeptFromTargets(shares, { callers: countCallers(), targets: count, all: countConnections() })
       const decision = isKept ? hasIdle ? DescriptorDecision.CloseIdleTarget : DescriptorDecision.Refuse : chooseDescriptor(DescriptorUse.Target, shares, { callers: countCallers(), targets: count, hasIdleCaller: false, hasIdleTarget: hasIdle })
