--- a/packages/standins/src/main_bench.ts
+++ b/packages/standins/src/main_bench.ts
@@ -16,6 +16,7 @@
 import { runOwnerBench, runTargetBench } from './bench_owner_choice.ts'
 import { runCostBench } from './bench_cost.ts'
 import { runLossesBench } from './bench_losses.ts'
+import { runLongBodiesBench } from './bench_long_bodies.ts'
 import { runLinkBench } from './bench_links.ts'
 import { runPathBench } from './bench_path.ts'
 import { runReachBench } from './bench_reach.ts'
@@ -40,6 +41,7 @@
   { name: 'path', title: 'Path of a request', run: runPathBench },
   { name: 'links', title: 'Bandwidth of links between regions', run: runLinkBench },
   { name: 'bytes', title: 'Bytes that are costly to receive', run: runBytesBench },
+  { name: 'long_bodies', title: 'Bodies of 1 GB to slow readers', run: runLongBodiesBench },
   capacityPart
 ]
 
