Collect received bytes in one place

Change: ByteCollector moves to packages/steering and serves both, ByteBlocks goes; the timer is passed in.

--- a/packages/bilberryctl/src/api_client.ts
+++ b/packages/bilberryctl/src/api_client.ts
@@ -72,7 +72,7 @@
   const ca = options.caFile === undefined ? {} : { ca: readFileSync(options.caFile, 'utf8') }
   const agent = new Agent({ connect: { timeout: connectTimeoutMs, ...ca } })
   const authorization = token === undefined ? {} : { authorization: `Bearer ${token}` }
-  const bodyReader = createBodyReader({ getNowMs: () => performance.now() })
+  const bodyReader = createBodyReader({ getNowMs: () => performance.now(), schedule: setTimeout })
   return {
     async send (call) {
       try {
--- a/packages/bilberryd/src/edge/response_writer.ts
+++ b/packages/bilberryd/src/edge/response_writer.ts
@@ -7,7 +7,7 @@
 import type { ResponseHead } from '@bilberryworks/targets'
 import type { ServerResponse } from 'node:http'
 import { drainRequestBody, hopByHopFields } from '@bilberryworks/callers'
-import { createByteCollector } from '@bilberryworks/targets'
+import { createByteCollector } from '@bilberryworks/steering'
 import { relayField } from './relay_message.ts'
 
 /** Writes a response to the caller. */
--- a/packages/callers/src/read_turns_test.ts
+++ b/packages/callers/src/read_turns_test.ts
@@ -6,8 +6,10 @@
 import { connect } from 'node:net'
 import { setTimeout as wait } from 'node:timers/promises'
 import test from 'ava'
+import { createNotRunRefusal, RefusalReason } from '@bilberryworks/steering'
 import { createReadTurns } from './read_turns.ts'
 import { isReadingStopped, ReadStop, startReading, stopReading } from './stop_reading.ts'
+import { writeRefusal } from './write_response.ts'
 
 const quietMs = 200
 const head = 'POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
@@ -62,6 +64,22 @@
   t.true(counted.parts < 2_048 + 11_000 + 66_100 * elapsedMs / 1_000, `${counted.parts} parts`)
 })
 
+test('a body in chunks of one byte is read in turns after its request was refused', async t => {
+  let received: Socket | undefined
+  await using server = await startServer((message, response, turns) => {
+    received = message.socket
+    turns.watchBody(message)
+    message.on('data', () => {})
+    writeRefusal(response, createNotRunRefusal(RefusalReason.BadRequest, 'Refused'))
+  })
+  server.socket.write(head + '1\r\nx\r\n'.repeat(400_000))
+  const startedMs = performance.now()
+  await wait(1_000)
+  const parts = received!.bytesRead / 6
+  t.true(parts > 11_000, `${parts} parts`)
+  t.true(parts < 2_048 + 22_000 + 66_100 * (performance.now() - startedMs) / 1_000, `${parts} parts`)
+})
+
 test('a body in chunks of one byte arrives complete', async t => {
   const { counted, handle } = createCounter()
   await using server = await startServer(handle)
--- a/packages/instances/src/http_peers.ts
+++ b/packages/instances/src/http_peers.ts
@@ -61,7 +61,7 @@
   })
   const scheme = tls === undefined ? 'http' : 'https'
   const createAuthorization = (): string => `Bearer ${getKey()}`
-  const bodyReader = createBodyReader({ getNowMs: () => performance.now() })
+  const bodyReader = createBodyReader({ getNowMs: () => performance.now(), schedule: setTimeout })
   let nextId = 1
 
   return {
--- a/packages/instances/src/peer_listener.ts
+++ b/packages/instances/src/peer_listener.ts
@@ -35,7 +35,7 @@
  * @returns A handler for `node:http`
  */
 export function createPeerHandler (options: CreatePeerHandlerOptions): RequestListener {
-  const bodyReader = createBodyReader({ getNowMs: () => performance.now() })
+  const bodyReader = createBodyReader({ getNowMs: () => performance.now(), schedule: setTimeout })
   const server = new JSONRPCServer()
   for (const [name, method] of Object.entries(options.methods)) server.addMethod(name, method)
 
--- a/packages/steering/src/body_reader.ts
+++ b/packages/steering/src/body_reader.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Readable } from 'node:stream'
-import { createByteBlocks } from './byte_blocks.ts'
+import { createByteCollector } from './byte_collector.ts'
 import { createReadPacer } from './read_pacer.ts'
 
 /** Bounds of a body. */
@@ -34,6 +34,8 @@
 export interface CreateBodyReaderOptions {
   /** Returns monotonic time, in milliseconds. */
   getNowMs: () => number
+  /** Calls a function after a time in milliseconds. */
+  schedule: (run: () => void, delayMs: number) => unknown
 }
 
 /** Thrown for a body that exceeds its bound. */
@@ -53,13 +55,12 @@
 /**
  * Creates a reader.
  *
- * Bytes are copied into blocks: a body holds at most twice its size and 1 KiB, whatever the size of the parts in which it
- * arrives. A body in many tiny parts is paused, so that others are served.
+ * Bytes are copied: a body holds at most twice its size, or 256 bytes, whatever the size of the parts in which it arrives. A body in many tiny parts is paused, so that others are served.
  *
- * @param options Source of the time
+ * @param options Clock and timer
  * @returns The reader
  */
-export function createBodyReader ({ getNowMs }: CreateBodyReaderOptions): BodyReader {
+export function createBodyReader ({ getNowMs, schedule }: CreateBodyReaderOptions): BodyReader {
   const pacer = createReadPacer({ burstUnits: burstParts, ownUnitsPerSecond: ownPartsPerSecond, sharedUnitsPerSecond: sharedPartsPerSecond })
 
   /** Passes each part to a function, which returns an error to close the stream. */
@@ -67,9 +68,7 @@
     return new Promise((resolve, reject) => {
       const account = pacer.createAccount(getNowMs())
       let parts = 0
-      let timer: NodeJS.Timeout | undefined
       function fail (error: Error): void {
-        clearTimeout(timer)
         reject(error)
         body.destroy(error)
       }
@@ -84,7 +83,7 @@
         const waitMs = pacer.charge(account, chargedParts, getNowMs())
         if (waitMs === 0) return
         body.pause()
-        timer = setTimeout(() => body.resume(), waitMs)
+        schedule(() => body.resume(), waitMs)
       }
       body.on('error', fail)
       body.on('end', resolve)
@@ -94,17 +93,17 @@
   }
 
   async function read (body: Readable, { maxBytes, maxDiscardedBytes = maxBytes }: ReadBodyOptions): Promise<Buffer> {
-    const blocks = createByteBlocks()
+    const content = createByteCollector()
     let bytes = 0
     const createError = (): Error => new BodyTooLargeError(`Body exceeds ${maxBytes} bytes`)
     await readParts(body, part => {
       bytes += part.length
-      if (bytes <= maxBytes) blocks.add(part)
-      else blocks.drop()
+      if (bytes <= maxBytes) content.append(part)
+      else content.take()
       return bytes > maxBytes && bytes > maxDiscardedBytes ? createError() : undefined
     })
     if (bytes > maxBytes) throw createError()
-    return blocks.join()
+    return content.take()
   }
 
   return {
--- a/packages/targets/src/_line_reader.ts
+++ b/packages/targets/src/_line_reader.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { createByteCollector } from './byte_collector.ts'
+import { createByteCollector } from '@bilberryworks/steering'
 import { MalformedKind, MalformedResponseError } from './malformed_response.ts'
 
 /** Internal members of `HTTPParser` that its type declaration omits. */
--- a/packages/targets/src/http_targets.ts
+++ b/packages/targets/src/http_targets.ts
@@ -51,7 +51,7 @@
     connect: { timeout: connectTimeoutMs },
     ...agentOptions
   })
-  const bodyReader = createBodyReader({ getNowMs: () => performance.now() })
+  const bodyReader = createBodyReader({ getNowMs: () => performance.now(), schedule: setTimeout })
 
   async function readJson<T> (target: TargetRecord, call: { method: 'GET' | 'DELETE', path: string }): Promise<T | undefined> {
     try {
--- a/packages/targets/src/mod.ts
+++ b/packages/targets/src/mod.ts
@@ -9,7 +9,6 @@
  *
  * @module
  */
-export * from './byte_collector.ts'
 export * from './check_listening.ts'
 export * from './response_pacer.ts'
 export * from './response_parser.ts'
