Keep a connection whose turn it is not from being closed as idle

Cause: a connection counts as idle if nothing was read from it since its last response.

Change: a connection that is not read because it is the turn of others does not count as idle.

--- a/packages/callers/src/graceful_close.ts
+++ b/packages/callers/src/graceful_close.ts
@@ -7,6 +7,7 @@
 import type { Socket } from 'node:net'
 import { Server as TlsServer } from 'node:https'
 import { runAfterReads } from './run_after_reads.ts'
+import { isReadingStopped, ReadStop } from './stop_reading.ts'
 import { observeRequests } from './watch_response.ts'
 
 /** Time for which a connection is read on after its last response, in milliseconds. */
@@ -138,7 +139,8 @@
 }
 
 function isIdle (socket: Socket, { openCount, lastMessage, bytesWhenIdle }: ConnectionUse): boolean {
-  return openCount === 0 && lastMessage?.complete !== false && socket.bytesRead === bytesWhenIdle
+  // A request may have arrived on a connection that is not being read.
+  return openCount === 0 && lastMessage?.complete !== false && socket.bytesRead === bytesWhenIdle && !isReadingStopped(socket, ReadStop.Turn)
 }
 
 /**
--- a/packages/callers/src/graceful_close_test.ts
+++ b/packages/callers/src/graceful_close_test.ts
@@ -6,6 +6,7 @@
 import { connect } from 'node:net'
 import { setTimeout as wait } from 'node:timers/promises'
 import { applyGracefulClose, closeLongestIdle } from './graceful_close.ts'
+import { ReadStop, startReading, stopReading } from './stop_reading.ts'
 
 const longBytes = 20_000_000
 const uploadBytes = 4_000_000
@@ -113,3 +114,22 @@
   t.deepEqual(closed, [2, 3])
   await closeServer(server)
 })
+
+test('a request that arrives on a connection while it is the turn of others is not lost with an idle connection', async t => {
+  let received: Socket | undefined
+  const { server, connectCaller } = await startServer((message, response) => {
+    received = message.socket
+    response.end('ok')
+  })
+  const caller = connectCaller()
+  caller.write('GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+  await once(caller, 'data')
+  stopReading(received!, ReadStop.Turn)
+  caller.write('GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n')
+  await wait(20)
+  t.is(closeLongestIdle(server, { count: 1, minUnusedMs: 0 }), 0)
+  server.closeIdleConnections()
+  startReading(received!, ReadStop.Turn)
+  t.regex((await readAll(caller)).toString('latin1'), /^HTTP\/1\.1 200 /)
+  await closeServer(server)
+})
