Keep no field of a heartbeat that is not known

Change: parseHeartbeat and parseUpdate copy the known fields, also of reports and addresses, and check the types of all that are required.

--- a/packages/bilberryd/src/edge/peer_view.ts
+++ b/packages/bilberryd/src/edge/peer_view.ts
@@ -267,8 +267,22 @@
   if (text.length > maxHeartbeatLength) return undefined
   const value = parseJson(text) as PeerHeartbeat | undefined
   if (!isPeerHeartbeat(value)) return undefined
-  const { targetReports, crashReports, unreached, reached, ...heartbeat } = value
-  return { ...heartbeat, ...selectOptional({ targetReports, crashReports, unreached, reached }) }
+  const { instance, startedAtMs, sequence, isReady, versions, demand, failureDomain, region, callers, heartbeats, peers, asksForHeartbeat, targetReports, crashReports, unreached, reached } = value as PeerHeartbeat & { asksForHeartbeat?: boolean }
+  return {
+    instance,
+    startedAtMs,
+    sequence,
+    isReady,
+    versions,
+    demand,
+    failureDomain,
+    region,
+    callers,
+    heartbeats: { host: heartbeats.host, port: heartbeats.port },
+    peers: { host: peers.host, port: peers.port },
+    ...asksForHeartbeat === true ? { asksForHeartbeat } : {},
+    ...selectOptional({ targetReports, crashReports, unreached, reached })
+  }
 }
 
 /**
@@ -283,7 +297,7 @@
 
 /** Returns whether a value that was received has the required fields of a heartbeat, with ports that can be used. */
 function isPeerHeartbeat (value: PeerHeartbeat | undefined): value is PeerHeartbeat {
-  return isName(value?.instance) && [value.failureDomain, value.region, value.callers].every(isName) && [value.heartbeats, value.peers].every(isSocketAddress) && isNumberRecord(value.versions) && isNumberRecord(value.demand)
+  return isName(value?.instance) && [value.startedAtMs, value.sequence].every(each => typeof each === 'number') && typeof value.isReady === 'boolean' && [value.failureDomain, value.region, value.callers].every(isName) && [value.heartbeats, value.peers].every(isSocketAddress) && isNumberRecord(value.versions) && isNumberRecord(value.demand)
 }
 
 function isName (value: unknown): value is string {
@@ -297,13 +311,27 @@
 /** Returns those of the optional parts of a heartbeat that are valid. */
 function selectOptional ({ targetReports, crashReports, unreached, reached }: Record<OptionalPart, unknown>): Pick<HeartbeatUpdate, OptionalPart> {
   return {
-    ...isTargetReports(targetReports) ? { targetReports } : {},
-    ...Array.isArray(crashReports) && crashReports.every(isCrashReport) ? { crashReports } : {},
+    ...isTargetReports(targetReports) ? { targetReports: copyTargetReports(targetReports) } : {},
+    ...Array.isArray(crashReports) && crashReports.every(isCrashReport) ? { crashReports: crashReports.map(({ fingerprint, runs, cleared, ageMs }) => ({ fingerprint, runs, cleared, ageMs })) } : {},
     ...isTextList(unreached) ? { unreached } : {},
     ...isTextList(reached) ? { reached } : {}
   }
 }
 
+/** Copies reports without fields that are not known, which would be retained. */
+function copyTargetReports ({ leaving, rates, ended, claims }: RecentTargetReports): RecentTargetReports {
+  return {
+    leaving,
+    rates: mapRecord(rates, ({ startedAtMs, perSecond, ageMs }) => ({ startedAtMs, perSecond, ageMs })),
+    ...ended === undefined ? {} : { ended: mapRecord(ended, ({ startedAtMs, ageMs }) => ({ startedAtMs, ageMs })) },
+    claims
+  }
+}
+
+function mapRecord<T> (record: Record<string, T>, copy: (value: T) => T): Record<string, T> {
+  return Object.fromEntries(Object.entries(record).map(([name, value]) => [name, copy(value)]))
+}
+
 function isTextList (value: unknown): value is string[] {
   return Array.isArray(value) && value.every(isName)
 }
--- a/packages/bilberryd/src/edge/peer_view_test.ts
+++ b/packages/bilberryd/src/edge/peer_view_test.ts
@@ -184,3 +184,10 @@
   t.is(parseHeartbeat(JSON.stringify({ ...createHeartbeat('p'), other: 'x'.repeat(65_507) })), undefined)
   t.is(parseHeartbeat(JSON.stringify(createHeartbeat('p', { unreached: [longName] })))?.unreached, undefined)
 })
+
+test('retains no field of a heartbeat that is not known', t => {
+  const heartbeat = createHeartbeat('p', { targetReports: { leaving: {}, rates: { u: { startedAtMs: 8, perSecond: 1.2, ageMs: 30 } }, ended: { v: { startedAtMs: 1, ageMs: 2 } }, claims: [] }, crashReports: [{ fingerprint: 'f', runs: ['1'], cleared: [], ageMs: 1 }] })
+  const parse = (value: unknown): unknown => parseHeartbeat(JSON.stringify(value, (_, each) => typeof each === 'object' && each !== null && 'ageMs' in each ? { ...each, other: [1] } : each))
+  t.deepEqual(parse({ ...heartbeat, other: [1], peers: { ...heartbeat.peers, other: [1] }, targetReports: { ...heartbeat.targetReports, other: [1] } }), heartbeat)
+  t.is(parse({ ...heartbeat, sequence: [1] }), undefined)
+})
