--- a/packages/bilberryd/src/edge/host_gauges.ts
+++ b/packages/bilberryd/src/edge/host_gauges.ts
@@ -36,7 +36,7 @@
     [EntryGauge.MaxTargetConnections]: () => getHost().descriptors.getMaxTargets(),
     [EntryGauge.HeapUsed]: measureOldHeap,
     [EntryGauge.MaxHeap]: () => getHost().memory.shares.oldHeapBytes,
-    [EntryGauge.ResidentBytes]: () => measureMemory().residentBytes,
+    [EntryGauge.ResidentBytes]: () => measureMemory().residentBytes ?? 0,
     [EntryGauge.MaxResidentBytes]: () => getHost().memory.getLimitBytes(),
     [EntryGauge.BufferBytes]: () => measureMemory().bufferBytes,
     [EntryGauge.BodyBytes]: () => getHost().memory.bodies.getUsedBytes(),
--- a/packages/bilberryd/src/edge/memory_limits.ts
+++ b/packages/bilberryd/src/edge/memory_limits.ts
@@ -27,8 +27,8 @@
 
 /** What a process holds, in bytes. */
 export interface MemoryUse {
-  /** Resident memory. */
-  residentBytes: number
+  /** Resident memory; `undefined` if it can't be read. */
+  residentBytes: number | undefined
   /** Objects in the old generation of the heap, garbage included. */
   oldHeapBytes: number
   /** Buffers outside the heap. */
@@ -69,7 +69,7 @@
     sample () {
       const use = measureMemory()
       pressure = updateHeapPressure(pressure, use.oldHeapBytes, shares)
-      const isShort = pressure.isShort || use.residentBytes >= (limits?.memoryBytes ?? Infinity) * highResidentShare
+      const isShort = pressure.isShort || (use.residentBytes ?? 0) >= (limits?.memoryBytes ?? Infinity) * highResidentShare
       if (isShort === wasShort) return
       wasShort = isShort
       onShortage?.(isShort, use)
@@ -89,12 +89,21 @@
   return getHeapSpaceStatistics().reduce((sum, space) => youngSpaces.has(space.space_name) ? sum : sum + space.space_used_size, 0)
 }
 
+/** Measures the resident memory, in bytes; `undefined` if the process has no descriptor left to read it. */
+function measureResident (): number | undefined {
+  try {
+    return process.memoryUsage.rss()
+  } catch {
+    return undefined
+  }
+}
+
 /**
  * Measures what this process holds.
  *
  * @returns The sizes
  */
 export function measureMemory (): MemoryUse {
-  const { rss, arrayBuffers } = process.memoryUsage()
-  return { residentBytes: rss, oldHeapBytes: measureOldHeap(), bufferBytes: arrayBuffers }
+  const bufferBytes = getHeapStatistics().external_memory
+  return { residentBytes: measureResident(), oldHeapBytes: measureOldHeap(), bufferBytes }
 }
