--- a/packages/bilberryd/src/edge/peer_state.ts
+++ b/packages/bilberryd/src/edge/peer_state.ts
@@ -8,6 +8,7 @@
 import type { EntryState } from './entry_state.ts'
 import type { PeerHeartbeat } from './peer_view.ts'
 import type { TableUpdate } from './table_replica.ts'
+import { parseBoundedJson } from '@bilberryworks/steering'
 import { exchangeHttp } from '@bilberryworks/users-platform'
 import { ReplicatedTable } from './replicated_table.ts'
 
@@ -45,6 +46,8 @@
 const callTimeoutMs = 2_500
 /** Maximum size of a response, in bytes: all rows of both tables at their largest size. */
 const maxResponseBytes = 8_388_608
+/** Maximum number of values in a response: those of the rows of both tables, and of the lists of all instances. */
+const maxResponseValues = 524_288
 /** Size from which a response counts as large, in bytes: far above a few changed rows. */
 const largeResponseBytes = 16_384
 /** Maximum number of large responses that are sent at the same time; more callers than that find the tables sooner at another peer. */
@@ -64,7 +67,7 @@
   if (withInstances) query.set(instancesParameter, '1')
   const { status, body } = await exchangeHttp({ address, method: 'GET', path: `${statePath}?${query}`, timeoutMs: callTimeoutMs, maxResponseBytes })
   if (status !== 200) throw new Error(`GET ${statePath} returned status ${status}`)
-  return JSON.parse(body.toString('utf8')) as PeerState
+  return parseBoundedJson(body, maxResponseValues) as PeerState
 }
 
 /**
