Limit the number of header fields, and read look-ups, readiness checks and calls of instances in turns

Cause: a field takes memory however short it is, and only bytes were limited; the turns covered the listener for callers alone.

Change: 512 header fields, in requests (431) and in responses (malformed); connections of look-ups, readiness checks, metrics and calls for rows are charged for each request, and bodies of such calls are not parsed. A test of response_parser_test names the new, lower limit of many short fields.

--- a/packages/bilberryd/src/edge/caller_listener.ts
+++ b/packages/bilberryd/src/edge/caller_listener.ts
@@ -26,6 +26,9 @@
 /** Bytes beyond the limit of the routing configuration that are received, so that a long request target, which that limit does not cover, is not refused. */
 const maxTargetBytes = 8_192
 
+/** Number of header fields from which a request is refused: fields take memory however short they are, and `node:http` drops those beyond its limit without a word. */
+export const maxHeaderFields = 512
+
 /** Options of the servers that receive requests of callers, directly or through other instances. */
 export const requestServerOptions: ServerOptions = { maxHeaderSize: maxHeaderBytes, requestTimeout: 0, connectionsCheckingInterval: connectionCheckIntervalMs, keepAlive: true, noDelay: true, requireHostHeader: false }
 
@@ -37,7 +40,7 @@
  */
 export function createCallerListener ({ requestHandler: { handleRequest, refuseRequest }, metrics }: CreateCallerListenerOptions): Server {
   const server = createServer(requestServerOptions)
-  server.maxHeadersCount = 0
+  server.maxHeadersCount = maxHeaderFields
   server.on('request', (message: IncomingMessage, response: ServerResponse) => handleRequest(message, response))
   server.on('checkContinue', (message: IncomingMessage, response: ServerResponse) => {
     response.writeContinue()
--- a/packages/bilberryd/src/edge/look_up_listener.ts
+++ b/packages/bilberryd/src/edge/look_up_listener.ts
@@ -5,6 +5,7 @@
  */
 import type { EntrySettings } from '@bilberryworks/steering'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { ReadTurns } from '@bilberryworks/callers'
 import type { LookUp } from '@bilberryworks/users-platform'
 import type { CallbackGuard } from './callback_guard.ts'
 import type { PeerHeartbeat, PeerView } from './peer_view.ts'
@@ -18,6 +19,8 @@
 export interface CreateLookUpListenerOptions {
   /** Runs callbacks. */
   guard: CallbackGuard
+  /** Turns in which connections are read. */
+  turns: ReadTurns
   /** Settings of the instance. */
   settings: EntrySettings
   /** View of the other instances. */
@@ -55,7 +58,7 @@
   }
 
   const server = createServer((message, response) => options.guard.run(GuardedCallback.Call, () => handleLookUp(message, response), () => response.destroy()))
-  applyBodilessRequests(server)
+  applyBodilessRequests(server, options.turns)
   return server
 }
 
@@ -87,13 +90,14 @@
  * Creates the listener for readiness checks.
  *
  * @param isReady Returns whether the instance accepts requests
+ * @param turns Turns in which connections are read
  * @returns The server, which is not listening yet
  */
-export function createReadinessListener (isReady: () => boolean): Server {
+export function createReadinessListener (isReady: () => boolean, turns: ReadTurns): Server {
   const server = createServer((message, response) => {
     const isReadinessPath = message.url!.split('?', 1)[0] === readinessPath
     response.writeHead(isReadinessPath ? isReady() ? 200 : 503 : 404, { 'Content-Length': 0 }).end()
   })
-  applyBodilessRequests(server)
+  applyBodilessRequests(server, turns)
   return server
 }
--- a/packages/bilberryd/src/edge/peer_link.ts
+++ b/packages/bilberryd/src/edge/peer_link.ts
@@ -6,6 +6,7 @@
 import type { Socket } from 'node:dgram'
 import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http'
 import type { CrashReport, RecentTargetReports, SocketAddress } from '@bilberryworks/steering'
+import type { ReadTurns } from '@bilberryworks/callers'
 import type { ListenerContext } from '../listen_on.ts'
 import type { CallbackGuard } from './callback_guard.ts'
 import type { EntryLog } from './entry_log.ts'
@@ -15,11 +16,11 @@
 import type { KnownPeer, PeerHeartbeat, HeartbeatUpdate, PeerView } from './peer_view.ts'
 import { createSocket } from 'node:dgram'
 import { createServer } from 'node:http'
-import { applyGracefulClose, countOpenResponses } from '@bilberryworks/callers'
+import { applyGracefulClose, countOpenResponses, dropBody } from '@bilberryworks/callers'
 import { createCatchUp } from '@bilberryworks/steering'
 import { listenOn, openSocket } from '../listen_on.ts'
 import { GuardedCallback } from './callback_guard.ts'
-import { requestServerOptions } from './caller_listener.ts'
+import { maxHeaderFields, requestServerOptions } from './caller_listener.ts'
 import { EntryListener } from './entry_listener.ts'
 import { createKeptRowsFetch } from './kept_rows.ts'
 import { ReplicatedTable } from './replicated_table.ts'
@@ -34,6 +35,8 @@
   guard: CallbackGuard
   /** Returns the current heartbeat of this instance. */
   getHeartbeat: () => PeerHeartbeat
+  /** Turns in which connections with calls for rows are read. */
+  turns: ReadTurns
   /** View of the peers. */
   view: PeerView
   /** Replicated tables. */
@@ -207,8 +210,8 @@
     listInstances: () => [options.getHeartbeat(), ...view.listLive(getNowMs()).map(peer => peer.heartbeat)],
     countBytes: bytes => options.countBytes(PeerTraffic.State, bytes)
   })
-  const server = createServer(requestServerOptions, createPeerHandler({ guard, handleRelayed: options.handleRelayed, handleStateCall, log }))
-  server.maxHeadersCount = 0
+  const server = createServer(requestServerOptions, createPeerHandler({ guard, turns: options.turns, handleRelayed: options.handleRelayed, handleStateCall, log }))
+  server.maxHeadersCount = maxHeaderFields
   const countOpenPeers = countOpenResponses(server)
   const countLingering = applyGracefulClose(server)
   const timer = setInterval(() => guard.run(GuardedCallback.Task, sendUpdates), options.intervalMs)
@@ -249,12 +252,13 @@
 }
 
 /** Creates the handler of the requests of peers: relayed ones, and calls for rows. */
-function createPeerHandler ({ guard, handleRelayed, handleStateCall, log }: Pick<StartPeerLinkOptions, 'guard' | 'handleRelayed' | 'log'> & { handleStateCall: RequestListener }): RequestListener {
+function createPeerHandler ({ guard, turns, handleRelayed, handleStateCall, log }: Pick<StartPeerLinkOptions, 'guard' | 'turns' | 'handleRelayed' | 'log'> & { handleStateCall: RequestListener }): RequestListener {
   function handleCall (message: IncomingMessage, response: ServerResponse): void {
     const relay = message.headers[relayField]
     const origin = parseRelayOrigin(typeof relay === 'string' ? relay : undefined, String(message.headers[relayVersionField] ?? ''))
-    if (origin !== undefined) handleRelayed(message, response, origin)
-    else if (relay === undefined) handleStateCall(message, response)
+    if (origin !== undefined) return handleRelayed(message, response, origin)
+    dropBody(message, response, turns)
+    if (relay === undefined) handleStateCall(message, response)
     else {
       log.warn('relayed_request_invalid', { from: message.socket.remoteAddress, field: String(relay) })
       response.writeHead(400, { 'Content-Length': 0 }).end()
--- a/packages/bilberryd/src/edge/request_handler.ts
+++ b/packages/bilberryd/src/edge/request_handler.ts
@@ -25,6 +25,7 @@
 import { createOpenAttempts } from './open_attempts.ts'
 import { createStoppingRefusal } from './stopping.ts'
 import { createBufferAllowance } from './buffer_allowance.ts'
+import { maxHeaderFields } from './caller_listener.ts'
 import { collectBody } from './collect_body.ts'
 import { mapRelayedRefusal, writeRelayFields } from './relay_message.ts'
 
@@ -108,7 +109,7 @@
     const config = state.getConfig()
     if (config === undefined) return createNotRunRefusal(RefusalReason.NoDocument, 'Instance has not received a routing configuration yet', noConfigRetryAfterMs)
     const { limits } = config
-    if (countHeaderBytes(message) > limits.maxHeaderBytes) return createNotRunRefusal(RefusalReason.HeadersTooLarge, `Header section exceeds the limit of ${limits.maxHeaderBytes} bytes`)
+    if (countHeaderBytes(message) > limits.maxHeaderBytes || message.rawHeaders.length >= 2 * maxHeaderFields) return createNotRunRefusal(RefusalReason.HeadersTooLarge, `Header section exceeds the limit of ${limits.maxHeaderBytes} bytes or ${maxHeaderFields - 1} fields`)
     const route = state.findRoute(readHost(message), message.url!.split('?', 1)[0]!)
     if (route === undefined) return createNotRunRefusal(RefusalReason.UnknownService, `No route matches the host and path of "${message.url!}"`)
     const fields = readFields(message)
--- a/packages/bilberryd/src/edge/run_entry.ts
+++ b/packages/bilberryd/src/edge/run_entry.ts
@@ -6,6 +6,7 @@
  */
 import type { EntrySettings } from '@bilberryworks/steering'
 import type { Server } from 'node:http'
+import type { ReadTurns } from '@bilberryworks/callers'
 import type { StoreClient } from '@bilberryworks/users-platform'
 import type { ListenerContext } from '../listen_on.ts'
 import type { StopRequest } from '../process_signals.ts'
@@ -17,7 +18,7 @@
 import type { HostBudgets } from './host_gauges.ts'
 import type { EntryState } from './entry_state.ts'
 import { createServer } from 'node:http'
-import { applyBodilessRequests, applyGracefulClose, countOpenResponses, runAfterReads } from '@bilberryworks/callers'
+import { applyBodilessRequests, applyGracefulClose, countOpenResponses, createReadTurns, runAfterReads } from '@bilberryworks/callers'
 import { createCleanupStack, createLifeCycle, createPollSchedule } from '@bilberryworks/steering'
 import { checkListening, createResponsePacer, createTargetPool } from '@bilberryworks/targets'
 import { createStoreClient, operatorTable, targetTable } from '@bilberryworks/users-platform'
@@ -93,7 +94,7 @@
     getRandom
   })
   const descriptors = createDescriptorBudget({ limits: settings.limits, maxCallers: memory.shares.maxConnections, countTargets: () => components.pool.count(), getRandom })
-  const pacer = createResponsePacer()
+  const [pacer, turns] = [createResponsePacer(), createReadTurns({ getNowMs })]
   const components = cleanup.add(createEntryComponents({
     guard,
     settings,
@@ -123,20 +124,20 @@
   const hasAccepted = (): boolean => callers.listening || countOpen() > 0
   const describeLoad = (): Record<string, number> => ({ open: countOpen(), inFlight: dispatcher.countInFlight(), waiting: dispatcher.countWaiting() })
   const hasHomeRegions = (): boolean => state.getConfig()?.routes.some(route => route.homeRegions.length > 0) ?? false
-  const lookUps = createLookUpListener({ guard, settings, view, getHeartbeat, getNowMs, hasHomeRegions })
-  const readiness = createReadinessListener(isReady)
+  const lookUps = createLookUpListener({ guard, turns, settings, view, getHeartbeat, getNowMs, hasHomeRegions })
+  const readiness = createReadinessListener(isReady, turns)
   for (const server of [lookUps, readiness]) descriptors.guardReserved(server)
   const waits = new AbortController()
   options.stopRequested?.then(() => waits.abort(), () => {})
   const listeners: ListenerContext = { log, countError: metrics.countListenerError, signal: waits.signal, getNowMs, getRandom }
   for (const server of [callers, lookUps, readiness]) cleanup.add(createServerDisposer(server))
-  const metricsServer = createMetricsListener(metrics)
+  const metricsServer = createMetricsListener(metrics, turns)
   cleanup.add(createServerDisposer(metricsServer))
 
   const { bounds } = settings
   const targetPauseMs = Math.round(bounds.drainMs * targetPauseShare)
   const heartbeatTimes = { intervalMs: heartbeatIntervalMs, remoteIntervals: remoteHeartbeatIntervals, storeDelayMs: targetPauseMs * catchUpPauses }
-  const link = cleanup.add(startPeerLink({ guard, ...heartbeatTimes, getHeartbeat, getIntroduction: () => ({ ...getHeartbeat(), crashReports: crashGuard.listWorst() }), view, state, seeds: settings.seeds, countBytes: metrics.countPeerBytes, handleTargetReports: targetReports.handlePeerReports, handleCrashReports: crashGuard.mergeReports, handleRelayed: requestHandler.handleRequest, listeners, log, getNowMs, getRandom }))
+  const link = cleanup.add(startPeerLink({ guard, turns, ...heartbeatTimes, getHeartbeat, getIntroduction: () => ({ ...getHeartbeat(), crashReports: crashGuard.listWorst() }), view, state, seeds: settings.seeds, countBytes: metrics.countPeerBytes, handleTargetReports: targetReports.handlePeerReports, handleCrashReports: crashGuard.mergeReports, handleRelayed: requestHandler.handleRequest, listeners, log, getNowMs, getRandom }))
   const store = cleanup.add(createStoreClient(settings.store))
   for (const replication of startReplications({ guard, store, state, bounds, targetPauseMs, log, getNowMs, getRandom })) cleanup.add(replication)
   const discovery = createPeerDiscovery({ store, view, log })
@@ -262,11 +263,11 @@
   }))
 }
 
-function createMetricsListener (metrics: EntryMetrics): Server {
+function createMetricsListener (metrics: EntryMetrics, turns: ReadTurns): Server {
   const server = createServer((_, response) => {
     metrics.registry.metrics().then(text => response.writeHead(200, { 'Content-Type': metrics.registry.contentType }).end(text)).catch((error: Error) => response.writeHead(500).end(error.message))
   })
-  applyBodilessRequests(server)
+  applyBodilessRequests(server, turns)
   return server
 }
 
--- a/packages/callers/src/bodiless_requests_test.ts
+++ b/packages/callers/src/bodiless_requests_test.ts
@@ -5,11 +5,12 @@
 import { setTimeout as wait } from 'node:timers/promises'
 import test from 'ava'
 import { applyBodilessRequests } from './bodiless_requests.ts'
+import { createReadTurns } from './read_turns.ts'
 
 async function openServer () {
   let parseErrors = 0
   const server = createServer((_, response) => response.writeHead(200, { 'Content-Length': 2 }).end('ok'))
-  applyBodilessRequests(server)
+  applyBodilessRequests(server, createReadTurns({ getNowMs: () => performance.now() }))
   server.on('clientError', () => { parseErrors++ })
   server.listen(0, '127.0.0.1')
   await once(server, 'listening')
--- a/packages/targets/src/_line_reader.ts
+++ b/packages/targets/src/_line_reader.ts
@@ -33,6 +33,8 @@
 
 /** Maximum size of a line, and of a header or trailer section, in bytes: well above the header limits of common servers. */
 const maxElementBytes = 131_072
+/** Maximum number of lines of a header section; fields take memory however short they are. */
+const maxHeaderLines = 512
 /** Maximum size of the line break at the end of a chunk, in bytes. */
 const maxChunkEndBytes = 2
 const lineFeed = 0x0a
@@ -61,7 +63,7 @@
  */
 export function createLineReader (parser: ParserState): LineReader {
   const partial = createByteCollector()
-  let [elementBytes, lines] = [0, 0]
+  let [elementBytes, elementLines, lines] = [0, 0, 0]
   parser.consumeLine = () => {
     const { chunk, offset, state } = parser
     if (elementBytes === 0 && chunk[offset] === carriageReturn && chunk[offset + 1] === lineFeed) {
@@ -81,7 +83,8 @@
     lines++
     const line = partial.count() > 0 ? takeLine(chunk.subarray(offset, lineEnd)) : chunk.toString('latin1', offset, chunk[lineEnd - 1] === carriageReturn && lineEnd > offset ? lineEnd - 1 : lineEnd)
     // The lines of a section are limited together; it ends with an empty line.
-    if (line === '' || (state !== 'HEADER' && state !== 'BODY_CHUNKTRAILERS')) elementBytes = 0
+    if (line === '' || (state !== 'HEADER' && state !== 'BODY_CHUNKTRAILERS')) elementBytes = elementLines = 0
+    else if (state === 'HEADER' && ++elementLines > maxHeaderLines) throw new MalformedResponseError(MalformedKind.HeaderSection, `Target sent more than ${maxHeaderLines} header fields`)
     return line
   }
 
--- a/packages/targets/src/response_parser_test.ts
+++ b/packages/targets/src/response_parser_test.ts
@@ -21,7 +21,7 @@
 const endless: Array<[title: string, start: string, piece: string, message: RegExp]> = [
   ['a status line', '', 'x'.repeat(pieceBytes), /bytes of a status line/],
   ['a header field', 'HTTP/1.1 200 OK\r\na: ', 'x'.repeat(pieceBytes), /bytes of a header section/],
-  ['header fields', 'HTTP/1.1 200 OK\r\n', 'a: b\r\n'.repeat(10_000), /bytes of a header section/],
+  ['header fields', 'HTTP/1.1 200 OK\r\n', 'a: b\r\n'.repeat(10_000), /more than 512 header fields/],
   ['a chunk size', chunkedHead + longChunk, '0'.repeat(pieceBytes), /bytes of a chunk size with its extension/],
   ['a chunk extension', `${chunkedHead}${longChunk}5;`, 'x'.repeat(pieceBytes), /bytes of a chunk size with its extension/],
   ['bytes in place of the end of a chunk', `${chunkedHead}${longChunk}1\r\nx`, 'x'.repeat(pieceBytes), /bytes in place of the end of a chunk/],
