--- a/packages/standins/src/main_bench.ts
+++ b/packages/standins/src/main_bench.ts
@@ -10,6 +10,7 @@
 import { command, number, option, optional, positional, restPositionals, run, string } from 'cmd-ts'
 import { renderBenchIndex, writeBenchPage } from './bench_part.ts'
 import { capacityPart } from './bench_capacity.ts'
+import { runBytesBench } from './bench_bytes.ts'
 import { runDistributionBench } from './bench_distribution.ts'
 import { runFleetBench } from './bench_fleet.ts'
 import { runOwnerBench, runTargetBench } from './bench_owner_choice.ts'
@@ -38,6 +39,7 @@
   { name: 'cost', title: 'Cost of a decision', run: runCostBench },
   { name: 'path', title: 'Path of a request', run: runPathBench },
   { name: 'links', title: 'Bandwidth of links between regions', run: runLinkBench },
+  { name: 'bytes', title: 'Bytes that are costly to receive', run: runBytesBench },
   capacityPart
 ]
 
