--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -292,6 +292,19 @@
     runs: [],
     isUp: false,
     register,
+    /** Returns the entry as it would write it now, with the next number of its check-ins. */
+    describe (overrides = {}) {
+      server.seq++
+      return { service, address: `127.0.0.1:${port}`, zone, version: 'v1', slots, state: 'ready', cold_left: '0ms', seq: server.seq, born: server.born, ...overrides }
+    },
+    /** Checks in: the entry changes when more than its `seq` does. */
+    checkIn (overrides = {}) {
+      const value = server.describe(overrides)
+      const known = site.store.getValue('servers', server.id)
+      if (known !== undefined && JSON.stringify({ ...known, seq: 0 }) === JSON.stringify({ ...value, seq: 0 })) return
+      site.store.writeRow('servers', server.id, value)
+      site.record(`${server.id} checks in: ${value.state}, seq ${value.seq}`)
+    },
     async start (overrides = {}) {
       boots++
       server.id = `i-${service}-${index}-${boots}`
@@ -344,14 +357,14 @@
       if (isSettled) return
       isSettled = true
       clearTimeout(timer)
-      const result = { id, sentMs, endedMs: site.getNowMs(), ...end }
+      const result = { id, machine: machine.name, sentMs, endedMs: site.getNowMs(), ...end }
       if (!isQuiet) site.record(`${id} at ${machine.name}: ${method} ${path}, sent at ${(sentMs / 1000).toFixed(3)} s, ${result.status ?? result.error}${result.reason === undefined ? '' : ` (${result.reason})`}`)
       resolve(result)
     }
     const call = request({ ...machine.address, method, path, agent, localAddress, headers: { Host: siteHost, 'X-Request-Id': id, 'X-Timeout-Ms': timeLeftMs, ...key === undefined ? {} : { Cookie: `X-Affinity-Key=${key}` }, ...headers } }, response => {
       const parts = []
       response.on('data', part => parts.push(part))
-      response.on('end', () => settle({ status: response.statusCode, body: Buffer.concat(parts).toString(), signature: response.headers['x-server-signature'], reason: response.headers['bilberry-reason'], isComplete: response.complete }))
+      response.on('end', () => settle({ status: response.statusCode, headers: response.headers, body: Buffer.concat(parts).toString(), signature: response.headers['x-server-signature'], reason: response.headers['bilberry-reason'], isComplete: response.complete }))
       response.on('error', error => settle({ error: `broken off after status ${response.statusCode}: ${error.message}` }))
     })
     const timer = setTimeout(() => {
