--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -305,9 +305,9 @@
       site.store.writeRow('servers', server.id, value)
       site.record(`${server.id} checks in: ${value.state}, seq ${value.seq}`)
     },
-    async start (overrides = {}) {
+    async start (overrides = {}, { id } = {}) {
       boots++
-      server.id = `i-${service}-${index}-${boots}`
+      server.id = id ?? `i-${service}-${index}-${boots}`
       server.born = Date.now()
       server.seq = 0
       http = createServer(handleRequest)
@@ -331,7 +331,8 @@
       http.close()
       for (const socket of sockets) socket.resetAndDestroy()
       site.record(`${id} crashes`)
-      setTimeout(() => site.store.removeRow('servers', id), lapseMs).unref()
+      const { born } = server
+      setTimeout(() => { if (site.store.getValue('servers', id)?.born === born) site.store.removeRow('servers', id) }, lapseMs).unref()
     },
     async stop () {
       boots++
