Let the leaving servers of review case 7 exit as they have announced

Cause: the case did not show what the late check-in costs callers, since the leaving servers went on for nine seconds. Change: they exit 1.9 seconds after the drain time.

--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -12,8 +12,8 @@
 const lateMs = 4_100
 /** Time from that call until the server reports that it is leaving. */
 const leaveAfterMs = 700
-/** Time for which the server goes on serving once it has reported that. */
-const serveOnMs = 9_000
+/** Time for which the server goes on serving once it has reported that: `drain` and a little longer. */
+const serveOnMs = drainMs + 1_900
 const callers = 80
 const pauseMs = 150
 const playMs = 20_000
@@ -74,6 +74,6 @@
   }
   return {
     isBroken: late.length > 0,
-    summary: `${late.length} requests that clients sent later than ${drainMs} ms after their machine had passed on an answer with Server-Leaving reached that server; ${results.filter(({ status }) => status === 200).length} of ${results.length} requests served`
+    summary: `${late.length} orders that clients sent later than ${drainMs} ms after their machine had passed on an answer with Server-Leaving reached that server; ${late.filter(id => sent.get(id).status !== 200).length} of these were lost with it; ${results.filter(({ status }) => status === 200).length} of ${results.length} orders served`
   }
 })
