Pass the file of the record to the cases of the second review

Cause: the name of the record stood in the shared module alone, so that no case showed what it writes.

--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -10,7 +10,7 @@
 import { Agent, createServer, request } from 'node:http'
 import { createServer as createTcpServer } from 'node:net'
 import { tmpdir } from 'node:os'
-import { dirname, join } from 'node:path'
+import { join } from 'node:path'
 import { setTimeout as wait } from 'node:timers/promises'
 import { fileURLToPath } from 'node:url'
 import { createSiteStore } from '../../packages/standins/dist/site_store.js'
@@ -29,8 +29,8 @@
 /** Exit statuses of a script. */
 export const exitStatus = { held: 0, broken: 1, failed: 2 }
 
-/** Runs a case: writes its record, and exits with 1 if `check` finds the rule broken, with 0 if not, and with 2 if the case could not run. */
-export async function runCase (folder, play) {
+/** Runs a case: writes its record to a file, and exits with 1 if `check` finds the rule broken, with 0 if not, and with 2 if the case could not run. */
+export async function runCase (recordFile, play) {
   const site = createSite()
   let status = exitStatus.failed
   try {
@@ -42,14 +42,11 @@
   } finally {
     await site.close()
   }
-  writeFileSync(join(folder, 'record.txt'), site.lines.join('\n') + '\n')
+  writeFileSync(recordFile, site.lines.join('\n') + '\n')
   console.log(site.lines.at(-1))
   process.exit(status)
 }
 
-/** Returns the folder of a case from the URL of its module. */
-export const getFolder = url => dirname(fileURLToPath(url))
-
 /** Creates a site without servers and machines. */
 export function createSite () {
   const startedAtMs = performance.now()
