--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -1,11 +1,11 @@
 /** The case of `claim.txt`. */
 import { setTimeout as wait } from 'node:timers/promises'
-import { bounds, createConfig, getFolder, runCase, send } from '../lib-2/site.mjs'
+import { bounds, createConfig, runCase, send } from '../lib-2/site.mjs'
 
 const zones = ['a-1', 'b-1', 'c-1']
-const serversPerZone = 4
-/** Servers that leave: two of twelve, in different zones. */
-const leaverIndexes = [0, 4]
+const serversPerZone = 5
+/** Servers that leave: two of fifteen, in different zones. */
+const leaverIndexes = [0, 5]
 const heartbeatMs = 1_500
 const drainMs = Number.parseInt(bounds.drain, 10)
 /** Time after which the store performs the call that it has not answered. */
@@ -14,11 +14,11 @@
 const leaveAfterMs = 700
 /** Time for which the server goes on serving once it has reported that: `drain` and a little longer. */
 const serveOnMs = drainMs + 1_900
-const callers = 80
+const callers = 100
 const pauseMs = 150
 const playMs = 20_000
 
-await runCase(getFolder(import.meta.url), async (site, { isTroubled }) => {
+await runCase(new URL('record.txt', import.meta.url), async (site, { isTroubled }) => {
   site.store.writeRow('op', 'config', createConfig(1, { orders: { kind: 'unsafe', service: 'shop' } }, { shop: {} }))
   for (const zone of zones) for (let count = 0; count < serversPerZone; count++) await site.addServer({ service: 'shop', zone, slots: 9, workMs: () => 900 + Math.random() * 200 })
   for (const zone of zones) await site.addMachine({ zone, zones })
